--- /dev/null
+++ b/src/bin/marlrun/main.rs
@@ -0,0 +1,3 @@
+//! Placeholder until the program is written.
+
+fn main() {}
--- /dev/null
+++ b/src/id/domain.rs
@@ -0,0 +1,3 @@
+//! Name of a failure domain.
+
+super::text_id!(Domain, "failure domain");
--- /dev/null
+++ b/src/id/router.rs
@@ -0,0 +1,3 @@
+//! Name of a router.
+
+super::text_id!(Router, "router");
--- /dev/null
+++ b/src/id/service.rs
@@ -0,0 +1,3 @@
+//! Name of a service.
+
+super::text_id!(Service, "service");
--- /dev/null
+++ b/src/id/target.rs
@@ -0,0 +1,3 @@
+//! Name of a target.
+
+super::text_id!(Target, "target");
--- /dev/null
+++ b/src/id/workspace.rs
@@ -0,0 +1,3 @@
+//! Name of a workspace.
+
+super::text_id!(Workspace, "workspace");
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,9 @@
+//! Marlrun: a router fleet that shares model engines and services fairly among workspaces.
+
+pub mod clock;
+pub mod config;
+pub mod id;
+pub mod platform;
+pub mod random;
+pub mod unit;
+pub mod wire;
--- /dev/null
+++ b/src/platform/mod.rs
@@ -0,0 +1,62 @@
+//! The platform's table service, object store and list of VMs, behind traits.
+
+mod fault;
+mod table;
+mod vm;
+
+pub use self::{
+    fault::Fault,
+    table::{Expect, Row, Verdict, Write},
+    vm::{State, Vm},
+};
+
+/// The platform's transactional table. Calls block; the caller runs them on a thread of its own.
+pub trait Table: Send + Sync {
+    /// Reads rows by key; a key without a row is left out.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the table cannot be reached or refuses.
+    fn read(&self, keys: &[Box<str>]) -> Result<Vec<Row>, Fault>;
+
+    /// Reads up to `limit` rows whose keys start with `prefix` and lie after `after`, in key order.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the table cannot be reached or refuses.
+    fn scan(&self, prefix: &str, after: &str, limit: usize) -> Result<Vec<Row>, Fault>;
+
+    /// Writes all rows or, if any condition does not hold, none.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the table refuses, or with [`Fault::Lost`] if the write may have taken effect.
+    fn write(&self, writes: &[Write]) -> Result<Verdict, Fault>;
+}
+
+/// The platform's object store. Calls block.
+pub trait Objects: Send + Sync {
+    /// Reads an object, or `None` if there is none.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the store cannot be reached or refuses.
+    fn get(&self, name: &str) -> Result<Option<Vec<u8>>, Fault>;
+
+    /// Writes an object whole.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the store refuses, or with [`Fault::Lost`] if the write may have taken effect.
+    fn put(&self, name: &str, body: &[u8]) -> Result<(), Fault>;
+}
+
+/// The platform's list of VMs, which lags behind the truth. Calls block.
+pub trait Directory: Send + Sync {
+    /// Returns the live and leaving VMs.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the list cannot be reached.
+    fn list(&self) -> Result<Vec<Vm>, Fault>;
+}
