Platform client, stand-ins of the platform, engines and plain services

Cause: routers, tests and the quickstart need a platform and targets whose faults can be scripted.

The platform's logic stands once, in a store without I/O; an in-process platform and the HTTP stand-in serve it. The client uses oxhttp, whose answers are whole. The stand-ins use hyper, because oxhttp's server neither streams nor stops.

A call is Unreachable only when the connection could not be opened, otherwise Lost: the errors that connect gives can be told apart from those of a connected socket.

Found on the way, each with a test that failed first: a 204 taken as an answer without a length (objects_come_back_whole), and hyper dropping what it had not yet sent before a cut (faults_short_and_crossed_answers_show).

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,5 +5,6 @@
 pub mod id;
 pub mod platform;
 pub mod random;
+pub mod standin;
 pub mod unit;
 pub mod wire;
--- /dev/null
+++ b/src/platform/client.rs
@@ -0,0 +1,227 @@
+//! The platform over HTTP.
+
+use super::{
+    Directory, Fault, Objects, Row, Table, Verdict, Vm, Write,
+    protocol::{self, ReadBody, RowsBody, ScanBody, VmsBody, WriteBody},
+};
+use crate::unit::Span;
+use oxhttp::model::{Body, HeaderMap, Method, Request, Response, StatusCode, header};
+use std::{
+    io::{self, ErrorKind, Read},
+    net::SocketAddr,
+};
+
+/// Largest answer that is read, in bytes; it bounds the memory that one call takes.
+const MAX_ANSWER_BYTES: u64 = 64 << 20;
+/// Bytes of a refusal that are kept for its error message.
+const MAX_DETAIL_BYTES: usize = 512;
+/// Wait when a rate limit names none.
+const DEFAULT_RETRY_AFTER: Span = Span::from_secs(1);
+
+/// Where the platform is and how long a call may wait.
+#[derive(Clone, Copy, Debug)]
+pub struct Settings {
+    /// Address of the platform's HTTP interface.
+    pub address: SocketAddr,
+    /// Longest wait for the connection and for each read and write.
+    pub timeout: Span,
+}
+
+/// Client of the platform's HTTP interface; each call opens a connection and blocks.
+pub struct Client {
+    http: oxhttp::Client,
+    address: SocketAddr,
+}
+
+impl Client {
+    /// Returns a client; nothing is connected yet.
+    pub fn open(settings: Settings) -> Self {
+        Self {
+            http: oxhttp::Client::new().with_global_timeout(settings.timeout.into()),
+            address: settings.address,
+        }
+    }
+
+    /// Posts a JSON body and reads a JSON answer.
+    fn post<B, A>(&self, call: &str, path: &str, body: &B) -> Result<A, Fault>
+    where
+        B: serde::Serialize,
+        A: serde::de::DeserializeOwned,
+    {
+        let body = serde_json::to_vec(body).map_err(|e| invalid(call, &e.to_string()))?;
+        let answer = self.call(call, Method::POST, path, body)?;
+        decode(call, answer)
+    }
+
+    /// Makes a call and returns the answer's body.
+    fn call(
+        &self,
+        call: &str,
+        method: Method,
+        path: &str,
+        body: Vec<u8>,
+    ) -> Result<Vec<u8>, Fault> {
+        let request = Request::builder()
+            .method(method)
+            .uri(format!("http://{}{path}", self.address))
+            .header(header::CONTENT_TYPE, "application/json")
+            .body(Body::from(body))
+            .map_err(|e| invalid(call, &e.to_string()))?;
+        let answer = self.http.request(request);
+        let answer = answer.map_err(|e| broken(call, &e))?;
+        let (status, headers) = (answer.status(), answer.headers().clone());
+        let body = read_whole(answer).map_err(|e| lost(call, &e.to_string()))?;
+        check(call, status, &headers, body)
+    }
+}
+
+impl Table for Client {
+    fn read(&self, keys: &[Box<str>]) -> Result<Vec<Row>, Fault> {
+        let body = ReadBody {
+            keys: keys.to_vec(),
+        };
+        let answer: RowsBody = self.post("read", protocol::READ, &body)?;
+        Ok(answer.rows)
+    }
+
+    fn scan(&self, prefix: &str, after: &str, limit: usize) -> Result<Vec<Row>, Fault> {
+        let body = ScanBody {
+            prefix: prefix.into(),
+            after: after.into(),
+            limit,
+        };
+        let answer: RowsBody = self.post("scan", protocol::SCAN, &body)?;
+        Ok(answer.rows)
+    }
+
+    fn write(&self, writes: &[Write]) -> Result<Verdict, Fault> {
+        let body = WriteBody {
+            writes: writes.to_vec(),
+        };
+        self.post("write", protocol::WRITE, &body)
+    }
+}
+
+impl Objects for Client {
+    fn get(&self, name: &str) -> Result<Option<Vec<u8>>, Fault> {
+        let path = object_path("get", name)?;
+        match self.call("get", Method::GET, &path, Vec::new()) {
+            Ok(body) => Ok(Some(body)),
+            Err(Fault::Refused { status, .. }) if status == StatusCode::NOT_FOUND.as_u16() => {
+                Ok(None)
+            }
+            Err(fault) => Err(fault),
+        }
+    }
+
+    fn put(&self, name: &str, body: &[u8]) -> Result<(), Fault> {
+        let path = object_path("put", name)?;
+        self.call("put", Method::PUT, &path, body.to_vec())?;
+        Ok(())
+    }
+}
+
+impl Directory for Client {
+    fn list(&self) -> Result<Vec<Vm>, Fault> {
+        let answer = self.call("list", Method::GET, protocol::VMS, Vec::new())?;
+        let answer: VmsBody = decode("list", answer)?;
+        Ok(answer.vms)
+    }
+}
+
+/// Turns an HTTP status into a fault unless it is a success.
+fn check(
+    call: &str,
+    status: StatusCode,
+    headers: &HeaderMap,
+    body: Vec<u8>,
+) -> Result<Vec<u8>, Fault> {
+    if status.is_success() {
+        return Ok(body);
+    }
+    if status == StatusCode::TOO_MANY_REQUESTS {
+        return Err(Fault::Limited {
+            call: call.into(),
+            retry_after: retry_after(headers),
+        });
+    }
+    let detail = String::from_utf8_lossy(&body[..body.len().min(MAX_DETAIL_BYTES)]);
+    if status.is_client_error() {
+        return Err(Fault::Refused {
+            call: call.into(),
+            status: status.as_u16(),
+            detail: detail.as_ref().into(),
+        });
+    }
+    // A gateway may answer for a platform that has already acted.
+    Err(lost(call, &format!("status {status}: {detail}")))
+}
+
+fn retry_after(headers: &HeaderMap) -> Span {
+    let value = headers.get(header::RETRY_AFTER);
+    let secs = value.and_then(|v| v.to_str().ok()?.parse().ok());
+    secs.map_or(DEFAULT_RETRY_AFTER, Span::from_secs)
+}
+
+/// Reads a body whole; a connection that closes early is an error.
+fn read_whole(answer: Response<Body>) -> io::Result<Vec<u8>> {
+    if answer.status() == StatusCode::NO_CONTENT {
+        return Ok(Vec::new());
+    }
+    let headers = answer.headers();
+    let has_length = headers.contains_key(header::CONTENT_LENGTH);
+    if !has_length && !headers.contains_key(header::TRANSFER_ENCODING) {
+        return Err(invalid_data("the answer has no length"));
+    }
+    let mut body = answer.into_body().take(MAX_ANSWER_BYTES + 1);
+    let mut bytes = Vec::new();
+    body.read_to_end(&mut bytes)?;
+    if bytes.len() as u64 > MAX_ANSWER_BYTES {
+        return Err(invalid_data("the answer is too long"));
+    }
+    Ok(bytes)
+}
+
+fn invalid_data(cause: &str) -> io::Error {
+    io::Error::new(ErrorKind::InvalidData, cause)
+}
+
+fn decode<A: serde::de::DeserializeOwned>(call: &str, body: Vec<u8>) -> Result<A, Fault> {
+    serde_json::from_slice(&body).map_err(|e| lost(call, &format!("answer: {e}")))
+}
+
+fn object_path(call: &str, name: &str) -> Result<String, Fault> {
+    if !protocol::is_object_name(name) {
+        return Err(invalid(call, &format!("object name {name:?}")));
+    }
+    Ok(format!("{}{name}", protocol::OBJECTS))
+}
+
+/// Fault of a call whose connection failed.
+fn broken(call: &str, error: &io::Error) -> Fault {
+    // On a connected socket, reads with a time limit fail with `WouldBlock`, and the kernel's own
+    // timeout carries an error number; so these can only come from `connect`.
+    let connect_timeout = error.kind() == ErrorKind::TimedOut && error.raw_os_error().is_none();
+    if error.kind() == ErrorKind::ConnectionRefused || connect_timeout {
+        return Fault::Unreachable {
+            call: call.into(),
+            cause: error.to_string().into(),
+        };
+    }
+    lost(call, &error.to_string())
+}
+
+fn lost(call: &str, cause: &str) -> Fault {
+    Fault::Lost {
+        call: call.into(),
+        cause: cause.into(),
+    }
+}
+
+fn invalid(call: &str, detail: &str) -> Fault {
+    Fault::Refused {
+        call: call.into(),
+        status: StatusCode::BAD_REQUEST.as_u16(),
+        detail: detail.into(),
+    }
+}
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -1,11 +1,23 @@
 //! The platform's table service, object store and list of VMs, behind traits.
 
+mod bucket;
+pub mod client;
 mod fault;
+mod memory;
+pub(crate) mod protocol;
+mod script;
+mod stats;
+mod store;
 mod table;
 mod vm;
 
 pub use self::{
+    client::Client,
     fault::Fault,
+    memory::Memory,
+    script::Script,
+    stats::Stats,
+    store::{MAX_ROWS, MAX_WRITES},
     table::{Expect, Row, Verdict, Write},
     vm::{State, Vm},
 };
--- /dev/null
+++ b/src/standin/target.rs
@@ -0,0 +1,141 @@
+//! What the stand-ins of all targets have in common: health, faults and accounts.
+
+use super::{
+    Script,
+    ledger::{self, Labels, Ledger, Run},
+    reply::{self, Body, Dropped, Reply},
+    server::Pauses,
+    slots::Slots,
+};
+use crate::unit::Span;
+use bytes::Bytes;
+use hyper::{
+    HeaderMap, Method, StatusCode,
+    header::{CONTENT_LENGTH, HeaderName, HeaderValue, RETRY_AFTER},
+};
+use std::sync::{
+    Arc, Mutex, PoisonError,
+    atomic::{AtomicBool, Ordering},
+};
+use tokio::{sync::mpsc, time::sleep};
+
+/// Header that says whether a refused request was run.
+const OUTCOME: HeaderName = HeaderName::from_static("marlrun-outcome");
+/// Outcome of a request that was not run.
+const NOT_RUN: HeaderValue = HeaderValue::from_static("not-run");
+/// Attempt that no router makes.
+const WRONG_ATTEMPT: HeaderValue = HeaderValue::from_static("ffffffffffffffff-0");
+/// Wait that a refusal asks for, in seconds.
+const REFUSAL_RETRY_AFTER: HeaderValue = HeaderValue::from_static("1");
+
+/// State that the stand-ins of all targets have.
+#[derive(Debug)]
+pub(super) struct Target {
+    pub(super) slots: Arc<Slots>,
+    ledger: Arc<Ledger>,
+    script: Mutex<Script>,
+    leaving: AtomicBool,
+    pauses: mpsc::UnboundedSender<Span>,
+}
+
+impl Target {
+    pub(super) fn open(slots: u32, load_lag: Span) -> (Self, Pauses) {
+        let (pauses, receiver) = mpsc::unbounded_channel();
+        let target = Self {
+            slots: Slots::new(slots, load_lag),
+            ledger: Arc::default(),
+            script: Mutex::default(),
+            leaving: AtomicBool::new(false),
+            pauses,
+        };
+        (target, receiver)
+    }
+
+    /// Answers a call of the control interface, or returns `None` if it is not one.
+    pub(super) async fn control(&self, method: &Method, path: &str, body: &Bytes) -> Option<Reply> {
+        let reply = match (method, path) {
+            (&Method::GET, "/health") => self.health(),
+            (&Method::GET, "/load") => reply::json(&self.slots.load()),
+            (&Method::GET, "/runs") => reply::json(&self.ledger.copy()),
+            (&Method::GET, "/stats") => reply::json(&self.ledger.total()),
+            (&Method::POST, "/leave") => {
+                self.leaving.store(true, Ordering::Relaxed);
+                reply::done()
+            }
+            (&Method::POST, "/faults") => match reply::parse(body) {
+                Ok(script) => self.set_script(script),
+                Err(malformed) => malformed.into(),
+            },
+            _ => return None,
+        };
+        Some(reply)
+    }
+
+    /// Returns the faults that hit the next request.
+    pub(super) fn next_faults(&self) -> Script {
+        self.script
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .next()
+    }
+
+    /// Takes a request in.
+    pub(super) fn admit(&self, headers: &HeaderMap) -> Run {
+        let leaving = self.leaving.load(Ordering::Relaxed);
+        self.ledger.admit(Labels::of(headers), leaving)
+    }
+
+    fn set_script(&self, script: Script) -> Reply {
+        if script.refuse_for > Span(0) {
+            // The server ends only together with the target.
+            let _ = self.pauses.send(script.refuse_for);
+        }
+        *self.script.lock().unwrap_or_else(PoisonError::into_inner) = script;
+        reply::done()
+    }
+
+    fn health(&self) -> Reply {
+        if self.leaving.load(Ordering::Relaxed) {
+            return reply::problem(StatusCode::SERVICE_UNAVAILABLE, "leaving");
+        }
+        reply::done()
+    }
+}
+
+/// Returns the answer to a request that is not run.
+pub(super) fn not_run() -> Reply {
+    let mut reply = reply::problem(StatusCode::SERVICE_UNAVAILABLE, "not run");
+    reply.headers_mut().insert(OUTCOME, NOT_RUN);
+    reply.headers_mut().insert(RETRY_AFTER, REFUSAL_RETRY_AFTER);
+    reply
+}
+
+/// Returns a whole answer as the faults leave it.
+pub(super) async fn whole(body: Bytes, faults: &Script) -> Result<Body, Dropped> {
+    sleep(faults.first_byte_delay.into()).await;
+    if faults.lose_answer {
+        return Err(Dropped);
+    }
+    if !faults.short_body {
+        return Ok(reply::whole(body));
+    }
+    let half = body.len() as u64 / 2;
+    Ok(reply::cut_off(body, half))
+}
+
+/// Copies the identifiers of a request to its answer.
+pub(super) fn echo(reply: &mut Reply, request: &HeaderMap, faults: &Script) {
+    for name in [ledger::ATTEMPT, ledger::REQUEST] {
+        if let Some(value) = request.get(name) {
+            reply.headers_mut().insert(name, value.clone());
+        }
+    }
+    if faults.wrong_attempt {
+        reply.headers_mut().insert(ledger::ATTEMPT, WRONG_ATTEMPT);
+    }
+}
+
+/// Declares the length of an answer, whatever its body holds.
+pub(super) fn declare_length(reply: &mut Reply, length: usize) {
+    reply.headers_mut().insert(CONTENT_LENGTH, length.into());
+}
