Owner queues and tallies: fair order, limits, pull, soft fleet-wide levels

Cause: nothing decided who gets a target's slot.

The owner keeps, per service and size class, the backlogged workspaces ordered by fleet-wide level; idle accounts cost nothing in a decision. Estimates are charged at the grant and corrected by progress and the final cost. Tallies add the change of each owner's cumulative count since its last report, so repeated and crossed reports change nothing.

Ruled out: lifting a workspace only when nothing of it runs. One that runs a little all the time would keep a low level and gain credit; the lift therefore comes whenever it had nothing waiting.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,7 +3,9 @@
 pub mod clock;
 pub mod config;
 pub mod id;
+pub mod owner;
 pub mod platform;
 pub mod random;
+pub mod tally;
 pub mod unit;
 pub mod wire;
--- /dev/null
+++ b/src/owner/queue.rs
@@ -0,0 +1,66 @@
+//! Order of the backlogged workspaces of one service and class.
+
+use crate::id;
+use std::collections::BTreeSet;
+
+/// Keys of a workspace in a queue.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Key {
+    /// Fleet-wide level.
+    pub level: u64,
+    /// Number of the last grant.
+    pub turn: u64,
+}
+
+/// Order of the backlogged workspaces of one service and class.
+#[derive(Clone, Debug, Default)]
+pub struct Queue {
+    by_level: BTreeSet<(u64, u64, id::Workspace)>,
+    by_turn: BTreeSet<(u64, id::Workspace)>,
+}
+
+impl Queue {
+    /// Adds a backlogged workspace.
+    pub fn insert(&mut self, key: Key, workspace: &id::Workspace) {
+        self.by_level
+            .insert((key.level, key.turn, workspace.clone()));
+        self.by_turn.insert((key.turn, workspace.clone()));
+    }
+
+    /// Removes a workspace that was added with the key.
+    pub fn remove(&mut self, key: Key, workspace: &id::Workspace) {
+        self.by_level
+            .remove(&(key.level, key.turn, workspace.clone()));
+        self.by_turn.remove(&(key.turn, workspace.clone()));
+    }
+
+    /// Returns the workspace with the lowest level; of equals, the least recently granted one.
+    pub fn lowest(&self) -> Option<(u64, &id::Workspace)> {
+        self.by_level.first().map(|(level, _, name)| (*level, name))
+    }
+
+    /// Returns the least recently granted workspace.
+    pub fn oldest(&self) -> Option<&id::Workspace> {
+        self.by_turn.first().map(|(_, name)| name)
+    }
+
+    /// Returns the highest level.
+    pub fn highest(&self) -> Option<u64> {
+        self.by_level.last().map(|(level, ..)| *level)
+    }
+
+    /// Returns the workspaces, lowest level first.
+    pub fn iter(&self) -> impl Iterator<Item = &id::Workspace> {
+        self.by_level.iter().map(|(.., name)| name)
+    }
+
+    /// Returns the number of backlogged workspaces.
+    pub fn len(&self) -> usize {
+        self.by_level.len()
+    }
+
+    /// Reports whether no workspace is backlogged.
+    pub fn is_empty(&self) -> bool {
+        self.by_level.is_empty()
+    }
+}
--- /dev/null
+++ b/src/tally/machine.rs
@@ -0,0 +1,138 @@
+//! Adds up the service that the owners report.
+
+use super::{Event, ledger::Ledger};
+use crate::{
+    config, id,
+    unit::{Span, Time, Weight},
+    wire,
+};
+use std::{collections::BTreeMap, sync::Arc};
+
+/// Time for which a silent owner's baseline is kept, so that a rejoin adds exactly.
+const KEEP: Span = Span::from_secs(3600);
+/// Time between two searches for baselines to drop.
+const SWEEP: Span = Span::from_secs(60);
+/// Time for which a floor in a report counts.
+const FLOOR_FRESH: Span = Span::from_secs(5);
+
+/// Fleet-wide levels of the workspaces that a router adds up.
+#[derive(Debug, Default)]
+pub struct Tally {
+    fleet: Arc<config::Fleet>,
+    ledgers: BTreeMap<id::Service, BTreeMap<id::Workspace, Ledger>>,
+    reported: BTreeMap<id::Router, (Time, Vec<(id::Service, u64)>)>,
+    floors: Vec<(id::Service, u64)>,
+    swept: Time,
+    now: Time,
+}
+
+impl Tally {
+    /// Returns a tally that knows nothing.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Takes an event and adds the messages that follow from it.
+    pub fn step(&mut self, now: Time, event: Event, out: &mut Vec<wire::Envelope>) {
+        self.now = self.now.max(now);
+        match event {
+            Event::Config(fleet) => self.configure(fleet),
+            Event::Report { from, report } => self.report(from, report, out),
+            Event::RouterLost(router) => self.router_lost(&router),
+            Event::Floors(floors) => self.floors = floors,
+            Event::Tick => self.tick(),
+        }
+    }
+
+    /// Returns the fleet-wide level of a workspace for a service.
+    pub fn level(&self, workspace: &id::Workspace, service: &id::Service) -> Option<u64> {
+        let ledger = self.ledgers.get(service)?.get(workspace)?;
+        Some(ledger.level())
+    }
+
+    /// Returns the number of levels kept.
+    pub fn len(&self) -> usize {
+        self.ledgers.values().map(BTreeMap::len).sum()
+    }
+
+    /// Reports whether no level is kept.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    fn configure(&mut self, fleet: Arc<config::Fleet>) {
+        self.fleet = fleet;
+        for ledgers in self.ledgers.values_mut() {
+            for (workspace, ledger) in ledgers {
+                ledger.reweigh(weight_of(&self.fleet, workspace));
+            }
+        }
+    }
+
+    /// Adds a report and answers with the levels of the workspaces in it.
+    fn report(&mut self, from: id::Router, report: wire::Report, out: &mut Vec<wire::Envelope>) {
+        let owner = (from.clone(), report.incarnation);
+        self.reported
+            .insert(from.clone(), (self.now, report.floors));
+        let floors = self.lowest_floors();
+        let mut levels = Vec::new();
+        for usage in &report.usage {
+            let ledgers = self.ledgers.entry(usage.service.clone()).or_default();
+            let ledger = ledgers.entry(usage.workspace.clone());
+            let ledger = ledger.or_insert_with(Ledger::new);
+            ledger.reweigh(weight_of(&self.fleet, &usage.workspace));
+            let floor = floors.get(&usage.service).copied();
+            ledger.add(self.now, owner.clone(), report.sequence, usage, floor);
+            levels.push(wire::Level {
+                workspace: usage.workspace.clone(),
+                service: usage.service.clone(),
+                level: ledger.level(),
+                included: ledger.included(&owner),
+            });
+        }
+        if !levels.is_empty() {
+            out.push(wire::Envelope {
+                to: from,
+                message: wire::Message::Levels(levels),
+            });
+        }
+    }
+
+    /// Returns the lowest known floor of each service.
+    fn lowest_floors(&self) -> BTreeMap<id::Service, u64> {
+        let fresh = self.reported.values();
+        let fresh = fresh.filter(|(at, _)| self.now.since(*at) < FLOOR_FRESH);
+        let floors = fresh.flat_map(|(_, floors)| floors).chain(&self.floors);
+        let mut lowest = BTreeMap::new();
+        for (service, floor) in floors {
+            let entry = lowest.entry(service.clone()).or_insert(*floor);
+            *entry = (*entry).min(*floor);
+        }
+        lowest
+    }
+
+    fn router_lost(&mut self, router: &id::Router) {
+        self.reported.remove(router);
+        for ledgers in self.ledgers.values_mut() {
+            for ledger in ledgers.values_mut() {
+                ledger.lose(router);
+            }
+        }
+    }
+
+    /// Drops what nobody reported for long.
+    fn tick(&mut self) {
+        if self.now.since(self.swept) < SWEEP {
+            return;
+        }
+        self.swept = self.now;
+        for ledgers in self.ledgers.values_mut() {
+            ledgers.retain(|_, ledger| ledger.forget(self.now, KEEP));
+        }
+    }
+}
+
+fn weight_of(fleet: &config::Fleet, workspace: &id::Workspace) -> Weight {
+    let config = fleet.workspaces.get(workspace);
+    config.map_or(Weight::ONE, |config| config.weight)
+}
--- /dev/null
+++ b/tests/owner.rs
@@ -0,0 +1,235 @@
+//! The owner's queues: order of grants, refusals, slots and hand-over.
+
+use marlrun::{
+    config, id, owner,
+    unit::{Cost, Span, Time, Version, Weight},
+    wire,
+};
+use std::{fmt, str, sync::Arc};
+
+const SERVICE: &str = "chat";
+const INGRESS: &str = "ingress";
+
+fn name<T: str::FromStr<Err = E>, E: fmt::Debug>(text: &str) -> T {
+    text.parse().unwrap()
+}
+
+fn attempt(sequence: u64) -> id::Attempt {
+    let incarnation = id::Incarnation(1);
+    id::Attempt {
+        incarnation,
+        sequence,
+    }
+}
+
+/// Returns a fleet with one service, whose targets have the slots given.
+fn fleet(slots: &[u32], weights: &[(&str, u32)]) -> Arc<config::Fleet> {
+    let mut fleet = config::Fleet {
+        version: Version(1),
+        ..config::Fleet::default()
+    };
+    let service = config::Service {
+        name: name(SERVICE),
+        kind: config::Kind::Model,
+        hosts: Vec::new(),
+        idempotent: false,
+        quick: Cost(100),
+        estimate: Cost(500),
+        timeout: Span::from_secs(60),
+        max_waiting: 4,
+        engine: config::Engine::default(),
+    };
+    fleet.services.insert(name(SERVICE), Arc::new(service));
+    for (index, slots) in slots.iter().enumerate() {
+        let target = config::Target {
+            name: name(&format!("t{index}")),
+            service: name(SERVICE),
+            domain: name("vake"),
+            address: "127.0.0.1:1".parse().unwrap(),
+            slots: *slots,
+        };
+        fleet.targets.insert(target.name.clone(), Arc::new(target));
+    }
+    for (workspace, weight) in weights {
+        let workspace = config::Workspace {
+            name: name(workspace),
+            weight: Weight::new(*weight).unwrap(),
+        };
+        let key = workspace.name.clone();
+        fleet.workspaces.insert(key, Arc::new(workspace));
+    }
+    Arc::new(fleet)
+}
+
+struct Bench {
+    owner: owner::Owner,
+    now: Time,
+    next: u64,
+}
+
+impl Bench {
+    fn open(slots: &[u32], weights: &[(&str, u32)]) -> Self {
+        let mut bench = Bench {
+            owner: owner::Owner::new(name("r1"), id::Incarnation(7)),
+            now: Time(1_000_000),
+            next: 0,
+        };
+        bench.step(owner::Event::Config(fleet(slots, weights)));
+        let targets = (0..slots.len()).map(|index| name(&format!("t{index}")));
+        bench.step(owner::Event::Owned(targets.collect()));
+        bench
+    }
+
+    fn step(&mut self, event: owner::Event) -> Vec<wire::Message> {
+        let mut out = Vec::new();
+        self.owner.step(self.now, event, &mut out);
+        out.into_iter().map(|envelope| envelope.message).collect()
+    }
+
+    fn request(&mut self, workspace: &str, class: wire::Class, estimate: u64) -> wire::Ask {
+        self.next += 1;
+        wire::Ask {
+            attempt: attempt(self.next),
+            workspace: name(workspace),
+            service: name(SERVICE),
+            target: name("t0"),
+            class,
+            estimate: Cost(estimate),
+            waited: Span(0),
+            remaining: Span::from_secs(60),
+            hops: 0,
+        }
+    }
+
+    fn send(&mut self, ask: wire::Ask) -> Vec<wire::Message> {
+        let from = name(INGRESS);
+        self.step(owner::Event::Ask { from, ask })
+    }
+
+    fn ask(&mut self, workspace: &str, estimate: u64) -> (u64, Vec<wire::Message>) {
+        let ask = self.request(workspace, wire::Class::Long, estimate);
+        let sequence = ask.attempt.sequence;
+        (sequence, self.send(ask))
+    }
+
+    fn done(&mut self, sequence: u64, cost: u64) -> Vec<wire::Message> {
+        self.step(owner::Event::Done {
+            from: name(INGRESS),
+            attempt: attempt(sequence),
+            target: name("t0"),
+            cost: Cost(cost),
+            outcome: wire::Outcome::Answered,
+        })
+    }
+
+    fn levels(&self) -> Vec<(String, u64)> {
+        let rows = self.owner.snapshot().into_iter();
+        rows.map(|row| (row.workspace.to_string(), row.level))
+            .collect()
+    }
+}
+
+fn granted(messages: &[wire::Message]) -> Vec<u64> {
+    let sequence = |message: &wire::Message| match message {
+        wire::Message::Grant { attempt, .. } => Some(attempt.sequence),
+        _ => None,
+    };
+    messages.iter().filter_map(sequence).collect()
+}
+
+fn reason(messages: &[wire::Message]) -> Option<wire::Reason> {
+    messages.iter().find_map(|message| match message {
+        wire::Message::Refuse { refusal, .. } => Some(refusal.reason),
+        _ => None,
+    })
+}
+
+#[test]
+fn ask_free_slot() {
+    let mut bench = Bench::open(&[1], &[]);
+    let (first, messages) = bench.ask("a", 200);
+    assert_eq!(granted(&messages), [first]);
+    let (_, messages) = bench.ask("a", 200);
+    assert!(messages.is_empty(), "the slot is taken: {messages:?}");
+}
+
+#[test]
+fn ask_repeated() {
+    let mut bench = Bench::open(&[1], &[]);
+    let ask = bench.request("a", wire::Class::Long, 200);
+    assert_eq!(granted(&bench.send(ask.clone())), [1]);
+    assert_eq!(granted(&bench.send(ask)), [1]);
+    let row = &bench.owner.snapshot()[0];
+    assert_eq!((row.running, row.served), (1, Cost(200)));
+}
+
+#[test]
+fn done_lowest_level_next() {
+    let mut bench = Bench::open(&[1], &[]);
+    bench.ask("a", 200);
+    bench.ask("a", 200);
+    let (b, _) = bench.ask("b", 200);
+    let messages = bench.done(1, 200);
+    assert_eq!(granted(&messages), [b]);
+}
+
+#[test]
+fn done_shares_follow_weights() {
+    let mut bench = Bench::open(&[1], &[("a", 3), ("b", 1)]);
+    bench.ask("a", 200);
+    let mut running = 1;
+    let mut served = [0, 0];
+    for _ in 0..400 {
+        for workspace in ["a", "b"] {
+            bench.ask(workspace, 200);
+        }
+        running = granted(&bench.done(running, 200))[0];
+        let rows = bench.owner.snapshot();
+        served = [rows[0].served.0, rows[1].served.0];
+    }
+    let (a, b) = (served[0] as f64, served[1] as f64);
+    assert!((a / b - 3.0).abs() < 0.1, "shares {a} and {b}");
+}
+
+#[test]
+fn ask_flood_refused_alone() {
+    let mut bench = Bench::open(&[1], &[]);
+    for _ in 0..5 {
+        bench.ask("flood", 200);
+    }
+    let (_, messages) = bench.ask("flood", 200);
+    assert_eq!(reason(&messages), Some(wire::Reason::WorkspaceFull));
+    let (_, messages) = bench.ask("other", 200);
+    assert_eq!(reason(&messages), None);
+}
+
+#[test]
+fn ask_after_idle_earns_no_credit() {
+    let mut bench = Bench::open(&[1], &[]);
+    bench.ask("idle", 1);
+    bench.done(1, 1);
+    let mut running = bench.ask("busy", 200).0;
+    for _ in 0..50 {
+        bench.ask("busy", 200);
+        running = granted(&bench.done(running, 200))[0];
+    }
+    bench.ask("busy", 200);
+    bench.ask("idle", 200);
+    let levels = bench.levels();
+    assert!(levels[1].1 + 400_000 >= levels[0].1, "levels {levels:?}");
+}
+
+#[test]
+fn config_lost_target_moves_work() {
+    let mut bench = Bench::open(&[1], &[]);
+    bench.ask("a", 200);
+    let (second, _) = bench.ask("a", 200);
+    let messages = bench.step(owner::Event::Owned(Vec::new()));
+    let moved = wire::Message::Move {
+        attempt: attempt(second),
+        target: name("t0"),
+    };
+    assert_eq!(messages, [moved]);
+    let (_, messages) = bench.ask("a", 200);
+    assert_eq!(reason(&messages), Some(wire::Reason::NotOwner));
+}
