Configuration files: base and overlays, findings with places, config check

Cause: the fleet needs its workspaces, services, sites and targets from the operators. A base file holds everything; an overlay changes limits and targets of one site.

Ruled out: serde's derived reading, which stops at the first fault and knows no place for references between tables. toml's own tree with spans reports all faults together. figment keeps the source of a value but no line or column.

--- a/src/bin/marlrun/main.rs
+++ b/src/bin/marlrun/main.rs
@@ -1,3 +1,15 @@
-//! Placeholder until the program is written.
+//! The operators' command line.
 
-fn main() {}
+use clap::Parser as _;
+use marlrun::cli;
+use std::{io, process};
+
+fn main() -> process::ExitCode {
+    let arguments = cli::Arguments::parse();
+    let mut output = cli::Output {
+        json: arguments.json,
+        out: &mut io::stdout(),
+        err: &mut io::stderr(),
+    };
+    cli::run(&arguments, &mut output).into()
+}
--- /dev/null
+++ b/src/cli/check.rs
@@ -0,0 +1,61 @@
+//! `marlrun config check`.
+
+use super::{Exit, files::Files, output::Output};
+use crate::config;
+use std::io;
+
+/// What a correct configuration holds.
+#[derive(serde::Serialize)]
+struct Summary {
+    findings: [(); 0],
+    sites: usize,
+    overlays: usize,
+    workspaces: usize,
+    services: usize,
+    targets: usize,
+}
+
+/// Prints the findings of files, or a summary of what they hold.
+pub(super) fn check(files: &Files, output: &mut Output<'_>) -> io::Result<Exit> {
+    let Some(document) = load(files, output)? else {
+        return Ok(Exit::Findings);
+    };
+    let summary = Summary {
+        findings: [],
+        sites: document.sites.len(),
+        overlays: document.overlays.len(),
+        workspaces: document.workspaces.len(),
+        services: document.services.len(),
+        targets: document.targets.len(),
+    };
+    output.print(&summary, |out| {
+        writeln!(
+            out,
+            "correct: sites {}, overlays {}, workspaces {}, services {}, targets {}",
+            summary.sites, summary.overlays, summary.workspaces, summary.services, summary.targets
+        )
+    })?;
+    Ok(Exit::Done)
+}
+
+/// Reads and checks files; prints the findings and returns `None` if there are any.
+pub(super) fn load(files: &Files, output: &mut Output<'_>) -> io::Result<Option<config::Document>> {
+    let (base, overlays) = files.open().map_err(io::Error::other)?;
+    match config::check(&base, &overlays) {
+        Ok(document) => Ok(Some(document)),
+        Err(findings) => {
+            output.print(
+                &Report {
+                    findings: &findings.0,
+                },
+                |out| writeln!(out, "{findings}"),
+            )?;
+            Ok(None)
+        }
+    }
+}
+
+#[derive(serde::Serialize)]
+struct Report<'f> {
+    findings: &'f [config::Finding],
+}
--- /dev/null
+++ b/src/cli/files.rs
@@ -0,0 +1,28 @@
+//! Configuration files named on the command line.
+
+use crate::config::{Source, Unreadable};
+use std::path::PathBuf;
+
+/// A base file with overlays.
+#[derive(clap::Args, Clone, Debug)]
+pub struct Files {
+    /// Base file
+    #[arg(value_name = "BASE")]
+    pub base: PathBuf,
+    /// Overlay of a site; repeat it for each site
+    #[arg(long = "overlay", short = 'o', value_name = "FILE")]
+    pub overlays: Vec<PathBuf>,
+}
+
+impl Files {
+    /// Reads all files: the base and the overlays.
+    ///
+    /// # Errors
+    ///
+    /// Fails at the first file that cannot be read.
+    pub fn open(&self) -> Result<(Source, Vec<Source>), Unreadable> {
+        let base = Source::open(&self.base)?;
+        let overlays = self.overlays.iter().map(|path| Source::open(path));
+        Ok((base, overlays.collect::<Result<_, _>>()?))
+    }
+}
--- /dev/null
+++ b/src/config/document.rs
@@ -0,0 +1,63 @@
+//! Checked contents of the base file and of all overlays.
+
+use super::{Digest, Fleet, Overlay, Service, Target, Workspace};
+use crate::{id, unit::Version};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
+
+/// A workspace with the digests of its callers' keys.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct Holder {
+    /// Workspace.
+    pub workspace: Arc<Workspace>,
+    /// SHA-256 digests of the keys that its callers may use.
+    pub keys: Box<[Digest]>,
+}
+
+/// Checked contents of the base file and of all overlays, the same at every router.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Document {
+    /// Sum that the workspaces' weights may not exceed.
+    pub capacity: Option<u64>,
+    /// Failure domains of each site.
+    pub sites: BTreeMap<id::Site, BTreeSet<id::Domain>>,
+    /// Workspaces by name.
+    pub workspaces: BTreeMap<id::Workspace, Holder>,
+    /// Services by name, as the base file has them.
+    pub services: BTreeMap<id::Service, Arc<Service>>,
+    /// Slots of each target that the platform's list adds to a service.
+    pub listed_slots: BTreeMap<id::Service, u32>,
+    /// Targets by name, as the base file has them.
+    pub targets: BTreeMap<id::Target, Arc<Target>>,
+    /// Overlays by site.
+    pub overlays: BTreeMap<id::Site, Overlay>,
+}
+
+impl Document {
+    /// Returns the configuration in force at a site: limits follow its own overlay, targets follow all overlays.
+    pub fn fleet(&self, version: Version, site: Option<&id::Site>) -> Fleet {
+        let mut fleet = Fleet {
+            version,
+            services: self.services.clone(),
+            targets: self.targets.clone(),
+            listed_slots: self.listed_slots.clone(),
+            sites: self.sites.clone(),
+            ..Fleet::default()
+        };
+        for (name, holder) in &self.workspaces {
+            let keys = holder.keys.iter().map(|key| (key.0, name.clone()));
+            fleet.keys.extend(keys);
+            let workspace = Arc::clone(&holder.workspace);
+            fleet.workspaces.insert(name.clone(), workspace);
+        }
+        for overlay in self.overlays.values() {
+            overlay.apply_targets(&mut fleet);
+        }
+        if let Some(overlay) = site.and_then(|site| self.overlays.get(site)) {
+            overlay.apply_limits(&mut fleet);
+        }
+        fleet
+    }
+}
--- /dev/null
+++ b/src/config/finding.rs
@@ -0,0 +1,34 @@
+//! Faults found in configuration files.
+
+use super::Place;
+use std::fmt;
+
+/// A fault in a configuration file.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, serde::Serialize)]
+pub struct Finding {
+    /// Where it is.
+    #[serde(flatten)]
+    pub place: Place,
+    /// What is wrong, and what would be right.
+    pub message: Box<str>,
+}
+
+/// All faults of the files that were loaded together, in the order of their places.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub struct Findings(pub Vec<Finding>);
+
+impl fmt::Display for Finding {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: {}", self.place, self.message)
+    }
+}
+
+impl fmt::Display for Findings {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (index, finding) in self.0.iter().enumerate() {
+            let separator = if index == 0 { "" } else { "\n" };
+            write!(f, "{separator}{finding}")?;
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/src/config/place.rs
@@ -0,0 +1,20 @@
+//! Places in configuration files.
+
+use std::fmt;
+
+/// Place in a configuration file.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, serde::Serialize)]
+pub struct Place {
+    /// Name of the file.
+    pub file: Box<str>,
+    /// Line, from 1.
+    pub line: usize,
+    /// Column in characters, from 1.
+    pub column: usize,
+}
+
+impl fmt::Display for Place {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}:{}:{}", self.file, self.line, self.column)
+    }
+}
--- /dev/null
+++ b/src/config/reader.rs
@@ -0,0 +1,67 @@
+//! Findings of one file while it is read.
+
+use super::{Finding, Place, Source};
+use std::{cell::RefCell, fmt};
+
+/// Gathers the findings of one file and turns byte offsets into places.
+pub(super) struct Reader<'s> {
+    source: &'s Source,
+    line_starts: Vec<usize>,
+    findings: RefCell<Vec<Finding>>,
+}
+
+impl<'s> Reader<'s> {
+    /// Starts to read a file.
+    pub(super) fn new(source: &'s Source) -> Self {
+        let newlines = source.text.bytes().enumerate().filter(|(_, b)| *b == b'\n');
+        let after = newlines.map(|(index, _)| index + 1);
+        Self {
+            source,
+            line_starts: std::iter::once(0).chain(after).collect(),
+            findings: RefCell::default(),
+        }
+    }
+
+    /// Returns the text of the file.
+    pub(super) fn text(&self) -> &'s str {
+        &self.source.text
+    }
+
+    /// Records a fault at a byte offset.
+    pub(super) fn report(&self, offset: usize, message: impl fmt::Display) {
+        self.findings.borrow_mut().push(Finding {
+            place: self.place(offset),
+            message: message.to_string().into(),
+        });
+    }
+
+    /// Returns what was found.
+    pub(super) fn finish(self) -> Vec<Finding> {
+        self.findings.into_inner()
+    }
+
+    fn place(&self, offset: usize) -> Place {
+        let line = self.line_starts.partition_point(|start| *start <= offset);
+        let before = self.text().get(self.line_starts[line - 1]..offset);
+        Place {
+            file: self.source.name.clone(),
+            line,
+            column: before.map_or(0, |text| text.chars().count()) + 1,
+        }
+    }
+}
+
+/// Returns `; did you mean ...?` if a known name resembles the given one, or nothing.
+pub(super) fn suggestion<'n>(name: &str, known: impl IntoIterator<Item = &'n str>) -> String {
+    /// Similarity from which a known name is worth naming; 1 is equal.
+    const MIN_SIMILARITY: f64 = 0.5;
+    let mut best = None;
+    let mut similarity = MIN_SIMILARITY;
+    for candidate in known {
+        let score = strsim::normalized_damerau_levenshtein(name, candidate);
+        if score > similarity {
+            (best, similarity) = (Some(candidate), score);
+        }
+    }
+    best.map_or_else(String::new, |best| format!("; did you mean {best}?"))
+}
--- /dev/null
+++ b/src/config/section.rs
@@ -0,0 +1,238 @@
+//! Typed reading of one TOML table.
+
+use super::reader::{Reader, suggestion};
+use std::{cell::RefCell, fmt, str};
+use toml::{
+    Spanned,
+    de::{DeTable, DeValue},
+};
+
+/// One table of a file; it remembers which keys were asked for.
+pub(super) struct Section<'r> {
+    reader: &'r Reader<'r>,
+    /// Dotted name, empty for the file itself.
+    name: Box<str>,
+    offset: usize,
+    table: &'r DeTable<'r>,
+    known: RefCell<Vec<&'static str>>,
+}
+
+/// A value with its byte offset.
+pub(super) struct At<T> {
+    pub(super) value: T,
+    pub(super) offset: usize,
+}
+
+impl<'r> Section<'r> {
+    /// Returns the whole file as a section.
+    pub(super) fn root(reader: &'r Reader<'r>, table: &'r DeTable<'r>) -> Self {
+        Self {
+            reader,
+            name: "".into(),
+            offset: 0,
+            table,
+            known: RefCell::default(),
+        }
+    }
+
+    /// Returns the offset of the section's own key.
+    pub(super) fn offset(&self) -> usize {
+        self.offset
+    }
+
+    /// Returns a parsed text.
+    pub(super) fn text<T>(&self, key: &'static str) -> Option<At<T>>
+    where
+        T: str::FromStr<Err: fmt::Display>,
+    {
+        let value = self.value(key)?;
+        self.parse_text(key, value)
+    }
+
+    /// Returns a parsed text; reports it if it is missing.
+    pub(super) fn required_text<T>(&self, key: &'static str) -> Option<At<T>>
+    where
+        T: str::FromStr<Err: fmt::Display>,
+    {
+        self.require(key);
+        self.text(key)
+    }
+
+    /// Returns a whole number from `min` to `max`.
+    pub(super) fn number(&self, key: &'static str, min: u64, max: u64) -> Option<At<u64>> {
+        let value = self.value(key)?;
+        let offset = value.span().start;
+        let DeValue::Integer(integer) = value.get_ref() else {
+            let wanted = format!("a whole number from {min} to {max}");
+            self.mismatch(key, value, &wanted);
+            return None;
+        };
+        let number = u64::from_str_radix(integer.as_str(), integer.radix()).ok();
+        let Some(number) = number.filter(|number| (min..=max).contains(number)) else {
+            let message = format!(
+                "{} must be a whole number from {min} to {max}",
+                self.path(key)
+            );
+            self.reader.report(offset, message);
+            return None;
+        };
+        Some(At {
+            value: number,
+            offset,
+        })
+    }
+
+    /// Returns a whole number; reports it if it is missing.
+    pub(super) fn required_number(&self, key: &'static str, min: u64, max: u64) -> Option<At<u64>> {
+        self.require(key);
+        self.number(key, min, max)
+    }
+
+    /// Returns a boolean.
+    pub(super) fn flag(&self, key: &'static str) -> Option<At<bool>> {
+        let value = self.value(key)?;
+        let Some(flag) = value.get_ref().as_bool() else {
+            self.mismatch(key, value, "true or false");
+            return None;
+        };
+        Some(At {
+            value: flag,
+            offset: value.span().start,
+        })
+    }
+
+    /// Returns the parsed texts of a list.
+    pub(super) fn texts<T>(&self, key: &'static str) -> Vec<At<T>>
+    where
+        T: str::FromStr<Err: fmt::Display>,
+    {
+        let Some(value) = self.value(key) else {
+            return Vec::new();
+        };
+        let Some(items) = value.get_ref().as_array() else {
+            self.mismatch(key, value, "a list of texts");
+            return Vec::new();
+        };
+        let parsed = items.iter().map(|item| self.parse_text(key, item));
+        parsed.flatten().collect()
+    }
+
+    /// Returns a table inside this one.
+    pub(super) fn table(&self, key: &'static str) -> Option<Section<'r>> {
+        let value = self.value(key)?;
+        let Some(table) = value.get_ref().as_table() else {
+            self.mismatch(key, value, "a table");
+            return None;
+        };
+        let (own_key, _) = self.table.get_key_value(key)?;
+        Some(self.inner(key, own_key.span().start, table))
+    }
+
+    /// Returns the named tables inside a table of this one.
+    pub(super) fn tables<T>(&self, key: &'static str) -> Vec<(T, Section<'r>)>
+    where
+        T: str::FromStr<Err: fmt::Display>,
+    {
+        let outer = self.table(key);
+        outer.map_or_else(Vec::new, |outer| outer.named())
+    }
+
+    /// Reports the keys that nobody asked for; `fixed` are those that only the base file may hold.
+    pub(super) fn finish(self, fixed: &[&'static str]) {
+        let known = self.known.borrow();
+        for key in self.table.keys() {
+            let name: &str = key.get_ref();
+            if known.contains(&name) {
+                continue;
+            }
+            let path = self.path(name);
+            let message = if fixed.contains(&name) {
+                format!("{path} may not differ per site; set it in the base file")
+            } else {
+                let hint = suggestion(name, known.iter().copied());
+                format!("unknown key {path}{hint}")
+            };
+            self.reader.report(key.span().start, message);
+        }
+    }
+
+    /// Records a fault at a byte offset.
+    pub(super) fn report(&self, offset: usize, message: impl fmt::Display) {
+        self.reader.report(offset, message);
+    }
+
+    /// Returns the dotted name of a key of the section.
+    pub(super) fn path(&self, key: &str) -> String {
+        match &*self.name {
+            "" => key.to_owned(),
+            name => format!("{name}.{key}"),
+        }
+    }
+
+    fn named<T>(&self) -> Vec<(T, Section<'r>)>
+    where
+        T: str::FromStr<Err: fmt::Display>,
+    {
+        let mut sections = Vec::new();
+        for (key, value) in self.table {
+            let offset = key.span().start;
+            let name: &str = key.get_ref();
+            let Some(table) = value.get_ref().as_table() else {
+                self.mismatch(name, value, "a table");
+                continue;
+            };
+            match name.parse() {
+                Ok(id) => sections.push((id, self.inner(name, offset, table))),
+                Err(error) => self.reader.report(offset, error),
+            }
+        }
+        sections
+    }
+
+    fn inner(&self, key: &str, offset: usize, table: &'r DeTable<'r>) -> Section<'r> {
+        Section {
+            reader: self.reader,
+            name: self.path(key).into(),
+            offset,
+            table,
+            known: RefCell::default(),
+        }
+    }
+
+    fn value(&self, key: &'static str) -> Option<&'r Spanned<DeValue<'r>>> {
+        self.known.borrow_mut().push(key);
+        self.table.get(key)
+    }
+
+    fn require(&self, key: &'static str) {
+        if !self.table.contains_key(key) {
+            let message = format!("{} is missing", self.path(key));
+            self.reader.report(self.offset, message);
+        }
+    }
+
+    fn parse_text<T>(&self, key: &str, value: &Spanned<DeValue<'_>>) -> Option<At<T>>
+    where
+        T: str::FromStr<Err: fmt::Display>,
+    {
+        let offset = value.span().start;
+        let Some(text) = value.get_ref().as_str() else {
+            self.mismatch(key, value, "a text");
+            return None;
+        };
+        match text.parse() {
+            Ok(value) => Some(At { value, offset }),
+            Err(error) => {
+                let message = format!("{}: {error}", self.path(key));
+                self.reader.report(offset, message);
+                None
+            }
+        }
+    }
+
+    fn mismatch(&self, key: &str, value: &Spanned<DeValue<'_>>, wanted: &str) {
+        let found = value.get_ref().type_str();
+        let message = format!("{} must be {wanted}, not a TOML {found}", self.path(key));
+        self.reader.report(value.span().start, message);
+    }
+}
--- a/src/config/service.rs
+++ b/src/config/service.rs
@@ -3,8 +3,9 @@
 use super::Engine;
 use crate::{
     id,
-    unit::{Cost, Span},
+    unit::{Cost, Invalid, Span},
 };
+use std::{fmt, str};
 
 /// Kind of a service.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
@@ -17,7 +18,7 @@
 }
 
 /// A service that callers use.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
 pub struct Service {
     /// Name; callers reach a plain service under `/s/<name>/` and a model by its name.
     pub name: id::Service,
@@ -38,3 +39,27 @@
     /// Abilities of the targets.
     pub engine: Engine,
 }
+
+impl fmt::Display for Kind {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Kind::Model => "model",
+            Kind::Plain => "plain",
+        })
+    }
+}
+
+impl str::FromStr for Kind {
+    type Err = Invalid;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        match text {
+            "model" => Ok(Kind::Model),
+            "plain" => Ok(Kind::Plain),
+            _ => Err(Invalid {
+                text: text.into(),
+                expected: "\"model\" or \"plain\"",
+            }),
+        }
+    }
+}
--- a/src/config/workspace.rs
+++ b/src/config/workspace.rs
@@ -3,7 +3,7 @@
 use crate::{id, unit::Weight};
 
 /// A workspace with its entitlement.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct Workspace {
     /// Name.
     pub name: id::Workspace,
--- a/src/id/mod.rs
+++ b/src/id/mod.rs
@@ -5,12 +5,13 @@
 mod incarnation;
 mod router;
 mod service;
+mod site;
 mod target;
 mod workspace;
 
 pub use self::{
     attempt::Attempt, domain::Domain, incarnation::Incarnation, router::Router, service::Service,
-    target::Target, workspace::Workspace,
+    site::Site, target::Target, workspace::Workspace,
 };
 
 /// Longest identifier accepted, in bytes.
--- /dev/null
+++ b/src/id/site.rs
@@ -0,0 +1,3 @@
+//! Name of a site.
+
+super::text_id!(Site, "site");
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,5 +1,6 @@
 //! Marlrun: a router fleet that shares model engines and services fairly among workspaces.
 
+pub mod cli;
 pub mod clock;
 pub mod config;
 pub mod id;
