--- /dev/null
+++ b/src/ingress/backoff.rs
@@ -0,0 +1,31 @@
+//! Delays before retries.
+
+use crate::unit::Span;
+use rand_chacha::{ChaCha8Rng, rand_core::Rng};
+
+/// Exponential backoff with full jitter.
+#[derive(Clone, Debug)]
+pub(super) struct Backoff {
+    base: Span,
+    max: Span,
+    random: ChaCha8Rng,
+}
+
+impl Backoff {
+    /// Returns a backoff whose first delay is at most `base`.
+    pub(super) fn new(base: Span, max: Span, random: ChaCha8Rng) -> Self {
+        Self { base, max, random }
+    }
+
+    /// Returns the delay before a retry; `tries` have failed so far.
+    pub(super) fn delay(&mut self, tries: u32) -> Span {
+        let doublings = tries.saturating_sub(1).min(u64::BITS - 1);
+        let ceiling = self.base.0.saturating_mul(1 << doublings).min(self.max.0);
+        Span(self.random.next_u64() % ceiling.max(1))
+    }
+
+    /// Returns a random number for the choice of a target.
+    pub(super) fn seed(&mut self) -> u64 {
+        self.random.next_u64()
+    }
+}
--- /dev/null
+++ b/src/ingress/desk.rs
@@ -0,0 +1,788 @@
+//! The machine that drives requests from arrival to their final answer.
+
+use super::{
+    Action, Doubt, Event, Placement, Rejection, Request, Resume, Settings,
+    backoff::Backoff,
+    budget::Budget,
+    job::{Claim, Job, Run, Slot, State},
+};
+use crate::{
+    claim, id,
+    unit::{Cost, Span, Time},
+    wire,
+};
+use rand_chacha::ChaCha8Rng;
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    mem,
+};
+
+/// Time after which a caller may repeat a request that no target took.
+const RETRY_AFTER: Span = Span::from_secs(1);
+
+/// One step of a desk: its inputs and its output.
+struct Turn<'a> {
+    now: Time,
+    placement: &'a dyn Placement,
+    out: &'a mut Vec<Action>,
+}
+
+impl Turn<'_> {
+    fn send(&mut self, to: &id::Router, message: wire::Message) {
+        let to = to.clone();
+        self.out.push(Action::Send(wire::Envelope { to, message }));
+    }
+}
+
+/// Drives the requests that this router took, each from its arrival to its one final answer.
+#[derive(Debug)]
+pub struct Desk {
+    incarnation: id::Incarnation,
+    settings: Settings,
+    sequence: u64,
+    jobs: BTreeMap<u64, Job>,
+    attempts: BTreeMap<id::Attempt, u64>,
+    claims: BTreeMap<id::Attempt, u64>,
+    timers: BTreeSet<(Time, u64)>,
+    budget: Budget,
+    backoff: Backoff,
+    reported: Time,
+    draining: bool,
+}
+
+impl Desk {
+    /// Returns a desk without requests; `random` seeds its delays and choices.
+    pub fn open(incarnation: id::Incarnation, settings: Settings, random: ChaCha8Rng) -> Self {
+        Self {
+            incarnation,
+            settings,
+            sequence: 0,
+            jobs: BTreeMap::new(),
+            attempts: BTreeMap::new(),
+            claims: BTreeMap::new(),
+            timers: BTreeSet::new(),
+            budget: Budget::new(settings.retry_permille, settings.retry_burst),
+            backoff: Backoff::new(settings.backoff_base, settings.backoff_max, random),
+            reported: Time::default(),
+            draining: false,
+        }
+    }
+
+    /// Returns the number of requests without a final answer.
+    pub fn len(&self) -> usize {
+        self.jobs.len()
+    }
+
+    /// Reports whether every request has its final answer.
+    pub fn is_empty(&self) -> bool {
+        self.jobs.is_empty()
+    }
+
+    /// Takes an event and appends the actions that follow from it.
+    pub fn step(
+        &mut self,
+        now: Time,
+        event: Event,
+        placement: &dyn Placement,
+        out: &mut Vec<Action>,
+    ) {
+        let turn = &mut Turn {
+            now,
+            placement,
+            out,
+        };
+        match event {
+            Event::Request(request) => self.accept(request, turn),
+            Event::Cancelled { request } => self.cancel(request, turn),
+            Event::Granted {
+                from,
+                attempt,
+                target,
+            } => self.grant(from, attempt, target, turn),
+            Event::Refused {
+                from,
+                attempt,
+                refusal,
+            } => self.refuse(from, attempt, refusal, turn),
+            Event::Moved {
+                from,
+                attempt,
+                target,
+            } => self.hand_on(from, attempt, target, turn),
+            Event::Claimed { attempt, verdict } => self.judge(attempt, verdict, turn),
+            Event::Sent { attempt } => self.note(attempt, |run| run.sent = true),
+            Event::Progress { attempt, cost } => {
+                self.note(attempt, |run| run.cost = run.cost.max(cost));
+            }
+            Event::Ended {
+                attempt,
+                cost,
+                outcome,
+                resume,
+                answer,
+            } => self.end(attempt, cost, outcome, resume, answer, turn),
+            Event::Placement => self.replace(None, turn),
+            Event::RouterLost { router } => self.replace(Some(&router), turn),
+            Event::Resync { from } => self.resync(&from, turn),
+            Event::Paused => self.pause(turn),
+            Event::Drain => self.draining = true,
+            Event::Tick => self.tick(turn),
+        }
+    }
+
+    fn accept(&mut self, request: Request, turn: &mut Turn<'_>) {
+        let number = request.number;
+        let reason = if self.draining {
+            Some(wire::Reason::Draining)
+        } else if request.deadline <= turn.now {
+            Some(wire::Reason::Deadline)
+        } else {
+            None
+        };
+        if let Some(reason) = reason {
+            let rejection = not_run(reason);
+            turn.out.push(Action::Reject {
+                request: number,
+                rejection,
+            });
+            return;
+        }
+        self.budget.earn();
+        self.timers.insert((request.deadline, number));
+        let job = Job {
+            request,
+            arrived: turn.now,
+            state: State::Backoff { until: turn.now },
+            claim: Claim::None,
+            tries: 0,
+            hops: 0,
+            failed: Vec::new(),
+            ran: false,
+            resume: None,
+            abandoned: false,
+        };
+        self.place(job, turn);
+    }
+
+    /// Asks for a slot at a target of the desk's choice.
+    fn place(&mut self, job: Job, turn: &mut Turn<'_>) {
+        let service = &job.request.service;
+        let seed = self.backoff.seed();
+        let fresh = turn.placement.pick(service, &job.failed, seed);
+        let choice = fresh.or_else(|| turn.placement.pick(service, &[], seed));
+        match choice {
+            Some((target, owner)) => self.ask(job, target, owner, turn),
+            None => self.reject(job, wire::Reason::NoTarget, RETRY_AFTER, turn),
+        }
+    }
+
+    /// Asks an owner for a slot, under a new attempt: what comes late for an old one is declined.
+    fn ask(&mut self, mut job: Job, target: id::Target, owner: id::Router, turn: &mut Turn<'_>) {
+        self.sequence += 1;
+        let attempt = id::Attempt {
+            incarnation: self.incarnation,
+            sequence: self.sequence,
+        };
+        let request = &job.request;
+        let ask = wire::Ask {
+            attempt,
+            workspace: request.workspace.clone(),
+            service: request.service.clone(),
+            target,
+            class: request.class,
+            estimate: request.estimate,
+            waited: turn.now.since(job.arrived),
+            remaining: request.deadline.since(turn.now),
+            hops: job.hops,
+        };
+        turn.send(&owner, wire::Message::Ask(ask.clone()));
+        job.state = State::Waiting(Slot { owner, ask });
+        self.keep(job);
+    }
+
+    fn keep(&mut self, job: Job) {
+        let number = job.request.number;
+        if let Some(attempt) = job.attempt() {
+            self.attempts.insert(attempt, number);
+        }
+        self.jobs.insert(number, job);
+    }
+
+    fn take(&mut self, number: u64) -> Option<Job> {
+        let job = self.jobs.remove(&number)?;
+        if let Some(attempt) = job.attempt() {
+            self.attempts.remove(&attempt);
+        }
+        Some(job)
+    }
+
+    fn take_attempt(&mut self, attempt: id::Attempt) -> Option<Job> {
+        let number = *self.attempts.get(&attempt)?;
+        self.take(number)
+    }
+
+    /// Takes the request of an attempt that waits at `owner`.
+    fn take_waiting(&mut self, owner: &id::Router, attempt: id::Attempt) -> Option<(Job, Slot)> {
+        let job = self.take_attempt(attempt)?;
+        match &job.state {
+            State::Waiting(slot) if slot.owner == *owner => {
+                let slot = slot.clone();
+                Some((job, slot))
+            }
+            _ => {
+                self.keep(job);
+                None
+            }
+        }
+    }
+
+    fn grant(
+        &mut self,
+        from: id::Router,
+        attempt: id::Attempt,
+        target: id::Target,
+        turn: &mut Turn<'_>,
+    ) {
+        let Some((mut job, mut slot)) = self.take_waiting(&from, attempt) else {
+            if !self.uses(&from, attempt) {
+                turn.send(&from, unused(attempt, target));
+            }
+            return;
+        };
+        slot.ask.target = target;
+        if job.request.deadline <= turn.now {
+            release(&slot, turn);
+            job.state = State::Backoff { until: turn.now };
+            return self.reject(job, wire::Reason::Deadline, RETRY_AFTER, turn);
+        }
+        if !job.needs_claim() {
+            return self.start(job, slot, turn);
+        }
+        if job.claim == Claim::None {
+            self.claim(&mut job, attempt, turn);
+        }
+        let granted = turn.now;
+        job.state = State::Claiming { slot, granted };
+        self.keep(job);
+    }
+
+    /// Reports whether the attempt has the slot that `owner` granted.
+    fn uses(&self, owner: &id::Router, attempt: id::Attempt) -> bool {
+        let number = self.attempts.get(&attempt);
+        let job = number.and_then(|n| self.jobs.get(n));
+        match job.map(|job| &job.state) {
+            Some(State::Claiming { slot, .. }) => slot.owner == *owner,
+            Some(State::Running(run)) => run.slot.owner == *owner || run.informed.contains(owner),
+            _ => false,
+        }
+    }
+
+    fn claim(&mut self, job: &mut Job, attempt: id::Attempt, turn: &mut Turn<'_>) {
+        let Some(key) = job.request.key.clone() else {
+            return;
+        };
+        job.claim = Claim::Pending(attempt);
+        self.claims.insert(attempt, job.request.number);
+        turn.out.push(Action::Claim {
+            attempt,
+            workspace: job.request.workspace.clone(),
+            key,
+        });
+    }
+
+    fn start(&mut self, mut job: Job, slot: Slot, turn: &mut Turn<'_>) {
+        job.tries += 1;
+        turn.out.push(Action::Start {
+            request: job.request.number,
+            attempt: slot.ask.attempt,
+            target: slot.ask.target.clone(),
+            resume: job.resume.clone(),
+            not_after: turn.now + self.settings.start_within,
+            deadline: job.request.deadline,
+        });
+        job.state = State::Running(Run {
+            slot,
+            informed: Vec::new(),
+            sent: false,
+            cost: Cost(0),
+            reported: Cost(0),
+            aborted: false,
+        });
+        self.keep(job);
+    }
+
+    fn judge(&mut self, attempt: id::Attempt, verdict: claim::Verdict, turn: &mut Turn<'_>) {
+        let Some(number) = self.claims.remove(&attempt) else {
+            return;
+        };
+        let Some(mut job) = self.take(number) else {
+            if verdict == claim::Verdict::Granted {
+                let end = claim::End::NotRun;
+                turn.out.push(Action::Settle { attempt, end });
+            }
+            return;
+        };
+        let rejection = match verdict {
+            claim::Verdict::Granted => {
+                job.claim = Claim::Held(attempt);
+                return self.proceed(job, turn);
+            }
+            claim::Verdict::Running => Rejection::Unknown {
+                doubt: Doubt::Running,
+            },
+            claim::Verdict::Unknown => Rejection::Unknown {
+                doubt: Doubt::Claim,
+            },
+            claim::Verdict::Finished(answer) => Rejection::Finished { answer },
+        };
+        job.claim = Claim::None;
+        self.close(job, turn);
+        turn.out.push(Action::Reject {
+            request: number,
+            rejection,
+        });
+    }
+
+    /// Starts a claimed request if its slot is still fresh.
+    fn proceed(&mut self, mut job: Job, turn: &mut Turn<'_>) {
+        let State::Claiming { slot, granted } = &job.state else {
+            return self.keep(job);
+        };
+        if job.request.deadline <= turn.now {
+            return self.reject(job, wire::Reason::Deadline, RETRY_AFTER, turn);
+        }
+        let (slot, granted) = (slot.clone(), *granted);
+        if turn.now.since(granted) <= self.settings.start_within {
+            return self.start(job, slot, turn);
+        }
+        release(&slot, turn);
+        job.state = State::Backoff { until: turn.now };
+        self.place(job, turn);
+    }
+
+    fn refuse(
+        &mut self,
+        from: id::Router,
+        attempt: id::Attempt,
+        refusal: wire::Refusal,
+        turn: &mut Turn<'_>,
+    ) {
+        let Some((mut job, slot)) = self.take_waiting(&from, attempt) else {
+            return;
+        };
+        job.state = State::Backoff { until: turn.now };
+        let elsewhere = matches!(
+            refusal.reason,
+            wire::Reason::NotOwner | wire::Reason::Draining | wire::Reason::NoTarget
+        );
+        if !elsewhere || job.hops >= self.settings.max_hops {
+            return self.reject(job, refusal.reason, refusal.retry_after, turn);
+        }
+        job.hops += 1;
+        let target = slot.ask.target;
+        match turn.placement.owner_of(&target) {
+            Some(owner) if owner != from => self.ask(job, target, owner, turn),
+            _ => {
+                job.failed.push(target);
+                self.place(job, turn);
+            }
+        }
+    }
+
+    fn hand_on(
+        &mut self,
+        from: id::Router,
+        attempt: id::Attempt,
+        target: id::Target,
+        turn: &mut Turn<'_>,
+    ) {
+        let Some((mut job, _)) = self.take_waiting(&from, attempt) else {
+            return;
+        };
+        job.hops = job.hops.saturating_add(1);
+        job.state = State::Backoff { until: turn.now };
+        match turn.placement.owner_of(&target) {
+            Some(owner) => self.ask(job, target, owner, turn),
+            None => self.place(job, turn),
+        }
+    }
+
+    fn note(&mut self, attempt: id::Attempt, change: impl FnOnce(&mut Run)) {
+        let number = self.attempts.get(&attempt);
+        let job = number.and_then(|n| self.jobs.get_mut(n));
+        if let Some(State::Running(run)) = job.map(|job| &mut job.state) {
+            change(run);
+        }
+    }
+
+    fn end(
+        &mut self,
+        attempt: id::Attempt,
+        cost: Cost,
+        outcome: wire::Outcome,
+        resume: Resume,
+        answer: Option<Box<str>>,
+        turn: &mut Turn<'_>,
+    ) {
+        let Some(mut job) = self.take_attempt(attempt) else {
+            return;
+        };
+        let until = turn.now;
+        let run = match mem::replace(&mut job.state, State::Backoff { until }) {
+            State::Running(run) => run,
+            state => {
+                job.state = state;
+                return self.keep(job);
+            }
+        };
+        finish(&run, cost, outcome, turn);
+        match outcome {
+            wire::Outcome::Answered => {
+                self.settle(&mut job, claim::End::Finished(answer), turn);
+            }
+            wire::Outcome::NotRun => self.retry(job, &run, turn),
+            wire::Outcome::Unreachable if !run.sent => self.retry(job, &run, turn),
+            wire::Outcome::Cancelled if !run.sent && !run.aborted => self.place(job, turn),
+            wire::Outcome::Cancelled if !run.sent => {
+                self.reject(job, wire::Reason::Deadline, RETRY_AFTER, turn);
+            }
+            wire::Outcome::Cancelled => {
+                job.ran = true;
+                self.doubt(job, Doubt::Deadline, turn);
+            }
+            wire::Outcome::Unreachable | wire::Outcome::Broken => {
+                job.ran = true;
+                self.recover(job, &run, resume, turn);
+            }
+        }
+    }
+
+    /// Tries a request elsewhere that its target did not run.
+    fn retry(&mut self, mut job: Job, run: &Run, turn: &mut Turn<'_>) {
+        job.failed.push(run.slot.ask.target.clone());
+        if run.aborted {
+            self.reject(job, wire::Reason::Deadline, RETRY_AFTER, turn);
+        } else if let Some(until) = self.retry_at(&job, turn.now) {
+            self.back_off(job, until);
+        } else {
+            self.reject(job, wire::Reason::NoTarget, RETRY_AFTER, turn);
+        }
+    }
+
+    /// Tries a request elsewhere whose target may have run it, if it may run twice.
+    fn recover(&mut self, mut job: Job, run: &Run, resume: Resume, turn: &mut Turn<'_>) {
+        job.failed.push(run.slot.ask.target.clone());
+        let resumable =
+            resume != Resume::Never && (job.resume.is_none() || resume != Resume::Start);
+        if run.aborted || !job.request.idempotent || !resumable {
+            return self.doubt(job, Doubt::Broken, turn);
+        }
+        let Some(until) = self.retry_at(&job, turn.now) else {
+            return self.doubt(job, Doubt::Broken, turn);
+        };
+        if let Resume::After(event) = resume {
+            job.resume = Some(event);
+        }
+        self.back_off(job, until);
+    }
+
+    /// Returns the time of the next attempt, or `None` if there must be none.
+    fn retry_at(&mut self, job: &Job, now: Time) -> Option<Time> {
+        if job.tries >= self.settings.max_attempts {
+            return None;
+        }
+        let until = now + self.backoff.delay(job.tries);
+        let in_time = until < job.request.deadline;
+        (in_time && self.budget.spend()).then_some(until)
+    }
+
+    fn back_off(&mut self, mut job: Job, until: Time) {
+        job.state = State::Backoff { until };
+        self.timers.insert((until, job.request.number));
+        self.keep(job);
+    }
+
+    /// Gives the final answer to a request of which no attempt runs or will run.
+    fn reject(&mut self, job: Job, reason: wire::Reason, retry_after: Span, turn: &mut Turn<'_>) {
+        if job.ran {
+            return self.doubt(job, Doubt::Broken, turn);
+        }
+        let request = job.request.number;
+        let abandoned = job.abandoned;
+        self.close(job, turn);
+        if !abandoned {
+            let refusal = wire::Refusal {
+                reason,
+                retry_after,
+            };
+            let rejection = Rejection::NotRun { refusal };
+            turn.out.push(Action::Reject { request, rejection });
+        }
+    }
+
+    /// Ends a request whose outcome is not known.
+    fn doubt(&mut self, job: Job, doubt: Doubt, turn: &mut Turn<'_>) {
+        let request = job.request.number;
+        let abandoned = job.abandoned;
+        self.close(job, turn);
+        if !abandoned {
+            let rejection = Rejection::Unknown { doubt };
+            turn.out.push(Action::Reject { request, rejection });
+        }
+    }
+
+    /// Gives back what a request holds: its slot or place in a queue, and its claim.
+    fn close(&mut self, mut job: Job, turn: &mut Turn<'_>) {
+        match &job.state {
+            State::Waiting(slot) => withdraw(slot, turn),
+            State::Claiming { slot, .. } => release(slot, turn),
+            State::Running(_) | State::Backoff { .. } => {}
+        }
+        let end = if job.ran {
+            claim::End::Unknown
+        } else {
+            claim::End::NotRun
+        };
+        self.settle(&mut job, end, turn);
+    }
+
+    fn settle(&mut self, job: &mut Job, end: claim::End, turn: &mut Turn<'_>) {
+        self.timers
+            .remove(&(job.request.deadline, job.request.number));
+        if let Claim::Held(attempt) = job.claim {
+            turn.out.push(Action::Settle { attempt, end });
+        }
+    }
+
+    fn cancel(&mut self, number: u64, turn: &mut Turn<'_>) {
+        let Some(mut job) = self.take(number) else {
+            return;
+        };
+        job.abandoned = true;
+        match &mut job.state {
+            State::Running(run) => {
+                abort(run, turn);
+                self.keep(job);
+            }
+            _ => self.close(job, turn),
+        }
+    }
+
+    fn tick(&mut self, turn: &mut Turn<'_>) {
+        while let Some(&(at, number)) = self.timers.first() {
+            if at > turn.now {
+                break;
+            }
+            self.timers.pop_first();
+            self.wake(number, turn);
+        }
+        if turn.now.since(self.reported) >= self.settings.progress_period {
+            self.reported = turn.now;
+            self.report(turn);
+        }
+    }
+
+    /// Acts on a deadline or the end of a delay.
+    fn wake(&mut self, number: u64, turn: &mut Turn<'_>) {
+        let Some(mut job) = self.take(number) else {
+            return;
+        };
+        if job.request.deadline <= turn.now {
+            return match &mut job.state {
+                State::Running(run) => {
+                    abort(run, turn);
+                    self.keep(job);
+                }
+                _ => self.reject(job, wire::Reason::Deadline, RETRY_AFTER, turn),
+            };
+        }
+        match job.state {
+            State::Backoff { until } if until <= turn.now => self.place(job, turn),
+            _ => self.keep(job),
+        }
+    }
+
+    fn report(&mut self, turn: &mut Turn<'_>) {
+        let mut batches = BTreeMap::<id::Router, Vec<(id::Attempt, Cost)>>::new();
+        for job in self.jobs.values_mut() {
+            let State::Running(run) = &mut job.state else {
+                continue;
+            };
+            if run.cost > run.reported {
+                run.reported = run.cost;
+                let batch = batches.entry(run.slot.owner.clone()).or_default();
+                batch.push((run.slot.ask.attempt, run.cost));
+            }
+        }
+        for (owner, batch) in batches {
+            turn.send(&owner, wire::Message::Progress(batch));
+        }
+    }
+
+    /// Follows the owners of targets; a lost router is asked nothing any more.
+    fn replace(&mut self, lost: Option<&id::Router>, turn: &mut Turn<'_>) {
+        let numbers: Vec<u64> = self.jobs.keys().copied().collect();
+        for number in numbers {
+            self.follow(number, lost, turn);
+        }
+    }
+
+    fn follow(&mut self, number: u64, lost: Option<&id::Router>, turn: &mut Turn<'_>) {
+        let Some(mut job) = self.take(number) else {
+            return;
+        };
+        match &mut job.state {
+            State::Waiting(slot) => {
+                let slot = slot.clone();
+                self.follow_waiting(job, slot, lost, turn);
+            }
+            State::Claiming { slot, .. } if lost == Some(&slot.owner) => {
+                job.state = State::Backoff { until: turn.now };
+                self.place(job, turn);
+            }
+            State::Running(run) => {
+                follow_running(run, turn);
+                self.keep(job);
+            }
+            _ => self.keep(job),
+        }
+    }
+
+    fn follow_waiting(
+        &mut self,
+        mut job: Job,
+        slot: Slot,
+        lost: Option<&id::Router>,
+        turn: &mut Turn<'_>,
+    ) {
+        let owner = turn.placement.owner_of(&slot.ask.target);
+        let gone = lost == Some(&slot.owner);
+        match owner {
+            Some(owner) if owner != slot.owner => {
+                withdraw(&slot, turn);
+                job.hops = job.hops.saturating_add(1);
+                self.ask(job, slot.ask.target, owner, turn);
+            }
+            Some(_) => self.keep(job),
+            None => {
+                let seed = self.backoff.seed();
+                let choice = turn.placement.pick(&job.request.service, &job.failed, seed);
+                match choice {
+                    Some((target, owner)) => {
+                        withdraw(&slot, turn);
+                        job.hops = job.hops.saturating_add(1);
+                        self.ask(job, target, owner, turn);
+                    }
+                    None if gone => self.reject(job, wire::Reason::NoTarget, RETRY_AFTER, turn),
+                    None => self.keep(job),
+                }
+            }
+        }
+    }
+
+    /// Tells a peer again what it may have missed.
+    fn resync(&mut self, from: &id::Router, turn: &mut Turn<'_>) {
+        let now = turn.now;
+        for job in self.jobs.values_mut() {
+            match &mut job.state {
+                State::Waiting(slot) if slot.owner == *from => {
+                    slot.ask.waited = now.since(job.arrived);
+                    slot.ask.remaining = job.request.deadline.since(now);
+                    turn.send(from, wire::Message::Ask(slot.ask.clone()));
+                }
+                State::Claiming { slot, .. } if slot.owner == *from => {
+                    turn.send(from, held(slot, Cost(0)));
+                }
+                State::Running(run) if run.slot.owner == *from => {
+                    turn.send(from, held(&run.slot, run.cost));
+                }
+                _ => {}
+            }
+        }
+    }
+
+    /// Gives back grants that may have become stale while this process stood still.
+    fn pause(&mut self, turn: &mut Turn<'_>) {
+        let numbers: Vec<u64> = self.jobs.keys().copied().collect();
+        for number in numbers {
+            let Some(mut job) = self.take(number) else {
+                continue;
+            };
+            if let State::Claiming { slot, .. } = &job.state {
+                release(slot, turn);
+                job.state = State::Backoff { until: turn.now };
+                self.place(job, turn);
+            } else {
+                self.keep(job);
+            }
+        }
+    }
+}
+
+fn not_run(reason: wire::Reason) -> Rejection {
+    let refusal = wire::Refusal {
+        reason,
+        retry_after: RETRY_AFTER,
+    };
+    Rejection::NotRun { refusal }
+}
+
+/// Returns the message that gives back a slot in which nothing ran.
+fn unused(attempt: id::Attempt, target: id::Target) -> wire::Message {
+    wire::Message::Done {
+        attempt,
+        target,
+        cost: Cost(0),
+        outcome: wire::Outcome::Cancelled,
+    }
+}
+
+fn held(slot: &Slot, cost: Cost) -> wire::Message {
+    wire::Message::Held {
+        ask: slot.ask.clone(),
+        cost,
+    }
+}
+
+fn release(slot: &Slot, turn: &mut Turn<'_>) {
+    let message = unused(slot.ask.attempt, slot.ask.target.clone());
+    turn.send(&slot.owner, message);
+}
+
+fn withdraw(slot: &Slot, turn: &mut Turn<'_>) {
+    let attempt = slot.ask.attempt;
+    turn.send(&slot.owner, wire::Message::Withdraw { attempt });
+}
+
+fn abort(run: &mut Run, turn: &mut Turn<'_>) {
+    if !mem::replace(&mut run.aborted, true) {
+        let attempt = run.slot.ask.attempt;
+        turn.out.push(Action::Abort { attempt });
+    }
+}
+
+/// Tells every owner that knows of the attempt that it ended.
+fn finish(run: &Run, cost: Cost, outcome: wire::Outcome, turn: &mut Turn<'_>) {
+    for owner in run.informed.iter().chain([&run.slot.owner]) {
+        let message = wire::Message::Done {
+            attempt: run.slot.ask.attempt,
+            target: run.slot.ask.target.clone(),
+            cost,
+            outcome,
+        };
+        turn.send(owner, message);
+    }
+}
+
+fn follow_running(run: &mut Run, turn: &mut Turn<'_>) {
+    let Some(owner) = turn.placement.owner_of(&run.slot.ask.target) else {
+        return;
+    };
+    if owner == run.slot.owner {
+        return;
+    }
+    let previous = mem::replace(&mut run.slot.owner, owner.clone());
+    run.informed.retain(|known| *known != owner);
+    run.informed.push(previous);
+    turn.send(&owner, held(&run.slot, run.cost));
+}
--- /dev/null
+++ b/src/ingress/job.rs
@@ -0,0 +1,108 @@
+//! State of one request.
+
+use super::Request;
+use crate::{
+    id,
+    unit::{Cost, Time},
+    wire,
+};
+
+/// A slot that is asked for, granted or in use.
+#[derive(Clone, Debug)]
+pub(super) struct Slot {
+    /// Owner that was asked; the owner of the target, once it runs.
+    pub(super) owner: id::Router,
+    /// Ask as it was sent; its target is the granted one after a grant.
+    pub(super) ask: wire::Ask,
+}
+
+/// An attempt that the front was told to send.
+#[derive(Clone, Debug)]
+pub(super) struct Run {
+    /// Slot in use.
+    pub(super) slot: Slot,
+    /// Earlier owners that were told of the attempt.
+    pub(super) informed: Vec<id::Router>,
+    /// A byte may have left.
+    pub(super) sent: bool,
+    /// Cost so far.
+    pub(super) cost: Cost,
+    /// Cost that the owner was told.
+    pub(super) reported: Cost,
+    /// The front was told to break it off.
+    pub(super) aborted: bool,
+}
+
+/// Where a request stands.
+#[derive(Clone, Debug)]
+pub(super) enum State {
+    /// Waits for a grant.
+    Waiting(Slot),
+    /// Has a slot and waits for its claim.
+    Claiming {
+        /// Slot that was granted.
+        slot: Slot,
+        /// Time of the grant.
+        granted: Time,
+    },
+    /// Was given to the front.
+    Running(Run),
+    /// Waits for its next attempt.
+    Backoff {
+        /// Time of the next attempt.
+        until: Time,
+    },
+}
+
+/// Claim of a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Claim {
+    /// None is needed, or not yet asked for.
+    None,
+    /// Asked for under this attempt.
+    Pending(id::Attempt),
+    /// Granted under this attempt.
+    Held(id::Attempt),
+}
+
+/// State of one request.
+#[derive(Clone, Debug)]
+pub(super) struct Job {
+    /// Request.
+    pub(super) request: Request,
+    /// Arrival at this router.
+    pub(super) arrived: Time,
+    /// Where it stands.
+    pub(super) state: State,
+    /// Claim.
+    pub(super) claim: Claim,
+    /// Attempts that were started.
+    pub(super) tries: u32,
+    /// Owner changes so far.
+    pub(super) hops: u8,
+    /// Targets that failed the request.
+    pub(super) failed: Vec<id::Target>,
+    /// An attempt may have run, whole or in part.
+    pub(super) ran: bool,
+    /// Last event that the caller got.
+    pub(super) resume: Option<Box<str>>,
+    /// The caller went away.
+    pub(super) abandoned: bool,
+}
+
+impl Job {
+    /// Returns the attempt that an owner knows, if any.
+    pub(super) fn attempt(&self) -> Option<id::Attempt> {
+        match &self.state {
+            State::Waiting(slot) | State::Claiming { slot, .. } => Some(slot.ask.attempt),
+            State::Running(run) => Some(run.slot.ask.attempt),
+            State::Backoff { .. } => None,
+        }
+    }
+
+    /// Reports whether an attempt must be claimed before it runs.
+    pub(super) fn needs_claim(&self) -> bool {
+        let unclaimed = !matches!(self.claim, Claim::Held(_));
+        unclaimed && !self.request.idempotent && self.request.key.is_some()
+    }
+}
--- /dev/null
+++ b/src/ingress/mod.rs
@@ -0,0 +1,24 @@
+//! Life of each request at the router that took it: asks, grants, attempts and retries.
+
+mod action;
+mod backoff;
+mod budget;
+mod desk;
+mod event;
+mod job;
+mod placement;
+mod rejection;
+mod request;
+mod resume;
+mod settings;
+
+pub use self::{
+    action::Action,
+    desk::Desk,
+    event::Event,
+    placement::Placement,
+    rejection::{Doubt, Rejection},
+    request::Request,
+    resume::Resume,
+    settings::Settings,
+};
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,8 +1,11 @@
 //! Marlrun: a router fleet that shares model engines and services fairly among workspaces.
 
+pub mod answer;
+pub mod claim;
 pub mod clock;
 pub mod config;
 pub mod id;
+pub mod ingress;
 pub mod platform;
 pub mod random;
 pub mod unit;
