--- a/src/standin/load.rs
+++ b/src/standin/load.rs
@@ -1,19 +1,30 @@
-//! Load of an engine, reported late.
+//! Load of a target, reported late, and its use over time.
 
 use crate::unit::{Span, Time};
 use std::collections::VecDeque;
 
-/// Load of an engine at one point in time.
+/// Load of a target at one point in time.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct Load {
-    /// Requests in the batch.
+    /// Requests that hold a slot.
     pub running: u32,
-    /// Requests that wait for a place in the batch.
+    /// Requests that wait for a slot.
     pub waiting: u32,
-    /// Places in the batch.
+    /// Slots.
     pub slots: u32,
 }
 
+/// Use of the slots from the start up to a point in time.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(super) struct Use {
+    /// Point in time.
+    pub(super) at: Time,
+    /// Time that slots were held, added up over the slots.
+    pub(super) busy: Span,
+    /// Time that requests waited for a slot, added up over the requests.
+    pub(super) queued: Span,
+}
+
 /// Load with the history that a late report needs.
 #[derive(Debug)]
 pub(super) struct Gauge {
@@ -21,6 +32,7 @@
     lag: Span,
     /// Earlier loads with the time from which each held, oldest first.
     history: VecDeque<(Time, Load)>,
+    usage: Use,
 }
 
 impl Gauge {
@@ -33,11 +45,13 @@
             current,
             lag,
             history: VecDeque::from([(Time(0), current)]),
+            usage: Use::default(),
         }
     }
 
     /// Changes the load.
     pub(super) fn update(&mut self, now: Time, change: impl FnOnce(&mut Load)) {
+        self.usage = self.usage(now);
         change(&mut self.current);
         self.history.push_back((now, self.current));
         self.forget(now);
@@ -49,6 +63,18 @@
         self.history.front().map_or(self.current, |(_, load)| *load)
     }
 
+    /// Returns the use up to now, without lag.
+    pub(super) fn usage(&self, now: Time) -> Use {
+        let passed = now.since(self.usage.at).0;
+        let held = u64::from(self.current.running) * passed;
+        let waited = u64::from(self.current.waiting) * passed;
+        Use {
+            at: self.usage.at.max(now),
+            busy: Span(self.usage.busy.0 + held),
+            queued: Span(self.usage.queued.0 + waited),
+        }
+    }
+
     /// Forgets loads that no later report shows.
     fn forget(&mut self, now: Time) {
         while self.history.len() > 1 && self.history[1].0 + self.lag <= now {
--- a/src/standin/plain.rs
+++ b/src/standin/plain.rs
@@ -53,21 +53,27 @@
 /// Returns the answer to a call: its SHA-256 digest on one line, repeated up to the length that
 /// the query names.
 pub fn answer(method: &str, path_and_query: &str, body: &[u8]) -> String {
+    let mut line = digest(method, path_and_query, body);
+    line.push('\n');
+    let length = parameter(path_and_query, LENGTH).and_then(|text| text.parse().ok());
+    let length = length.unwrap_or(line.len()).min(MAX_LENGTH);
+    line.chars().cycle().take(length).collect()
+}
+
+/// Returns the digest of a call, the name under which its runs are counted.
+pub fn digest(method: &str, path_and_query: &str, body: &[u8]) -> String {
     let mut digest = Sha256::new();
     digest.update(method);
     digest.update([0]);
     digest.update(path_and_query);
     digest.update([0]);
     digest.update(body);
-    let mut line = String::new();
+    let mut text = String::new();
     for byte in digest.finalize() {
         // Writing to a string does not fail.
-        let _ = write!(line, "{byte:02x}");
+        let _ = write!(text, "{byte:02x}");
     }
-    line.push('\n');
-    let length = parameter(path_and_query, LENGTH).and_then(|text| text.parse().ok());
-    let length = length.unwrap_or(line.len()).min(MAX_LENGTH);
-    line.chars().cycle().take(length).collect()
+    text
 }
 
 struct Plain {
@@ -102,7 +108,8 @@
             return Ok(target::not_run());
         }
         let target = head.uri.path_and_query().map_or("/", |t| t.as_str());
-        self.run(head, target).await;
+        let content = digest(head.method.as_str(), target, body);
+        self.run(head, target, &content).await;
         let body = answer(head.method.as_str(), target, body);
         let length = body.len();
         let body = match faults.cut_after {
@@ -116,8 +123,8 @@
     }
 
     /// Carries a call out.
-    async fn run(&self, head: &Parts, target: &str) {
-        let mut run = self.target.admit(&head.headers);
+    async fn run(&self, head: &Parts, target: &str, content: &str) {
+        let mut run = self.target.admit(&head.headers, content);
         let place = Arc::clone(&self.target.slots).take().await;
         run.start();
         let duration = parameter(target, DURATION).and_then(|text| text.parse().ok());
--- a/src/standin/slots.rs
+++ b/src/standin/slots.rs
@@ -1,6 +1,6 @@
 //! Places in an engine's batch, given first come, first served.
 
-use super::load::{Gauge, Load};
+use super::load::{Gauge, Load, Use};
 use crate::{clock, unit::Span};
 use std::sync::{Arc, Mutex, PoisonError};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
@@ -26,6 +26,12 @@
         gauge.report(clock::now())
     }
 
+    /// Returns the use of the places up to now.
+    pub(super) fn usage(&self) -> Use {
+        let gauge = self.gauge.lock().unwrap_or_else(PoisonError::into_inner);
+        gauge.usage(clock::now())
+    }
+
     /// Waits for a place.
     pub(super) async fn take(self: Arc<Self>) -> Place {
         let waiting = Waiting::begin(Arc::clone(&self));
--- a/src/standin/target.rs
+++ b/src/standin/target.rs
@@ -56,8 +56,8 @@
         let reply = match (method, path) {
             (&Method::GET, "/health") => self.health(),
             (&Method::GET, "/load") => reply::json(&self.slots.load()),
-            (&Method::GET, "/runs") => reply::json(&self.ledger.copy()),
-            (&Method::GET, "/stats") => reply::json(&self.ledger.total()),
+            (&Method::GET, "/runs") => reply::json(&self.ledger.copy(self.slots.usage())),
+            (&Method::GET, "/stats") => reply::json(&self.ledger.total(self.slots.usage())),
             (&Method::POST, "/leave") => {
                 self.leaving.store(true, Ordering::Relaxed);
                 reply::done()
@@ -79,10 +79,10 @@
             .next()
     }
 
-    /// Takes a request in.
-    pub(super) fn admit(&self, headers: &HeaderMap) -> Run {
+    /// Takes in a request with this content.
+    pub(super) fn admit(&self, headers: &HeaderMap, content: &str) -> Run {
         let leaving = self.leaving.load(Ordering::Relaxed);
-        self.ledger.admit(Labels::of(headers), leaving)
+        self.ledger.admit(Labels::of(headers, content), leaving)
     }
 
     fn set_script(&self, script: Script) -> Reply {
