--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod config;
 pub mod id;
 pub mod ingress;
+pub mod load;
 pub mod owner;
 pub mod platform;
 pub mod random;
--- /dev/null
+++ b/src/load/series.rs
@@ -0,0 +1,54 @@
+//! Service of the workspaces over time.
+
+use crate::{
+    id,
+    unit::{Cost, Span, Weight},
+};
+
+/// Service that one workspace takes of one service.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct Lane {
+    /// Workspace.
+    pub workspace: id::Workspace,
+    /// Its weight.
+    pub weight: Weight,
+    /// Service.
+    pub service: id::Service,
+}
+
+/// State of all lanes at one point in time.
+#[derive(Clone, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct Sample {
+    /// Time since the start, in milliseconds.
+    pub at_ms: u64,
+    /// Service so far, by lane.
+    pub served: Vec<Cost>,
+    /// Whether the workspace has a request that has waited for long, by lane.
+    pub backlogged: Vec<bool>,
+}
+
+/// Service of the workspaces over time.
+#[derive(Clone, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct Series {
+    /// Lanes.
+    pub lanes: Vec<Lane>,
+    /// Samples, oldest first, one interval apart.
+    pub samples: Vec<Sample>,
+}
+
+impl Series {
+    /// Returns the numbers of the lanes of a service.
+    pub fn lanes_of(&self, service: &id::Service) -> Vec<usize> {
+        let numbered = self.lanes.iter().enumerate();
+        let own = numbered.filter(|(_, lane)| lane.service == *service);
+        own.map(|(number, _)| number).collect()
+    }
+
+    /// Returns the samples from `start` on.
+    pub fn from(&self, start: Span) -> &[Sample] {
+        let first = self
+            .samples
+            .partition_point(|s| s.at_ms < start.as_millis());
+        &self.samples[first..]
+    }
+}
--- a/src/unit/span.rs
+++ b/src/unit/span.rs
@@ -28,6 +28,11 @@
         self.0.div_ceil(1_000_000)
     }
 
+    /// Returns the difference, or zero if `other` is longer.
+    pub const fn saturating_sub(self, other: Span) -> Span {
+        Span(self.0.saturating_sub(other.0))
+    }
+
     /// Returns the span in seconds.
     pub fn as_secs_f64(self) -> f64 {
         self.0 as f64 / 1e6
