--- a/src/answer/mod.rs
+++ b/src/answer/mod.rs
@@ -2,5 +2,6 @@
 
 mod fault;
 mod stream;
+mod usage;
 
-pub use self::{fault::Fault, stream::Stream};
+pub use self::{fault::Fault, stream::Stream, usage::tokens_used};
--- a/src/bin/marlrund/main.rs
+++ b/src/bin/marlrund/main.rs
@@ -1,3 +1,2 @@
-//! Placeholder until the program is written.
-
+//! x
 fn main() {}
--- /dev/null
+++ b/src/daemon/routes.rs
@@ -0,0 +1,103 @@
+//! Owners and loads of all targets, as this router knows them.
+
+use crate::{config, id, ingress, member, placement, wire::Load};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
+
+/// Owners and loads of all targets.
+#[derive(Default)]
+pub(super) struct Routes {
+    fleet: Arc<config::Fleet>,
+    domain: Option<id::Domain>,
+    owners: BTreeMap<id::Target, id::Router>,
+    services: BTreeMap<id::Service, Vec<id::Target>>,
+    loads: BTreeMap<id::Target, Load>,
+    unfit: BTreeSet<id::Target>,
+}
+
+impl Routes {
+    pub(super) fn new(domain: id::Domain) -> Self {
+        Self {
+            domain: Some(domain),
+            ..Self::default()
+        }
+    }
+
+    /// Finds all owners anew after a change of members or of the configuration.
+    pub(super) fn rebuild(&mut self, fleet: Arc<config::Fleet>, view: &member::View) {
+        self.fleet = fleet;
+        self.owners.clear();
+        self.services.clear();
+        for target in self.fleet.targets.values() {
+            let Some(owner) = placement::owner_of(target, view) else {
+                continue;
+            };
+            self.owners.insert(target.name.clone(), owner.clone());
+            let targets = self.services.entry(target.service.clone()).or_default();
+            targets.push(target.name.clone());
+        }
+    }
+
+    /// Takes the loads and the unfit targets that the members tell; `own` are this router's.
+    pub(super) fn refresh(&mut self, view: &member::View, own: Vec<Load>, unfit: &BTreeSet<id::Target>) {
+        self.unfit = unfit.clone();
+        for member in view.iter() {
+            self.unfit.extend(member.unfit.iter().cloned());
+            for load in &member.loads {
+                self.loads.insert(load.target.clone(), load.clone());
+            }
+        }
+        for load in own {
+            self.loads.insert(load.target.clone(), load);
+        }
+    }
+
+    /// Returns the targets that a router owns.
+    pub(super) fn owned(&self, router: &id::Router) -> Vec<id::Target> {
+        let owned = self.owners.iter().filter(|(_, owner)| *owner == router);
+        owned.map(|(target, _)| target.clone()).collect()
+    }
+
+    /// Returns the declared target of a name.
+    pub(super) fn target(&self, name: &id::Target) -> Option<&Arc<config::Target>> {
+        self.fleet.targets.get(name)
+    }
+
+    /// Compares targets: fewer waiting costs per slot first, then more free slots, then the own failure domain.
+    fn rank(&self, target: &id::Target) -> (u64, std::cmp::Reverse<u32>, bool) {
+        let load = self.loads.get(target);
+        let slots = load.map_or(1, |load| load.slots.max(1));
+        let waiting = load.map_or(0, |load| load.waiting.0 / u64::from(slots));
+        let free = load.map_or(0, |load| load.free);
+        let declared = self.target(target);
+        let far = declared.is_none_or(|target| Some(&target.domain) != self.domain.as_ref());
+        (waiting, std::cmp::Reverse(free), far)
+    }
+}
+
+impl ingress::Placement for Routes {
+    fn pick(&self, service: &id::Service, exclude: &[id::Target], seed: u64) -> Option<(id::Target, id::Router)> {
+        let targets = self.services.get(service)?;
+        let fit = targets.iter().filter(|target| !self.unfit.contains(*target));
+        let mut eligible: Vec<_> = fit.filter(|target| !exclude.contains(target)).collect();
+        if eligible.is_empty() {
+            eligible = targets.iter().filter(|target| !self.unfit.contains(*target)).collect();
+        }
+        let count = eligible.len() as u64;
+        let first = *eligible.get((seed % count.max(1)) as usize)?;
+        let step = 1 + (seed >> 32) % count.saturating_sub(1).max(1);
+        let second = eligible[((seed % count + step) % count) as usize];
+        let best = if self.rank(second) < self.rank(first) { second } else { first };
+        let owner = self.owners.get(best)?;
+        Some((best.clone(), owner.clone()))
+    }
+
+    fn owner_of(&self, target: &id::Target) -> Option<id::Router> {
+        if self.unfit.contains(target) {
+            return None;
+        }
+        self.owners.get(target).cloned()
+    }
+}
--- /dev/null
+++ b/src/daemon/settings.rs
@@ -0,0 +1,336 @@
+//! Settings of the daemon, from flags and environment variables.
+
+use crate::{front, id, log, unit::Span};
+use std::{fmt, fs, net::SocketAddr, path::PathBuf, str::FromStr};
+
+/// Settings of the daemon, checked.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Name of this router.
+    pub router: id::Router,
+    /// Failure domain that this router is in.
+    pub domain: id::Domain,
+    /// Address of the callers' interface.
+    pub listen: SocketAddr,
+    /// Address of the peer interface, TCP and UDP.
+    pub peer: SocketAddr,
+    /// Address of the health and metrics pages, if they are wanted.
+    pub health: Option<SocketAddr>,
+    /// Address of the operators' interface, if it is wanted.
+    pub operator: Option<SocketAddr>,
+    /// Key of the operators' interface.
+    pub operator_key: Option<Secret>,
+    /// Key that all routers of the fleet share.
+    pub fleet_key: Option<Secret>,
+    /// Address of the platform's HTTP interface, if there is one.
+    pub platform: Option<SocketAddr>,
+    /// Peer addresses of routers to ask first.
+    pub seeds: Vec<SocketAddr>,
+    /// Base configuration file, if the configuration is not the platform's.
+    pub base: Option<PathBuf>,
+    /// Overlay of the site, if the configuration is not the platform's.
+    pub overlay: Option<PathBuf>,
+    /// Limits on what callers may send.
+    pub limits: front::Limits,
+    /// Threads that carry traffic.
+    pub traffic_threads: usize,
+    /// Longest time for a shutdown.
+    pub drain_timeout: Span,
+    /// Faults may be set by the operators' interface, for tests.
+    pub fault_injection: bool,
+    /// Least severe log line that is written.
+    pub log_level: log::Level,
+}
+
+/// A text that is never shown.
+#[derive(Clone, PartialEq, Eq)]
+pub struct Secret(Box<str>);
+
+impl Secret {
+    /// Takes a secret.
+    pub fn new(text: impl Into<Box<str>>) -> Self {
+        Self(text.into())
+    }
+
+    /// Returns the secret text.
+    pub fn expose(&self) -> &str {
+        &self.0
+    }
+}
+
+impl fmt::Debug for Secret {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("(secret)")
+    }
+}
+
+/// A setting that is wrong, with its place.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("--{flag} ({variable}): {message}")]
+pub struct Finding {
+    /// Flag without dashes.
+    pub flag: &'static str,
+    /// Environment variable.
+    pub variable: Box<str>,
+    /// What is wrong.
+    pub message: Box<str>,
+}
+
+/// Flags and environment variables as they were given.
+#[derive(Clone, Debug, Default, clap::Args)]
+pub struct Flags {
+    /// Name of this router, unique in the fleet.
+    #[arg(long, env = "MARLRUN_ROUTER")]
+    pub router: Option<Box<str>>,
+    /// Failure domain that this router is in.
+    #[arg(long, env = "MARLRUN_DOMAIN")]
+    pub domain: Option<Box<str>>,
+    /// Address of the callers' interface, IP:PORT.
+    #[arg(long, env = "MARLRUN_LISTEN")]
+    pub listen: Option<Box<str>>,
+    /// Address of the peer interface (TCP and UDP), IP:PORT.
+    #[arg(long, env = "MARLRUN_PEER")]
+    pub peer: Option<Box<str>>,
+    /// Address of the pages /healthz, /readyz and /metrics, IP:PORT.
+    #[arg(long, env = "MARLRUN_HEALTH")]
+    pub health: Option<Box<str>>,
+    /// Address of the operators' interface, IP:PORT; needs --operator-key-file.
+    #[arg(long, env = "MARLRUN_OPERATOR")]
+    pub operator: Option<Box<str>>,
+    /// File with the key of the operators' interface.
+    #[arg(long, env = "MARLRUN_OPERATOR_KEY_FILE")]
+    pub operator_key_file: Option<Box<str>>,
+    /// File with the key that all routers share.
+    #[arg(long, env = "MARLRUN_FLEET_KEY_FILE")]
+    pub fleet_key_file: Option<Box<str>>,
+    /// Address of the platform's interface, IP:PORT.
+    #[arg(long, env = "MARLRUN_PLATFORM")]
+    pub platform: Option<Box<str>>,
+    /// Peer addresses of other routers to ask first, IP:PORT separated by commas.
+    #[arg(long, env = "MARLRUN_SEEDS")]
+    pub seeds: Option<Box<str>>,
+    /// Base configuration file, instead of the platform's configuration.
+    #[arg(long, env = "MARLRUN_BASE")]
+    pub base: Option<Box<str>>,
+    /// Overlay of this site; needs --base.
+    #[arg(long, env = "MARLRUN_OVERLAY")]
+    pub overlay: Option<Box<str>>,
+    /// Largest request body in bytes [default: 4194304].
+    #[arg(long, env = "MARLRUN_MAX_BODY_BYTES")]
+    pub max_body_bytes: Option<Box<str>>,
+    /// Callers' connections at once [default: 10000].
+    #[arg(long, env = "MARLRUN_MAX_CONNECTIONS")]
+    pub max_connections: Option<Box<str>>,
+    /// Time in which a caller's head or body has to arrive [default: 30s].
+    #[arg(long, env = "MARLRUN_IDLE_TIMEOUT")]
+    pub idle_timeout: Option<Box<str>>,
+    /// Threads that carry traffic, 1 to 64 [default: 2].
+    #[arg(long, env = "MARLRUN_TRAFFIC_THREADS")]
+    pub traffic_threads: Option<Box<str>>,
+    /// Longest time for a shutdown [default: 10m].
+    #[arg(long, env = "MARLRUN_DRAIN_TIMEOUT")]
+    pub drain_timeout: Option<Box<str>>,
+    /// Lets the operators' interface set faults; for tests only (true or false).
+    #[arg(long, env = "MARLRUN_FAULT_INJECTION")]
+    pub fault_injection: Option<Box<str>>,
+    /// Least severe log line that is written: error, warning, info or debug [default: info].
+    #[arg(long, env = "MARLRUN_LOG_LEVEL")]
+    pub log_level: Option<Box<str>>,
+}
+
+impl Flags {
+    /// Checks every setting.
+    ///
+    /// # Errors
+    ///
+    /// Returns all findings together.
+    pub fn check(&self) -> Result<Settings, Vec<Finding>> {
+        let mut check = Check::default();
+        let router = check.required("router", &self.router);
+        let domain = check.required("domain", &self.domain);
+        let listen = check.required("listen", &self.listen);
+        let peer = check.required("peer", &self.peer);
+        let health = check.optional("health", &self.health);
+        let operator: Option<SocketAddr> = check.optional("operator", &self.operator);
+        let operator_key = check.secret("operator-key-file", &self.operator_key_file);
+        if operator.is_some() && operator_key.is_none() {
+            check.find("operator", "needs --operator-key-file");
+        }
+        if self.base.is_none() && self.overlay.is_some() {
+            check.find("overlay", "needs --base");
+        }
+        if self.base.is_none() && self.platform.is_none() && self.seeds.is_none() {
+            check.find(
+                "platform",
+                "one of --platform, --base and --seeds is needed for a configuration",
+            );
+        }
+        let limits = self.limits(&mut check);
+        let traffic_threads = check.within("traffic-threads", &self.traffic_threads, 1..=64, 2);
+        let fault_injection = check.optional("fault-injection", &self.fault_injection);
+        let fleet_key = check.secret("fleet-key-file", &self.fleet_key_file);
+        let platform = check.optional("platform", &self.platform);
+        let seeds = check.list("seeds", &self.seeds);
+        let drain_timeout = check.optional("drain-timeout", &self.drain_timeout);
+        let log_level = check.level(&self.log_level);
+        let (Some(router), Some(domain), Some(listen), Some(peer)) = (router, domain, listen, peer)
+        else {
+            return Err(check.findings);
+        };
+        if !check.findings.is_empty() {
+            return Err(check.findings);
+        }
+        Ok(Settings {
+            router,
+            domain,
+            listen,
+            peer,
+            health,
+            operator,
+            operator_key,
+            fleet_key,
+            platform,
+            seeds,
+            base: self.base.as_deref().map(PathBuf::from),
+            overlay: self.overlay.as_deref().map(PathBuf::from),
+            limits,
+            traffic_threads: traffic_threads as usize,
+            drain_timeout: drain_timeout.unwrap_or(Span::from_secs(600)),
+            fault_injection: fault_injection.unwrap_or(false),
+            log_level,
+        })
+    }
+
+    fn limits(&self, check: &mut Check) -> front::Limits {
+        let default = front::Limits::default();
+        let body = check.within(
+            "max-body-bytes",
+            &self.max_body_bytes,
+            1..=1 << 30,
+            default.body_bytes as u64,
+        );
+        let connections = check.within(
+            "max-connections",
+            &self.max_connections,
+            1..=1 << 20,
+            default.connections as u64,
+        );
+        front::Limits {
+            connections: connections as usize,
+            body_bytes: body as usize,
+            idle: check
+                .optional("idle-timeout", &self.idle_timeout)
+                .unwrap_or(default.idle),
+            ..default
+        }
+    }
+}
+
+/// Collects findings while settings are read.
+#[derive(Default)]
+struct Check {
+    findings: Vec<Finding>,
+}
+
+impl Check {
+    fn find(&mut self, flag: &'static str, message: impl Into<Box<str>>) {
+        let variable = format!("MARLRUN_{}", flag.replace('-', "_").to_uppercase());
+        self.findings.push(Finding {
+            flag,
+            variable: variable.into(),
+            message: message.into(),
+        });
+    }
+
+    fn optional<T: FromStr<Err: fmt::Display>>(
+        &mut self,
+        flag: &'static str,
+        text: &Option<Box<str>>,
+    ) -> Option<T> {
+        match text.as_deref()?.parse() {
+            Ok(value) => Some(value),
+            Err(error) => {
+                self.find(
+                    flag,
+                    format!("{:?}: {error}", text.as_deref().unwrap_or_default()),
+                );
+                None
+            }
+        }
+    }
+
+    fn required<T: FromStr<Err: fmt::Display>>(
+        &mut self,
+        flag: &'static str,
+        text: &Option<Box<str>>,
+    ) -> Option<T> {
+        if text.is_none() {
+            self.find(flag, "is missing");
+        }
+        self.optional(flag, text)
+    }
+
+    fn within(
+        &mut self,
+        flag: &'static str,
+        text: &Option<Box<str>>,
+        range: std::ops::RangeInclusive<u64>,
+        default: u64,
+    ) -> u64 {
+        let value = self.optional(flag, text).unwrap_or(default);
+        if !range.contains(&value) {
+            self.find(
+                flag,
+                format!("{value} is not from {} to {}", range.start(), range.end()),
+            );
+        }
+        value
+    }
+
+    fn list<T: FromStr<Err: fmt::Display>>(
+        &mut self,
+        flag: &'static str,
+        text: &Option<Box<str>>,
+    ) -> Vec<T> {
+        let parts = text.as_deref().unwrap_or_default().split(',');
+        let parts: Vec<_> = parts
+            .map(str::trim)
+            .filter(|part| !part.is_empty())
+            .collect();
+        let values = parts
+            .into_iter()
+            .map(|part| self.optional(flag, &Some(part.into())));
+        values.collect::<Vec<_>>().into_iter().flatten().collect()
+    }
+
+    fn secret(&mut self, flag: &'static str, path: &Option<Box<str>>) -> Option<Secret> {
+        let path = path.as_deref()?;
+        match fs::read_to_string(path) {
+            Ok(text) if text.trim().is_empty() => {
+                self.find(flag, format!("the file {path:?} is empty"));
+                None
+            }
+            Ok(text) => Some(Secret::new(text.trim())),
+            Err(error) => {
+                self.find(flag, format!("the file {path:?} cannot be read: {error}"));
+                None
+            }
+        }
+    }
+
+    fn level(&mut self, text: &Option<Box<str>>) -> log::Level {
+        let Some(text) = text.as_deref() else {
+            return log::Level::Info;
+        };
+        match <log::Level as clap::ValueEnum>::from_str(text, true) {
+            Ok(level) => level,
+            Err(_) => {
+                self.find(
+                    "log-level",
+                    format!("{text:?} is not error, warning, info or debug"),
+                );
+                log::Level::Info
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/front/handler.rs
@@ -0,0 +1,320 @@
+//! From a request's head and body to a call.
+
+use super::{Body, Call, Event, Limits, Problem, Sink, exchange};
+use crate::{
+    answer, clock, config, id, metric, trace,
+    unit::{Cost, Span},
+    upstream,
+    wire::Class,
+};
+use bytes::Bytes;
+use http::{HeaderMap, Method, Request, Response, StatusCode, Uri, header};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use std::{
+    sync::{
+        Arc, RwLock,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+/// Path of the model engines' interface.
+const COMPLETIONS: &str = "/v1/chat/completions";
+/// Path under which plain services are reached.
+const SERVICES: &str = "/s/";
+/// Caller's hint of the cost, in tokens.
+const COST_HINT: &str = "marlrun-cost-hint";
+/// Caller's time limit, in milliseconds.
+const TIMEOUT: &str = "marlrun-timeout-ms";
+/// Key that makes repeats of an unsafe request one operation.
+const IDEMPOTENCY_KEY: &str = "idempotency-key";
+/// Longest idempotency key in bytes.
+const MAX_KEY_BYTES: usize = 128;
+
+/// Shared by all connections of the callers' interface.
+pub(super) struct Handler {
+    pub(super) fleet: Arc<RwLock<Arc<config::Fleet>>>,
+    pub(super) sink: Arc<dyn Sink>,
+    pub(super) limits: Limits,
+    pub(super) pool: upstream::Pool,
+    pub(super) incarnation: id::Incarnation,
+    pub(super) log: slog::Logger,
+    pub(super) next: AtomicU64,
+}
+
+/// A request with its body, ready to be sent to a target.
+pub(super) struct Message {
+    pub(super) method: Method,
+    pub(super) path: Box<str>,
+    pub(super) headers: HeaderMap,
+    pub(super) body: Bytes,
+}
+
+/// Service and path that a request names.
+struct Route {
+    service: Arc<config::Service>,
+    path: Box<str>,
+}
+
+/// The members of a completion request that decide its routing.
+#[derive(serde::Deserialize)]
+struct Completion {
+    model: Box<str>,
+    max_tokens: Option<u64>,
+}
+
+impl Handler {
+    /// Answers one request.
+    pub(super) async fn handle(&self, request: Request<Incoming>) -> Response<Body> {
+        match self.answer(request).await {
+            Ok(response) => response,
+            Err(problem) => problem.response(),
+        }
+    }
+
+    async fn answer(&self, request: Request<Incoming>) -> Result<Response<Body>, Problem> {
+        let hop = trace::Hop::arrive(request.headers(), clock::now());
+        let fleet = self.fleet();
+        let (head, body) = request.into_parts();
+        let workspace = authenticate(&fleet, &head.headers)?;
+        let body = self.read(body).await?;
+        let completion = parse_completion(&head.uri, &head.method, &body)?;
+        let route = find_route(&fleet, &head.uri, &head.headers, completion.as_ref())?;
+        let call = build_call(
+            &head.method,
+            &head.headers,
+            workspace,
+            &route.service,
+            completion.as_ref(),
+        )?;
+        metrics::counter!(metric::REQUESTS, "service" => route.service.name.to_string())
+            .increment(1);
+
+        let message = Message {
+            method: head.method,
+            path: route.path,
+            headers: head.headers,
+            body,
+        };
+        Ok(self.run(call, message, route.service, hop).await)
+    }
+
+    async fn run(
+        &self,
+        call: Call,
+        message: Message,
+        service: Arc<config::Service>,
+        hop: trace::Hop,
+    ) -> Response<Body> {
+        let request = self.next.fetch_add(1, Ordering::Relaxed);
+        let (orders, inbox) = tokio::sync::mpsc::unbounded_channel();
+        let (reply, answer) = tokio::sync::oneshot::channel();
+        let name = format!("{}-{request:x}", self.incarnation);
+        let exchange = exchange::Exchange {
+            request,
+            name: name.into(),
+            service,
+            keyed: call.key.is_some(),
+            message,
+            orders: inbox,
+            sink: self.sink.clone(),
+            pool: self.pool.clone(),
+            idle: self.limits.idle,
+            hop,
+            arrived: clock::now(),
+            stream: answer::Stream::open(),
+            log: self.log.clone(),
+        };
+        self.sink.send(Event::Arrived {
+            request,
+            call,
+            orders,
+        });
+        tokio::spawn(exchange.run(reply));
+        answer.await.unwrap_or_else(|_| {
+            Problem::unknown(
+                StatusCode::BAD_GATEWAY,
+                "the router stopped before the request ended",
+            )
+            .response()
+        })
+    }
+
+    fn fleet(&self) -> Arc<config::Fleet> {
+        let fleet = self.fleet.read();
+        fleet.map(|fleet| fleet.clone()).unwrap_or_default()
+    }
+
+    async fn read(&self, body: Incoming) -> Result<Bytes, Problem> {
+        let limited = Limited::new(body, self.limits.body_bytes);
+        let idle = Duration::from(self.limits.idle);
+        let collected = tokio::time::timeout(idle, limited.collect()).await;
+        match collected {
+            Ok(Ok(body)) => Ok(body.to_bytes()),
+            Ok(Err(error)) if error.is::<LengthLimitError>() => Err(Problem::invalid(
+                StatusCode::PAYLOAD_TOO_LARGE,
+                format!("the body is larger than {} bytes", self.limits.body_bytes),
+            )),
+            Ok(Err(error)) => Err(Problem::invalid(
+                StatusCode::BAD_REQUEST,
+                format!("the body could not be read: {error}"),
+            )),
+            Err(_) => Err(Problem::invalid(
+                StatusCode::REQUEST_TIMEOUT,
+                format!("the body did not arrive within {}", self.limits.idle),
+            )),
+        }
+    }
+}
+
+fn authenticate(fleet: &config::Fleet, headers: &HeaderMap) -> Result<id::Workspace, Problem> {
+    let unauthorized = |detail: &str| Problem::invalid(StatusCode::UNAUTHORIZED, detail);
+    let value = headers
+        .get(header::AUTHORIZATION)
+        .ok_or_else(|| unauthorized("the header Authorization is missing"))?;
+    let key = value
+        .to_str()
+        .ok()
+        .and_then(|text| text.strip_prefix("Bearer "))
+        .ok_or_else(|| unauthorized("the header Authorization is not of the form Bearer <key>"))?;
+    let workspace = fleet.workspace_of(key.trim().as_bytes());
+    workspace
+        .cloned()
+        .ok_or_else(|| unauthorized("the key belongs to no workspace"))
+}
+
+fn parse_completion(
+    uri: &Uri,
+    method: &Method,
+    body: &[u8],
+) -> Result<Option<Completion>, Problem> {
+    if uri.path() != COMPLETIONS {
+        return Ok(None);
+    }
+    if method != Method::POST {
+        let detail = format!("{COMPLETIONS} takes POST, not {method}");
+        return Err(Problem::invalid(StatusCode::METHOD_NOT_ALLOWED, detail));
+    }
+    let parsed = serde_json::from_slice(body);
+    parsed.map(Some).map_err(|error| {
+        let detail = format!("the body is not a completion request: {error}");
+        Problem::invalid(StatusCode::BAD_REQUEST, detail)
+    })
+}
+
+fn find_route(
+    fleet: &config::Fleet,
+    uri: &Uri,
+    headers: &HeaderMap,
+    completion: Option<&Completion>,
+) -> Result<Route, Problem> {
+    let not_found = |detail: String| Problem::invalid(StatusCode::NOT_FOUND, detail);
+    let query = uri.path_and_query().map_or("/", |path| path.as_str());
+    if let Some(completion) = completion {
+        let service = fleet.services.get(&*completion.model);
+        let service = service.filter(|service| service.kind == config::Kind::Model);
+        let service = service
+            .ok_or_else(|| not_found(format!("no model is named {:?}", completion.model)))?;
+        return Ok(Route {
+            service: service.clone(),
+            path: query.into(),
+        });
+    }
+    if let Some(rest) = query.strip_prefix(SERVICES) {
+        let end = rest.find(['/', '?']).unwrap_or(rest.len());
+        let (name, path) = rest.split_at(end);
+        let service = fleet.services.get(name);
+        let service = service.filter(|service| service.kind == config::Kind::Plain);
+        let service =
+            service.ok_or_else(|| not_found(format!("no plain service is named {name:?}")))?;
+        let path = if path.starts_with('/') {
+            path.into()
+        } else {
+            format!("/{path}").into()
+        };
+        return Ok(Route {
+            service: service.clone(),
+            path,
+        });
+    }
+    let host = headers
+        .get(header::HOST)
+        .and_then(|host| host.to_str().ok());
+    let host = host
+        .unwrap_or_default()
+        .split(':')
+        .next()
+        .unwrap_or_default();
+    let mut services = fleet.services.values();
+    let service = services.find(|service| service.hosts.iter().any(|name| **name == *host));
+    let service = service.ok_or_else(|| {
+        not_found(format!(
+            "the path {:?} and the host {host:?} name no service",
+            uri.path()
+        ))
+    })?;
+    Ok(Route {
+        service: service.clone(),
+        path: query.into(),
+    })
+}
+
+fn build_call(
+    method: &Method,
+    headers: &HeaderMap,
+    workspace: id::Workspace,
+    service: &config::Service,
+    completion: Option<&Completion>,
+) -> Result<Call, Problem> {
+    let hint = read_number(headers, COST_HINT)?;
+    let hint = hint.or(completion.and_then(|completion| completion.max_tokens));
+    let estimate = hint.map_or(service.estimate, Cost);
+    let timeout = read_number(headers, TIMEOUT)?.map_or(service.timeout, Span::from_millis);
+    let class = if estimate <= service.quick {
+        Class::Quick
+    } else {
+        Class::Long
+    };
+    Ok(Call {
+        workspace,
+        service: service.name.clone(),
+        class,
+        estimate: Cost(estimate.0.max(1)),
+        idempotent: service.idempotent || method.is_safe(),
+        key: read_key(headers)?,
+        timeout: timeout.min(service.timeout),
+    })
+}
+
+fn read_number(headers: &HeaderMap, name: &str) -> Result<Option<u64>, Problem> {
+    let Some(value) = headers.get(name) else {
+        return Ok(None);
+    };
+    let number = value
+        .to_str()
+        .ok()
+        .and_then(|text| text.trim().parse().ok());
+    let invalid = || {
+        Problem::invalid(
+            StatusCode::BAD_REQUEST,
+            format!("the header {name} is not a whole number"),
+        )
+    };
+    number.map(Some).ok_or_else(invalid)
+}
+
+fn read_key(headers: &HeaderMap) -> Result<Option<Box<str>>, Problem> {
+    let Some(value) = headers.get(IDEMPOTENCY_KEY) else {
+        return Ok(None);
+    };
+    let key = value.to_str().ok().map(str::trim);
+    let key = key.filter(|key| !key.is_empty() && key.len() <= MAX_KEY_BYTES);
+    let invalid = || {
+        let detail = format!(
+            "the header {IDEMPOTENCY_KEY} must be 1 to {MAX_KEY_BYTES} visible ASCII characters"
+        );
+        Problem::invalid(StatusCode::BAD_REQUEST, detail)
+    };
+    key.map(|key| Some(key.into())).ok_or_else(invalid)
+}
--- /dev/null
+++ b/src/front/mod.rs
@@ -0,0 +1,37 @@
+//! Callers' HTTP interface: takes requests, waits for orders of the control thread, and carries bytes.
+
+mod answer;
+mod call;
+mod event;
+mod exchange;
+mod handler;
+mod limits;
+mod order;
+mod problem;
+mod server;
+
+pub use self::{
+    answer::Answer,
+    call::Call,
+    event::Event,
+    limits::Limits,
+    order::Order,
+    problem::{Problem, Result as Verdict},
+    server::{Server, Settings},
+};
+
+/// Receiver of what happens to requests; the control thread in the daemon.
+pub trait Sink: Send + Sync {
+    /// Takes an event without blocking.
+    fn send(&self, event: Event);
+}
+
+/// Body of an answer to a caller.
+pub(crate) type Body = http_body_util::combinators::UnsyncBoxBody<bytes::Bytes, std::io::Error>;
+
+/// Returns a body that is known whole.
+pub(crate) fn whole(bytes: impl Into<bytes::Bytes>) -> Body {
+    use http_body_util::BodyExt;
+    let full = http_body_util::Full::new(bytes.into());
+    full.map_err(|never| match never {}).boxed_unsync()
+}
--- /dev/null
+++ b/src/front/problem.rs
@@ -0,0 +1,119 @@
+//! Refusals in the form of problem documents (RFC 9457).
+
+use super::{Body, whole};
+use crate::{
+    ingress::{Doubt, Rejection},
+    unit::Span,
+};
+use http::{Response, StatusCode, header};
+
+/// What is known about the run of a refused request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Result {
+    /// The request was not run.
+    NotRun,
+    /// The request may have run.
+    Unknown,
+}
+
+/// A refusal as the caller sees it.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize)]
+pub struct Problem {
+    /// HTTP status.
+    pub status: u16,
+    /// Short text that is the same for every refusal of the kind.
+    pub title: &'static str,
+    /// What is wrong with this request.
+    pub detail: Box<str>,
+    /// What is known about its run.
+    pub outcome: Result,
+    /// Seconds after which a repeat makes sense.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub retry_after: Option<u64>,
+}
+
+impl Problem {
+    /// Returns a refusal of a request that is wrong in itself.
+    pub fn invalid(status: StatusCode, detail: impl Into<Box<str>>) -> Self {
+        Self {
+            status: status.as_u16(),
+            title: status.canonical_reason().unwrap_or("Invalid request"),
+            detail: detail.into(),
+            outcome: Result::NotRun,
+            retry_after: None,
+        }
+    }
+
+    /// Returns a refusal of a request that was not run.
+    pub fn not_run(detail: impl Into<Box<str>>, retry_after: Span) -> Self {
+        Self {
+            status: StatusCode::SERVICE_UNAVAILABLE.as_u16(),
+            title: "Not run",
+            detail: detail.into(),
+            outcome: Result::NotRun,
+            retry_after: Some(seconds(retry_after)),
+        }
+    }
+
+    /// Returns a refusal of a request that may have run.
+    pub fn unknown(status: StatusCode, detail: impl Into<Box<str>>) -> Self {
+        Self {
+            status: status.as_u16(),
+            title: "Outcome unknown",
+            detail: detail.into(),
+            outcome: Result::Unknown,
+            retry_after: Some(seconds(UNKNOWN_RETRY)),
+        }
+    }
+
+    /// Returns the refusal that the control thread ordered.
+    pub fn rejected(rejection: &Rejection) -> Self {
+        match rejection {
+            Rejection::NotRun { refusal } => {
+                Self::not_run(refusal.reason.to_string(), refusal.retry_after)
+            }
+            Rejection::Unknown { doubt } => {
+                let status = match doubt {
+                    Doubt::Broken => StatusCode::BAD_GATEWAY,
+                    Doubt::Deadline => StatusCode::GATEWAY_TIMEOUT,
+                    Doubt::Running => StatusCode::CONFLICT,
+                    Doubt::Claim => StatusCode::SERVICE_UNAVAILABLE,
+                };
+                Self::unknown(status, doubt.to_string())
+            }
+            Rejection::Finished { .. } => Self::unknown(
+                StatusCode::CONFLICT,
+                "an earlier try with this idempotency key ran; its answer was not kept",
+            ),
+        }
+    }
+
+    /// Returns the refusal as an HTTP response.
+    pub(crate) fn response(&self) -> Response<Body> {
+        let body = serde_json::to_vec(self).unwrap_or_default();
+        let mut response = Response::new(whole(body));
+        *response.status_mut() =
+            StatusCode::from_u16(self.status).unwrap_or(StatusCode::BAD_GATEWAY);
+        let headers = response.headers_mut();
+        let json = header::HeaderValue::from_static("application/problem+json");
+        headers.insert(header::CONTENT_TYPE, json);
+        if let Some(seconds) = self.retry_after {
+            headers.insert(header::RETRY_AFTER, seconds.into());
+        }
+        let outcome = match self.outcome {
+            Result::NotRun => "not-run",
+            Result::Unknown => "unknown",
+        };
+        headers.insert("marlrun-outcome", header::HeaderValue::from_static(outcome));
+        response
+    }
+}
+
+/// Time after which the outcome of a request may be known.
+const UNKNOWN_RETRY: Span = Span::from_secs(2);
+
+/// Returns a time to wait in whole seconds, as `Retry-After` has it; at least 1.
+fn seconds(span: Span) -> u64 {
+    span.secs_ceil().max(1)
+}
--- /dev/null
+++ b/src/health.rs
@@ -0,0 +1,50 @@
+//! Pages for the platform's balancer and for monitoring: `/healthz`, `/readyz` and `/metrics`.
+
+use crate::metric;
+use oxhttp::{
+    Server,
+    model::{Body, Request, Response, StatusCode},
+};
+use std::{io, net::SocketAddr, sync::Arc, time::Duration};
+
+/// Time in which a request has to arrive.
+const REQUEST_TIMEOUT: Duration = Duration::from_secs(5);
+/// Connections at once.
+const MAX_CONNECTIONS: usize = 64;
+
+/// What the pages report.
+pub trait Source: Send + Sync {
+    /// Returns why the router does not take requests, or `None` if it does.
+    fn unready(&self) -> Option<Box<str>>;
+}
+
+/// Serves the pages until the process ends.
+///
+/// # Errors
+///
+/// Fails if the address cannot be bound.
+pub fn bind(address: SocketAddr, source: Arc<dyn Source>) -> io::Result<()> {
+    let server = Server::new(move |request| answer(request, &*source))
+        .with_global_timeout(REQUEST_TIMEOUT)
+        .with_max_concurrent_connections(MAX_CONNECTIONS)
+        .bind(address);
+    server.spawn().map(drop)
+}
+
+fn answer(request: &mut Request<Body>, source: &dyn Source) -> Response<Body> {
+    match request.uri().path() {
+        "/healthz" => text(StatusCode::OK, "alive\n"),
+        "/readyz" => match source.unready() {
+            None => text(StatusCode::OK, "ready\n"),
+            Some(reason) => text(StatusCode::SERVICE_UNAVAILABLE, format!("{reason}\n")),
+        },
+        "/metrics" => text(StatusCode::OK, metric::page()),
+        _ => text(StatusCode::NOT_FOUND, "no such page\n"),
+    }
+}
+
+fn text(status: StatusCode, body: impl Into<String>) -> Response<Body> {
+    let mut response = Response::new(Body::from(body.into()));
+    *response.status_mut() = status;
+    response
+}
--- /dev/null
+++ b/src/probe/prober.rs
@@ -0,0 +1,170 @@
+//! Tasks that probe targets.
+
+use super::Event;
+use crate::{config, id, unit::Span, upstream};
+use bytes::Bytes;
+use http::{Request, StatusCode, header};
+use http_body_util::{BodyExt, Full, Limited};
+use std::{
+    collections::BTreeMap,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+use tokio::{runtime::Handle, task::JoinHandle};
+
+/// Time between two probes of a target; three of them fit into the time in which a leaving target
+/// must get no more work.
+const PERIOD: Span = Span::from_millis(500);
+/// Time after which a probe counts as failed.
+const TIMEOUT: Span = Span::from_millis(500);
+/// Failed connections in a row after which a target is unfit; one may be a dropped packet.
+const MAX_FAILURES: u32 = 2;
+/// Largest load report in bytes.
+const MAX_REPORT_BYTES: usize = 4_096;
+
+/// Takes what probes find, without blocking.
+type Sink = Arc<dyn Fn(Event) + Send + Sync>;
+
+/// Probes a set of targets until it is dropped.
+pub struct Prober {
+    runtime: Handle,
+    sink: Sink,
+    tasks: Mutex<BTreeMap<id::Target, JoinHandle<()>>>,
+}
+
+/// A target's own report of its load.
+#[derive(serde::Deserialize)]
+struct Load {
+    running: u32,
+    waiting: u32,
+}
+
+/// What one probe found.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Health {
+    Fit,
+    Unfit,
+    Silent,
+}
+
+impl Prober {
+    /// Starts without targets.
+    pub fn spawn(runtime: Handle, sink: Sink) -> Self {
+        Self {
+            runtime,
+            sink,
+            tasks: Mutex::default(),
+        }
+    }
+
+    /// Probes these targets from now on, and no others.
+    pub fn watch(&self, targets: &[Arc<config::Target>], fleet: &config::Fleet) {
+        let Ok(mut tasks) = self.tasks.lock() else {
+            return;
+        };
+        tasks.retain(|name, task| {
+            let kept = targets.iter().any(|target| target.name == *name);
+            if !kept {
+                task.abort();
+            }
+            kept
+        });
+        for target in targets {
+            let service = fleet.services.get(&target.service);
+            let reports = service.is_some_and(|service| service.kind == config::Kind::Model);
+            tasks.entry(target.name.clone()).or_insert_with(|| {
+                let probe = probe(target.clone(), reports, self.sink.clone());
+                self.runtime.spawn(probe)
+            });
+        }
+    }
+}
+
+impl Drop for Prober {
+    fn drop(&mut self) {
+        for task in self
+            .tasks
+            .get_mut()
+            .into_iter()
+            .flat_map(|tasks| tasks.values())
+        {
+            task.abort();
+        }
+    }
+}
+
+async fn probe(target: Arc<config::Target>, reports: bool, sink: Sink) {
+    let pool = upstream::Pool::default();
+    let mut failures = 0;
+    let mut known = None;
+    loop {
+        let health = check(&pool, &target).await;
+        failures = if health == Health::Silent {
+            failures + 1
+        } else {
+            0
+        };
+        let fit = match health {
+            Health::Fit => Some(true),
+            Health::Unfit => Some(false),
+            Health::Silent => (failures >= MAX_FAILURES).then_some(false),
+        };
+        if fit.is_some() && fit != known {
+            known = fit;
+            let target = target.name.clone();
+            sink(Event::Health {
+                target,
+                fit: fit == Some(true),
+            });
+        }
+        if reports && health == Health::Fit {
+            if let Some(load) = load(&pool, &target).await {
+                sink(Event::Load {
+                    target: target.name.clone(),
+                    running: load.running,
+                    waiting: load.waiting,
+                });
+            }
+        }
+        tokio::time::sleep(Duration::from(PERIOD)).await;
+    }
+}
+
+/// Asks a target for its health; one without a health page is fit while it answers.
+async fn check(pool: &upstream::Pool, target: &config::Target) -> Health {
+    match get(pool, target, "/health").await {
+        Some((StatusCode::SERVICE_UNAVAILABLE, _)) => Health::Unfit,
+        Some(_) => Health::Fit,
+        None => Health::Silent,
+    }
+}
+
+async fn load(pool: &upstream::Pool, target: &config::Target) -> Option<Load> {
+    let (status, body) = get(pool, target, "/load").await?;
+    if !status.is_success() {
+        return None;
+    }
+    serde_json::from_slice(&body).ok()
+}
+
+async fn get(
+    pool: &upstream::Pool,
+    target: &config::Target,
+    path: &str,
+) -> Option<(StatusCode, Bytes)> {
+    let exchange = async {
+        let mut lease = pool.lease(target.address, true).await.ok()?;
+        let request = Request::get(path)
+            .header(header::HOST, target.address.to_string())
+            .body(Full::default())
+            .ok()?;
+        let response = lease.sender.send_request(request).await.ok()?;
+        let status = response.status();
+        let body = Limited::new(response.into_body(), MAX_REPORT_BYTES);
+        let body = body.collect().await.ok()?.to_bytes();
+        lease.release();
+        Some((status, body))
+    };
+    let answer = tokio::time::timeout(Duration::from(TIMEOUT), exchange).await;
+    answer.ok().flatten()
+}
--- /dev/null
+++ b/src/upstream/mod.rs
@@ -0,0 +1,5 @@
+//! Connections from this router to targets.
+
+mod pool;
+
+pub use self::pool::{Lease, Pool};
