Wire codec, links, beacon, simple membership, placement

Cause: the daemon needs messages to travel and routers to know each other.

Batches and heartbeats are packed Cap'n Proto.

--- /dev/null
+++ b/schema/marlrun.capnp
@@ -0,0 +1,169 @@
+@0xd5c2f94317017e26;
+# Messages between routers. Fields are only ever added, so that two versions of the daemon understand each other.
+
+struct Attempt {
+  incarnation @0 :UInt64;
+  sequence @1 :UInt64;
+}
+
+enum Class {
+  quick @0;
+  long @1;
+}
+
+enum Outcome {
+  answered @0;
+  notRun @1;
+  unreachable @2;
+  broken @3;
+  cancelled @4;
+}
+
+enum Reason {
+  workspaceFull @0;
+  queueFull @1;
+  deadline @2;
+  noTarget @3;
+  draining @4;
+  notOwner @5;
+}
+
+struct Ask {
+  attempt @0 :Attempt;
+  workspace @1 :Text;
+  service @2 :Text;
+  target @3 :Text;
+  class @4 :Class;
+  estimate @5 :UInt64;
+  waited @6 :UInt64; # microseconds
+  remaining @7 :UInt64; # microseconds
+  hops @8 :UInt8;
+}
+
+struct Charge {
+  attempt @0 :Attempt;
+  cost @1 :UInt64;
+}
+
+struct Floor {
+  service @0 :Text;
+  level @1 :UInt64;
+}
+
+struct Usage {
+  workspace @0 :Text;
+  service @1 :Text;
+  served @2 :UInt64;
+  known @3 :UInt64;
+  included @4 :UInt64;
+  waiting @5 :UInt32;
+  running @6 :UInt32;
+}
+
+struct Report {
+  incarnation @0 :UInt64;
+  sequence @1 :UInt64;
+  usage @2 :List(Usage);
+  floors @3 :List(Floor);
+}
+
+struct Level {
+  workspace @0 :Text;
+  service @1 :Text;
+  level @2 :UInt64;
+  included @3 :UInt64;
+}
+
+struct Message {
+  union {
+    ask @0 :Ask;
+    withdraw @1 :Attempt;
+    grant :group {
+      attempt @2 :Attempt;
+      target @3 :Text;
+    }
+    refuse :group {
+      attempt @4 :Attempt;
+      reason @5 :Reason;
+      retryAfter @6 :UInt64; # microseconds
+    }
+    move :group {
+      attempt @7 :Attempt;
+      target @8 :Text;
+    }
+    progress @9 :List(Charge);
+    done :group {
+      attempt @10 :Attempt;
+      target @11 :Text;
+      cost @12 :UInt64;
+      outcome @13 :Outcome;
+    }
+    held :group {
+      ask @14 :Ask;
+      cost @15 :UInt64;
+    }
+    pull :group {
+      service @16 :Text;
+      target @17 :Text;
+      free @18 :UInt32;
+    }
+    report @19 :Report;
+    levels @20 :List(Level);
+    resync @21 :Void;
+    fetch @22 :UInt64;
+    delta :group {
+      from @23 :UInt64;
+      to @24 :UInt64;
+      body @25 :Data;
+    }
+    keyClaim :group {
+      attempt @26 :Attempt;
+      key @27 :Text;
+    }
+    keyVerdict :group {
+      attempt @28 :Attempt;
+      granted @29 :Bool;
+    }
+  }
+}
+
+struct Batch {
+  messages @0 :List(Message);
+}
+
+struct Load {
+  target @0 :Text;
+  free @1 :UInt32;
+  slots @2 :UInt32;
+  waiting @3 :UInt64;
+}
+
+struct Run {
+  router @0 :Text;
+  incarnation @1 :UInt64;
+}
+
+struct Heartbeat {
+  router @0 :Text;
+  incarnation @1 :UInt64;
+  sequence @2 :UInt64;
+  domain @3 :Text;
+  address @4 :Data; # 4 or 16 bytes of IP and 2 of port, the most significant first
+  leaving @5 :Bool;
+  version @6 :UInt64;
+  loads @7 :List(Load);
+  floors @8 :List(Floor);
+  suspects @9 :List(Run);
+  unfit @10 :List(Text);
+}
+
+# A batch travels packed, because control traffic is limited and most words hold many zeros.
+interface Session {
+  deliver @0 (batch :Data) -> ();
+}
+
+# Both sides prove that they hold the fleet key before a message is taken.
+interface Peer {
+  challenge @0 (nonce :Data) -> (nonce :Data, proof :Data);
+  hello @1 (router :Text, incarnation :UInt64, address :Data, receiver :Text, proof :Data) -> (session :Session);
+}
--- /dev/null
+++ b/src/beacon.rs
@@ -0,0 +1,198 @@
+//! Heartbeats over UDP.
+
+use crate::{
+    cut, secret,
+    unit::Span,
+    wire::{Heartbeat, codec},
+};
+use crossbeam::channel::Sender;
+use std::{
+    io,
+    net::{SocketAddr, UdpSocket},
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    thread,
+};
+
+/// Bytes of a datagram at most; it is not fragmented on Ethernet.
+pub const MAX_DATAGRAM_BYTES: usize = 1_400;
+/// Bytes of the proof before the heartbeat; a forged one passes once in 2^64 tries.
+const TAG_BYTES: usize = 8;
+/// Label of the proof, so that no other message passes for a heartbeat.
+const LABEL: &[u8] = b"marlrun heartbeat";
+/// Time after which the receiving thread looks whether it is to end.
+const POLL: Span = Span::from_millis(100);
+
+/// Why the beacon could not start.
+#[derive(Debug, thiserror::Error)]
+#[error("heartbeats on {address}: {cause}")]
+pub struct Error {
+    /// Address that was to be bound.
+    pub address: SocketAddr,
+    /// What the system said.
+    #[source]
+    pub cause: io::Error,
+}
+
+/// A heartbeat that arrived.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Arrival(pub Heartbeat);
+
+/// Sends heartbeats, and receives them on a thread that ends when the handle is dropped.
+#[derive(Debug)]
+pub struct Beacon {
+    socket: UdpSocket,
+    key: secret::Key,
+    cuts: cut::Switch,
+    ending: Arc<AtomicBool>,
+    thread: Option<thread::JoinHandle<()>>,
+}
+
+impl Beacon {
+    /// Binds the address and passes what arrives to `sink`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the address cannot be bound or the thread cannot start.
+    pub fn bind<E>(
+        address: SocketAddr,
+        key: secret::Key,
+        cuts: cut::Switch,
+        sink: Sender<E>,
+    ) -> Result<Self, Error>
+    where
+        E: From<Arrival> + Send + 'static,
+    {
+        let failed = |cause| Error { address, cause };
+        let socket = UdpSocket::bind(address).map_err(failed)?;
+        let inbound = socket.try_clone().map_err(failed)?;
+        inbound
+            .set_read_timeout(Some(POLL.into()))
+            .map_err(failed)?;
+        let ending = Arc::<AtomicBool>::default();
+        let receiver = Receiver {
+            socket: inbound,
+            key: key.clone(),
+            cuts: cuts.clone(),
+            ending: ending.clone(),
+        };
+        let thread = thread::Builder::new()
+            .name("beacon".into())
+            .spawn(move || receiver.run(&sink))
+            .map_err(failed)?;
+        Ok(Self {
+            socket,
+            key,
+            cuts,
+            ending,
+            thread: Some(thread),
+        })
+    }
+
+    /// Returns the bound address.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the system does not tell it.
+    pub fn address(&self) -> io::Result<SocketAddr> {
+        self.socket.local_addr()
+    }
+
+    /// Sends a heartbeat; one that cannot be sent counts as lost.
+    pub fn send(&self, to: SocketAddr, heartbeat: &Heartbeat) {
+        if self.cuts.blocks_out(to) {
+            return;
+        }
+        let datagram = seal(&self.key, heartbeat);
+        let _ = self.socket.send_to(&datagram, to);
+    }
+}
+
+impl Drop for Beacon {
+    fn drop(&mut self) {
+        self.ending.store(true, Ordering::Relaxed);
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
+}
+
+/// Encodes a heartbeat with its proof; what does not fit is left out.
+pub fn seal(key: &secret::Key, heartbeat: &Heartbeat) -> Vec<u8> {
+    let body = fit(heartbeat);
+    let mut datagram = key.prove(&[LABEL, &body])[..TAG_BYTES].to_vec();
+    datagram.extend(body);
+    datagram
+}
+
+/// Decodes a datagram, or returns `None` if it is not a heartbeat of the fleet.
+pub fn open(key: &secret::Key, datagram: &[u8]) -> Option<Heartbeat> {
+    let (tag, body) = datagram.split_first_chunk::<TAG_BYTES>()?;
+    if !key.verify(&[LABEL, body], tag) {
+        return None;
+    }
+    codec::decode_heartbeat(body).ok()
+}
+
+/// Encodes a heartbeat; halves its longest list until it fits.
+fn fit(heartbeat: &Heartbeat) -> Vec<u8> {
+    let limit = MAX_DATAGRAM_BYTES - TAG_BYTES;
+    let mut heartbeat = heartbeat.clone();
+    loop {
+        match codec::encode_heartbeat(&heartbeat) {
+            Ok(bytes) if bytes.len() <= limit => return bytes,
+            _ => halve(&mut heartbeat),
+        }
+    }
+}
+
+fn halve(heartbeat: &mut Heartbeat) {
+    let lengths = [
+        heartbeat.loads.len(),
+        heartbeat.floors.len(),
+        heartbeat.suspects.len(),
+        heartbeat.unfit.len(),
+    ];
+    let longest = lengths.into_iter().max().unwrap_or(0);
+    let keep = |length: usize| {
+        if length == longest {
+            length / 2
+        } else {
+            length
+        }
+    };
+    heartbeat.loads.truncate(keep(lengths[0]));
+    heartbeat.floors.truncate(keep(lengths[1]));
+    heartbeat.suspects.truncate(keep(lengths[2]));
+    heartbeat.unfit.truncate(keep(lengths[3]));
+}
+
+/// What the receiving thread owns.
+struct Receiver {
+    socket: UdpSocket,
+    key: secret::Key,
+    cuts: cut::Switch,
+    ending: Arc<AtomicBool>,
+}
+
+impl Receiver {
+    fn run<E: From<Arrival>>(self, sink: &Sender<E>) {
+        let mut buffer = [0; MAX_DATAGRAM_BYTES + 1];
+        while !self.ending.load(Ordering::Relaxed) {
+            let Ok((length, _)) = self.socket.recv_from(&mut buffer) else {
+                continue;
+            };
+            let Some(heartbeat) = open(&self.key, &buffer[..length]) else {
+                continue;
+            };
+            if self.cuts.blocks_in(heartbeat.address) {
+                continue;
+            }
+            if sink.send(Arrival(heartbeat).into()).is_err() {
+                return;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/link/links.rs
@@ -0,0 +1,225 @@
+//! Handle of the links' thread.
+
+use super::{
+    Event, Settings,
+    peer::{Peer, Queue},
+    server::Shared,
+};
+use crate::{id, unit::Span, wire::Message};
+use capnp::message::ReaderOptions;
+use crossbeam::channel::Sender;
+use std::{
+    collections::BTreeMap,
+    io,
+    net::{self, SocketAddr},
+    rc::Rc,
+    thread,
+};
+use tokio::{
+    net::TcpListener,
+    runtime,
+    sync::mpsc::{self, UnboundedReceiver, UnboundedSender},
+    task::{JoinHandle, LocalSet},
+};
+
+/// Wait after a failure to accept, such as a lack of file descriptors.
+pub(super) const ACCEPT_RETRY: Span = Span::from_millis(100);
+/// Words of one call that are read at most: the largest batch with its envelope.
+const MAX_CALL_WORDS: usize = (crate::wire::codec::MAX_BATCH_BYTES + (1 << 20)) / 8;
+
+/// Returns the limits on what a connection may send.
+pub(super) fn reader_options() -> ReaderOptions {
+    let mut options = ReaderOptions::new();
+    options.traversal_limit_in_words(Some(MAX_CALL_WORDS));
+    options
+}
+
+/// Why the links could not start.
+#[derive(Debug, thiserror::Error)]
+#[error("links of {router} on {address}: {cause}")]
+pub struct Error {
+    /// This router.
+    pub router: id::Router,
+    /// Address on which it was to listen.
+    pub address: SocketAddr,
+    /// What the system said.
+    #[source]
+    pub cause: io::Error,
+}
+
+/// What the links' thread is told.
+enum Order {
+    Send {
+        to: id::Router,
+        address: SocketAddr,
+        message: Message,
+    },
+    Forget(id::Router),
+}
+
+/// Links to all peers, on a thread of their own that ends when the handle is dropped.
+#[derive(Debug)]
+pub struct Links {
+    orders: Option<UnboundedSender<Order>>,
+    address: SocketAddr,
+    thread: Option<thread::JoinHandle<()>>,
+}
+
+impl Links {
+    /// Listens for peers and starts the thread.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the address cannot be bound or the thread cannot start.
+    pub fn spawn<E>(mut settings: Settings, sink: Sender<E>) -> Result<Self, Error>
+    where
+        E: From<Event> + Send + 'static,
+    {
+        let (router, wanted) = (settings.router.clone(), settings.address);
+        let failed = |cause| Error {
+            router: router.clone(),
+            address: wanted,
+            cause,
+        };
+        let listener = net::TcpListener::bind(settings.address).map_err(failed)?;
+        listener.set_nonblocking(true).map_err(failed)?;
+        settings.address = listener.local_addr().map_err(failed)?;
+        let address = settings.address;
+        let runtime = runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()
+            .map_err(failed)?;
+        let (orders, inbox) = mpsc::unbounded_channel();
+        let body = move || {
+            let work = run(settings, sink, listener, inbox);
+            LocalSet::new().block_on(&runtime, work);
+        };
+        let thread = thread::Builder::new()
+            .name("links".into())
+            .spawn(body)
+            .map_err(failed)?;
+        Ok(Self {
+            orders: Some(orders),
+            address,
+            thread: Some(thread),
+        })
+    }
+
+    /// Returns the address on which peers are accepted.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Queues a message for a peer; never blocks.
+    pub fn send(&self, to: id::Router, address: SocketAddr, message: Message) {
+        self.order(Order::Send {
+            to,
+            address,
+            message,
+        });
+    }
+
+    /// Closes the connection to a peer and drops what waits for it.
+    pub fn forget(&self, peer: id::Router) {
+        self.order(Order::Forget(peer));
+    }
+
+    fn order(&self, order: Order) {
+        if let Some(orders) = &self.orders {
+            let _ = orders.send(order);
+        }
+    }
+}
+
+impl Drop for Links {
+    fn drop(&mut self) {
+        self.orders = None;
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
+}
+
+/// Queue of a peer and the task that empties it.
+struct Lane {
+    address: SocketAddr,
+    queue: Rc<Queue>,
+    task: JoinHandle<()>,
+}
+
+impl Drop for Lane {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+async fn run<E: From<Event> + 'static>(
+    settings: Settings,
+    sink: Sender<E>,
+    listener: net::TcpListener,
+    mut inbox: UnboundedReceiver<Order>,
+) {
+    let shared = Shared::new(settings.clone(), sink.clone());
+    let listener = TcpListener::from_std(listener).expect("the listener is nonblocking");
+    let accepting = tokio::task::spawn_local(shared.accept(listener));
+    let settings = Rc::new(settings);
+    let mut lanes = BTreeMap::<id::Router, Lane>::new();
+    while let Some(order) = inbox.recv().await {
+        match order {
+            Order::Forget(peer) => {
+                lanes.remove(&peer);
+            }
+            Order::Send {
+                to,
+                address,
+                message,
+            } => send(&settings, &sink, &mut lanes, to, address, message),
+        }
+    }
+    accepting.abort();
+}
+
+fn send<E: From<Event> + 'static>(
+    settings: &Rc<Settings>,
+    sink: &Sender<E>,
+    lanes: &mut BTreeMap<id::Router, Lane>,
+    to: id::Router,
+    address: SocketAddr,
+    message: Message,
+) {
+    if lanes.get(&to).is_some_and(|lane| lane.address != address) {
+        lanes.remove(&to);
+    }
+    let lane = lanes
+        .entry(to.clone())
+        .or_insert_with(|| open(settings.clone(), sink.clone(), to.clone(), address));
+    if !lane.queue.push(message) {
+        lanes.remove(&to);
+        let event = Event::Broken {
+            peer: to,
+            cause: "too many messages wait".into(),
+        };
+        let _ = sink.send(event.into());
+    }
+}
+
+fn open<E: From<Event> + 'static>(
+    settings: Rc<Settings>,
+    sink: Sender<E>,
+    router: id::Router,
+    address: SocketAddr,
+) -> Lane {
+    let queue = Rc::<Queue>::default();
+    let peer = Peer {
+        settings,
+        router,
+        address,
+        queue: queue.clone(),
+        sink,
+    };
+    Lane {
+        address,
+        queue,
+        task: tokio::task::spawn_local(peer.run()),
+    }
+}
--- /dev/null
+++ b/src/link/peer.rs
@@ -0,0 +1,253 @@
+//! Connecting side of a link.
+
+use super::{
+    Event, Settings,
+    handshake::{self, Claim, Nonces},
+    links,
+};
+use crate::{
+    id, random,
+    unit::Span,
+    wire::{Message, codec, marlrun_capnp as schema},
+};
+use capnp_rpc::{RpcSystem, rpc_twoparty_capnp::Side, twoparty};
+use crossbeam::channel::Sender;
+use rand_chacha::{ChaCha8Rng, rand_core::Rng};
+use std::{cell::RefCell, collections::VecDeque, future, net::SocketAddr, rc::Rc};
+use tokio::{net::TcpStream, sync::Notify, task::JoinHandle, time};
+use tokio_util::compat::{TokioAsyncReadCompatExt, TokioAsyncWriteCompatExt};
+
+/// Time for a connection with its handshake, and for one call; a peer that needs longer is broken.
+const CALL_TIMEOUT: Span = Span::from_secs(2);
+/// First wait after a failed connection.
+const MIN_BACKOFF: Span = Span::from_millis(50);
+/// Longest wait after failed connections; a healed cut is used within this time.
+const MAX_BACKOFF: Span = Span::from_secs(1);
+/// Messages that may wait for one peer; beyond it the link counts as broken.
+const MAX_QUEUED: usize = 1 << 16;
+/// Messages of a batch; keeps the work of one call short.
+const MAX_BATCHED: usize = 512;
+
+/// Messages that wait for one peer.
+#[derive(Default)]
+pub(super) struct Queue {
+    messages: RefCell<VecDeque<Message>>,
+    wake: Notify,
+}
+
+impl Queue {
+    /// Adds a message; `false` if there are too many.
+    pub(super) fn push(&self, message: Message) -> bool {
+        let mut messages = self.messages.borrow_mut();
+        if messages.len() >= MAX_QUEUED {
+            return false;
+        }
+        messages.push_back(message);
+        self.wake.notify_one();
+        true
+    }
+
+    /// Drops all messages.
+    pub(super) fn clear(&self) {
+        self.messages.borrow_mut().clear();
+    }
+
+    async fn wait(&self) {
+        while self.messages.borrow().is_empty() {
+            self.wake.notified().await;
+        }
+    }
+
+    /// Moves the next messages to `batch`; a `Delta` may be large and ends it.
+    fn take(&self, batch: &mut Vec<Message>) {
+        let mut messages = self.messages.borrow_mut();
+        while batch.len() < MAX_BATCHED {
+            let Some(message) = messages.pop_front() else {
+                return;
+            };
+            let large = matches!(message, Message::Delta { .. });
+            batch.push(message);
+            if large {
+                return;
+            }
+        }
+    }
+}
+
+/// Sends the messages of a queue to one peer, over one connection after the other.
+pub(super) struct Peer<E> {
+    pub(super) settings: Rc<Settings>,
+    pub(super) router: id::Router,
+    pub(super) address: SocketAddr,
+    pub(super) queue: Rc<Queue>,
+    pub(super) sink: Sender<E>,
+}
+
+/// An authenticated connection.
+struct Connection {
+    session: schema::session::Client,
+    driver: JoinHandle<Result<(), capnp::Error>>,
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.driver.abort();
+    }
+}
+
+impl<E: From<Event> + 'static> Peer<E> {
+    /// Runs until the task is aborted.
+    pub(super) async fn run(self) {
+        let mut rng = random::seeded();
+        let mut backoff = MIN_BACKOFF;
+        loop {
+            self.queue.wait().await;
+            match self.connect(&mut rng).await {
+                Ok(connection) => {
+                    backoff = MIN_BACKOFF;
+                    let error = self.pump(connection).await;
+                    self.broken(&error);
+                }
+                Err(error) => self.broken(&error),
+            }
+            time::sleep(jitter(backoff, &mut rng).into()).await;
+            backoff = Span((2 * backoff.0).min(MAX_BACKOFF.0));
+        }
+    }
+
+    fn broken(&self, error: &capnp::Error) {
+        self.queue.clear();
+        let event = Event::Broken {
+            peer: self.router.clone(),
+            cause: error.to_string().into(),
+        };
+        let _ = self.sink.send(event.into());
+    }
+
+    async fn connect(&self, rng: &mut ChaCha8Rng) -> Result<Connection, capnp::Error> {
+        if self.settings.cuts.blocks_out(self.address) {
+            return Err(capnp::Error::disconnected("cut off".into()));
+        }
+        within(self.handshake(rng)).await
+    }
+
+    async fn handshake(&self, rng: &mut ChaCha8Rng) -> Result<Connection, capnp::Error> {
+        let stream = TcpStream::connect(self.address).await?;
+        stream.set_nodelay(true)?;
+        let (reader, writer) = stream.into_split();
+        let network = twoparty::VatNetwork::new(
+            futures::io::BufReader::new(reader.compat()),
+            futures::io::BufWriter::new(writer.compat_write()),
+            Side::Client,
+            links::reader_options(),
+        );
+        let mut system = RpcSystem::new(Box::new(network), None);
+        let peer: schema::peer::Client = system.bootstrap(Side::Server);
+        let driver = tokio::task::spawn_local(system);
+        let mut connection = Connection {
+            session: capnp_rpc::new_future_client(future::pending()),
+            driver,
+        };
+        connection.session = self.introduce(&peer, rng).await?;
+        Ok(connection)
+    }
+
+    /// Checks the peer's proof and gives this router's own.
+    async fn introduce(
+        &self,
+        peer: &schema::peer::Client,
+        rng: &mut ChaCha8Rng,
+    ) -> Result<schema::session::Client, capnp::Error> {
+        let mut nonces = Nonces {
+            client: handshake::nonce(rng),
+            server: Vec::new(),
+        };
+        let mut challenge = peer.challenge_request();
+        challenge.get().set_nonce(&nonces.client);
+        let reply = challenge.send().promise.await?;
+        let reply = reply.get()?;
+        nonces.server = reply.get_nonce()?.to_vec();
+        let key = &self.settings.key;
+        if !handshake::is_server(key, &nonces, &self.router, reply.get_proof()?) {
+            return Err(capnp::Error::failed(
+                "wrong fleet key or another router".into(),
+            ));
+        }
+        let claim = Claim {
+            router: self.settings.router.clone(),
+            incarnation: self.settings.incarnation,
+            address: codec::encode_address(self.settings.address),
+            receiver: self.router.clone(),
+        };
+        let mut hello = peer.hello_request();
+        let mut params = hello.get();
+        params.set_router(claim.router.as_str());
+        params.set_incarnation(claim.incarnation.0);
+        params.set_address(&claim.address);
+        params.set_receiver(claim.receiver.as_str());
+        params.set_proof(&handshake::client_proof(key, &nonces, &claim));
+        hello.send().promise.await?.get()?.get_session()
+    }
+
+    /// Sends batches until the connection fails.
+    async fn pump(&self, mut connection: Connection) -> capnp::Error {
+        let mut batch = vec![Message::Resync];
+        loop {
+            self.queue.take(&mut batch);
+            if let Err(error) = self.deliver(&connection.session, &batch).await {
+                return error;
+            }
+            batch.clear();
+            tokio::select! {
+                () = self.queue.wait() => {}
+                end = &mut connection.driver => {
+                    return closed(end);
+                }
+            }
+        }
+    }
+
+    async fn deliver(
+        &self,
+        session: &schema::session::Client,
+        batch: &[Message],
+    ) -> Result<(), capnp::Error> {
+        let cuts = &self.settings.cuts;
+        if cuts.blocks_out(self.address) {
+            return Err(capnp::Error::disconnected("cut off".into()));
+        }
+        let bytes = codec::encode_batch(batch).map_err(|e| capnp::Error::failed(e.to_string()))?;
+        let mut call = session.deliver_request();
+        call.get().set_batch(&bytes);
+        within(async {
+            call.send().promise.await?;
+            if cuts.blocks_in(self.address) {
+                return future::pending().await;
+            }
+            Ok(())
+        })
+        .await
+    }
+}
+
+fn closed(end: Result<Result<(), capnp::Error>, tokio::task::JoinError>) -> capnp::Error {
+    match end {
+        Ok(Err(error)) => error,
+        _ => capnp::Error::disconnected("closed by the peer".into()),
+    }
+}
+
+async fn within<T>(call: impl Future<Output = Result<T, capnp::Error>>) -> Result<T, capnp::Error> {
+    match time::timeout(CALL_TIMEOUT.into(), call).await {
+        Ok(result) => result,
+        Err(_) => Err(capnp::Error::disconnected(format!(
+            "no answer within {CALL_TIMEOUT}"
+        ))),
+    }
+}
+
+/// Returns a random time from half of `span` to the whole.
+fn jitter(span: Span, rng: &mut impl Rng) -> Span {
+    let half = span.0 / 2;
+    Span(half + rng.next_u64() % (half + 1))
+}
--- /dev/null
+++ b/src/link/server.rs
@@ -0,0 +1,201 @@
+//! Accepting side of a link.
+
+use super::{
+    Event, Settings,
+    handshake::{self, Claim, Nonces},
+};
+use crate::{
+    id, random,
+    wire::{codec, marlrun_capnp as schema},
+};
+use capnp_rpc::{RpcSystem, rpc_twoparty_capnp::Side, twoparty};
+use crossbeam::channel::Sender;
+use futures::future;
+use rand_chacha::ChaCha8Rng;
+use std::{cell::RefCell, collections::BTreeMap, net::SocketAddr, rc::Rc};
+use tokio::net::{TcpListener, TcpStream};
+use tokio_util::compat::{TokioAsyncReadCompatExt, TokioAsyncWriteCompatExt};
+
+/// Latest session of a peer; batches of earlier ones are dropped, so that none overtakes another.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+struct Epoch {
+    incarnation: id::Incarnation,
+    session: u64,
+}
+
+/// State that all accepted connections share.
+pub(super) struct Shared<E> {
+    settings: Settings,
+    sink: Sender<E>,
+    epochs: RefCell<BTreeMap<id::Router, Epoch>>,
+    rng: RefCell<ChaCha8Rng>,
+}
+
+impl<E: From<Event> + 'static> Shared<E> {
+    /// Returns the state before the first connection.
+    pub(super) fn new(settings: Settings, sink: Sender<E>) -> Rc<Self> {
+        Rc::new(Self {
+            settings,
+            sink,
+            epochs: RefCell::default(),
+            rng: RefCell::new(random::seeded()),
+        })
+    }
+
+    /// Accepts connections until the task is aborted.
+    pub(super) async fn accept(self: Rc<Self>, listener: TcpListener) {
+        loop {
+            match listener.accept().await {
+                Ok((stream, _)) => {
+                    tokio::task::spawn_local(serve(self.clone(), stream));
+                }
+                Err(_) => tokio::time::sleep(super::links::ACCEPT_RETRY.into()).await,
+            }
+        }
+    }
+
+    /// Opens a session, unless a later run of the peer has been here.
+    fn open(&self, claim: &Claim) -> Option<Epoch> {
+        let mut epochs = self.epochs.borrow_mut();
+        let last = epochs.entry(claim.router.clone()).or_default();
+        if claim.incarnation < last.incarnation {
+            return None;
+        }
+        *last = Epoch {
+            incarnation: claim.incarnation,
+            session: last.session + 1,
+        };
+        Some(*last)
+    }
+}
+
+/// Serves one connection until it closes.
+async fn serve<E: From<Event> + 'static>(shared: Rc<Shared<E>>, stream: TcpStream) {
+    let _ = stream.set_nodelay(true);
+    let (reader, writer) = stream.into_split();
+    let network = twoparty::VatNetwork::new(
+        futures::io::BufReader::new(reader.compat()),
+        futures::io::BufWriter::new(writer.compat_write()),
+        Side::Server,
+        super::links::reader_options(),
+    );
+    let door = Door {
+        shared,
+        nonces: RefCell::default(),
+    };
+    let client: schema::peer::Client = capnp_rpc::new_client(door);
+    let _ = RpcSystem::new(Box::new(network), Some(client.client)).await;
+}
+
+/// First object of a connection: lets in whoever proves to hold the fleet key.
+struct Door<E> {
+    shared: Rc<Shared<E>>,
+    nonces: RefCell<Option<Nonces>>,
+}
+
+impl<E: From<Event> + 'static> schema::peer::Server for Door<E> {
+    async fn challenge(
+        self: Rc<Self>,
+        params: schema::peer::ChallengeParams,
+        mut results: schema::peer::ChallengeResults,
+    ) -> Result<(), capnp::Error> {
+        let client = params.get()?.get_nonce()?;
+        if client.len() != handshake::NONCE_BYTES {
+            return Err(capnp::Error::failed("nonce of a wrong length".into()));
+        }
+        let settings = &self.shared.settings;
+        let nonces = Nonces {
+            client: client.to_vec(),
+            server: handshake::nonce(&mut *self.shared.rng.borrow_mut()),
+        };
+        let proof = handshake::server_proof(&settings.key, &nonces, &settings.router);
+        let mut results = results.get();
+        results.set_nonce(&nonces.server);
+        results.set_proof(&proof);
+        self.nonces.replace(Some(nonces));
+        Ok(())
+    }
+
+    async fn hello(
+        self: Rc<Self>,
+        params: schema::peer::HelloParams,
+        mut results: schema::peer::HelloResults,
+    ) -> Result<(), capnp::Error> {
+        let params = params.get()?;
+        let claim = read_claim(params).map_err(|e| capnp::Error::failed(e.to_string()))?;
+        let nonces = self.nonces.take().unwrap_or_default();
+        let settings = &self.shared.settings;
+        let known = !nonces.server.is_empty()
+            && handshake::is_client(&settings.key, &nonces, &claim, params.get_proof()?);
+        if !known {
+            return Err(capnp::Error::failed("wrong fleet key".into()));
+        }
+        if claim.receiver != settings.router {
+            let text = format!("this is {}, not {}", settings.router, claim.receiver);
+            return Err(capnp::Error::failed(text));
+        }
+        let address = codec::decode_address(&claim.address)
+            .map_err(|e| capnp::Error::failed(e.to_string()))?;
+        let epoch = self.shared.open(&claim).ok_or_else(|| {
+            let text = format!("a later run of {} is known", claim.router);
+            capnp::Error::failed(text)
+        })?;
+        let session = Session {
+            shared: self.shared.clone(),
+            router: claim.router,
+            address,
+            epoch,
+        };
+        results.get().set_session(capnp_rpc::new_client(session));
+        Ok(())
+    }
+}
+
+fn read_claim(from: schema::peer::hello_params::Reader<'_>) -> Result<Claim, codec::Error> {
+    Ok(Claim {
+        router: codec::name(from.get_router())?,
+        incarnation: id::Incarnation(from.get_incarnation()),
+        address: from.get_address()?.to_vec(),
+        receiver: codec::name(from.get_receiver())?,
+    })
+}
+
+/// Takes the batches of one authenticated peer.
+struct Session<E> {
+    shared: Rc<Shared<E>>,
+    router: id::Router,
+    address: SocketAddr,
+    epoch: Epoch,
+}
+
+impl<E: From<Event> + 'static> schema::session::Server for Session<E> {
+    async fn deliver(
+        self: Rc<Self>,
+        params: schema::session::DeliverParams,
+        _: schema::session::DeliverResults,
+    ) -> Result<(), capnp::Error> {
+        let cuts = &self.shared.settings.cuts;
+        if cuts.blocks_in(self.address) {
+            return future::pending().await;
+        }
+        if self.shared.epochs.borrow().get(&self.router) != Some(&self.epoch) {
+            return Err(capnp::Error::failed("a later session is open".into()));
+        }
+        let batch = codec::decode_batch(params.get()?.get_batch()?)
+            .map_err(|e| capnp::Error::failed(e.to_string()))?;
+        for message in batch {
+            let event = Event::Message {
+                from: self.router.clone(),
+                incarnation: self.epoch.incarnation,
+                message,
+            };
+            if self.shared.sink.send(event.into()).is_err() {
+                return Err(capnp::Error::disconnected("shutting down".into()));
+            }
+        }
+        if cuts.blocks_out(self.address) {
+            return future::pending().await;
+        }
+        Ok(())
+    }
+}
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -1,8 +1,18 @@
 //! Messages between routers.
 
 mod ask;
+pub mod codec;
 mod envelope;
 mod heartbeat;
+#[allow(
+    clippy::all,
+    missing_docs,
+    rust_2018_idioms,
+    unreachable_pub,
+    unused_qualifications
+)]
+#[rustfmt::skip]
+pub mod marlrun_capnp;
 mod message;
 mod outcome;
 mod refusal;
--- /dev/null
+++ b/tests/link.rs
@@ -0,0 +1,157 @@
+//! Links over real connections on the loopback interface.
+
+use crossbeam::channel::{self, Receiver};
+use marlrun::{
+    cut::{self, Way},
+    id, link, secret,
+    unit::Version,
+    wire::Message,
+};
+use std::{net::SocketAddr, time::Duration};
+
+/// Longest wait for an event; far longer than any takes.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+struct Router {
+    links: link::Links,
+    events: Receiver<link::Event>,
+    cuts: cut::Switch,
+}
+
+fn spawn_at(name: &str, incarnation: u64, secret: &[u8], address: SocketAddr) -> Router {
+    let cuts = cut::Switch::default();
+    let settings = link::Settings {
+        router: name.parse().unwrap(),
+        incarnation: id::Incarnation(incarnation),
+        address,
+        key: secret::Key::new(secret),
+        cuts: cuts.clone(),
+    };
+    let (sink, events) = channel::unbounded::<link::Event>();
+    Router {
+        links: link::Links::spawn(settings, sink).unwrap(),
+        events,
+        cuts,
+    }
+}
+
+fn spawn(name: &str, incarnation: u64) -> Router {
+    spawn_at(name, incarnation, b"secret", "127.0.0.1:0".parse().unwrap())
+}
+
+fn fetch(version: u64) -> Message {
+    Message::Fetch {
+        have: Version(version),
+    }
+}
+
+impl Router {
+    fn send(&self, to: &str, other: &Router, message: Message) {
+        self.links
+            .send(to.parse().unwrap(), other.links.address(), message);
+    }
+
+    fn next(&self) -> link::Event {
+        self.events.recv_timeout(PATIENCE).unwrap()
+    }
+
+    fn message(&self) -> (String, Message) {
+        match self.next() {
+            link::Event::Message { from, message, .. } => (from.to_string(), message),
+            other => panic!("unexpected {other:?}"),
+        }
+    }
+
+    fn broken(&self) -> String {
+        match self.next() {
+            link::Event::Broken { peer, cause } => {
+                assert_eq!(peer.as_str(), "b", "{cause}");
+                cause.into()
+            }
+            other => panic!("unexpected {other:?}"),
+        }
+    }
+}
+
+#[test]
+fn send_in_order() {
+    let (a, b) = (spawn("a", 1), spawn("b", 1));
+    let count = 5_000;
+    for i in 0..count {
+        a.send("b", &b, fetch(i));
+    }
+    assert_eq!(b.message(), ("a".into(), Message::Resync));
+    for i in 0..count {
+        assert_eq!(b.message(), ("a".into(), fetch(i)));
+    }
+}
+
+#[test]
+fn send_after_restart() {
+    let (a, b) = (spawn("a", 1), spawn("b", 1));
+    a.send("b", &b, fetch(1));
+    assert_eq!(b.message().1, Message::Resync);
+    assert_eq!(b.message().1, fetch(1));
+    let address = b.links.address();
+    drop(b);
+    a.broken();
+    let b = spawn_at("b", 2, b"secret", address);
+    a.send("b", &b, fetch(2));
+    assert_eq!(b.message().1, Message::Resync);
+    assert_eq!(b.message().1, fetch(2));
+}
+
+#[test]
+fn hello_wrong_key() {
+    let (a, b) = (
+        spawn("a", 1),
+        spawn_at("b", 1, b"other", "127.0.0.1:0".parse().unwrap()),
+    );
+    a.send("b", &b, fetch(1));
+    assert!(a.broken().contains("wrong fleet key"));
+    assert!(b.events.is_empty());
+}
+
+#[test]
+fn hello_other_router() {
+    let (a, c) = (spawn("a", 1), spawn("c", 1));
+    a.send("b", &c, fetch(1));
+    assert!(a.broken().contains("another router"));
+    assert!(c.events.is_empty());
+}
+
+#[test]
+fn hello_older_incarnation() {
+    let (old, new, b) = (spawn("a", 1), spawn("a", 2), spawn("b", 1));
+    old.send("b", &b, fetch(1));
+    assert_eq!(b.message().1, Message::Resync);
+    assert_eq!(b.message().1, fetch(1));
+    new.send("b", &b, fetch(2));
+    assert_eq!(b.message().1, Message::Resync);
+    assert_eq!(b.message().1, fetch(2));
+    old.send("b", &b, fetch(3));
+    old.broken();
+    old.send("b", &b, fetch(4));
+    assert!(old.broken().contains("a later run of a"));
+    assert!(b.events.is_empty());
+}
+
+#[test]
+fn cut_and_heal() {
+    for way in [Way::In, Way::Out, Way::Both] {
+        let (a, b) = (spawn("a", 1), spawn("b", 1));
+        a.send("b", &b, fetch(1));
+        assert_eq!(b.message().1, Message::Resync);
+        assert_eq!(b.message().1, fetch(1));
+        a.cuts.cut(b.links.address(), way);
+        a.send("b", &b, fetch(2));
+        a.broken();
+        a.cuts.heal_all();
+        if way == Way::In {
+            assert_eq!(b.message().1, fetch(2), "only the answer is lost");
+        }
+        a.send("b", &b, fetch(3));
+        assert_eq!(b.message().1, Message::Resync, "{way:?}");
+        assert_eq!(b.message().1, fetch(3), "{way:?}");
+    }
+}
