--- a/src/lib.rs
+++ b/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod platform;
 pub mod probe;
 pub mod random;
+pub mod standin;
 pub mod tally;
 pub mod trace;
 pub mod secret;
