--- a/src/probe/prober.rs
+++ b/src/probe/prober.rs
@@ -117,14 +117,15 @@
                 fit: fit == Some(true),
             });
         }
-        if reports && health == Health::Fit {
-            if let Some(load) = load(&pool, &target).await {
-                sink(Event::Load {
-                    target: target.name.clone(),
-                    running: load.running,
-                    waiting: load.waiting,
-                });
-            }
+        if reports
+            && health == Health::Fit
+            && let Some(load) = load(&pool, &target).await
+        {
+            sink(Event::Load {
+                target: target.name.clone(),
+                running: load.running,
+                waiting: load.waiting,
+            });
         }
         tokio::time::sleep(Duration::from(PERIOD)).await;
     }
