--- a/src/daemon/event.rs
+++ b/src/daemon/event.rs
@@ -1,6 +1,6 @@
 //! Inputs of the control thread.
 
-use crate::{beacon, front, link, probe, unit::Time};
+use crate::{beacon, front, link, probe};
 
 /// Input of the control thread.
 #[derive(Debug)]
@@ -19,42 +19,26 @@
     Stop,
 }
 
-/// An input with the time at which it was queued.
-#[derive(Debug)]
-pub(super) struct Input {
-    pub(super) at: Time,
-    pub(super) event: Event,
-}
-
-impl Input {
-    pub(super) fn now(event: Event) -> Self {
-        Self {
-            at: crate::clock::now(),
-            event,
-        }
-    }
-}
-
-impl From<link::Event> for Input {
+impl From<link::Event> for Event {
     fn from(event: link::Event) -> Self {
-        Self::now(Event::Link(event))
+        Self::Link(event)
     }
 }
 
-impl From<beacon::Arrival> for Input {
+impl From<beacon::Arrival> for Event {
     fn from(arrival: beacon::Arrival) -> Self {
-        Self::now(Event::Heartbeat(arrival))
+        Self::Heartbeat(arrival)
     }
 }
 
-impl From<front::Event> for Input {
+impl From<front::Event> for Event {
     fn from(event: front::Event) -> Self {
-        Self::now(Event::Front(event))
+        Self::Front(event)
     }
 }
 
-impl From<probe::Event> for Input {
+impl From<probe::Event> for Event {
     fn from(event: probe::Event) -> Self {
-        Self::now(Event::Probe(event))
+        Self::Probe(event)
     }
 }
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -1,5 +1,15 @@
 //! The router daemon: settings, the control thread and everything that it runs.
 
+mod control;
+mod error;
+mod event;
+mod handle;
+mod routes;
 mod settings;
+mod state;
 
-pub use self::settings::{Finding, Flags, Settings};
+pub use self::{
+    error::Error,
+    handle::{Daemon, run, spawn},
+    settings::{Finding, Flags, Secret, Settings},
+};
--- a/src/daemon/routes.rs
+++ b/src/daemon/routes.rs
@@ -41,7 +41,12 @@
     }
 
     /// Takes the loads and the unfit targets that the members tell; `own` are this router's.
-    pub(super) fn refresh(&mut self, view: &member::View, own: Vec<Load>, unfit: &BTreeSet<id::Target>) {
+    pub(super) fn refresh(
+        &mut self,
+        view: &member::View,
+        own: Vec<Load>,
+        unfit: &BTreeSet<id::Target>,
+    ) {
         self.unfit = unfit.clone();
         for member in view.iter() {
             self.unfit.extend(member.unfit.iter().cloned());
@@ -78,18 +83,32 @@
 }
 
 impl ingress::Placement for Routes {
-    fn pick(&self, service: &id::Service, exclude: &[id::Target], seed: u64) -> Option<(id::Target, id::Router)> {
+    fn pick(
+        &self,
+        service: &id::Service,
+        exclude: &[id::Target],
+        seed: u64,
+    ) -> Option<(id::Target, id::Router)> {
         let targets = self.services.get(service)?;
-        let fit = targets.iter().filter(|target| !self.unfit.contains(*target));
+        let fit = targets
+            .iter()
+            .filter(|target| !self.unfit.contains(*target));
         let mut eligible: Vec<_> = fit.filter(|target| !exclude.contains(target)).collect();
         if eligible.is_empty() {
-            eligible = targets.iter().filter(|target| !self.unfit.contains(*target)).collect();
+            eligible = targets
+                .iter()
+                .filter(|target| !self.unfit.contains(*target))
+                .collect();
         }
         let count = eligible.len() as u64;
         let first = *eligible.get((seed % count.max(1)) as usize)?;
         let step = 1 + (seed >> 32) % count.saturating_sub(1).max(1);
         let second = eligible[((seed % count + step) % count) as usize];
-        let best = if self.rank(second) < self.rank(first) { second } else { first };
+        let best = if self.rank(second) < self.rank(first) {
+            second
+        } else {
+            first
+        };
         let owner = self.owners.get(best)?;
         Some((best.clone(), owner.clone()))
     }
--- a/src/link/mod.rs
+++ b/src/link/mod.rs
@@ -7,4 +7,8 @@
 mod server;
 mod settings;
 
-pub use self::{event::Event, links::Links, settings::Settings};
+pub use self::{
+    event::Event,
+    links::{Error, Links},
+    settings::Settings,
+};
