--- /dev/null
+++ b/tests/common/mod.rs
@@ -0,0 +1,17 @@
+//! Processes of a small fleet on the loopback address.
+#![allow(
+    dead_code,
+    unreachable_pub,
+    unused_imports,
+    reason = "each test program uses a part of it"
+)]
+
+mod caller;
+mod fleet;
+mod process;
+
+pub use self::{
+    caller::{Answer, Caller},
+    fleet::Fleet,
+    process::Process,
+};
--- /dev/null
+++ b/tests/path.rs
@@ -0,0 +1,106 @@
+//! The whole path in separate processes: a caller, three routers in two failure domains, targets
+//! and the platform.
+
+mod common;
+
+use common::Fleet;
+
+fn fleet() -> Fleet {
+    let mut fleet = Fleet::new(&["alpha", "beta"]);
+    fleet.start_platform();
+    fleet.start_target(
+        "engine-1",
+        "assistant",
+        "east",
+        4,
+        &["--token-interval", "2ms"],
+    );
+    fleet.start_target("panel-1", "panels", "west", 4, &[]);
+    fleet.start_routers(&[("east-1", "east"), ("east-2", "east"), ("west-1", "west")]);
+    fleet
+}
+
+#[test]
+fn path_answers_whole_streamed_and_refused() {
+    let fleet = fleet();
+    for router in ["east-1", "east-2", "west-1"] {
+        let caller = fleet.caller(router, "alpha");
+
+        let whole = caller.complete("assistant", "hello", 20, false).unwrap();
+        assert_eq!((whole.status, whole.complete), (200, true), "{whole:?}");
+        let answer: serde_json::Value = serde_json::from_str(&whole.body).unwrap();
+        assert_eq!(answer["usage"]["completion_tokens"], 20);
+
+        let streamed = caller.complete("assistant", "hello", 20, true).unwrap();
+        assert_eq!(
+            (streamed.status, streamed.complete),
+            (200, true),
+            "{streamed:?}"
+        );
+        assert!(
+            streamed.body.trim_end().ends_with("data: [DONE]"),
+            "{streamed:?}"
+        );
+        let ids: Vec<_> = streamed
+            .body
+            .lines()
+            .filter_map(|line| line.strip_prefix("id: "))
+            .collect();
+        let expected: Vec<_> = (1..=20).map(|id| id.to_string()).collect();
+        assert_eq!(
+            ids, expected,
+            "each token comes once and in order: {streamed:?}"
+        );
+
+        let check_in = caller
+            .send("POST", "/s/panels/rooms/7/check-in", &[], "{}")
+            .unwrap();
+        assert_eq!(
+            (check_in.status, check_in.complete),
+            (200, true),
+            "{check_in:?}"
+        );
+
+        let unknown = caller.complete("nobody", "hello", 20, false).unwrap();
+        assert_eq!(unknown.status, 404, "{unknown:?}");
+        let problem: serde_json::Value = serde_json::from_str(&unknown.body).unwrap();
+        assert_eq!(problem["outcome"], "not-run");
+    }
+}
+
+#[test]
+fn path_refuses_bad_requests_clearly() {
+    let fleet = fleet();
+    let good = fleet.caller("east-1", "alpha");
+    let stranger = fleet.caller("east-1", "nobody");
+    let path = "/v1/chat/completions";
+    let cases = [
+        (stranger.send("POST", path, &[], "{}"), 401),
+        (good.send("GET", path, &[], ""), 405),
+        (good.send("POST", path, &[], "not json"), 400),
+        (good.send("POST", "/s/nothing/x", &[], ""), 404),
+        (good.send("GET", "/elsewhere", &[], ""), 404),
+        (
+            good.send("POST", "/s/panels/x", &[("marlrun-timeout-ms", "soon")], ""),
+            400,
+        ),
+        (
+            good.send("POST", "/s/panels/x", &[("idempotency-key", "")], ""),
+            400,
+        ),
+    ];
+    for (answer, status) in cases {
+        let answer = answer.unwrap();
+        assert_eq!(answer.status, status, "{answer:?}");
+        assert_eq!(
+            answer.header("marlrun-outcome"),
+            Some("not-run"),
+            "{answer:?}"
+        );
+    }
+    let answer = good.complete("assistant", "hello", 3, false).unwrap();
+    assert_eq!(
+        answer.status, 200,
+        "others suffer from bad requests: {answer:?}"
+    );
+}
