--- a/src/bin/marlrun-load/app.rs
+++ b/src/bin/marlrun-load/app.rs
@@ -20,6 +20,9 @@
     /// Sends requests straight to the targets.
     #[arg(long, conflicts_with = "routers", requires = "targets")]
     direct: bool,
+    /// Routers that a direct route acts as; they know nothing of each other.
+    #[arg(long, default_value_t = 1)]
+    direct_routers: usize,
     /// Stand-in of a target, as `service=address`; its account is read and compared.
     #[arg(long = "target")]
     targets: Vec<Target>,
@@ -57,7 +60,9 @@
     pub(crate) fn settings(&self) -> Settings {
         Settings {
             route: if self.direct {
-                Route::Direct
+                Route::Direct {
+                    routers: self.direct_routers,
+                }
             } else {
                 Route::Routers(self.routers.clone())
             },
--- a/src/clock.rs
+++ b/src/clock.rs
@@ -13,7 +13,12 @@
 
 /// Returns the milliseconds since the Unix epoch.
 pub fn unix_millis() -> u64 {
+    unix_micros() / 1_000
+}
+
+/// Returns the microseconds since the Unix epoch.
+pub fn unix_micros() -> u64 {
     let epoch = time::SystemTime::UNIX_EPOCH;
     let since = time::SystemTime::now().duration_since(epoch);
-    since.map_or(0, |d| d.as_millis() as u64)
+    since.map_or(0, |d| d.as_micros() as u64)
 }
--- a/src/load/account.rs
+++ b/src/load/account.rs
@@ -27,6 +27,7 @@
 pub(super) struct Account {
     pub(super) workspaces: BTreeMap<id::Workspace, Book>,
     pub(super) between: Times,
+    pub(super) transit: Times,
     /// Requests by the name under which targets count them.
     pub(super) ended: BTreeMap<Box<str>, Ended>,
     /// What was wrong with the first wrong answers.
@@ -50,9 +51,15 @@
                 book.first.add(first);
             }
         }
-        for between in &entry.watch.between {
-            self.between.add(*between);
-        }
+        let watch = entry.watch;
+        watch
+            .between
+            .iter()
+            .for_each(|span| self.between.add(*span));
+        watch
+            .transit
+            .iter()
+            .for_each(|span| self.transit.add(*span));
         if let Outcome::Wrong(wrong) = &entry.outcome
             && self.wrong.len() < MAX_WRONG
         {
--- a/src/load/answer.rs
+++ b/src/load/answer.rs
@@ -17,6 +17,8 @@
     buffer: Vec<u8>,
     /// Tokens of a stream that came.
     tokens: u64,
+    /// Time at which the target sent the last token, in microseconds since the Unix epoch.
+    sent_micros: Option<u64>,
     finished: bool,
     done: bool,
     /// The stream said that it failed.
@@ -30,6 +32,7 @@
             expected,
             buffer: Vec::new(),
             tokens: 0,
+            sent_micros: None,
             finished: false,
             done: false,
             failed: false,
@@ -65,6 +68,11 @@
         Cost(self.tokens)
     }
 
+    /// Returns the time at which the target sent the last token, if it says so.
+    pub(super) fn sent_micros(&self) -> Option<u64> {
+        self.sent_micros
+    }
+
     /// Reports whether the answer said itself that it is not whole.
     pub(super) fn has_failed(&self) -> bool {
         self.failed
@@ -111,6 +119,7 @@
         self.finished |= choice.finish_reason.is_some();
         if let Some(content) = choice.delta.content {
             self.tokens += 1;
+            self.sent_micros = chunk.standin_sent_micros;
             let own = *content == *text.token(self.tokens);
             self.check(own, "a token is missing, doubled or another request's");
         }
--- a/src/load/client.rs
+++ b/src/load/client.rs
@@ -27,6 +27,8 @@
 const OUTCOME: &str = "marlrun-outcome";
 /// Header of the caller's idempotency key.
 const KEY: &str = "idempotency-key";
+/// Header of the caller's hint at the cost.
+const COST_HINT: &str = "marlrun-cost-hint";
 /// Longest error answer that is read, in bytes.
 const MAX_ERROR_BYTES: usize = 64 << 10;
 
@@ -52,6 +54,8 @@
     pub(super) first: Option<Span>,
     /// Times between tokens.
     pub(super) between: Vec<Span>,
+    /// Times from the target's sending of a token to its arrival here.
+    pub(super) transit: Vec<Span>,
     last_token: Option<Time>,
 }
 
@@ -63,6 +67,7 @@
             sent,
             first: None,
             between: Vec::new(),
+            transit: Vec::new(),
             last_token: None,
         }
     }
@@ -112,6 +117,9 @@
         if let Some(key) = &request.key {
             message = message.header(KEY, &**key);
         }
+        if let Some(hint) = request.hint {
+            message = message.header(COST_HINT, hint);
+        }
         let Ok(message) = message.body(Full::new(request.body.clone())) else {
             return Outcome::Rejected(StatusCode::BAD_REQUEST.as_u16());
         };
@@ -146,6 +154,10 @@
         if let Ok(bytes) = frame.into_data() {
             let tokens = check.feed(&bytes);
             watch.bytes(clock::now(), tokens);
+            if let Some(sent) = check.sent_micros().filter(|_| tokens > 0) {
+                let transit = clock::unix_micros().saturating_sub(sent);
+                watch.transit.push(Span(transit));
+            }
         }
     }
     if check.has_failed() {
--- a/src/load/driver.rs
+++ b/src/load/driver.rs
@@ -16,10 +16,7 @@
     unit::{Span, Time},
 };
 use rand_chacha::{ChaCha8Rng, rand_core::SeedableRng};
-use std::{
-    net::SocketAddr,
-    sync::{Arc, Mutex, PoisonError},
-};
+use std::sync::{Arc, Mutex, PoisonError};
 use tokio::{
     runtime::Builder,
     select,
@@ -56,7 +53,7 @@
 }
 
 fn check(settings: &Settings, workload: &Workload) -> Result<(), Error> {
-    if matches!(&settings.route, Route::Routers(routers) if routers.is_empty()) {
+    if settings.route.routers() == 0 {
         return Err(Error::NoRoute);
     }
     for workspace in &workload.workspaces {
@@ -69,7 +66,7 @@
 
 fn check_flow(settings: &Settings, workspace: &Workspace, flow: &Flow) -> Result<(), Error> {
     let has_target = || settings.targets.iter().any(|t| t.service == flow.service);
-    if settings.route == Route::Direct && !has_target() {
+    if matches!(settings.route, Route::Direct { .. }) && !has_target() {
         return Err(Error::NoTarget {
             workspace: workspace.name.as_str().into(),
             service: flow.service.as_str().into(),
@@ -105,7 +102,8 @@
 struct Driver {
     settings: Settings,
     client: Client,
-    balance: Arc<Balance>,
+    /// What each router of a direct route knows.
+    balances: Vec<Arc<Balance>>,
     meters: Meters,
     account: Mutex<Account>,
     start: Time,
@@ -120,9 +118,10 @@
 
 impl Driver {
     fn open(settings: Settings, workload: &Workload) -> Arc<Self> {
+        let balance = |_| Arc::new(Balance::new(settings.targets.clone()));
         Arc::new(Self {
             client: Client::open(),
-            balance: Arc::new(Balance::new(settings.targets.clone())),
+            balances: (0..settings.route.routers()).map(balance).collect(),
             meters: Meters::new(lanes(workload)),
             account: Mutex::default(),
             start: clock::now(),
@@ -280,8 +279,8 @@
                 };
                 (hop, None)
             }
-            Route::Direct => {
-                let taken = self.balance.take(service);
+            Route::Direct { .. } => {
+                let taken = self.balances[router].take(service);
                 let taken = taken.expect("each service has a target");
                 let hop = Hop {
                     address: taken.address(),
@@ -295,12 +294,8 @@
 
     /// Draws the number of a router.
     fn router(&self, source: &Source, random: &mut ChaCha8Rng) -> usize {
-        let routers: &[SocketAddr] = match &self.settings.route {
-            Route::Routers(routers) => routers,
-            Route::Direct => return 0,
-        };
-        let spread = source.workspace.spread;
-        spread.draw(source.home, routers.len(), random)
+        let routers = self.settings.route.routers();
+        source.workspace.spread.draw(source.home, routers, random)
     }
 
     /// Waits until a point in time; reports whether the run still goes on then.
--- a/src/load/flow.rs
+++ b/src/load/flow.rs
@@ -30,7 +30,7 @@
     /// The waits are reported among the quick ones.
     #[serde(default)]
     pub quick: bool,
-    /// Factor by which `max_tokens` is at most too large or too small; 1 makes it right.
+    /// Factor by which the hint at the cost is at most too large or too small; 1 makes it right.
     #[serde(default = "default_hint_error")]
     pub hint_error: f64,
     /// Method of a call.
--- a/src/load/page.rs
+++ b/src/load/page.rs
@@ -23,6 +23,7 @@
         )?;
         write_latency(f, "first byte", &self.first_byte)?;
         write_latency(f, "between tokens", &self.between)?;
+        write_latency(f, "token transit", &self.transit)?;
         write_latency(f, "quick wait", &self.quick_wait)?;
         self.services
             .iter()
@@ -60,7 +61,7 @@
 fn write_latency(f: &mut fmt::Formatter<'_>, name: &str, latency: &Latency) -> fmt::Result {
     writeln!(
         f,
-        "{name:<15} {:>8} {:>8.1} {:>8.1} {:>8.1} {:>8.1}",
+        "{name:<15} {:>8} {:>8.2} {:>8.2} {:>8.2} {:>8.2}",
         latency.count, latency.p50_ms, latency.p95_ms, latency.p99_ms, latency.max_ms
     )
 }
@@ -81,7 +82,7 @@
         service.utilisation_backlogged * 100.0,
         service.idle_slot_secs,
     )?;
-    let mut gaps = service.gaps.iter();
+    let mut gaps = service.gaps.iter().filter(|gap| gap.windows > 0);
     gaps.try_for_each(|gap| write_gap(f, report.sample_ms, gap))
 }
 
@@ -105,18 +106,20 @@
     writeln!(
         f,
         "workspace            service         weight   served /weight  waits%     sent answered  \
-         refused quick p50      p99"
+         refused   other quick p50      p99"
     )?;
     workspaces.iter().try_for_each(|w| write_workspace(f, w))
 }
 
 fn write_workspace(f: &mut fmt::Formatter<'_>, workspace: &WorkspaceReport) -> fmt::Result {
     let weight = workspace.weight.get();
+    let counts = &workspace.counts;
+    let other = counts.sent - counts.answered - counts.refused;
     for (service, served) in &workspace.served {
         let backlogged = workspace.backlogged.get(service).copied().unwrap_or(0.0);
         writeln!(
             f,
-            "{:<20} {:<15} {weight:>6} {:>8} {:>7.0} {:>7.1} {:>8} {:>8} {:>8} {:>9.1} {:>8.1}",
+            "{:<20} {:<15} {weight:>6} {:>8} {:>7.0} {:>7.1} {:>8} {:>8} {:>8} {:>7} {:>9.1} {:>8.1}",
             workspace.workspace.as_str(),
             service.as_str(),
             served.0,
@@ -125,6 +128,7 @@
             workspace.counts.sent,
             workspace.counts.answered,
             workspace.counts.refused,
+            other,
             workspace.quick_wait.p50_ms,
             workspace.quick_wait.p99_ms,
         )?;
--- a/src/load/report.rs
+++ b/src/load/report.rs
@@ -56,6 +56,8 @@
     pub first_byte: Latency,
     /// Time between tokens of streams.
     pub between: Latency,
+    /// Time from a target's sending of a token to its arrival at the caller, on one machine.
+    pub transit: Latency,
     /// Time from sending to the first byte of quick requests, without the run time of calls.
     pub quick_wait: Latency,
     /// Services.
@@ -143,7 +145,7 @@
             sample_ms: settings.sample_interval.as_millis(),
             routers: match &settings.route {
                 Route::Routers(routers) => routers.clone(),
-                Route::Direct => Vec::new(),
+                Route::Direct { .. } => Vec::new(),
             },
             counts,
             ran_twice,
@@ -151,6 +153,7 @@
             wrong: account.wrong.clone(),
             first_byte: merged(books().map(|book| &book.first)),
             between: account.between.latency(),
+            transit: account.transit.latency(),
             quick_wait: merged(books().map(|book| &book.quick)),
             services: services(workload)
                 .into_iter()
--- a/src/load/request.rs
+++ b/src/load/request.rs
@@ -18,6 +18,8 @@
     /// Path and query as the target sees them.
     pub(super) path: Box<str>,
     pub(super) body: Bytes,
+    /// Hint at the cost of a call; a chat's is in its body.
+    pub(super) hint: Option<u64>,
     /// Idempotency key.
     pub(super) key: Option<Box<str>>,
     /// Time that the call itself takes at the target, for waits of plain calls.
@@ -41,12 +43,12 @@
     pub(super) fn draw(flow: &Flow, label: &str, random: &mut ChaCha8Rng) -> Self {
         let length = flow.length.draw(random);
         match flow.kind {
-            Kind::Call => Self::call(flow, label, length),
+            Kind::Call => Self::call(flow, label, length, random),
             Kind::Stream | Kind::Whole => Self::chat(flow, label, length, random),
         }
     }
 
-    fn call(flow: &Flow, label: &str, millis: u64) -> Self {
+    fn call(flow: &Flow, label: &str, millis: u64, random: &mut ChaCha8Rng) -> Self {
         let path = format!("/{label}?standin-duration={millis}ms");
         let body = Bytes::from(String::from(label));
         let digest = plain::digest(&flow.method, &path, &body);
@@ -55,6 +57,7 @@
             method: flow.method.clone(),
             path: path.into(),
             body,
+            hint: Some(hint(millis, flow.hint_error, random)),
             key: flow.keyed.then(|| label.into()),
             run_time,
             expected: Expected::Call(digest.into(), run_time),
@@ -76,6 +79,7 @@
             method: "POST".into(),
             path: COMPLETIONS.into(),
             body: body.into(),
+            hint: None,
             key: flow.keyed.then(|| label.into()),
             run_time: Span(0),
             expected: if stream {
--- a/src/load/route.rs
+++ b/src/load/route.rs
@@ -41,6 +41,20 @@
 pub enum Route {
     /// To routers.
     Routers(Vec<SocketAddr>),
-    /// Straight to the target of the service with the fewest requests of this load.
-    Direct,
+    /// Straight to targets, as routers would that know nothing of each other: each sends a request
+    /// to the target of the service that has the fewest of its own.
+    Direct {
+        /// Number of such routers.
+        routers: usize,
+    },
+}
+
+impl Route {
+    /// Returns the number of routers.
+    pub(super) fn routers(&self) -> usize {
+        match self {
+            Route::Routers(routers) => routers.len(),
+            Route::Direct { routers } => *routers,
+        }
+    }
 }
--- a/src/standin/chat.rs
+++ b/src/standin/chat.rs
@@ -78,6 +78,9 @@
     /// Tokens read and generated; only in the last event.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub usage: Option<Usage>,
+    /// Time at which the stand-in sent the event, in microseconds since the Unix epoch.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub standin_sent_micros: Option<u64>,
 }
 
 /// Part of an answer.
--- a/src/standin/engine.rs
+++ b/src/standin/engine.rs
@@ -10,7 +10,7 @@
     server::{self, App},
     target::{self, Target},
 };
-use crate::unit::Span;
+use crate::{clock, unit::Span};
 use bytes::Bytes;
 use futures::{Stream, StreamExt, future::BoxFuture, stream};
 use hyper::{
@@ -276,6 +276,7 @@
                 finish_reason,
             }],
             usage,
+            standin_sent_micros: Some(clock::unix_micros()),
         };
         serde_json::to_string(&chunk).map_err(|_| Dropped)
     }
