--- a/schema/marlrun.capnp
+++ b/schema/marlrun.capnp
@@ -143,18 +143,36 @@
   incarnation @1 :UInt64;
 }
 
+struct Origin {
+  domain @0 :Text;
+  address @1 :Data; # 4 or 16 bytes of IP and 2 of port, the most significant first
+}
+
+struct State {
+  loads @0 :List(Load);
+  floors @1 :List(Floor);
+  unfit @2 :List(Text);
+}
+
+struct Contact {
+  router @0 :Text;
+  incarnation @1 :UInt64;
+  address @2 :Data;
+}
+
 struct Heartbeat {
   router @0 :Text;
   incarnation @1 :UInt64;
   sequence @2 :UInt64;
-  domain @3 :Text;
-  address @4 :Data; # 4 or 16 bytes of IP and 2 of port, the most significant first
-  leaving @5 :Bool;
-  version @6 :UInt64;
-  loads @7 :List(Load);
-  floors @8 :List(Floor);
-  suspects @9 :List(Run);
-  unfit @10 :List(Text);
+  heard @3 :UInt64;
+  next @4 :UInt32; # milliseconds
+  ask @5 :Bool;
+  leaving @6 :Bool;
+  version @7 :UInt64;
+  origin @8 :Origin; # null if the receiver knows it
+  state @9 :State; # null if the receiver knows it
+  suspects @10 :List(Run);
+  members @11 :List(Contact);
 }
 
 # A batch travels packed, because control traffic is limited and most words hold many zeros.
--- a/src/beacon.rs
+++ b/src/beacon.rs
@@ -3,7 +3,7 @@
 use crate::{
     cut, secret,
     unit::Span,
-    wire::{Heartbeat, codec},
+    wire::{self, Heartbeat, codec},
 };
 use crossbeam::channel::Sender;
 use std::{
@@ -149,11 +149,14 @@
 }
 
 fn halve(heartbeat: &mut Heartbeat) {
+    let mut none = wire::State::default();
+    let state = heartbeat.state.as_mut().unwrap_or(&mut none);
     let lengths = [
-        heartbeat.loads.len(),
-        heartbeat.floors.len(),
+        state.loads.len(),
+        state.floors.len(),
+        state.unfit.len(),
         heartbeat.suspects.len(),
-        heartbeat.unfit.len(),
+        heartbeat.members.len(),
     ];
     let longest = lengths.into_iter().max().unwrap_or(0);
     let keep = |length: usize| {
@@ -163,10 +166,11 @@
             length
         }
     };
-    heartbeat.loads.truncate(keep(lengths[0]));
-    heartbeat.floors.truncate(keep(lengths[1]));
-    heartbeat.suspects.truncate(keep(lengths[2]));
-    heartbeat.unfit.truncate(keep(lengths[3]));
+    state.loads.truncate(keep(lengths[0]));
+    state.floors.truncate(keep(lengths[1]));
+    state.unfit.truncate(keep(lengths[2]));
+    heartbeat.suspects.truncate(keep(lengths[3]));
+    heartbeat.members.truncate(keep(lengths[4]));
 }
 
 /// What the receiving thread owns.
@@ -181,13 +185,13 @@
     fn run<E: From<Arrival>>(self, sink: &Sender<E>) {
         let mut buffer = [0; MAX_DATAGRAM_BYTES + 1];
         while !self.ending.load(Ordering::Relaxed) {
-            let Ok((length, _)) = self.socket.recv_from(&mut buffer) else {
+            let Ok((length, sender)) = self.socket.recv_from(&mut buffer) else {
                 continue;
             };
             let Some(heartbeat) = open(&self.key, &buffer[..length]) else {
                 continue;
             };
-            if self.cuts.blocks_in(heartbeat.address) {
+            if self.cuts.blocks_in(sender) {
                 continue;
             }
             if sink.send(Arrival(heartbeat).into()).is_err() {
--- a/src/member/event.rs
+++ b/src/member/event.rs
@@ -31,6 +31,8 @@
     Seeds(Vec<SocketAddr>),
     /// A heartbeat arrived.
     Heartbeat(Box<Heartbeat>),
+    /// The link to a router broke.
+    Unreachable(id::Router),
     /// The state to tell peers changed.
     Local(Local),
     /// Time has passed; sent every [`TICK`](super::TICK).
--- a/src/member/membership.rs
+++ b/src/member/membership.rs
@@ -1,10 +1,17 @@
 //! Decides which routers are alive.
 
-use super::{Action, Event, Local, Member, View};
+use super::{
+    Action, Event, Local, Member, View,
+    contact::{Cause, Contact, Step},
+    newcomer::Newcomers,
+    ring::Ring,
+    rumor::Rumors,
+    stranger::Strangers,
+};
 use crate::{
-    id, platform,
+    id, placement, platform,
     unit::{Span, Time},
-    wire::Heartbeat,
+    wire::{self, Echo, Heartbeat, Origin, State},
 };
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -12,35 +19,53 @@
     net::SocketAddr,
 };
 
-/// Time between two heartbeats to a member.
-const PERIOD: Span = Span::from_millis(250);
-/// Time between two heartbeats to an address that has not answered.
-const PROBE: Span = Span::from_secs(1);
-/// Silence after which a router counts as dead.
-const SILENCE: Span = Span::from_millis(900);
+/// Routers of the own failure domain that watch this one; two rarely fail together.
+const WATCHERS: usize = 2;
+/// Time between heartbeats to a watcher.
+const WATCHED: Span = Span::from_millis(200);
+/// Shortest time between heartbeats to any other router.
+const MIN_PERIOD: Span = Span::from_secs(1);
+/// Time between heartbeats within the failure domain, per member: 11/s in all.
+const DOMAIN_SHARE: Span = Span::from_millis(90);
+/// Time between heartbeats to other failure domains, per member: 5/s in all.
+const FLEET_SHARE: Span = Span::from_millis(200);
+/// Addresses that are tried in one tick: 400/s.
+const TRIES: usize = 20;
+/// Time without a step after which the process was stopped or starved.
+const STALL: Span = Span::from_millis(400);
+/// Time without a step after which other failure domains may have changed, too.
+const LONG_STALL: Span = Span::from_secs(2);
+/// Routers of each other failure domain that are told of a suspicion at once.
+const ENVOYS: usize = 2;
+/// Time between heartbeats that introduce members without being asked.
+const INTRODUCED: Span = Span::from_secs(1);
 /// Group of the routers in the platform's list.
 const GROUP: &str = "router";
 
-/// What is known of a run besides its member entry.
-#[derive(Clone, Copy, Debug)]
-struct Contact {
-    incarnation: id::Incarnation,
-    sequence: u64,
-    heard: Time,
-}
-
 /// Membership of the fleet as one router sees it.
+///
+/// The clock must be above zero and is the sequence number of heartbeats, so that an echo tells
+/// when the echoed heartbeat was sent.
 #[derive(Debug)]
 pub struct Membership {
     router: id::Router,
     incarnation: id::Incarnation,
     sequence: u64,
-    candidates: BTreeSet<SocketAddr>,
-    seeds: BTreeSet<SocketAddr>,
+    last_step: Time,
+    stale: bool,
     contacts: BTreeMap<id::Router, Contact>,
+    strangers: Strangers,
+    listed: BTreeSet<SocketAddr>,
+    seeds: BTreeSet<SocketAddr>,
+    rumors: Rumors,
+    newcomers: Newcomers,
+    introduced: Time,
+    ring: Ring,
     view: View,
-    beat: Time,
-    probe: Time,
+    /// Version of the own state; it grows when loads change much.
+    version: u64,
+    /// Own state as it was at that version.
+    told: State,
 }
 
 impl Membership {
@@ -63,16 +88,24 @@
             floors: local.floors,
             unfit: local.unfit,
         };
+        let view = View::of([own]);
         Self {
             router,
             incarnation,
             sequence: 0,
-            candidates: BTreeSet::new(),
-            seeds: BTreeSet::new(),
+            last_step: Time(0),
+            stale: false,
             contacts: BTreeMap::new(),
-            view: View::of([own]),
-            beat: Time(0),
-            probe: Time(0),
+            strangers: Strangers::default(),
+            listed: BTreeSet::new(),
+            seeds: BTreeSet::new(),
+            rumors: Rumors::default(),
+            newcomers: Newcomers::default(),
+            introduced: Time(0),
+            ring: Ring::of(&view),
+            view,
+            version: 0,
+            told: State::default(),
         }
     }
 
@@ -81,12 +114,19 @@
         &self.view
     }
 
+    /// Reports whether the process was stopped for a while and its peers have not answered since.
+    pub fn is_stale(&self) -> bool {
+        self.stale
+    }
+
     /// Takes an event at a time; times never go back.
     pub fn step(&mut self, now: Time, event: Event, out: &mut Vec<Action>) {
+        self.check_stall(now, out);
         match event {
-            Event::Candidates(vms) => self.candidates = addresses(vms),
-            Event::Seeds(seeds) => self.seeds = seeds.into_iter().collect(),
+            Event::Candidates(vms) => self.list(now, vms),
+            Event::Seeds(seeds) => self.seed(now, seeds),
             Event::Heartbeat(heartbeat) => self.hear(now, *heartbeat, out),
+            Event::Unreachable(router) => self.check(now, &router, out),
             Event::Local(local) => self.tell(now, local, out),
             Event::Tick => self.tick(now, out),
         }
@@ -96,143 +136,496 @@
         &self.view.0[&self.router]
     }
 
-    fn tell(&mut self, now: Time, local: Local, out: &mut Vec<Action>) {
-        let Some(own) = self.view.0.get_mut(&self.router) else {
+    /// Demands an answer of the peers if this process did nothing for a while.
+    fn check_stall(&mut self, now: Time, out: &mut Vec<Action>) {
+        let gap = now.since(mem::replace(&mut self.last_step, now));
+        if gap <= STALL {
             return;
+        }
+        let domain = self.own().domain.clone();
+        let all = gap > LONG_STALL || self.ring.after(&self.router, &domain).next().is_none();
+        let live = self.contacts.values().filter(|contact| contact.live);
+        let doubted = live.filter(|contact| all || contact.member.domain == domain);
+        let names: Vec<_> = doubted.map(|c| c.member.router.clone()).collect();
+        self.stale = !names.is_empty();
+        for name in names {
+            self.demand(now, &name, Cause::Stall, out);
+        }
+    }
+
+    fn list(&mut self, now: Time, vms: Vec<platform::Vm>) {
+        let routers = vms.into_iter().filter(|vm| &*vm.group == GROUP);
+        self.listed = routers.map(|vm| vm.address).collect();
+        self.welcome(now);
+    }
+
+    fn seed(&mut self, now: Time, seeds: Vec<SocketAddr>) {
+        self.seeds = seeds.into_iter().collect();
+        self.welcome(now);
+    }
+
+    /// Tries the listed addresses at which no live router is known.
+    fn welcome(&mut self, now: Time) {
+        let known: BTreeSet<_> = self.view.iter().map(|member| member.address).collect();
+        let (listed, seeds) = (&self.listed, &self.seeds);
+        for address in listed.union(seeds).filter(|a| !known.contains(a)) {
+            self.strangers.add(*address, now);
+        }
+        if !listed.is_empty() {
+            let wanted = |a| listed.contains(&a) || seeds.contains(&a);
+            self.strangers.limit(now, wanted);
+        }
+    }
+
+    fn tell(&mut self, now: Time, local: Local, out: &mut Vec<Action>) {
+        let state = State {
+            loads: local.loads,
+            floors: local.floors,
+            unfit: local.unfit,
         };
-        let leaves = local.leaving != own.leaving;
-        own.leaving = local.leaving;
-        own.version = local.version;
-        own.loads = local.loads;
-        own.floors = local.floors;
-        own.unfit = local.unfit;
+        let urgent = local.leaving != self.own().leaving || state.unfit != self.told.unfit;
+        if state != self.told && differs(&state, &self.told) {
+            self.version += 1;
+            self.told = state.clone();
+        }
+        let leaves = local.leaving != self.own().leaving;
+        if let Some(own) = self.view.0.get_mut(&self.router) {
+            own.leaving = local.leaving;
+            own.version = local.version;
+            own.loads = state.loads;
+            own.floors = state.floors;
+            own.unfit = state.unfit;
+        }
+        if urgent {
+            self.announce(now, leaves, out);
+        }
         if leaves {
             out.push(Action::Changed);
-            self.beat_all(now, out);
+        }
+    }
+
+    /// Tells news at once: to all routers, or to those of the own failure domain.
+    fn announce(&mut self, now: Time, everywhere: bool, out: &mut Vec<Action>) {
+        let domain = self.own().domain.clone();
+        let live = self.contacts.values().filter(|contact| contact.live);
+        let told = live.filter(|contact| everywhere || contact.member.domain == domain);
+        let names: Vec<_> = told.map(|c| c.member.router.clone()).collect();
+        for name in names {
+            if let Some(contact) = self.contacts.get_mut(&name) {
+                contact.supersede();
+            }
+            self.demand(now, &name, Cause::Check, out);
         }
     }
 
     fn hear(&mut self, now: Time, heartbeat: Heartbeat, out: &mut Vec<Action>) {
-        if heartbeat.router == self.router {
+        let name = heartbeat.router.clone();
+        if name == self.router {
+            return;
+        }
+        let known = self.contacts.get(&name);
+        if known.is_some_and(|contact| !contact.precedes(&heartbeat)) {
             return;
         }
-        let run = heartbeat.incarnation;
-        if let Some(contact) = self.contacts.get(&heartbeat.router) {
-            let newer = (run, heartbeat.sequence) > (contact.incarnation, contact.sequence);
-            if !newer {
+        if known.is_none_or(|contact| contact.member.incarnation < heartbeat.incarnation) {
+            let Some(origin) = heartbeat.origin.clone() else {
                 return;
-            }
+            };
+            self.replace(now, &heartbeat, origin, out);
         }
-        let contact = Contact {
-            incarnation: run,
-            sequence: heartbeat.sequence,
-            heard: now,
+        let echoed = heartbeat.heard.sequence_of(self.incarnation);
+        let echoed = echoed.filter(|sequence| *sequence <= self.sequence);
+        let ask = heartbeat.ask;
+        let suspects = heartbeat.suspects.clone();
+        let members = heartbeat.members.clone();
+        let Some(contact) = self.contacts.get_mut(&name) else {
+            return;
         };
-        self.contacts.insert(heartbeat.router.clone(), contact);
-        let router = heartbeat.router.clone();
-        let member = Member::from(heartbeat);
-        let placed = |m: &Member| (m.incarnation, m.domain.clone(), m.address, m.leaving);
-        let after = placed(&member);
-        let before = self.view.0.insert(router.clone(), member);
-        if before.as_ref().map(placed) == Some(after) {
+        let was_live = contact.live;
+        contact.hear(now, heartbeat, echoed);
+        if !was_live && contact.proved(now) {
+            self.admit(now, &name, out);
+        } else if was_live {
+            self.refresh(&name, out);
+        }
+        self.learn(now, members);
+        self.reply(now, &name, ask, was_live, out);
+        self.look_into(now, suspects, out);
+    }
+
+    /// Starts anew with a router whose first or later run appeared.
+    fn replace(&mut self, now: Time, heartbeat: &Heartbeat, origin: Origin, out: &mut Vec<Action>) {
+        let fresh = Contact::new(now, heartbeat, origin);
+        let old = self.contacts.insert(heartbeat.router.clone(), fresh);
+        if let Some(old) = old.filter(|old| old.live) {
+            self.remove(now, &old, out);
+        }
+    }
+
+    /// Adds a router that both hears and is heard.
+    fn admit(&mut self, now: Time, name: &id::Router, out: &mut Vec<Action>) {
+        let Some(contact) = self.contacts.get_mut(name) else {
+            return;
+        };
+        contact.live = true;
+        contact.probe = None;
+        contact.due = now;
+        let member = contact.member.clone();
+        self.strangers.remove(member.address);
+        self.rumors.remove(name);
+        self.newcomers.add(now, name);
+        out.push(Action::Up {
+            router: name.clone(),
+            incarnation: member.incarnation,
+        });
+        self.view.0.insert(name.clone(), member);
+        self.rearrange(now, out);
+    }
+
+    /// Copies what a live router told into the view.
+    fn refresh(&mut self, name: &id::Router, out: &mut Vec<Action>) {
+        let Some(contact) = self.contacts.get(name) else {
             return;
+        };
+        let member = contact.member.clone();
+        let leaving = member.leaving;
+        let old = self.view.0.insert(name.clone(), member);
+        if old.is_some_and(|old| old.leaving != leaving) {
+            out.push(Action::Changed);
         }
-        let old = before.map(|m| m.incarnation);
-        if old != Some(run) {
-            if let Some(incarnation) = old {
-                out.push(Action::Down {
-                    router: router.clone(),
-                    incarnation,
-                });
+    }
+
+    /// Takes a run out of the view.
+    fn remove(&mut self, now: Time, contact: &Contact, out: &mut Vec<Action>) {
+        let member = &contact.member;
+        self.view.0.remove(&member.router);
+        self.strangers.hasten(member.address, now);
+        out.push(Action::Down {
+            router: member.router.clone(),
+            incarnation: member.incarnation,
+        });
+        self.rearrange(now, out);
+    }
+
+    /// Recomputes who watches whom.
+    fn rearrange(&mut self, now: Time, out: &mut Vec<Action>) {
+        self.ring = Ring::of(&self.view);
+        let domain = self.own().domain.clone();
+        let near = self.ring.after(&self.router, &domain).count() as u64;
+        let far = self.view.len() as u64 - 1 - near;
+        let watchers = self.ring.after(&self.router, &domain).take(WATCHERS);
+        let watchers: BTreeSet<_> = watchers.cloned().collect();
+        let spread = |share: Span, members: u64| Span((share.0 * members).max(MIN_PERIOD.0));
+        for (name, contact) in &mut self.contacts {
+            let period = if watchers.contains(name) {
+                WATCHED
+            } else if contact.member.domain == domain {
+                spread(DOMAIN_SHARE, near)
+            } else {
+                spread(FLEET_SHARE, far)
+            };
+            let watched = contact.period == WATCHED;
+            if contact.live && watched != (period == WATCHED) {
+                contact.due = now;
             }
-            out.push(Action::Up {
-                router: router.clone(),
-                incarnation: run,
-            });
-            self.beat_one(&router, out);
+            contact.period = period;
         }
         out.push(Action::Changed);
     }
 
-    fn tick(&mut self, now: Time, out: &mut Vec<Action>) {
-        self.drop_silent(now, out);
-        if now >= self.beat {
-            self.beat_all(now, out);
-        }
-        if now >= self.probe {
-            self.probe = now + PROBE;
-            self.probe_all(out);
-        }
-    }
-
-    fn drop_silent(&mut self, now: Time, out: &mut Vec<Action>) {
-        let silent = |contact: &Contact| now.since(contact.heard) > SILENCE;
-        let mut members = mem::take(&mut self.view.0);
-        let before = members.len();
-        members.retain(|router, member| {
-            let dead = self.contacts.get(router).is_some_and(silent);
-            if dead {
-                out.push(Action::Down {
-                    router: router.clone(),
-                    incarnation: member.incarnation,
-                });
+    /// Tries the routers that a peer named and that are not known to be alive.
+    fn learn(&mut self, now: Time, members: Vec<wire::Contact>) {
+        for member in members {
+            let known = self.view.get(&member.router).map(|m| m.incarnation);
+            if member.router != self.router && known < Some(member.incarnation) {
+                self.strangers.add(member.address, now);
             }
-            !dead
-        });
-        if members.len() < before {
-            out.push(Action::Changed);
         }
-        self.view.0 = members;
     }
 
-    fn beat_all(&mut self, now: Time, out: &mut Vec<Action>) {
-        self.beat = now + PERIOD;
-        let peers = self.view.0.keys().filter(|name| **name != self.router);
-        let peers: Vec<_> = peers.cloned().collect();
-        for peer in peers {
-            self.beat_one(&peer, out);
+    /// Answers a heartbeat if it asks, or if its sender is not known to hear this router.
+    fn reply(
+        &mut self,
+        now: Time,
+        name: &id::Router,
+        ask: bool,
+        was_live: bool,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(contact) = self.contacts.get(name) else {
+            return;
+        };
+        let (live, address) = (contact.live, contact.member.address);
+        if ask || !live {
+            self.beat(now, name, !live, !was_live, out);
+        }
+        if !live {
+            self.strangers.add(address, now + super::TICK);
+        }
+    }
+
+    /// Looks into the suspicions of a peer.
+    fn look_into(
+        &mut self,
+        now: Time,
+        suspects: Vec<(id::Router, id::Incarnation)>,
+        out: &mut Vec<Action>,
+    ) {
+        for (name, incarnation) in suspects {
+            let contact = self.contacts.get(&name);
+            if contact.is_some_and(|contact| contact.is_doubtful(now, incarnation)) {
+                self.demand(now, &name, Cause::Check, out);
+            }
+        }
+    }
+
+    fn check(&mut self, now: Time, name: &id::Router, out: &mut Vec<Action>) {
+        if self.view.get(name).is_some() {
+            self.demand(now, name, Cause::Silence, out);
+        }
+    }
+
+    /// Demands an answer of a live peer.
+    fn demand(&mut self, now: Time, name: &id::Router, cause: Cause, out: &mut Vec<Action>) {
+        if let Some(contact) = self.contacts.get_mut(name).filter(|contact| contact.live) {
+            contact.demand(now, cause);
+            self.pursue(now, name, out);
+        }
+    }
+
+    /// Takes the next step of an open demand.
+    fn pursue(&mut self, now: Time, name: &id::Router, out: &mut Vec<Action>) {
+        let Some(contact) = self.contacts.get_mut(name) else {
+            return;
+        };
+        match contact.progress(now) {
+            Step::Wait => {}
+            Step::Fail => self.fail(now, name, out),
+            Step::Retry => {
+                let Some(probe) = &mut contact.probe else {
+                    return;
+                };
+                probe.tries += 1;
+                let alarm = probe.cause == Cause::Silence && probe.tries == 2;
+                let run = contact.member.incarnation;
+                self.beat(now, name, true, false, out);
+                if alarm {
+                    self.rumors.add(now, name, run);
+                    self.alarm(now, name, out);
+                }
+            }
         }
     }
 
-    fn beat_one(&mut self, peer: &id::Router, out: &mut Vec<Action>) {
-        if let Some(to) = self.view.get(peer).map(|member| member.address) {
-            self.beat_to(to, out);
+    /// Drops a peer that did not answer.
+    fn fail(&mut self, now: Time, name: &id::Router, out: &mut Vec<Action>) {
+        let Some(mut contact) = self.contacts.remove(name) else {
+            return;
+        };
+        contact.live = false;
+        contact.probe = None;
+        self.rumors.add(now, name, contact.member.incarnation);
+        self.remove(now, &contact, out);
+        let domain = contact.member.domain.clone();
+        self.contacts.insert(name.clone(), contact);
+        if domain == self.own().domain {
+            self.take_over(now, out);
+        }
+    }
+
+    /// Looks after the routers that now lack a watcher, because they may have died with it.
+    fn take_over(&mut self, now: Time, out: &mut Vec<Action>) {
+        let domain = self.own().domain.clone();
+        let watched = self.ring.before(&self.router, &domain).take(WATCHERS);
+        let watched: Vec<_> = watched.cloned().collect();
+        for name in watched {
+            let contact = self.contacts.get(&name);
+            if contact.is_some_and(|contact| contact.next > WATCHED) {
+                self.demand(now, &name, Cause::Silence, out);
+            }
         }
     }
 
-    fn beat_to(&mut self, to: SocketAddr, out: &mut Vec<Action>) {
-        self.sequence += 1;
+    /// Tells a suspicion to the own failure domain and to a few routers of each other one.
+    fn alarm(&mut self, now: Time, suspect: &id::Router, out: &mut Vec<Action>) {
+        let own = self.own().domain.clone();
+        if self.contacts[suspect].member.domain != own {
+            return;
+        }
+        let mut told: Vec<_> = self.ring.after(&self.router, &own).cloned().collect();
+        for domain in self.ring.domains().filter(|domain| **domain != own) {
+            let envoys = self.ring.after(&self.router, domain).take(ENVOYS);
+            told.extend(envoys.cloned());
+        }
+        for name in told.iter().filter(|name| *name != suspect) {
+            self.beat(now, name, false, false, out);
+        }
+    }
+
+    fn tick(&mut self, now: Time, out: &mut Vec<Action>) {
+        self.rumors.expire(now);
+        self.newcomers.expire(now);
+        let live = self.contacts.iter().filter(|(_, contact)| contact.live);
+        let names: Vec<_> = live.map(|(name, _)| name.clone()).collect();
+        for name in names {
+            self.attend(now, &name, out);
+        }
+        for address in self.strangers.due(now, TRIES) {
+            self.try_stranger(now, address, out);
+        }
+        let stalled = |c: &Contact| c.probe.is_some_and(|p| p.cause == Cause::Stall);
+        self.stale = self.stale && self.contacts.values().any(stalled);
+    }
+
+    /// Does what is due for a live peer.
+    fn attend(&mut self, now: Time, name: &id::Router, out: &mut Vec<Action>) {
+        let Some(contact) = self.contacts.get_mut(name).filter(|contact| contact.live) else {
+            return;
+        };
+        let early = Span(super::TICK.0 / 2);
+        let due = now + early >= contact.due;
+        let near = contact.member.domain == self.view.0[&self.router].domain;
+        if contact.probe.is_some() {
+            self.pursue(now, name, out);
+        } else if contact.is_silent(now) {
+            self.demand(now, name, Cause::Silence, out);
+        } else if due && near {
+            self.beat(now, name, false, false, out);
+        } else if due {
+            self.demand(now, name, Cause::Check, out);
+        }
+    }
+
+    fn try_stranger(&mut self, now: Time, address: SocketAddr, out: &mut Vec<Action>) {
+        if address == self.own().address {
+            self.strangers.remove(address);
+            return;
+        }
+        let mut heartbeat = self.heartbeat(now, Echo::default());
+        heartbeat.ask = true;
+        heartbeat.next = MIN_PERIOD;
+        heartbeat.origin = Some(self.origin());
+        out.push(Action::Datagram {
+            to: address,
+            heartbeat: Box::new(heartbeat),
+        });
+    }
+
+    /// Sends a heartbeat to a known peer.
+    fn beat(
+        &mut self,
+        now: Time,
+        name: &id::Router,
+        ask: bool,
+        introduce: bool,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(contact) = self.contacts.get(name) else {
+            return;
+        };
+        let mut heartbeat = self.heartbeat(now, contact.heard());
+        let sequence = heartbeat.sequence;
+        heartbeat.ask = ask;
+        heartbeat.suspects = self.rumors.newest();
+        heartbeat.suspects.retain(|(suspect, _)| suspect != name);
+        if ask || introduce {
+            heartbeat.origin = Some(self.origin());
+        }
+        let known = now.since(self.introduced) < INTRODUCED;
+        if introduce || !known {
+            heartbeat.members = self.introduction(self.ring.fingers(&self.router), name);
+            self.introduced = now;
+        } else {
+            let newcomers = self.newcomers.some(sequence);
+            heartbeat.members = self.introduction(newcomers, name);
+        }
+        let (version, state) = (self.version, &self.told);
+        if let Some(contact) = self.contacts.get_mut(name) {
+            heartbeat.next = if contact.live {
+                contact.period
+            } else {
+                MIN_PERIOD
+            };
+            contact.due = now + spread(heartbeat.next, name, sequence);
+            if contact.tell(version, sequence) {
+                heartbeat.state = Some(state.clone());
+            }
+            out.push(Action::Datagram {
+                to: contact.member.address,
+                heartbeat: Box::new(heartbeat),
+            });
+        }
+    }
+
+    /// Returns the parts of a heartbeat that are the same for all receivers.
+    fn heartbeat(&mut self, now: Time, heard: Echo) -> Heartbeat {
+        self.sequence = now.0.max(self.sequence + 1);
         let own = self.own();
-        let heartbeat = Heartbeat {
+        Heartbeat {
             router: self.router.clone(),
             incarnation: self.incarnation,
             sequence: self.sequence,
-            domain: own.domain.clone(),
-            address: own.address,
+            heard,
+            next: MIN_PERIOD,
+            ask: false,
             leaving: own.leaving,
             version: own.version,
-            loads: own.loads.clone(),
-            floors: own.floors.clone(),
+            origin: None,
+            state: None,
             suspects: Vec::new(),
-            unfit: own.unfit.clone(),
-        };
-        out.push(Action::Datagram {
-            to,
-            heartbeat: Box::new(heartbeat),
-        });
+            members: Vec::new(),
+        }
     }
 
-    fn probe_all(&mut self, out: &mut Vec<Action>) {
-        let known: BTreeSet<_> = self.view.iter().map(|member| member.address).collect();
-        let wanted = self.candidates.union(&self.seeds);
-        let strangers: Vec<_> = wanted.filter(|a| !known.contains(a)).copied().collect();
-        for to in strangers {
-            self.beat_to(to, out);
+    fn origin(&self) -> Origin {
+        let own = self.own();
+        Origin {
+            domain: own.domain.clone(),
+            address: own.address,
         }
     }
+
+    /// Returns where to reach some members.
+    fn introduction(&self, names: Vec<&id::Router>, receiver: &id::Router) -> Vec<wire::Contact> {
+        let others = names.into_iter().filter(|name| *name != receiver);
+        let members = others.filter_map(|name| self.view.get(name));
+        let contact = |member: &Member| wire::Contact {
+            router: member.router.clone(),
+            incarnation: member.incarnation,
+            address: member.address,
+        };
+        members.map(contact).collect()
+    }
+}
+
+/// Returns a time of at most `period`, so that heartbeats to many peers do not fall together.
+fn spread(period: Span, name: &id::Router, sequence: u64) -> Span {
+    if period <= WATCHED {
+        return period;
+    }
+    let room = period.0 / 8;
+    let random = placement::hash(name.as_str()) ^ sequence.wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    Span(period.0 - random % (room + 1))
+}
+
+/// Reports whether peers should hear of the difference between two states.
+fn differs(new: &State, old: &State) -> bool {
+    let load = |load: &wire::Load| {
+        let waiting = load.waiting.0.checked_ilog2();
+        (load.target.clone(), load.free.checked_ilog2(), waiting)
+    };
+    let floor = |(service, level): &(id::Service, u64)| (service.clone(), coarse(*level));
+    new.unfit != old.unfit
+        || !new.loads.iter().map(load).eq(old.loads.iter().map(load))
+        || !new
+            .floors
+            .iter()
+            .map(floor)
+            .eq(old.floors.iter().map(floor))
 }
 
-fn addresses(vms: Vec<platform::Vm>) -> BTreeSet<SocketAddr> {
-    let routers = vms.into_iter().filter(|vm| &*vm.group == GROUP);
-    routers.map(|vm| vm.address).collect()
+/// Returns the leading bits of a level; they change when it grows by a sixteenth or more.
+fn coarse(level: u64) -> (u32, u64) {
+    let scale = level.checked_ilog2().unwrap_or(0).saturating_sub(4);
+    (scale, level >> scale)
 }
--- a/src/member/mod.rs
+++ b/src/member/mod.rs
@@ -1,10 +1,13 @@
 //! Membership: which routers are alive, from heartbeats and the platform's lagging list.
 
-use crate::unit::Span;
-
 mod action;
+mod contact;
 mod event;
 mod membership;
+mod newcomer;
+mod ring;
+mod rumor;
+mod stranger;
 mod view;
 
 pub use self::{
@@ -13,6 +16,9 @@
     membership::Membership,
     view::{Member, View},
 };
+use crate::unit::Span;
 
 /// Time between two [`Event::Tick`]s.
 pub const TICK: Span = Span::from_millis(50);
+/// Time within which the peers of a failure domain drop a router that died, if datagrams are not lost.
+pub const DETECTION: Span = Span::from_millis(1_000);
--- /dev/null
+++ b/src/member/ring.rs
@@ -0,0 +1,72 @@
+//! Order in which routers watch each other.
+
+use super::View;
+use crate::{id, placement};
+
+/// Routers in the order of their names' hashes, so that neighbours rarely share a rack.
+#[derive(Debug, Default)]
+pub(super) struct Ring(Vec<(u64, id::Router, id::Domain)>);
+
+impl Ring {
+    /// Returns the ring of the live routers.
+    pub(super) fn of(view: &View) -> Self {
+        let entry = |member: &super::Member| {
+            let hash = placement::hash(member.router.as_str());
+            (hash, member.router.clone(), member.domain.clone())
+        };
+        let mut ring: Vec<_> = view.iter().map(entry).collect();
+        ring.sort();
+        Self(ring)
+    }
+
+    /// Iterates over the routers of a failure domain that follow `router`, nearest first.
+    pub(super) fn after<'a>(
+        &'a self,
+        router: &id::Router,
+        domain: &'a id::Domain,
+    ) -> impl Iterator<Item = &'a id::Router> {
+        let (before, behind) = self.0.split_at(self.position(router));
+        let others = behind.iter().skip(1).chain(before);
+        others
+            .filter(move |(_, _, other)| other == domain)
+            .map(|(_, router, _)| router)
+    }
+
+    /// Iterates over the routers of a failure domain that precede `router`, nearest first.
+    pub(super) fn before<'a>(
+        &'a self,
+        router: &id::Router,
+        domain: &'a id::Domain,
+    ) -> impl Iterator<Item = &'a id::Router> {
+        let (before, behind) = self.0.split_at(self.position(router));
+        let others = before.iter().rev().chain(behind.iter().skip(1).rev());
+        others
+            .filter(move |(_, _, other)| other == domain)
+            .map(|(_, router, _)| router)
+    }
+
+    /// Returns the routers 1, 2, 4, 8, ... places after `router`; who follows such hints from one
+    /// router to the next finds all.
+    pub(super) fn fingers(&self, router: &id::Router) -> Vec<&id::Router> {
+        let start = self.position(router);
+        let steps = (0..usize::BITS).map(|bit| 1 << bit);
+        let steps = steps.take_while(|step| *step < self.0.len());
+        let places = steps.map(|step| (start + step) % self.0.len());
+        places.map(|place| &self.0[place].1).collect()
+    }
+
+    /// Iterates over all failure domains.
+    pub(super) fn domains(&self) -> impl Iterator<Item = &id::Domain> {
+        let all: std::collections::BTreeSet<_> = self.0.iter().map(|entry| &entry.2).collect();
+        all.into_iter()
+    }
+
+    /// Returns the place of a router, which must be in the ring, else 0.
+    fn position(&self, router: &id::Router) -> usize {
+        let hash = placement::hash(router.as_str());
+        let at = self
+            .0
+            .partition_point(|entry| (entry.0, &entry.1) < (hash, router));
+        if at < self.0.len() { at } else { 0 }
+    }
+}
--- a/src/member/view.rs
+++ b/src/member/view.rs
@@ -1,10 +1,6 @@
 //! Live routers, as this one sees them.
 
-use crate::{
-    id,
-    unit::Version,
-    wire::{Heartbeat, Load},
-};
+use crate::{id, unit::Version, wire::Load};
 use std::{collections::BTreeMap, net::SocketAddr};
 
 /// A live router.
@@ -30,22 +26,6 @@
     pub unfit: Vec<id::Target>,
 }
 
-impl From<Heartbeat> for Member {
-    fn from(heartbeat: Heartbeat) -> Self {
-        Self {
-            router: heartbeat.router,
-            incarnation: heartbeat.incarnation,
-            domain: heartbeat.domain,
-            address: heartbeat.address,
-            leaving: heartbeat.leaving,
-            version: heartbeat.version,
-            loads: heartbeat.loads,
-            floors: heartbeat.floors,
-            unfit: heartbeat.unfit,
-        }
-    }
-}
-
 /// Live routers by name, this one included.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct View(pub(super) BTreeMap<id::Router, Member>);
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -29,7 +29,7 @@
 }
 
 /// Hashes a text; every version of the daemon must agree on the value.
-fn hash(text: &str) -> u64 {
+pub(crate) fn hash(text: &str) -> u64 {
     let (basis, prime) = FNV;
     let step = |hash: u64, byte: u8| (hash ^ u64::from(byte)).wrapping_mul(prime);
     mix(text.bytes().fold(basis, step))
--- a/src/wire/codec.rs
+++ b/src/wire/codec.rs
@@ -1,8 +1,8 @@
 //! Bytes of messages and heartbeats: packed Cap'n Proto, decoded with limits on every size.
 
 use super::{
-    Ask, Class, Heartbeat, Level, Load, Message, Outcome, Reason, Refusal, Report, Usage,
-    marlrun_capnp as schema,
+    Ask, Class, Contact, Echo, Heartbeat, Level, Load, Message, Origin, Outcome, Reason, Refusal,
+    Report, State, Usage, marlrun_capnp as schema,
 };
 use crate::{
     id,
@@ -517,46 +517,100 @@
     to.set_router(heartbeat.router.as_str());
     to.set_incarnation(heartbeat.incarnation.0);
     to.set_sequence(heartbeat.sequence);
-    to.set_domain(heartbeat.domain.as_str());
-    to.set_address(&encode_address(heartbeat.address));
+    to.set_heard(heartbeat.heard.0);
+    to.set_next(heartbeat.next.as_millis().try_into().unwrap_or(u32::MAX));
+    to.set_ask(heartbeat.ask);
     to.set_leaving(heartbeat.leaving);
     to.set_version(heartbeat.version.0);
-    let mut loads = to.reborrow().init_loads(heartbeat.loads.len() as u32);
-    for (i, load) in heartbeat.loads.iter().enumerate() {
-        write_load(loads.reborrow().get(i as u32), load);
+    if let Some(origin) = &heartbeat.origin {
+        let mut builder = to.reborrow().init_origin();
+        builder.set_domain(origin.domain.as_str());
+        builder.set_address(&encode_address(origin.address));
+    }
+    if let Some(state) = &heartbeat.state {
+        write_state(to.reborrow().init_state(), state);
     }
-    let floors = to.reborrow().init_floors(heartbeat.floors.len() as u32);
-    write_floors(floors, &heartbeat.floors);
     let mut suspects = to.reborrow().init_suspects(heartbeat.suspects.len() as u32);
     for (i, (router, incarnation)) in heartbeat.suspects.iter().enumerate() {
         let mut run = suspects.reborrow().get(i as u32);
         run.set_router(router.as_str());
         run.set_incarnation(incarnation.0);
     }
-    let mut unfit = to.init_unfit(heartbeat.unfit.len() as u32);
-    for (i, target) in heartbeat.unfit.iter().enumerate() {
-        unfit.set(i as u32, target.as_str());
+    let mut members = to.init_members(heartbeat.members.len() as u32);
+    for (i, contact) in heartbeat.members.iter().enumerate() {
+        write_contact(members.reborrow().get(i as u32), contact);
     }
 }
 
 fn read_heartbeat(from: schema::heartbeat::Reader<'_>) -> Result<Heartbeat, Error> {
-    let unfit = from.get_unfit()?;
-    check("unfit", unfit.len() as usize, MAX_ITEMS)?;
+    let origin = match from.has_origin() {
+        true => Some(read_origin(from.get_origin()?)?),
+        false => None,
+    };
+    let state = match from.has_state() {
+        true => Some(read_state(from.get_state()?)?),
+        false => None,
+    };
     Ok(Heartbeat {
         router: name(from.get_router())?,
         incarnation: id::Incarnation(from.get_incarnation()),
         sequence: from.get_sequence(),
-        domain: name(from.get_domain())?,
-        address: decode_address(from.get_address()?)?,
+        heard: Echo(from.get_heard()),
+        next: Span::from_millis(from.get_next().into()),
+        ask: from.get_ask(),
         leaving: from.get_leaving(),
         version: Version(from.get_version()),
+        origin,
+        state,
+        suspects: items("suspects", from.get_suspects(), read_run)?,
+        members: items("members", from.get_members(), read_contact)?,
+    })
+}
+
+fn read_origin(from: schema::origin::Reader<'_>) -> Result<Origin, Error> {
+    Ok(Origin {
+        domain: name(from.get_domain())?,
+        address: decode_address(from.get_address()?)?,
+    })
+}
+
+fn write_state(mut to: schema::state::Builder<'_>, state: &State) {
+    let mut loads = to.reborrow().init_loads(state.loads.len() as u32);
+    for (i, load) in state.loads.iter().enumerate() {
+        write_load(loads.reborrow().get(i as u32), load);
+    }
+    let floors = to.reborrow().init_floors(state.floors.len() as u32);
+    write_floors(floors, &state.floors);
+    let mut unfit = to.init_unfit(state.unfit.len() as u32);
+    for (i, target) in state.unfit.iter().enumerate() {
+        unfit.set(i as u32, target.as_str());
+    }
+}
+
+fn read_state(from: schema::state::Reader<'_>) -> Result<State, Error> {
+    let unfit = from.get_unfit()?;
+    check("unfit", unfit.len() as usize, MAX_ITEMS)?;
+    Ok(State {
         loads: items("loads", from.get_loads(), read_load)?,
         floors: items("floors", from.get_floors(), read_floor)?,
-        suspects: items("suspects", from.get_suspects(), read_run)?,
         unfit: unfit.iter().map(name).collect::<Result<_, _>>()?,
     })
 }
 
+fn write_contact(mut to: schema::contact::Builder<'_>, contact: &Contact) {
+    to.set_router(contact.router.as_str());
+    to.set_incarnation(contact.incarnation.0);
+    to.set_address(&encode_address(contact.address));
+}
+
+fn read_contact(from: schema::contact::Reader<'_>) -> Result<Contact, Error> {
+    Ok(Contact {
+        router: name(from.get_router())?,
+        incarnation: id::Incarnation(from.get_incarnation()),
+        address: decode_address(from.get_address()?)?,
+    })
+}
+
 fn write_load(mut to: schema::load::Builder<'_>, load: &Load) {
     to.set_target(load.target.as_str());
     to.set_free(load.free);
--- a/src/wire/marlrun_capnp.rs
+++ b/src/wire/marlrun_capnp.rs
@@ -6246,6 +6246,828 @@
     }
 }
 
+pub mod origin {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> Reader<'a,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_domain(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_domain(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
+        pub fn get_address(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_address(&self) -> bool {
+            !self.reader.get_pointer_field(1).is_null()
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 2 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_domain(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_domain(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
+        }
+        #[inline]
+        pub fn init_domain(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(0).init_text(size)
+        }
+        #[inline]
+        pub fn has_domain(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn get_address(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_address(&mut self, value: ::capnp::data::Reader<'_>)  {
+            self.builder.reborrow().get_pointer_field(1).set_data(value);
+        }
+        #[inline]
+        pub fn init_address(self, size: u32) -> ::capnp::data::Builder<'a> {
+            self.builder.get_pointer_field(1).init_data(size)
+        }
+        #[inline]
+        pub fn has_address(&self) -> bool {
+            !self.builder.is_pointer_field_null(1)
+        }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 47] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(198, 87, 63, 60, 95, 223, 51, 150),
+            ::capnp::word(14, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(38, 126, 1, 23, 67, 249, 194, 213),
+            ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 170, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(109, 97, 114, 108, 114, 117, 110, 46),
+            ::capnp::word(99, 97, 112, 110, 112, 58, 79, 114),
+            ::capnp::word(105, 103, 105, 110, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(41, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(45, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(100, 111, 109, 97, 105, 110, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 100, 100, 114, 101, 115, 115, 0),
+            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                1 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0];
+        pub(crate) const TYPE_ID: u64 = 0x9633_df5f_3c3f_57c6;
+    }
+}
+
+pub mod state {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> Reader<'a,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_loads(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::wire::marlrun_capnp::load::Owned>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_loads(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
+        pub fn get_floors(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::wire::marlrun_capnp::floor::Owned>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_floors(&self) -> bool {
+            !self.reader.get_pointer_field(1).is_null()
+        }
+        #[inline]
+        pub fn get_unfit(self) -> ::capnp::Result<::capnp::text_list::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(2), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_unfit(&self) -> bool {
+            !self.reader.get_pointer_field(2).is_null()
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 3 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_loads(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::wire::marlrun_capnp::load::Owned>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_loads(&mut self, value: ::capnp::struct_list::Reader<'_,crate::wire::marlrun_capnp::load::Owned>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
+        }
+        #[inline]
+        pub fn init_loads(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::wire::marlrun_capnp::load::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), size)
+        }
+        #[inline]
+        pub fn has_loads(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn get_floors(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::wire::marlrun_capnp::floor::Owned>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_floors(&mut self, value: ::capnp::struct_list::Reader<'_,crate::wire::marlrun_capnp::floor::Owned>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false)
+        }
+        #[inline]
+        pub fn init_floors(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::wire::marlrun_capnp::floor::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(1), size)
+        }
+        #[inline]
+        pub fn has_floors(&self) -> bool {
+            !self.builder.is_pointer_field_null(1)
+        }
+        #[inline]
+        pub fn get_unfit(self) -> ::capnp::Result<::capnp::text_list::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(2), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_unfit(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text_list::Owned>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(2), value, false)
+        }
+        #[inline]
+        pub fn init_unfit(self, size: u32) -> ::capnp::text_list::Builder<'a> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(2), size)
+        }
+        #[inline]
+        pub fn has_unfit(&self) -> bool {
+            !self.builder.is_pointer_field_null(2)
+        }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 74] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(250, 245, 125, 197, 74, 1, 23, 146),
+            ::capnp::word(14, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(38, 126, 1, 23, 67, 249, 194, 213),
+            ::capnp::word(3, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 162, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(109, 97, 114, 108, 114, 117, 110, 46),
+            ::capnp::word(99, 97, 112, 110, 112, 58, 83, 116),
+            ::capnp::word(97, 116, 101, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(69, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(92, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(89, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(84, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(109, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(108, 111, 97, 100, 115, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(231, 203, 136, 151, 130, 235, 171, 187),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(102, 108, 111, 111, 114, 115, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(158, 15, 105, 223, 32, 17, 51, 231),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(117, 110, 102, 105, 116, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <::capnp::struct_list::Owned<crate::wire::marlrun_capnp::load::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                1 => <::capnp::struct_list::Owned<crate::wire::marlrun_capnp::floor::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                2 => <::capnp::text_list::Owned as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0,2];
+        pub(crate) const TYPE_ID: u64 = 0x9217_014a_c57d_f5fa;
+    }
+}
+
+pub mod contact {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> Reader<'a,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_router(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_router(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
+        pub fn get_incarnation(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn get_address(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_address(&self) -> bool {
+            !self.reader.get_pointer_field(1).is_null()
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 2 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_router(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_router(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
+        }
+        #[inline]
+        pub fn init_router(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(0).init_text(size)
+        }
+        #[inline]
+        pub fn has_router(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn get_incarnation(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn set_incarnation(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(0, value);
+        }
+        #[inline]
+        pub fn get_address(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_address(&mut self, value: ::capnp::data::Reader<'_>)  {
+            self.builder.reborrow().get_pointer_field(1).set_data(value);
+        }
+        #[inline]
+        pub fn init_address(self, size: u32) -> ::capnp::data::Builder<'a> {
+            self.builder.get_pointer_field(1).init_data(size)
+        }
+        #[inline]
+        pub fn has_address(&self) -> bool {
+            !self.builder.is_pointer_field_null(1)
+        }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 63] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(212, 181, 81, 124, 102, 169, 41, 209),
+            ::capnp::word(14, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(38, 126, 1, 23, 67, 249, 194, 213),
+            ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 178, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(109, 97, 114, 108, 114, 117, 110, 46),
+            ::capnp::word(99, 97, 112, 110, 112, 58, 67, 111),
+            ::capnp::word(110, 116, 97, 99, 116, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(69, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(73, 0, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(81, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(76, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(88, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(114, 111, 117, 116, 101, 114, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(105, 110, 99, 97, 114, 110, 97, 116),
+            ::capnp::word(105, 111, 110, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 100, 100, 114, 101, 115, 115, 0),
+            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                2 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,1,0];
+        pub(crate) const TYPE_ID: u64 = 0xd129_a966_7c51_b5d4;
+    }
+}
+
 pub mod heartbeat {
     #[derive(Copy, Clone)]
     pub struct Owned(());
@@ -6324,66 +7146,62 @@
             self.reader.get_data_field::<u64>(1)
         }
         #[inline]
-        pub fn get_domain(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
-            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
-        }
-        #[inline]
-        pub fn has_domain(&self) -> bool {
-            !self.reader.get_pointer_field(1).is_null()
+        pub fn get_heard(self) -> u64 {
+            self.reader.get_data_field::<u64>(2)
         }
         #[inline]
-        pub fn get_address(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
-            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(2), ::core::option::Option::None)
+        pub fn get_next(self) -> u32 {
+            self.reader.get_data_field::<u32>(6)
         }
         #[inline]
-        pub fn has_address(&self) -> bool {
-            !self.reader.get_pointer_field(2).is_null()
+        pub fn get_ask(self) -> bool {
+            self.reader.get_bool_field(224)
         }
         #[inline]
         pub fn get_leaving(self) -> bool {
-            self.reader.get_bool_field(128)
+            self.reader.get_bool_field(225)
         }
         #[inline]
         pub fn get_version(self) -> u64 {
-            self.reader.get_data_field::<u64>(3)
+            self.reader.get_data_field::<u64>(4)
         }
         #[inline]
-        pub fn get_loads(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::wire::marlrun_capnp::load::Owned>> {
-            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(3), ::core::option::Option::None)
+        pub fn get_origin(self) -> ::capnp::Result<crate::wire::marlrun_capnp::origin::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
         }
         #[inline]
-        pub fn has_loads(&self) -> bool {
-            !self.reader.get_pointer_field(3).is_null()
+        pub fn has_origin(&self) -> bool {
+            !self.reader.get_pointer_field(1).is_null()
         }
         #[inline]
-        pub fn get_floors(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::wire::marlrun_capnp::floor::Owned>> {
-            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(4), ::core::option::Option::None)
+        pub fn get_state(self) -> ::capnp::Result<crate::wire::marlrun_capnp::state::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(2), ::core::option::Option::None)
         }
         #[inline]
-        pub fn has_floors(&self) -> bool {
-            !self.reader.get_pointer_field(4).is_null()
+        pub fn has_state(&self) -> bool {
+            !self.reader.get_pointer_field(2).is_null()
         }
         #[inline]
         pub fn get_suspects(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::wire::marlrun_capnp::run::Owned>> {
-            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(5), ::core::option::Option::None)
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(3), ::core::option::Option::None)
         }
         #[inline]
         pub fn has_suspects(&self) -> bool {
-            !self.reader.get_pointer_field(5).is_null()
+            !self.reader.get_pointer_field(3).is_null()
         }
         #[inline]
-        pub fn get_unfit(self) -> ::capnp::Result<::capnp::text_list::Reader<'a>> {
-            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(6), ::core::option::Option::None)
+        pub fn get_members(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::wire::marlrun_capnp::contact::Owned>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(4), ::core::option::Option::None)
         }
         #[inline]
-        pub fn has_unfit(&self) -> bool {
-            !self.reader.get_pointer_field(6).is_null()
+        pub fn has_members(&self) -> bool {
+            !self.reader.get_pointer_field(4).is_null()
         }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 7 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 5, pointers: 5 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -6466,116 +7284,108 @@
             self.builder.set_data_field::<u64>(1, value);
         }
         #[inline]
-        pub fn get_domain(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
-            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
-        }
-        #[inline]
-        pub fn set_domain(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
-            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false).unwrap()
-        }
-        #[inline]
-        pub fn init_domain(self, size: u32) -> ::capnp::text::Builder<'a> {
-            self.builder.get_pointer_field(1).init_text(size)
+        pub fn get_heard(self) -> u64 {
+            self.builder.get_data_field::<u64>(2)
         }
         #[inline]
-        pub fn has_domain(&self) -> bool {
-            !self.builder.is_pointer_field_null(1)
+        pub fn set_heard(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(2, value);
         }
         #[inline]
-        pub fn get_address(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
-            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(2), ::core::option::Option::None)
+        pub fn get_next(self) -> u32 {
+            self.builder.get_data_field::<u32>(6)
         }
         #[inline]
-        pub fn set_address(&mut self, value: ::capnp::data::Reader<'_>)  {
-            self.builder.reborrow().get_pointer_field(2).set_data(value);
+        pub fn set_next(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(6, value);
         }
         #[inline]
-        pub fn init_address(self, size: u32) -> ::capnp::data::Builder<'a> {
-            self.builder.get_pointer_field(2).init_data(size)
+        pub fn get_ask(self) -> bool {
+            self.builder.get_bool_field(224)
         }
         #[inline]
-        pub fn has_address(&self) -> bool {
-            !self.builder.is_pointer_field_null(2)
+        pub fn set_ask(&mut self, value: bool)  {
+            self.builder.set_bool_field(224, value);
         }
         #[inline]
         pub fn get_leaving(self) -> bool {
-            self.builder.get_bool_field(128)
+            self.builder.get_bool_field(225)
         }
         #[inline]
         pub fn set_leaving(&mut self, value: bool)  {
-            self.builder.set_bool_field(128, value);
+            self.builder.set_bool_field(225, value);
         }
         #[inline]
         pub fn get_version(self) -> u64 {
-            self.builder.get_data_field::<u64>(3)
+            self.builder.get_data_field::<u64>(4)
         }
         #[inline]
         pub fn set_version(&mut self, value: u64)  {
-            self.builder.set_data_field::<u64>(3, value);
+            self.builder.set_data_field::<u64>(4, value);
         }
         #[inline]
-        pub fn get_loads(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::wire::marlrun_capnp::load::Owned>> {
-            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(3), ::core::option::Option::None)
+        pub fn get_origin(self) -> ::capnp::Result<crate::wire::marlrun_capnp::origin::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
         }
         #[inline]
-        pub fn set_loads(&mut self, value: ::capnp::struct_list::Reader<'_,crate::wire::marlrun_capnp::load::Owned>) -> ::capnp::Result<()> {
-            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(3), value, false)
+        pub fn set_origin(&mut self, value: crate::wire::marlrun_capnp::origin::Reader<'_>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false)
         }
         #[inline]
-        pub fn init_loads(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::wire::marlrun_capnp::load::Owned> {
-            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(3), size)
+        pub fn init_origin(self, ) -> crate::wire::marlrun_capnp::origin::Builder<'a> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(1), 0)
         }
         #[inline]
-        pub fn has_loads(&self) -> bool {
-            !self.builder.is_pointer_field_null(3)
+        pub fn has_origin(&self) -> bool {
+            !self.builder.is_pointer_field_null(1)
         }
         #[inline]
-        pub fn get_floors(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::wire::marlrun_capnp::floor::Owned>> {
-            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(4), ::core::option::Option::None)
+        pub fn get_state(self) -> ::capnp::Result<crate::wire::marlrun_capnp::state::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(2), ::core::option::Option::None)
         }
         #[inline]
-        pub fn set_floors(&mut self, value: ::capnp::struct_list::Reader<'_,crate::wire::marlrun_capnp::floor::Owned>) -> ::capnp::Result<()> {
-            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(4), value, false)
+        pub fn set_state(&mut self, value: crate::wire::marlrun_capnp::state::Reader<'_>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(2), value, false)
         }
         #[inline]
-        pub fn init_floors(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::wire::marlrun_capnp::floor::Owned> {
-            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(4), size)
+        pub fn init_state(self, ) -> crate::wire::marlrun_capnp::state::Builder<'a> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(2), 0)
         }
         #[inline]
-        pub fn has_floors(&self) -> bool {
-            !self.builder.is_pointer_field_null(4)
+        pub fn has_state(&self) -> bool {
+            !self.builder.is_pointer_field_null(2)
         }
         #[inline]
         pub fn get_suspects(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::wire::marlrun_capnp::run::Owned>> {
-            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(5), ::core::option::Option::None)
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(3), ::core::option::Option::None)
         }
         #[inline]
         pub fn set_suspects(&mut self, value: ::capnp::struct_list::Reader<'_,crate::wire::marlrun_capnp::run::Owned>) -> ::capnp::Result<()> {
-            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(5), value, false)
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(3), value, false)
         }
         #[inline]
         pub fn init_suspects(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::wire::marlrun_capnp::run::Owned> {
-            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(5), size)
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(3), size)
         }
         #[inline]
         pub fn has_suspects(&self) -> bool {
-            !self.builder.is_pointer_field_null(5)
+            !self.builder.is_pointer_field_null(3)
         }
         #[inline]
-        pub fn get_unfit(self) -> ::capnp::Result<::capnp::text_list::Builder<'a>> {
-            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(6), ::core::option::Option::None)
+        pub fn get_members(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::wire::marlrun_capnp::contact::Owned>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(4), ::core::option::Option::None)
         }
         #[inline]
-        pub fn set_unfit(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text_list::Owned>) -> ::capnp::Result<()> {
-            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(6), value, false)
+        pub fn set_members(&mut self, value: ::capnp::struct_list::Reader<'_,crate::wire::marlrun_capnp::contact::Owned>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(4), value, false)
         }
         #[inline]
-        pub fn init_unfit(self, size: u32) -> ::capnp::text_list::Builder<'a> {
-            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(6), size)
+        pub fn init_members(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::wire::marlrun_capnp::contact::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(4), size)
         }
         #[inline]
-        pub fn has_unfit(&self) -> bool {
-            !self.builder.is_pointer_field_null(6)
+        pub fn has_members(&self) -> bool {
+            !self.builder.is_pointer_field_null(4)
         }
     }
 
@@ -6586,100 +7396,113 @@
         }
     }
     impl Pipeline  {
+        pub fn get_origin(&self) -> crate::wire::marlrun_capnp::origin::Pipeline {
+            ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(1))
+        }
+        pub fn get_state(&self) -> crate::wire::marlrun_capnp::state::Pipeline {
+            ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(2))
+        }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 201] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 208] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(197, 220, 58, 8, 211, 209, 205, 163),
-            ::capnp::word(14, 0, 0, 0, 1, 0, 4, 0),
+            ::capnp::word(14, 0, 0, 0, 1, 0, 5, 0),
             ::capnp::word(38, 126, 1, 23, 67, 249, 194, 213),
-            ::capnp::word(7, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(5, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 194, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 111, 2, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 167, 2, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(109, 97, 114, 108, 114, 117, 110, 46),
             ::capnp::word(99, 97, 112, 110, 112, 58, 72, 101),
             ::capnp::word(97, 114, 116, 98, 101, 97, 116, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(44, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(48, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(37, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(65, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(32, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(44, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(60, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(72, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(41, 1, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(69, 1, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(40, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(52, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(68, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(80, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(49, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(77, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(48, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(60, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(76, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(88, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(57, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(85, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(52, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(64, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(4, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(80, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(92, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 0, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(61, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(89, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(56, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(68, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(5, 0, 0, 0, 128, 0, 0, 0),
+            ::capnp::word(84, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(96, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(5, 0, 0, 0, 224, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(65, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(93, 1, 0, 0, 34, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(60, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(72, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(6, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(88, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(100, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(6, 0, 0, 0, 225, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(69, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(97, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(64, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(76, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(7, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(92, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(104, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(7, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(73, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(101, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(68, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(96, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(8, 0, 0, 0, 4, 0, 0, 0),
+            ::capnp::word(96, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(108, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(8, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(93, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(105, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(88, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(116, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(9, 0, 0, 0, 5, 0, 0, 0),
+            ::capnp::word(100, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(112, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(9, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(109, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(104, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(116, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(10, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(113, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 1, 0, 0, 3, 0, 1, 0),
             ::capnp::word(140, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(10, 0, 0, 0, 6, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
+            ::capnp::word(11, 0, 0, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(137, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(137, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(132, 1, 0, 0, 3, 0, 1, 0),
             ::capnp::word(160, 1, 0, 0, 2, 0, 1, 0),
@@ -6709,20 +7532,28 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(100, 111, 109, 97, 105, 110, 0, 0),
-            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(104, 101, 97, 114, 100, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(97, 100, 100, 114, 101, 115, 115, 0),
-            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(110, 101, 120, 116, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 115, 107, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(108, 101, 97, 118, 105, 110, 103, 0),
@@ -6741,28 +7572,20 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(108, 111, 97, 100, 115, 0, 0, 0),
-            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(111, 114, 105, 103, 105, 110, 0, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(231, 203, 136, 151, 130, 235, 171, 187),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(198, 87, 63, 60, 95, 223, 51, 150),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(102, 108, 111, 111, 114, 115, 0, 0),
-            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(115, 116, 97, 116, 101, 0, 0, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(158, 15, 105, 223, 32, 17, 51, 231),
+            ::capnp::word(250, 245, 125, 197, 74, 1, 23, 146),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(115, 117, 115, 112, 101, 99, 116, 115),
@@ -6778,13 +7601,13 @@
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(117, 110, 102, 105, 116, 0, 0, 0),
+            ::capnp::word(109, 101, 109, 98, 101, 114, 115, 0),
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(212, 181, 81, 124, 102, 169, 41, 209),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
@@ -6796,14 +7619,15 @@
                 0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                 1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                3 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
-                4 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
+                3 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                4 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 5 => <bool as ::capnp::introspect::Introspect>::introspect(),
-                6 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                7 => <::capnp::struct_list::Owned<crate::wire::marlrun_capnp::load::Owned> as ::capnp::introspect::Introspect>::introspect(),
-                8 => <::capnp::struct_list::Owned<crate::wire::marlrun_capnp::floor::Owned> as ::capnp::introspect::Introspect>::introspect(),
-                9 => <::capnp::struct_list::Owned<crate::wire::marlrun_capnp::run::Owned> as ::capnp::introspect::Introspect>::introspect(),
-                10 => <::capnp::text_list::Owned as ::capnp::introspect::Introspect>::introspect(),
+                6 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                7 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                8 => <crate::wire::marlrun_capnp::origin::Owned as ::capnp::introspect::Introspect>::introspect(),
+                9 => <crate::wire::marlrun_capnp::state::Owned as ::capnp::introspect::Introspect>::introspect(),
+                10 => <::capnp::struct_list::Owned<crate::wire::marlrun_capnp::run::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                11 => <::capnp::struct_list::Owned<crate::wire::marlrun_capnp::contact::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -6817,9 +7641,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[4,3,8,1,5,7,0,2,9,10,6];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[5,3,1,6,11,4,8,0,2,9,10,7];
         pub(crate) const TYPE_ID: u64 = 0xa3cd_d1d3_083a_dcc5;
     }
 }
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -21,7 +21,7 @@
 pub use self::{
     ask::{Ask, Class},
     envelope::Envelope,
-    heartbeat::{Heartbeat, Load},
+    heartbeat::{Contact, Echo, Heartbeat, Load, Origin, State},
     message::Message,
     outcome::Outcome,
     refusal::{Reason, Refusal},
--- a/tests/beacon.rs
+++ b/tests/beacon.rs
@@ -5,8 +5,8 @@
     beacon::{self, Beacon},
     cut::{Switch, Way},
     id, secret,
-    unit::{Cost, Version},
-    wire::{Heartbeat, Load},
+    unit::{Cost, Span, Version},
+    wire::{Echo, Heartbeat, Load, State},
 };
 use std::time::Duration;
 
@@ -25,14 +25,18 @@
         router: "a".parse().unwrap(),
         incarnation: id::Incarnation(1),
         sequence,
-        domain: "vake".parse().unwrap(),
-        address: "127.0.0.1:7000".parse().unwrap(),
+        heard: Echo::default(),
+        next: Span::from_secs(1),
+        ask: false,
         leaving: false,
         version: Version(1),
-        loads: (0..loads).map(load).collect(),
-        floors: Vec::new(),
+        origin: None,
+        state: Some(State {
+            loads: (0..loads).map(load).collect(),
+            ..State::default()
+        }),
         suspects: Vec::new(),
-        unfit: Vec::new(),
+        members: Vec::new(),
     }
 }
 
@@ -44,7 +48,7 @@
     let cuts = Switch::default();
     let b = Beacon::bind(any, key(), cuts.clone(), sink).unwrap();
     let to = b.address().unwrap();
-    cuts.cut(heartbeat(1, 0).address, Way::In);
+    cuts.cut(a.address().unwrap(), Way::In);
     a.send(to, &heartbeat(1, 0));
     std::thread::sleep(Duration::from_millis(50));
     cuts.heal_all();
@@ -75,5 +79,5 @@
     let datagram = beacon::seal(&key(), &heartbeat(1, 500));
     assert!(datagram.len() <= beacon::MAX_DATAGRAM_BYTES);
     let opened = beacon::open(&key(), &datagram).unwrap();
-    assert!(!opened.loads.is_empty());
+    assert!(!opened.state.unwrap().loads.is_empty());
 }
--- a/tests/codec.rs
+++ b/tests/codec.rs
@@ -4,10 +4,11 @@
     id,
     unit::{Cost, Span, Version},
     wire::{
-        Ask, Class, Heartbeat, Level, Load, Message, Outcome, Reason, Refusal, Report, Usage, codec,
+        Ask, Class, Contact, Echo, Heartbeat, Level, Load, Message, Origin, Outcome, Reason,
+        Refusal, Report, State, Usage, codec,
     },
 };
-use proptest::{collection::vec, prelude::*};
+use proptest::{collection::vec, option, prelude::*};
 use std::{fmt::Debug, net::SocketAddr, str::FromStr};
 
 fn config() -> ProptestConfig {
@@ -143,33 +144,49 @@
     ]
 }
 
-fn heartbeat() -> impl Strategy<Value = Heartbeat> {
+fn state() -> impl Strategy<Value = State> {
     let load = (name(), any::<(u32, u32, u64)>()).prop_map(|(target, n)| Load {
         target,
         free: n.0,
         slots: n.1,
         waiting: Cost(n.2),
     });
+    let floors = vec((name(), any::<u64>()), 0..3);
+    (vec(load, 0..3), floors, vec(name(), 0..3)).prop_map(|(loads, floors, unfit)| State {
+        loads,
+        floors,
+        unfit,
+    })
+}
+
+fn address() -> impl Strategy<Value = SocketAddr> + Clone {
+    any::<SocketAddr>().prop_map(|a| SocketAddr::new(a.ip(), a.port()))
+}
+
+fn heartbeat() -> impl Strategy<Value = Heartbeat> {
     let run = (name(), any::<u64>().prop_map(id::Incarnation));
-    let lists = (
-        vec(load, 0..3),
-        vec((name(), any::<u64>()), 0..3),
-        vec(run, 0..3),
-        vec(name(), 0..3),
-    );
-    let numbers = any::<(u64, u64, bool, u64, SocketAddr)>();
-    (name(), name(), numbers, lists).prop_map(|(router, domain, numbers, lists)| Heartbeat {
+    let contact = (run.clone(), address()).prop_map(|(run, address)| Contact {
+        router: run.0,
+        incarnation: run.1,
+        address,
+    });
+    let origin = (name(), address()).prop_map(|(domain, address)| Origin { domain, address });
+    let optional = (option::of(origin), option::of(state()));
+    let lists = (vec(run, 0..2), vec(contact, 0..2));
+    let numbers = any::<(u64, u64, u64, u32, bool, bool, u64)>();
+    (name(), numbers, optional, lists).prop_map(|(router, n, optional, lists)| Heartbeat {
         router,
-        incarnation: id::Incarnation(numbers.0),
-        sequence: numbers.1,
-        domain,
-        address: SocketAddr::new(numbers.4.ip(), numbers.4.port()),
-        leaving: numbers.2,
-        version: Version(numbers.3),
-        loads: lists.0,
-        floors: lists.1,
-        suspects: lists.2,
-        unfit: lists.3,
+        incarnation: id::Incarnation(n.0),
+        sequence: n.1,
+        heard: Echo(n.2),
+        next: Span::from_millis(n.3.into()),
+        ask: n.4,
+        leaving: n.5,
+        version: Version(n.6),
+        origin: optional.0,
+        state: optional.1,
+        suspects: lists.0,
+        members: lists.1,
     })
 }
 
--- a/tests/member.rs
+++ b/tests/member.rs
@@ -1,86 +1,289 @@
 //! Membership over a fake network.
 
+mod net;
+
 use marlrun::{
     id,
-    member::{Action, Event, Membership},
+    member::{self, Action, Event, Local},
     unit::{Span, Time},
 };
-use std::collections::BTreeMap;
-
-/// A network without loss or delay.
-struct Net {
-    now: Time,
-    routers: BTreeMap<u16, Membership>,
-}
-
-impl Net {
-    fn start(&mut self, port: u16, incarnation: u64) {
-        let mut member = Membership::new(
-            format!("r{port}").parse().unwrap(),
-            id::Incarnation(incarnation),
-            "vake".parse().unwrap(),
-            ([127, 0, 0, 1], port).into(),
-        );
-        let seeds = (1..=5).map(|port| ([127, 0, 0, 1], port).into()).collect();
-        member.step(self.now, Event::Seeds(seeds), &mut Vec::new());
-        self.routers.insert(port, member);
+use net::{Faults, Net};
+use proptest::{collection::vec, prelude::*};
+use std::collections::BTreeSet;
+
+/// Time in which members find each other again after the last fault: the longest wait between two
+/// tries at an address, and the handshakes.
+const REUNION: Span = Span::from_secs(20);
+
+fn config() -> ProptestConfig {
+    let mut config = ProptestConfig::with_cases(64);
+    config.failure_persistence = None;
+    config
+}
+
+fn down(port: u16, incarnation: u64) -> Action {
+    Action::Down {
+        router: net::name(port),
+        incarnation: id::Incarnation(incarnation),
     }
+}
 
-    fn run(&mut self, span: Span) -> Vec<Action> {
-        let mut seen = Vec::new();
-        let end = self.now + span;
-        while self.now < end {
-            self.now = self.now + marlrun::member::TICK;
-            let mut out = Vec::new();
-            for member in self.routers.values_mut() {
-                member.step(self.now, Event::Tick, &mut out);
-            }
-            while let Some(action) = out.pop() {
-                if let Action::Datagram { to, heartbeat } = action {
-                    if let Some(member) = self.routers.get_mut(&to.port()) {
-                        member.step(self.now, Event::Heartbeat(heartbeat), &mut out);
-                    }
-                } else {
-                    seen.push(action);
-                }
-            }
-        }
-        seen
+#[test]
+fn start_all_found_from_one_seed() {
+    let mut net = Net::new(3, Faults::NONE);
+    for port in 1..=60 {
+        net.start(port, &[1]);
     }
+    net.run(Span::from_secs(5));
+    net.assert_converged();
+}
 
-    fn sees(&self, port: u16) -> Vec<(u16, u64)> {
-        let view = self.routers[&port].view();
-        view.iter()
-            .map(|m| (m.address.port(), m.incarnation.0))
-            .collect()
+#[test]
+fn kill_noticed_in_domain() {
+    for size in [2, 7, 40] {
+        let mut net = Net::new(1, Faults::NONE);
+        net.start_all(size);
+        net.run(Span::from_secs(10));
+        net.assert_converged();
+        let before = net.seen.len();
+        net.kill(1);
+        net.run(member::DETECTION);
+        let dropped = net.seen[before..]
+            .iter()
+            .filter(|(_, action)| *action == down(1, 1));
+        assert_eq!(dropped.count(), usize::from(size) - 1, "{size} routers");
+        net.assert_converged();
     }
 }
 
 #[test]
-fn members_found_dead_dropped_restart_seen() {
-    let mut net = Net {
-        now: Time(0),
-        routers: BTreeMap::new(),
-    };
-    for port in 1..=5 {
-        net.start(port, 1);
+fn kill_with_watchers_noticed() {
+    for (dead, limit) in [(8, 1_500), (27, 5_000)] {
+        let mut net = Net::new(1, Faults::NONE);
+        net.start_all(40);
+        net.run(Span::from_secs(10));
+        (1..=dead).for_each(|port| net.kill(port));
+        net.run(Span::from_millis(limit));
+        net.assert_converged();
     }
-    net.run(Span::from_secs(2));
-    let all: Vec<_> = (1..=5).map(|port| (port, 1)).collect();
-    for port in 1..=5 {
-        assert_eq!(net.sees(port), all);
+}
+
+#[test]
+fn kill_noticed_elsewhere() {
+    let mut net = Net::new(3, Faults::NONE);
+    net.start_all(60);
+    net.run(Span::from_secs(10));
+    net.assert_converged();
+    net.kill(1);
+    net.run(Span::from_secs(3));
+    net.assert_converged();
+}
+
+#[test]
+fn restart_replaces_run_at_once() {
+    let mut net = Net::new(2, Faults::NONE);
+    net.start_all(12);
+    net.run(Span::from_secs(10));
+    net.kill(3);
+    let before = net.seen.len();
+    net.start(3, &[1]);
+    net.run(Span::from_millis(400));
+    net.assert_converged();
+    for port in (1..=12).filter(|port| *port != 3) {
+        let seen = net.seen[before..].iter().filter(|(at, _)| *at == port);
+        let seen: Vec<_> = seen.map(|(_, action)| action.clone()).collect();
+        let up = |action: &Action| matches!(action, Action::Up { incarnation, .. } if incarnation.0 == 2);
+        let first = seen
+            .iter()
+            .position(|action| *action == down(3, 1))
+            .unwrap();
+        assert!(seen.iter().position(up).unwrap() > first);
     }
-    net.routers.remove(&3);
-    let seen = net.run(Span::from_millis(1_300));
-    let down = Action::Down {
-        router: "r3".parse().unwrap(),
-        incarnation: id::Incarnation(1),
+}
+
+#[test]
+fn leave_told_at_once() {
+    let mut net = Net::new(3, Faults::NONE);
+    net.start_all(60);
+    net.run(Span::from_secs(10));
+    let local = Local {
+        leaving: true,
+        ..Local::default()
     };
-    assert_eq!(seen.iter().filter(|action| **action == down).count(), 4);
-    net.start(3, 2);
-    net.run(Span::from_secs(2));
-    let all = [(1, 1), (2, 1), (3, 2), (4, 1), (5, 1)];
-    for port in 1..=5 {
-        assert_eq!(net.sees(port), all);
+    net.event(1, Event::Local(local));
+    net.run(Span::from_millis(100));
+    for member in net.routers.values() {
+        assert!(member.view().get(&net::name(1)).unwrap().leaving);
+    }
+}
+
+#[test]
+fn cut_one_way_ends_use() {
+    let mut net = Net::new(1, Faults::NONE);
+    net.start_all(40);
+    net.run(Span::from_secs(10));
+    net.cuts.insert((1, 2));
+    net.run(Span::from_secs(40));
+    assert!(!net.sees(1).contains_key(&2), "what 1 sends to 2 is lost");
+    assert!(!net.sees(2).contains_key(&1), "2 hears nothing of 1");
+    net.cuts.clear();
+    net.run(REUNION);
+    net.assert_converged();
+}
+
+#[test]
+fn cut_one_way_noticed_by_link() {
+    let mut net = Net::new(3, Faults::NONE);
+    net.start_all(60);
+    net.run(Span::from_secs(10));
+    net.cuts.insert((1, 2));
+    net.event(1, Event::Unreachable(net::name(2)));
+    net.run(Span::from_millis(400));
+    assert!(!net.sees(1).contains_key(&2));
+}
+
+#[test]
+fn cut_domain_and_heal() {
+    let mut net = Net::new(3, Faults::NONE);
+    net.start_all(60);
+    net.run(Span::from_secs(10));
+    for port in 1..=60 {
+        for other in (1..=60).filter(|other| (port % 3 == 0) != (other % 3 == 0)) {
+            net.cuts.insert((port, other));
+        }
     }
+    net.run(Span::from_secs(8));
+    assert_eq!(net.sees(3).len(), 20);
+    assert_eq!(net.sees(1).len(), 40);
+    net.run(Span::from_secs(120));
+    net.cuts.clear();
+    net.run(REUNION);
+    net.assert_converged();
+}
+
+#[test]
+fn pause_is_stale_until_answered() {
+    let mut net = Net::new(1, Faults::NONE);
+    net.start_all(8);
+    net.run(Span::from_secs(5));
+    net.paused.insert(1);
+    net.run(Span::from_secs(5));
+    assert!(!net.sees(2).contains_key(&1));
+    let before = net.seen.len();
+    net.paused.clear();
+    net.event(1, Event::Tick);
+    assert!(net.routers[&1].is_stale());
+    net.run(Span::from_millis(400));
+    assert!(!net.routers[&1].is_stale());
+    let dropped = net.seen[before..]
+        .iter()
+        .filter(|(port, action)| *port == 1 && matches!(action, Action::Down { .. }));
+    assert_eq!(dropped.count(), 0, "the others were alive all along");
+    net.run(Span::from_secs(1));
+    net.assert_converged();
+}
+
+/// Something that goes wrong.
+#[derive(Clone, Debug)]
+enum Fault {
+    Kill(u16),
+    Start(u16),
+    Pause(u16),
+    Resume(u16),
+    Cut(u16, u16),
+    Heal,
+}
+
+fn fault(size: u16) -> impl Strategy<Value = Fault> {
+    let port = 1..=size;
+    prop_oneof![
+        port.clone().prop_map(Fault::Kill),
+        port.clone().prop_map(Fault::Start),
+        port.clone().prop_map(Fault::Start),
+        port.clone().prop_map(Fault::Pause),
+        port.clone().prop_map(Fault::Resume),
+        (port.clone(), port).prop_map(|(from, to)| Fault::Cut(from, to)),
+        Just(Fault::Heal),
+    ]
+}
+
+fn apply(net: &mut Net, fault: &Fault, size: u16) {
+    let seeds: Vec<_> = (1..=size).collect();
+    match *fault {
+        Fault::Kill(port) => net.kill(port),
+        Fault::Start(port) if !net.routers.contains_key(&port) => net.start(port, &seeds),
+        Fault::Start(_) => {}
+        Fault::Pause(port) => _ = net.paused.insert(port),
+        Fault::Resume(port) => _ = net.paused.remove(&port),
+        Fault::Cut(from, to) => _ = net.cuts.insert((from, to)),
+        Fault::Heal => net.cuts.clear(),
+    }
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    #[test]
+    fn faults_then_converged(
+        seed in any::<u64>(),
+        loss in 0_u8..30,
+        size in 2_u16..12,
+        domains in 1_u16..4,
+        history in vec((fault(12), 0_u64..3_000), 0..25),
+    ) {
+        let faults = Faults { seed, loss, copies: 10, delay: Span::from_millis(60) };
+        let mut net = Net::new(domains, faults);
+        net.start_all(size);
+        for (fault, millis) in &history {
+            apply(&mut net, fault, size);
+            net.run(Span::from_millis(*millis));
+        }
+        net.cuts.clear();
+        net.paused.clear();
+        net.faults = Faults::NONE;
+        net.run(REUNION);
+        net.assert_converged();
+    }
+
+    #[test]
+    fn runs_never_go_back(
+        seed in any::<u64>(),
+        history in vec((fault(6), 0_u64..2_000), 0..25),
+    ) {
+        let faults = Faults { seed, loss: 10, copies: 30, delay: Span::from_millis(3_000) };
+        let mut net = Net::new(2, faults);
+        net.start_all(6);
+        for (fault, millis) in &history {
+            apply(&mut net, fault, 6);
+            net.run(Span::from_millis(*millis));
+        }
+        let mut last = std::collections::BTreeMap::new();
+        for (at, action) in &net.seen {
+            if let Action::Up { router, incarnation } = action {
+                let before = last.insert((at, router.clone()), *incarnation);
+                prop_assert!(before <= Some(*incarnation));
+            }
+        }
+    }
+
+    #[test]
+    fn kill_noticed_despite_loss(seed in any::<u64>(), loss in 0_u8..20, victim in 1_u16..=20) {
+        let faults = Faults { seed, loss, copies: 5, delay: Span::from_millis(20) };
+        let mut net = Net::new(1, faults);
+        net.start_all(20);
+        net.run(Span::from_secs(10));
+        net.kill(victim);
+        net.run(Span::from_millis(2_500));
+        let holds: BTreeSet<_> = net.routers.keys().filter(|p| net.sees(**p).contains_key(&victim)).collect();
+        prop_assert!(holds.is_empty(), "{holds:?} hold on to {victim}");
+    }
+}
+
+#[test]
+fn time_starts_at_zero() {
+    let mut net = Net::new(1, Faults::NONE);
+    net.now = Time(0);
+    net.start_all(3);
+    net.run(Span::from_secs(1));
+    net.assert_converged();
 }
--- /dev/null
+++ b/tests/net/mod.rs
@@ -0,0 +1,198 @@
+//! A network of membership machines that loses, delays and repeats datagrams.
+#![allow(unreachable_pub)]
+
+use marlrun::{
+    id,
+    member::{self, Action, Event, Membership},
+    unit::{Span, Time},
+    wire::Heartbeat,
+};
+use rand_chacha::{
+    ChaCha8Rng,
+    rand_core::{Rng, SeedableRng},
+};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+};
+
+/// What the network does to datagrams.
+#[derive(Clone, Copy, Debug)]
+pub struct Faults {
+    /// Seed of all that is random.
+    pub seed: u64,
+    /// Datagrams that are lost, in percent.
+    pub loss: u8,
+    /// Datagrams that arrive twice, in percent.
+    pub copies: u8,
+    /// Longest delay.
+    pub delay: Span,
+}
+
+impl Faults {
+    pub const NONE: Faults = Faults {
+        seed: 1,
+        loss: 0,
+        copies: 0,
+        delay: Span(1_000),
+    };
+}
+
+/// Datagrams on their way: arrival, number, receiver and content.
+type Flight = BTreeMap<(Time, u64), (u16, Heartbeat)>;
+
+pub struct Net {
+    pub now: Time,
+    pub faults: Faults,
+    pub routers: BTreeMap<u16, Membership>,
+    /// Routers that are stopped; what arrives waits.
+    pub paused: BTreeSet<u16>,
+    /// Pairs of sender and receiver between which all is lost.
+    pub cuts: BTreeSet<(u16, u16)>,
+    /// What the routers decided, but for datagrams.
+    pub seen: Vec<(u16, Action)>,
+    /// Datagrams sent so far.
+    pub sent: u64,
+    domains: u16,
+    runs: BTreeMap<u16, (u64, Time)>,
+    flight: Flight,
+    rng: ChaCha8Rng,
+}
+
+pub fn name(port: u16) -> id::Router {
+    format!("router-{port}").parse().unwrap()
+}
+
+pub fn address(port: u16) -> SocketAddr {
+    ([127, 0, 0, 1], port).into()
+}
+
+impl Net {
+    pub fn new(domains: u16, faults: Faults) -> Self {
+        Self {
+            now: Time(1_000_000),
+            faults,
+            routers: BTreeMap::new(),
+            paused: BTreeSet::new(),
+            cuts: BTreeSet::new(),
+            seen: Vec::new(),
+            sent: 0,
+            domains,
+            runs: BTreeMap::new(),
+            flight: Flight::new(),
+            rng: ChaCha8Rng::seed_from_u64(faults.seed),
+        }
+    }
+
+    pub fn start_all(&mut self, size: u16) {
+        let seeds: Vec<_> = (1..=size).collect();
+        for port in 1..=size {
+            self.start(port, &seeds);
+        }
+    }
+
+    /// Starts the next run of a router; its clock begins at zero.
+    pub fn start(&mut self, port: u16, seeds: &[u16]) {
+        let run = self.runs.get(&port).map_or(1, |(run, _)| run + 1);
+        self.runs.insert(port, (run, self.now));
+        let domain = format!("domain-{}", port % self.domains);
+        let member = Membership::new(
+            name(port),
+            id::Incarnation(run),
+            domain.parse().unwrap(),
+            address(port),
+        );
+        self.routers.insert(port, member);
+        self.paused.remove(&port);
+        let seeds = seeds.iter().map(|seed| address(*seed)).collect();
+        self.event(port, Event::Seeds(seeds));
+    }
+
+    pub fn kill(&mut self, port: u16) {
+        self.routers.remove(&port);
+    }
+
+    pub fn run(&mut self, span: Span) {
+        let end = self.now + span;
+        while self.now < end {
+            let tick = self.now + member::TICK;
+            self.carry(tick);
+            self.now = tick;
+            let ports: Vec<_> = self.routers.keys().copied().collect();
+            for port in ports {
+                self.event(port, Event::Tick);
+            }
+        }
+    }
+
+    /// Delivers what arrives before `until`.
+    fn carry(&mut self, until: Time) {
+        while let Some(entry) = self.flight.first_entry() {
+            let (at, _) = *entry.key();
+            if at >= until {
+                return;
+            }
+            let (port, heartbeat) = entry.remove();
+            self.now = at;
+            if self.paused.contains(&port) {
+                let number = self.rng.next_u64();
+                self.flight.insert((until, number), (port, heartbeat));
+            } else {
+                self.event(port, Event::Heartbeat(Box::new(heartbeat)));
+            }
+        }
+    }
+
+    pub fn event(&mut self, port: u16, event: Event) {
+        if self.paused.contains(&port) {
+            return;
+        }
+        let started = self.runs.get(&port).map_or(Time(0), |(_, at)| *at);
+        let Some(member) = self.routers.get_mut(&port) else {
+            return;
+        };
+        let mut out = Vec::new();
+        member.step(Time(self.now.since(started).0), event, &mut out);
+        for action in out {
+            match action {
+                Action::Datagram { to, heartbeat } => self.send(port, to.port(), *heartbeat),
+                action => self.seen.push((port, action)),
+            }
+        }
+    }
+
+    fn percent(&mut self, share: u8) -> bool {
+        self.rng.next_u32() % 100 < u32::from(share)
+    }
+
+    fn send(&mut self, from: u16, to: u16, heartbeat: Heartbeat) {
+        self.sent += 1;
+        let lost = self.percent(self.faults.loss);
+        if lost || self.cuts.contains(&(from, to)) {
+            return;
+        }
+        let copies = 1 + u32::from(self.percent(self.faults.copies));
+        for _ in 0..copies {
+            let delay = Span(100 + self.rng.next_u64() % self.faults.delay.0);
+            let key = (self.now + delay, self.rng.next_u64());
+            self.flight.insert(key, (to, heartbeat.clone()));
+        }
+    }
+
+    /// Returns the live routers with their runs, as a router sees them.
+    pub fn sees(&self, port: u16) -> BTreeMap<u16, u64> {
+        let view = self.routers[&port].view();
+        view.iter()
+            .map(|m| (m.address.port(), m.incarnation.0))
+            .collect()
+    }
+
+    /// Checks that each router sees just the routers that run.
+    pub fn assert_converged(&self) {
+        let running = |port: &u16| (*port, self.runs[port].0);
+        let all: BTreeMap<_, _> = self.routers.keys().map(running).collect();
+        for port in self.routers.keys() {
+            assert_eq!(self.sees(*port), all, "as {port} sees it");
+        }
+    }
+}
