--- /dev/null
+++ b/benches/policy.rs
@@ -0,0 +1,108 @@
+//! Compares sharing policies on the same seeded load, with owners and tallies in one process.
+//!
+//! Prints one table: the gap between the most and the least served backlogged workspace, and the
+//! slot-time left idle while requests waited.
+
+#[path = "../tests/fake/mod.rs"]
+mod fake;
+
+use fake::{Fake, Plan, Tenant};
+use marlrun::unit::Span;
+use std::thread;
+
+const SEEDS: [u64; 3] = [1, 2, 3];
+const RUN: Span = Span::from_secs(200);
+
+fn plan(seed: u64, nodes: usize, slots: u32, workspaces: usize) -> Plan {
+    let tenant = |index: usize| Tenant {
+        skew: [0.0, 0.3, 0.8][index % 3],
+        ..Tenant::backlogged([2, 8, 32][index / 3 % 3], 1_000)
+    };
+    let tenants = (0..workspaces).map(tenant).collect();
+    let mut plan = Plan::new(seed, nodes, slots, tenants);
+    plan.exponential = true;
+    plan
+}
+
+fn policies(base: &Plan) -> [(&'static str, Plan); 4] {
+    let alone = Plan {
+        exchange: false,
+        ..base.clone()
+    };
+    let first_come = Plan {
+        first_come: true,
+        ..alone.clone()
+    };
+    let central = Plan {
+        nodes: 1,
+        ..alone.clone()
+    };
+    [
+        ("alone, first come", first_come),
+        ("alone, fair queue", alone),
+        ("one central queue", central),
+        ("marlrun", base.clone()),
+    ]
+}
+
+/// Result of one run.
+#[derive(Default)]
+struct Figures {
+    gap: f64,
+    idle: f64,
+    messages: f64,
+}
+
+fn measure(plan: Plan) -> Figures {
+    let nodes = plan.nodes as f64;
+    let mut fake = Fake::new(plan);
+    fake.run(RUN);
+    let served = fake.served();
+    let most = served.iter().copied().fold(f64::MIN, f64::max);
+    let least = served.iter().copied().fold(f64::MAX, f64::min);
+    let sent: u64 = fake.sent.values().sum();
+    Figures {
+        gap: most - least,
+        idle: 100.0 * fake.idle / fake.total,
+        messages: sent as f64 / RUN.as_secs_f64() / nodes,
+    }
+}
+
+/// Returns the mean over the seeds, which run at the same time.
+fn mean(plans: Vec<Plan>) -> Figures {
+    let runs = plans.len() as f64;
+    let threads = plans
+        .into_iter()
+        .map(|plan| thread::spawn(|| measure(plan)));
+    let threads: Vec<_> = threads.collect();
+    let mut mean = Figures::default();
+    for thread in threads {
+        let figures = thread.join().unwrap();
+        mean.gap += figures.gap / runs;
+        mean.idle += figures.idle / runs;
+        mean.messages += figures.messages / runs;
+    }
+    mean
+}
+
+fn main() {
+    println!("| routers x slots, workspaces | policy | gap (tokens) | idle (%) | messages/s |");
+    println!("|---|---|---|---|---|");
+    for (nodes, slots, workspaces) in [(7, 16, 16), (7, 16, 60), (60, 32, 400)] {
+        for index in 0..4 {
+            let plans = SEEDS.map(|seed| {
+                let base = plan(seed, nodes, slots, workspaces);
+                policies(&base)[index].clone()
+            });
+            let name = plans[0].0;
+            let Figures {
+                gap,
+                idle,
+                messages,
+            } = mean(plans.into_iter().map(|(_, plan)| plan).collect());
+            println!(
+                "| {nodes} x {slots}, {workspaces} | {name} | {gap:.0} | {idle:.2} | {messages:.1} |"
+            );
+        }
+    }
+}
--- /dev/null
+++ b/tests/fake/mod.rs
@@ -0,0 +1,837 @@
+//! A fake fleet of owners and tallies with a virtual clock, for fairness tests and benchmarks.
+#![allow(dead_code, unreachable_pub)]
+
+use marlrun::{
+    config, id, owner, tally,
+    unit::{Cost, Span, Time, Version, Weight},
+    wire,
+};
+use rand_chacha::{
+    ChaCha8Rng,
+    rand_core::{Rng, SeedableRng},
+};
+use std::{
+    cmp::Reverse,
+    collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap},
+    fmt, mem, str,
+    sync::Arc,
+};
+
+/// Tokens per second of one slot.
+pub const RATE: u64 = 100;
+/// Time between two heartbeats.
+pub const BEAT: Span = Span::from_millis(250);
+const TICK: Span = Span::from_millis(100);
+/// One-way time of a message.
+pub const TRANSIT: Span = Span::from_millis(2);
+/// Time in which a dead router is noticed.
+const NOTICE: Span = Span::from_millis(1_000);
+const SERVICE: &str = "chat";
+
+/// Load of one workspace.
+#[derive(Clone, Debug)]
+pub struct Tenant {
+    pub weight: u32,
+    /// Requests kept waiting.
+    pub depth: u32,
+    /// Mean cost in tokens.
+    pub cost: u64,
+    /// Factor by which hints are wrong.
+    pub hint: f64,
+    /// Time from which on it sends.
+    pub from: Span,
+    /// Pause between a grant and the next request; 0 keeps it backlogged.
+    pub pause: Span,
+    /// Part of its requests that go to one router; the rest is spread evenly.
+    pub skew: f64,
+    pub class: wire::Class,
+}
+
+impl Tenant {
+    /// Returns a tenant with `depth` long requests waiting at any time.
+    pub fn backlogged(depth: u32, cost: u64) -> Self {
+        Self {
+            weight: 1,
+            depth,
+            cost,
+            hint: 1.0,
+            from: Span(0),
+            pause: Span(0),
+            skew: 0.0,
+            class: wire::Class::Long,
+        }
+    }
+}
+
+/// Faults in the exchange of reports and levels, each in a thousand messages.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Noise {
+    pub lost: u32,
+    pub doubled: u32,
+    pub delayed: u32,
+}
+
+/// Something that happens to the fleet.
+#[derive(Clone, Copy, Debug)]
+pub enum Fault {
+    /// A router loses its state and is back after the outage.
+    Restart { node: usize, outage: Span },
+    /// Routers from `node` on are cut off from the others.
+    Split { node: usize },
+    /// All routers reach each other again.
+    Heal,
+}
+
+/// Settings of a fake fleet.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    pub seed: u64,
+    pub nodes: usize,
+    pub targets: usize,
+    pub slots: u32,
+    /// Time between two reports of an owner.
+    pub report: Span,
+    pub tenants: Vec<Tenant>,
+    pub noise: Noise,
+    pub faults: Vec<(Span, Fault)>,
+    /// Owners exchange levels and pull.
+    pub exchange: bool,
+    /// All requests of all tenants count as one workspace's.
+    pub first_come: bool,
+    /// Costs are exponential; otherwise uniform up to twice the mean.
+    pub exponential: bool,
+}
+
+impl Plan {
+    pub fn new(seed: u64, nodes: usize, slots: u32, tenants: Vec<Tenant>) -> Self {
+        Self {
+            seed,
+            nodes,
+            targets: nodes,
+            slots,
+            report: Span::from_millis(500),
+            tenants,
+            noise: Noise::default(),
+            faults: Vec::new(),
+            exchange: true,
+            first_come: false,
+            exponential: false,
+        }
+    }
+}
+
+#[derive(Clone, Debug)]
+enum Event {
+    Arrive(usize),
+    Finish(u64),
+    Owner(usize, wire::Message, id::Router),
+    Tally(usize, wire::Message, id::Router),
+    Ingress(wire::Message, usize),
+    Report(usize),
+    Beat,
+    Tick,
+    Progress,
+    Fault(Fault),
+    Back(usize),
+    Notice(usize),
+}
+
+#[derive(Clone, Debug, PartialEq)]
+enum State {
+    Waiting,
+    Running { target: usize, since: Time },
+}
+
+#[derive(Clone, Debug)]
+struct Job {
+    tenant: usize,
+    cost: u64,
+    ask: wire::Ask,
+    node: usize,
+    arrived: Time,
+    state: State,
+}
+
+struct Node {
+    owner: owner::Owner,
+    tally: tally::Tally,
+    incarnation: u64,
+    live: bool,
+    side: usize,
+}
+
+/// A fake fleet.
+pub struct Fake {
+    pub plan: Plan,
+    pub now: Time,
+    /// Waits of granted quick requests.
+    pub quick_waits: Vec<Span>,
+    pub refused: HashMap<wire::Reason, u64>,
+    /// Tokens served and finished, by tenant.
+    finished: Vec<u64>,
+    /// Slot-time that was free while requests waited, and all slot-time.
+    pub idle: f64,
+    pub total: f64,
+    /// Longest time that a slot was free while work waited anywhere.
+    pub idle_run: Span,
+    /// Messages between routers, by kind.
+    pub sent: BTreeMap<&'static str, u64>,
+    /// Time of the last grant of each tenant, and the longest time without one.
+    pub granted: Vec<Time>,
+    pub starved: Vec<Span>,
+    pub grants: u64,
+    idle_since: Option<Time>,
+    sampled: Time,
+    fleet: Arc<config::Fleet>,
+    nodes: Vec<Node>,
+    owners: Vec<usize>,
+    jobs: BTreeMap<u64, Job>,
+    running: Vec<u32>,
+    heap: BinaryHeap<Reverse<(Time, u64)>>,
+    events: BTreeMap<u64, Event>,
+    next_event: u64,
+    next_job: u64,
+    rng: ChaCha8Rng,
+}
+
+pub fn name<T: str::FromStr<Err = E>, E: fmt::Debug>(text: &str) -> T {
+    text.parse().unwrap()
+}
+
+fn node_name(node: usize) -> id::Router {
+    name(&format!("r{node}"))
+}
+
+fn target_name(target: usize) -> id::Target {
+    name(&format!("t{target}"))
+}
+
+fn index_of(text: &str) -> usize {
+    text[1..].parse().unwrap()
+}
+
+/// Returns a score for rendezvous hashing.
+fn score(text: &str, node: usize) -> u64 {
+    let mut hash = 0xcbf2_9ce4_8422_2325_u64;
+    for byte in text.bytes().chain(node.to_le_bytes()) {
+        hash = (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3);
+    }
+    hash ^ (hash >> 29)
+}
+
+impl Fake {
+    pub fn new(plan: Plan) -> Self {
+        let tenants = plan.tenants.len();
+        let fleet = fleet(&plan);
+        let mut fake = Self {
+            now: Time(0),
+            quick_waits: Vec::new(),
+            refused: HashMap::new(),
+            finished: vec![0; tenants],
+            idle: 0.0,
+            total: 0.0,
+            idle_run: Span(0),
+            sent: BTreeMap::new(),
+            granted: vec![Time(0); tenants],
+            starved: vec![Span(0); tenants],
+            grants: 0,
+            idle_since: None,
+            sampled: Time(0),
+            fleet,
+            nodes: Vec::new(),
+            owners: Vec::new(),
+            jobs: BTreeMap::new(),
+            running: vec![0; plan.targets],
+            heap: BinaryHeap::new(),
+            events: BTreeMap::new(),
+            next_event: 0,
+            next_job: 0,
+            rng: ChaCha8Rng::seed_from_u64(plan.seed),
+            plan,
+        };
+        for node in 0..fake.plan.nodes {
+            let fresh = fake.fresh(node, 1);
+            fake.nodes.push(fresh);
+        }
+        fake.reown();
+        fake.schedule();
+        fake
+    }
+
+    fn schedule(&mut self) {
+        for node in 0..self.plan.nodes {
+            let phase = Span(self.plan.report.0 * node as u64 / self.plan.nodes as u64);
+            self.at(phase, Event::Report(node));
+        }
+        self.at(Span(0), Event::Beat);
+        self.at(TICK, Event::Tick);
+        self.at(self.plan.report, Event::Progress);
+        for (after, fault) in self.plan.faults.clone() {
+            self.at(after, Event::Fault(fault));
+        }
+        for (tenant, load) in self.plan.tenants.clone().into_iter().enumerate() {
+            for round in 0..load.depth {
+                let after = Span(load.from.0 + u64::from(round));
+                self.at(after, Event::Arrive(tenant));
+            }
+        }
+    }
+
+    fn fresh(&self, node: usize, incarnation: u64) -> Node {
+        let mut owner = owner::Owner::new(node_name(node), id::Incarnation(incarnation));
+        let mut tally = tally::Tally::new();
+        let fleet = || Arc::clone(&self.fleet);
+        owner.step(self.now, owner::Event::Config(fleet()), &mut Vec::new());
+        tally.step(self.now, tally::Event::Config(fleet()), &mut Vec::new());
+        Node {
+            owner,
+            tally,
+            incarnation,
+            live: true,
+            side: 0,
+        }
+    }
+
+    fn at(&mut self, after: Span, event: Event) {
+        self.next_event += 1;
+        self.heap.push(Reverse((self.now + after, self.next_event)));
+        self.events.insert(self.next_event, event);
+    }
+
+    fn random(&mut self, below: u64) -> u64 {
+        self.rng.next_u64() % below.max(1)
+    }
+
+    fn fraction(&mut self) -> f64 {
+        (self.rng.next_u64() >> 11) as f64 / (1_u64 << 53) as f64
+    }
+
+    /// Runs for a time.
+    pub fn run(&mut self, span: Span) {
+        let end = self.now + span;
+        while let Some(Reverse((at, key))) = self.heap.peek().copied()
+            && at <= end
+        {
+            self.heap.pop();
+            self.measure_idle(at);
+            self.now = at;
+            let event = self.events.remove(&key).unwrap();
+            self.handle(event);
+        }
+        self.measure_idle(end);
+        self.now = end;
+    }
+
+    /// Adds the slot-time since the last event, and what of it was free while requests waited.
+    fn measure_idle(&mut self, to: Time) {
+        let secs = to.since(self.sampled).as_secs_f64();
+        self.sampled = to;
+        let slots = self.plan.targets as u32 * self.plan.slots;
+        let busy: u32 = self.running.iter().sum();
+        self.total += secs * f64::from(slots);
+        let free = slots.saturating_sub(busy);
+        let waiting = (self.jobs.len() as u32).saturating_sub(busy);
+        self.idle += secs * f64::from(free.min(waiting));
+        if free.min(waiting) == 0 {
+            self.idle_since = None;
+            return;
+        }
+        let since = *self.idle_since.get_or_insert(to);
+        self.idle_run = self.idle_run.max(to.since(since));
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Arrive(tenant) => self.arrive(tenant),
+            Event::Finish(job) => self.finish(job),
+            Event::Owner(node, message, from) => self.owner_message(node, message, from),
+            Event::Tally(node, message, from) => self.tally_message(node, message, from),
+            Event::Ingress(message, node) => self.ingress_message(message, node),
+            Event::Report(node) => self.report(node),
+            Event::Beat => self.beat(),
+            Event::Tick => self.tick(),
+            Event::Progress => self.progress(),
+            Event::Fault(fault) => self.fault(fault),
+            Event::Back(node) => self.back(node),
+            Event::Notice(node) => self.notice(node),
+        }
+    }
+
+    fn arrive(&mut self, tenant: usize) {
+        let load = self.plan.tenants[tenant].clone();
+        self.next_job += 1;
+        let fraction = self.fraction();
+        let cost = match self.plan.exponential {
+            true => -(1.0 - fraction).ln() * load.cost as f64,
+            false => fraction * 2.0 * load.cost as f64,
+        };
+        let cost = (cost as u64).clamp(1, load.cost * 8);
+        let target = match self.fraction() < load.skew {
+            true => tenant % self.plan.targets,
+            false => self.random(self.plan.targets as u64) as usize,
+        };
+        let workspace = match self.plan.first_come {
+            true => "w0".to_string(),
+            false => format!("w{tenant}"),
+        };
+        let ask = wire::Ask {
+            attempt: id::Attempt {
+                incarnation: id::Incarnation(1),
+                sequence: self.next_job,
+            },
+            workspace: name(&workspace),
+            service: name(SERVICE),
+            target: target_name(target),
+            class: load.class,
+            estimate: Cost(((cost as f64 * load.hint) as u64).max(1)),
+            waited: Span(0),
+            remaining: Span::from_secs(100_000),
+            hops: 0,
+        };
+        let job = Job {
+            tenant,
+            cost,
+            ask,
+            node: self.owners[target],
+            arrived: self.now,
+            state: State::Waiting,
+        };
+        self.jobs.insert(self.next_job, job);
+        self.send_ask(self.next_job);
+    }
+
+    fn send_ask(&mut self, key: u64) {
+        let job = self.jobs.get_mut(&key).unwrap();
+        job.node = self.owners[index_of(job.ask.target.as_str())];
+        let mut ask = job.ask.clone();
+        ask.waited = self.now.since(job.arrived);
+        let node = job.node;
+        self.tell_owner(node, wire::Message::Ask(ask));
+    }
+
+    fn tell_owner(&mut self, node: usize, message: wire::Message) {
+        self.at(TRANSIT, Event::Owner(node, message, name("i0")));
+    }
+
+    fn finish(&mut self, key: u64) {
+        let Some(job) = self.jobs.remove(&key) else {
+            return;
+        };
+        let State::Running { target, .. } = job.state else {
+            panic!("a waiting job finished");
+        };
+        self.running[target] -= 1;
+        self.finished[job.tenant] += job.cost;
+        let node = self.owners[target];
+        self.tell_owner(
+            node,
+            wire::Message::Done {
+                attempt: job.ask.attempt,
+                target: target_name(target),
+                cost: Cost(job.cost),
+                outcome: wire::Outcome::Answered,
+            },
+        );
+    }
+
+    fn owner_message(&mut self, node: usize, message: wire::Message, from: id::Router) {
+        if !self.nodes[node].live {
+            return;
+        }
+        let event = match message {
+            wire::Message::Ask(ask) => owner::Event::Ask { from, ask },
+            wire::Message::Held { ask, cost } => owner::Event::Held { from, ask, cost },
+            wire::Message::Progress(costs) => owner::Event::Progress { from, costs },
+            wire::Message::Levels(levels) => owner::Event::Levels(levels),
+            wire::Message::Done {
+                attempt,
+                target,
+                cost,
+                outcome,
+            } => owner::Event::Done {
+                from,
+                attempt,
+                target,
+                cost,
+                outcome,
+            },
+            wire::Message::Pull {
+                service,
+                target,
+                free,
+            } => owner::Event::Pull {
+                from,
+                service,
+                target,
+                free,
+            },
+            other => panic!("no owner takes {other:?}"),
+        };
+        self.step(node, event);
+    }
+
+    fn tally_message(&mut self, node: usize, message: wire::Message, from: id::Router) {
+        if !self.nodes[node].live {
+            return;
+        }
+        let wire::Message::Report(report) = message else {
+            panic!("no tally takes {message:?}");
+        };
+        let mut out = Vec::new();
+        let event = tally::Event::Report { from, report };
+        self.nodes[node].tally.step(self.now, event, &mut out);
+        self.route(node, out);
+    }
+
+    fn step(&mut self, node: usize, event: owner::Event) {
+        let mut out = Vec::new();
+        self.nodes[node].owner.step(self.now, event, &mut out);
+        self.route(node, out);
+    }
+
+    /// Delivers messages; those between routers on different sides are lost.
+    fn route(&mut self, from: usize, messages: Vec<wire::Envelope>) {
+        for envelope in messages {
+            let to = envelope.to.as_str();
+            if to == "i0" {
+                self.at(TRANSIT, Event::Ingress(envelope.message, from));
+                continue;
+            }
+            let to = index_of(to);
+            if self.nodes[to].side != self.nodes[from].side {
+                continue;
+            }
+            let message = envelope.message;
+            let kind = match &message {
+                wire::Message::Report(_) => "report",
+                wire::Message::Levels(_) => "levels",
+                _ => "pull",
+            };
+            *self.sent.entry(kind).or_default() += 1;
+            let event = match &message {
+                wire::Message::Report(_) => Event::Tally(to, message, node_name(from)),
+                _ => Event::Owner(to, message, node_name(from)),
+            };
+            self.deliver(event, kind != "pull");
+        }
+    }
+
+    fn deliver(&mut self, event: Event, noisy: bool) {
+        let noise = self.plan.noise;
+        if noisy && self.random(1_000) < u64::from(noise.lost) {
+            return;
+        }
+        if noisy && self.random(1_000) < u64::from(noise.doubled) {
+            let after = self.random(self.plan.report.0 * 2);
+            self.at(Span(after), event.clone());
+        }
+        let late = noisy && self.random(1_000) < u64::from(noise.delayed);
+        let after = match late {
+            true => Span(self.random(self.plan.report.0 * 3)),
+            false => TRANSIT,
+        };
+        self.at(after, event);
+    }
+
+    fn ingress_message(&mut self, message: wire::Message, node: usize) {
+        match message {
+            wire::Message::Grant { attempt, target } => {
+                self.granted(attempt.sequence, index_of(target.as_str()), node);
+            }
+            wire::Message::Move { attempt, target } => {
+                let Some(job) = self.jobs.get_mut(&attempt.sequence) else {
+                    return;
+                };
+                if job.state == State::Waiting {
+                    job.ask.target = target;
+                    job.ask.hops += 1;
+                    self.send_ask(attempt.sequence);
+                }
+            }
+            wire::Message::Refuse { attempt, refusal } => {
+                *self.refused.entry(refusal.reason).or_default() += 1;
+                let Some(job) = self.jobs.get(&attempt.sequence) else {
+                    return;
+                };
+                if refusal.reason == wire::Reason::NotOwner {
+                    self.send_ask(attempt.sequence);
+                    return;
+                }
+                let tenant = job.tenant;
+                self.jobs.remove(&attempt.sequence);
+                self.at(refusal.retry_after, Event::Arrive(tenant));
+            }
+            other => panic!("no ingress takes {other:?}"),
+        }
+    }
+
+    fn granted(&mut self, key: u64, target: usize, node: usize) {
+        let now = self.now;
+        let Some(job) = self.jobs.get_mut(&key) else {
+            return;
+        };
+        if job.state != State::Waiting || job.node != node {
+            return;
+        }
+        let since = now;
+        job.state = State::Running { target, since };
+        let wait = now.since(job.arrived);
+        let (tenant, cost, class) = (job.tenant, job.cost, job.ask.class);
+        self.running[target] += 1;
+        self.grants += 1;
+        if class == wire::Class::Quick {
+            self.quick_waits.push(wait);
+        }
+        let from = self.granted[tenant].max(Time(self.plan.tenants[tenant].from.0));
+        self.starved[tenant] = self.starved[tenant].max(now.since(from));
+        self.granted[tenant] = now;
+        let pause = self.plan.tenants[tenant].pause;
+        let pause = Span(pause.0 / 2 + self.random(pause.0));
+        self.at(Span(cost * 1_000_000 / RATE), Event::Finish(key));
+        self.at(pause, Event::Arrive(tenant));
+    }
+
+    fn report(&mut self, node: usize) {
+        self.at(self.plan.report, Event::Report(node));
+        if !self.nodes[node].live || !self.plan.exchange {
+            return;
+        }
+        let side = self.nodes[node].side;
+        let live: Vec<_> = self.live(side);
+        let placement = |workspace: &id::Workspace| {
+            let best = live.iter().max_by_key(|n| score(workspace.as_str(), **n));
+            best.map(|n| node_name(*n))
+        };
+        let reports = self.nodes[node].owner.reports(self.now, &placement);
+        self.route(node, reports);
+    }
+
+    fn live(&self, side: usize) -> Vec<usize> {
+        let nodes = self.nodes.iter().enumerate();
+        let live = nodes.filter(|(_, node)| node.live && node.side == side);
+        live.map(|(index, _)| index).collect()
+    }
+
+    fn beat(&mut self) {
+        self.at(BEAT, Event::Beat);
+        if !self.plan.exchange {
+            return;
+        }
+        let peers: Vec<_> = self.nodes.iter().enumerate().map(peer).collect();
+        for node in 0..self.nodes.len() {
+            let live = self.live(self.nodes[node].side);
+            let seen: Vec<_> = live.iter().map(|n| peers[*n].clone()).collect();
+            let floors = lowest(&seen);
+            self.step(node, owner::Event::Peers(seen));
+            let event = tally::Event::Floors(floors);
+            let tally = &mut self.nodes[node].tally;
+            tally.step(self.now, event, &mut Vec::new());
+        }
+    }
+
+    fn tick(&mut self) {
+        self.at(TICK, Event::Tick);
+        for node in 0..self.nodes.len() {
+            if self.nodes[node].live {
+                self.step(node, owner::Event::Tick);
+                let tally = &mut self.nodes[node].tally;
+                tally.step(self.now, tally::Event::Tick, &mut Vec::new());
+            }
+        }
+    }
+
+    fn progress(&mut self) {
+        self.at(self.plan.report, Event::Progress);
+        let mut costs: BTreeMap<usize, Vec<(id::Attempt, Cost)>> = BTreeMap::new();
+        for job in self.jobs.values() {
+            if let State::Running { target, since } = job.state {
+                let cost = self.progress_of(job, since);
+                let costs = costs.entry(self.owners[target]).or_default();
+                costs.push((job.ask.attempt, Cost(cost)));
+            }
+        }
+        for (node, costs) in costs {
+            self.tell_owner(node, wire::Message::Progress(costs));
+        }
+    }
+
+    fn progress_of(&self, job: &Job, since: Time) -> u64 {
+        let tokens = self.now.since(since).0 * RATE / 1_000_000;
+        tokens.min(job.cost)
+    }
+
+    fn fault(&mut self, fault: Fault) {
+        match fault {
+            Fault::Restart { node, outage } => {
+                self.nodes[node].live = false;
+                self.at(NOTICE.min(outage), Event::Notice(node));
+                self.at(outage, Event::Back(node));
+            }
+            Fault::Split { node } => {
+                for (index, other) in self.nodes.iter_mut().enumerate() {
+                    other.side = usize::from(index >= node);
+                }
+            }
+            Fault::Heal => self.nodes.iter_mut().for_each(|node| node.side = 0),
+        }
+    }
+
+    fn back(&mut self, node: usize) {
+        let incarnation = self.nodes[node].incarnation + 1;
+        let side = self.nodes[node].side;
+        self.nodes[node] = self.fresh(node, incarnation);
+        self.nodes[node].side = side;
+        self.reown();
+    }
+
+    fn notice(&mut self, node: usize) {
+        for other in 0..self.nodes.len() {
+            let event = tally::Event::RouterLost(node_name(node));
+            let tally = &mut self.nodes[other].tally;
+            tally.step(self.now, event, &mut Vec::new());
+        }
+        self.reown();
+    }
+
+    /// Gives every target an owner; a dead router's targets go to others.
+    fn reown(&mut self) {
+        let old = mem::take(&mut self.owners);
+        self.owners = (0..self.plan.targets).map(|t| self.owner_of(t)).collect();
+        for node in 0..self.nodes.len() {
+            let owned = (0..self.plan.targets).filter(|t| self.owners[*t] == node);
+            let owned = owned.map(target_name).collect();
+            if self.nodes[node].live {
+                self.step(node, owner::Event::Owned(owned));
+            }
+        }
+        let keys: Vec<_> = self.jobs.keys().copied().collect();
+        for key in keys {
+            self.resume(key, &old);
+        }
+    }
+
+    /// Tells a new owner of a request what it must know.
+    fn resume(&mut self, key: u64, old: &[usize]) {
+        let job = &self.jobs[&key];
+        match job.state {
+            State::Waiting => {
+                let target = index_of(job.ask.target.as_str());
+                let moved = old.get(target) != Some(&self.owners[target]);
+                if moved || !self.nodes[job.node].live {
+                    self.withdraw(key);
+                    self.send_ask(key);
+                }
+            }
+            State::Running { target, since } => {
+                if old.get(target) == Some(&self.owners[target]) {
+                    return;
+                }
+                let cost = Cost(self.progress_of(job, since));
+                let mut ask = job.ask.clone();
+                ask.target = target_name(target);
+                let node = self.owners[target];
+                self.tell_owner(node, wire::Message::Held { ask, cost });
+            }
+        }
+    }
+
+    fn withdraw(&mut self, key: u64) {
+        let job = &self.jobs[&key];
+        let (node, attempt) = (job.node, job.ask.attempt);
+        if self.nodes[node].live {
+            let from = name("i0");
+            self.step(node, owner::Event::Withdraw { from, attempt });
+        }
+    }
+
+    fn owner_of(&self, target: usize) -> usize {
+        let home = target % self.plan.nodes;
+        if self.nodes[home].live {
+            return home;
+        }
+        let live = self.live(self.nodes[home].side);
+        let text = format!("t{target}");
+        let best = live.into_iter().max_by_key(|n| score(&text, *n));
+        best.unwrap_or(home)
+    }
+
+    /// Returns the service of each tenant per unit of weight, in tokens.
+    pub fn served(&self) -> Vec<f64> {
+        let mut served: Vec<f64> = self.finished.iter().map(|cost| *cost as f64).collect();
+        for job in self.jobs.values() {
+            if let State::Running { since, .. } = job.state {
+                served[job.tenant] += self.progress_of(job, since) as f64;
+            }
+        }
+        let tenants = self.plan.tenants.iter();
+        let pairs = served.iter().zip(tenants);
+        pairs.map(|(s, t)| s / f64::from(t.weight)).collect()
+    }
+
+    /// Returns the tenants that have waiting requests.
+    pub fn backlogged(&self) -> BTreeSet<usize> {
+        let jobs = self.jobs.values();
+        let waiting = jobs.filter(|job| job.state == State::Waiting);
+        waiting.map(|job| job.tenant).collect()
+    }
+
+    /// Returns the requests that wait or run.
+    pub fn pending(&self) -> usize {
+        self.jobs.len()
+    }
+}
+
+fn peer((index, node): (usize, &Node)) -> owner::Peer {
+    owner::Peer {
+        router: node_name(index),
+        loads: node.owner.loads(),
+        floors: node.owner.floors(),
+    }
+}
+
+fn lowest(peers: &[owner::Peer]) -> Vec<(id::Service, u64)> {
+    let mut floors = BTreeMap::new();
+    for (service, floor) in peers.iter().flat_map(|peer| &peer.floors) {
+        let entry = floors.entry(service.clone()).or_insert(*floor);
+        *entry = (*entry).min(*floor);
+    }
+    floors.into_iter().collect()
+}
+
+fn fleet(plan: &Plan) -> Arc<config::Fleet> {
+    let mut fleet = config::Fleet {
+        version: Version(1),
+        ..config::Fleet::default()
+    };
+    let service = config::Service {
+        name: name(SERVICE),
+        kind: config::Kind::Model,
+        hosts: Vec::new(),
+        idempotent: false,
+        quick: Cost(100),
+        estimate: Cost(500),
+        timeout: Span::from_secs(600),
+        max_waiting: if plan.first_come { 100_000 } else { 1_000 },
+        engine: config::Engine::default(),
+    };
+    fleet.services.insert(name(SERVICE), Arc::new(service));
+    for index in 0..plan.targets {
+        let target = config::Target {
+            name: target_name(index),
+            service: name(SERVICE),
+            domain: name("vake"),
+            address: "127.0.0.1:1".parse().unwrap(),
+            slots: plan.slots,
+        };
+        fleet.targets.insert(target.name.clone(), Arc::new(target));
+    }
+    for (index, tenant) in plan.tenants.iter().enumerate() {
+        let workspace = config::Workspace {
+            name: name(&format!("w{index}")),
+            weight: Weight::new(tenant.weight).unwrap(),
+        };
+        let key = workspace.name.clone();
+        fleet.workspaces.insert(key, Arc::new(workspace));
+    }
+    Arc::new(fleet)
+}
