Pull work that is due earlier, also when there is own work

Cause: an owner whose own queue held only well-served workspaces went on with them while less served ones waited elsewhere, because it pulled only when idle. Now it also pulls when its lowest level leads a peer's by more than one largest charge, and the peer gives only what is below the puller's floor.

--- a/src/owner/machine.rs
+++ b/src/owner/machine.rs
@@ -28,8 +28,6 @@
 const LEASE_GRACE: Span = Span::from_secs(5);
 /// Pause of a target that could not be reached.
 const UNREACHABLE_PAUSE: Span = Span::from_secs(1);
-/// Shortest time between two pulls for a service.
-const PULL_INTERVAL: Span = Span::from_millis(100);
 /// Reports of an account after it became inactive; several, since each may be lost.
 const QUIET_REPORTS: u8 = 3;
 /// Retry time of a refusal that another owner may not share.
@@ -447,42 +445,44 @@
         true
     }
 
-    /// Asks an owner with waiting work for some when there are free slots and no work.
+    /// Asks another owner for work when there is none here, or when the work there is due earlier.
     fn ask_for_work(&mut self, service: &id::Service, out: &mut Vec<wire::Envelope>) {
-        if self.draining {
-            return;
-        }
         let Some(pool) = self.pools.get_mut(service) else {
             return;
         };
-        let recent = |at| self.now.since(at) < PULL_INTERVAL;
-        if pool.waiting > 0 || pool.pulled.is_some_and(recent) {
+        if self.draining || !pool.may_pull(self.now) {
             return;
         }
-        let free = pool.free(self.now).saturating_sub(pool.reserve(self.now));
-        let most = pool.slots.iter().max_by_key(|(_, s)| s.free(self.now));
-        let Some((target, _)) = most.filter(|_| free > 0) else {
+        let Some(target) = pool.roomiest(self.now) else {
             return;
         };
-        let mut loaded = peers_with_work(&self.peers, &self.fleet, service);
-        if loaded.is_empty() {
+        let count = pool.pull_count(self.now);
+        if count == 0 {
+            return;
+        }
+        let ceiling = pool.pull_ceiling();
+        let loaded = peers_with_work(&self.peers, &self.fleet, service);
+        let due = loaded.into_iter().filter(|(floor, _)| *floor < ceiling);
+        let mut due: Vec<_> = due.collect();
+        if due.is_empty() {
             return;
         }
-        loaded.sort();
-        let (_, to) = loaded[pool.pulls % loaded.len()].clone();
-        pool.pulls += 1;
-        pool.pulled = Some(self.now);
+        due.sort();
+        let (_, to) = due.swap_remove(pool.pulls % due.len());
+        pool.note_pull(self.now);
         out.push(wire::Envelope {
             to,
             message: wire::Message::Pull {
                 service: service.clone(),
-                target: target.clone(),
-                free,
+                target,
+                free: count,
             },
         });
     }
 
-    /// Hands waiting requests to an owner with free slots, the lowest levels first.
+    /// Hands waiting requests to another owner, the lowest levels first.
+    ///
+    /// An owner with work of its own gets only what is due earlier than that.
     fn pull(
         &mut self,
         from: &id::Router,
@@ -497,18 +497,27 @@
         let Some(pool) = self.pools.get(service) else {
             return;
         };
+        let ceiling = self.peer_ceiling(from, service);
         let entries = &self.entries;
         let movable = |attempt: &id::Attempt| {
             let entry = entries.get(attempt);
             entry.is_some_and(|entry| entry.ask.hops < MAX_HOPS)
         };
-        for attempt in pool.fairest(free as usize, movable) {
+        for attempt in pool.fairest(free as usize, ceiling, movable) {
             if let Some(entry) = self.remove(&attempt) {
                 move_to(entry.from, attempt, target.clone(), out);
             }
         }
     }
 
+    /// Returns the level from which on a peer has enough work of its own.
+    fn peer_ceiling(&self, router: &id::Router, service: &id::Service) -> u64 {
+        let peers = self.peers.iter().filter(|peer| peer.router == *router);
+        let peers: Vec<_> = peers.cloned().collect();
+        let loaded = peers_with_work(&peers, &self.fleet, service);
+        loaded.first().map_or(u64::MAX, |(floor, _)| *floor)
+    }
+
     /// Takes a request out of the queue.
     fn withdraw(&mut self, attempt: &id::Attempt, out: &mut Vec<wire::Envelope>) {
         let Some(entry) = self.remove(attempt) else {
--- a/src/owner/pool.rs
+++ b/src/owner/pool.rs
@@ -36,6 +36,12 @@
 const RETRY_MAX: Span = Span::from_secs(60);
 /// Divisor of the expected wait; a wait below the result is out of reach.
 const LEAST_WAIT_PART: u64 = 2;
+/// Lead in level of the own work from which on work is pulled, in largest charges.
+const PULL_CHARGES: u64 = 1;
+/// Shortest time between two pulls of an owner without work.
+const PULL_IDLE: Span = Span::from_millis(100);
+/// Shortest time between two pulls of an owner with work: peers tell their floors that often.
+const PULL_FAIR: Span = Span::from_millis(250);
 /// Time for which an idle account is kept: longer than a tally keeps the baseline of it.
 const IDLE_KEEP: Span = Span::from_secs(2 * 3600);
 
@@ -52,10 +58,9 @@
     pub(super) quick_running: u32,
     /// Lowest floor among the peers.
     pub(super) peer_floor: Option<u64>,
-    /// Time of the last pull.
-    pub(super) pulled: Option<Time>,
     /// Number of pulls sent; spreads them over the peers.
     pub(super) pulls: usize,
+    pulled: Option<Time>,
     quick: Queue,
     long: Queue,
     idle: BTreeSet<(Time, id::Workspace)>,
@@ -81,8 +86,8 @@
             waiting_cost: Cost(0),
             quick_running: 0,
             peer_floor: None,
-            pulled: None,
             pulls: 0,
+            pulled: None,
             quick: Queue::default(),
             long: Queue::default(),
             idle: BTreeSet::new(),
@@ -286,11 +291,16 @@
 
     /// Returns the lowest level of the backlogged workspaces here, or the last one served.
     pub(super) fn floor(&self, now: Time) -> Option<u64> {
-        let quick = self.quick.lowest().map(|(level, _)| level);
-        let long = self.long.lowest().map(|(level, _)| level);
         let fresh = self.granted.is_some_and(|at| now.since(at) < GRANT_FRESH);
         let last = fresh.then_some(self.horizon);
-        [quick, long].into_iter().flatten().min().or(last)
+        self.backlog_floor().or(last)
+    }
+
+    /// Returns the lowest level of the backlogged workspaces here.
+    fn backlog_floor(&self) -> Option<u64> {
+        let quick = self.quick.lowest().map(|(level, _)| level);
+        let long = self.long.lowest().map(|(level, _)| level);
+        [quick, long].into_iter().flatten().min()
     }
 
     /// Returns the level that a workspace has at least when it comes back from idle.
@@ -476,17 +486,60 @@
         });
     }
 
-    /// Returns up to `count` waiting requests in fair order that fulfil a condition.
+    /// Reports whether the last pull is long enough ago for another one.
+    pub(super) fn may_pull(&self, now: Time) -> bool {
+        let interval = if self.waiting == 0 {
+            PULL_IDLE
+        } else {
+            PULL_FAIR
+        };
+        self.pulled.is_none_or(|at| now.since(at) >= interval)
+    }
+
+    /// Notes that a pull was sent.
+    pub(super) fn note_pull(&mut self, now: Time) {
+        self.pulls += 1;
+        self.pulled = Some(now);
+    }
+
+    /// Returns the fit target with the most free slots.
+    pub(super) fn roomiest(&self, now: Time) -> Option<id::Target> {
+        let fit = self.slots.iter().filter(|(_, slots)| slots.is_fit(now));
+        let most = fit.max_by_key(|(_, slots)| slots.free(now));
+        most.map(|(target, _)| target.clone())
+    }
+
+    /// Returns the number of requests to pull: what can start until the next pull.
+    pub(super) fn pull_count(&self, now: Time) -> u32 {
+        if self.waiting == 0 {
+            return self.free(now).saturating_sub(self.reserve(now));
+        }
+        let grants = self.grants.per_second(now) * PULL_FAIR.as_secs_f64();
+        grants.ceil() as u32
+    }
+
+    /// Returns the level below which requests elsewhere are due before those here.
+    pub(super) fn pull_ceiling(&self) -> u64 {
+        let margin = self.largest.saturating_mul(PULL_CHARGES);
+        match self.backlog_floor() {
+            Some(floor) => floor.saturating_sub(margin),
+            None => u64::MAX,
+        }
+    }
+
+    /// Returns up to `count` waiting requests in fair order that fulfil a condition, of workspaces
+    /// below a level.
     pub(super) fn fairest(
         &self,
         count: usize,
+        ceiling: u64,
         condition: impl Fn(&id::Attempt) -> bool,
     ) -> Vec<id::Attempt> {
         let mut chosen = Vec::new();
         for class in [wire::Class::Quick, wire::Class::Long] {
-            for workspace in self.queue(class).iter() {
-                if chosen.len() >= count {
-                    return chosen;
+            for (level, workspace) in self.queue(class).iter() {
+                if chosen.len() >= count || level >= ceiling {
+                    break;
                 }
                 let head = self.head(workspace, class);
                 chosen.extend(head.filter(&condition));
--- a/src/owner/queue.rs
+++ b/src/owner/queue.rs
@@ -49,9 +49,9 @@
         self.by_level.last().map(|(level, ..)| *level)
     }
 
-    /// Returns the workspaces, lowest level first.
-    pub fn iter(&self) -> impl Iterator<Item = &id::Workspace> {
-        self.by_level.iter().map(|(.., name)| name)
+    /// Returns the workspaces with their levels, lowest first.
+    pub fn iter(&self) -> impl Iterator<Item = (u64, &id::Workspace)> {
+        self.by_level.iter().map(|(level, _, name)| (*level, name))
     }
 
     /// Returns the number of backlogged workspaces.
--- a/tests/owner.rs
+++ b/tests/owner.rs
@@ -233,3 +233,65 @@
     let (_, messages) = bench.ask("a", 200);
     assert_eq!(reason(&messages), Some(wire::Reason::NotOwner));
 }
+
+fn peer(router: &str, waiting: u64, floor: u64) -> owner::Peer {
+    owner::Peer {
+        router: name(router),
+        loads: vec![wire::Load {
+            target: name("t1"),
+            free: 0,
+            slots: 1,
+            waiting: Cost(waiting),
+        }],
+        floors: vec![(name(SERVICE), floor)],
+    }
+}
+
+fn pull_from(messages: &[wire::Message]) -> Option<u32> {
+    messages.iter().find_map(|message| match message {
+        wire::Message::Pull { free, .. } => Some(*free),
+        _ => None,
+    })
+}
+
+#[test]
+fn tick_pulls_when_idle() {
+    let mut bench = Bench::open(&[3, 1], &[]);
+    bench.step(owner::Event::Owned(vec![name("t0")]));
+    bench.step(owner::Event::Peers(vec![peer("r2", 500, 0)]));
+    let messages = bench.step(owner::Event::Tick);
+    assert_eq!(pull_from(&messages), Some(3));
+}
+
+#[test]
+fn tick_pulls_work_due_earlier() {
+    for (floor, pulls) in [(0, true), (390_000, false)] {
+        let mut bench = Bench::open(&[1, 1], &[]);
+        bench.step(owner::Event::Owned(vec![name("t0")]));
+        bench.ask("a", 200);
+        bench.ask("a", 200);
+        bench.done(1, 200);
+        bench.ask("a", 200);
+        bench.step(owner::Event::Peers(vec![peer("r2", 500, floor)]));
+        let messages = bench.step(owner::Event::Tick);
+        assert_eq!(pull_from(&messages).is_some(), pulls, "floor {floor}");
+    }
+}
+
+#[test]
+fn pull_gives_what_is_due_earlier() {
+    for (floor, moved) in [(1, 1), (0, 0)] {
+        let mut bench = Bench::open(&[1, 1], &[]);
+        bench.step(owner::Event::Owned(vec![name("t0")]));
+        bench.ask("a", 200);
+        bench.ask("b", 200);
+        bench.step(owner::Event::Peers(vec![peer("r2", 500, floor)]));
+        let messages = bench.step(owner::Event::Pull {
+            from: name("r2"),
+            service: name(SERVICE),
+            target: name("t1"),
+            free: 5,
+        });
+        assert_eq!(messages.len(), moved, "floor {floor}: {messages:?}");
+    }
+}
