--- a/src/config/base.rs
+++ b/src/config/base.rs
@@ -150,7 +150,7 @@
                 );
                 section.report(capacity.offset, message);
             }
-            self.capacity = Some(capacity.value);
+            self.capacity = capacity.value;
         }
         section.finish(&[]);
     }
--- a/src/config/document.rs
+++ b/src/config/document.rs
@@ -19,8 +19,8 @@
 /// Checked contents of the base file and of all overlays, the same at every router.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Document {
-    /// Sum that the workspaces' weights may not exceed.
-    pub capacity: Option<u64>,
+    /// Sum that the workspaces' weights may not exceed; 0 when it is not limited.
+    pub capacity: u64,
     /// Failure domains of each site.
     pub sites: BTreeMap<id::Site, BTreeSet<id::Domain>>,
     /// Workspaces by name.
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -1,32 +1,42 @@
 //! Configuration in force: what the operators declared.
 
 mod base;
+mod delta;
 mod digest;
 mod document;
 mod engine;
 mod finding;
 mod fleet;
+mod head;
 mod load;
 mod overlay;
 mod place;
 mod reader;
+pub mod replica;
 mod section;
 mod service;
 mod source;
+pub mod store;
 mod target;
+mod update;
 mod workspace;
 
 pub use self::{
+    delta::Delta,
     digest::{Digest, InvalidDigest},
     document::{Document, Holder},
     engine::Engine,
     finding::{Finding, Findings},
     fleet::Fleet,
+    head::{Change, Entry, Head, InvalidChange},
     load::{check, load},
     overlay::{Limits, Overlay, Patch},
     place::Place,
+    replica::Replica,
     service::{Kind, Service},
     source::{Source, Unreadable},
+    store::Store,
     target::Target,
+    update::{Damaged, Step, Update},
     workspace::Workspace,
 };
--- /dev/null
+++ b/src/config/replica.rs
@@ -0,0 +1,455 @@
+//! One router's copy of the configuration.
+
+use super::{Damaged, Digest, Document, Fleet, Step, Update};
+use crate::{
+    id,
+    platform::Fault,
+    unit::{Span, Time, Version},
+    wire,
+};
+use std::{
+    collections::{BTreeMap, VecDeque},
+    fmt,
+    sync::Arc,
+};
+
+/// Time between two reads of the platform's head row. A change must be in force within 8 s even at a router that
+/// hears no peer; 330 routers then read 110 rows/s of the about 2,000 that the platform serves.
+const PLATFORM_PERIOD: Span = Span::from_secs(3);
+/// Time after which a read of the platform counts as lost; longer than the platform client's own timeouts.
+const PLATFORM_TIMEOUT: Span = Span::from_secs(15);
+/// Time after which a peer that was asked for changes is given up and another one is asked.
+const FETCH_TIMEOUT: Span = Span::from_millis(1_000);
+/// Time after the start in which peers are listened to before a peer's version is put in force: a restarted router
+/// then doesn't fall back to the version of a peer that lags behind.
+const SETTLE: Span = Span::from_secs(1);
+/// Time after the start from which an older version is better than none.
+const MAX_SETTLE: Span = Span::from_secs(3);
+/// Steps that are kept to answer peers; 3 minutes' absence misses 6 of 2,800 a day, an hour's misses 117.
+const KEPT_STEPS: usize = 256;
+
+/// What a replica is told.
+#[derive(Debug)]
+pub enum Event {
+    /// A peer's heartbeat named its version.
+    PeerVersion {
+        /// Peer.
+        router: id::Router,
+        /// Version in force there.
+        version: Version,
+    },
+    /// A peer left or is no longer heard.
+    PeerGone {
+        /// Peer.
+        router: id::Router,
+    },
+    /// A peer asks for the changes after a version: `wire::Message::Fetch`.
+    Fetch {
+        /// Peer that asks.
+        router: id::Router,
+        /// Version that it has.
+        have: Version,
+    },
+    /// A peer sent changes: `wire::Message::Delta`.
+    Delta {
+        /// Peer that sent them.
+        router: id::Router,
+        /// Encoded update.
+        body: Vec<u8>,
+    },
+    /// A read of the platform ended: the changes after the version that was asked for, `None` if there are none.
+    Platform(Result<Option<Update>, Fault>),
+    /// Time passed; expected about every 200 ms.
+    Tick,
+}
+
+/// What a replica wants done.
+#[derive(Debug)]
+pub enum Action {
+    /// Send a message.
+    Send(wire::Envelope),
+    /// Read the changes after a version from the platform and report them as [`Event::Platform`].
+    ReadPlatform {
+        /// Version in force here.
+        have: Version,
+    },
+    /// Put a newer configuration in force.
+    Install(Arc<Fleet>),
+    /// Log that changes were refused.
+    Refused {
+        /// Where they came from.
+        origin: Origin,
+        /// Why.
+        reason: Reason,
+    },
+}
+
+/// Where changes came from.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Origin {
+    /// A peer.
+    Peer(id::Router),
+    /// The platform.
+    Platform,
+}
+
+/// Why changes were refused.
+#[derive(Debug, thiserror::Error)]
+pub enum Reason {
+    /// The body cannot be decoded.
+    #[error(transparent)]
+    Damaged(#[from] Damaged),
+    /// The changes do not lead to the contents that were accepted.
+    #[error("configuration version {version} has digest {found} in place of {expected}")]
+    Mismatch {
+        /// Version.
+        version: Version,
+        /// Digest that was accepted.
+        expected: Digest,
+        /// Digest of the contents that the changes led to.
+        found: Digest,
+    },
+}
+
+/// Whether a replica has a configuration.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum State {
+    /// A version is in force.
+    Ready(Version),
+    /// There is none yet.
+    Unready {
+        /// What the platform said last, if it was read.
+        platform: Option<Box<str>>,
+        /// Peers that have a configuration.
+        peers: usize,
+    },
+}
+
+/// One router's copy of the configuration; its version only grows.
+pub struct Replica {
+    domain: id::Domain,
+    /// Time of the first event.
+    started: Option<Time>,
+    /// Version in force.
+    installed: Version,
+    /// Version of `document`; ahead of `installed` while the first version is sought.
+    version: Version,
+    digest: Digest,
+    document: Document,
+    /// The latest steps, oldest first.
+    steps: VecDeque<Step>,
+    peers: BTreeMap<id::Router, Version>,
+    fetch: Option<Fetch>,
+    platform: Platform,
+    /// The next fetch asks for the whole document, because a delta led to other contents.
+    whole: bool,
+}
+
+/// A question to a peer that is not answered yet.
+struct Fetch {
+    router: id::Router,
+    since: Time,
+}
+
+/// Reads of the platform.
+#[derive(Default)]
+struct Platform {
+    /// Time of the read that is not answered yet.
+    pending: Option<Time>,
+    /// Time of the last answer.
+    answered: Option<Time>,
+    /// A read has succeeded.
+    reached: bool,
+    /// What the platform said last; `None` if it was not read.
+    said: Option<Box<str>>,
+}
+
+impl Replica {
+    /// Returns a replica without a configuration for a router in a failure domain.
+    pub fn new(domain: id::Domain) -> Self {
+        Self {
+            domain,
+            started: None,
+            installed: Version(0),
+            version: Version(0),
+            digest: Digest::default(),
+            document: Document::default(),
+            steps: VecDeque::new(),
+            peers: BTreeMap::new(),
+            fetch: None,
+            platform: Platform::default(),
+            whole: false,
+        }
+    }
+
+    /// Returns the version in force, 0 if there is none.
+    pub fn version(&self) -> Version {
+        self.installed
+    }
+
+    /// Returns the digest of the latest contents.
+    pub fn digest(&self) -> Digest {
+        self.digest
+    }
+
+    /// Returns whether there is a configuration, and if not, why.
+    pub fn state(&self) -> State {
+        if self.installed > Version(0) {
+            return State::Ready(self.installed);
+        }
+        let versions = self.peers.values();
+        State::Unready {
+            platform: self.platform.said.clone(),
+            peers: versions.filter(|version| **version > Version(0)).count(),
+        }
+    }
+
+    /// Handles an event.
+    pub fn step(&mut self, now: Time, event: Event, out: &mut Vec<Action>) {
+        self.started.get_or_insert(now);
+        match event {
+            Event::PeerVersion { router, version } => {
+                self.peers.insert(router, version);
+                self.fetch_newer(now, None, out);
+            }
+            Event::PeerGone { router } => {
+                self.peers.remove(&router);
+                if self
+                    .fetch
+                    .as_ref()
+                    .is_some_and(|fetch| fetch.router == router)
+                {
+                    self.retry_fetch(now, out);
+                }
+            }
+            Event::Fetch { router, have } => self.answer(router, have, out),
+            Event::Delta { router, body } => self.on_delta(now, router, &body, out),
+            Event::Platform(result) => self.on_platform(now, result, out),
+            Event::Tick => self.on_tick(now, out),
+        }
+        self.install(now, out);
+    }
+
+    fn on_delta(&mut self, now: Time, router: id::Router, body: &[u8], out: &mut Vec<Action>) {
+        let origin = Origin::Peer(router);
+        let accepted = match Update::decode(body) {
+            Ok(update) => self.accept(update, origin, out),
+            Err(damaged) => {
+                let reason = damaged.into();
+                out.push(Action::Refused { origin, reason });
+                false
+            }
+        };
+        // After an answer of no use the question stays open until its timeout, so that two routers which can't
+        // help each other don't exchange messages without end.
+        if accepted {
+            self.fetch = None;
+            self.fetch_newer(now, None, out);
+        }
+    }
+
+    fn on_platform(
+        &mut self,
+        now: Time,
+        result: Result<Option<Update>, Fault>,
+        out: &mut Vec<Action>,
+    ) {
+        self.platform.pending = None;
+        self.platform.answered = Some(now);
+        self.platform.reached |= result.is_ok();
+        match result {
+            Ok(Some(update)) => {
+                self.platform.said = None;
+                self.accept(update, Origin::Platform, out);
+            }
+            Ok(None) => self.platform.said = Some("the platform holds no newer one".into()),
+            Err(fault) => self.platform.said = Some(fault.to_string().into()),
+        }
+    }
+
+    fn on_tick(&mut self, now: Time, out: &mut Vec<Action>) {
+        let overdue = |fetch: &Fetch| now.since(fetch.since) >= FETCH_TIMEOUT;
+        if self.fetch.as_ref().is_some_and(overdue) {
+            self.retry_fetch(now, out);
+        }
+        self.fetch_newer(now, None, out);
+        let due = match (self.platform.pending, self.platform.answered) {
+            (Some(asked), _) => now.since(asked) >= PLATFORM_TIMEOUT,
+            (None, Some(answered)) => now.since(answered) >= PLATFORM_PERIOD,
+            (None, None) => true,
+        };
+        if due {
+            self.platform.pending = Some(now);
+            let have = self.wanted_after();
+            out.push(Action::ReadPlatform { have });
+        }
+    }
+
+    /// Asks another peer than the one that has not answered.
+    fn retry_fetch(&mut self, now: Time, out: &mut Vec<Action>) {
+        let last = self.fetch.take().map(|fetch| fetch.router);
+        self.fetch_newer(now, last, out);
+    }
+
+    /// Asks a peer that has a newer version: the one that is furthest ahead or, after a peer that did not help,
+    /// the next one in the order of names.
+    fn fetch_newer(&mut self, now: Time, after: Option<id::Router>, out: &mut Vec<Action>) {
+        if self.fetch.is_some() {
+            return;
+        }
+        let peers = self.peers.iter();
+        let newer = peers.filter(|(_, version)| **version > self.version);
+        let chosen = match &after {
+            None => newer.max_by_key(|(_, version)| **version),
+            Some(after) => newer.min_by_key(|(router, _)| (*router <= after, *router)),
+        };
+        let Some((router, _)) = chosen else {
+            return;
+        };
+        let router = router.clone();
+        out.push(Action::Send(wire::Envelope {
+            to: router.clone(),
+            message: wire::Message::Fetch {
+                have: self.wanted_after(),
+            },
+        }));
+        let since = now;
+        self.fetch = Some(Fetch { router, since });
+    }
+
+    /// Returns the version after which changes are wanted.
+    fn wanted_after(&self) -> Version {
+        if self.whole {
+            return Version(0);
+        }
+        self.version
+    }
+
+    /// Sends a peer what it lacks.
+    fn answer(&self, to: id::Router, have: Version, out: &mut Vec<Action>) {
+        if have >= self.version {
+            return;
+        }
+        let start = self.steps.iter().position(|step| step.from == have);
+        let update = match start {
+            Some(start) if have > Version(0) => Update {
+                steps: self.steps.range(start..).cloned().collect(),
+            },
+            _ => Update {
+                steps: vec![Step::whole(&self.document, self.version, self.digest)],
+            },
+        };
+        let message = wire::Message::Delta {
+            from: update.from(),
+            to: update.to(),
+            body: update.encode(),
+        };
+        out.push(Action::Send(wire::Envelope { to, message }));
+    }
+
+    /// Applies the steps that lead on from the version in force; reports whether any did.
+    fn accept(&mut self, update: Update, origin: Origin, out: &mut Vec<Action>) -> bool {
+        let before = self.version;
+        for step in update.steps {
+            if let Err(reason) = self.apply(step) {
+                out.push(Action::Refused { origin, reason });
+                self.whole = true;
+                break;
+            }
+        }
+        self.version > before
+    }
+
+    /// Puts the latest version in force; the first one only when no peer is known to be ahead.
+    fn install(&mut self, now: Time, out: &mut Vec<Action>) {
+        let first = self.installed == Version(0);
+        if self.version == self.installed || first && !self.is_settled(now) {
+            return;
+        }
+        self.installed = self.version;
+        let site = self.site();
+        let fleet = self.document.fleet(self.version, site.as_ref());
+        out.push(Action::Install(Arc::new(fleet)));
+    }
+
+    fn is_settled(&self, now: Time) -> bool {
+        let age = now.since(self.started.unwrap_or(now));
+        let newest = self.peers.values().max();
+        let behind = newest.is_some_and(|newest| *newest > self.version);
+        let heard = self.platform.reached || age >= SETTLE;
+        age >= MAX_SETTLE || heard && !behind
+    }
+
+    fn apply(&mut self, step: Step) -> Result<(), Reason> {
+        if step.to <= self.version {
+            return Ok(());
+        }
+        let whole = step.from == Version(0);
+        if !whole && step.from != self.version {
+            return Ok(());
+        }
+        let empty = Document::default();
+        let (document, digest) = match whole {
+            true => (&empty, Digest::default()),
+            false => (&self.document, self.digest),
+        };
+        let found = document.digest_after(digest, &step.delta);
+        if found != step.digest {
+            return Err(Reason::Mismatch {
+                version: step.to,
+                expected: step.digest,
+                found,
+            });
+        }
+        if whole {
+            self.document = empty;
+            self.steps.clear();
+            self.whole = false;
+        }
+        self.document.apply(&step.delta);
+        self.version = step.to;
+        self.digest = step.digest;
+        if !whole {
+            self.keep(step);
+        }
+        Ok(())
+    }
+
+    fn keep(&mut self, step: Step) {
+        if self.steps.len() == KEPT_STEPS {
+            self.steps.pop_front();
+        }
+        self.steps.push_back(step);
+    }
+
+    /// Returns the site of the router's failure domain.
+    fn site(&self) -> Option<id::Site> {
+        let mut sites = self.document.sites.iter();
+        let found = sites.find(|(_, domains)| domains.contains(&self.domain));
+        found.map(|(site, _)| site.clone())
+    }
+}
+
+impl fmt::Display for Origin {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Origin::Peer(router) => write!(f, "router {router}"),
+            Origin::Platform => f.write_str("the platform"),
+        }
+    }
+}
+
+impl fmt::Display for State {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            State::Ready(version) => write!(f, "configuration version {version}"),
+            State::Unready { platform, peers } => {
+                let said = platform.as_deref().unwrap_or("not read yet");
+                write!(
+                    f,
+                    "no configuration; platform: {said}; peers that have one: {peers}"
+                )
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/config/store.rs
@@ -0,0 +1,468 @@
+//! The configuration in the platform: a head row in the table and bodies in the object store.
+//!
+//! Each version's changes are an object of their own, written before the head row names it, so that a head row
+//! never points to nothing. Objects of tries that lost a race stay behind unreferenced.
+
+use super::{Change, Delta, Digest, Document, Entry, Head, Step, Update, update::Damaged};
+use crate::{
+    platform::{Expect, Fault, Objects, Row, Table, Verdict, Write},
+    unit::Version,
+};
+use std::sync::Arc;
+
+/// Key of the head row.
+const HEAD_KEY: &str = "config/head";
+/// Versions between two whole copies: a router that reads from the platform reads at most that many objects, and
+/// 2,800 changes a day write 22 whole copies.
+const SNAPSHOT_PERIOD: u64 = 128;
+/// Times that a call is made before the platform counts as out of reach.
+const MAX_TRIES: u32 = 5;
+
+/// The configuration in the platform. Calls block.
+pub struct Store {
+    table: Arc<dyn Table>,
+    objects: Arc<dyn Objects>,
+}
+
+/// What an operator wants to put in force.
+#[derive(Clone, Debug)]
+pub struct Proposal {
+    /// Identifier of this try.
+    pub change: Change,
+    /// Version that the document was made from; a change that came in between is a lost race.
+    pub base: Version,
+    /// Contents of that version.
+    pub current: Document,
+    /// New contents.
+    pub document: Document,
+    /// Highest version known to be in force anywhere; the new one is higher.
+    pub floor: Version,
+    /// Operator.
+    pub author: Box<str>,
+    /// Why, in the operator's words.
+    pub note: Box<str>,
+    /// Time by the operator's clock, in milliseconds since the Unix epoch.
+    pub at: u64,
+}
+
+/// How a proposal ended.
+#[derive(Clone, Debug)]
+pub enum Outcome {
+    /// It was accepted.
+    Accepted {
+        /// The new version.
+        head: Head,
+        /// A later version is already in force on top of it.
+        superseded: Option<Head>,
+    },
+    /// The document is the same as the one in force.
+    Unchanged,
+    /// Another change was accepted first; nothing was changed.
+    Conflict {
+        /// The version that won, `None` if the head row is gone.
+        winner: Option<Head>,
+    },
+    /// No answer came; the proposal may be accepted.
+    Unknown {
+        /// What the platform said last.
+        fault: Fault,
+    },
+}
+
+/// Error of a call to the store.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// The platform failed; nothing was changed.
+    #[error(transparent)]
+    Platform(#[from] Fault),
+    /// The head row cannot be decoded.
+    #[error("row {HEAD_KEY} of the platform's table is damaged: {0}")]
+    Head(serde_json::Error),
+    /// An object cannot be decoded.
+    #[error("object {name}: {cause}")]
+    Object {
+        /// Name of the object.
+        name: Box<str>,
+        /// What the decoder said.
+        cause: Damaged,
+    },
+    /// An object that the head row needs does not exist.
+    #[error("object {name} is missing from the platform's object store")]
+    Missing {
+        /// Name of the object.
+        name: Box<str>,
+    },
+    /// The stored changes do not lead to the contents that were accepted.
+    #[error("stored configuration version {version} has digest {found} in place of {expected}")]
+    Mismatch {
+        /// Version.
+        version: Version,
+        /// Digest that was accepted.
+        expected: Digest,
+        /// Digest of the stored contents.
+        found: Digest,
+    },
+}
+
+/// The configuration that the platform holds.
+#[derive(Clone, Debug, Default)]
+pub struct Stored {
+    /// Its head, `None` if there is none yet.
+    pub head: Option<Head>,
+    /// Its contents.
+    pub document: Document,
+}
+
+/// Object of one version.
+#[derive(serde::Serialize, serde::Deserialize)]
+struct Object {
+    head: Head,
+    /// The version that the changes apply to.
+    previous: Option<Head>,
+    step: Step,
+}
+
+impl Stored {
+    /// Returns the version, 0 if there is none yet.
+    pub fn version(&self) -> Version {
+        version(self.head.as_ref())
+    }
+}
+
+impl Store {
+    /// Returns a store over the platform's services.
+    pub fn new(table: Arc<dyn Table>, objects: Arc<dyn Objects>) -> Self {
+        Self { table, objects }
+    }
+
+    /// Reads the head, `None` if there is no configuration yet.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the platform fails or the row is damaged.
+    pub fn head(&self) -> Result<Option<Head>, Error> {
+        let row = self.read_row()?;
+        row.as_ref().map(decode_head).transpose()
+    }
+
+    /// Reads the changes after a version, `None` if there are none; whole if they cannot be told apart.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the platform fails or what it holds is damaged.
+    pub fn changes(&self, have: Version) -> Result<Option<Update>, Error> {
+        let Some(head) = self.head()? else {
+            return Ok(None);
+        };
+        if head.entry.version <= have {
+            return Ok(None);
+        }
+        self.path(&head, have).map(Some)
+    }
+
+    /// Reads the whole configuration.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the platform fails or what it holds is damaged.
+    pub fn load(&self) -> Result<Stored, Error> {
+        match self.head()? {
+            Some(head) => self.load_at(head),
+            None => Ok(Stored::default()),
+        }
+    }
+
+    /// Reads the whole configuration of an earlier version, `None` if there is no such version.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the platform fails or what it holds is damaged.
+    pub fn load_version(&self, version: Version) -> Result<Option<Stored>, Error> {
+        let mut next = self.head()?;
+        while let Some(head) = next {
+            if head.entry.version == version {
+                return self.load_at(head).map(Some);
+            }
+            if head.entry.version < version {
+                return Ok(None);
+            }
+            next = self.object(head.entry)?.previous;
+        }
+        Ok(None)
+    }
+
+    /// Reads the latest `limit` versions, newest first.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the platform fails or what it holds is damaged.
+    pub fn history(&self, limit: usize) -> Result<Vec<Head>, Error> {
+        let mut heads = Vec::new();
+        let mut next = self.head()?;
+        while let Some(head) = next {
+            if heads.len() == limit {
+                break;
+            }
+            next = self.object(head.entry)?.previous;
+            heads.push(head);
+        }
+        Ok(heads)
+    }
+
+    /// Tries to put a document in force by compare-and-set of the head row. `pause` waits before a call is made
+    /// again and is told the fault.
+    ///
+    /// # Errors
+    ///
+    /// Fails if nothing was changed because the platform failed or what it holds is damaged.
+    pub fn apply(
+        &self,
+        proposal: &Proposal,
+        pause: &mut dyn FnMut(&Fault),
+    ) -> Result<Outcome, Error> {
+        let row = retried(pause, || self.read_row())?;
+        let previous = row.as_ref().map(decode_head).transpose()?;
+        if version(previous.as_ref()) != proposal.base {
+            return Ok(Outcome::Conflict { winner: previous });
+        }
+        let delta = Delta::between(&proposal.current, &proposal.document);
+        if delta.is_empty() {
+            return Ok(Outcome::Unchanged);
+        }
+        let head = self.put_bodies(proposal, previous, delta, pause)?;
+        let write = Write {
+            key: HEAD_KEY.into(),
+            expect: row.map_or(Expect::Absent, |row| Expect::Version(row.version)),
+            value: Some(encode(&head).into()),
+        };
+        self.write_head(head, write, pause)
+    }
+
+    /// Writes the objects of a proposal and returns the head that would name them.
+    fn put_bodies(
+        &self,
+        proposal: &Proposal,
+        previous: Option<Head>,
+        delta: Delta,
+        pause: &mut dyn FnMut(&Fault),
+    ) -> Result<Head, Error> {
+        let base = proposal.base;
+        let entry = Entry {
+            version: base.max(proposal.floor).next(),
+            change: proposal.change,
+        };
+        let digest = proposal.document.digest();
+        let latest = previous.as_ref().map(|previous| previous.snapshot);
+        // A jump over versions leaves routers that no delta leads on from.
+        let jump = proposal.floor > base;
+        let aged = |snapshot: &Entry| entry.version.0 - snapshot.version.0 >= SNAPSHOT_PERIOD;
+        let snapshot = match latest {
+            Some(latest) if !jump && !aged(&latest) => latest,
+            _ => entry,
+        };
+        if snapshot == entry {
+            let steps = vec![Step::whole(&proposal.document, entry.version, digest)];
+            let body = Update { steps }.encode();
+            retried(pause, || self.objects.put(&whole_name(entry), &body))?;
+        }
+        let head = Head {
+            entry,
+            digest,
+            author: proposal.author.clone(),
+            note: proposal.note.clone(),
+            at: proposal.at,
+            snapshot,
+        };
+        let object = Object {
+            head: head.clone(),
+            previous,
+            step: Step {
+                from: base,
+                to: entry.version,
+                digest,
+                delta,
+            },
+        };
+        let body = encode(&object);
+        let put = || self.objects.put(&object_name(entry), body.as_bytes());
+        retried(pause, put)?;
+        Ok(head)
+    }
+
+    /// Writes the head row; after a lost answer the row is written again under the same condition, so that
+    /// the table's answer tells which change it holds.
+    fn write_head(
+        &self,
+        head: Head,
+        write: Write,
+        pause: &mut dyn FnMut(&Fault),
+    ) -> Result<Outcome, Error> {
+        let mut lost = None;
+        let mut tries = 0;
+        loop {
+            tries += 1;
+            let fault = match self.table.write(std::slice::from_ref(&write)) {
+                Ok(Verdict::Committed) => {
+                    let superseded = None;
+                    return Ok(Outcome::Accepted { head, superseded });
+                }
+                Ok(Verdict::Conflict(rows)) => return self.judge(head, &rows, lost),
+                Err(fault) => fault,
+            };
+            if matches!(fault, Fault::Lost { .. }) {
+                lost = Some(fault.clone());
+            }
+            let refused = matches!(fault, Fault::Refused { .. });
+            if tries == MAX_TRIES || refused {
+                return match lost {
+                    Some(fault) => Ok(Outcome::Unknown { fault }),
+                    None => Err(fault.into()),
+                };
+            }
+            pause(&fault);
+        }
+    }
+
+    /// Tells from the rows that broke the condition whether the proposal was accepted by an earlier try, whose
+    /// answer was `lost`.
+    fn judge(&self, head: Head, rows: &[Row], lost: Option<Fault>) -> Result<Outcome, Error> {
+        let mut rows = rows.iter().filter(|row| row.version > 0);
+        let winner = rows.next().map(decode_head).transpose()?;
+        let Some(fault) = lost else {
+            return Ok(Outcome::Conflict { winner });
+        };
+        match self.contains(winner.clone(), head.entry) {
+            Ok(true) => {
+                let superseded = winner.filter(|winner| winner.entry != head.entry);
+                Ok(Outcome::Accepted { head, superseded })
+            }
+            Ok(false) => Ok(Outcome::Conflict { winner }),
+            Err(_) => Ok(Outcome::Unknown { fault }),
+        }
+    }
+
+    /// Reports whether an entry is a head or one of its predecessors.
+    fn contains(&self, head: Option<Head>, entry: Entry) -> Result<bool, Error> {
+        let mut next = head;
+        while let Some(found) = next {
+            if found.entry.version <= entry.version {
+                return Ok(found.entry == entry);
+            }
+            next = self.object(found.entry)?.previous;
+        }
+        Ok(false)
+    }
+
+    fn load_at(&self, head: Head) -> Result<Stored, Error> {
+        let mut document = Document::default();
+        for step in self.path(&head, Version(0))?.steps {
+            document.apply(&step.delta);
+        }
+        let found = document.digest();
+        if found != head.digest {
+            return Err(Error::Mismatch {
+                version: head.entry.version,
+                expected: head.digest,
+                found,
+            });
+        }
+        let head = Some(head);
+        Ok(Stored { head, document })
+    }
+
+    /// Returns the steps that lead from `have` to a head, whole if `have` is not among its predecessors or far
+    /// behind.
+    fn path(&self, head: &Head, have: Version) -> Result<Update, Error> {
+        let near = head.entry.version.0 - have.0 <= SNAPSHOT_PERIOD;
+        if have > Version(0) && near {
+            let update = self.walk(head, |previous| previous.version <= have)?;
+            if update.from() == have {
+                return Ok(update);
+            }
+        }
+        let mut update = self.walk(head, |entry| entry == head.snapshot)?;
+        if update.from() > Version(0) || update.steps.is_empty() {
+            let whole = self.update(&whole_name(head.snapshot))?;
+            update.steps.splice(..0, whole.steps);
+        }
+        Ok(update)
+    }
+
+    /// Returns the steps from the first predecessor that is `enough` to a head.
+    fn walk(&self, head: &Head, enough: impl Fn(Entry) -> bool) -> Result<Update, Error> {
+        let mut steps = Vec::new();
+        let mut next = Some(head.entry);
+        while let Some(entry) = next.filter(|entry| !enough(*entry)) {
+            let object = self.object(entry)?;
+            steps.push(object.step);
+            next = object.previous.map(|previous| previous.entry);
+        }
+        steps.reverse();
+        Ok(Update { steps })
+    }
+
+    fn update(&self, name: &str) -> Result<Update, Error> {
+        let body = self.get(name)?;
+        Update::decode(&body).map_err(|cause| Error::Object {
+            name: name.into(),
+            cause,
+        })
+    }
+
+    fn object(&self, entry: Entry) -> Result<Object, Error> {
+        let name = object_name(entry);
+        let body = self.get(&name)?;
+        serde_json::from_slice(&body).map_err(|cause| Error::Object {
+            name,
+            cause: Damaged {
+                bytes: body.len(),
+                cause,
+            },
+        })
+    }
+
+    fn get(&self, name: &str) -> Result<Vec<u8>, Error> {
+        let body = self.objects.get(name)?;
+        body.ok_or_else(|| Error::Missing { name: name.into() })
+    }
+
+    fn read_row(&self) -> Result<Option<Row>, Fault> {
+        let rows = self.table.read(&[HEAD_KEY.into()])?;
+        Ok(rows.into_iter().next())
+    }
+}
+
+/// Calls until the platform answers, at most [`MAX_TRIES`] times; the call must be idempotent.
+fn retried<T>(
+    pause: &mut dyn FnMut(&Fault),
+    mut call: impl FnMut() -> Result<T, Fault>,
+) -> Result<T, Fault> {
+    for _ in 1..MAX_TRIES {
+        match call() {
+            Err(fault @ Fault::Refused { .. }) => return Err(fault),
+            Err(fault) => pause(&fault),
+            Ok(value) => return Ok(value),
+        }
+    }
+    call()
+}
+
+fn version(head: Option<&Head>) -> Version {
+    head.map_or(Version(0), |head| head.entry.version)
+}
+
+fn object_name(entry: Entry) -> Box<str> {
+    format!("config/{}-{}", entry.version, entry.change).into()
+}
+
+fn whole_name(entry: Entry) -> Box<str> {
+    format!("config/{}-{}-whole", entry.version, entry.change).into()
+}
+
+fn decode_head(row: &Row) -> Result<Head, Error> {
+    serde_json::from_str(&row.value).map_err(Error::Head)
+}
+
+fn encode(value: &impl serde::Serialize) -> String {
+    serde_json::to_string(value).expect("a head or object must be writable as JSON")
+}
--- /dev/null
+++ b/src/config/update.rs
@@ -0,0 +1,80 @@
+//! Accepted changes, as they are stored and sent.
+
+use super::{Delta, Digest, Document};
+use crate::unit::Version;
+
+/// One accepted change, or a whole document when it starts from version 0.
+#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+pub struct Step {
+    /// Version that the delta applies to; 0 when the delta is the whole document.
+    pub from: Version,
+    /// Version that it leads to.
+    pub to: Version,
+    /// Digest of the document at that version.
+    pub digest: Digest,
+    /// Changes.
+    pub delta: Delta,
+}
+
+/// Consecutive steps.
+#[derive(Clone, Debug, Default, PartialEq, serde::Serialize, serde::Deserialize)]
+#[serde(transparent)]
+pub struct Update {
+    /// Steps in the order of their versions.
+    pub steps: Vec<Step>,
+}
+
+/// Error of a body that is not an update.
+#[derive(Debug, thiserror::Error)]
+#[error("configuration update of {bytes} bytes is damaged: {cause}")]
+pub struct Damaged {
+    /// Length of the body.
+    pub bytes: usize,
+    /// What the decoder said.
+    pub cause: serde_json::Error,
+}
+
+impl Step {
+    /// Returns a step that leads to a whole document.
+    pub fn whole(document: &Document, to: Version, digest: Digest) -> Self {
+        Self {
+            from: Version(0),
+            to,
+            digest,
+            delta: Delta::between(&Document::default(), document),
+        }
+    }
+}
+
+impl Update {
+    /// Returns the version that the update starts from, or 0 if it is empty.
+    pub fn from(&self) -> Version {
+        self.steps.first().map_or(Version(0), |step| step.from)
+    }
+
+    /// Returns the version that the update leads to, or 0 if it is empty.
+    pub fn to(&self) -> Version {
+        self.steps.last().map_or(Version(0), |step| step.to)
+    }
+
+    /// Encodes the update.
+    ///
+    /// # Panics
+    ///
+    /// Never: identifiers are texts, so that each map has text keys.
+    pub fn encode(&self) -> Vec<u8> {
+        serde_json::to_vec(self).expect("an update must be writable as JSON")
+    }
+
+    /// Decodes an update.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the body is not an update.
+    pub fn decode(body: &[u8]) -> Result<Self, Damaged> {
+        serde_json::from_slice(body).map_err(|cause| Damaged {
+            bytes: body.len(),
+            cause,
+        })
+    }
+}
--- /dev/null
+++ b/tests/config_replica.rs
@@ -0,0 +1,425 @@
+//! Distribution of the configuration among routers.
+
+use marlrun::{
+    config::{
+        Delta, Document, Fleet, Holder, Replica, Step, Update, Workspace,
+        replica::{Action, Event, State},
+    },
+    id,
+    platform::Fault,
+    unit::{Span, Time, Version, Weight},
+    wire::{Envelope, Message},
+};
+use proptest::prelude::*;
+use std::{collections::VecDeque, sync::Arc};
+
+const ROUTERS: usize = 5;
+const ROUND: Span = Span::from_millis(200);
+/// Rounds in 8 s, the time in which a change must be in force everywhere.
+const ROUNDS_ALLOWED: usize = 40;
+
+fn router(index: usize) -> id::Router {
+    format!("r{index}").parse().unwrap()
+}
+
+fn index(router: &id::Router) -> usize {
+    router.as_str()[1..].parse().unwrap()
+}
+
+/// Returns the contents of a version: one workspace whose weight is the version.
+fn document(version: u64) -> Document {
+    let mut document = Document::default();
+    if let Some(weight) = Weight::new(version as u32) {
+        let name: id::Workspace = "w".parse().unwrap();
+        let workspace = Arc::new(Workspace {
+            name: name.clone(),
+            weight,
+        });
+        let keys = Box::default();
+        document.workspaces.insert(name, Holder { workspace, keys });
+    }
+    document
+}
+
+fn step(from: u64, to: u64) -> Step {
+    let document = document(to);
+    Step {
+        from: Version(from),
+        to: Version(to),
+        digest: document.digest(),
+        delta: Delta::between(&self::document(from), &document),
+    }
+}
+
+fn update(have: u64, to: u64) -> Update {
+    let steps = match have {
+        0 => vec![step(0, to)],
+        _ => (have..to).map(|from| step(from, from + 1)).collect(),
+    };
+    Update { steps }
+}
+
+fn unreachable() -> Fault {
+    Fault::Unreachable {
+        call: "read".into(),
+        cause: "test".into(),
+    }
+}
+
+/// Routers with a network and a platform that fail.
+struct World {
+    now: Time,
+    replicas: Vec<Replica>,
+    queue: VecDeque<(usize, Event)>,
+    /// Deltas sent so far: receiver, sender and body.
+    sent: Vec<(usize, id::Router, Vec<u8>)>,
+    installed: Vec<Option<Arc<Fleet>>>,
+    /// Partition that each router is in.
+    sides: Vec<usize>,
+    head: u64,
+    platform_up: bool,
+    /// Versions by which the table's answers lag.
+    lag: u64,
+    drop_messages: bool,
+}
+
+impl World {
+    fn new() -> Self {
+        let domain: id::Domain = "a".parse().unwrap();
+        Self {
+            now: Time(0),
+            replicas: (0..ROUTERS).map(|_| Replica::new(domain.clone())).collect(),
+            queue: VecDeque::new(),
+            sent: Vec::new(),
+            installed: vec![None; ROUTERS],
+            sides: vec![0; ROUTERS],
+            head: 1,
+            platform_up: true,
+            lag: 0,
+            drop_messages: false,
+        }
+    }
+
+    fn restart(&mut self, at: usize) {
+        self.replicas[at] = Replica::new("a".parse().unwrap());
+        self.installed[at] = None;
+    }
+
+    fn version(&self, at: usize) -> u64 {
+        self.replicas[at].version().0
+    }
+
+    /// Handles an event and those that follow from it, in their order.
+    fn event(&mut self, at: usize, event: Event) {
+        self.queue.push_back((at, event));
+        while let Some((at, event)) = self.queue.pop_front() {
+            let mut out = Vec::new();
+            self.replicas[at].step(self.now, event, &mut out);
+            for action in out {
+                self.perform(at, action);
+            }
+        }
+    }
+
+    fn perform(&mut self, at: usize, action: Action) {
+        match action {
+            Action::Install(fleet) => {
+                if let Some(old) = &self.installed[at] {
+                    assert!(
+                        fleet.version > old.version,
+                        "r{at} went back to {}",
+                        fleet.version
+                    );
+                }
+                let weight = fleet.workspaces["w"].weight.get();
+                assert_eq!(
+                    u64::from(weight),
+                    fleet.version.0,
+                    "contents of another version"
+                );
+                self.installed[at] = Some(fleet);
+            }
+            Action::ReadPlatform { have } => {
+                let head = self.head.saturating_sub(self.lag);
+                let answer = match self.platform_up {
+                    false => Err(unreachable()),
+                    true => Ok((head > have.0).then(|| update(have.0, head))),
+                };
+                self.queue.push_back((at, Event::Platform(answer)));
+            }
+            Action::Send(Envelope { to, message }) => self.deliver(at, index(&to), message),
+            Action::Refused { origin, reason } => panic!("r{at} refused {origin}: {reason}"),
+        }
+    }
+
+    fn deliver(&mut self, from: usize, to: usize, message: Message) {
+        if self.drop_messages || self.sides[from] != self.sides[to] {
+            return;
+        }
+        let router = router(from);
+        let event = match message {
+            Message::Fetch { have } => Event::Fetch { router, have },
+            Message::Delta { body, .. } => {
+                self.sent.push((to, router.clone(), body.clone()));
+                Event::Delta { router, body }
+            }
+            other => panic!("unexpected {other:?}"),
+        };
+        self.queue.push_back((to, event));
+    }
+
+    /// Lets 200 ms pass: heartbeats among connected routers, then a tick.
+    fn round(&mut self) {
+        self.now = self.now + ROUND;
+        for from in 0..ROUTERS {
+            let version = Version(self.version(from));
+            for to in 0..ROUTERS {
+                if from != to && self.sides[from] == self.sides[to] {
+                    let router = router(from);
+                    self.event(to, Event::PeerVersion { router, version });
+                }
+            }
+        }
+        for at in 0..ROUTERS {
+            self.event(at, Event::Tick);
+        }
+    }
+
+    fn rounds(&mut self, count: usize) {
+        (0..count).for_each(|_| self.round());
+    }
+
+    fn versions(&self) -> Vec<u64> {
+        (0..ROUTERS).map(|at| self.version(at)).collect()
+    }
+}
+
+#[test]
+fn start_reads_platform_once() {
+    let mut world = World::new();
+    world.rounds(1);
+    assert_eq!(world.versions(), [1; ROUTERS]);
+}
+
+#[test]
+fn start_without_platform_and_peers_is_unready() {
+    let mut world = World::new();
+    world.platform_up = false;
+    world.rounds(100);
+    assert_eq!(world.versions(), [0; ROUTERS]);
+    let state = world.replicas[0].state();
+    assert_eq!(
+        state.to_string(),
+        "no configuration; platform: platform read: cannot be reached: test; \
+         peers that have one: 0"
+    );
+}
+
+#[test]
+fn change_spreads_when_one_router_reaches_platform() {
+    let mut world = World::new();
+    world.rounds(1);
+    world.platform_up = false;
+    world.event(0, Event::Platform(Ok(Some(update(1, 2)))));
+    world.rounds(2);
+    assert_eq!(world.versions(), [2; ROUTERS]);
+}
+
+#[test]
+fn restart_with_platform_down_asks_peers() {
+    let mut world = World::new();
+    world.rounds(1);
+    world.platform_up = false;
+    world.restart(3);
+    world.rounds(5);
+    assert_eq!(
+        world.version(3),
+        0,
+        "the router must listen to its peers first"
+    );
+    world.rounds(1);
+    assert_eq!(world.versions(), [1; ROUTERS]);
+}
+
+#[test]
+fn restart_beside_stale_peer_takes_newest() {
+    let mut world = World::new();
+    world.rounds(1);
+    world.sides = vec![1, 0, 0, 0, 0];
+    world.head = 5;
+    world.rounds(20);
+    world.platform_up = false;
+    world.sides = vec![0; ROUTERS];
+    world.drop_messages = true;
+    world.restart(4);
+    world.rounds(2);
+    world.drop_messages = false;
+    world.rounds(20);
+    assert_eq!(world.versions(), [5; ROUTERS]);
+}
+
+#[test]
+fn restart_with_stale_table_takes_newest() {
+    let mut world = World::new();
+    world.head = 5;
+    world.rounds(1);
+    world.lag = 3;
+    world.restart(2);
+    let router = router(0);
+    let version = Version(5);
+    world.event(2, Event::PeerVersion { router, version });
+    world.event(2, Event::Tick);
+    assert_eq!(
+        world.version(2),
+        5,
+        "the table's version 2 must not be put in force"
+    );
+}
+
+#[test]
+fn stale_table_changes_nothing() {
+    let mut world = World::new();
+    world.head = 5;
+    world.rounds(1);
+    world.lag = 3;
+    world.rounds(40);
+    assert_eq!(world.versions(), [5; ROUTERS]);
+}
+
+#[test]
+fn partition_keeps_version_and_rejoin_takes_higher() {
+    let mut world = World::new();
+    world.rounds(1);
+    world.platform_up = false;
+    world.sides = vec![0, 0, 0, 1, 1];
+    world.event(0, Event::Platform(Ok(Some(update(1, 4)))));
+    world.rounds(50);
+    assert_eq!(world.versions(), [4, 4, 4, 1, 1]);
+    world.sides = vec![0; ROUTERS];
+    world.rounds(2);
+    assert_eq!(world.versions(), [4; ROUTERS]);
+}
+
+#[test]
+fn silent_peer_is_not_waited_for() {
+    let mut replica = Replica::new("a".parse().unwrap());
+    let mut out = Vec::new();
+    replica.step(Time(0), Event::Platform(Ok(Some(update(0, 1)))), &mut out);
+    for name in [1, 2] {
+        let router = router(name);
+        let version = Version(2);
+        replica.step(Time(0), Event::PeerVersion { router, version }, &mut out);
+    }
+    out.clear();
+    replica.step(Time(2_000_000), Event::Tick, &mut out);
+    let sent = out.iter().find_map(|action| match action {
+        Action::Send(envelope) => Some(envelope.to.clone()),
+        _ => None,
+    });
+    assert_eq!(sent, Some(router(2)));
+}
+
+#[test]
+fn damaged_delta_is_refused() {
+    let mut replica = Replica::new("a".parse().unwrap());
+    let mut out = Vec::new();
+    replica.step(Time(0), Event::Platform(Ok(Some(update(0, 1)))), &mut out);
+    let mut wrong = update(1, 2);
+    wrong.steps[0].delta = step(1, 3).delta;
+    for body in [b"{".to_vec(), wrong.encode()] {
+        out.clear();
+        let router = router(1);
+        replica.step(Time(1), Event::Delta { router, body }, &mut out);
+        assert!(matches!(out[..], [Action::Refused { .. }]), "{out:?}");
+        assert_eq!(replica.state(), State::Ready(Version(1)));
+    }
+    // The next question is for the whole document.
+    let (router, version) = (router(1), Version(2));
+    out.clear();
+    replica.step(Time(1), Event::PeerVersion { router, version }, &mut out);
+    let [
+        Action::Send(Envelope {
+            message: Message::Fetch { have },
+            ..
+        }),
+    ] = &out[..]
+    else {
+        panic!("{out:?}");
+    };
+    assert_eq!(*have, Version(0));
+}
+
+#[test]
+fn delta_from_later_version_is_ignored() {
+    let mut replica = Replica::new("a".parse().unwrap());
+    let mut out = Vec::new();
+    replica.step(Time(0), Event::Platform(Ok(Some(update(0, 1)))), &mut out);
+    out.clear();
+    let (router, body) = (router(1), update(2, 3).encode());
+    replica.step(Time(1), Event::Delta { router, body }, &mut out);
+    assert!(out.is_empty(), "{out:?}");
+    assert_eq!(replica.version(), Version(1));
+}
+
+#[derive(Clone, Debug)]
+enum Fate {
+    Change,
+    Restart(usize),
+    Partition(Vec<usize>),
+    Platform(bool),
+    Lag(u64),
+    Drop(bool),
+    /// An earlier delta arrives again or late.
+    Replay(prop::sample::Index),
+    Rounds(usize),
+}
+
+fn fate() -> impl Strategy<Value = Fate> {
+    prop_oneof![
+        3 => Just(Fate::Change),
+        2 => (0..ROUTERS).prop_map(Fate::Restart),
+        1 => prop::collection::vec(0_usize..3, ROUTERS).prop_map(Fate::Partition),
+        1 => any::<bool>().prop_map(Fate::Platform),
+        1 => (0_u64..4).prop_map(Fate::Lag),
+        1 => any::<bool>().prop_map(Fate::Drop),
+        2 => any::<prop::sample::Index>().prop_map(Fate::Replay),
+        4 => (1_usize..12).prop_map(Fate::Rounds),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        failure_persistence: None,
+        ..ProptestConfig::with_cases(512)
+    })]
+
+    /// Whatever fails, no router goes back; once it is over, all have the newest version within 8 s.
+    #[test]
+    fn versions_only_grow_and_converge(fates in prop::collection::vec(fate(), 1..40), up in any::<bool>()) {
+        let mut world = World::new();
+        for fate in fates {
+            match fate {
+                Fate::Change => world.head += 1,
+                Fate::Restart(at) => world.restart(at),
+                Fate::Partition(sides) => world.sides = sides,
+                Fate::Platform(up) => world.platform_up = up,
+                Fate::Lag(lag) => world.lag = lag,
+                Fate::Drop(drop) => world.drop_messages = drop,
+                Fate::Replay(index) if !world.sent.is_empty() => {
+                    let (to, router, body) = index.get(&world.sent).clone();
+                    world.event(to, Event::Delta { router, body });
+                }
+                Fate::Replay(_) => {}
+                Fate::Rounds(count) => world.rounds(count),
+            }
+        }
+        world.sides = vec![0; ROUTERS];
+        world.drop_messages = false;
+        world.lag = 0;
+        world.platform_up = up;
+        let newest = world.versions().into_iter().max().unwrap();
+        world.rounds(ROUNDS_ALLOWED);
+        let expected = if up { world.head } else { newest };
+        prop_assert_eq!(world.versions(), vec![expected; ROUTERS]);
+    }
+}
--- /dev/null
+++ b/tests/config_store.rs
@@ -0,0 +1,408 @@
+//! The configuration's store: races, lost answers and outages.
+
+use marlrun::{
+    config::{
+        Change, Document, Store, Update,
+        store::{Error, Outcome, Proposal},
+    },
+    platform::{Expect, Fault, Objects, Row, Table, Verdict, Write},
+    unit::Version,
+};
+use proptest::prelude::*;
+use std::{
+    collections::{BTreeMap, VecDeque},
+    sync::{Arc, Mutex},
+};
+
+/// What goes wrong with one write of the table.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Upset {
+    None,
+    LostBefore,
+    LostAfter,
+    Unreachable,
+}
+
+#[derive(Default)]
+struct Platform {
+    rows: Mutex<BTreeMap<Box<str>, Row>>,
+    objects: Mutex<BTreeMap<Box<str>, Vec<u8>>>,
+    upsets: Mutex<VecDeque<Upset>>,
+}
+
+fn lost() -> Fault {
+    Fault::Lost {
+        call: "write".into(),
+        cause: "test".into(),
+    }
+}
+
+fn unreachable() -> Fault {
+    Fault::Unreachable {
+        call: "write".into(),
+        cause: "test".into(),
+    }
+}
+
+impl Table for Platform {
+    fn read(&self, keys: &[Box<str>]) -> Result<Vec<Row>, Fault> {
+        let rows = self.rows.lock().unwrap();
+        Ok(keys
+            .iter()
+            .filter_map(|key| rows.get(key).cloned())
+            .collect())
+    }
+
+    fn scan(&self, _: &str, _: &str, _: usize) -> Result<Vec<Row>, Fault> {
+        unimplemented!("the store scans nothing")
+    }
+
+    fn write(&self, writes: &[Write]) -> Result<Verdict, Fault> {
+        let upset = self.upsets.lock().unwrap().pop_front();
+        match upset.unwrap_or(Upset::None) {
+            Upset::LostBefore => return Err(lost()),
+            Upset::Unreachable => return Err(unreachable()),
+            Upset::LostAfter => {
+                self.commit(writes);
+                return Err(lost());
+            }
+            Upset::None => {}
+        }
+        Ok(self.commit(writes))
+    }
+}
+
+impl Platform {
+    fn commit(&self, writes: &[Write]) -> Verdict {
+        let [write] = writes else {
+            panic!("one row is written at a time");
+        };
+        let mut rows = self.rows.lock().unwrap();
+        let version = rows.get(&write.key).map_or(0, |row| row.version);
+        let expected = match write.expect {
+            Expect::Any => version,
+            Expect::Absent => 0,
+            Expect::Version(version) => version,
+        };
+        if expected != version {
+            return Verdict::Conflict(rows.get(&write.key).cloned().into_iter().collect());
+        }
+        let row = Row {
+            key: write.key.clone(),
+            version: version + 1,
+            value: write.value.clone().expect("the head row is never removed"),
+        };
+        rows.insert(write.key.clone(), row);
+        Verdict::Committed
+    }
+}
+
+impl Objects for Platform {
+    fn get(&self, name: &str) -> Result<Option<Vec<u8>>, Fault> {
+        Ok(self.objects.lock().unwrap().get(name).cloned())
+    }
+
+    fn put(&self, name: &str, body: &[u8]) -> Result<(), Fault> {
+        let mut objects = self.objects.lock().unwrap();
+        objects.insert(name.into(), body.into());
+        Ok(())
+    }
+}
+
+fn store() -> (Arc<Platform>, Store) {
+    let platform = Arc::new(Platform::default());
+    let store = Store::new(platform.clone(), platform.clone());
+    (platform, store)
+}
+
+/// Returns a proposal that sets the capacity on top of what is in force.
+fn proposal(store: &Store, change: u64, capacity: u64) -> Proposal {
+    let stored = store.load().unwrap();
+    let document = Document {
+        capacity,
+        ..stored.document.clone()
+    };
+    Proposal {
+        change: Change(change),
+        base: stored.version(),
+        current: stored.document,
+        document,
+        floor: Version(0),
+        author: "ana".into(),
+        note: "test".into(),
+        at: 0,
+    }
+}
+
+fn accept(store: &Store, change: u64, capacity: u64) {
+    let outcome = store.apply(&proposal(store, change, capacity), &mut |_| {});
+    assert!(matches!(
+        outcome,
+        Ok(Outcome::Accepted {
+            superseded: None,
+            ..
+        })
+    ));
+}
+
+fn upset(platform: &Platform, upsets: &[Upset]) {
+    platform.upsets.lock().unwrap().extend(upsets);
+}
+
+#[test]
+fn apply_grows_version() {
+    let (_, store) = store();
+    assert_eq!(store.load().unwrap().version(), Version(0));
+    accept(&store, 1, 10);
+    accept(&store, 2, 20);
+    let stored = store.load().unwrap();
+    assert_eq!(
+        (stored.version(), stored.document.capacity),
+        (Version(2), 20)
+    );
+    let history = store.history(10).unwrap();
+    let versions: Vec<_> = history.iter().map(|head| head.entry.version.0).collect();
+    assert_eq!(versions, [2, 1]);
+    let first = store.load_version(Version(1)).unwrap().unwrap();
+    assert_eq!(first.document.capacity, 10);
+    assert!(store.load_version(Version(3)).unwrap().is_none());
+}
+
+#[test]
+fn apply_unchanged() {
+    let (_, store) = store();
+    accept(&store, 1, 10);
+    let outcome = store.apply(&proposal(&store, 2, 10), &mut |_| {});
+    assert!(matches!(outcome, Ok(Outcome::Unchanged)));
+}
+
+#[test]
+fn apply_two_operators_at_once() {
+    let (_, store) = store();
+    accept(&store, 1, 10);
+    let first = proposal(&store, 2, 20);
+    let second = proposal(&store, 3, 30);
+    assert!(matches!(
+        store.apply(&first, &mut |_| {}),
+        Ok(Outcome::Accepted { .. })
+    ));
+    let Ok(Outcome::Conflict {
+        winner: Some(winner),
+    }) = store.apply(&second, &mut |_| {})
+    else {
+        panic!("the second change must lose");
+    };
+    assert_eq!(
+        (winner.entry.version, winner.entry.change),
+        (Version(2), Change(2))
+    );
+    assert_eq!(store.load().unwrap().document.capacity, 20);
+}
+
+#[test]
+fn apply_race_inside_write() {
+    let (platform, store) = store();
+    accept(&store, 1, 10);
+    let slow = proposal(&store, 2, 20);
+    upset(&platform, &[Upset::Unreachable]);
+    let outcome = store.apply(&slow, &mut |_| accept(&store, 3, 30));
+    assert!(
+        matches!(outcome, Ok(Outcome::Conflict { winner: Some(head) }) if head.entry.change == Change(3))
+    );
+}
+
+#[test]
+fn apply_lost_answer() {
+    for upsets in [
+        &[Upset::LostAfter][..],
+        &[Upset::LostBefore, Upset::LostAfter, Upset::Unreachable],
+    ] {
+        let (platform, store) = store();
+        accept(&store, 1, 10);
+        let mine = proposal(&store, 2, 20);
+        upset(&platform, upsets);
+        let outcome = store.apply(&mine, &mut |_| {});
+        assert!(matches!(
+            outcome,
+            Ok(Outcome::Accepted {
+                superseded: None,
+                ..
+            })
+        ));
+        assert_eq!(store.history(9).unwrap().len(), 2);
+    }
+}
+
+#[test]
+fn apply_lost_answer_then_superseded() {
+    let (platform, store) = store();
+    accept(&store, 1, 10);
+    let mine = proposal(&store, 2, 20);
+    upset(&platform, &[Upset::LostAfter]);
+    let outcome = store.apply(&mine, &mut |_| accept(&store, 3, 30));
+    let Ok(Outcome::Accepted {
+        head,
+        superseded: Some(later),
+    }) = outcome
+    else {
+        panic!("the change was accepted before the other one");
+    };
+    assert_eq!(
+        (head.entry.version, later.entry.version),
+        (Version(2), Version(3))
+    );
+}
+
+#[test]
+fn apply_platform_down() {
+    let (platform, store) = store();
+    upset(&platform, &[Upset::Unreachable; 9]);
+    let outcome = store.apply(&proposal(&store, 1, 10), &mut |_| {});
+    assert!(matches!(
+        outcome,
+        Err(Error::Platform(Fault::Unreachable { .. }))
+    ));
+    assert_eq!(store.load().unwrap().version(), Version(0));
+}
+
+#[test]
+fn apply_platform_down_after_lost_answer() {
+    let (platform, store) = store();
+    let mut upsets = [Upset::Unreachable; 9];
+    upsets[0] = Upset::LostAfter;
+    upset(&platform, &upsets);
+    let outcome = store.apply(&proposal(&store, 1, 10), &mut |_| {});
+    assert!(matches!(outcome, Ok(Outcome::Unknown { .. })));
+}
+
+#[test]
+fn apply_above_floor() {
+    let (_, store) = store();
+    accept(&store, 1, 10);
+    let mut restored = proposal(&store, 2, 20);
+    restored.floor = Version(7);
+    assert!(matches!(
+        store.apply(&restored, &mut |_| {}),
+        Ok(Outcome::Accepted { .. })
+    ));
+    assert_eq!(store.load().unwrap().version(), Version(8));
+    // A router at version 7 has contents that no delta leads on from.
+    let update = store.changes(Version(7)).unwrap().unwrap();
+    assert_eq!((update.from(), update.to()), (Version(0), Version(8)));
+    let update = store.changes(Version(1)).unwrap().unwrap();
+    assert_eq!((update.from(), update.to()), (Version(1), Version(8)));
+}
+
+#[test]
+fn changes_across_snapshots() {
+    let (_, store) = store();
+    for version in 1..=300 {
+        accept(&store, version, 1_000 + version);
+    }
+    for have in [0, 1, 127, 128, 129, 200, 256, 257, 299] {
+        let update = store.changes(Version(have)).unwrap().unwrap();
+        let whole = have < 300 - 128;
+        let from = if whole { Version(0) } else { Version(have) };
+        assert_eq!(
+            (update.from(), update.to()),
+            (from, Version(300)),
+            "from {have}"
+        );
+        assert!(
+            update.steps.len() <= 129,
+            "from {have}: {}",
+            update.steps.len()
+        );
+        let decoded = Update::decode(&update.encode()).unwrap();
+        assert_eq!(decoded, update);
+    }
+    assert!(store.changes(Version(300)).unwrap().is_none());
+    assert_eq!(
+        store
+            .load_version(Version(150))
+            .unwrap()
+            .unwrap()
+            .document
+            .capacity,
+        1_150
+    );
+}
+
+#[test]
+fn load_damaged_object() {
+    let (platform, store) = store();
+    accept(&store, 1, 10);
+    let mut objects = platform.objects.lock().unwrap();
+    let whole = objects.values_mut().find(|body| body.starts_with(b"["));
+    let whole = whole.unwrap();
+    *whole = String::from_utf8(whole.clone())
+        .unwrap()
+        .replace(":10", ":11")
+        .into();
+    drop(objects);
+    assert!(matches!(store.load(), Err(Error::Mismatch { .. })));
+}
+
+#[derive(Clone, Debug)]
+struct Try {
+    capacity: u64,
+    upsets: Vec<Upset>,
+    /// Another operator changes the configuration while the first one waits.
+    rival: Option<u64>,
+}
+
+fn a_try() -> impl Strategy<Value = Try> {
+    let upset = prop_oneof![
+        Just(Upset::None),
+        Just(Upset::LostBefore),
+        Just(Upset::LostAfter),
+        Just(Upset::Unreachable),
+    ];
+    let upsets = prop::collection::vec(upset, 0..7);
+    (1_u64..5, upsets, prop::option::of(5_u64..9)).prop_map(|(capacity, upsets, rival)| Try {
+        capacity,
+        upsets,
+        rival,
+    })
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        failure_persistence: None,
+        ..ProptestConfig::with_cases(256)
+    })]
+
+    /// Each outcome tells the truth about the history, which only grows.
+    #[test]
+    fn apply_outcome_agrees_with_history(tries in prop::collection::vec(a_try(), 1..8)) {
+        let (platform, store) = store();
+        let mut known = 0;
+        for (index, one) in tries.into_iter().enumerate() {
+            let change = index as u64 * 2;
+            let mine = proposal(&store, change, one.capacity);
+            upset(&platform, &one.upsets);
+            let mut rival = one.rival;
+            let outcome = store.apply(&mine, &mut |_| {
+                if let Some(capacity) = rival.take() {
+                    let theirs = proposal(&store, change + 1, capacity);
+                    let _ = store.apply(&theirs, &mut |_| {});
+                }
+            });
+            platform.upsets.lock().unwrap().clear();
+            let history = store.history(100).unwrap();
+            let count = history.iter().filter(|head| head.entry.change == Change(change)).count();
+            match outcome {
+                Ok(Outcome::Accepted { head, superseded }) => {
+                    prop_assert_eq!(count, 1);
+                    prop_assert_eq!(superseded.is_some(), history[0].entry != head.entry);
+                }
+                Ok(Outcome::Unknown { .. }) => prop_assert!(count <= 1),
+                _ => prop_assert_eq!(count, 0),
+            }
+            let version = store.load().unwrap().version().0;
+            prop_assert!(version >= known);
+            prop_assert_eq!(history.len() as u64, version);
+            known = version;
+        }
+    }
+}
