--- a/src/config/replica.rs
+++ b/src/config/replica.rs
@@ -131,9 +131,9 @@
     /// Time of the first event.
     started: Option<Time>,
     /// Version in force.
-    installed: Version,
-    /// Version of `document`; ahead of `installed` while the first version is sought.
     version: Version,
+    /// Version of `document`; ahead of `version` while the first version is sought.
+    latest: Version,
     digest: Digest,
     document: Document,
     /// The latest steps, oldest first.
@@ -170,8 +170,8 @@
         Self {
             domain,
             started: None,
-            installed: Version(0),
             version: Version(0),
+            latest: Version(0),
             digest: Digest::default(),
             document: Document::default(),
             steps: VecDeque::new(),
@@ -184,7 +184,7 @@
 
     /// Returns the version in force, 0 if there is none.
     pub fn version(&self) -> Version {
-        self.installed
+        self.version
     }
 
     /// Returns the digest of the latest contents.
@@ -194,8 +194,8 @@
 
     /// Returns whether there is a configuration, and if not, why.
     pub fn state(&self) -> State {
-        if self.installed > Version(0) {
-            return State::Ready(self.installed);
+        if self.version > Version(0) {
+            return State::Ready(self.version);
         }
         let versions = self.peers.values();
         State::Unready {
@@ -298,7 +298,7 @@
             return;
         }
         let peers = self.peers.iter();
-        let newer = peers.filter(|(_, version)| **version > self.version);
+        let newer = peers.filter(|(_, version)| **version > self.latest);
         let chosen = match &after {
             None => newer.max_by_key(|(_, version)| **version),
             Some(after) => newer.min_by_key(|(router, _)| (*router <= after, *router)),
@@ -322,12 +322,12 @@
         if self.whole {
             return Version(0);
         }
-        self.version
+        self.latest
     }
 
     /// Sends a peer what it lacks.
     fn answer(&self, to: id::Router, have: Version, out: &mut Vec<Action>) {
-        if have >= self.version {
+        if have >= self.latest {
             return;
         }
         let start = self.steps.iter().position(|step| step.from == have);
@@ -336,7 +336,7 @@
                 steps: self.steps.range(start..).cloned().collect(),
             },
             _ => Update {
-                steps: vec![Step::whole(&self.document, self.version, self.digest)],
+                steps: vec![Step::whole(&self.document, self.latest, self.digest)],
             },
         };
         let message = wire::Message::Delta {
@@ -349,7 +349,7 @@
 
     /// Applies the steps that lead on from the version in force; reports whether any did.
     fn accept(&mut self, update: Update, origin: Origin, out: &mut Vec<Action>) -> bool {
-        let before = self.version;
+        let before = self.latest;
         for step in update.steps {
             if let Err(reason) = self.apply(step) {
                 out.push(Action::Refused { origin, reason });
@@ -357,35 +357,35 @@
                 break;
             }
         }
-        self.version > before
+        self.latest > before
     }
 
     /// Puts the latest version in force; the first one only when no peer is known to be ahead.
     fn install(&mut self, now: Time, out: &mut Vec<Action>) {
-        let first = self.installed == Version(0);
-        if self.version == self.installed || first && !self.is_settled(now) {
+        let first = self.version == Version(0);
+        if self.latest == self.version || first && !self.is_settled(now) {
             return;
         }
-        self.installed = self.version;
+        self.version = self.latest;
         let site = self.site();
-        let fleet = self.document.fleet(self.version, site.as_ref());
+        let fleet = self.document.fleet(self.latest, site.as_ref());
         out.push(Action::Install(Arc::new(fleet)));
     }
 
     fn is_settled(&self, now: Time) -> bool {
         let age = now.since(self.started.unwrap_or(now));
         let newest = self.peers.values().max();
-        let behind = newest.is_some_and(|newest| *newest > self.version);
+        let behind = newest.is_some_and(|newest| *newest > self.latest);
         let heard = self.platform.reached || age >= SETTLE;
         age >= MAX_SETTLE || heard && !behind
     }
 
     fn apply(&mut self, step: Step) -> Result<(), Reason> {
-        if step.to <= self.version {
+        if step.to <= self.latest {
             return Ok(());
         }
         let whole = step.from == Version(0);
-        if !whole && step.from != self.version {
+        if !whole && step.from != self.latest {
             return Ok(());
         }
         let empty = Document::default();
@@ -407,7 +407,7 @@
             self.whole = false;
         }
         self.document.apply(&step.delta);
-        self.version = step.to;
+        self.latest = step.to;
         self.digest = step.digest;
         if !whole {
             self.keep(step);
