Operators' interface: JSON over HTTP behind a key

Cause: operators need to see routers, workspaces, targets and requests, and to drain a router, without a way in for callers. operator::Source is the border that the daemon implements; the key is kept as a digest and compared in constant time, and refusals don't repeat it.

Ruled out: hyper for these pages; the answers are whole and small, which is what oxhttp serves. Its server can't stop listening, so the interface lives as long as the process.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod log;
 pub mod member;
 pub mod metric;
+pub mod operator;
 pub mod owner;
 pub mod placement;
 pub mod platform;
--- /dev/null
+++ b/src/operator/client.rs
@@ -0,0 +1,159 @@
+//! Client of the operators' interface.
+
+use super::{Request, Router, Status, Target, Workspace};
+use crate::unit::Span;
+use oxhttp::model::{Body, Method, Request as HttpRequest, StatusCode, header};
+use std::{
+    io::{self, Read},
+    net::SocketAddr,
+};
+
+/// Largest answer that is read, in bytes: 49,000 workspaces of 25 models fit.
+const MAX_ANSWER_BYTES: u64 = 256 << 20;
+
+/// Client of one router's operators' interface; calls block.
+pub struct Client {
+    http: oxhttp::Client,
+    address: SocketAddr,
+    key: Box<str>,
+}
+
+/// Error of a call to a router's operators' interface.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// The router cannot be reached or broke off its answer.
+    #[error("router at {address}: {cause}")]
+    Unreachable {
+        /// Address that was called.
+        address: SocketAddr,
+        /// What the transport said.
+        cause: io::Error,
+    },
+    /// The router refused the call.
+    #[error("router at {address}: status {status}: {detail}")]
+    Refused {
+        /// Address that was called.
+        address: SocketAddr,
+        /// HTTP status.
+        status: u16,
+        /// What the router said.
+        detail: Box<str>,
+    },
+}
+
+/// Body of a refusal.
+#[derive(serde::Deserialize)]
+struct Refusal {
+    error: Box<str>,
+}
+
+impl Client {
+    /// Returns a client; nothing is connected yet.
+    pub fn open(address: SocketAddr, key: impl Into<Box<str>>, timeout: Span) -> Self {
+        Self {
+            http: oxhttp::Client::new().with_global_timeout(timeout.into()),
+            address,
+            key: key.into(),
+        }
+    }
+
+    /// Returns the address that is called.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Asks for the state of the router.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the router cannot be reached or refuses.
+    pub fn status(&self) -> Result<Status, Error> {
+        self.call(Method::GET, "/status")
+    }
+
+    /// Asks for the routers that it knows.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the router cannot be reached or refuses.
+    pub fn routers(&self) -> Result<Vec<Router>, Error> {
+        self.call(Method::GET, "/routers")
+    }
+
+    /// Asks for the workspaces that have or had work at it.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the router cannot be reached or refuses.
+    pub fn workspaces(&self) -> Result<Vec<Workspace>, Error> {
+        self.call(Method::GET, "/workspaces")
+    }
+
+    /// Asks for the targets that it knows.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the router cannot be reached or refuses.
+    pub fn targets(&self) -> Result<Vec<Target>, Error> {
+        self.call(Method::GET, "/targets")
+    }
+
+    /// Asks for a request, `None` if the router knows none by this identifier.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the router cannot be reached or refuses.
+    pub fn request(&self, id: &str) -> Result<Option<Request>, Error> {
+        match self.call(Method::GET, &format!("/requests/{id}")) {
+            Ok(request) => Ok(Some(request)),
+            Err(Error::Refused { status: 404, .. }) => Ok(None),
+            Err(error) => Err(error),
+        }
+    }
+
+    /// Starts the router's graceful shutdown and returns its state.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the router cannot be reached or refuses.
+    pub fn drain(&self) -> Result<Status, Error> {
+        self.call(Method::POST, "/drain")
+    }
+
+    fn call<T: serde::de::DeserializeOwned>(&self, method: Method, path: &str) -> Result<T, Error> {
+        let (status, body) = self
+            .exchange(method, path)
+            .map_err(|cause| self.broken(cause))?;
+        if !status.is_success() {
+            let refusal: Option<Refusal> = serde_json::from_slice(&body).ok();
+            return Err(Error::Refused {
+                address: self.address,
+                status: status.as_u16(),
+                detail: refusal.map_or_else(|| "no reason given".into(), |refusal| refusal.error),
+            });
+        }
+        serde_json::from_slice(&body).map_err(|cause| self.broken(cause.into()))
+    }
+
+    fn exchange(&self, method: Method, path: &str) -> io::Result<(StatusCode, Vec<u8>)> {
+        let request = HttpRequest::builder()
+            .method(method)
+            .uri(format!("http://{}{path}", self.address))
+            .header(header::AUTHORIZATION, format!("Bearer {}", self.key))
+            .body(Body::empty())
+            .map_err(io::Error::other)?;
+        let response = self.http.request(request)?;
+        let status = response.status();
+        let mut body = Vec::new();
+        let mut limited = response.into_body().take(MAX_ANSWER_BYTES);
+        limited.read_to_end(&mut body)?;
+        Ok((status, body))
+    }
+
+    fn broken(&self, cause: io::Error) -> Error {
+        Error::Unreachable {
+            address: self.address,
+            cause,
+        }
+    }
+}
--- /dev/null
+++ b/src/operator/server.rs
@@ -0,0 +1,107 @@
+//! HTTP server of the operators' interface.
+//!
+//! Answers are small and whole, which oxhttp serves well. It can't be told to stop listening: the server lives as
+//! long as the process.
+
+use super::Source;
+use crate::config::Digest;
+use oxhttp::{
+    ListeningServer,
+    model::{Body, Method, Request, Response, StatusCode, header},
+};
+use std::{io, net::SocketAddr, sync::Arc, time::Duration};
+use subtle::ConstantTimeEq as _;
+
+/// Connections at once; operators and their scripts need few, and each takes a thread.
+const MAX_CONNECTIONS: usize = 16;
+/// Longest wait for each read and write of a connection.
+const TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Running server of the operators' interface.
+pub struct Server {
+    address: SocketAddr,
+    // Keeps the listening threads' handles for as long as the server is held.
+    _listening: ListeningServer,
+}
+
+impl Server {
+    /// Starts to serve; a caller must show the key with this SHA-256 digest.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the address cannot be bound.
+    pub fn bind(address: SocketAddr, key: Digest, source: Arc<dyn Source>) -> io::Result<Self> {
+        let answer = move |request: &mut Request<Body>| {
+            if !is_authorized(request, &key) {
+                return refuse(
+                    StatusCode::UNAUTHORIZED,
+                    "the operators' key is missing or wrong",
+                );
+            }
+            answer(request, source.as_ref())
+        };
+        let server = oxhttp::Server::new(answer)
+            .with_global_timeout(TIMEOUT)
+            .with_max_concurrent_connections(MAX_CONNECTIONS)
+            .bind(address);
+        Ok(Self {
+            address,
+            _listening: server.spawn()?,
+        })
+    }
+
+    /// Returns the address.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+}
+
+/// Compares digests, so that the time tells nothing about the key.
+fn is_authorized(request: &Request<Body>, key: &Digest) -> bool {
+    let value = request.headers().get(header::AUTHORIZATION);
+    let text = value.and_then(|value| value.to_str().ok());
+    let shown = text.and_then(|text| text.strip_prefix("Bearer "));
+    shown.is_some_and(|shown| Digest::of(shown.as_bytes()).0.ct_eq(&key.0).into())
+}
+
+fn answer(request: &Request<Body>, source: &dyn Source) -> Response<Body> {
+    let path = request.uri().path();
+    match (request.method(), path) {
+        (&Method::GET, "/status") => json(StatusCode::OK, &source.status()),
+        (&Method::GET, "/routers") => json(StatusCode::OK, &source.routers()),
+        (&Method::GET, "/workspaces") => json(StatusCode::OK, &source.workspaces()),
+        (&Method::GET, "/targets") => json(StatusCode::OK, &source.targets()),
+        (&Method::POST, "/drain") => {
+            source.drain();
+            json(StatusCode::ACCEPTED, &source.status())
+        }
+        (&Method::GET, _) => match path.strip_prefix("/requests/") {
+            Some(id) => find(id, source),
+            None => refuse(StatusCode::NOT_FOUND, "there is no such page"),
+        },
+        _ => refuse(
+            StatusCode::METHOD_NOT_ALLOWED,
+            "the page does not take this method",
+        ),
+    }
+}
+
+fn find(id: &str, source: &dyn Source) -> Response<Body> {
+    match source.request(id) {
+        Some(request) => json(StatusCode::OK, &request),
+        None => refuse(StatusCode::NOT_FOUND, "this router knows no such request"),
+    }
+}
+
+fn refuse(status: StatusCode, error: &str) -> Response<Body> {
+    json(status, &serde_json::json!({ "error": error }))
+}
+
+fn json(status: StatusCode, value: &impl serde::Serialize) -> Response<Body> {
+    let body = serde_json::to_vec(value).unwrap_or_default();
+    let mut response = Response::new(Body::from(body));
+    *response.status_mut() = status;
+    let kind = header::HeaderValue::from_static("application/json");
+    response.headers_mut().insert(header::CONTENT_TYPE, kind);
+    response
+}
