Configuration: written back as TOML, differences by key, addresses across overlays

Cause: operators need show and diff; and an overlay could set an address that another target has, or hold a section without keys, without a finding. Both tests (overlay_address_is_taken, overlay_section_is_empty) failed first: check returned a document without findings.

--- a/src/config/load.rs
+++ b/src/config/load.rs
@@ -1,7 +1,8 @@
 //! Loading of a base file with its overlays.
 
 use super::{Document, Findings, Fleet, Overlay, Source, reader::Reader};
-use crate::unit::Version;
+use crate::{id, unit::Version};
+use std::collections::BTreeMap;
 
 /// Version of a configuration that was loaded from files and not from the platform.
 const FILE_VERSION: Version = Version(1);
@@ -15,16 +16,22 @@
     let reader = Reader::new(base);
     let mut document = Document::read_base(&reader);
     let mut findings = reader.finish();
-    for source in overlays {
-        let reader = Reader::new(source);
-        if let Some((site, overlay)) = Overlay::read(&reader, &document) {
-            if document.overlays.contains_key(&site) {
-                reader.report(0, format!("site {site} already has an overlay"));
-            }
-            document.overlays.insert(site, overlay);
+    let readers: Vec<Reader<'_>> = overlays.iter().map(Reader::new).collect();
+    let mut addresses = Vec::new();
+    for reader in &readers {
+        let Some(reading) = Overlay::read(reader, &document) else {
+            continue;
+        };
+        let site = &reading.site;
+        if document.overlays.contains_key(site) {
+            reader.report(0, format!("site {site} already has an overlay"));
+            continue;
         }
-        findings.extend(reader.finish());
+        document.overlays.insert(reading.site, reading.overlay);
+        addresses.push((reader, reading.addresses));
     }
+    check_addresses(&document, &addresses);
+    findings.extend(readers.into_iter().flat_map(Reader::finish));
     findings.sort();
     match findings.is_empty() {
         true => Ok(document),
@@ -32,6 +39,27 @@
     }
 }
 
+/// Reports addresses of overlays that are of another target, after all overlays are applied.
+fn check_addresses(document: &Document, overlays: &[(&Reader<'_>, BTreeMap<id::Target, usize>)]) {
+    let fleet = document.fleet(FILE_VERSION, None);
+    let mut owners = BTreeMap::<_, Vec<_>>::new();
+    for target in fleet.targets.values() {
+        let names = owners.entry(target.address).or_default();
+        names.push(&target.name);
+    }
+    for (reader, addresses) in overlays {
+        for (name, offset) in addresses {
+            let address = fleet.targets.get(name).map(|target| target.address);
+            let names = address.and_then(|address| owners.get(&address));
+            let other = names.and_then(|names| names.iter().find(|other| **other != name));
+            if let (Some(address), Some(other)) = (address, other) {
+                let message = format!("address {address} is already of target {other}");
+                reader.report(*offset, message);
+            }
+        }
+    }
+}
+
 /// Reads and checks a base file with the overlay of one site, and returns what is in force there.
 ///
 /// # Errors
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -2,6 +2,7 @@
 
 mod base;
 mod delta;
+mod difference;
 mod digest;
 mod document;
 mod engine;
@@ -12,6 +13,7 @@
 mod overlay;
 mod place;
 mod reader;
+mod render;
 pub mod replica;
 mod section;
 mod service;
@@ -23,6 +25,7 @@
 
 pub use self::{
     delta::Delta,
+    difference::Difference,
     digest::{Digest, InvalidDigest},
     document::{Document, Holder},
     engine::Engine,
--- a/src/config/overlay.rs
+++ b/src/config/overlay.rs
@@ -48,6 +48,14 @@
     pub slots: Option<u32>,
 }
 
+/// An overlay as it was read.
+pub(super) struct Reading {
+    pub(super) site: id::Site,
+    pub(super) overlay: Overlay,
+    /// Byte offsets of the addresses that it sets.
+    pub(super) addresses: BTreeMap<id::Target, usize>,
+}
+
 impl Overlay {
     pub(super) fn apply_targets(&self, fleet: &mut Fleet) {
         for (name, patch) in &self.targets {
@@ -67,7 +75,7 @@
     }
 
     /// Reads an overlay; returns `None` if it names no known site.
-    pub(super) fn read(reader: &Reader<'_>, base: &Document) -> Option<(id::Site, Self)> {
+    pub(super) fn read(reader: &Reader<'_>, base: &Document) -> Option<Reading> {
         let (table, errors) = DeTable::parse_recoverable(reader.text());
         for error in errors {
             let offset = error.span().map_or(0, |span| span.start);
@@ -82,6 +90,7 @@
             root.report(site.offset, format!("unknown site {}{hint}", site.value));
         }
         let mut overlay = Self::default();
+        let mut addresses = BTreeMap::new();
         for (name, section) in root.tables::<id::Service>("services") {
             match base.services.get(&name) {
                 Some(service) => {
@@ -96,7 +105,9 @@
             }
         }
         for (name, section) in root.tables::<id::Target>("targets") {
-            let patch = Patch::read(&name, section, base, site.as_ref().map(|site| &site.value));
+            let site = site.as_ref().map(|site| &site.value);
+            let (patch, address) = Patch::read(&name, section, base, site);
+            addresses.extend(address.map(|offset| (name.clone(), offset)));
             overlay.targets.insert(name, patch);
         }
         if let (Some(site), true) = (&site, overlay == Self::default()) {
@@ -104,7 +115,11 @@
         }
         root.finish(&["limits", "sites", "workspaces"]);
         let site = site?.value;
-        base.sites.contains_key(&site).then_some((site, overlay))
+        base.sites.contains_key(&site).then_some(Reading {
+            site,
+            overlay,
+            addresses,
+        })
     }
 }
 
@@ -132,6 +147,7 @@
                 Some(&base.max_waiting),
             ),
         };
+        section.require_some();
         section.finish(&["kind", "hosts", "idempotent", "engine", "listed_slots"]);
         limits
     }
@@ -151,12 +167,13 @@
         })
     }
 
+    /// Reads a target; returns the byte offset of its address too.
     fn read(
         name: &id::Target,
         section: Section<'_>,
         document: &Document,
         site: Option<&id::Site>,
-    ) -> Self {
+    ) -> (Self, Option<usize>) {
         let base = document.targets.get(name).map(Arc::as_ref);
         let domains = site.and_then(|site| document.sites.get(site));
         if let (Some(base), Some(domains)) = (base, domains)
@@ -183,6 +200,9 @@
             let slots = section.required_number("slots", MIN_SLOTS, MAX_SLOTS);
             (section.required_text("address"), slots)
         };
+        let address_offset = address
+            .as_ref()
+            .map(|address: &At<SocketAddr>| address.offset);
         let patch = Self {
             service: changed(&section, "service", service, base.map(|base| &base.service)),
             domain: changed(&section, "domain", domain, base.map(|base| &base.domain)),
@@ -194,8 +214,11 @@
                 base.map(|base| &base.slots),
             ),
         };
+        if base.is_some() {
+            section.require_some();
+        }
         section.finish(&[]);
-        patch
+        (patch, address_offset)
     }
 }
 
--- a/src/config/section.rs
+++ b/src/config/section.rs
@@ -137,6 +137,14 @@
         outer.map_or_else(Vec::new, |outer| outer.named())
     }
 
+    /// Reports an overlay's section without any key.
+    pub(super) fn require_some(&self) {
+        if self.table.is_empty() {
+            let message = format!("{} changes nothing", self.name);
+            self.reader.report(self.offset, message);
+        }
+    }
+
     /// Reports the keys that nobody asked for; `fixed` are those that only the base file may hold.
     pub(super) fn finish(self, fixed: &[&'static str]) {
         let known = self.known.borrow();
--- a/tests/config_findings.rs
+++ b/tests/config_findings.rs
@@ -1,7 +1,7 @@
 //! Findings of the configuration files, with their places.
 
 use marlrun::{
-    config::{self, Findings, Source},
+    config::{self, Difference, Findings, Source},
     id,
     unit::{Cost, Span, Version},
 };
@@ -247,6 +247,76 @@
     );
 }
 
+#[test]
+fn overlay_section_is_empty() {
+    let overlay = "site = \"north\"\n[services.chat]\n[targets.chat-1]\n";
+    assert_eq!(
+        findings_of(BASE, &[overlay]),
+        [
+            "site.toml:2:11: services.chat changes nothing",
+            "site.toml:3:10: targets.chat-1 changes nothing",
+        ]
+    );
+}
+
+#[test]
+fn overlay_address_is_taken() {
+    let north = "site = \"north\"\n[targets.chat-1]\naddress = \"127.0.0.1:8002\"\n";
+    assert_eq!(
+        findings_of(BASE, &[north]),
+        ["site.toml:3:11: address 127.0.0.1:8002 is already of target chat-2"]
+    );
+    let south = "site = \"south\"\n[targets.chat-2]\naddress = \"127.0.0.1:8003\"\n";
+    let overlays = [north, south].map(|overlay| source("site.toml", overlay));
+    let document = config::check(&source("base.toml", BASE), &overlays).unwrap();
+    let fleet = document.fleet(Version(1), None);
+    assert_eq!(fleet.targets["chat-1"].address.port(), 8002);
+}
+
+#[test]
+fn overlay_twice_for_site() {
+    let overlay = "site = \"north\"\n[services.chat]\nquick = 50\n";
+    assert_eq!(
+        findings_of(BASE, &[overlay, overlay]),
+        ["site.toml:1:1: site north already has an overlay"]
+    );
+}
+
+#[test]
+fn rendered_document_reads_back() {
+    let overlay = "site = \"north\"\n[services.chat]\nquick = 50\n[targets.chat-1]\nslots = 2\n";
+    let document = config::check(&source("b", BASE), &[source("o", overlay)]).unwrap();
+    let north: id::Site = "north".parse().unwrap();
+    let base = document.base_table().unwrap().to_string();
+    let overlay = document.overlay_table(&north).unwrap().unwrap().to_string();
+    let again = config::check(&source("b", &base), &[source("o", &overlay)]).unwrap();
+    assert_eq!(again, document);
+    assert_eq!(again.digest(), document.digest());
+}
+
+#[test]
+fn difference_names_keys() {
+    let overlay = "site = \"north\"\n[services.chat]\nquick = 50\n";
+    let old = config::check(&source("b", BASE), &[]).unwrap();
+    let edited =
+        edited("weight = 3", "weight = 4").replace("[workspaces.desk]", "[workspaces.door]");
+    let new = config::check(&source("b", &edited), &[source("o", overlay)]).unwrap();
+    let differences = Difference::between(&old, &new).unwrap();
+    let lines: Vec<_> = differences.iter().map(ToString::to_string).collect();
+    assert_eq!(
+        lines,
+        [
+            "workspaces.desk.key_sha256: removed []",
+            "workspaces.desk.weight: removed 1",
+            "workspaces.door.key_sha256: added []",
+            "workspaces.door.weight: added 1",
+            "workspaces.hotel.weight: 3 -> 4",
+            "overlay north: services.chat.quick: added 50",
+            "overlay north: site: added \"north\"",
+        ]
+    );
+}
+
 #[test]
 fn overlay_key_of_base_only() {
     let overlay = "site = \"north\"\n[services.chat]\nidempotent = true\nquick = 1\n\
