Claims: conditional inserts in the platform's table, and keys that a router issues

A row of a claim is never removed when the claim ends but overwritten, so that its version only grows.

--- /dev/null
+++ b/src/claim/remote.rs
@@ -0,0 +1,102 @@
+//! Claims on keys that other routers issued.
+
+use super::{Action, Verdict};
+use crate::{id, unit::Time, wire};
+use std::collections::BTreeMap;
+
+/// A claim that its issuer has not answered.
+#[derive(Clone, Debug)]
+struct Pending {
+    issuer: id::Router,
+    key: Box<str>,
+    until: Time,
+}
+
+/// Claims on keys that other routers issued.
+#[derive(Debug, Default)]
+pub(super) struct Remote {
+    pending: BTreeMap<id::Attempt, Pending>,
+}
+
+impl Remote {
+    /// Asks the issuer; without an answer by `until` the outcome is unknown.
+    pub(super) fn claim(
+        &mut self,
+        attempt: id::Attempt,
+        issuer: id::Router,
+        key: Box<str>,
+        until: Time,
+        out: &mut Vec<Action>,
+    ) {
+        let pending = Pending { issuer, key, until };
+        out.push(pending.ask(attempt));
+        self.pending.insert(attempt, pending);
+    }
+
+    /// Takes the answer of an issuer.
+    pub(super) fn answer(
+        &mut self,
+        from: &id::Router,
+        attempt: id::Attempt,
+        granted: bool,
+        out: &mut Vec<Action>,
+    ) {
+        let asked = self.pending.get(&attempt);
+        if asked.is_none_or(|pending| pending.issuer != *from) {
+            return;
+        }
+        self.pending.remove(&attempt);
+        let verdict = if granted {
+            Verdict::Granted
+        } else {
+            Verdict::Unknown
+        };
+        out.push(Action::Verdict { attempt, verdict });
+    }
+
+    /// Gives up on the claims at a router that is lost.
+    pub(super) fn lose(&mut self, router: &id::Router, out: &mut Vec<Action>) {
+        self.give_up(|pending| pending.issuer == *router, out);
+    }
+
+    /// Gives up on the claims that waited too long.
+    pub(super) fn expire(&mut self, now: Time, out: &mut Vec<Action>) {
+        self.give_up(|pending| pending.until <= now, out);
+    }
+
+    /// Asks again what may be lost.
+    pub(super) fn resync(&self, from: &id::Router, out: &mut Vec<Action>) {
+        let lost = self.pending.iter().filter(|(_, p)| p.issuer == *from);
+        out.extend(lost.map(|(attempt, pending)| pending.ask(*attempt)));
+    }
+
+    fn give_up(&mut self, over: impl Fn(&Pending) -> bool, out: &mut Vec<Action>) {
+        self.pending.retain(|attempt, pending| {
+            let over = over(pending);
+            if over {
+                out.push(Action::Verdict {
+                    attempt: *attempt,
+                    verdict: Verdict::Unknown,
+                });
+            }
+            !over
+        });
+    }
+
+    /// Returns the time of the next timeout.
+    pub(super) fn wake_at(&self) -> Option<Time> {
+        self.pending.values().map(|pending| pending.until).min()
+    }
+}
+
+impl Pending {
+    fn ask(&self, attempt: id::Attempt) -> Action {
+        Action::Send(wire::Envelope {
+            to: self.issuer.clone(),
+            message: wire::Message::KeyClaim {
+                attempt,
+                key: self.key.clone(),
+            },
+        })
+    }
+}
--- /dev/null
+++ b/src/claim/sweep.rs
@@ -0,0 +1,121 @@
+//! Removal of old rows.
+
+use super::{Record, Settings, key};
+use crate::{id, platform, unit::Time};
+use std::collections::BTreeMap;
+
+/// Rows that one look reads.
+const PAGE_ROWS: usize = 100;
+
+/// Looks through the table page by page and removes old rows.
+#[derive(Debug)]
+pub(super) struct Sweep {
+    router: id::Router,
+    settings: Settings,
+    epoch_millis: u64,
+    after: Box<str>,
+    next: Time,
+    scan: Option<u64>,
+    remove: Vec<platform::Write>,
+    removal: Option<u64>,
+}
+
+impl Sweep {
+    /// Returns a sweep that starts at a place given by `seed`, so that routers share the work.
+    pub(super) fn open(
+        router: id::Router,
+        settings: Settings,
+        epoch_millis: u64,
+        seed: u64,
+    ) -> Self {
+        Self {
+            router,
+            settings,
+            epoch_millis,
+            after: format!("{}{seed:016x}", key::ROW_PREFIX).into(),
+            next: Time::default() + settings.sweep_period,
+            scan: None,
+            remove: Vec::new(),
+            removal: None,
+        }
+    }
+
+    /// Reports whether a call is under way.
+    pub(super) fn is_calling(&self) -> bool {
+        self.scan.is_some() || self.removal.is_some()
+    }
+
+    /// Starts the next call, if one is due.
+    pub(super) fn pump(&mut self, now: Time, call: u64) -> Option<super::Action> {
+        if !self.remove.is_empty() {
+            self.removal = Some(call);
+            let writes = std::mem::take(&mut self.remove);
+            return Some(super::Action::Write { call, writes });
+        }
+        if now < self.next {
+            return None;
+        }
+        self.next = now + self.settings.sweep_period;
+        self.scan = Some(call);
+        Some(super::Action::Scan {
+            call,
+            prefix: key::ROW_PREFIX.into(),
+            after: self.after.clone(),
+            limit: PAGE_ROWS,
+        })
+    }
+
+    /// Takes the answer to a scan; returns false if the call was not its own.
+    pub(super) fn scanned(
+        &mut self,
+        now: Time,
+        call: u64,
+        result: &Result<Vec<platform::Row>, platform::Fault>,
+    ) -> bool {
+        if self.scan != Some(call) {
+            return false;
+        }
+        self.scan = None;
+        if let Ok(rows) = result {
+            let whole = rows.len() == PAGE_ROWS;
+            let last = rows.last().filter(|_| whole);
+            self.after = last.map_or_else(|| "".into(), |row| row.key.clone());
+            self.remove = self.old_rows(now, rows);
+        }
+        true
+    }
+
+    /// Takes the answer to a removal; returns false if the call was not its own. A removal is never
+    /// repeated: the row may be another one by then.
+    pub(super) fn removed(&mut self, call: u64) -> bool {
+        let own = self.removal == Some(call);
+        if own {
+            self.removal = None;
+        }
+        own
+    }
+
+    /// Returns the removals of the rows that are too old.
+    fn old_rows(&self, now: Time, rows: &[platform::Row]) -> Vec<platform::Write> {
+        let records: BTreeMap<&str, Record> = rows
+            .iter()
+            .filter_map(|row| Some((&*row.key, serde_json::from_str(&row.value).ok()?)))
+            .collect();
+        // A router whose clock is far ahead must not take new rows for old ones.
+        let others = records.values().filter(|r| r.router != self.router);
+        let latest = others.map(|record| record.claimed_at).max();
+        let own = self.epoch_millis + now.0 / 1_000;
+        let today = latest.map_or(own, |latest| latest.min(own));
+        let oldest = today.saturating_sub(self.settings.row_lifetime.as_millis());
+        let old = |row: &&platform::Row| {
+            let record = records.get(&*row.key);
+            record.is_some_and(|record| record.claimed_at < oldest)
+        };
+        let removal = |row: &platform::Row| platform::Write {
+            key: row.key.clone(),
+            expect: platform::Expect::Version(row.version),
+            value: None,
+        };
+        rows.iter().filter(old).map(removal).collect()
+    }
+}
--- a/src/ingress/action.rs
+++ b/src/ingress/action.rs
@@ -14,6 +14,8 @@
         attempt: id::Attempt,
         /// Workspace of the key.
         workspace: id::Workspace,
+        /// Service of the key.
+        service: id::Service,
         /// Key.
         key: claim::Key,
     },
--- a/src/ingress/desk.rs
+++ b/src/ingress/desk.rs
@@ -286,6 +286,7 @@
         turn.out.push(Action::Claim {
             attempt,
             workspace: job.request.workspace.clone(),
+            service: job.request.service.clone(),
             key,
         });
     }
