--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,12 +1,30 @@
 //! Marlrun: a router fleet that shares model engines and services fairly among workspaces.
 
 pub mod answer;
+pub mod beacon;
 pub mod claim;
+pub mod cli;
 pub mod clock;
 pub mod config;
+pub mod cut;
+pub mod daemon;
+pub mod front;
+pub mod health;
 pub mod id;
 pub mod ingress;
+pub mod link;
+pub mod log;
+pub mod member;
+pub mod metric;
+pub mod owner;
+pub mod placement;
 pub mod platform;
+pub mod probe;
 pub mod random;
+pub mod secret;
+pub mod standin;
+pub mod tally;
+pub mod trace;
 pub mod unit;
+pub mod upstream;
 pub mod wire;
