Desk: slots know all owners that were told of them; unsettled ownership is waited out

An attempt that waits for its claim follows the owner of its target like a running one. A refusal by a router that does not own the target is followed by another ask after a delay, since routers learn of changes at different times: asks at once could use up all hops before the routers agree.

--- a/src/ingress/desk.rs
+++ b/src/ingress/desk.rs
@@ -4,7 +4,9 @@
     Action, Doubt, Event, Placement, Rejection, Request, Resume, Settings,
     backoff::Backoff,
     budget::Budget,
-    job::{Claim, Job, Run, Slot, State},
+    job::{Claim, Job, Run, State},
+    slot::Slot,
+    turn::Turn,
 };
 use crate::{
     claim, id,
@@ -20,20 +22,6 @@
 /// Time after which a caller may repeat a request that no target took.
 const RETRY_AFTER: Span = Span::from_secs(1);
 
-/// One step of a desk: its inputs and its output.
-struct Turn<'a> {
-    now: Time,
-    placement: &'a dyn Placement,
-    out: &'a mut Vec<Action>,
-}
-
-impl Turn<'_> {
-    fn send(&mut self, to: &id::Router, message: wire::Message) {
-        let to = to.clone();
-        self.out.push(Action::Send(wire::Envelope { to, message }));
-    }
-}
-
 /// Drives the requests that this router took, each from its arrival to its one final answer.
 #[derive(Debug)]
 pub struct Desk {
@@ -195,8 +183,7 @@
             remaining: request.deadline.since(turn.now),
             hops: job.hops,
         };
-        turn.send(&owner, wire::Message::Ask(ask.clone()));
-        job.state = State::Waiting(Slot { owner, ask });
+        job.state = State::Waiting(Slot::ask(owner, ask, turn));
         self.keep(job);
     }
 
@@ -251,7 +238,7 @@
         };
         slot.ask.target = target;
         if job.request.deadline <= turn.now {
-            release(&slot, turn);
+            slot.release(turn);
             job.state = State::Backoff { until: turn.now };
             return self.reject(job, wire::Reason::Deadline, RETRY_AFTER, turn);
         }
@@ -271,8 +258,8 @@
         let number = self.attempts.get(&attempt);
         let job = number.and_then(|n| self.jobs.get(n));
         match job.map(|job| &job.state) {
-            Some(State::Claiming { slot, .. }) => slot.owner == *owner,
-            Some(State::Running(run)) => run.slot.owner == *owner || run.informed.contains(owner),
+            Some(State::Claiming { slot, .. }) => slot.is_known_to(owner),
+            Some(State::Running(run)) => run.slot.is_known_to(owner),
             _ => false,
         }
     }
@@ -301,14 +288,7 @@
             not_after: turn.now + self.settings.start_within,
             deadline: job.request.deadline,
         });
-        job.state = State::Running(Run {
-            slot,
-            informed: Vec::new(),
-            sent: false,
-            cost: Cost(0),
-            reported: Cost(0),
-            aborted: false,
-        });
+        job.state = State::Running(Run::new(slot));
         self.keep(job);
     }
 
@@ -356,7 +336,7 @@
         if turn.now.since(granted) <= self.settings.start_within {
             return self.start(job, slot, turn);
         }
-        release(&slot, turn);
+        slot.release(turn);
         job.state = State::Backoff { until: turn.now };
         self.place(job, turn);
     }
@@ -376,16 +356,20 @@
             refusal.reason,
             wire::Reason::NotOwner | wire::Reason::Draining | wire::Reason::NoTarget
         );
-        if !elsewhere || job.hops >= self.settings.max_hops {
+        if !elsewhere {
             return self.reject(job, refusal.reason, refusal.retry_after, turn);
         }
+        if job.hops >= self.settings.max_hops {
+            return self.reject(job, wire::Reason::NoTarget, RETRY_AFTER, turn);
+        }
         job.hops += 1;
         let target = slot.ask.target;
         match turn.placement.owner_of(&target) {
             Some(owner) if owner != from => self.ask(job, target, owner, turn),
             _ => {
-                job.failed.push(target);
-                self.place(job, turn);
+                // Routers know of changes at different times; another ask at once may meet the same.
+                let until = turn.now + self.backoff.delay(u32::from(job.hops));
+                self.back_off(job, until);
             }
         }
     }
@@ -436,7 +420,7 @@
                 return self.keep(job);
             }
         };
-        finish(&run, cost, outcome, turn);
+        run.slot.end(cost, outcome, turn);
         match outcome {
             wire::Outcome::Answered => {
                 self.settle(&mut job, claim::End::Finished(answer), turn);
@@ -473,9 +457,7 @@
     /// Tries a request elsewhere whose target may have run it, if it may run twice.
     fn recover(&mut self, mut job: Job, run: &Run, resume: Resume, turn: &mut Turn<'_>) {
         job.failed.push(run.slot.ask.target.clone());
-        let resumable =
-            resume != Resume::Never && (job.resume.is_none() || resume != Resume::Start);
-        if run.aborted || !job.request.idempotent || !resumable {
+        if run.aborted || !job.request.idempotent || resume == Resume::Never {
             return self.doubt(job, Doubt::Broken, turn);
         }
         let Some(until) = self.retry_at(&job, turn.now) else {
@@ -535,8 +517,8 @@
     /// Gives back what a request holds: its slot or place in a queue, and its claim.
     fn close(&mut self, mut job: Job, turn: &mut Turn<'_>) {
         match &job.state {
-            State::Waiting(slot) => withdraw(slot, turn),
-            State::Claiming { slot, .. } => release(slot, turn),
+            State::Waiting(slot) => slot.withdraw(turn),
+            State::Claiming { slot, .. } => slot.release(turn),
             State::Running(_) | State::Backoff { .. } => {}
         }
         let end = if job.ran {
@@ -562,7 +544,7 @@
         job.abandoned = true;
         match &mut job.state {
             State::Running(run) => {
-                abort(run, turn);
+                run.abort(turn);
                 self.keep(job);
             }
             _ => self.close(job, turn),
@@ -591,7 +573,7 @@
         if job.request.deadline <= turn.now {
             return match &mut job.state {
                 State::Running(run) => {
-                    abort(run, turn);
+                    run.abort(turn);
                     self.keep(job);
                 }
                 _ => self.reject(job, wire::Reason::Deadline, RETRY_AFTER, turn),
@@ -637,15 +619,15 @@
                 let slot = slot.clone();
                 self.follow_waiting(job, slot, lost, turn);
             }
-            State::Claiming { slot, .. } if lost == Some(&slot.owner) => {
-                job.state = State::Backoff { until: turn.now };
-                self.place(job, turn);
+            State::Claiming { slot, .. } => {
+                slot.follow(Cost(0), turn);
+                self.keep(job);
             }
             State::Running(run) => {
-                follow_running(run, turn);
+                run.slot.follow(run.cost, turn);
                 self.keep(job);
             }
-            _ => self.keep(job),
+            State::Backoff { .. } => self.keep(job),
         }
     }
 
@@ -660,7 +642,7 @@
         let gone = lost == Some(&slot.owner);
         match owner {
             Some(owner) if owner != slot.owner => {
-                withdraw(&slot, turn);
+                slot.withdraw(turn);
                 job.hops = job.hops.saturating_add(1);
                 self.ask(job, slot.ask.target, owner, turn);
             }
@@ -670,7 +652,7 @@
                 let choice = turn.placement.pick(&job.request.service, &job.failed, seed);
                 match choice {
                     Some((target, owner)) => {
-                        withdraw(&slot, turn);
+                        slot.withdraw(turn);
                         job.hops = job.hops.saturating_add(1);
                         self.ask(job, target, owner, turn);
                     }
@@ -683,20 +665,15 @@
 
     /// Tells a peer again what it may have missed.
     fn resync(&mut self, from: &id::Router, turn: &mut Turn<'_>) {
-        let now = turn.now;
         for job in self.jobs.values_mut() {
             match &mut job.state {
                 State::Waiting(slot) if slot.owner == *from => {
-                    slot.ask.waited = now.since(job.arrived);
-                    slot.ask.remaining = job.request.deadline.since(now);
-                    turn.send(from, wire::Message::Ask(slot.ask.clone()));
-                }
-                State::Claiming { slot, .. } if slot.owner == *from => {
-                    turn.send(from, held(slot, Cost(0)));
-                }
-                State::Running(run) if run.slot.owner == *from => {
-                    turn.send(from, held(&run.slot, run.cost));
+                    slot.ask.waited = turn.now.since(job.arrived);
+                    slot.ask.remaining = job.request.deadline.since(turn.now);
+                    slot.ask_again(turn);
                 }
+                State::Claiming { slot, .. } if slot.owner == *from => slot.hold(Cost(0), turn),
+                State::Running(run) if run.slot.owner == *from => run.slot.hold(run.cost, turn),
                 _ => {}
             }
         }
@@ -710,7 +687,7 @@
                 continue;
             };
             if let State::Claiming { slot, .. } = &job.state {
-                release(slot, turn);
+                slot.release(turn);
                 job.state = State::Backoff { until: turn.now };
                 self.place(job, turn);
             } else {
@@ -737,53 +714,3 @@
         outcome: wire::Outcome::Cancelled,
     }
 }
-
-fn held(slot: &Slot, cost: Cost) -> wire::Message {
-    wire::Message::Held {
-        ask: slot.ask.clone(),
-        cost,
-    }
-}
-
-fn release(slot: &Slot, turn: &mut Turn<'_>) {
-    let message = unused(slot.ask.attempt, slot.ask.target.clone());
-    turn.send(&slot.owner, message);
-}
-
-fn withdraw(slot: &Slot, turn: &mut Turn<'_>) {
-    let attempt = slot.ask.attempt;
-    turn.send(&slot.owner, wire::Message::Withdraw { attempt });
-}
-
-fn abort(run: &mut Run, turn: &mut Turn<'_>) {
-    if !mem::replace(&mut run.aborted, true) {
-        let attempt = run.slot.ask.attempt;
-        turn.out.push(Action::Abort { attempt });
-    }
-}
-
-/// Tells every owner that knows of the attempt that it ended.
-fn finish(run: &Run, cost: Cost, outcome: wire::Outcome, turn: &mut Turn<'_>) {
-    for owner in run.informed.iter().chain([&run.slot.owner]) {
-        let message = wire::Message::Done {
-            attempt: run.slot.ask.attempt,
-            target: run.slot.ask.target.clone(),
-            cost,
-            outcome,
-        };
-        turn.send(owner, message);
-    }
-}
-
-fn follow_running(run: &mut Run, turn: &mut Turn<'_>) {
-    let Some(owner) = turn.placement.owner_of(&run.slot.ask.target) else {
-        return;
-    };
-    if owner == run.slot.owner {
-        return;
-    }
-    let previous = mem::replace(&mut run.slot.owner, owner.clone());
-    run.informed.retain(|known| *known != owner);
-    run.informed.push(previous);
-    turn.send(&owner, held(&run.slot, run.cost));
-}
--- a/src/ingress/job.rs
+++ b/src/ingress/job.rs
@@ -1,28 +1,17 @@
 //! State of one request.
 
-use super::Request;
+use super::{Action, Request, slot::Slot, turn::Turn};
 use crate::{
     id,
     unit::{Cost, Time},
-    wire,
 };
-
-/// A slot that is asked for, granted or in use.
-#[derive(Clone, Debug)]
-pub(super) struct Slot {
-    /// Owner that was asked; the owner of the target, once it runs.
-    pub(super) owner: id::Router,
-    /// Ask as it was sent; its target is the granted one after a grant.
-    pub(super) ask: wire::Ask,
-}
+use std::mem;
 
 /// An attempt that the front was told to send.
 #[derive(Clone, Debug)]
 pub(super) struct Run {
     /// Slot in use.
     pub(super) slot: Slot,
-    /// Earlier owners that were told of the attempt.
-    pub(super) informed: Vec<id::Router>,
     /// A byte may have left.
     pub(super) sent: bool,
     /// Cost so far.
@@ -33,6 +22,27 @@
     pub(super) aborted: bool,
 }
 
+impl Run {
+    /// Returns an attempt of which nothing was sent yet.
+    pub(super) fn new(slot: Slot) -> Self {
+        Self {
+            slot,
+            sent: false,
+            cost: Cost(0),
+            reported: Cost(0),
+            aborted: false,
+        }
+    }
+
+    /// Tells the front to break the attempt off.
+    pub(super) fn abort(&mut self, turn: &mut Turn<'_>) {
+        if !mem::replace(&mut self.aborted, true) {
+            let attempt = self.slot.ask.attempt;
+            turn.out.push(Action::Abort { attempt });
+        }
+    }
+}
+
 /// Where a request stands.
 #[derive(Clone, Debug)]
 pub(super) enum State {
--- a/src/ingress/mod.rs
+++ b/src/ingress/mod.rs
@@ -11,6 +11,8 @@
 mod request;
 mod resume;
 mod settings;
+mod slot;
+mod turn;
 
 pub use self::{
     action::Action,
--- /dev/null
+++ b/src/ingress/slot.rs
@@ -0,0 +1,80 @@
+//! A slot at a target, from the ask to its end.
+
+use super::turn::Turn;
+use crate::{id, unit::Cost, wire};
+use std::mem;
+
+/// A slot that is asked for, granted or in use.
+#[derive(Clone, Debug)]
+pub(super) struct Slot {
+    /// Owner that was asked; after a grant, the owner of the target.
+    pub(super) owner: id::Router,
+    /// Earlier owners that count the slot as taken.
+    pub(super) informed: Vec<id::Router>,
+    /// Ask as it was sent; its target is the granted one after a grant.
+    pub(super) ask: wire::Ask,
+}
+
+impl Slot {
+    /// Asks an owner for a slot.
+    pub(super) fn ask(owner: id::Router, ask: wire::Ask, turn: &mut Turn<'_>) -> Self {
+        turn.send(&owner, wire::Message::Ask(ask.clone()));
+        Self {
+            owner,
+            informed: Vec::new(),
+            ask,
+        }
+    }
+
+    /// Asks the same owner again; it changes nothing if the first ask arrived.
+    pub(super) fn ask_again(&self, turn: &mut Turn<'_>) {
+        turn.send(&self.owner, wire::Message::Ask(self.ask.clone()));
+    }
+
+    /// Gives up the place in the queue.
+    pub(super) fn withdraw(&self, turn: &mut Turn<'_>) {
+        let attempt = self.ask.attempt;
+        turn.send(&self.owner, wire::Message::Withdraw { attempt });
+    }
+
+    /// Gives back a granted slot in which nothing ran.
+    pub(super) fn release(&self, turn: &mut Turn<'_>) {
+        self.end(Cost(0), wire::Outcome::Cancelled, turn);
+    }
+
+    /// Tells every owner that counts the slot as taken that it is free.
+    pub(super) fn end(&self, cost: Cost, outcome: wire::Outcome, turn: &mut Turn<'_>) {
+        for owner in self.informed.iter().chain([&self.owner]) {
+            let message = wire::Message::Done {
+                attempt: self.ask.attempt,
+                target: self.ask.target.clone(),
+                cost,
+                outcome,
+            };
+            turn.send(owner, message);
+        }
+    }
+
+    /// Tells the owner that the slot is taken.
+    pub(super) fn hold(&self, cost: Cost, turn: &mut Turn<'_>) {
+        let ask = self.ask.clone();
+        turn.send(&self.owner, wire::Message::Held { ask, cost });
+    }
+
+    /// Tells the owner of the target that the slot is taken, if the owner changed.
+    pub(super) fn follow(&mut self, cost: Cost, turn: &mut Turn<'_>) {
+        let owner = turn.placement.owner_of(&self.ask.target);
+        let Some(owner) = owner.filter(|owner| *owner != self.owner) else {
+            return;
+        };
+        let earlier = mem::replace(&mut self.owner, owner);
+        self.informed.retain(|known| *known != self.owner);
+        self.informed.push(earlier);
+        self.hold(cost, turn);
+    }
+
+    /// Reports whether a router counts the slot as taken.
+    pub(super) fn is_known_to(&self, router: &id::Router) -> bool {
+        self.owner == *router || self.informed.contains(router)
+    }
+}
