--- a/src/lib.rs
+++ b/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod log;
 pub mod member;
 pub mod metric;
+pub mod operator;
 pub mod owner;
 pub mod placement;
 pub mod platform;
