--- a/examples/quickstart.rs
+++ b/examples/quickstart.rs
@@ -2,154 +2,65 @@
 //! in two failure domains. Sends real requests and prints their answers, then a load and its report.
 
 use marlrun::{
-    daemon::{self, Daemon},
-    front, id,
-    load::{self, Report, Route, Settings, Target, Workload},
-    log,
-    platform::Memory,
-    standin::{Handle, chat, engine, plain, platform},
+    load::{self, Report, Route, Settings, Workload},
+    local::{self, Fleet, Machine},
+    standin::{chat, engine, plain},
     unit::Span,
 };
 use oxhttp::model::{Body, Request, Response, StatusCode};
-use std::{
-    error::Error,
-    fmt::Write,
-    fs,
-    net::SocketAddr,
-    path::{Path, PathBuf},
-    process,
-    sync::Arc,
-    thread,
-    time::Duration,
-};
+use std::{error::Error, net::SocketAddr, thread, time::Duration};
 
 const CONFIGURATION: &str = include_str!("quickstart.toml");
 const WORKLOAD: &str = include_str!("load/quickstart.toml");
-const DOMAINS: [&str; 2] = ["north", "south"];
-const ROUTERS_PER_DOMAIN: usize = 2;
-const ENGINES_PER_DOMAIN: usize = 2;
+/// Slots of each target.
 const SLOTS: u32 = 4;
 const LOAD_DURATION: Span = Span::from_secs(10);
 /// Tries, 100 ms apart, until the routers know each other and the targets.
 const READY_TRIES: usize = 100;
 
 fn main() -> Result<(), Box<dyn Error>> {
-    let platform = start_platform()?;
-    let targets = Targets::start()?;
-    let base = targets.write_configuration()?;
-    let routers = start_routers(platform.address(), &base)?;
-    let addresses: Vec<SocketAddr> = routers.iter().map(Daemon::address).collect();
-    println!("routers for callers: {addresses:?}");
-    await_ready(&addresses)?;
-    show_answers(&addresses)?;
-    let report = run_load(addresses, &targets)?;
+    let fleet = start_fleet()?;
+    let routers = fleet.routers();
+    println!("routers for callers: {routers:?}");
+    await_ready(&routers)?;
+    show_answers(&routers)?;
+    let report = run_load(&fleet)?;
     println!("\n{report}");
-    routers.into_iter().for_each(Daemon::drain);
-    fs::remove_file(base)?;
+    fleet.stop();
     if report.violations() > 0 {
         return Err("a promise was broken".into());
     }
     Ok(())
 }
 
-fn any_port() -> SocketAddr {
-    SocketAddr::from(([127, 0, 0, 1], 0))
-}
-
-fn start_platform() -> Result<Handle, Box<dyn Error>> {
-    Ok(platform::bind(platform::Settings {
-        listen: any_port(),
-        list_lag: Span::from_secs(2),
-        memory: Arc::new(Memory::open()),
-    })?)
-}
-
-/// Stand-ins of targets by failure domain and service.
-struct Targets(Vec<(&'static str, &'static str, Handle)>);
-
-impl Targets {
-    fn start() -> Result<Self, Box<dyn Error>> {
-        let mut targets = Vec::new();
-        for domain in DOMAINS {
-            for _ in 0..ENGINES_PER_DOMAIN {
-                targets.push((domain, "assistant", start_engine()?));
-            }
-            targets.push((domain, "panels", start_panels()?));
-        }
-        Ok(Self(targets))
-    }
-
-    /// Writes the configuration with the targets to a file.
-    fn write_configuration(&self) -> Result<PathBuf, Box<dyn Error>> {
-        let mut text = String::from(CONFIGURATION);
-        for (number, (domain, service, handle)) in self.0.iter().enumerate() {
-            let address = handle.address();
-            writeln!(text, "[targets.{service}-{number}]")?;
-            writeln!(text, "service = \"{service}\"\ndomain = \"{domain}\"")?;
-            writeln!(text, "address = \"{address}\"\nslots = {SLOTS}\n")?;
-        }
-        let path = std::env::temp_dir().join(format!("marlrun-quickstart-{}.toml", process::id()));
-        fs::write(&path, text)?;
-        Ok(path)
-    }
-
-    fn for_load(&self) -> Result<Vec<Target>, id::Invalid> {
-        let target = |(_, service, handle): &(&str, &str, Handle)| {
-            let address = handle.address();
-            service.parse().map(|service| Target { service, address })
-        };
-        self.0.iter().map(target).collect()
-    }
-}
-
-fn start_engine() -> Result<Handle, Box<dyn Error>> {
-    Ok(engine::bind(engine::Settings {
-        listen: any_port(),
+fn start_fleet() -> Result<Fleet, Box<dyn Error>> {
+    let listen = SocketAddr::from(([127, 0, 0, 1], 0));
+    let engine = Machine::Engine(engine::Settings {
+        listen,
         slots: SLOTS,
         first_token: Span::from_millis(20),
         token_interval: Span::from_millis(10),
         load_lag: Span::from_millis(200),
-    })?)
-}
-
-fn start_panels() -> Result<Handle, Box<dyn Error>> {
-    Ok(plain::bind(plain::Settings {
-        listen: any_port(),
+    });
+    let panels = Machine::Plain(plain::Settings {
+        listen,
         slots: SLOTS,
         duration: Span::from_millis(5),
         load_lag: Span::from_millis(200),
+    });
+    Ok(Fleet::spawn(&local::Settings {
+        base: CONFIGURATION.into(),
+        domains: vec!["north".parse()?, "south".parse()?],
+        routers_per_domain: 2,
+        targets_per_domain: vec![
+            ("assistant".parse()?, engine),
+            ("assistant".parse()?, engine),
+            ("panels".parse()?, panels),
+        ],
+        traffic_threads: 1,
     })?)
 }
 
-fn start_routers(platform: SocketAddr, base: &Path) -> Result<Vec<Daemon>, Box<dyn Error>> {
-    let mut routers: Vec<Daemon> = Vec::new();
-    for domain in DOMAINS {
-        for number in 1..=ROUTERS_PER_DOMAIN {
-            let settings = daemon::Settings {
-                router: format!("{domain}-{number}").parse()?,
-                domain: domain.parse()?,
-                listen: any_port(),
-                peer: any_port(),
-                health: None,
-                operator: None,
-                operator_key: None,
-                fleet_key: None,
-                platform: Some(platform),
-                seeds: routers.iter().map(Daemon::peer).collect(),
-                base: Some(base.into()),
-                overlay: None,
-                limits: front::Limits::default(),
-                traffic_threads: 1,
-                drain_timeout: Span::from_secs(10),
-                fault_injection: false,
-                log_level: log::Level::Error,
-            };
-            routers.push(daemon::spawn(settings, &log::discard())?);
-        }
-    }
-    Ok(routers)
-}
-
 /// Waits until each router answers a request.
 fn await_ready(routers: &[SocketAddr]) -> Result<(), Box<dyn Error>> {
     for router in routers {
@@ -208,12 +119,12 @@
     Ok(())
 }
 
-fn run_load(routers: Vec<SocketAddr>, targets: &Targets) -> Result<Report, Box<dyn Error>> {
+fn run_load(fleet: &Fleet) -> Result<Report, Box<dyn Error>> {
     println!("\nload for {LOAD_DURATION} ...");
     let workload: Workload = toml::from_str(WORKLOAD)?;
     let settings = Settings {
-        route: Route::Routers(routers),
-        targets: targets.for_load()?,
+        route: Route::Routers(fleet.routers()),
+        targets: fleet.targets(),
         seed: 1,
         duration: LOAD_DURATION,
         warmup: Span::from_secs(2),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod ingress;
 pub mod link;
 pub mod load;
+pub mod local;
 pub mod log;
 pub mod member;
 pub mod metric;
