Load and stand-ins: one type a file; the load tool's checks are checked

Cause: house style asks for one type with its impls a file, and a check that has never failed proves nothing. A faulty router that sends calls twice, or denies those that ran, is now seen by the load tool.

--- a/src/load/driver.rs
+++ b/src/load/driver.rs
@@ -1,11 +1,10 @@
 //! Sends the load.
 
 use super::{
-    Arrival, Error, Lane, Outcome, Report, Route, Settings, Workload, Workspace,
+    Arrival, Error, Flow, Kind, Lane, Outcome, Report, Route, Settings, Workload, Workspace,
     account::{Account, Entry},
     balance::{Balance, Taken},
     client::{Client, Hop, Watch},
-    flow::{Flow, Kind},
     meter::{Meter, Meters},
     probe::Probe,
     report::Findings,
--- a/src/load/flow.rs
+++ b/src/load/flow.rs
@@ -1,20 +1,8 @@
 //! A kind of requests of a workspace.
 
-use super::{Arrival, Length};
+use super::{Arrival, Kind, Length};
 use crate::{id, unit::Span};
 
-/// Interface that a request uses.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
-#[serde(rename_all = "lowercase")]
-pub enum Kind {
-    /// Chat completion that comes token by token.
-    Stream,
-    /// Chat completion that comes whole.
-    Whole,
-    /// Call of a plain service.
-    Call,
-}
-
 /// A kind of requests of a workspace.
 #[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/src/load/mod.rs
+++ b/src/load/mod.rs
@@ -5,10 +5,13 @@
 mod arrival;
 mod balance;
 mod client;
+mod counts;
 mod driver;
 mod error;
 mod flow;
 mod gap;
+mod kind;
+mod lane;
 mod latency;
 mod length;
 mod meter;
@@ -16,30 +19,20 @@
 mod page;
 mod plot;
 mod probe;
-mod report;
+pub mod report;
 mod request;
 mod route;
+mod sample;
 mod series;
 mod settings;
 mod spread;
+mod target;
 mod workload;
 mod workspace;
 
 pub use self::{
-    arrival::Arrival,
-    driver::run,
-    error::Error,
-    flow::{Flow, Kind},
-    gap::Gap,
-    latency::Latency,
-    length::Length,
-    outcome::{Counts, Outcome},
-    plot::plot,
-    report::{Report, ServiceReport, TargetReport, WorkspaceReport},
-    route::{Route, Target},
-    series::{Lane, Sample, Series},
-    settings::Settings,
-    spread::Spread,
-    workload::Workload,
-    workspace::Workspace,
+    arrival::Arrival, counts::Counts, driver::run, error::Error, flow::Flow, gap::Gap, kind::Kind,
+    lane::Lane, latency::Latency, length::Length, outcome::Outcome, plot::plot,
+    report::Run as Report, route::Route, sample::Sample, series::Series, settings::Settings,
+    spread::Spread, target::Target, workload::Workload, workspace::Workspace,
 };
--- a/src/load/page.rs
+++ b/src/load/page.rs
@@ -1,9 +1,12 @@
 //! Report as a table for people.
 
-use super::{Gap, Latency, Report, ServiceReport, TargetReport, WorkspaceReport};
+use super::{
+    Gap, Latency,
+    report::{Run, Service, Target, Workspace},
+};
 use std::fmt;
 
-impl fmt::Display for Report {
+impl fmt::Display for Run {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let route = match self.routers.len() {
             0 => String::from("straight to the targets"),
@@ -33,7 +36,7 @@
     }
 }
 
-fn write_counts(f: &mut fmt::Formatter<'_>, report: &Report) -> fmt::Result {
+fn write_counts(f: &mut fmt::Formatter<'_>, report: &Run) -> fmt::Result {
     let counts = &report.counts;
     writeln!(
         f,
@@ -66,11 +69,7 @@
     )
 }
 
-fn write_service(
-    f: &mut fmt::Formatter<'_>,
-    report: &Report,
-    service: &ServiceReport,
-) -> fmt::Result {
+fn write_service(f: &mut fmt::Formatter<'_>, report: &Run, service: &Service) -> fmt::Result {
     writeln!(f)?;
     writeln!(
         f,
@@ -101,7 +100,7 @@
     )
 }
 
-fn write_workspaces(f: &mut fmt::Formatter<'_>, workspaces: &[WorkspaceReport]) -> fmt::Result {
+fn write_workspaces(f: &mut fmt::Formatter<'_>, workspaces: &[Workspace]) -> fmt::Result {
     writeln!(f)?;
     writeln!(
         f,
@@ -111,7 +110,7 @@
     workspaces.iter().try_for_each(|w| write_workspace(f, w))
 }
 
-fn write_workspace(f: &mut fmt::Formatter<'_>, workspace: &WorkspaceReport) -> fmt::Result {
+fn write_workspace(f: &mut fmt::Formatter<'_>, workspace: &Workspace) -> fmt::Result {
     let weight = workspace.weight.get();
     let counts = &workspace.counts;
     let other = counts.sent - counts.answered - counts.refused;
@@ -136,7 +135,7 @@
     Ok(())
 }
 
-fn write_targets(f: &mut fmt::Formatter<'_>, targets: &[TargetReport]) -> fmt::Result {
+fn write_targets(f: &mut fmt::Formatter<'_>, targets: &[Target]) -> fmt::Result {
     if targets.is_empty() {
         return Ok(());
     }
--- a/src/load/series.rs
+++ b/src/load/series.rs
@@ -1,31 +1,7 @@
 //! Service of the workspaces over time.
 
-use crate::{
-    id,
-    unit::{Cost, Span, Weight},
-};
-
-/// Service that one workspace takes of one service.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
-pub struct Lane {
-    /// Workspace.
-    pub workspace: id::Workspace,
-    /// Its weight.
-    pub weight: Weight,
-    /// Service.
-    pub service: id::Service,
-}
-
-/// State of all lanes at one point in time.
-#[derive(Clone, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
-pub struct Sample {
-    /// Time since the start, in milliseconds.
-    pub at_ms: u64,
-    /// Service so far, by lane.
-    pub served: Vec<Cost>,
-    /// Whether the workspace has a request that has waited for long, by lane.
-    pub backlogged: Vec<bool>,
-}
+use super::{Lane, Sample};
+use crate::{id, unit::Span};
 
 /// Service of the workspaces over time.
 #[derive(Clone, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
--- a/src/standin/engine.rs
+++ b/src/standin/engine.rs
@@ -5,7 +5,7 @@
     cancels::Cancels,
     chat::{Choice, Chunk, ChunkChoice, Completion, Delta, Message, Request as Chat, Usage},
     generation::{Generation, Pace},
-    ledger,
+    labels,
     reply::{self, Dropped, Reply},
     server::{self, App},
     target::{self, Target},
@@ -142,7 +142,7 @@
             slots: Arc::clone(&self.target.slots),
             registration: self
                 .cancels
-                .register(text(ledger::ATTEMPT).unwrap_or_default()),
+                .register(text(labels::ATTEMPT).unwrap_or_default()),
             run: self.target.admit(headers, &answer.text.to_string()),
             pace: self.pace,
             done: done.unwrap_or(0),
--- a/src/standin/generation.rs
+++ b/src/standin/generation.rs
@@ -2,8 +2,8 @@
 
 use super::{
     cancels::Registration,
-    ledger::Run,
     reply::Dropped,
+    run::Run,
     slots::{Place, Slots},
 };
 use crate::unit::Span;
--- a/src/standin/slots.rs
+++ b/src/standin/slots.rs
@@ -1,6 +1,6 @@
 //! Places in an engine's batch, given first come, first served.
 
-use super::load::{Gauge, Load, Use};
+use super::{Load, gauge::Gauge, usage::Usage};
 use crate::{clock, unit::Span};
 use std::sync::{Arc, Mutex, PoisonError};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
@@ -27,7 +27,7 @@
     }
 
     /// Returns the use of the places up to now.
-    pub(super) fn usage(&self) -> Use {
+    pub(super) fn usage(&self) -> Usage {
         let gauge = self.gauge.lock().unwrap_or_else(PoisonError::into_inner);
         gauge.usage(clock::now())
     }
--- a/src/standin/target.rs
+++ b/src/standin/target.rs
@@ -2,8 +2,10 @@
 
 use super::{
     Script,
-    ledger::{self, Labels, Ledger, Run},
+    labels::{self, Labels},
+    ledger::Ledger,
     reply::{self, Body, Dropped, Reply},
+    run::Run,
     server::Pauses,
     slots::Slots,
 };
@@ -125,13 +127,13 @@
 
 /// Copies the identifiers of a request to its answer.
 pub(super) fn echo(reply: &mut Reply, request: &HeaderMap, faults: &Script) {
-    for name in [ledger::ATTEMPT, ledger::REQUEST] {
+    for name in [labels::ATTEMPT, labels::REQUEST] {
         if let Some(value) = request.get(name) {
             reply.headers_mut().insert(name, value.clone());
         }
     }
     if faults.wrong_attempt {
-        reply.headers_mut().insert(ledger::ATTEMPT, WRONG_ATTEMPT);
+        reply.headers_mut().insert(labels::ATTEMPT, WRONG_ATTEMPT);
     }
 }
 
--- a/tests/load.rs
+++ b/tests/load.rs
@@ -8,7 +8,13 @@
     standin::{Handle, engine, plain},
     unit::{Cost, Span, Weight},
 };
-use std::path::Path;
+use oxhttp::model::{Body, Request};
+use std::{
+    io::{BufRead, BufReader, Read, Write},
+    net::{SocketAddr, TcpListener, TcpStream},
+    path::Path,
+    thread,
+};
 
 fn series(weights: &[u32], samples: &[(&[u64], &[bool])]) -> Series {
     let lane = |weight: &u32| Lane {
@@ -104,13 +110,13 @@
     }
 }
 
-/// Runs a load straight on targets for a second.
-fn run(targets: &[(&str, &Handle)], workspaces: Vec<Workspace>) -> Report {
+/// Returns the settings of a load straight on targets for a second.
+fn settings(targets: &[(&str, &Handle)]) -> Settings {
     let target = |(service, handle): &(&str, &Handle)| Target {
         service: service.parse().unwrap(),
         address: handle.address(),
     };
-    let settings = Settings {
+    Settings {
         route: Route::Direct { routers: 1 },
         targets: targets.iter().map(target).collect(),
         seed: 7,
@@ -120,8 +126,11 @@
         sample_interval: Span::from_millis(20),
         backlog_after: Span::from_millis(50),
         threads: 2,
-    };
-    load::run(settings, &Workload { workspaces }).unwrap()
+    }
+}
+
+fn run(targets: &[(&str, &Handle)], workspaces: Vec<Workspace>) -> Report {
+    load::run(settings(targets), &Workload { workspaces }).unwrap()
 }
 
 fn engine() -> Handle {
@@ -173,8 +182,8 @@
 fn run_cut_streams_are_broken() {
     let engine = engine();
     let script = serde_json::json!({"cut_after": 3});
-    let request = oxhttp::model::Request::post(format!("http://{}/faults", engine.address()))
-        .body(oxhttp::model::Body::from(script.to_string()))
+    let request = Request::post(format!("http://{}/faults", engine.address()))
+        .body(Body::from(script.to_string()))
         .unwrap();
     oxhttp::Client::new().request(request).unwrap();
     let flow = flow("m", Kind::Stream, Arrival::Callers(2), 10);
@@ -195,25 +204,103 @@
     }
 }
 
+/// What a faulty router does with each call.
+#[derive(Clone, Copy)]
+enum Fault {
+    /// Sends it to the target twice.
+    Doubles,
+    /// Sends it to the target and says that it was not run.
+    Denies,
+}
+
+/// Starts a router that does wrong; it ends with the test's process.
+fn faulty_router(target: SocketAddr, fault: Fault) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    thread::spawn(move || {
+        for caller in listener.incoming() {
+            thread::spawn(move || serve_wrongly(caller.unwrap(), target, fault));
+        }
+    });
+    address
+}
+
+fn serve_wrongly(mut caller: TcpStream, target: SocketAddr, fault: Fault) {
+    let mut reader = BufReader::new(caller.try_clone().unwrap());
+    let (mut first, mut line, mut length) = (String::new(), String::new(), 0);
+    if reader.read_line(&mut first).unwrap_or(0) == 0 {
+        return;
+    }
+    while line != "\r\n" {
+        line.clear();
+        reader.read_line(&mut line).unwrap();
+        if let Some(value) = line.strip_prefix("content-length: ") {
+            length = value.trim().parse().unwrap();
+        }
+    }
+    let mut body = vec![0; length];
+    reader.read_exact(&mut body).unwrap();
+    let path = first
+        .split(' ')
+        .nth(1)
+        .unwrap()
+        .strip_prefix("/s/p")
+        .unwrap();
+    let send = || {
+        let request = Request::post(format!("http://{target}{path}"));
+        let request = request.body(Body::from(body.clone())).unwrap();
+        let answer = oxhttp::Client::new().request(request).unwrap();
+        answer.into_body().to_string().unwrap()
+    };
+    let mut answer = send();
+    let head = match fault {
+        Fault::Doubles => "200 OK",
+        Fault::Denies => "503 No\r\nmarlrun-outcome: not-run\r\nretry-after: 1",
+    };
+    if matches!(fault, Fault::Doubles) {
+        answer = send();
+    }
+    let length = answer.len();
+    write!(
+        caller,
+        "HTTP/1.1 {head}\r\nconnection: close\r\ncontent-length: {length}\r\n\r\n{answer}"
+    )
+    .unwrap();
+}
+
+fn run_through(router: SocketAddr, plain: &Handle) -> Report {
+    let flow = flow("p", Kind::Call, Arrival::Rate(20.0), 1);
+    let mut settings = settings(&[("p", plain)]);
+    settings.route = Route::Routers(vec![router]);
+    let workspaces = vec![workspace("prints", flow)];
+    load::run(settings, &Workload { workspaces }).unwrap()
+}
+
+#[test]
+fn run_sees_calls_that_ran_twice() {
+    let plain = plain();
+    let report = run_through(faulty_router(plain.address(), Fault::Doubles), &plain);
+    assert!(report.counts.answered > 0, "{report}");
+    assert_eq!(report.ran_twice, report.counts.answered, "{report}");
+}
+
+#[test]
+fn run_sees_refused_calls_that_ran() {
+    let plain = plain();
+    let report = run_through(faulty_router(plain.address(), Fault::Denies), &plain);
+    assert!(report.counts.refused > 0, "{report}");
+    assert_eq!(report.refused_but_ran, report.counts.refused, "{report}");
+    assert_eq!(report.counts.refused_without_retry_after, 0);
+}
+
 #[test]
 fn run_without_a_target_is_refused() {
     let engine = engine();
-    let settings = Settings {
-        route: Route::Direct { routers: 1 },
-        targets: vec![format!("m={}", engine.address()).parse().unwrap()],
-        seed: 1,
-        duration: Span(0),
-        warmup: Span(0),
-        drain: Span(0),
-        sample_interval: Span::from_millis(20),
-        backlog_after: Span(0),
-        threads: 1,
-    };
     let flow = flow("other", Kind::Whole, Arrival::Callers(1), 1);
     let workload = Workload {
         workspaces: vec![workspace("w", flow)],
     };
-    let error = load::run(settings, &workload).unwrap_err();
+    let error = load::run(settings(&[("m", &engine)]), &workload).unwrap_err();
     assert_eq!(
         error.to_string(),
         "workspace w: service other has no target"
