Daemon: claims, configuration from platform and peers, operators' interface

The control thread now owns the claims registry and the configuration replica, reads the platform's list of VMs, and shows its state to operators. The stream test expects the closing chunk's identifier as well, since the stand-in engine gives it one: a resumed stream must not repeat it.

--- a/src/cut.rs
+++ b/src/cut.rs
@@ -7,7 +7,8 @@
 };
 
 /// Direction in which nothing passes.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Deserialize)]
+#[serde(rename_all = "lowercase")]
 pub enum Way {
     /// Nothing from the peer arrives.
     In,
--- /dev/null
+++ b/src/daemon/control/claims.rs
@@ -0,0 +1,41 @@
+//! Claims: between the registry, the platform's table and the desk.
+
+use super::Control;
+use crate::{claim, ingress, platform, unit::Time};
+
+impl Control {
+    pub(super) fn registry(&mut self, now: Time, event: claim::Event) {
+        let mut actions = Vec::new();
+        self.registry.step(now, event, &mut actions);
+        for action in actions {
+            match action {
+                claim::Action::Send(envelope) => self.mail.push_back(envelope),
+                claim::Action::Verdict { attempt, verdict } => {
+                    self.desk(now, ingress::Event::Claimed { attempt, verdict });
+                }
+                call => self.call_table(now, call),
+            }
+        }
+    }
+
+    fn call_table(&mut self, now: Time, action: claim::Action) {
+        if let Some(worker) = &self.parts.worker {
+            return worker.submit(action);
+        }
+        let fault = platform::Fault::Unreachable {
+            call: "claim".into(),
+            cause: "no platform is set".into(),
+        };
+        match action {
+            claim::Action::Write { call, .. } => {
+                let result = Err(fault);
+                self.registry(now, claim::Event::Written { call, result });
+            }
+            claim::Action::Read { call, .. } | claim::Action::Scan { call, .. } => {
+                let result = Err(fault);
+                self.registry(now, claim::Event::Read { call, result });
+            }
+            claim::Action::Send(_) | claim::Action::Verdict { .. } => {}
+        }
+    }
+}
--- /dev/null
+++ b/src/daemon/control/configuration.rs
@@ -0,0 +1,100 @@
+//! Configuration in force, and the targets that the platform lists.
+
+use super::Control;
+use crate::{
+    config, id, metric, owner,
+    platform::{State, Vm},
+    tally,
+    unit::Time,
+};
+use std::{collections::BTreeSet, sync::Arc};
+
+impl Control {
+    pub(super) fn replica(&mut self, now: Time, event: config::replica::Event) {
+        let Some(replica) = &mut self.parts.replica else {
+            return;
+        };
+        let mut actions = Vec::new();
+        replica.step(now, event, &mut actions);
+        let state = replica.state();
+        self.parts.state.set_configuration(&state);
+        for action in actions {
+            match action {
+                config::replica::Action::Send(envelope) => self.mail.push_back(envelope),
+                config::replica::Action::ReadPlatform { have } => self.parts.platform.read(have),
+                config::replica::Action::Install(fleet) => self.install(now, fleet),
+                config::replica::Action::Refused { origin, reason } => {
+                    slog::error!(self.parts.log, "configuration refused";
+                        "origin" => %origin, "reason" => %reason);
+                }
+            }
+        }
+    }
+
+    /// Puts a configuration in force.
+    pub(super) fn install(&mut self, now: Time, fleet: Arc<config::Fleet>) {
+        slog::info!(self.parts.log, "configuration in force"; "version" => %fleet.version);
+        metrics::gauge!(metric::VERSION).set(fleet.version.0 as f64);
+        self.fleet = fleet.clone();
+        self.parts.state.install(fleet);
+        let vms = self.parts.state.vms();
+        self.relist(now, &vms);
+    }
+
+    /// Takes the platform's list of VMs.
+    pub(super) fn list(&mut self, now: Time, vms: Vec<Vm>) {
+        let (routers, targets): (Vec<_>, Vec<_>) =
+            vms.into_iter().partition(|vm| &*vm.group == ROUTER_GROUP);
+        self.member(now, crate::member::Event::Candidates(routers));
+        if targets != self.parts.state.vms() {
+            self.parts.state.set_vms(targets.clone());
+            self.relist(now, &targets);
+        }
+    }
+
+    /// Adds the listed targets to the configuration in force and tells all machines.
+    fn relist(&mut self, now: Time, vms: &[Vm]) {
+        let listed: Vec<_> = vms.iter().filter_map(|vm| self.listed_target(vm)).collect();
+        self.listed = match listed.is_empty() {
+            true => self.fleet.clone(),
+            false => Arc::new(extend(&self.fleet, listed)),
+        };
+        self.leaving = leaving(vms);
+        self.owner(now, owner::Event::Config(self.listed.clone()));
+        self.tally(now, tally::Event::Config(self.listed.clone()));
+        self.replace(now);
+    }
+
+    fn listed_target(&self, vm: &Vm) -> Option<config::Target> {
+        let service: id::Service = vm.group.parse().ok()?;
+        let slots = *self.fleet.listed_slots.get(&service)?;
+        Some(config::Target {
+            name: vm.name.parse().ok()?,
+            service,
+            domain: vm.domain.clone(),
+            address: vm.address,
+            slots,
+        })
+    }
+}
+
+/// Group of the routers in the platform's list.
+const ROUTER_GROUP: &str = "router";
+
+/// Returns the configuration with further targets; a declared target goes before a listed one of its name.
+fn extend(fleet: &config::Fleet, targets: Vec<config::Target>) -> config::Fleet {
+    let mut extended = fleet.clone();
+    for target in targets {
+        let name = target.name.clone();
+        extended
+            .targets
+            .entry(name)
+            .or_insert_with(|| Arc::new(target));
+    }
+    extended
+}
+
+fn leaving(vms: &[Vm]) -> BTreeSet<id::Target> {
+    let leaving = vms.iter().filter(|vm| vm.state == State::Leaving);
+    leaving.filter_map(|vm| vm.name.parse().ok()).collect()
+}
--- /dev/null
+++ b/src/daemon/control/members.rs
@@ -0,0 +1,184 @@
+//! Members, owners and loads: what follows from changes in the fleet.
+
+use super::Control;
+use crate::{
+    config, id, ingress, member, metric, owner, placement, probe, tally, unit::Time,
+    wire::Heartbeat,
+};
+use std::collections::{BTreeMap, BTreeSet};
+
+impl Control {
+    pub(super) fn heartbeat(&mut self, now: Time, heartbeat: Heartbeat) {
+        let version = config::replica::Event::PeerVersion {
+            router: heartbeat.router.clone(),
+            version: heartbeat.version,
+        };
+        self.member(now, member::Event::Heartbeat(Box::new(heartbeat)));
+        self.replica(now, version);
+    }
+
+    pub(super) fn member(&mut self, now: Time, event: member::Event) {
+        let mut actions = Vec::new();
+        self.parts.membership.step(now, event, &mut actions);
+        for action in actions {
+            match action {
+                member::Action::Datagram { to, heartbeat } => {
+                    self.parts.beacon.send(to, &heartbeat);
+                }
+                member::Action::Up {
+                    router,
+                    incarnation,
+                } => {
+                    slog::info!(self.parts.log, "router up";
+                        "peer" => %router, "peer_incarnation" => %incarnation);
+                }
+                member::Action::Down {
+                    router,
+                    incarnation,
+                } => self.lose(now, router, incarnation),
+                member::Action::Changed => self.replace(now),
+            }
+        }
+    }
+
+    /// Gives up on a router that died or is cut off.
+    fn lose(&mut self, now: Time, router: id::Router, incarnation: id::Incarnation) {
+        slog::warn!(self.parts.log, "router down";
+            "peer" => %router, "peer_incarnation" => %incarnation);
+        self.parts.links.forget(router.clone());
+        let lost = owner::Event::RouterLost {
+            router: router.clone(),
+            incarnation: Some(incarnation),
+        };
+        self.owner(now, lost);
+        self.tally(now, tally::Event::RouterLost(router.clone()));
+        let gone = config::replica::Event::PeerGone {
+            router: router.clone(),
+        };
+        self.replica(now, gone);
+        let lost = crate::claim::Event::RouterLost {
+            router: router.clone(),
+        };
+        self.registry(now, lost);
+        self.replace(now);
+        self.desk(now, ingress::Event::RouterLost { router });
+    }
+
+    /// Finds owners anew after a change of members or configuration.
+    pub(super) fn replace(&mut self, now: Time) {
+        let view = self.parts.membership.view();
+        self.routes.rebuild(self.listed.clone(), view);
+        metrics::gauge!(metric::MEMBERS).set(view.len() as f64);
+        let owned = self.routes.owned(&self.parts.router);
+        let targets = owned.iter().filter_map(|name| self.routes.target(name));
+        let targets: Vec<_> = targets.cloned().collect();
+        self.parts.prober.watch(&targets, &self.listed);
+        self.owner(now, owner::Event::Owned(owned));
+        self.mark_unfit(now);
+        self.refresh(now);
+        self.desk(now, ingress::Event::Placement);
+    }
+
+    pub(super) fn probe(&mut self, now: Time, event: probe::Event) {
+        match event {
+            probe::Event::Load {
+                target,
+                running,
+                waiting,
+            } => {
+                let load = owner::Event::Load {
+                    target,
+                    running,
+                    waiting,
+                };
+                self.owner(now, load);
+            }
+            probe::Event::Health { target, fit } => {
+                slog::info!(self.parts.log, "target health"; "target" => %target, "fit" => fit);
+                if fit {
+                    self.unfit.remove(&target);
+                    self.owner(now, owner::Event::Fit { target });
+                } else {
+                    self.unfit.insert(target);
+                }
+                self.mark_unfit(now);
+                self.refresh(now);
+                self.desk(now, ingress::Event::Placement);
+            }
+        }
+    }
+
+    /// Tells the owner which of its targets take no new work.
+    fn mark_unfit(&mut self, now: Time) {
+        let owned: BTreeSet<_> = self.routes.owned(&self.parts.router).into_iter().collect();
+        self.unfit.retain(|target| owned.contains(target));
+        let unfit = owned.iter().filter(|target| self.is_unfit(target));
+        for target in unfit.cloned().collect::<Vec<_>>() {
+            let until = None;
+            self.owner(now, owner::Event::Unfit { target, until });
+        }
+    }
+
+    fn is_unfit(&self, target: &id::Target) -> bool {
+        self.unfit.contains(target) || self.leaving.contains(target)
+    }
+
+    /// Tells machines and peers of each other's state.
+    pub(super) fn refresh(&mut self, now: Time) {
+        let unfit: BTreeSet<_> = self.unfit.union(&self.leaving).cloned().collect();
+        let local = member::Local {
+            leaving: self.draining,
+            version: self.fleet.version,
+            loads: self.owner.loads(),
+            floors: self.owner.floors(),
+            unfit: unfit.iter().cloned().collect(),
+        };
+        let loads = local.loads.clone();
+        self.member(now, member::Event::Local(local));
+        let view = self.parts.membership.view();
+        self.routes.refresh(view, loads, &unfit);
+        let peers = peers(view, &self.parts.router);
+        let floors = peers.iter().flat_map(|peer| &peer.floors);
+        let floors = lowest(floors.chain(&self.owner.floors()));
+        self.owner(now, owner::Event::Peers(peers));
+        self.tally(now, tally::Event::Floors(floors));
+        let state = self.parts.state.clone();
+        state.publish(
+            self.parts.membership.view(),
+            self.desk.len(),
+            self.running.len(),
+        );
+    }
+
+    pub(super) fn report(&mut self, now: Time) {
+        let view = self.parts.membership.view();
+        let tally_of = |workspace: &id::Workspace| placement::tally_of(workspace, view).cloned();
+        let reports = self.owner.reports(now, &tally_of);
+        self.mail.extend(reports);
+        self.tally(now, tally::Event::Tick);
+        self.parts
+            .state
+            .show(self.owner.snapshot(), self.routes.targets());
+    }
+}
+
+/// Returns what the other routers last told of their targets.
+fn peers(view: &member::View, own: &id::Router) -> Vec<owner::Peer> {
+    let others = view.iter().filter(|member| member.router != *own);
+    let peers = others.map(|member| owner::Peer {
+        router: member.router.clone(),
+        loads: member.loads.clone(),
+        floors: member.floors.clone(),
+    });
+    peers.collect()
+}
+
+/// Returns the lowest floor of each service.
+fn lowest<'a>(floors: impl Iterator<Item = &'a (id::Service, u64)>) -> Vec<(id::Service, u64)> {
+    let mut lowest = BTreeMap::new();
+    for (service, floor) in floors {
+        let known = lowest.entry(service.clone()).or_insert(*floor);
+        *known = (*known).min(*floor);
+    }
+    lowest.into_iter().collect()
+}
--- /dev/null
+++ b/src/daemon/control/requests.rs
@@ -0,0 +1,161 @@
+//! Callers' requests: between the front, the desk and the tasks that carry them.
+
+use super::Control;
+use crate::{
+    claim, front, id, ingress,
+    unit::{Cost, Time},
+    wire::Outcome,
+};
+
+impl Control {
+    pub(super) fn front(&mut self, now: Time, event: front::Event) {
+        match event {
+            front::Event::Arrived {
+                request,
+                call,
+                orders,
+            } => {
+                self.orders.insert(request, orders);
+                self.parts.state.recent().arrive(request, &call, now);
+                let request = request_of(request, call, now);
+                self.desk(now, ingress::Event::Request(request));
+            }
+            front::Event::Gone { request } => {
+                self.orders.remove(&request);
+                self.parts.state.recent().cancel(request);
+                self.desk(now, ingress::Event::Cancelled { request });
+            }
+            front::Event::Sent { attempt } => self.desk(now, ingress::Event::Sent { attempt }),
+            front::Event::Progress { attempt, cost } => {
+                self.desk(now, ingress::Event::Progress { attempt, cost });
+            }
+            front::Event::Ended {
+                attempt,
+                cost,
+                outcome,
+                resume,
+                answer,
+            } => {
+                let request = self.running.remove(&attempt);
+                if let Some(request) = request {
+                    self.parts.state.recent().end(request, cost, outcome);
+                }
+                let ended = ingress::Event::Ended {
+                    attempt,
+                    cost,
+                    outcome,
+                    resume,
+                    answer: answer.map(|answer| answer.encode()),
+                };
+                self.desk(now, ended);
+                if let (Some(request), Outcome::Answered) = (request, outcome) {
+                    self.orders.remove(&request);
+                }
+            }
+            front::Event::KeyWanted { reply } => {
+                // A caller that went away needs no key.
+                let _ = reply.send(self.registry.issue(now));
+            }
+        }
+    }
+
+    pub(super) fn desk(&mut self, now: Time, event: ingress::Event) {
+        let mut actions = Vec::new();
+        self.desk.step(now, event, &self.routes, &mut actions);
+        for action in actions {
+            self.act(now, action);
+        }
+    }
+
+    fn act(&mut self, now: Time, action: ingress::Action) {
+        match action {
+            ingress::Action::Send(envelope) => self.mail.push_back(envelope),
+            ingress::Action::Claim {
+                attempt,
+                workspace,
+                service,
+                key,
+            } => {
+                let claim = claim::Event::Claim {
+                    attempt,
+                    workspace,
+                    service,
+                    key,
+                };
+                self.registry(now, claim);
+            }
+            ingress::Action::Settle { attempt, end } => {
+                self.registry(now, claim::Event::Settle { attempt, end });
+            }
+            ingress::Action::Start {
+                request,
+                attempt,
+                target,
+                resume,
+                not_after,
+                ..
+            } => self.start(now, request, attempt, target, resume, not_after),
+            ingress::Action::Abort { attempt } => {
+                if let Some(request) = self.running.get(&attempt) {
+                    self.order(*request, front::Order::Abort { attempt });
+                }
+            }
+            ingress::Action::Reject { request, rejection } => {
+                self.parts.state.recent().reject(request, &rejection);
+                self.order(request, front::Order::Reject(rejection));
+                self.orders.remove(&request);
+            }
+        }
+    }
+
+    fn start(
+        &mut self,
+        now: Time,
+        request: u64,
+        attempt: id::Attempt,
+        target: id::Target,
+        resume: Option<Box<str>>,
+        not_after: Time,
+    ) {
+        let Some(target) = self.routes.target(&target).cloned() else {
+            // The target was removed from the configuration after the grant; nothing was sent.
+            let ended = ingress::Event::Ended {
+                attempt,
+                cost: Cost(0),
+                outcome: Outcome::Unreachable,
+                resume: resume.map_or(ingress::Resume::Start, ingress::Resume::After),
+                answer: None,
+            };
+            return self.desk(now, ended);
+        };
+        self.running.insert(attempt, request);
+        self.parts.state.recent().start(request, &target.name);
+        let start = front::Order::Start {
+            attempt,
+            target,
+            expires: not_after,
+            resume,
+        };
+        self.order(request, start);
+    }
+
+    fn order(&self, request: u64, order: front::Order) {
+        if let Some(orders) = self.orders.get(&request) {
+            // The task may have ended with its caller; its `Gone` is on the way then.
+            let _ = orders.send(order);
+        }
+    }
+}
+
+fn request_of(number: u64, call: front::Call, now: Time) -> ingress::Request {
+    ingress::Request {
+        number,
+        workspace: call.workspace,
+        service: call.service,
+        class: call.class,
+        estimate: call.estimate,
+        idempotent: call.idempotent,
+        key: call.key,
+        deadline: now + call.timeout,
+    }
+}
--- a/src/daemon/event.rs
+++ b/src/daemon/event.rs
@@ -1,6 +1,6 @@
 //! Inputs of the control thread.
 
-use crate::{beacon, front, link, probe};
+use crate::{beacon, claim, config, front, link, platform, probe};
 
 /// Input of the control thread.
 #[derive(Debug)]
@@ -13,6 +13,12 @@
     Heartbeat(beacon::Arrival),
     /// A probe found something.
     Probe(probe::Event),
+    /// The platform's table answered a claim.
+    Claim(claim::Event),
+    /// A read of the platform's configuration ended.
+    Changes(Result<Option<config::Update>, platform::Fault>),
+    /// The platform listed its VMs.
+    Listed(Vec<platform::Vm>),
     /// The router has to shut down.
     Drain,
     /// The thread has to end; everything has been drained.
@@ -42,3 +48,9 @@
         Self::Probe(event)
     }
 }
+
+impl From<claim::Event> for Event {
+    fn from(event: claim::Event) -> Self {
+        Self::Claim(event)
+    }
+}
--- a/src/daemon/handle.rs
+++ b/src/daemon/handle.rs
@@ -4,10 +4,12 @@
     Error, Settings,
     control::{Control, Parts},
     event::Event,
+    platform::Reader,
     state::{Inbox, State},
 };
 use crate::{
-    beacon, config, cut, front, health, link, member, metric, probe, random, secret,
+    beacon, claim, config, cut, front, health, link, member, metric, operator, platform, probe,
+    random, secret,
     unit::{Span, Version},
 };
 use crossbeam::channel::{self, Sender};
@@ -17,8 +19,10 @@
     signal::unix::{SignalKind, signal},
 };
 
-/// Time between two looks whether a shutdown is complete.
-const DRAIN_POLL: Span = Span::from_millis(20);
+/// Time for the last messages to peers to leave before the links close.
+const FLUSH: Span = Span::from_millis(100);
+/// Longest wait for each read and write of a call to the platform.
+const PLATFORM_TIMEOUT: Span = Span::from_secs(2);
 /// Key of a fleet that sets none; its routers trust whoever reaches their peer interface.
 const NO_KEY: &[u8] = b"";
 
@@ -26,6 +30,7 @@
 pub struct Daemon {
     runtime: Runtime,
     server: front::Server,
+    state: Arc<State>,
     peer: SocketAddr,
     inbox: Sender<Event>,
     thread: thread::JoinHandle<()>,
@@ -45,7 +50,6 @@
         "router" => settings.router.to_string(),
         "incarnation" => incarnation.to_string(),
     ));
-    let state = Arc::new(State::new(Arc::new(load(&settings)?)));
     let runtime = runtime::Builder::new_multi_thread()
         .worker_threads(settings.traffic_threads)
         .thread_name("traffic")
@@ -54,6 +58,16 @@
         .map_err(Error::start("traffic threads"))?;
     let (inbox, outbox) = channel::unbounded();
     let cuts = cut::Switch::default();
+    let state = Arc::new(State::new(
+        settings.router.clone(),
+        incarnation,
+        settings.domain.clone(),
+        Arc::new(load(&settings)?),
+        settings.fault_injection.then(|| cuts.clone()),
+    ));
+    let (platform, worker) = open_platform(&settings, &inbox)?;
+    let from_files = settings.base.is_some();
+    let replica = (!from_files).then(|| config::Replica::new(settings.domain.clone()));
     let key = settings.fleet_key.as_ref();
     let key = secret::Key::new(key.map_or(NO_KEY, |key| key.expose().as_bytes()));
     let links = link::Settings {
@@ -93,6 +107,11 @@
     if let Some(address) = settings.health {
         health::bind(address, state.clone()).map_err(Error::bind(address))?;
     }
+    if let (Some(address), Some(key)) = (settings.operator, &settings.operator_key) {
+        let key = config::Digest::of(key.expose().as_bytes());
+        // The server lives as long as the process; its handle only tells the address.
+        operator::Server::bind(address, key, state.clone()).map_err(Error::bind(address))?;
+    }
     slog::info!(log, "router started";
         "listen" => %server.address(), "peer" => %peer, "domain" => %settings.domain);
     let control = Control::new(Parts {
@@ -103,7 +122,10 @@
         links,
         beacon,
         prober,
-        state,
+        platform,
+        worker,
+        replica,
+        state: state.clone(),
         log,
     });
     let thread = thread::Builder::new()
@@ -113,6 +135,7 @@
     Ok(Daemon {
         runtime,
         server,
+        state,
         peer,
         inbox,
         thread,
@@ -134,6 +157,7 @@
         tokio::select! {
             _ = terminate.recv() => {}
             _ = interrupt.recv() => {}
+            () = daemon.state.drain_wanted() => {}
         }
         Ok(())
     };
@@ -169,7 +193,7 @@
         let drained = async { tokio::time::timeout(limit, self.server.drain()).await };
         // Requests that are left after the limit are cut off.
         let _ = self.runtime.block_on(drained);
-        thread::sleep(Duration::from(DRAIN_POLL));
+        thread::sleep(Duration::from(FLUSH));
         let _ = self.inbox.send(Event::Stop);
         // The thread only fails if it panicked; its message is on standard error then.
         let _ = self.thread.join();
@@ -177,6 +201,28 @@
     }
 }
 
+/// Opens the platform, if there is one, with the threads that call it.
+fn open_platform(
+    settings: &Settings,
+    inbox: &Sender<Event>,
+) -> Result<(Reader, Option<claim::Worker>), Error> {
+    let Some(address) = settings.platform else {
+        return Ok((Reader::default(), None));
+    };
+    let client = Arc::new(platform::Client::open(platform::client::Settings {
+        address,
+        timeout: PLATFORM_TIMEOUT,
+    }));
+    let store = config::Store::new(client.clone(), client.clone());
+    let reader = Reader::spawn(store, client.clone(), inbox.clone());
+    let reader = reader.map_err(Error::start("platform threads"))?;
+    let sink = inbox.clone();
+    // The control thread ends last; what the table answers after that is of no use.
+    let sink = Box::new(move |event: claim::Event| drop(sink.send(event.into())));
+    let worker = claim::Worker::spawn(client, sink).map_err(Error::start("claims thread"))?;
+    Ok((reader, Some(worker)))
+}
+
 /// Loads the configuration files, or returns an empty configuration if it comes from elsewhere.
 fn load(settings: &Settings) -> Result<config::Fleet, Error> {
     let Some(base) = &settings.base else {
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -4,6 +4,8 @@
 mod error;
 mod event;
 mod handle;
+mod platform;
+mod recent;
 mod routes;
 mod settings;
 mod state;
--- a/src/daemon/routes.rs
+++ b/src/daemon/routes.rs
@@ -1,6 +1,6 @@
 //! Owners and loads of all targets, as this router knows them.
 
-use crate::{config, id, ingress, member, placement, wire::Load};
+use crate::{config, id, ingress, member, operator, placement, wire::Load};
 use std::{
     collections::{BTreeMap, BTreeSet},
     sync::Arc,
@@ -70,6 +70,24 @@
         self.fleet.targets.get(name)
     }
 
+    /// Returns all targets, as operators are shown them.
+    pub(super) fn targets(&self) -> Vec<operator::Target> {
+        let targets = self.fleet.targets.values().map(|target| {
+            let load = self.loads.get(&target.name);
+            operator::Target {
+                target: target.name.clone(),
+                service: target.service.clone(),
+                domain: target.domain.clone(),
+                address: target.address,
+                owner: self.owners.get(&target.name).cloned(),
+                slots: load.map_or(target.slots, |load| load.slots),
+                free: load.map_or(0, |load| load.free),
+                fit: !self.unfit.contains(&target.name),
+            }
+        });
+        targets.collect()
+    }
+
     /// Compares targets: fewer waiting costs per slot first, then more free slots, then the own failure domain.
     fn rank(&self, target: &id::Target) -> (u64, std::cmp::Reverse<u32>, bool) {
         let load = self.loads.get(target);
--- a/src/daemon/state.rs
+++ b/src/daemon/state.rs
@@ -1,27 +1,65 @@
 //! State of the router that other threads read.
 
-use crate::{config, front, health, member, metric, unit::Span};
+use super::{event::Event, recent::Recent};
+use crate::{
+    clock, config, cut, front, health, id, member, metric, operator, owner, platform::Vm,
+    unit::Span,
+};
+use crossbeam::channel::Sender;
 use std::sync::{
-    Arc, RwLock,
+    Arc, Mutex, MutexGuard, PoisonError, RwLock,
     atomic::{AtomicBool, AtomicU64, Ordering},
 };
+use tokio::sync::Notify;
 
 /// State of the router that other threads read.
-#[derive(Default)]
 pub(super) struct State {
+    router: id::Router,
+    incarnation: id::Incarnation,
+    domain: id::Domain,
     fleet: Arc<RwLock<Arc<config::Fleet>>>,
-    view: RwLock<member::View>,
+    shown: Mutex<Shown>,
+    recent: Mutex<Recent>,
     draining: AtomicBool,
+    drain_wanted: Notify,
     waiting: AtomicU64,
     running: AtomicU64,
     busy_us: AtomicU64,
+    /// Cuts may be set through it, in tests.
+    cuts: Option<cut::Switch>,
+}
+
+/// What operators are shown.
+#[derive(Default)]
+struct Shown {
+    view: member::View,
+    vms: Vec<Vm>,
+    configuration: Box<str>,
+    workspaces: Vec<owner::Snapshot>,
+    targets: Vec<operator::Target>,
 }
 
 impl State {
-    pub(super) fn new(fleet: Arc<config::Fleet>) -> Self {
+    pub(super) fn new(
+        router: id::Router,
+        incarnation: id::Incarnation,
+        domain: id::Domain,
+        fleet: Arc<config::Fleet>,
+        cuts: Option<cut::Switch>,
+    ) -> Self {
         Self {
+            router,
+            incarnation,
+            domain,
             fleet: Arc::new(RwLock::new(fleet)),
-            ..Self::default()
+            shown: Mutex::default(),
+            recent: Mutex::new(Recent::new(incarnation)),
+            draining: AtomicBool::new(false),
+            drain_wanted: Notify::new(),
+            waiting: AtomicU64::new(0),
+            running: AtomicU64::new(0),
+            busy_us: AtomicU64::new(0),
+            cuts,
         }
     }
 
@@ -42,25 +80,56 @@
         }
     }
 
+    /// Returns the requests that this router carries or carried lately.
+    pub(super) fn recent(&self) -> MutexGuard<'_, Recent> {
+        self.recent.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns the targets that the platform listed last.
+    pub(super) fn vms(&self) -> Vec<Vm> {
+        self.shown().vms.clone()
+    }
+
+    pub(super) fn set_vms(&self, vms: Vec<Vm>) {
+        self.shown().vms = vms;
+    }
+
+    pub(super) fn set_configuration(&self, state: &config::replica::State) {
+        self.shown().configuration = state.to_string().into();
+    }
+
     pub(super) fn drain(&self) {
         self.draining.store(true, Ordering::Relaxed);
     }
 
+    /// Waits until an operator asks for a shutdown.
+    pub(super) async fn drain_wanted(&self) {
+        self.drain_wanted.notified().await;
+    }
+
     pub(super) fn add_busy(&self, busy: Span) {
         let total = self.busy_us.fetch_add(busy.0, Ordering::Relaxed) + busy.0;
-        metrics::counter!(metric::CONTROL_BUSY).absolute(total / 1_000_000);
+        metrics::gauge!(metric::CONTROL_BUSY).set(Span(total).as_secs_f64());
     }
 
     pub(super) fn publish(&self, view: &member::View, requests: usize, running: usize) {
-        if let Ok(mut shared) = self.view.write() {
-            shared.clone_from(view);
-        }
+        self.shown().view.clone_from(view);
         let waiting = requests.saturating_sub(running);
         self.waiting.store(waiting as u64, Ordering::Relaxed);
         self.running.store(running as u64, Ordering::Relaxed);
         metrics::gauge!(metric::WAITING).set(waiting as f64);
         metrics::gauge!(metric::RUNNING).set(running as f64);
     }
+
+    pub(super) fn show(&self, workspaces: Vec<owner::Snapshot>, targets: Vec<operator::Target>) {
+        let mut shown = self.shown();
+        shown.workspaces = workspaces;
+        shown.targets = targets;
+    }
+
+    fn shown(&self) -> MutexGuard<'_, Shown> {
+        self.shown.lock().unwrap_or_else(PoisonError::into_inner)
+    }
 }
 
 impl health::Source for State {
@@ -69,16 +138,81 @@
             return Some("the router is shutting down".into());
         }
         if self.fleet().version.0 == 0 {
-            return Some(
-                "no configuration is in force: neither the platform nor a peer gave one".into(),
-            );
+            let said = self.shown().configuration.clone();
+            return Some(format!("no configuration is in force: {said}").into());
         }
         None
     }
 }
 
+impl operator::Source for State {
+    fn status(&self) -> operator::Status {
+        let unready = health::Source::unready(self);
+        operator::Status {
+            router: self.router.clone(),
+            domain: self.domain.clone(),
+            incarnation: self.incarnation,
+            release: env!("CARGO_PKG_VERSION").into(),
+            version: self.fleet().version,
+            ready: unready.is_none(),
+            draining: self.draining.load(Ordering::Relaxed),
+            detail: unready.unwrap_or_default(),
+            uptime_ms: clock::now().0 / 1_000,
+            waiting: self.waiting.load(Ordering::Relaxed),
+            running: self.running.load(Ordering::Relaxed),
+        }
+    }
+
+    fn routers(&self) -> Vec<operator::Router> {
+        let shown = self.shown();
+        let routers = shown.view.iter().map(|member| operator::Router {
+            router: member.router.clone(),
+            domain: member.domain.clone(),
+            address: member.address,
+            incarnation: Some(member.incarnation),
+            version: member.version,
+            alive: true,
+            leaving: member.leaving,
+        });
+        routers.collect()
+    }
+
+    fn workspaces(&self) -> Vec<operator::Workspace> {
+        let fleet = self.fleet();
+        let shown = self.shown();
+        let rows = shown.workspaces.iter().filter_map(|row| {
+            Some(operator::Workspace {
+                workspace: row.workspace.clone(),
+                service: row.service.clone(),
+                weight: fleet.workspaces.get(&row.workspace)?.weight,
+                served: row.served,
+                level: row.level,
+                waiting: row.quick + row.long,
+                running: row.running,
+            })
+        });
+        rows.collect()
+    }
+
+    fn targets(&self) -> Vec<operator::Target> {
+        self.shown().targets.clone()
+    }
+
+    fn request(&self, id: &str) -> Option<operator::Request> {
+        self.recent().find(id, clock::now())
+    }
+
+    fn drain(&self) {
+        self.drain_wanted.notify_one();
+    }
+
+    fn cuts(&self) -> Option<&cut::Switch> {
+        self.cuts.as_ref()
+    }
+}
+
 /// Passes what happens to requests to the control thread.
-pub(super) struct Inbox(pub(super) crossbeam::channel::Sender<super::event::Event>);
+pub(super) struct Inbox(pub(super) Sender<Event>);
 
 impl front::Sink for Inbox {
     fn send(&self, event: front::Event) {
--- a/src/front/call.rs
+++ b/src/front/call.rs
@@ -1,7 +1,7 @@
 //! What a caller asks for.
 
 use crate::{
-    id,
+    claim, id,
     unit::{Cost, Span},
     wire::Class,
 };
@@ -20,7 +20,9 @@
     /// The request may be sent again after it may have run.
     pub idempotent: bool,
     /// Idempotency key of a request that is not idempotent.
-    pub key: Option<Box<str>>,
+    pub key: Option<claim::Key>,
     /// Time left until the caller gives up.
     pub timeout: Span,
+    /// Identifier of the trace.
+    pub trace: Box<str>,
 }
--- a/src/front/event.rs
+++ b/src/front/event.rs
@@ -2,7 +2,7 @@
 
 use super::{Answer, Call, Order};
 use crate::{id, ingress, unit::Cost, wire::Outcome};
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, oneshot};
 
 /// What happened to a request.
 #[derive(Debug)]
@@ -16,6 +16,11 @@
         /// Where the orders for it go.
         orders: mpsc::UnboundedSender<Order>,
     },
+    /// A caller wants an idempotency key.
+    KeyWanted {
+        /// Where the key goes.
+        reply: oneshot::Sender<Box<str>>,
+    },
     /// The caller went away.
     Gone {
         /// Number of the request.
--- a/src/front/handler.rs
+++ b/src/front/handler.rs
@@ -1,8 +1,8 @@
 //! From a request's head and body to a call.
 
-use super::{Body, Call, Event, Limits, Problem, Sink, exchange};
+use super::{Body, Call, Event, Limits, Problem, Sink, exchange, whole};
 use crate::{
-    answer, clock, config, id, metric, trace,
+    answer, claim, clock, config, id, metric, trace,
     unit::{Cost, Span},
     upstream,
     wire::Class,
@@ -21,6 +21,8 @@
 
 /// Path of the model engines' interface.
 const COMPLETIONS: &str = "/v1/chat/completions";
+/// Path at which callers get idempotency keys.
+const KEYS: &str = "/v1/idempotency-keys";
 /// Path under which plain services are reached.
 const SERVICES: &str = "/s/";
 /// Caller's hint of the cost, in tokens.
@@ -78,6 +80,9 @@
         let fleet = self.fleet();
         let (head, body) = request.into_parts();
         let workspace = authenticate(&fleet, &head.headers)?;
+        if head.uri.path() == KEYS && head.method == Method::POST {
+            return self.issue_key().await;
+        }
         let body = self.read(body).await?;
         let completion = parse_completion(&head.uri, &head.method, &body)?;
         let route = find_route(&fleet, &head.uri, &head.headers, completion.as_ref())?;
@@ -87,6 +92,7 @@
             workspace,
             &route.service,
             completion.as_ref(),
+            &hop,
         )?;
         metrics::counter!(metric::REQUESTS, "service" => route.service.name.to_string())
             .increment(1);
@@ -100,6 +106,20 @@
         Ok(self.run(call, message, route.service, hop).await)
     }
 
+    /// Gives the caller an idempotency key that this router answers for.
+    async fn issue_key(&self) -> Result<Response<Body>, Problem> {
+        let (reply, key) = tokio::sync::oneshot::channel();
+        self.sink.send(Event::KeyWanted { reply });
+        let stopped = |_| Problem::not_run("the router is shutting down", Span::from_secs(1));
+        let key = key.await.map_err(stopped)?;
+        let body = serde_json::json!({ "key": key }).to_string();
+        let mut response = Response::new(whole(body));
+        *response.status_mut() = StatusCode::CREATED;
+        let json = header::HeaderValue::from_static("application/json");
+        response.headers_mut().insert(header::CONTENT_TYPE, json);
+        Ok(response)
+    }
+
     async fn run(
         &self,
         call: Call,
@@ -266,6 +286,7 @@
     workspace: id::Workspace,
     service: &config::Service,
     completion: Option<&Completion>,
+    hop: &trace::Hop,
 ) -> Result<Call, Problem> {
     let hint = read_number(headers, COST_HINT)?;
     let hint = hint.or(completion.and_then(|completion| completion.max_tokens));
@@ -284,6 +305,7 @@
         idempotent: service.idempotent || method.is_safe(),
         key: read_key(headers)?,
         timeout: timeout.min(service.timeout),
+        trace: hop.trace().to_string().into(),
     })
 }
 
@@ -304,7 +326,7 @@
     number.map(Some).ok_or_else(invalid)
 }
 
-fn read_key(headers: &HeaderMap) -> Result<Option<Box<str>>, Problem> {
+fn read_key(headers: &HeaderMap) -> Result<Option<claim::Key>, Problem> {
     let Some(value) = headers.get(IDEMPOTENCY_KEY) else {
         return Ok(None);
     };
@@ -316,5 +338,9 @@
         );
         Problem::invalid(StatusCode::BAD_REQUEST, detail)
     };
-    key.map(|key| Some(key.into())).ok_or_else(invalid)
+    let key = key.ok_or_else(invalid)?;
+    let parsed = key.parse::<claim::Key>();
+    parsed
+        .map(Some)
+        .map_err(|error| Problem::invalid(StatusCode::BAD_REQUEST, error.to_string()))
 }
--- a/src/operator/server.rs
+++ b/src/operator/server.rs
@@ -4,12 +4,17 @@
 //! long as the process.
 
 use super::Source;
-use crate::config::Digest;
+use crate::{config::Digest, cut};
 use oxhttp::{
     ListeningServer,
     model::{Body, Method, Request, Response, StatusCode, header},
 };
-use std::{io, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    io::{self, Read},
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration,
+};
 use subtle::ConstantTimeEq as _;
 
 /// Connections at once; operators and their scripts need few, and each takes a thread.
@@ -64,9 +69,9 @@
     shown.is_some_and(|shown| Digest::of(shown.as_bytes()).0.ct_eq(&key.0).into())
 }
 
-fn answer(request: &Request<Body>, source: &dyn Source) -> Response<Body> {
-    let path = request.uri().path();
-    match (request.method(), path) {
+fn answer(request: &mut Request<Body>, source: &dyn Source) -> Response<Body> {
+    let (method, path) = (request.method().clone(), request.uri().path().to_owned());
+    match (&method, &*path) {
         (&Method::GET, "/status") => json(StatusCode::OK, &source.status()),
         (&Method::GET, "/routers") => json(StatusCode::OK, &source.routers()),
         (&Method::GET, "/workspaces") => json(StatusCode::OK, &source.workspaces()),
@@ -75,6 +80,7 @@
             source.drain();
             json(StatusCode::ACCEPTED, &source.status())
         }
+        (&Method::PUT, "/cuts") => set_cuts(request, source),
         (&Method::GET, _) => match path.strip_prefix("/requests/") {
             Some(id) => find(id, source),
             None => refuse(StatusCode::NOT_FOUND, "there is no such page"),
@@ -86,6 +92,39 @@
     }
 }
 
+/// Replaces the cuts between this router and its peers, in tests.
+fn set_cuts(request: &mut Request<Body>, source: &dyn Source) -> Response<Body> {
+    let Some(switch) = source.cuts() else {
+        return refuse(StatusCode::FORBIDDEN, "faults may not be set here");
+    };
+    let mut text = String::new();
+    let read = request
+        .body_mut()
+        .take(MAX_CUTS_BYTES)
+        .read_to_string(&mut text);
+    let cuts = read
+        .ok()
+        .and_then(|_| serde_json::from_str::<Vec<Cut>>(&text).ok());
+    let Some(cuts) = cuts else {
+        return refuse(StatusCode::BAD_REQUEST, "the body is not a list of cuts");
+    };
+    switch.heal_all();
+    for cut in cuts {
+        switch.cut(cut.address, cut.way);
+    }
+    json(StatusCode::OK, &serde_json::json!({}))
+}
+
+/// Cut between this router and a peer.
+#[derive(serde::Deserialize)]
+struct Cut {
+    address: SocketAddr,
+    way: cut::Way,
+}
+
+/// Largest list of cuts, in bytes: a thousand peers.
+const MAX_CUTS_BYTES: u64 = 1 << 16;
+
 fn find(id: &str, source: &dyn Source) -> Response<Body> {
     match source.request(id) {
         Some(request) => json(StatusCode::OK, &request),
--- a/src/operator/source.rs
+++ b/src/operator/source.rs
@@ -1,6 +1,7 @@
 //! What the operators' interface shows.
 
 use super::{Request, Router, Status, Target, Workspace};
+use crate::cut;
 
 /// Source of what the operators' interface shows; called from several threads.
 pub trait Source: Send + Sync {
@@ -21,4 +22,9 @@
 
     /// Starts a graceful shutdown; repeating it changes nothing.
     fn drain(&self);
+
+    /// Returns the switch that cuts peers off, if faults may be set.
+    fn cuts(&self) -> Option<&cut::Switch> {
+        None
+    }
 }
--- a/tests/path.rs
+++ b/tests/path.rs
@@ -46,10 +46,10 @@
             .lines()
             .filter_map(|line| line.strip_prefix("id: "))
             .collect();
-        let expected: Vec<_> = (1..=20).map(|id| id.to_string()).collect();
+        let expected: Vec<_> = (1..=21).map(|id| id.to_string()).collect();
         assert_eq!(
             ids, expected,
-            "each token comes once and in order: {streamed:?}"
+            "each token and the closing chunk come once and in order: {streamed:?}"
         );
 
         let check_in = caller
