--- a/src/lib.rs
+++ b/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod id;
 pub mod ingress;
 pub mod link;
+pub mod load;
 pub mod log;
 pub mod member;
 pub mod metric;
