--- a/schema/marlrun.capnp
+++ b/schema/marlrun.capnp
@@ -124,6 +124,10 @@
       attempt @28 :Attempt;
       granted @29 :Bool;
     }
+    keyRelease :group {
+      attempt @30 :Attempt;
+      key @31 :Text;
+    }
   }
 }
 
--- a/src/claim/event.rs
+++ b/src/claim/event.rs
@@ -59,6 +59,13 @@
         /// The attempt may run.
         granted: bool,
     },
+    /// The holder of a key that this router issued certainly did not run.
+    KeyRelease {
+        /// Attempt that held the key.
+        attempt: id::Attempt,
+        /// Key.
+        key: Box<str>,
+    },
     /// A router failed or left.
     RouterLost {
         /// Router.
--- a/src/claim/registry.rs
+++ b/src/claim/registry.rs
@@ -17,8 +17,8 @@
     sweep: Sweep,
     issuer: Issuer,
     remote: Remote,
-    /// Keys issued here that attempts of this router hold.
-    held: BTreeMap<id::Attempt, Box<str>>,
+    /// Issued keys that attempts of this router hold.
+    held: BTreeMap<id::Attempt, (id::Router, Box<str>)>,
     calls: u64,
 }
 
@@ -78,7 +78,7 @@
                     self.claim_issued(now, attempt, issuer, text, out);
                 }
             },
-            Event::Settle { attempt, end } => self.settle(now, attempt, end),
+            Event::Settle { attempt, end } => self.settle(now, attempt, end, out),
             Event::Written { call, result } => {
                 if !self.sweep.removed(call) {
                     self.batch.written(now, call, result, out);
@@ -98,7 +98,8 @@
                 from,
                 attempt,
                 granted,
-            } => self.remote.answer(&from, attempt, granted, out),
+            } => self.answer_issued(&from, attempt, granted, out),
+            Event::KeyRelease { attempt, key } => self.issuer.release(attempt, &key),
             Event::RouterLost { router } => self.remote.lose(&router, out),
             Event::Resync { from } => self.remote.resync(&from, out),
             Event::Tick => {
@@ -122,7 +123,7 @@
             return self.remote.claim(attempt, issuer, key, until, out);
         }
         let verdict = if self.issuer.claim(now, attempt, &key) {
-            self.held.insert(attempt, key);
+            self.held.insert(attempt, (issuer, key));
             Verdict::Granted
         } else {
             Verdict::Unknown
@@ -130,12 +131,38 @@
         out.push(Action::Verdict { attempt, verdict });
     }
 
-    fn settle(&mut self, now: Time, attempt: id::Attempt, end: End) {
-        match self.held.remove(&attempt) {
-            Some(key) if end == End::NotRun => self.issuer.release(attempt, &key),
-            Some(_) => {}
-            None => self.batch.settle(now, attempt, end),
+    fn answer_issued(
+        &mut self,
+        from: &id::Router,
+        attempt: id::Attempt,
+        granted: bool,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(key) = self.remote.answer(from, attempt) else {
+            return;
+        };
+        let verdict = if granted {
+            self.held.insert(attempt, (from.clone(), key));
+            Verdict::Granted
+        } else {
+            Verdict::Unknown
+        };
+        out.push(Action::Verdict { attempt, verdict });
+    }
+
+    fn settle(&mut self, now: Time, attempt: id::Attempt, end: End, out: &mut Vec<Action>) {
+        let Some((issuer, key)) = self.held.remove(&attempt) else {
+            return self.batch.settle(now, attempt, end);
+        };
+        if end != End::NotRun {
+            return;
+        }
+        if issuer == self.router {
+            return self.issuer.release(attempt, &key);
         }
+        let message = wire::Message::KeyRelease { attempt, key };
+        let to = issuer;
+        out.push(Action::Send(wire::Envelope { to, message }));
     }
 
     /// Starts the next call to the table, if none is under way.
--- a/src/claim/remote.rs
+++ b/src/claim/remote.rs
@@ -33,25 +33,13 @@
         self.pending.insert(attempt, pending);
     }
 
-    /// Takes the answer of an issuer.
-    pub(super) fn answer(
-        &mut self,
-        from: &id::Router,
-        attempt: id::Attempt,
-        granted: bool,
-        out: &mut Vec<Action>,
-    ) {
-        let asked = self.pending.get(&attempt);
-        if asked.is_none_or(|pending| pending.issuer != *from) {
-            return;
+    /// Takes the answer of an issuer; returns the key if it was asked for.
+    pub(super) fn answer(&mut self, from: &id::Router, attempt: id::Attempt) -> Option<Box<str>> {
+        let pending = self.pending.get(&attempt)?;
+        if pending.issuer != *from {
+            return None;
         }
-        self.pending.remove(&attempt);
-        let verdict = if granted {
-            Verdict::Granted
-        } else {
-            Verdict::Unknown
-        };
-        out.push(Action::Verdict { attempt, verdict });
+        self.pending.remove(&attempt).map(|pending| pending.key)
     }
 
     /// Gives up on the claims at a router that is lost.
--- a/src/daemon/control.rs
+++ b/src/daemon/control.rs
@@ -302,7 +302,7 @@
                 self.desk(now, ingress::Event::Resync { from });
             }
             Message::Fetch { .. } | Message::Delta { .. } => {}
-            Message::KeyClaim { .. } | Message::KeyVerdict { .. } => {}
+            Message::KeyClaim { .. } | Message::KeyVerdict { .. } | Message::KeyRelease { .. } => {}
         }
     }
 
--- a/src/ingress/desk.rs
+++ b/src/ingress/desk.rs
@@ -119,36 +119,20 @@
     }
 
     fn accept(&mut self, request: Request, turn: &mut Turn<'_>) {
-        let number = request.number;
-        let reason = if self.draining {
+        let refused = if self.draining {
             Some(wire::Reason::Draining)
         } else if request.deadline <= turn.now {
             Some(wire::Reason::Deadline)
         } else {
             None
         };
-        if let Some(reason) = reason {
-            let rejection = not_run(reason);
-            turn.out.push(Action::Reject {
-                request: number,
-                rejection,
-            });
-            return;
+        let job = Job::new(request, turn.now);
+        if let Some(reason) = refused {
+            return self.reject(job, reason, RETRY_AFTER, turn);
         }
         self.budget.earn();
-        self.timers.insert((request.deadline, number));
-        let job = Job {
-            request,
-            arrived: turn.now,
-            state: State::Backoff { until: turn.now },
-            claim: Claim::None,
-            tries: 0,
-            hops: 0,
-            failed: Vec::new(),
-            ran: false,
-            resume: None,
-            abandoned: false,
-        };
+        self.timers
+            .insert((job.request.deadline, job.request.number));
         self.place(job, turn);
     }
 
@@ -166,11 +150,7 @@
 
     /// Asks an owner for a slot, under a new attempt: what comes late for an old one is declined.
     fn ask(&mut self, mut job: Job, target: id::Target, owner: id::Router, turn: &mut Turn<'_>) {
-        self.sequence += 1;
-        let attempt = id::Attempt {
-            incarnation: self.incarnation,
-            sequence: self.sequence,
-        };
+        let attempt = self.next_attempt();
         let request = &job.request;
         let ask = wire::Ask {
             attempt,
@@ -187,6 +167,14 @@
         self.keep(job);
     }
 
+    fn next_attempt(&mut self) -> id::Attempt {
+        self.sequence += 1;
+        id::Attempt {
+            incarnation: self.incarnation,
+            sequence: self.sequence,
+        }
+    }
+
     fn keep(&mut self, job: Job) {
         let number = job.request.number;
         if let Some(attempt) = job.attempt() {
@@ -245,9 +233,7 @@
         if !job.needs_claim() {
             return self.start(job, slot, turn);
         }
-        if job.claim == Claim::None {
-            self.claim(&mut job, attempt, turn);
-        }
+        self.claim(&mut job, turn);
         let granted = turn.now;
         job.state = State::Claiming { slot, granted };
         self.keep(job);
@@ -264,10 +250,15 @@
         }
     }
 
-    fn claim(&mut self, job: &mut Job, attempt: id::Attempt, turn: &mut Turn<'_>) {
+    /// Claims the operation of a request, once.
+    fn claim(&mut self, job: &mut Job, turn: &mut Turn<'_>) {
         let Some(key) = job.request.key.clone() else {
             return;
         };
+        if job.claim != Claim::None {
+            return;
+        }
+        let attempt = self.next_attempt();
         job.claim = Claim::Pending(attempt);
         self.claims.insert(attempt, job.request.number);
         turn.out.push(Action::Claim {
@@ -292,6 +283,7 @@
         self.keep(job);
     }
 
+    /// Takes the answer to the claim of a request.
     fn judge(&mut self, attempt: id::Attempt, verdict: claim::Verdict, turn: &mut Turn<'_>) {
         let Some(number) = self.claims.remove(&attempt) else {
             return;
@@ -317,15 +309,14 @@
             claim::Verdict::Finished(answer) => Rejection::Finished { answer },
         };
         job.claim = Claim::None;
-        self.close(job, turn);
-        turn.out.push(Action::Reject {
-            request: number,
-            rejection,
-        });
+        self.close(job, rejection, turn);
     }
 
     /// Starts a claimed request if its slot is still fresh.
     fn proceed(&mut self, mut job: Job, turn: &mut Turn<'_>) {
+        if let State::Refusing(refusal) = job.state {
+            return self.close(job, Rejection::NotRun { refusal }, turn);
+        }
         let State::Claiming { slot, granted } = &job.state else {
             return self.keep(job);
         };
@@ -423,7 +414,7 @@
         run.slot.end(cost, outcome, turn);
         match outcome {
             wire::Outcome::Answered => {
-                self.settle(&mut job, claim::End::Finished(answer), turn);
+                self.settle(&job, claim::End::Finished(answer), turn);
             }
             wire::Outcome::NotRun => self.retry(job, &run, turn),
             wire::Outcome::Unreachable if !run.sent => self.retry(job, &run, turn),
@@ -485,53 +476,56 @@
         self.keep(job);
     }
 
-    /// Gives the final answer to a request of which no attempt runs or will run.
-    fn reject(&mut self, job: Job, reason: wire::Reason, retry_after: Span, turn: &mut Turn<'_>) {
+    /// Refuses a request of which no attempt runs or will run.
+    ///
+    /// If its key was not claimed, an earlier try may have run: that is found out first.
+    fn reject(
+        &mut self,
+        mut job: Job,
+        reason: wire::Reason,
+        retry_after: Span,
+        turn: &mut Turn<'_>,
+    ) {
         if job.ran {
             return self.doubt(job, Doubt::Broken, turn);
         }
-        let request = job.request.number;
-        let abandoned = job.abandoned;
-        self.close(job, turn);
-        if !abandoned {
-            let refusal = wire::Refusal {
-                reason,
-                retry_after,
-            };
-            let rejection = Rejection::NotRun { refusal };
-            turn.out.push(Action::Reject { request, rejection });
+        let refusal = wire::Refusal {
+            reason,
+            retry_after,
+        };
+        if job.abandoned || !job.needs_claim() {
+            return self.close(job, Rejection::NotRun { refusal }, turn);
         }
+        job.give_back(turn);
+        self.claim(&mut job, turn);
+        job.state = State::Refusing(refusal);
+        self.keep(job);
     }
 
     /// Ends a request whose outcome is not known.
     fn doubt(&mut self, job: Job, doubt: Doubt, turn: &mut Turn<'_>) {
-        let request = job.request.number;
-        let abandoned = job.abandoned;
-        self.close(job, turn);
-        if !abandoned {
-            let rejection = Rejection::Unknown { doubt };
-            turn.out.push(Action::Reject { request, rejection });
-        }
+        self.close(job, Rejection::Unknown { doubt }, turn);
     }
 
-    /// Gives back what a request holds: its slot or place in a queue, and its claim.
-    fn close(&mut self, mut job: Job, turn: &mut Turn<'_>) {
-        match &job.state {
-            State::Waiting(slot) => slot.withdraw(turn),
-            State::Claiming { slot, .. } => slot.release(turn),
-            State::Running(_) | State::Backoff { .. } => {}
-        }
+    /// Gives the final answer to a request and gives back what it holds.
+    fn close(&mut self, mut job: Job, rejection: Rejection, turn: &mut Turn<'_>) {
+        job.give_back(turn);
         let end = if job.ran {
             claim::End::Unknown
         } else {
             claim::End::NotRun
         };
-        self.settle(&mut job, end, turn);
+        self.settle(&job, end, turn);
+        if !job.abandoned {
+            let request = job.request.number;
+            turn.out.push(Action::Reject { request, rejection });
+        }
     }
 
-    fn settle(&mut self, job: &mut Job, end: claim::End, turn: &mut Turn<'_>) {
-        self.timers
-            .remove(&(job.request.deadline, job.request.number));
+    /// Forgets a request and tells how its claim ended.
+    fn settle(&mut self, job: &Job, end: claim::End, turn: &mut Turn<'_>) {
+        let timer = (job.request.deadline, job.request.number);
+        self.timers.remove(&timer);
         if let Claim::Held(attempt) = job.claim {
             turn.out.push(Action::Settle { attempt, end });
         }
@@ -547,7 +541,7 @@
                 run.abort(turn);
                 self.keep(job);
             }
-            _ => self.close(job, turn),
+            _ => self.doubt(job, Doubt::Broken, turn),
         }
     }
 
@@ -576,6 +570,7 @@
                     run.abort(turn);
                     self.keep(job);
                 }
+                State::Refusing(_) => self.keep(job),
                 _ => self.reject(job, wire::Reason::Deadline, RETRY_AFTER, turn),
             };
         }
@@ -627,7 +622,7 @@
                 run.slot.follow(run.cost, turn);
                 self.keep(job);
             }
-            State::Backoff { .. } => self.keep(job),
+            State::Refusing(_) | State::Backoff { .. } => self.keep(job),
         }
     }
 
@@ -697,14 +692,6 @@
     }
 }
 
-fn not_run(reason: wire::Reason) -> Rejection {
-    let refusal = wire::Refusal {
-        reason,
-        retry_after: RETRY_AFTER,
-    };
-    Rejection::NotRun { refusal }
-}
-
 /// Returns the message that gives back a slot in which nothing ran.
 fn unused(attempt: id::Attempt, target: id::Target) -> wire::Message {
     wire::Message::Done {
--- a/src/ingress/job.rs
+++ b/src/ingress/job.rs
@@ -4,6 +4,7 @@
 use crate::{
     id,
     unit::{Cost, Time},
+    wire,
 };
 use std::mem;
 
@@ -57,6 +58,8 @@
     },
     /// Was given to the front.
     Running(Run),
+    /// Is refused, and waits to hear whether an earlier try with its key ran.
+    Refusing(wire::Refusal),
     /// Waits for its next attempt.
     Backoff {
         /// Time of the next attempt.
@@ -101,12 +104,38 @@
 }
 
 impl Job {
+    /// Returns a request that has just arrived.
+    pub(super) fn new(request: Request, now: Time) -> Self {
+        Self {
+            request,
+            arrived: now,
+            state: State::Backoff { until: now },
+            claim: Claim::None,
+            tries: 0,
+            hops: 0,
+            failed: Vec::new(),
+            ran: false,
+            resume: None,
+            abandoned: false,
+        }
+    }
+
+    /// Gives back its slot, or its place in a queue.
+    pub(super) fn give_back(&mut self, turn: &mut Turn<'_>) {
+        let until = turn.now;
+        match mem::replace(&mut self.state, State::Backoff { until }) {
+            State::Waiting(slot) => slot.withdraw(turn),
+            State::Claiming { slot, .. } => slot.release(turn),
+            State::Running(_) | State::Refusing(_) | State::Backoff { .. } => {}
+        }
+    }
+
     /// Returns the attempt that an owner knows, if any.
     pub(super) fn attempt(&self) -> Option<id::Attempt> {
         match &self.state {
             State::Waiting(slot) | State::Claiming { slot, .. } => Some(slot.ask.attempt),
             State::Running(run) => Some(run.slot.ask.attempt),
-            State::Backoff { .. } => None,
+            State::Refusing(_) | State::Backoff { .. } => None,
         }
     }
 
--- a/src/wire/codec.rs
+++ b/src/wire/codec.rs
@@ -444,6 +444,11 @@
             verdict.set_granted(*granted);
             write_attempt(verdict.init_attempt(), attempt);
         }
+        Message::KeyRelease { attempt, key } => {
+            let mut release = to.init_key_release();
+            release.set_key(&**key);
+            write_attempt(release.init_attempt(), attempt);
+        }
     }
 }
 
@@ -504,6 +509,10 @@
             attempt: read_attempt(verdict.get_attempt())?,
             granted: verdict.get_granted(),
         },
+        Which::KeyRelease(release) => Message::KeyRelease {
+            attempt: read_attempt(release.get_attempt())?,
+            key: key(release.get_key())?,
+        },
     })
 }
 
--- a/src/wire/marlrun_capnp.rs
+++ b/src/wire/marlrun_capnp.rs
@@ -2427,7 +2427,7 @@
 }
 
 pub mod message {
-    pub use self::Which::{Ask,Withdraw,Grant,Refuse,Move,Progress,Done,Held,Pull,Report,Levels,Resync,Fetch,Delta,KeyClaim,KeyVerdict};
+    pub use self::Which::{Ask,Withdraw,Grant,Refuse,Move,Progress,Done,Held,Pull,Report,Levels,Resync,Fetch,Delta,KeyClaim,KeyVerdict,KeyRelease};
 
     #[derive(Copy, Clone)]
     pub struct Owned(());
@@ -2597,6 +2597,11 @@
                         self.reader.into()
                     ))
                 }
+                16 => {
+                    ::core::result::Result::Ok(KeyRelease(
+                        self.reader.into()
+                    ))
+                }
                 x => ::core::result::Result::Err(::capnp::NotInSchema(x))
             }
         }
@@ -2807,6 +2812,13 @@
             self.builder.into()
         }
         #[inline]
+        pub fn init_key_release(mut self, ) -> crate::wire::marlrun_capnp::message::key_release::Builder<'a> {
+            self.builder.set_data_field::<u16>(0, 16);
+            self.builder.reborrow().get_pointer_field(0).clear();
+            self.builder.reborrow().get_pointer_field(1).clear();
+            self.builder.into()
+        }
+        #[inline]
         pub fn which(self) -> ::core::result::Result<WhichBuilder<'a,>, ::capnp::NotInSchema> {
             match self.builder.get_data_field::<u16>(0) {
                 0 => {
@@ -2889,6 +2901,11 @@
                         self.builder.into()
                     ))
                 }
+                16 => {
+                    ::core::result::Result::Ok(KeyRelease(
+                        self.builder.into()
+                    ))
+                }
                 x => ::core::result::Result::Err(::capnp::NotInSchema(x))
             }
         }
@@ -2903,133 +2920,140 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 206] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 215] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(165, 9, 160, 144, 238, 252, 233, 182),
             ::capnp::word(14, 0, 0, 0, 1, 0, 3, 0),
             ::capnp::word(38, 126, 1, 23, 67, 249, 194, 213),
-            ::capnp::word(2, 0, 7, 0, 0, 0, 16, 0),
+            ::capnp::word(2, 0, 7, 0, 0, 0, 17, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 178, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 135, 3, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 191, 3, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(109, 97, 114, 108, 114, 117, 110, 46),
             ::capnp::word(99, 97, 112, 110, 112, 58, 77, 101),
             ::capnp::word(115, 115, 97, 103, 101, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(64, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(68, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 255, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(177, 1, 0, 0, 34, 0, 0, 0),
+            ::capnp::word(205, 1, 0, 0, 34, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(172, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(184, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(200, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(212, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 254, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(181, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(209, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(180, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(192, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(208, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(220, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 253, 255, 0, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(104, 38, 176, 34, 159, 142, 159, 129),
-            ::capnp::word(189, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(217, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(3, 0, 252, 255, 0, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(92, 135, 10, 28, 7, 19, 127, 234),
-            ::capnp::word(165, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(193, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(4, 0, 251, 255, 0, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 176, 86, 20, 246, 119, 230, 134),
-            ::capnp::word(141, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(169, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(5, 0, 250, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(117, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(145, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(116, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(144, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(144, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(172, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 249, 255, 0, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(61, 201, 60, 24, 121, 186, 5, 160),
-            ::capnp::word(141, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(169, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(7, 0, 248, 255, 0, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(241, 178, 237, 153, 160, 87, 49, 133),
-            ::capnp::word(117, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(145, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(8, 0, 247, 255, 0, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(230, 38, 114, 137, 148, 82, 56, 192),
-            ::capnp::word(93, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(121, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(9, 0, 246, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 19, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(69, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(97, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(64, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(76, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(92, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(104, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(10, 0, 245, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 20, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(73, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(101, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(68, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(96, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(96, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(124, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(11, 0, 244, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 21, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(93, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(121, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(88, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(100, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(116, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(128, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(12, 0, 243, 255, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 22, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(97, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(125, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(92, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(104, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(120, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(132, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(13, 0, 242, 255, 0, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(208, 98, 151, 148, 170, 31, 138, 182),
-            ::capnp::word(101, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(129, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(14, 0, 241, 255, 0, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(175, 47, 243, 223, 137, 77, 103, 207),
-            ::capnp::word(77, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(105, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(15, 0, 240, 255, 0, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(136, 165, 156, 217, 251, 125, 116, 165),
-            ::capnp::word(57, 1, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(85, 1, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 239, 255, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(90, 20, 100, 126, 112, 137, 174, 254),
+            ::capnp::word(65, 1, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -3110,6 +3134,8 @@
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(107, 101, 121, 86, 101, 114, 100, 105),
             ::capnp::word(99, 116, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(107, 101, 121, 82, 101, 108, 101, 97),
+            ::capnp::word(115, 101, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -3129,6 +3155,7 @@
                 13 => <crate::wire::marlrun_capnp::message::delta::Owned as ::capnp::introspect::Introspect>::introspect(),
                 14 => <crate::wire::marlrun_capnp::message::key_claim::Owned as ::capnp::introspect::Introspect>::introspect(),
                 15 => <crate::wire::marlrun_capnp::message::key_verdict::Owned as ::capnp::introspect::Introspect>::introspect(),
+                16 => <crate::wire::marlrun_capnp::message::key_release::Owned as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -3143,11 +3170,11 @@
             MEMBERS_BY_NAME
         );
         pub(crate) static NONUNION_MEMBERS : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12,13,14,15];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,13,6,12,2,7,14,15,10,4,5,8,3,9,11,1];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12,13,14,15,16];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,13,6,12,2,7,14,16,15,10,4,5,8,3,9,11,1];
         pub(crate) const TYPE_ID: u64 = 0xb6e9_fcee_90a0_09a5;
     }
-    pub enum Which<A0,A1,A2,A3,A4,A5,A6,A7,A8,A9,A10,A11,A12,A13> {
+    pub enum Which<A0,A1,A2,A3,A4,A5,A6,A7,A8,A9,A10,A11,A12,A13,A14> {
         Ask(A0),
         Withdraw(A1),
         Grant(A2),
@@ -3164,9 +3191,10 @@
         Delta(A11),
         KeyClaim(A12),
         KeyVerdict(A13),
+        KeyRelease(A14),
     }
-    pub type WhichReader<'a,> = Which<::capnp::Result<crate::wire::marlrun_capnp::ask::Reader<'a>>,::capnp::Result<crate::wire::marlrun_capnp::attempt::Reader<'a>>,crate::wire::marlrun_capnp::message::grant::Reader<'a>,crate::wire::marlrun_capnp::message::refuse::Reader<'a>,crate::wire::marlrun_capnp::message::move_::Reader<'a>,::capnp::Result<::capnp::struct_list::Reader<'a,crate::wire::marlrun_capnp::charge::Owned>>,crate::wire::marlrun_capnp::message::done::Reader<'a>,crate::wire::marlrun_capnp::message::held::Reader<'a>,crate::wire::marlrun_capnp::message::pull::Reader<'a>,::capnp::Result<crate::wire::marlrun_capnp::report::Reader<'a>>,::capnp::Result<::capnp::struct_list::Reader<'a,crate::wire::marlrun_capnp::level::Owned>>,crate::wire::marlrun_capnp::message::delta::Reader<'a>,crate::wire::marlrun_capnp::message::key_claim::Reader<'a>,crate::wire::marlrun_capnp::message::key_verdict::Reader<'a>>;
-    pub type WhichBuilder<'a,> = Which<::capnp::Result<crate::wire::marlrun_capnp::ask::Builder<'a>>,::capnp::Result<crate::wire::marlrun_capnp::attempt::Builder<'a>>,crate::wire::marlrun_capnp::message::grant::Builder<'a>,crate::wire::marlrun_capnp::message::refuse::Builder<'a>,crate::wire::marlrun_capnp::message::move_::Builder<'a>,::capnp::Result<::capnp::struct_list::Builder<'a,crate::wire::marlrun_capnp::charge::Owned>>,crate::wire::marlrun_capnp::message::done::Builder<'a>,crate::wire::marlrun_capnp::message::held::Builder<'a>,crate::wire::marlrun_capnp::message::pull::Builder<'a>,::capnp::Result<crate::wire::marlrun_capnp::report::Builder<'a>>,::capnp::Result<::capnp::struct_list::Builder<'a,crate::wire::marlrun_capnp::level::Owned>>,crate::wire::marlrun_capnp::message::delta::Builder<'a>,crate::wire::marlrun_capnp::message::key_claim::Builder<'a>,crate::wire::marlrun_capnp::message::key_verdict::Builder<'a>>;
+    pub type WhichReader<'a,> = Which<::capnp::Result<crate::wire::marlrun_capnp::ask::Reader<'a>>,::capnp::Result<crate::wire::marlrun_capnp::attempt::Reader<'a>>,crate::wire::marlrun_capnp::message::grant::Reader<'a>,crate::wire::marlrun_capnp::message::refuse::Reader<'a>,crate::wire::marlrun_capnp::message::move_::Reader<'a>,::capnp::Result<::capnp::struct_list::Reader<'a,crate::wire::marlrun_capnp::charge::Owned>>,crate::wire::marlrun_capnp::message::done::Reader<'a>,crate::wire::marlrun_capnp::message::held::Reader<'a>,crate::wire::marlrun_capnp::message::pull::Reader<'a>,::capnp::Result<crate::wire::marlrun_capnp::report::Reader<'a>>,::capnp::Result<::capnp::struct_list::Reader<'a,crate::wire::marlrun_capnp::level::Owned>>,crate::wire::marlrun_capnp::message::delta::Reader<'a>,crate::wire::marlrun_capnp::message::key_claim::Reader<'a>,crate::wire::marlrun_capnp::message::key_verdict::Reader<'a>,crate::wire::marlrun_capnp::message::key_release::Reader<'a>>;
+    pub type WhichBuilder<'a,> = Which<::capnp::Result<crate::wire::marlrun_capnp::ask::Builder<'a>>,::capnp::Result<crate::wire::marlrun_capnp::attempt::Builder<'a>>,crate::wire::marlrun_capnp::message::grant::Builder<'a>,crate::wire::marlrun_capnp::message::refuse::Builder<'a>,crate::wire::marlrun_capnp::message::move_::Builder<'a>,::capnp::Result<::capnp::struct_list::Builder<'a,crate::wire::marlrun_capnp::charge::Owned>>,crate::wire::marlrun_capnp::message::done::Builder<'a>,crate::wire::marlrun_capnp::message::held::Builder<'a>,crate::wire::marlrun_capnp::message::pull::Builder<'a>,::capnp::Result<crate::wire::marlrun_capnp::report::Builder<'a>>,::capnp::Result<::capnp::struct_list::Builder<'a,crate::wire::marlrun_capnp::level::Owned>>,crate::wire::marlrun_capnp::message::delta::Builder<'a>,crate::wire::marlrun_capnp::message::key_claim::Builder<'a>,crate::wire::marlrun_capnp::message::key_verdict::Builder<'a>,crate::wire::marlrun_capnp::message::key_release::Builder<'a>>;
 
     pub mod grant {
         #[derive(Copy, Clone)]
@@ -5505,6 +5533,257 @@
             pub(crate) const TYPE_ID: u64 = 0xa574_7dfb_d99c_a588;
         }
     }
+
+    pub mod key_release {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> Reader<'a,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_attempt(self) -> ::capnp::Result<crate::wire::marlrun_capnp::attempt::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_attempt(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
+            }
+            #[inline]
+            pub fn get_key(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_key(&self) -> bool {
+                !self.reader.get_pointer_field(1).is_null()
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 2 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_attempt(self) -> ::capnp::Result<crate::wire::marlrun_capnp::attempt::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_attempt(&mut self, value: crate::wire::marlrun_capnp::attempt::Reader<'_>) -> ::capnp::Result<()> {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
+            }
+            #[inline]
+            pub fn init_attempt(self, ) -> crate::wire::marlrun_capnp::attempt::Builder<'a> {
+                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
+            }
+            #[inline]
+            pub fn has_attempt(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
+            }
+            #[inline]
+            pub fn get_key(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_key(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false).unwrap()
+            }
+            #[inline]
+            pub fn init_key(self, size: u32) -> ::capnp::text::Builder<'a> {
+                self.builder.get_pointer_field(1).init_text(size)
+            }
+            #[inline]
+            pub fn has_key(&self) -> bool {
+                !self.builder.is_pointer_field_null(1)
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+            pub fn get_attempt(&self) -> crate::wire::marlrun_capnp::attempt::Pipeline {
+                ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
+            }
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 48] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(90, 20, 100, 126, 112, 137, 174, 254),
+                ::capnp::word(22, 0, 0, 0, 1, 0, 3, 0),
+                ::capnp::word(165, 9, 160, 144, 238, 252, 233, 182),
+                ::capnp::word(2, 0, 7, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 10, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 119, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(109, 97, 114, 108, 114, 117, 110, 46),
+                ::capnp::word(99, 97, 112, 110, 112, 58, 77, 101),
+                ::capnp::word(115, 115, 97, 103, 101, 46, 107, 101),
+                ::capnp::word(121, 82, 101, 108, 101, 97, 115, 101),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 30, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(41, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 31, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(45, 0, 0, 0, 34, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(97, 116, 116, 101, 109, 112, 116, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(16, 11, 215, 231, 187, 4, 11, 145),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(107, 101, 121, 0, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <crate::wire::marlrun_capnp::attempt::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1];
+            pub(crate) const TYPE_ID: u64 = 0xfeae_8970_7e64_145a;
+        }
+    }
 }
 
 pub mod batch {
--- a/src/wire/message.rs
+++ b/src/wire/message.rs
@@ -100,4 +100,11 @@
         /// The attempt is the first and only one that may run the key.
         granted: bool,
     },
+    /// Ingress to the issuer of an idempotency key: the attempt that may run it certainly did not.
+    KeyRelease {
+        /// Attempt that was granted the key.
+        attempt: id::Attempt,
+        /// Key that the receiver issued.
+        key: Box<str>,
+    },
 }
--- a/tests/attempt.rs
+++ b/tests/attempt.rs
@@ -1,7 +1,7 @@
 //! Life of requests at the router that took them: asks, grants, attempts and retries.
 
 use marlrun::{
-    id, ingress,
+    claim, id, ingress,
     unit::{Cost, Span, Time},
     wire,
 };
@@ -58,6 +58,10 @@
     }
 
     fn request(&mut self, idempotent: bool) -> wire::Ask {
+        self.request_keyed(idempotent, None)
+    }
+
+    fn request_keyed(&mut self, idempotent: bool, key: Option<claim::Key>) -> wire::Ask {
         let request = ingress::Request {
             number: 1,
             workspace: name("w"),
@@ -65,7 +69,7 @@
             class: wire::Class::Quick,
             estimate: Cost(1),
             idempotent,
-            key: None,
+            key,
             deadline: Time::default() + Span::from_secs(30),
         };
         let out = self.step(ingress::Event::Request(request));
@@ -202,3 +206,50 @@
     assert_eq!(again.attempt, ask.attempt);
     assert_eq!(again.waited, Span::from_secs(2));
 }
+
+#[test]
+fn retry_unreachable_after_sent() {
+    let mut bench = Bench::open();
+    let ask = bench.request(false);
+    bench.grant(&ask);
+    let attempt = ask.attempt;
+    bench.step(ingress::Event::Sent { attempt });
+    let out = bench.end(&ask, wire::Outcome::Unreachable);
+    assert!(
+        matches!(rejection(&out), Some(ingress::Rejection::Unknown { .. })),
+        "{out:?}"
+    );
+}
+
+#[test]
+fn pause_claim_pending() {
+    let mut bench = Bench::open();
+    let key = claim::Key::Caller("k".into());
+    let ask = bench.request_keyed(false, Some(key));
+    let out = bench.grant(&ask);
+    let claimed = out.iter().find_map(|action| match action {
+        ingress::Action::Claim { attempt, .. } => Some(*attempt),
+        _ => None,
+    });
+    let attempt = claimed.expect("a keyed request is claimed");
+    let out = bench.step(ingress::Event::Paused);
+    let second = asked(&out).expect("a stale grant is asked for again");
+    assert_ne!(second.attempt, ask.attempt);
+    assert!(!started(&bench.step(ingress::Event::Claimed {
+        attempt,
+        verdict: claim::Verdict::Granted,
+    })));
+    let out = bench.grant(&second);
+    assert!(started(&out), "claimed already: {out:?}");
+}
+
+#[test]
+fn grant_start_time_passed() {
+    let mut bench = Bench::open();
+    let ask = bench.request(false);
+    bench.grant(&ask);
+    // The front found the start time passed and sent nothing.
+    let out = bench.end(&ask, wire::Outcome::Cancelled);
+    assert_eq!(rejection(&out), None);
+    assert!(asked(&out).is_some(), "{out:?}");
+}
--- a/tests/claim.rs
+++ b/tests/claim.rs
@@ -391,6 +391,7 @@
                 attempt,
                 granted,
             },
+            wire::Message::KeyRelease { attempt, key } => claim::Event::KeyRelease { attempt, key },
             other => panic!("{other:?}"),
         };
         self.tell(to.expect("a router"), event);
--- a/tests/codec.rs
+++ b/tests/codec.rs
@@ -138,6 +138,10 @@
             attempt,
             key: key.into(),
         }),
+        (attempt(), ".{0,40}").prop_map(|(attempt, key)| Message::KeyRelease {
+            attempt,
+            key: key.into(),
+        }),
         (attempt(), any::<bool>())
             .prop_map(|(attempt, granted)| Message::KeyVerdict { attempt, granted }),
     ]
