Exchange split by matter: caller's side, headers, ways of an answer

On the way mended: a chunked answer of a plain service is passed on as it comes in place of being gathered; a passed-on answer that breaks is never taken up at the start elsewhere; a final answer ordered while an attempt is being stopped is kept; targets are told the time left.

--- a/src/daemon/control/requests.rs
+++ b/src/daemon/control/requests.rs
@@ -2,10 +2,11 @@
 
 use super::Control;
 use crate::{
-    claim, front, id, ingress,
+    claim, config, front, id, ingress,
     unit::{Cost, Time},
     wire::Outcome,
 };
+use std::sync::Arc;
 
 impl Control {
     pub(super) fn front(&mut self, now: Time, event: front::Event) {
@@ -93,8 +94,22 @@
                 target,
                 resume,
                 not_after,
-                ..
-            } => self.start(now, request, attempt, target, resume, not_after),
+                deadline,
+            } => {
+                let Some(target) = self.declared(now, attempt, &target, &resume) else {
+                    return;
+                };
+                self.running.insert(attempt, request);
+                self.parts.state.recent().start(request, &target.name);
+                let start = front::Order::Start {
+                    attempt,
+                    target,
+                    expires: not_after,
+                    deadline,
+                    resume,
+                };
+                self.order(request, start);
+            }
             ingress::Action::Abort { attempt } => {
                 if let Some(request) = self.running.get(&attempt) {
                     self.order(*request, front::Order::Abort { attempt });
@@ -108,17 +123,17 @@
         }
     }
 
-    fn start(
+    /// Returns the target of a grant; if it was removed since, the attempt ends with nothing sent.
+    fn declared(
         &mut self,
         now: Time,
-        request: u64,
         attempt: id::Attempt,
-        target: id::Target,
-        resume: Option<Box<str>>,
-        not_after: Time,
-    ) {
-        let Some(target) = self.routes.target(&target).cloned() else {
-            // The target was removed from the configuration after the grant; nothing was sent.
+        target: &id::Target,
+        resume: &Option<Box<str>>,
+    ) -> Option<Arc<config::Target>> {
+        let declared = self.routes.target(target).cloned();
+        if declared.is_none() {
+            let resume = resume.clone();
             let ended = ingress::Event::Ended {
                 attempt,
                 cost: Cost(0),
@@ -126,17 +141,9 @@
                 resume: resume.map_or(ingress::Resume::Start, ingress::Resume::After),
                 answer: None,
             };
-            return self.desk(now, ended);
-        };
-        self.running.insert(attempt, request);
-        self.parts.state.recent().start(request, &target.name);
-        let start = front::Order::Start {
-            attempt,
-            target,
-            expires: not_after,
-            resume,
-        };
-        self.order(request, start);
+            self.desk(now, ended);
+        }
+        declared
     }
 
     fn order(&self, request: u64, order: front::Order) {
--- /dev/null
+++ b/src/front/exchange/mod.rs
@@ -0,0 +1,335 @@
+//! Task that carries one request: waits for orders, runs attempts, and answers the caller.
+
+mod caller;
+mod header;
+mod relay;
+
+use self::caller::Caller;
+use super::{Answer, Body, Event, Order, Problem, Sink, handler::Message, whole};
+use crate::{answer, clock, config, id, ingress, metric, trace, unit, upstream, wire::Outcome};
+use bytes::Bytes;
+use http::{HeaderMap, Request, Response};
+use http_body_util::Full;
+use opentelemetry::KeyValue;
+use std::sync::Arc;
+use tokio::sync::{mpsc, oneshot};
+
+/// One request and all that is needed to carry it.
+pub(super) struct Exchange {
+    pub(super) request: u64,
+    pub(super) name: Box<str>,
+    pub(super) service: Arc<config::Service>,
+    pub(super) keyed: bool,
+    pub(super) message: Message,
+    pub(super) orders: mpsc::UnboundedReceiver<Order>,
+    pub(super) sink: Arc<dyn Sink>,
+    pub(super) pool: upstream::Pool,
+    pub(super) idle: unit::Span,
+    pub(super) hop: trace::Hop,
+    pub(super) arrived: unit::Time,
+    pub(super) stream: answer::Stream,
+    /// Final answer that was ordered while an attempt was being stopped.
+    pub(super) rejection: Option<ingress::Rejection>,
+    pub(super) log: slog::Logger,
+}
+
+/// An attempt that was ordered.
+struct Attempt {
+    id: id::Attempt,
+    target: Arc<config::Target>,
+    expires: unit::Time,
+    deadline: unit::Time,
+    resume: Option<Box<str>>,
+    hop: trace::Hop,
+    started: unit::Time,
+}
+
+/// How an attempt ended.
+struct End {
+    outcome: Outcome,
+    cost: unit::Cost,
+    resume: ingress::Resume,
+    answer: Option<Answer>,
+}
+
+impl End {
+    fn of(outcome: Outcome) -> Self {
+        Self {
+            outcome,
+            cost: unit::Cost(0),
+            resume: ingress::Resume::Start,
+            answer: None,
+        }
+    }
+}
+
+impl Exchange {
+    /// Carries the request to its end.
+    pub(super) async fn run(mut self, reply: oneshot::Sender<Response<Body>>) {
+        let mut caller = Caller::Waiting(reply);
+        let result = self.follow(&mut caller).await;
+        let service = self.service.name.to_string();
+        metrics::counter!(metric::RESULTS, "service" => service, "result" => result).increment(1);
+        let attributes = [
+            KeyValue::new("request", self.name.to_string()),
+            KeyValue::new("result", result),
+        ];
+        self.hop.clone().end(&self.log, clock::now(), &attributes);
+    }
+
+    async fn follow(&mut self, caller: &mut Caller) -> &'static str {
+        let mut queue = Some(self.hop.child("queue", clock::now()));
+        loop {
+            if let Some(rejection) = self.rejection.take() {
+                return self.reject(caller, rejection).await;
+            }
+            let order = tokio::select! {
+                order = self.orders.recv() => order,
+                () = caller.closed() => {
+                    self.sink.send(Event::Gone { request: self.request });
+                    return "gone";
+                }
+            };
+            match order {
+                Some(Order::Start {
+                    attempt,
+                    target,
+                    expires,
+                    deadline,
+                    resume,
+                }) => {
+                    let now = clock::now();
+                    if let Some(hop) = queue.take() {
+                        hop.end(&self.log, now, &[]);
+                    }
+                    let attempt = Attempt {
+                        id: attempt,
+                        target,
+                        expires,
+                        deadline,
+                        resume,
+                        hop: self.hop.child("target", now),
+                        started: now,
+                    };
+                    if let Some(result) = self.attempt(attempt, caller).await {
+                        return result;
+                    }
+                    queue = Some(self.hop.child("queue", clock::now()));
+                }
+                Some(Order::Abort { .. }) => {}
+                Some(Order::Reject(rejection)) => return self.reject(caller, rejection).await,
+                None => {
+                    let rejection = ingress::Rejection::Unknown {
+                        doubt: ingress::Doubt::Broken,
+                    };
+                    return self.reject(caller, rejection).await;
+                }
+            }
+        }
+    }
+
+    /// Runs one attempt and reports its end; returns a result if the request ended with it.
+    async fn attempt(&mut self, attempt: Attempt, caller: &mut Caller) -> Option<&'static str> {
+        let end = self.send(&attempt, caller).await;
+        let outcome = end.outcome;
+        let attributes = [
+            KeyValue::new("attempt", attempt.id.to_string()),
+            KeyValue::new("target", attempt.target.name.to_string()),
+            KeyValue::new("outcome", format!("{outcome:?}")),
+        ];
+        attempt.hop.end(&self.log, clock::now(), &attributes);
+        self.sink.send(Event::Ended {
+            attempt: attempt.id,
+            cost: end.cost,
+            outcome,
+            resume: end.resume,
+            answer: end.answer,
+        });
+        match outcome {
+            Outcome::Answered => Some("answered"),
+            Outcome::Cancelled if caller.is_closed() => Some("gone"),
+            Outcome::Cancelled | Outcome::NotRun | Outcome::Unreachable | Outcome::Broken => None,
+        }
+    }
+
+    async fn send(&mut self, attempt: &Attempt, caller: &mut Caller) -> End {
+        let leased = tokio::select! {
+            leased = self.pool.lease(attempt.target.address, self.service.idempotent) => leased,
+            () = caller.closed() => return End::of(Outcome::Cancelled),
+        };
+        let Ok(mut lease) = leased else {
+            return End::of(Outcome::Unreachable);
+        };
+        // The process may have been paused since the grant; nothing may be sent on a stale one.
+        if clock::now() > attempt.expires {
+            return End::of(Outcome::Cancelled);
+        }
+        self.sink.send(Event::Sent {
+            attempt: attempt.id,
+        });
+        let request = self.request(attempt);
+        let answered = tokio::select! {
+            answered = lease.sender.try_send_request(request) => answered,
+            () = caller.closed() => return self.cancelled(attempt),
+            () = aborted(&mut self.orders, &mut self.rejection, attempt.id) => {
+                return self.cancelled(attempt);
+            }
+        };
+        let response = match answered {
+            Ok(response) => response,
+            Err(mut error) => {
+                // The library hands the request back if no byte of it was sent.
+                let unsent = error.take_message().is_some();
+                return if unsent {
+                    End::of(Outcome::Unreachable)
+                } else {
+                    self.broken(attempt, ingress::Resume::Start)
+                };
+            }
+        };
+        if !self.is_own(attempt, response.headers()) {
+            metrics::counter!(metric::CROSSED).increment(1);
+            return self.broken(attempt, resume_of(attempt));
+        }
+        if header::is(response.headers(), header::OUTCOME, "not-run") {
+            return End::of(Outcome::NotRun);
+        }
+        let service = self.service.name.to_string();
+        let waited = clock::now().since(self.arrived);
+        metrics::histogram!(metric::FIRST_BYTE, "service" => service).record(waited.as_secs_f64());
+        let end = self.relay(attempt, caller, response).await;
+        if end.outcome == Outcome::Answered {
+            lease.release();
+        }
+        end
+    }
+
+    /// Ends the request without an answer; a stream that was begun ends as an error.
+    async fn reject(&self, caller: &mut Caller, rejection: ingress::Rejection) -> &'static str {
+        if let Caller::Streaming(chunks) = caller {
+            chunks.fail().await;
+            return "truncated";
+        }
+        let stored = match &rejection {
+            ingress::Rejection::Finished { answer } => answer.as_deref().and_then(Answer::decode),
+            _ => None,
+        };
+        let (mut response, result) = match (stored, &rejection) {
+            (Some(answer), _) => (replay(answer), "replayed"),
+            (None, ingress::Rejection::NotRun { .. }) => {
+                (Problem::rejected(&rejection).response(), "not-run")
+            }
+            (None, _) => (Problem::rejected(&rejection).response(), "unknown"),
+        };
+        self.name_request(response.headers_mut());
+        caller.reply(response);
+        result
+    }
+
+    fn request(&self, attempt: &Attempt) -> Request<Full<Bytes>> {
+        let mut request = Request::new(Full::new(self.message.body.clone()));
+        *request.method_mut() = self.message.method.clone();
+        *request.uri_mut() = self.message.path.parse().unwrap_or_default();
+        let headers = request.headers_mut();
+        header::copy(&self.message.headers, headers);
+        headers.remove(http::header::AUTHORIZATION);
+        let left = attempt.deadline.since(clock::now()).as_millis();
+        header::insert(headers, header::TIMEOUT, &left.to_string());
+        let host = attempt.target.address.to_string();
+        header::insert(headers, "host", &host);
+        header::insert(headers, header::ATTEMPT, &attempt.id.to_string());
+        header::insert(headers, header::REQUEST, &self.name);
+        header::insert(headers, trace::HEADER, &attempt.hop.header());
+        if let Some(event) = &attempt.resume {
+            header::insert(headers, header::LAST_EVENT, event);
+        }
+        request
+    }
+
+    /// Returns the head of the caller's answer: the target's, less what belongs to its connection.
+    fn head(&self, attempt: &Attempt, target: http::response::Parts) -> http::response::Parts {
+        let mut response = Response::new(());
+        *response.status_mut() = target.status;
+        header::copy(&target.headers, response.headers_mut());
+        self.name_request(response.headers_mut());
+        header::insert(
+            response.headers_mut(),
+            header::TARGET,
+            attempt.target.name.as_str(),
+        );
+        response.into_parts().0
+    }
+
+    fn name_request(&self, headers: &mut HeaderMap) {
+        header::insert(headers, header::REQUEST, &self.name);
+        header::insert(headers, header::TRACE, &self.hop.trace().to_string());
+    }
+
+    /// Reports whether an answer belongs to the attempt; a target that names none is believed.
+    fn is_own(&self, attempt: &Attempt, headers: &HeaderMap) -> bool {
+        let named = headers.get(header::ATTEMPT);
+        named.is_none_or(|named| named.as_bytes() == attempt.id.to_string().as_bytes())
+    }
+
+    fn is_model(&self) -> bool {
+        self.service.kind == config::Kind::Model
+    }
+
+    fn cost(&self, attempt: &Attempt, body: &[u8]) -> unit::Cost {
+        let elapsed = clock::now().since(attempt.started).as_millis().max(1);
+        match self.service.kind {
+            config::Kind::Plain => unit::Cost(elapsed),
+            config::Kind::Model => unit::Cost(answer::tokens_used(body).unwrap_or(elapsed)),
+        }
+    }
+
+    fn cancelled(&self, attempt: &Attempt) -> End {
+        End {
+            cost: self.cost(attempt, &[]),
+            ..End::of(Outcome::Cancelled)
+        }
+    }
+
+    fn broken(&self, attempt: &Attempt, resume: ingress::Resume) -> End {
+        End {
+            cost: self.cost(attempt, &[]),
+            resume,
+            ..End::of(Outcome::Broken)
+        }
+    }
+}
+
+/// Waits for the order to stop `attempt`; a final answer that is ordered meanwhile is kept.
+async fn aborted(
+    orders: &mut mpsc::UnboundedReceiver<Order>,
+    rejection: &mut Option<ingress::Rejection>,
+    attempt: id::Attempt,
+) {
+    while let Some(order) = orders.recv().await {
+        match order {
+            Order::Abort { attempt: stopped } if stopped == attempt => return,
+            Order::Reject(ordered) => *rejection = Some(ordered),
+            Order::Abort { .. } | Order::Start { .. } => {}
+        }
+    }
+    // The control thread is gone; the answer may still end whole.
+    std::future::pending().await
+}
+
+/// Returns where another target may go on if the attempt gave nothing.
+fn resume_of(attempt: &Attempt) -> ingress::Resume {
+    let after = attempt.resume.clone();
+    after.map_or(ingress::Resume::Start, ingress::Resume::After)
+}
+
+/// Returns the stored answer of an earlier try.
+fn replay(answer: Answer) -> Response<Body> {
+    let mut response = Response::new(whole(answer.body.into_string()));
+    if let Ok(status) = http::StatusCode::from_u16(answer.status) {
+        *response.status_mut() = status;
+    }
+    let headers = response.headers_mut();
+    header::insert(headers, "content-type", &answer.content_type);
+    header::insert(headers, header::REPLAYED, "true");
+    response
+}
--- /dev/null
+++ b/src/front/exchange/relay.rs
@@ -0,0 +1,199 @@
+//! The ways of an answer from the target to the caller.
+
+use super::{Attempt, Caller, End, Exchange, aborted, header};
+use crate::{
+    clock,
+    front::{Answer, Event, whole},
+    ingress,
+    unit::{Cost, Span, Time},
+    wire::Outcome,
+};
+use bytes::Bytes;
+use http::{Response, response};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+
+/// Largest answer that is read whole before the caller gets any of it, in bytes.
+const MAX_WHOLE_BYTES: usize = 1 << 20;
+/// Largest answer that is kept for repeats of its idempotency key, in bytes.
+const MAX_STORED_BYTES: usize = 4 << 10;
+/// Time between two reports of a running attempt's cost.
+const PROGRESS_PERIOD: Span = Span::from_millis(500);
+
+impl Exchange {
+    /// Gives the target's answer to the caller.
+    pub(super) async fn relay(
+        &mut self,
+        attempt: &Attempt,
+        caller: &mut Caller,
+        response: Response<Incoming>,
+    ) -> End {
+        let (head, body) = response.into_parts();
+        let length = header::length(&head.headers);
+        if self.is_model() && header::is_event_stream(&head.headers) {
+            return self.stream(attempt, caller, head, body).await;
+        }
+        match length {
+            Some(length) if length <= MAX_WHOLE_BYTES => {
+                self.whole(attempt, caller, head, body).await
+            }
+            _ => self.pass(attempt, caller, head, body).await,
+        }
+    }
+
+    /// Reads an answer whole, then gives it to the caller: one that breaks can be asked for again.
+    async fn whole(
+        &mut self,
+        attempt: &Attempt,
+        caller: &mut Caller,
+        head: response::Parts,
+        body: Incoming,
+    ) -> End {
+        let collected = tokio::select! {
+            collected = body.collect() => collected,
+            () = caller.closed() => return self.cancelled(attempt),
+            () = aborted(&mut self.orders, &mut self.rejection, attempt.id) => {
+                return self.cancelled(attempt);
+            }
+        };
+        let Ok(collected) = collected else {
+            return self.broken(attempt, ingress::Resume::Start);
+        };
+        let bytes = collected.to_bytes();
+        let cost = self.cost(attempt, &bytes);
+        let answer = if self.keyed {
+            keep(&head, &bytes)
+        } else {
+            None
+        };
+        let head = self.head(attempt, head);
+        caller.reply(Response::from_parts(head, whole(bytes)));
+        End {
+            outcome: Outcome::Answered,
+            cost,
+            resume: ingress::Resume::Never,
+            answer,
+        }
+    }
+
+    /// Passes on an answer chunk by chunk as it comes.
+    async fn pass(
+        &mut self,
+        attempt: &Attempt,
+        caller: &mut Caller,
+        head: response::Parts,
+        mut body: Incoming,
+    ) -> End {
+        let length = head.headers.get(http::header::CONTENT_LENGTH).cloned();
+        let mut head = self.head(attempt, head);
+        if let Some(length) = length {
+            head.headers.insert(http::header::CONTENT_LENGTH, length);
+        }
+        let chunks = caller.open(head, self.idle);
+        loop {
+            let frame = tokio::select! {
+                frame = body.frame() => frame,
+                () = chunks.closed() => return self.cancelled(attempt),
+                () = aborted(&mut self.orders, &mut self.rejection, attempt.id) => {
+                    return self.cancelled(attempt);
+                }
+            };
+            let chunk = match frame {
+                Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
+                Some(Err(_)) => return self.broken(attempt, ingress::Resume::Never),
+                None => break,
+            };
+            if chunks.push(chunk).await.is_err() {
+                return self.cancelled(attempt);
+            }
+        }
+        End {
+            outcome: Outcome::Answered,
+            cost: self.cost(attempt, &[]),
+            resume: ingress::Resume::Never,
+            answer: None,
+        }
+    }
+
+    /// Passes on a model's stream of events as they come; only whole events reach the caller.
+    async fn stream(
+        &mut self,
+        attempt: &Attempt,
+        caller: &mut Caller,
+        head: response::Parts,
+        mut body: Incoming,
+    ) -> End {
+        let head = self.head(attempt, head);
+        let chunks = caller.open(head, self.idle);
+        let before = self.stream.tokens();
+        if attempt.resume.is_some() {
+            self.stream.resume();
+        }
+        let mut reported = clock::now();
+        loop {
+            let frame = tokio::select! {
+                frame = body.frame() => frame,
+                () = chunks.closed() => return self.stream_end(Outcome::Cancelled, before),
+                () = aborted(&mut self.orders, &mut self.rejection, attempt.id) => {
+                    return self.stream_end(Outcome::Cancelled, before);
+                }
+            };
+            let Some(Ok(frame)) = frame else {
+                break;
+            };
+            let mut events = Vec::new();
+            let chunk = frame.into_data().unwrap_or_default();
+            let fed = self.stream.feed(&chunk, &mut events);
+            if chunks.push(Bytes::from(events)).await.is_err() {
+                return self.stream_end(Outcome::Cancelled, before);
+            }
+            if fed.is_err() {
+                break;
+            }
+            self.report(attempt, before, &mut reported);
+        }
+        let outcome = match self.stream.finish() {
+            Ok(()) => Outcome::Answered,
+            Err(_) => Outcome::Broken,
+        };
+        self.stream_end(outcome, before)
+    }
+
+    /// Reports the cost of a running attempt once in a while.
+    fn report(&self, attempt: &Attempt, before: Cost, reported: &mut Time) {
+        let now = clock::now();
+        if now.since(*reported) < PROGRESS_PERIOD {
+            return;
+        }
+        *reported = now;
+        self.sink.send(Event::Progress {
+            attempt: attempt.id,
+            cost: self.stream.tokens().saturating_sub(before),
+        });
+    }
+
+    /// Returns the end of a streaming attempt that began with `before` tokens passed on.
+    fn stream_end(&self, outcome: Outcome, before: Cost) -> End {
+        let tokens = self.stream.tokens().saturating_sub(before);
+        End {
+            outcome,
+            cost: tokens.max(Cost(1)),
+            resume: self.stream.resume_at(),
+            answer: None,
+        }
+    }
+}
+
+/// Returns an answer to be stored for repeats, if it is small text.
+fn keep(head: &response::Parts, body: &[u8]) -> Option<Answer> {
+    if body.len() > MAX_STORED_BYTES {
+        return None;
+    }
+    let content_type = head.headers.get(http::header::CONTENT_TYPE);
+    let content_type = content_type.and_then(|value| value.to_str().ok());
+    Some(Answer {
+        status: head.status.as_u16(),
+        content_type: content_type.unwrap_or_default().into(),
+        body: std::str::from_utf8(body).ok()?.into(),
+    })
+}
--- a/src/front/handler.rs
+++ b/src/front/handler.rs
@@ -144,6 +144,7 @@
             hop,
             arrived: clock::now(),
             stream: answer::Stream::open(),
+            rejection: None,
             log: self.log.clone(),
         };
         self.sink.send(Event::Arrived {
