--- a/tests/scenario.rs
+++ b/tests/scenario.rs
@@ -9,7 +9,7 @@
 //! - `await-run name=a`: waits until a target runs the request.
 //! - `answer name=a [one-of=(x, y)]`: waits for the answer: `whole`, `replayed`, `not-run`, `unknown`,
 //!   `broken` (the caller sees that something is missing) or `WRONG`.
-//! - `runs name=a`: runs of the request's operation, at all targets.
+//! - `runs name=a`: runs of the request's operation, at all targets; `runs-at-most-once name=a`.
 //! - `kill`, `pause`, `resume`, `stop`, `start` with `router=r`; `stop` is SIGTERM and prints the exit code.
 //! - `cut from=a to=b [way=both]`, `heal router=r`, `members router=r count=n`.
 //! - `platform` and `target name=t`: the line is the fault to set; `leave target=t`.
@@ -228,6 +228,7 @@
             "await-run" => self.await_run(&text(case, "name")),
             "answer" => self.answer(case),
             "runs" => self.runs(&text(case, "name")).to_string(),
+            "runs-at-most-once" => (self.runs(&text(case, "name")) <= 1).to_string(),
             "kill" | "pause" | "resume" => self.signal(&directive, &text(case, "router")),
             "stop" => self.stop(&text(case, "router")),
             "start" => self.restart(&text(case, "router")),
@@ -469,3 +470,48 @@
 fn scenario_kill() {
     run("kill");
 }
+
+#[test]
+fn scenario_waiting() {
+    run("waiting");
+}
+
+#[test]
+fn scenario_lost_answer() {
+    run("lost_answer");
+}
+
+#[test]
+fn scenario_pause() {
+    run("pause");
+}
+
+#[test]
+fn scenario_platform_down() {
+    run("platform_down");
+}
+
+#[test]
+fn scenario_cut() {
+    run("cut");
+}
+
+#[test]
+fn scenario_leave() {
+    run("leave");
+}
+
+#[test]
+fn scenario_terminate() {
+    run("terminate");
+}
+
+#[test]
+fn scenario_bad_target() {
+    run("bad_target");
+}
+
+#[test]
+fn scenario_twice() {
+    run("twice");
+}
