--- a/tests/common/fleet.rs
+++ b/tests/common/fleet.rs
@@ -11,7 +11,8 @@
     fmt::Write,
     fs,
     net::{SocketAddr, TcpStream},
-    process::Command,
+    path::PathBuf,
+    process::{Command, Output},
 };
 
 /// Addresses of a router.
@@ -32,6 +33,8 @@
     pub routers: BTreeMap<Box<str>, Process>,
     pub addresses: BTreeMap<Box<str>, Addresses>,
     domains: BTreeMap<Box<str>, Box<str>>,
+    /// Routers take the platform's configuration in place of the base file.
+    pub from_platform: bool,
 }
 
 impl Fleet {
@@ -63,6 +66,7 @@
             routers: BTreeMap::new(),
             addresses: BTreeMap::new(),
             domains: BTreeMap::new(),
+            from_platform: false,
         }
     }
 
@@ -99,7 +103,8 @@
         self.targets.insert(name.into(), (process, address));
     }
 
-    /// Starts routers with the targets declared so far, and waits until all are ready.
+    /// Starts routers with the targets declared so far, and waits until all are ready unless the platform
+    /// has no configuration for them yet.
     pub fn start_routers(&mut self, routers: &[(&str, &str)]) {
         for (name, domain) in routers {
             let addresses = Addresses {
@@ -111,16 +116,46 @@
             self.addresses.insert((*name).into(), addresses);
             self.domains.insert((*name).into(), (*domain).into());
         }
-        fs::write(self.folder.path().join("base.toml"), &self.base).unwrap();
+        self.base_file();
         fs::write(self.folder.path().join("key"), "operator-key").unwrap();
         for (name, _) in routers {
             self.start_router(name);
         }
+        if self.from_platform {
+            return;
+        }
         for (name, _) in routers {
             self.wait_ready(name, routers.len());
         }
     }
 
+    /// Returns the base file that declares what was started so far.
+    pub fn base_file(&self) -> PathBuf {
+        let path = self.folder.path().join("base.toml");
+        fs::write(&path, &self.base).unwrap();
+        path
+    }
+
+    /// Adds a line to the base file.
+    pub fn declare(&mut self, lines: &str) {
+        self.base += lines;
+    }
+
+    /// Runs the operators' command line against the platform and all routers.
+    pub fn operate(&self, arguments: &[&str]) -> Output {
+        let operators = self.addresses.values().map(|addresses| addresses.operator);
+        let operators = operators.map(|address| address.to_string());
+        let mut command = Command::new(env!("CARGO_BIN_EXE_marlrun"));
+        command
+            .args(["--router", &operators.collect::<Vec<_>>().join(",")])
+            .arg("--operator-key-file")
+            .arg(self.folder.path().join("key"));
+        if let Some((_, platform)) = &self.platform {
+            command.args(["--platform", &platform.to_string()]);
+        }
+        command.args(arguments).output().unwrap()
+    }
+
     /// Starts a declared router, again or for the first time.
     pub fn start_router(&mut self, name: &str) {
         let addresses = self.addresses[name];
@@ -140,10 +175,11 @@
             .args(["--operator", &addresses.operator.to_string()])
             .arg("--operator-key-file")
             .arg(self.folder.path().join("key"))
-            .arg("--base")
-            .arg(self.folder.path().join("base.toml"))
             .args(["--seeds", &seeds])
             .args(["--fault-injection", "true", "--log-level", "warning"]);
+        if !self.from_platform {
+            command.arg("--base").arg(self.base_file());
+        }
         if let Some((_, platform)) = &self.platform {
             command.args(["--platform", &platform.to_string()]);
         }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -13,5 +13,5 @@
 pub use self::{
     caller::{Answer, Caller},
     fleet::Fleet,
-    process::Process,
+    process::{Process, wait_until},
 };
