--- a/tests/common/fleet.rs
+++ b/tests/common/fleet.rs
@@ -15,6 +15,33 @@
     process::{Command, Output},
 };
 
+const SERVICES: &str = r#"
+[services.assistant]
+kind = "model"
+idempotent = true
+quick = 16
+estimate = 100
+timeout = "60s"
+max_waiting = 100
+engine = { fencing = true, resume = true }
+
+[services.panels]
+kind = "plain"
+idempotent = false
+quick = 100
+estimate = 10
+timeout = "20s"
+max_waiting = 100
+
+[services.notes]
+kind = "plain"
+idempotent = true
+quick = 100
+estimate = 10
+timeout = "20s"
+max_waiting = 100
+"#;
+
 /// Addresses of a router.
 #[derive(Clone, Copy, Debug)]
 pub struct Addresses {
@@ -35,6 +62,8 @@
     domains: BTreeMap<Box<str>, Box<str>>,
     /// Routers take the platform's configuration in place of the base file.
     pub from_platform: bool,
+    /// Routers know nothing of each other.
+    pub alone: bool,
 }
 
 impl Fleet {
@@ -42,21 +71,27 @@
     /// a plain service `panels` whose calls must not be repeated, and a plain service `notes`
     /// whose calls may be. The key of workspace `w` is `key-w`.
     pub fn new(workspaces: &[&str]) -> Self {
-        let mut base = String::from(
-            "[sites.east]\ndomains = [\"east\"]\n[sites.west]\ndomains = [\"west\"]\n\
-             [services.assistant]\nkind = \"model\"\nidempotent = true\nquick = 16\nestimate = 100\ntimeout = \"60s\"\n\
-             max_waiting = 100\nengine = { fencing = true, resume = true }\n\
-             [services.panels]\nkind = \"plain\"\nidempotent = false\nquick = 100\nestimate = 10\ntimeout = \"20s\"\n\
-             max_waiting = 100\n\
-             [services.notes]\nkind = \"plain\"\nidempotent = true\nquick = 100\nestimate = 10\ntimeout = \"20s\"\n\
-             max_waiting = 100\n",
-        );
-        for workspace in workspaces {
+        let weighted: Vec<_> = workspaces.iter().map(|name| (*name, 1)).collect();
+        Self::with(&["east", "west"], &weighted)
+    }
+
+    /// Returns a fleet with other failure domains, and workspaces with weights.
+    pub fn with(domains: &[&str], workspaces: &[(&str, u32)]) -> Self {
+        let mut base = String::new();
+        for domain in domains {
+            writeln!(base, "[sites.{domain}]\ndomains = [\"{domain}\"]").unwrap();
+        }
+        base += SERVICES;
+        for (workspace, weight) in workspaces {
             let digest = Sha256::digest(format!("key-{workspace}"));
             let hex = digest
                 .iter()
                 .fold(String::new(), |hex, byte| format!("{hex}{byte:02x}"));
-            writeln!(base, "[workspaces.{workspace}]\nkey_sha256 = [\"{hex}\"]").unwrap();
+            writeln!(
+                base,
+                "[workspaces.{workspace}]\nweight = {weight}\nkey_sha256 = [\"{hex}\"]"
+            )
+            .unwrap();
         }
         Self {
             folder: tempfile::tempdir().unwrap(),
@@ -67,6 +102,7 @@
             addresses: BTreeMap::new(),
             domains: BTreeMap::new(),
             from_platform: false,
+            alone: false,
         }
     }
 
@@ -125,7 +161,8 @@
             return;
         }
         for (name, _) in routers {
-            self.wait_ready(name, routers.len());
+            let members = if self.alone { 1 } else { routers.len() };
+            self.wait_ready(name, members);
         }
     }
 
@@ -175,8 +212,10 @@
             .args(["--operator", &addresses.operator.to_string()])
             .arg("--operator-key-file")
             .arg(self.folder.path().join("key"))
-            .args(["--seeds", &seeds])
             .args(["--fault-injection", "true", "--log-level", "warning"]);
+        if !self.alone {
+            command.args(["--seeds", &seeds]);
+        }
         if !self.from_platform {
             command.arg("--base").arg(self.base_file());
         }
