--- a/benches/config.rs
+++ b/benches/config.rs
@@ -6,12 +6,12 @@
 use criterion::Criterion;
 use marlrun::{
     config::{
-        self, Delta, Document, Replica, Source, Step, Update,
+        self, Delta, Digest, Document, Replica, Source, Step, Update,
         replica::{Action, Event},
     },
     id,
     unit::{Time, Version, Weight},
-    wire::Message,
+    wire::{Message, codec},
 };
 use std::{
     alloc::{GlobalAlloc, Layout, System},
@@ -27,6 +27,8 @@
 const TARGETS: usize = 600;
 const SERVICES: usize = 25;
 const DOMAINS: usize = 6;
+const CHANGES_A_DAY: f64 = 2_800.0;
+const SECONDS_A_DAY: f64 = 86_400.0;
 
 /// Counts the bytes that are allocated.
 struct Counting;
@@ -69,7 +71,7 @@
         }
     }
     for workspace in 0..WORKSPACES {
-        let key = config::Digest::of(&workspace.to_be_bytes());
+        let key = Digest::of(&workspace.to_be_bytes());
         writeln!(text, "[workspaces.workspace-{workspace}]").unwrap();
         writeln!(text, "weight = {}", workspace % 9 + 1).unwrap();
         writeln!(text, "key_sha256 = [\"{key}\"]").unwrap();
@@ -97,24 +99,33 @@
     }
 }
 
-/// Returns the contents after another weight for one workspace.
-fn change(document: &Document, number: usize) -> Document {
-    let mut changed = document.clone();
-    let name: id::Workspace = format!("workspace-{}", number * 7 % WORKSPACES)
-        .parse()
-        .unwrap();
-    let holder = changed.workspaces.get_mut(&name).unwrap();
-    let weight = holder.workspace.weight.get() % 9 + 1;
-    Arc::make_mut(&mut holder.workspace).weight = Weight::new(weight).unwrap();
-    changed
+/// Contents at a version, to which changes are made.
+struct Author {
+    document: Document,
+    digest: Digest,
+    version: u64,
 }
 
-fn step(from: u64, old: &Document, new: &Document) -> Step {
-    Step {
-        from: Version(from),
-        to: Version(from + 1),
-        digest: new.digest(),
-        delta: Delta::between(old, new),
+impl Author {
+    /// Gives one workspace another weight and returns the encoded change.
+    fn change(&mut self) -> Vec<u8> {
+        let number = self.version as usize * 7 % WORKSPACES;
+        let name: id::Workspace = format!("workspace-{number}").parse().unwrap();
+        let mut holder = self.document.workspaces[&name].clone();
+        let weight = holder.workspace.weight.get() % 9 + 1;
+        Arc::make_mut(&mut holder.workspace).weight = Weight::new(weight).unwrap();
+        let mut delta = Delta::default();
+        delta.workspaces.insert(name, Some(holder));
+        self.digest = self.document.digest_after(self.digest, &delta);
+        self.document.apply(&delta);
+        let step = Step {
+            from: Version(self.version),
+            to: Version(self.version + 1),
+            digest: self.digest,
+            delta,
+        };
+        self.version += 1;
+        Update { steps: vec![step] }.encode()
     }
 }
 
@@ -144,7 +155,7 @@
     bytes as f64 / f64::from(1 << 20)
 }
 
-fn sizes(document: &Document, whole: &[u8], changed: &Step) {
+fn sizes(whole: &[u8], body: &[u8]) {
     let start = LIVE.load(Relaxed);
     PEAK.store(start, Relaxed);
     let (mut replica, installed) = replica(whole);
@@ -157,25 +168,32 @@
         "peak while loading: {:.1} MiB",
         mebibytes(PEAK.load(Relaxed) - start)
     );
-    let steps = vec![changed.clone()];
-    let body = Update { steps }.encode();
     let live = LIVE.load(Relaxed);
     PEAK.store(live, Relaxed);
-    let _installed = deliver(&mut replica, &body);
+    let _installed = deliver(&mut replica, body);
     println!(
         "peak above that for a change: {:.1} MiB",
         mebibytes(PEAK.load(Relaxed) - live)
     );
     drop(installed);
-    let fetch = Message::Fetch { have: Version(1) };
-    println!("change of one weight, body: {} B", body.len());
-    println!("question to a peer: {fetch:?}");
-    let days = 2_800.0 * body.len() as f64;
+    let have = Version(1);
+    let fetch = batch(Message::Fetch { have });
+    let delta = batch(Message::Delta {
+        from: have,
+        to: have.next(),
+        body: body.to_vec(),
+    });
+    println!("change of one weight: question {fetch} B, answer {delta} B");
+    let daily = CHANGES_A_DAY * (fetch + delta) as f64;
+    let rate = daily / SECONDS_A_DAY;
     println!(
-        "bodies at 2,800 changes a day: {:.1} B/s per router",
-        days / 86_400.0
+        "questions and answers at 2,800 changes a day: {rate:.1} B/s received and sent per router"
     );
-    black_box(document);
+}
+
+/// Returns the encoded length of a message over a link, in bytes.
+fn batch(message: Message) -> usize {
+    codec::encode_batch(&[message]).unwrap().len()
 }
 
 fn main() {
@@ -184,9 +202,13 @@
     let document = config::check(&source, &[]).unwrap();
     let whole = Step::whole(&document, Version(1), document.digest());
     let whole = Update { steps: vec![whole] }.encode();
-    let next = change(&document, 1);
-    let changed = step(1, &document, &next);
-    sizes(&document, &whole, &changed);
+    let mut author = Author {
+        digest: document.digest(),
+        document: document.clone(),
+        version: 1,
+    };
+    let first = author.change();
+    sizes(&whole, &first);
 
     let mut criterion = Criterion::default().sample_size(10).configure_from_args();
     criterion.bench_function("check base file", |b| {
@@ -194,23 +216,10 @@
     });
     criterion.bench_function("replica loads whole update", |b| b.iter(|| replica(&whole)));
     let (mut replica, _) = replica(&whole);
-    let mut documents = (next, 2);
-    deliver(
-        &mut replica,
-        &Update {
-            steps: vec![changed],
-        }
-        .encode(),
-    );
+    deliver(&mut replica, &first);
     criterion.bench_function("replica applies one change", |b| {
         b.iter_batched(
-            || {
-                let (old, version) = (&documents.0, documents.1);
-                let new = change(old, version as usize);
-                let steps = vec![step(version, old, &new)];
-                documents = (new, version + 1);
-                Update { steps }.encode()
-            },
+            || author.change(),
             |body| deliver(&mut replica, &body),
             criterion::BatchSize::PerIteration,
         );
--- a/src/config/document.rs
+++ b/src/config/document.rs
@@ -38,26 +38,10 @@
 impl Document {
     /// Returns the configuration in force at a site: limits follow its own overlay, targets follow all overlays.
     pub fn fleet(&self, version: Version, site: Option<&id::Site>) -> Fleet {
-        let mut fleet = Fleet {
-            version,
-            services: self.services.clone(),
-            targets: self.targets.clone(),
-            listed_slots: self.listed_slots.clone(),
-            sites: self.sites.clone(),
-            ..Fleet::default()
-        };
-        for (name, holder) in &self.workspaces {
-            let keys = holder.keys.iter().map(|key| (key.0, name.clone()));
-            fleet.keys.extend(keys);
-            let workspace = Arc::clone(&holder.workspace);
-            fleet.workspaces.insert(name.clone(), workspace);
-        }
-        for overlay in self.overlays.values() {
-            overlay.apply_targets(&mut fleet);
-        }
-        if let Some(overlay) = site.and_then(|site| self.overlays.get(site)) {
-            overlay.apply_limits(&mut fleet);
-        }
+        let mut fleet = Fleet::default();
+        let holders = self.workspaces.values();
+        holders.for_each(|holder| fleet.add(holder));
+        fleet.refresh(self, version, site);
         fleet
     }
 }
--- a/src/config/fleet.rs
+++ b/src/config/fleet.rs
@@ -1,8 +1,7 @@
 //! Effective configuration of one site.
 
-use super::{Service, Target, Workspace};
+use super::{Delta, Digest, Document, Holder, Map, Service, Target, Workspace};
 use crate::{id, unit::Version};
-use sha2::{Digest as _, Sha256};
 use std::{
     collections::{BTreeMap, BTreeSet},
     sync::Arc,
@@ -15,13 +14,13 @@
     /// Version that the operators applied.
     pub version: Version,
     /// Workspaces by name.
-    pub workspaces: BTreeMap<id::Workspace, Arc<Workspace>>,
+    pub workspaces: Map<id::Workspace, Arc<Workspace>>,
     /// Services by name.
     pub services: BTreeMap<id::Service, Arc<Service>>,
     /// Targets by name.
     pub targets: BTreeMap<id::Target, Arc<Target>>,
     /// Workspaces by the SHA-256 digest of a caller's key.
-    pub keys: BTreeMap<[u8; 32], id::Workspace>,
+    pub keys: Map<Digest, id::Workspace>,
     /// Slots of each target that the platform's list adds to a service; other services ignore the list.
     pub listed_slots: BTreeMap<id::Service, u32>,
     /// Sites by name, each with its failure domains.
@@ -31,9 +30,15 @@
 impl Fleet {
     /// Returns the workspace of a caller's key; the time that it takes tells nothing about the keys.
     pub fn workspace_of(&self, key: &[u8]) -> Option<&id::Workspace> {
-        let digest: [u8; 32] = Sha256::digest(key).into();
-        let (known, workspace) = self.keys.range(digest..).next()?;
-        bool::from(known.ct_eq(&digest)).then_some(workspace)
+        let digest = Digest::of(key);
+        let mut found = None;
+        // All candidates are compared to the end, whether one of them has matched or not.
+        for (known, workspace) in self.keys.beside(&digest) {
+            if known.0.ct_eq(&digest.0).into() {
+                found = Some(workspace);
+            }
+        }
+        found
     }
 
     /// Returns the site that a failure domain belongs to.
@@ -41,4 +46,49 @@
         let mut sites = self.sites.iter();
         sites.find_map(|(site, domains)| domains.contains(domain).then_some(site))
     }
+
+    /// Adds a workspace.
+    pub(super) fn add(&mut self, holder: &Holder) {
+        let workspace = &holder.workspace;
+        let name = &workspace.name;
+        let keys = holder.keys.iter().map(|key| (*key, name.clone()));
+        self.keys.extend(keys);
+        self.workspaces.insert(name.clone(), workspace.clone());
+    }
+
+    /// Makes the workspaces follow a delta of a document that it is still to be applied to.
+    pub(super) fn follow(&mut self, before: &Document, delta: &Delta) {
+        for name in delta.workspaces.keys() {
+            let Some(holder) = before.workspaces.get(name) else {
+                continue;
+            };
+            self.workspaces.remove(name);
+            for key in &holder.keys {
+                self.keys.remove(key);
+            }
+        }
+        let added = delta.workspaces.values().flatten();
+        added.for_each(|holder| self.add(holder));
+    }
+
+    /// Takes all but the workspaces from a document.
+    pub(super) fn refresh(
+        &mut self,
+        document: &Document,
+        version: Version,
+        site: Option<&id::Site>,
+    ) {
+        self.version = version;
+        self.services = document.services.clone();
+        self.targets = document.targets.clone();
+        self.listed_slots = document.listed_slots.clone();
+        self.sites = document.sites.clone();
+        for overlay in document.overlays.values() {
+            overlay.apply_targets(self);
+        }
+        let overlay = site.and_then(|site| document.overlays.get(site));
+        if let Some(overlay) = overlay {
+            overlay.apply_limits(self);
+        }
+    }
 }
--- /dev/null
+++ b/src/config/map.rs
@@ -0,0 +1,110 @@
+//! Maps that are cheap to copy.
+
+use std::{
+    borrow::Borrow,
+    collections::BTreeMap,
+    hash::{DefaultHasher, Hash, Hasher as _},
+    ops::Index,
+    sync::Arc,
+};
+
+/// Parts of a map: 49,000 items then make parts of about 190, which is what a change of one item copies.
+const PARTS: usize = 256;
+
+/// A map whose copies share their parts; a change copies the part that it is in, if it is shared. Iteration goes
+/// through the parts and is in the same order for the same items.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Map<K, V>(Box<[Arc<BTreeMap<K, V>>]>);
+
+impl<K, V> Default for Map<K, V> {
+    fn default() -> Self {
+        let empty = Arc::new(BTreeMap::new());
+        Self(vec![empty; PARTS].into())
+    }
+}
+
+impl<K: Ord + Hash + Clone, V: Clone> Map<K, V> {
+    /// Returns the value of a key.
+    pub fn get<Q>(&self, key: &Q) -> Option<&V>
+    where
+        K: Borrow<Q>,
+        Q: Ord + Hash + ?Sized,
+    {
+        self.0[part(key)].get(key)
+    }
+
+    /// Returns the items that are in the same part as a key.
+    pub(super) fn beside<Q: Hash + ?Sized>(&self, key: &Q) -> impl Iterator<Item = (&K, &V)> {
+        self.0[part(key)].iter()
+    }
+
+    /// Sets the value of a key and returns the earlier one.
+    pub fn insert(&mut self, key: K, value: V) -> Option<V> {
+        Arc::make_mut(&mut self.0[part(&key)]).insert(key, value)
+    }
+
+    /// Removes a key and returns its value.
+    pub fn remove<Q>(&mut self, key: &Q) -> Option<V>
+    where
+        K: Borrow<Q>,
+        Q: Ord + Hash + ?Sized,
+    {
+        Arc::make_mut(&mut self.0[part(key)]).remove(key)
+    }
+
+    /// Returns the number of items.
+    pub fn len(&self) -> usize {
+        self.0.iter().map(|part| part.len()).sum()
+    }
+
+    /// Reports whether there is no item.
+    pub fn is_empty(&self) -> bool {
+        self.0.iter().all(|part| part.is_empty())
+    }
+
+    /// Returns all items.
+    pub fn iter(&self) -> impl Iterator<Item = (&K, &V)> {
+        self.0.iter().flat_map(|part| part.iter())
+    }
+}
+
+impl<K, V, Q> Index<&Q> for Map<K, V>
+where
+    K: Ord + Hash + Clone + Borrow<Q>,
+    V: Clone,
+    Q: Ord + Hash + ?Sized,
+{
+    type Output = V;
+
+    /// Returns the value of a key.
+    ///
+    /// # Panics
+    ///
+    /// Panics if there is no such key.
+    fn index(&self, key: &Q) -> &V {
+        self.get(key).expect("the map must hold the key")
+    }
+}
+
+impl<K: Ord + Hash + Clone, V: Clone> FromIterator<(K, V)> for Map<K, V> {
+    fn from_iter<I: IntoIterator<Item = (K, V)>>(items: I) -> Self {
+        let mut map = Self::default();
+        map.extend(items);
+        map
+    }
+}
+
+impl<K: Ord + Hash + Clone, V: Clone> Extend<(K, V)> for Map<K, V> {
+    fn extend<I: IntoIterator<Item = (K, V)>>(&mut self, items: I) {
+        for (key, value) in items {
+            self.insert(key, value);
+        }
+    }
+}
+
+/// Returns the part that a key is in, the same in each process.
+fn part<Q: Hash + ?Sized>(key: &Q) -> usize {
+    let mut hasher = DefaultHasher::new();
+    key.hash(&mut hasher);
+    hasher.finish() as usize % PARTS
+}
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -10,6 +10,7 @@
 mod fleet;
 mod head;
 mod load;
+mod map;
 mod overlay;
 mod place;
 mod reader;
@@ -33,6 +34,7 @@
     fleet::Fleet,
     head::{Change, Entry, Head, InvalidChange},
     load::{check, load},
+    map::Map,
     overlay::{Limits, Overlay, Patch},
     place::Place,
     replica::Replica,
--- a/src/config/replica.rs
+++ b/src/config/replica.rs
@@ -136,6 +136,10 @@
     latest: Version,
     digest: Digest,
     document: Document,
+    /// The workspaces of `document`, and the rest as it was when a version was put in force last.
+    fleet: Fleet,
+    /// A whole update at an earlier version, encoded, to answer restarted peers.
+    whole_body: Option<(Version, Vec<u8>)>,
     /// The latest steps, oldest first.
     steps: VecDeque<Step>,
     peers: BTreeMap<id::Router, Version>,
@@ -174,6 +178,8 @@
             latest: Version(0),
             digest: Digest::default(),
             document: Document::default(),
+            fleet: Fleet::default(),
+            whole_body: None,
             steps: VecDeque::new(),
             peers: BTreeMap::new(),
             fetch: None,
@@ -265,6 +271,7 @@
             Ok(None) => self.platform.said = Some("the platform holds no newer one".into()),
             Err(fault) => self.platform.said = Some(fault.to_string().into()),
         }
+        self.fetch_newer(now, None, out);
     }
 
     fn on_tick(&mut self, now: Time, out: &mut Vec<Action>) {
@@ -294,7 +301,7 @@
     /// Asks a peer that has a newer version: the one that is furthest ahead or, after a peer that did not help,
     /// the next one in the order of names.
     fn fetch_newer(&mut self, now: Time, after: Option<id::Router>, out: &mut Vec<Action>) {
-        if self.fetch.is_some() {
+        if self.fetch.is_some() || !self.may_fetch(now) {
             return;
         }
         let peers = self.peers.iter();
@@ -317,6 +324,13 @@
         self.fetch = Some(Fetch { router, since });
     }
 
+    /// Reports whether peers may be asked: a whole document is asked for only if the platform does not give it,
+    /// because it takes the peer's time.
+    fn may_fetch(&self, now: Time) -> bool {
+        let age = now.since(self.started.unwrap_or(now));
+        self.latest > Version(0) || self.platform.answered.is_some() || age >= SETTLE
+    }
+
     /// Returns the version after which changes are wanted.
     fn wanted_after(&self) -> Version {
         if self.whole {
@@ -326,27 +340,48 @@
     }
 
     /// Sends a peer what it lacks.
-    fn answer(&self, to: id::Router, have: Version, out: &mut Vec<Action>) {
+    fn answer(&mut self, to: id::Router, have: Version, out: &mut Vec<Action>) {
         if have >= self.latest {
             return;
         }
-        let start = self.steps.iter().position(|step| step.from == have);
-        let update = match start {
-            Some(start) if have > Version(0) => Update {
-                steps: self.steps.range(start..).cloned().collect(),
-            },
-            _ => Update {
-                steps: vec![Step::whole(&self.document, self.latest, self.digest)],
-            },
+        let (from, body) = match self.steps_after(have) {
+            Some(steps) if have > Version(0) => (have, Update { steps }.encode()),
+            _ => (Version(0), self.encode_whole()),
         };
+        let to_version = self.latest;
         let message = wire::Message::Delta {
-            from: update.from(),
-            to: update.to(),
-            body: update.encode(),
+            from,
+            to: to_version,
+            body,
         };
         out.push(Action::Send(wire::Envelope { to, message }));
     }
 
+    /// Returns the steps from a version to the latest one, `None` if they are not kept.
+    fn steps_after(&self, version: Version) -> Option<Vec<Step>> {
+        if version == self.latest {
+            return Some(Vec::new());
+        }
+        let start = self.steps.iter().position(|step| step.from == version)?;
+        Some(self.steps.range(start..).cloned().collect())
+    }
+
+    /// Returns a whole update. To encode 49,000 workspaces takes long, so that an earlier encoding is used with
+    /// the steps that followed it, for as long as they are kept.
+    fn encode_whole(&mut self) -> Vec<u8> {
+        if let Some((version, body)) = &self.whole_body
+            && let Some(steps) = self.steps_after(*version)
+        {
+            let mut body = body.clone();
+            Update { steps }.append_to(&mut body);
+            return body;
+        }
+        let whole = Step::whole(&self.document, self.latest, self.digest);
+        let body = Update { steps: vec![whole] }.encode();
+        self.whole_body = Some((self.latest, body.clone()));
+        body
+    }
+
     /// Applies the steps that lead on from the version in force; reports whether any did.
     fn accept(&mut self, update: Update, origin: Origin, out: &mut Vec<Action>) -> bool {
         let before = self.latest;
@@ -368,8 +403,9 @@
         }
         self.version = self.latest;
         let site = self.site();
-        let fleet = self.document.fleet(self.latest, site.as_ref());
-        out.push(Action::Install(Arc::new(fleet)));
+        self.fleet
+            .refresh(&self.document, self.latest, site.as_ref());
+        out.push(Action::Install(Arc::new(self.fleet.clone())));
     }
 
     fn is_settled(&self, now: Time) -> bool {
@@ -403,9 +439,12 @@
         }
         if whole {
             self.document = empty;
+            self.fleet = Fleet::default();
+            self.whole_body = None;
             self.steps.clear();
             self.whole = false;
         }
+        self.fleet.follow(&self.document, &step.delta);
         self.document.apply(&step.delta);
         self.latest = step.to;
         self.digest = step.digest;
--- a/src/config/update.rs
+++ b/src/config/update.rs
@@ -66,6 +66,17 @@
         serde_json::to_vec(self).expect("an update must be writable as JSON")
     }
 
+    /// Adds the update's steps to an encoded one that is not empty.
+    pub(super) fn append_to(&self, body: &mut Vec<u8>) {
+        if self.steps.is_empty() {
+            return;
+        }
+        // Both are JSON arrays: the closing bracket of the first gives way to the items of the second.
+        body.pop();
+        body.push(b',');
+        body.extend_from_slice(&self.encode()[1..]);
+    }
+
     /// Decodes an update.
     ///
     /// # Errors
--- a/tests/config_replica.rs
+++ b/tests/config_replica.rs
@@ -2,7 +2,7 @@
 
 use marlrun::{
     config::{
-        Delta, Document, Fleet, Holder, Replica, Step, Update, Workspace,
+        Delta, Digest, Document, Fleet, Holder, Replica, Step, Update, Workspace,
         replica::{Action, Event, State},
     },
     id,
@@ -11,7 +11,10 @@
     wire::{Envelope, Message},
 };
 use proptest::prelude::*;
-use std::{collections::VecDeque, sync::Arc};
+use std::{
+    collections::{BTreeSet, VecDeque},
+    sync::Arc,
+};
 
 const ROUTERS: usize = 5;
 const ROUND: Span = Span::from_millis(200);
@@ -387,6 +390,80 @@
     ]
 }
 
+/// Returns contents with these weights and keys of workspaces; 0 leaves a workspace out.
+fn contents(choices: &[(u32, usize)]) -> Document {
+    let mut document = Document::default();
+    let mut taken = BTreeSet::new();
+    for (index, (weight, key)) in choices.iter().enumerate() {
+        let Some(weight) = Weight::new(*weight) else {
+            continue;
+        };
+        let name: id::Workspace = format!("w{index}").parse().unwrap();
+        let workspace = Arc::new(Workspace {
+            name: name.clone(),
+            weight,
+        });
+        let own = taken.insert(*key).then(|| Digest::of(&key.to_be_bytes()));
+        let keys = own.into_iter().collect();
+        document.workspaces.insert(name, Holder { workspace, keys });
+    }
+    document
+}
+
+fn choices() -> impl Strategy<Value = Vec<(u32, usize)>> {
+    prop::collection::vec((0_u32..4, 0_usize..6), 5)
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        failure_persistence: None,
+        ..ProptestConfig::with_cases(256)
+    })]
+
+    /// A fleet that follows deltas is the one built at once, also when keys move between workspaces, and a
+    /// restarted peer gets the same from any router.
+    #[test]
+    fn fleet_follows_deltas(
+        all in prop::collection::vec((choices(), any::<bool>()), 1..8),
+        ask_after in 0_usize..8,
+    ) {
+        let mut replica = Replica::new("a".parse().unwrap());
+        let mut old = Document::default();
+        let mut answers = Vec::new();
+        for (index, (choices, whole)) in all.iter().enumerate() {
+            let new = contents(choices);
+            let (from, to) = (Version(index as u64), Version(index as u64 + 1));
+            let digest = new.digest();
+            let step = match whole {
+                true => Step::whole(&new, to, digest),
+                false => Step { from, to, digest, delta: Delta::between(&old, &new) },
+            };
+            let mut out = Vec::new();
+            let update = Update { steps: vec![step] };
+            replica.step(Time(0), Event::Platform(Ok(Some(update))), &mut out);
+            let [Action::Install(fleet)] = &out[..] else {
+                panic!("{out:?}");
+            };
+            prop_assert_eq!(&**fleet, &new.fleet(to, None));
+            prop_assert_eq!(replica.digest(), new.digest());
+            if index >= ask_after {
+                let (router, have) = (router(1), Version(0));
+                replica.step(Time(0), Event::Fetch { router, have }, &mut answers);
+            }
+            old = new;
+        }
+        let Some(Action::Send(Envelope { message: Message::Delta { body, .. }, .. })) = answers.pop() else {
+            return Ok(());
+        };
+        let mut restarted = Replica::new("a".parse().unwrap());
+        let mut out = Vec::new();
+        restarted.step(Time(0), Event::Platform(Ok(None)), &mut out);
+        restarted.step(Time(0), Event::Delta { router: router(0), body }, &mut out);
+        prop_assert_eq!(restarted.version(), replica.version());
+        prop_assert_eq!(restarted.digest(), replica.digest());
+    }
+}
+
 proptest! {
     #![proptest_config(ProptestConfig {
         failure_persistence: None,
