--- a/src/daemon/control/mod.rs
+++ b/src/daemon/control/mod.rs
@@ -270,6 +270,9 @@
                 };
                 self.registry(now, verdict);
             }
+            Message::KeyRelease { attempt, key } => {
+                self.registry(now, claim::Event::KeyRelease { attempt, key });
+            }
         }
     }
 
