Free slots wait shortly for work due earlier; turns share by service, not by grants

Now an owner pulls for what it can start in half a second, the giver gives what is close to its own floor, and a free slot waits up to 10 ms for a pull when work elsewhere is due before a long request here. A budget of 0.5 % of the slot-time bounds these waits; Owner::wake tells when one ends. - While levels are far apart, one grant in four went to the least recently granted workspace. A quarter of the service instead of the grants now goes in turn, shared by weight.

--- a/src/owner/account.rs
+++ b/src/owner/account.rs
@@ -36,6 +36,8 @@
     pub estimator: Estimator,
     /// Number of the last grant.
     pub turn: u64,
+    /// Service per unit of weight that was granted in turn.
+    pub share: u64,
     /// Keys under which the queues have the workspace.
     pub(super) key: Key,
     /// Reports sent since the account became inactive and the tally knew its service.
@@ -58,6 +60,7 @@
             running: 0,
             estimator: Estimator::default(),
             turn: 0,
+            share: 0,
             key: Key::default(),
             quiet: 0,
             idle: Time(0),
--- a/src/owner/machine.rs
+++ b/src/owner/machine.rs
@@ -410,12 +410,18 @@
     /// Grants one slot; reports whether there was one to grant.
     fn grant(&mut self, service: &id::Service, out: &mut Vec<wire::Envelope>) -> bool {
         let now = self.now;
-        let Some(pool) = self.pools.get_mut(service) else {
+        let Some(pool) = self.pools.get(service) else {
             return false;
         };
         let Some((workspace, class)) = pool.pick(now) else {
             return false;
         };
+        if class == wire::Class::Long && self.hold(service, &workspace, out) {
+            return false;
+        }
+        let Some(pool) = self.pools.get_mut(service) else {
+            return false;
+        };
         let Some(attempt) = pool.head(&workspace, class) else {
             return false;
         };
@@ -445,6 +451,50 @@
         true
     }
 
+    /// Reports whether the free slots wait for work that is due before that of a workspace.
+    ///
+    /// The first time asks for that work.
+    fn hold(
+        &mut self,
+        service: &id::Service,
+        workspace: &id::Workspace,
+        out: &mut Vec<wire::Envelope>,
+    ) -> bool {
+        let now = self.now;
+        let Some(pool) = self.pools.get_mut(service) else {
+            return false;
+        };
+        let free = pool.free(now);
+        let due_before = pool.due_before(workspace);
+        let loaded = peers_with_work(&self.peers, &self.fleet, service);
+        let due = loaded.into_iter().filter(|(floor, _)| *floor < due_before);
+        let Some((_, to)) = due.min().filter(|_| !self.draining) else {
+            pool.hold.end(now, free);
+            return false;
+        };
+        if let Some(until) = pool.hold.until() {
+            if until <= now {
+                pool.hold.end(now, free);
+            }
+            return now < until;
+        }
+        let Some(target) = pool.roomiest(now) else {
+            return false;
+        };
+        if !pool.hold.start(now, pool.limit()) {
+            return false;
+        }
+        pool.note_pull(now);
+        out.push(pull_message(to, service, target, free));
+        true
+    }
+
+    /// Returns the time at which the owner wants a `Tick`, if that is before the regular one.
+    pub fn wake(&self) -> Option<Time> {
+        let holds = self.pools.values().filter_map(|pool| pool.hold.until());
+        holds.min()
+    }
+
     /// Asks another owner for work when there is none here, or when the work there is due earlier.
     fn ask_for_work(&mut self, service: &id::Service, out: &mut Vec<wire::Envelope>) {
         let Some(pool) = self.pools.get_mut(service) else {
@@ -460,7 +510,7 @@
         if count == 0 {
             return;
         }
-        let ceiling = pool.pull_ceiling();
+        let ceiling = pool.pull_ceiling(count);
         let loaded = peers_with_work(&self.peers, &self.fleet, service);
         let due = loaded.into_iter().filter(|(floor, _)| *floor < ceiling);
         let mut due: Vec<_> = due.collect();
@@ -470,19 +520,13 @@
         due.sort();
         let (_, to) = due.swap_remove(pool.pulls % due.len());
         pool.note_pull(self.now);
-        out.push(wire::Envelope {
-            to,
-            message: wire::Message::Pull {
-                service: service.clone(),
-                target,
-                free: count,
-            },
-        });
+        out.push(pull_message(to, service, target, count));
     }
 
     /// Hands waiting requests to another owner, the lowest levels first.
     ///
-    /// An owner with work of its own gets only what is due earlier than that.
+    /// An owner with work of its own knows no more than the floor here, so it gets only what is
+    /// close to that.
     fn pull(
         &mut self,
         from: &id::Router,
@@ -497,7 +541,8 @@
         let Some(pool) = self.pools.get(service) else {
             return;
         };
-        let ceiling = self.peer_ceiling(from, service);
+        let idle = !self.has_work(from, service);
+        let ceiling = if idle { u64::MAX } else { pool.give_ceiling() };
         let entries = &self.entries;
         let movable = |attempt: &id::Attempt| {
             let entry = entries.get(attempt);
@@ -510,12 +555,10 @@
         }
     }
 
-    /// Returns the level from which on a peer has enough work of its own.
-    fn peer_ceiling(&self, router: &id::Router, service: &id::Service) -> u64 {
-        let peers = self.peers.iter().filter(|peer| peer.router == *router);
-        let peers: Vec<_> = peers.cloned().collect();
-        let loaded = peers_with_work(&peers, &self.fleet, service);
-        loaded.first().map_or(u64::MAX, |(floor, _)| *floor)
+    /// Reports whether a peer told of waiting work.
+    fn has_work(&self, router: &id::Router, service: &id::Service) -> bool {
+        let loaded = peers_with_work(&self.peers, &self.fleet, service);
+        loaded.iter().any(|(_, peer)| peer == router)
     }
 
     /// Takes a request out of the queue.
@@ -833,6 +876,23 @@
     with_floor.collect()
 }
 
+/// Returns the message that asks an owner for work.
+fn pull_message(
+    to: id::Router,
+    service: &id::Service,
+    target: id::Target,
+    free: u32,
+) -> wire::Envelope {
+    wire::Envelope {
+        to,
+        message: wire::Message::Pull {
+            service: service.clone(),
+            target,
+            free,
+        },
+    }
+}
+
 /// Sends a request to the owner of another target.
 fn move_to(
     to: id::Router,
--- a/src/owner/mod.rs
+++ b/src/owner/mod.rs
@@ -4,6 +4,7 @@
 mod entry;
 mod estimator;
 mod event;
+mod hold;
 mod machine;
 mod pool;
 mod queue;
--- a/src/owner/pool.rs
+++ b/src/owner/pool.rs
@@ -3,6 +3,7 @@
 use super::{
     Account, Queue, Rate, Slots,
     entry::{Entry, State},
+    hold::Hold,
     queue::Key,
 };
 use crate::{
@@ -17,9 +18,9 @@
 
 /// Quick requests granted in a row while long ones wait; the next grant is a long one.
 const QUICK_RUN: u32 = 3;
-/// Grants by level between two grants in turn, while the spread of the levels is large.
-const LEVEL_RUN: u32 = 3;
-/// Spread of the levels from which on some grants go in turn, in largest charges.
+/// Service granted by level for each unit granted in turn, while the spread of the levels is large.
+const LEVEL_PART: u64 = 3;
+/// Spread of the levels from which on some service is granted in turn, in largest charges.
 const SPREAD_CHARGES: u64 = 8;
 /// Lead in level that a quick request may have over long ones, in largest charges.
 const LEAD_CHARGES: u64 = 2;
@@ -42,6 +43,8 @@
 const PULL_IDLE: Span = Span::from_millis(100);
 /// Shortest time between two pulls of an owner with work: peers tell their floors that often.
 const PULL_FAIR: Span = Span::from_millis(250);
+/// Time for which pulled work must last: until the next pull's work arrives.
+const PULL_AHEAD: Span = Span::from_millis(500);
 /// Time for which an idle account is kept: longer than a tally keeps the baseline of it.
 const IDLE_KEEP: Span = Span::from_secs(2 * 3600);
 
@@ -60,6 +63,7 @@
     pub(super) peer_floor: Option<u64>,
     /// Number of pulls sent; spreads them over the peers.
     pub(super) pulls: usize,
+    pub(super) hold: Hold,
     pulled: Option<Time>,
     quick: Queue,
     long: Queue,
@@ -69,7 +73,12 @@
     quick_secs: f64,
     turn: u64,
     quick_run: u32,
-    level_run: u32,
+    /// Service granted by level that no grant in turn has followed yet.
+    level_run: u64,
+    /// Service by level that must follow the last grant in turn.
+    turn_price: u64,
+    /// Share at which the last grant in turn began.
+    share: u64,
     largest: u64,
     horizon: u64,
     granted: Option<Time>,
@@ -87,6 +96,7 @@
             quick_running: 0,
             peer_floor: None,
             pulls: 0,
+            hold: Hold::new(),
             pulled: None,
             quick: Queue::default(),
             long: Queue::default(),
@@ -97,6 +107,8 @@
             turn: 0,
             quick_run: 0,
             level_run: 0,
+            turn_price: 0,
+            share: 0,
             largest: 0,
             horizon: 0,
             granted: None,
@@ -127,6 +139,7 @@
         account.key = Key {
             level: account.level(),
             turn: account.turn,
+            share: account.share,
         };
         for (index, queue) in [&mut self.quick, &mut self.long].into_iter().enumerate() {
             if was[index] && (!is[index] || old != account.key) {
@@ -189,10 +202,9 @@
     /// Returns the number of free slots that long requests must leave to quick ones.
     pub(super) fn reserve(&self, now: Time) -> u32 {
         let demand = self.quick_arrivals.per_second(now) * self.quick_secs;
-        let limit: u32 = self.slots.values().map(|slots| slots.limit).sum();
         let wanted = (demand + 0.5) as u32;
         wanted
-            .min(limit / RESERVE_PART)
+            .min(self.limit() / RESERVE_PART)
             .saturating_sub(self.quick_running)
     }
 
@@ -222,7 +234,7 @@
         let class = self.pick_class(free > self.reserve(now))?;
         let queue = self.queue(class);
         let workspace = if self.is_turn_due(queue) {
-            queue.oldest()
+            queue.next_in_turn()
         } else {
             queue.lowest().map(|(_, name)| name)
         };
@@ -248,11 +260,16 @@
         }
     }
 
-    /// Reports whether the next grant goes to the least recently granted workspace.
+    /// Reports whether the next grant goes in turn instead of by level.
     fn is_turn_due(&self, queue: &Queue) -> bool {
+        self.level_run > 0 && self.level_run >= self.turn_price && self.is_spread(queue)
+    }
+
+    /// Reports whether the levels are so far apart that the lowest would take all slots for long.
+    fn is_spread(&self, queue: &Queue) -> bool {
         let lowest = queue.lowest().map_or(0, |(level, _)| level);
         let spread = queue.highest().unwrap_or(0).saturating_sub(lowest);
-        self.level_run >= LEVEL_RUN && spread > self.largest.saturating_mul(SPREAD_CHARGES)
+        spread > self.largest.saturating_mul(SPREAD_CHARGES)
     }
 
     /// Returns the target for a request that asked for `wanted`.
@@ -273,8 +290,11 @@
         class: wire::Class,
         charge: Cost,
     ) {
-        let in_turn = self.is_turn_due(self.queue(class));
-        self.level_run = if in_turn { 0 } else { self.level_run + 1 };
+        if self.is_turn_due(self.queue(class)) {
+            self.granted_in_turn(now, workspace, charge);
+        } else {
+            self.level_run = self.level_run.saturating_add(charge.0);
+        }
         self.quick_run = match class {
             wire::Class::Quick => self.quick_run + 1,
             wire::Class::Long => 0,
@@ -289,6 +309,21 @@
         self.turn += 1;
     }
 
+    /// Notes a grant in turn: the next one follows after `LEVEL_PART` times its charge by level.
+    fn granted_in_turn(&mut self, now: Time, workspace: &id::Workspace, charge: Cost) {
+        self.level_run = 0;
+        self.turn_price = charge.0.saturating_mul(LEVEL_PART);
+        let clock = self.share;
+        self.update(now, workspace, |account| {
+            let start = account.share.max(clock);
+            account.share = start.saturating_add(account.weight.normalize(charge));
+        });
+        if let Some(account) = self.accounts.get(workspace) {
+            let start = account.share - account.weight.normalize(charge);
+            self.share = self.share.max(start);
+        }
+    }
+
     /// Returns the lowest level of the backlogged workspaces here, or the last one served.
     pub(super) fn floor(&self, now: Time) -> Option<u64> {
         let fresh = self.granted.is_some_and(|at| now.since(at) < GRANT_FRESH);
@@ -509,22 +544,49 @@
         most.map(|(target, _)| target.clone())
     }
 
-    /// Returns the number of requests to pull: what can start until the next pull.
+    /// Returns the number of requests that can start before pulled ones arrive the next time.
     pub(super) fn pull_count(&self, now: Time) -> u32 {
         if self.waiting == 0 {
             return self.free(now).saturating_sub(self.reserve(now));
         }
-        let grants = self.grants.per_second(now) * PULL_FAIR.as_secs_f64();
+        let grants = self.grants.per_second(now) * PULL_AHEAD.as_secs_f64();
         grants.ceil() as u32
     }
 
-    /// Returns the level below which requests elsewhere are due before those here.
-    pub(super) fn pull_ceiling(&self) -> u64 {
-        let margin = self.largest.saturating_mul(PULL_CHARGES);
-        match self.backlog_floor() {
-            Some(floor) => floor.saturating_sub(margin),
-            None => u64::MAX,
+    /// Returns the level below which requests elsewhere are due before the last of the next
+    /// `count` here.
+    pub(super) fn pull_ceiling(&self, count: u32) -> u64 {
+        let queue = match self.long.is_empty() {
+            true => &self.quick,
+            false => &self.long,
+        };
+        let mut waiting = 0;
+        for (level, workspace) in queue.iter() {
+            waiting += self.accounts.get(workspace).map_or(0, Account::waiting);
+            if waiting >= count as usize {
+                let margin = self.largest.saturating_mul(PULL_CHARGES);
+                return level.saturating_sub(margin);
+            }
         }
+        u64::MAX
+    }
+
+    /// Returns the level below which work elsewhere is due before that of a workspace here.
+    pub(super) fn due_before(&self, workspace: &id::Workspace) -> u64 {
+        let level = self.accounts.get(workspace).map_or(0, Account::level);
+        level.saturating_sub(self.largest.saturating_mul(PULL_CHARGES))
+    }
+
+    /// Returns the number of slots that the targets have together.
+    pub(super) fn limit(&self) -> u32 {
+        self.slots.values().map(|slots| slots.limit).sum()
+    }
+
+    /// Returns the level up to which requests are given to an owner with work of its own.
+    pub(super) fn give_ceiling(&self) -> u64 {
+        let floor = self.backlog_floor().unwrap_or(0);
+        let margin = self.largest.saturating_mul(PULL_CHARGES);
+        floor.saturating_add(margin).saturating_add(1)
     }
 
     /// Returns up to `count` waiting requests in fair order that fulfil a condition, of workspaces
@@ -537,14 +599,34 @@
     ) -> Vec<id::Attempt> {
         let mut chosen = Vec::new();
         for class in [wire::Class::Quick, wire::Class::Long] {
-            for (level, workspace) in self.queue(class).iter() {
-                if chosen.len() >= count || level >= ceiling {
-                    break;
-                }
-                let head = self.head(workspace, class);
-                chosen.extend(head.filter(&condition));
-            }
+            let due = self.queue(class).iter();
+            let due = due.take_while(|(level, _)| *level < ceiling);
+            let accounts = due.filter_map(|(_, workspace)| self.accounts.get(workspace));
+            let requests = accounts.map(|account| account.queue(class).iter());
+            let movable = |(_, attempt): &&(Time, id::Attempt)| condition(attempt);
+            let requests = requests.map(|requests| requests.filter(movable));
+            chosen.extend(in_rounds(requests.collect(), count - chosen.len()));
         }
         chosen
     }
 }
+
+/// Returns up to `count` requests, one of each workspace in every round.
+fn in_rounds<'a>(
+    mut queues: Vec<impl Iterator<Item = &'a (Time, id::Attempt)>>,
+    count: usize,
+) -> Vec<id::Attempt> {
+    let mut chosen = Vec::new();
+    while chosen.len() < count && !queues.is_empty() {
+        queues.retain_mut(|queue| {
+            let Some((_, attempt)) = queue.next() else {
+                return false;
+            };
+            if chosen.len() < count {
+                chosen.push(*attempt);
+            }
+            true
+        });
+    }
+    chosen
+}
--- a/src/owner/queue.rs
+++ b/src/owner/queue.rs
@@ -10,13 +10,15 @@
     pub level: u64,
     /// Number of the last grant.
     pub turn: u64,
+    /// Service per unit of weight that was granted in turn.
+    pub share: u64,
 }
 
 /// Order of the backlogged workspaces of one service and class.
 #[derive(Clone, Debug, Default)]
 pub struct Queue {
     by_level: BTreeSet<(u64, u64, id::Workspace)>,
-    by_turn: BTreeSet<(u64, id::Workspace)>,
+    by_share: BTreeSet<(u64, u64, id::Workspace)>,
 }
 
 impl Queue {
@@ -24,14 +26,16 @@
     pub fn insert(&mut self, key: Key, workspace: &id::Workspace) {
         self.by_level
             .insert((key.level, key.turn, workspace.clone()));
-        self.by_turn.insert((key.turn, workspace.clone()));
+        self.by_share
+            .insert((key.share, key.turn, workspace.clone()));
     }
 
     /// Removes a workspace that was added with the key.
     pub fn remove(&mut self, key: Key, workspace: &id::Workspace) {
         self.by_level
             .remove(&(key.level, key.turn, workspace.clone()));
-        self.by_turn.remove(&(key.turn, workspace.clone()));
+        self.by_share
+            .remove(&(key.share, key.turn, workspace.clone()));
     }
 
     /// Returns the workspace with the lowest level; of equals, the least recently granted one.
@@ -39,9 +43,9 @@
         self.by_level.first().map(|(level, _, name)| (*level, name))
     }
 
-    /// Returns the least recently granted workspace.
-    pub fn oldest(&self) -> Option<&id::Workspace> {
-        self.by_turn.first().map(|(_, name)| name)
+    /// Returns the workspace with the least service in turn; of equals, the least recently granted.
+    pub fn next_in_turn(&self) -> Option<&id::Workspace> {
+        self.by_share.first().map(|(.., name)| name)
     }
 
     /// Returns the highest level.
