--- /dev/null
+++ b/src/daemon/handle.rs
@@ -0,0 +1,241 @@
+//! Start and end of a router.
+
+use super::{
+    Error, Settings,
+    control::{Control, Parts},
+    event::Event,
+    platform::Reader,
+    state::{Inbox, State},
+};
+use crate::{
+    beacon, claim, config, cut, front, health, link, member, metric, operator, platform, probe,
+    random, secret,
+    unit::{Span, Version},
+};
+use crossbeam::channel::{self, Sender};
+use std::{net::SocketAddr, sync::Arc, thread, time::Duration};
+use tokio::{
+    runtime::{self, Runtime},
+    signal::unix::{SignalKind, signal},
+};
+
+/// Time for the last messages to peers to leave before the links close.
+const FLUSH: Span = Span::from_millis(100);
+/// Longest wait for each read and write of a call to the platform.
+const PLATFORM_TIMEOUT: Span = Span::from_secs(2);
+/// Key of a fleet that sets none; its routers trust whoever reaches their peer interface.
+const NO_KEY: &[u8] = b"";
+
+/// Running router; it shuts down by [`Daemon::drain`].
+pub struct Daemon {
+    runtime: Runtime,
+    server: front::Server,
+    state: Arc<State>,
+    peer: SocketAddr,
+    inbox: Sender<Event>,
+    thread: thread::JoinHandle<()>,
+    cuts: cut::Switch,
+    drain_timeout: Span,
+}
+
+/// Starts a router.
+///
+/// # Errors
+///
+/// Fails if the configuration is wrong or an address cannot be bound.
+pub fn spawn(settings: Settings, log: &slog::Logger) -> Result<Daemon, Error> {
+    metric::install();
+    let incarnation = random::incarnation();
+    let log = log.new(slog::o!(
+        "router" => settings.router.to_string(),
+        "incarnation" => incarnation.to_string(),
+    ));
+    let runtime = runtime::Builder::new_multi_thread()
+        .worker_threads(settings.traffic_threads)
+        .thread_name("traffic")
+        .enable_all()
+        .build()
+        .map_err(Error::start("traffic threads"))?;
+    let (inbox, outbox) = channel::unbounded();
+    let cuts = cut::Switch::default();
+    let state = Arc::new(State::new(
+        settings.router.clone(),
+        incarnation,
+        settings.domain.clone(),
+        Arc::new(load(&settings)?),
+        settings.fault_injection.then(|| cuts.clone()),
+    ));
+    let (platform, worker) = open_platform(&settings, &inbox)?;
+    let from_files = settings.base.is_some();
+    let replica = (!from_files).then(|| config::Replica::new(settings.domain.clone()));
+    let key = settings.fleet_key.as_ref();
+    let key = secret::Key::new(key.map_or(NO_KEY, |key| key.expose().as_bytes()));
+    let links = link::Settings {
+        router: settings.router.clone(),
+        incarnation,
+        address: settings.peer,
+        key: key.clone(),
+        cuts: cuts.clone(),
+    };
+    let links = link::Links::spawn(links, inbox.clone())?;
+    let peer = links.address();
+    let beacon = beacon::Beacon::bind(peer, key, cuts.clone(), inbox.clone())?;
+    let mut membership = member::Membership::new(
+        settings.router.clone(),
+        incarnation,
+        settings.domain.clone(),
+        peer,
+    );
+    let seeds = member::Event::Seeds(settings.seeds.clone());
+    membership.step(crate::clock::now(), seeds, &mut Vec::new());
+    let found = inbox.clone();
+    let prober = probe::Prober::spawn(
+        runtime.handle().clone(),
+        // The control thread ends last; what is found after that is of no use.
+        Arc::new(move |event: probe::Event| drop(found.send(event.into()))),
+    );
+    let server = front::Settings {
+        address: settings.listen,
+        limits: settings.limits.clone(),
+        fleet: state.shared_fleet(),
+        incarnation,
+        sink: Arc::new(Inbox(inbox.clone())),
+        log: log.clone(),
+    };
+    let server =
+        front::Server::bind(server, runtime.handle()).map_err(Error::bind(settings.listen))?;
+    if let Some(address) = settings.health {
+        health::bind(address, state.clone()).map_err(Error::bind(address))?;
+    }
+    if let (Some(address), Some(key)) = (settings.operator, &settings.operator_key) {
+        let key = config::Digest::of(key.expose().as_bytes());
+        // The server lives as long as the process; its handle only tells the address.
+        operator::Server::bind(address, key, state.clone()).map_err(Error::bind(address))?;
+    }
+    slog::info!(log, "router started";
+        "listen" => %server.address(), "peer" => %peer, "domain" => %settings.domain);
+    let control = Control::new(Parts {
+        router: settings.router.clone(),
+        incarnation,
+        domain: settings.domain.clone(),
+        membership,
+        links,
+        beacon,
+        prober,
+        platform,
+        worker,
+        replica,
+        state: state.clone(),
+        log,
+    });
+    let thread = thread::Builder::new()
+        .name("control".into())
+        .spawn(move || control.run(&outbox))
+        .map_err(Error::start("control thread"))?;
+    Ok(Daemon {
+        runtime,
+        server,
+        state,
+        peer,
+        inbox,
+        thread,
+        cuts,
+        drain_timeout: settings.drain_timeout,
+    })
+}
+
+/// Runs a router until SIGTERM or SIGINT, then shuts it down gracefully.
+///
+/// # Errors
+///
+/// Fails if the router cannot start.
+pub fn run(settings: Settings, log: &slog::Logger) -> Result<(), Error> {
+    let daemon = spawn(settings, log)?;
+    let wait = async {
+        let mut terminate = signal(SignalKind::terminate())?;
+        let mut interrupt = signal(SignalKind::interrupt())?;
+        tokio::select! {
+            _ = terminate.recv() => {}
+            _ = interrupt.recv() => {}
+            () = daemon.state.drain_wanted() => {}
+        }
+        Ok(())
+    };
+    daemon
+        .runtime
+        .block_on(wait)
+        .map_err(Error::start("signal handler"))?;
+    daemon.drain();
+    Ok(())
+}
+
+impl Daemon {
+    /// Returns the address of the callers' interface.
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Returns the address of the peer interface.
+    pub fn peer(&self) -> SocketAddr {
+        self.peer
+    }
+
+    /// Returns the switch that cuts peers off, for tests.
+    pub fn cuts(&self) -> &cut::Switch {
+        &self.cuts
+    }
+
+    /// Takes no more requests, ends those that it has, and stops.
+    pub fn drain(self) {
+        // The control thread ends only after this.
+        let _ = self.inbox.send(Event::Drain);
+        let limit = Duration::from(self.drain_timeout);
+        let drained = async { tokio::time::timeout(limit, self.server.drain()).await };
+        // Requests that are left after the limit are cut off.
+        let _ = self.runtime.block_on(drained);
+        thread::sleep(Duration::from(FLUSH));
+        let _ = self.inbox.send(Event::Stop);
+        // The thread only fails if it panicked; its message is on standard error then.
+        let _ = self.thread.join();
+        self.runtime.shutdown_background();
+    }
+}
+
+/// Opens the platform, if there is one, with the threads that call it.
+fn open_platform(
+    settings: &Settings,
+    inbox: &Sender<Event>,
+) -> Result<(Reader, Option<claim::Worker>), Error> {
+    let Some(address) = settings.platform else {
+        return Ok((Reader::default(), None));
+    };
+    let client = Arc::new(platform::Client::open(platform::client::Settings {
+        address,
+        timeout: PLATFORM_TIMEOUT,
+    }));
+    let store = config::Store::new(client.clone(), client.clone());
+    let reader = Reader::spawn(store, client.clone(), inbox.clone());
+    let reader = reader.map_err(Error::start("platform threads"))?;
+    let sink = inbox.clone();
+    // The control thread ends last; what the table answers after that is of no use.
+    let sink = Box::new(move |event: claim::Event| drop(sink.send(event.into())));
+    let worker = claim::Worker::spawn(client, sink).map_err(Error::start("claims thread"))?;
+    Ok((reader, Some(worker)))
+}
+
+/// Loads the configuration files, or returns an empty configuration if it comes from elsewhere.
+fn load(settings: &Settings) -> Result<config::Fleet, Error> {
+    let Some(base) = &settings.base else {
+        return Ok(config::Fleet {
+            version: Version(0),
+            ..config::Fleet::default()
+        });
+    };
+    let base = config::Source::open(base)?;
+    let overlay = settings
+        .overlay
+        .as_deref()
+        .map(config::Source::open)
+        .transpose()?;
+    Ok(config::load(&base, overlay.as_ref())?)
+}
--- /dev/null
+++ b/src/daemon/mod.rs
@@ -0,0 +1,17 @@
+//! The router daemon: settings, the control thread and everything that it runs.
+
+mod control;
+mod error;
+mod event;
+mod handle;
+mod platform;
+mod recent;
+mod routes;
+mod settings;
+mod state;
+
+pub use self::{
+    error::Error,
+    handle::{Daemon, run, spawn},
+    settings::{Finding, Flags, Secret, Settings},
+};
