--- a/src/member/contact.rs
+++ b/src/member/contact.rs
@@ -20,6 +20,23 @@
 /// Time after a proof during which a suspicion by others is not looked into.
 const PROVED_LATELY: Span = Span::from_millis(200);
 
+/// Copies of the own state after which a peer has it, if it echoes the last of them.
+const COPIES: u32 = 2;
+/// Shortest time between two copies, but for those in demands.
+const COPY_GAP: Span = Span::from_secs(1);
+
+/// How a version of the own state is being told to a peer.
+#[derive(Clone, Copy, Debug, Default)]
+struct Telling {
+    version: u64,
+    /// Heartbeats that carried it.
+    copies: u32,
+    /// The heartbeat that carried the last copy needed.
+    sequence: u64,
+    /// When the last copy was sent.
+    last: Time,
+}
+
 /// Why a peer is asked to answer at once.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Cause {
@@ -73,8 +90,8 @@
     pub(super) probe: Option<Probe>,
     /// Version of the own state that the peer has.
     told: u64,
-    /// Version of the own state that is being told, and since which heartbeat.
-    telling: (u64, u64),
+    /// How the next version is being told.
+    telling: Telling,
 }
 
 impl Contact {
@@ -102,7 +119,7 @@
             due: now,
             probe: None,
             told: 0,
-            telling: (0, 0),
+            telling: Telling::default(),
         }
     }
 
@@ -135,9 +152,8 @@
         if self.probe.is_some_and(|probe| sent >= probe.since) {
             self.probe = None;
         }
-        let (version, first) = self.telling;
-        if sequence >= first {
-            self.told = self.told.max(version);
+        if self.telling.copies >= COPIES && sequence >= self.telling.sequence {
+            self.told = self.told.max(self.telling.version);
         }
     }
 
@@ -199,13 +215,32 @@
     }
 
     /// Reports whether a heartbeat must carry the own state of that version, and notes it.
-    pub(super) fn tell(&mut self, version: u64, sequence: u64) -> bool {
+    ///
+    /// One that asks for an answer carries it until it is known to have arrived, others at
+    /// intervals.
+    pub(super) fn tell(&mut self, now: Time, version: u64, sequence: u64, ask: bool) -> bool {
+        let telling = &mut self.telling;
         if self.told >= version {
             return false;
         }
-        if self.telling.0 != version {
-            self.telling = (version, sequence);
+        if telling.version != version {
+            *telling = Telling {
+                version,
+                ..Telling::default()
+            };
+        } else if !ask && now.since(telling.last) < COPY_GAP {
+            return false;
+        }
+        telling.last = now;
+        telling.copies += 1;
+        if telling.copies == COPIES {
+            telling.sequence = sequence;
         }
         true
     }
+
+    /// Reports whether something is to be done for the peer.
+    pub(super) fn wants(&self, now: Time) -> bool {
+        self.live && (self.probe.is_some() || self.due <= now || self.is_silent(now))
+    }
 }
--- a/src/member/membership.rs
+++ b/src/member/membership.rs
@@ -52,6 +52,7 @@
     incarnation: id::Incarnation,
     sequence: u64,
     last_step: Time,
+    next_tick: Time,
     stale: bool,
     contacts: BTreeMap<id::Router, Contact>,
     strangers: Strangers,
@@ -94,6 +95,7 @@
             incarnation,
             sequence: 0,
             last_step: Time(0),
+            next_tick: Time(0),
             stale: false,
             contacts: BTreeMap::new(),
             strangers: Strangers::default(),
@@ -132,8 +134,10 @@
         }
     }
 
+    /// Returns this router's own entry, which is always there.
     fn own(&self) -> &Member {
-        &self.view.0[&self.router]
+        let own = self.view.get(&self.router);
+        own.expect("the view holds the router itself")
     }
 
     /// Demands an answer of the peers if this process did nothing for a while.
@@ -189,13 +193,14 @@
             self.told = state.clone();
         }
         let leaves = local.leaving != self.own().leaving;
-        if let Some(own) = self.view.0.get_mut(&self.router) {
-            own.leaving = local.leaving;
-            own.version = local.version;
-            own.loads = state.loads;
-            own.floors = state.floors;
-            own.unfit = state.unfit;
-        }
+        self.view.put(Member {
+            leaving: local.leaving,
+            version: local.version,
+            loads: state.loads,
+            floors: state.floors,
+            unfit: state.unfit,
+            ..self.own().clone()
+        });
         if urgent {
             self.announce(now, leaves, out);
         }
@@ -278,7 +283,7 @@
             router: name.clone(),
             incarnation: member.incarnation,
         });
-        self.view.0.insert(name.clone(), member);
+        self.view.put(member);
         self.rearrange(now, out);
     }
 
@@ -287,10 +292,7 @@
         let Some(contact) = self.contacts.get(name) else {
             return;
         };
-        let member = contact.member.clone();
-        let leaving = member.leaving;
-        let old = self.view.0.insert(name.clone(), member);
-        if old.is_some_and(|old| old.leaving != leaving) {
+        if self.view.put(contact.member.clone()) {
             out.push(Action::Changed);
         }
     }
@@ -298,7 +300,7 @@
     /// Takes a run out of the view.
     fn remove(&mut self, now: Time, contact: &Contact, out: &mut Vec<Action>) {
         let member = &contact.member;
-        self.view.0.remove(&member.router);
+        self.view.remove(&member.router);
         self.strangers.hasten(member.address, now);
         out.push(Action::Down {
             router: member.router.clone(),
@@ -463,10 +465,15 @@
     }
 
     fn tick(&mut self, now: Time, out: &mut Vec<Action>) {
+        if now < self.next_tick {
+            return;
+        }
+        self.next_tick = now + Span(super::TICK.0 / 2);
         self.rumors.expire(now);
         self.newcomers.expire(now);
-        let live = self.contacts.iter().filter(|(_, contact)| contact.live);
-        let names: Vec<_> = live.map(|(name, _)| name.clone()).collect();
+        let soon = now + Span(super::TICK.0 / 2);
+        let wanting = self.contacts.values().filter(|contact| contact.wants(soon));
+        let names: Vec<_> = wanting.map(|c| c.member.router.clone()).collect();
         for name in names {
             self.attend(now, &name, out);
         }
@@ -484,7 +491,8 @@
         };
         let early = Span(super::TICK.0 / 2);
         let due = now + early >= contact.due;
-        let near = contact.member.domain == self.view.0[&self.router].domain;
+        let near = self.view.get(&self.router).map(|own| &own.domain);
+        let near = near == Some(&contact.member.domain);
         if contact.probe.is_some() {
             self.pursue(now, name, out);
         } else if contact.is_silent(now) {
@@ -547,7 +555,7 @@
                 MIN_PERIOD
             };
             contact.due = now + spread(heartbeat.next, name, sequence);
-            if contact.tell(version, sequence) {
+            if contact.tell(now, version, sequence, ask) {
                 heartbeat.state = Some(state.clone());
             }
             out.push(Action::Datagram {
--- a/src/member/view.rs
+++ b/src/member/view.rs
@@ -1,6 +1,6 @@
 //! Live routers, as this one sees them.
 
-use crate::{id, unit::Version, wire::Load};
+use crate::{id, placement, unit::Version, wire::Load};
 use std::{collections::BTreeMap, net::SocketAddr};
 
 /// A live router.
@@ -28,32 +28,69 @@
 
 /// Live routers by name, this one included.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct View(pub(super) BTreeMap<id::Router, Member>);
+pub struct View {
+    members: BTreeMap<id::Router, Member>,
+    /// Members that are not leaving.
+    seats: Vec<placement::Seat>,
+}
 
 impl View {
     /// Returns a view of some members.
     pub fn of(members: impl IntoIterator<Item = Member>) -> Self {
         let by_name = |member: Member| (member.router.clone(), member);
-        Self(members.into_iter().map(by_name).collect())
+        let mut view = Self {
+            members: members.into_iter().map(by_name).collect(),
+            seats: Vec::new(),
+        };
+        view.seat();
+        view
     }
 
     /// Returns a live router.
     pub fn get(&self, router: &id::Router) -> Option<&Member> {
-        self.0.get(router)
+        self.members.get(router)
     }
 
     /// Iterates over the live routers, sorted by name.
     pub fn iter(&self) -> impl Iterator<Item = &Member> {
-        self.0.values()
+        self.members.values()
     }
 
     /// Returns the number of live routers.
     pub fn len(&self) -> usize {
-        self.0.len()
+        self.members.len()
     }
 
     /// Reports whether no router is alive.
     pub fn is_empty(&self) -> bool {
-        self.0.is_empty()
+        self.members.is_empty()
+    }
+
+    /// Returns the routers that may own something.
+    pub(crate) fn seats(&self) -> &[placement::Seat] {
+        &self.seats
+    }
+
+    /// Adds or replaces a member; `true` if owners must be found anew.
+    pub(super) fn put(&mut self, member: Member) -> bool {
+        let placed = |m: &Member| (m.incarnation, m.domain.clone(), m.address, m.leaving);
+        let after = placed(&member);
+        let before = self.members.insert(member.router.clone(), member);
+        let changed = before.as_ref().map(placed) != Some(after);
+        if changed {
+            self.seat();
+        }
+        changed
+    }
+
+    /// Removes a member.
+    pub(super) fn remove(&mut self, router: &id::Router) {
+        self.members.remove(router);
+        self.seat();
+    }
+
+    fn seat(&mut self) {
+        let staying = self.members.values().filter(|member| !member.leaving);
+        self.seats = staying.map(placement::Seat::of).collect();
     }
 }
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -3,36 +3,54 @@
 use crate::{config, id, member};
 use std::cmp::Reverse;
 
-/// Offset basis and prime of the 64-bit FNV-1a hash.
-const FNV: (u64, u64) = (0xcbf2_9ce4_8422_2325, 0x0100_0000_01b3);
+/// Offset basis of the 64-bit FNV-1a hash.
+const FNV_BASIS: u64 = 0xcbf2_9ce4_8422_2325;
+/// Prime of the 64-bit FNV-1a hash.
+const FNV_PRIME: u64 = 0x0100_0000_01b3;
+
+/// A router that may own something, with the hash of its name.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct Seat {
+    hash: u64,
+    router: id::Router,
+    domain: id::Domain,
+}
+
+impl Seat {
+    /// Returns the seat of a member.
+    pub(crate) fn of(member: &member::Member) -> Self {
+        Self {
+            hash: hash(member.router.as_str()),
+            router: member.router.clone(),
+            domain: member.domain.clone(),
+        }
+    }
+}
 
 /// Returns the owner of a target: a router of its failure domain if any is up and not leaving.
 pub fn owner_of<'a>(target: &config::Target, view: &'a member::View) -> Option<&'a id::Router> {
     let key = hash(target.name.as_str());
-    let near = staying(view).filter(|member| member.domain == target.domain);
-    best(key, near).or_else(|| best(key, staying(view)))
+    let near = view.seats().iter();
+    let near = near.filter(|seat| seat.domain == target.domain);
+    best(key, near).or_else(|| best(key, view.seats()))
 }
 
 /// Returns the router that keeps the tally of a workspace.
 pub fn tally_of<'a>(workspace: &id::Workspace, view: &'a member::View) -> Option<&'a id::Router> {
-    best(hash(workspace.as_str()), staying(view))
-}
-
-fn staying(view: &member::View) -> impl Iterator<Item = &member::Member> {
-    view.iter().filter(|member| !member.leaving)
+    best(hash(workspace.as_str()), view.seats())
 }
 
-/// Returns the member with the highest score; names decide between equal scores.
-fn best<'a>(key: u64, members: impl Iterator<Item = &'a member::Member>) -> Option<&'a id::Router> {
-    let names = members.map(|member| &member.router);
-    names.max_by_key(|name| (mix(key ^ hash(name.as_str())), Reverse(*name)))
+/// Returns the router with the highest score; names decide between equal scores.
+fn best<'a>(key: u64, seats: impl IntoIterator<Item = &'a Seat>) -> Option<&'a id::Router> {
+    let seats = seats.into_iter();
+    let scored = seats.map(|seat| (mix(key ^ seat.hash), Reverse(&seat.router)));
+    scored.max().map(|(_, Reverse(router))| router)
 }
 
 /// Hashes a text; every version of the daemon must agree on the value.
 pub(crate) fn hash(text: &str) -> u64 {
-    let (basis, prime) = FNV;
-    let step = |hash: u64, byte: u8| (hash ^ u64::from(byte)).wrapping_mul(prime);
-    mix(text.bytes().fold(basis, step))
+    let step = |hash: u64, byte: u8| (hash ^ u64::from(byte)).wrapping_mul(FNV_PRIME);
+    mix(text.bytes().fold(FNV_BASIS, step))
 }
 
 /// Finalizer of splitmix64: each input bit changes each output bit with probability one half.
--- a/tests/net/mod.rs
+++ b/tests/net/mod.rs
@@ -51,8 +51,10 @@
     pub cuts: BTreeSet<(u16, u16)>,
     /// What the routers decided, but for datagrams.
     pub seen: Vec<(u16, Action)>,
-    /// Datagrams sent so far.
-    pub sent: u64,
+    /// Datagrams sent, by their sender.
+    pub sent: Vec<(u16, Heartbeat)>,
+    /// Datagrams are recorded in `sent`.
+    pub record: bool,
     domains: u16,
     runs: BTreeMap<u16, (u64, Time)>,
     flight: Flight,
@@ -76,7 +78,8 @@
             paused: BTreeSet::new(),
             cuts: BTreeSet::new(),
             seen: Vec::new(),
-            sent: 0,
+            sent: Vec::new(),
+            record: false,
             domains,
             runs: BTreeMap::new(),
             flight: Flight::new(),
@@ -166,7 +169,9 @@
     }
 
     fn send(&mut self, from: u16, to: u16, heartbeat: Heartbeat) {
-        self.sent += 1;
+        if self.record {
+            self.sent.push((from, heartbeat.clone()));
+        }
         let lost = self.percent(self.faults.loss);
         if lost || self.cuts.contains(&(from, to)) {
             return;
