Links deliver what waits when they close; unknown connections end after 5 s; cadence and news of membership apart

Cause: the last messages of a router that stops were dropped, so its slots stayed taken until its death was noticed; a connection that never proved to be a peer's stayed open.

--- a/src/link/links.rs
+++ b/src/link/links.rs
@@ -5,7 +5,7 @@
     peer::{Peer, Queue},
     server::Shared,
 };
-use crate::{id, unit::Span, wire::Message};
+use crate::{clock, id, unit::Span, wire::Message};
 use capnp::message::ReaderOptions;
 use crossbeam::channel::Sender;
 use std::{
@@ -20,10 +20,15 @@
     runtime,
     sync::mpsc::{self, UnboundedReceiver, UnboundedSender},
     task::{JoinHandle, LocalSet},
+    time,
 };
 
 /// Wait after a failure to accept, such as a lack of file descriptors.
 pub(super) const ACCEPT_RETRY: Span = Span::from_millis(100);
+/// Time that the last messages have to arrive when the links close.
+const FLUSH_LIMIT: Span = Span::from_millis(500);
+/// Time between two looks whether they have.
+const FLUSH_POLL: Span = Span::from_millis(5);
 /// Words of one call that are read at most: the largest batch with its envelope.
 const MAX_CALL_WORDS: usize = (crate::wire::codec::MAX_BATCH_BYTES + (1 << 20)) / 8;
 
@@ -57,7 +62,8 @@
     Forget(id::Router),
 }
 
-/// Links to all peers, on a thread of their own that ends when the handle is dropped.
+/// Links to all peers, on a thread of their own; dropping the handle delivers what waits, for a
+/// limited time, and ends the thread.
 #[derive(Debug)]
 pub struct Links {
     orders: Option<UnboundedSender<Order>>,
@@ -177,6 +183,10 @@
         }
     }
     accepting.abort();
+    let end = clock::now() + FLUSH_LIMIT;
+    while lanes.values().any(|lane| !lane.queue.is_idle()) && clock::now() < end {
+        time::sleep(FLUSH_POLL.into()).await;
+    }
 }
 
 fn send<E: From<Event> + 'static>(
--- a/src/link/peer.rs
+++ b/src/link/peer.rs
@@ -13,7 +13,13 @@
 use capnp_rpc::{RpcSystem, rpc_twoparty_capnp::Side, twoparty};
 use crossbeam::channel::Sender;
 use rand_chacha::{ChaCha8Rng, rand_core::Rng};
-use std::{cell::RefCell, collections::VecDeque, future, net::SocketAddr, rc::Rc};
+use std::{
+    cell::{Cell, RefCell},
+    collections::VecDeque,
+    future,
+    net::SocketAddr,
+    rc::Rc,
+};
 use tokio::{net::TcpStream, sync::Notify, task::JoinHandle, time};
 use tokio_util::compat::{TokioAsyncReadCompatExt, TokioAsyncWriteCompatExt};
 
@@ -33,6 +39,8 @@
 pub(super) struct Queue {
     messages: RefCell<VecDeque<Message>>,
     wake: Notify,
+    /// A batch is on its way.
+    busy: Cell<bool>,
 }
 
 impl Queue {
@@ -52,6 +60,11 @@
         self.messages.borrow_mut().clear();
     }
 
+    /// Reports whether all messages were delivered or dropped.
+    pub(super) fn is_idle(&self) -> bool {
+        !self.busy.get() && self.messages.borrow().is_empty()
+    }
+
     async fn wait(&self) {
         while self.messages.borrow().is_empty() {
             self.wake.notified().await;
@@ -194,7 +207,10 @@
         let mut batch = vec![Message::Resync];
         loop {
             self.queue.take(&mut batch);
-            if let Err(error) = self.deliver(&connection.session, &batch).await {
+            self.queue.busy.set(true);
+            let delivered = self.deliver(&connection.session, &batch).await;
+            self.queue.busy.set(false);
+            if let Err(error) = delivered {
                 return error;
             }
             batch.clear();
--- a/src/link/server.rs
+++ b/src/link/server.rs
@@ -6,16 +6,28 @@
 };
 use crate::{
     id, random,
+    unit::Span,
     wire::{codec, marlrun_capnp as schema},
 };
 use capnp_rpc::{RpcSystem, rpc_twoparty_capnp::Side, twoparty};
 use crossbeam::channel::Sender;
 use futures::future;
 use rand_chacha::ChaCha8Rng;
-use std::{cell::RefCell, collections::BTreeMap, net::SocketAddr, rc::Rc};
-use tokio::net::{TcpListener, TcpStream};
+use std::{
+    cell::{Cell, RefCell},
+    collections::BTreeMap,
+    net::SocketAddr,
+    rc::Rc,
+};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    time,
+};
 use tokio_util::compat::{TokioAsyncReadCompatExt, TokioAsyncWriteCompatExt};
 
+/// Time in which a connection must prove to be a peer's.
+const HELLO_TIMEOUT: Span = Span::from_secs(5);
+
 /// Latest session of a peer; batches of earlier ones are dropped, so that none overtakes another.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 struct Epoch {
@@ -49,7 +61,7 @@
                 Ok((stream, _)) => {
                     tokio::task::spawn_local(serve(self.clone(), stream));
                 }
-                Err(_) => tokio::time::sleep(super::links::ACCEPT_RETRY.into()).await,
+                Err(_) => time::sleep(super::links::ACCEPT_RETRY.into()).await,
             }
         }
     }
@@ -79,18 +91,25 @@
         Side::Server,
         super::links::reader_options(),
     );
+    let entered = Rc::<Cell<bool>>::default();
     let door = Door {
         shared,
         nonces: RefCell::default(),
+        entered: entered.clone(),
     };
     let client: schema::peer::Client = capnp_rpc::new_client(door);
-    let _ = RpcSystem::new(Box::new(network), Some(client.client)).await;
+    let mut system = RpcSystem::new(Box::new(network), Some(client.client));
+    let early = time::timeout(HELLO_TIMEOUT.into(), &mut system).await;
+    if early.is_err() && entered.get() {
+        let _ = system.await;
+    }
 }
 
 /// First object of a connection: lets in whoever proves to hold the fleet key.
 struct Door<E> {
     shared: Rc<Shared<E>>,
     nonces: RefCell<Option<Nonces>>,
+    entered: Rc<Cell<bool>>,
 }
 
 impl<E: From<Event> + 'static> schema::peer::Server for Door<E> {
@@ -146,6 +165,7 @@
             address,
             epoch,
         };
+        self.entered.set(true);
         results.get().set_session(capnp_rpc::new_client(session));
         Ok(())
     }
--- a/src/member/contact.rs
+++ b/src/member/contact.rs
@@ -20,6 +20,8 @@
 /// Time after a proof during which a suspicion by others is not looked into.
 const PROVED_LATELY: Span = Span::from_millis(200);
 
+/// Time for which the last run of a lost router is remembered.
+const KEPT: Span = Span::from_secs(24 * 3_600);
 /// Copies of the own state after which a peer has it, if it echoes the last of them.
 const COPIES: u32 = 2;
 /// Shortest time between two copies, but for those in demands.
@@ -239,6 +241,11 @@
         true
     }
 
+    /// Reports whether the run has been gone for so long that no heartbeat of it can arrive.
+    pub(super) fn is_forgotten(&self, now: Time) -> bool {
+        !self.live && now.since(self.heard) > KEPT
+    }
+
     /// Reports whether something is to be done for the peer.
     pub(super) fn wants(&self, now: Time) -> bool {
         self.live && (self.probe.is_some() || self.due <= now || self.is_silent(now))
--- a/src/member/membership.rs
+++ b/src/member/membership.rs
@@ -2,14 +2,16 @@
 
 use super::{
     Action, Event, Local, Member, View,
+    cadence::{self, Cadence, MIN_PERIOD, WATCHED},
     contact::{Cause, Contact, Step},
     newcomer::Newcomers,
+    news::News,
     ring::Ring,
     rumor::Rumors,
     stranger::Strangers,
 };
 use crate::{
-    id, placement, platform,
+    id, platform,
     unit::{Span, Time},
     wire::{self, Echo, Heartbeat, Origin, State},
 };
@@ -21,14 +23,6 @@
 
 /// Routers of the own failure domain that watch this one; two rarely fail together.
 const WATCHERS: usize = 2;
-/// Time between heartbeats to a watcher.
-const WATCHED: Span = Span::from_millis(200);
-/// Shortest time between heartbeats to any other router.
-const MIN_PERIOD: Span = Span::from_secs(1);
-/// Time between heartbeats within the failure domain, per member: 11/s in all.
-const DOMAIN_SHARE: Span = Span::from_millis(90);
-/// Time between heartbeats to other failure domains, per member: 5/s in all.
-const FLEET_SHARE: Span = Span::from_millis(200);
 /// Addresses that are tried in one tick: 400/s.
 const TRIES: usize = 20;
 /// Time without a step after which the process was stopped or starved.
@@ -63,10 +57,7 @@
     introduced: Time,
     ring: Ring,
     view: View,
-    /// Version of the own state; it grows when loads change much.
-    version: u64,
-    /// Own state as it was at that version.
-    told: State,
+    news: News,
 }
 
 impl Membership {
@@ -106,8 +97,7 @@
             introduced: Time(0),
             ring: Ring::of(&view),
             view,
-            version: 0,
-            told: State::default(),
+            news: News::default(),
         }
     }
 
@@ -170,6 +160,8 @@
 
     /// Tries the listed addresses at which no live router is known.
     fn welcome(&mut self, now: Time) {
+        self.contacts
+            .retain(|_, contact| !contact.is_forgotten(now));
         let known: BTreeSet<_> = self.view.iter().map(|member| member.address).collect();
         let (listed, seeds) = (&self.listed, &self.seeds);
         for address in listed.union(seeds).filter(|a| !known.contains(a)) {
@@ -187,11 +179,8 @@
             floors: local.floors,
             unfit: local.unfit,
         };
-        let urgent = local.leaving != self.own().leaving || state.unfit != self.told.unfit;
-        if state != self.told && differs(&state, &self.told) {
-            self.version += 1;
-            self.told = state.clone();
-        }
+        let failing = state.unfit != self.news.state.unfit;
+        self.news.update(&state);
         let leaves = local.leaving != self.own().leaving;
         self.view.put(Member {
             leaving: local.leaving,
@@ -201,7 +190,7 @@
             unfit: state.unfit,
             ..self.own().clone()
         });
-        if urgent {
+        if leaves || failing {
             self.announce(now, leaves, out);
         }
         if leaves {
@@ -313,18 +302,17 @@
     fn rearrange(&mut self, now: Time, out: &mut Vec<Action>) {
         self.ring = Ring::of(&self.view);
         let domain = self.own().domain.clone();
-        let near = self.ring.after(&self.router, &domain).count() as u64;
-        let far = self.view.len() as u64 - 1 - near;
+        let near = self.ring.after(&self.router, &domain).count();
+        let cadence = Cadence::of(near, self.view.len() - 1 - near);
         let watchers = self.ring.after(&self.router, &domain).take(WATCHERS);
         let watchers: BTreeSet<_> = watchers.cloned().collect();
-        let spread = |share: Span, members: u64| Span((share.0 * members).max(MIN_PERIOD.0));
         for (name, contact) in &mut self.contacts {
             let period = if watchers.contains(name) {
                 WATCHED
             } else if contact.member.domain == domain {
-                spread(DOMAIN_SHARE, near)
+                cadence.near
             } else {
-                spread(FLEET_SHARE, far)
+                cadence.far
             };
             let watched = contact.period == WATCHED;
             if contact.live && watched != (period == WATCHED) {
@@ -547,16 +535,16 @@
             let newcomers = self.newcomers.some(sequence);
             heartbeat.members = self.introduction(newcomers, name);
         }
-        let (version, state) = (self.version, &self.told);
+        let news = &self.news;
         if let Some(contact) = self.contacts.get_mut(name) {
             heartbeat.next = if contact.live {
                 contact.period
             } else {
                 MIN_PERIOD
             };
-            contact.due = now + spread(heartbeat.next, name, sequence);
-            if contact.tell(now, version, sequence, ask) {
-                heartbeat.state = Some(state.clone());
+            contact.due = now + cadence::early(heartbeat.next, name, sequence);
+            if contact.tell(now, news.version, sequence, ask) {
+                heartbeat.state = Some(news.state.clone());
             }
             out.push(Action::Datagram {
                 to: contact.member.address,
@@ -605,35 +593,3 @@
         members.map(contact).collect()
     }
 }
-
-/// Returns a time of at most `period`, so that heartbeats to many peers do not fall together.
-fn spread(period: Span, name: &id::Router, sequence: u64) -> Span {
-    if period <= WATCHED {
-        return period;
-    }
-    let room = period.0 / 8;
-    let random = placement::hash(name.as_str()) ^ sequence.wrapping_mul(0x9e37_79b9_7f4a_7c15);
-    Span(period.0 - random % (room + 1))
-}
-
-/// Reports whether peers should hear of the difference between two states.
-fn differs(new: &State, old: &State) -> bool {
-    let load = |load: &wire::Load| {
-        let waiting = load.waiting.0.checked_ilog2();
-        (load.target.clone(), load.free.checked_ilog2(), waiting)
-    };
-    let floor = |(service, level): &(id::Service, u64)| (service.clone(), coarse(*level));
-    new.unfit != old.unfit
-        || !new.loads.iter().map(load).eq(old.loads.iter().map(load))
-        || !new
-            .floors
-            .iter()
-            .map(floor)
-            .eq(old.floors.iter().map(floor))
-}
-
-/// Returns the leading bits of a level; they change when it grows by a sixteenth or more.
-fn coarse(level: u64) -> (u32, u64) {
-    let scale = level.checked_ilog2().unwrap_or(0).saturating_sub(4);
-    (scale, level >> scale)
-}
--- a/src/member/mod.rs
+++ b/src/member/mod.rs
@@ -1,10 +1,12 @@
 //! Membership: which routers are alive, from heartbeats and the platform's lagging list.
 
 mod action;
+mod cadence;
 mod contact;
 mod event;
 mod membership;
 mod newcomer;
+mod news;
 mod ring;
 mod rumor;
 mod stranger;
--- a/tests/link.rs
+++ b/tests/link.rs
@@ -86,6 +86,15 @@
     }
 }
 
+#[test]
+fn drop_delivers_what_waits() {
+    let (a, b) = (spawn("a", 1), spawn("b", 1));
+    a.send("b", &b, fetch(1));
+    drop(a);
+    assert_eq!(b.message().1, Message::Resync);
+    assert_eq!(b.message().1, fetch(1));
+}
+
 #[test]
 fn send_after_restart() {
     let (a, b) = (spawn("a", 1), spawn("b", 1));
--- a/tests/member.rs
+++ b/tests/member.rs
@@ -5,7 +5,8 @@
 use marlrun::{
     id,
     member::{self, Action, Event, Local},
-    unit::{Span, Time},
+    unit::{Cost, Span, Time},
+    wire::Load,
 };
 use net::{Faults, Net};
 use proptest::{collection::vec, prelude::*};
@@ -117,6 +118,57 @@
     }
 }
 
+#[test]
+fn loads_told_once() {
+    let mut net = Net::new(1, Faults::NONE);
+    net.start_all(12);
+    net.run(Span::from_secs(10));
+    let load = Load {
+        target: "dispatch-1".parse().unwrap(),
+        free: 3,
+        slots: 32,
+        waiting: Cost(7_000),
+    };
+    let mut local = Local {
+        loads: vec![load],
+        ..Local::default()
+    };
+    net.event(1, Event::Local(local.clone()));
+    net.run(Span::from_secs(5));
+    for member in net.routers.values() {
+        assert_eq!(member.view().get(&net::name(1)).unwrap().loads, local.loads);
+    }
+    net.record = true;
+    local.loads[0].waiting = Cost(7_500);
+    net.event(1, Event::Local(local));
+    net.run(Span::from_secs(5));
+    let told = net
+        .sent
+        .iter()
+        .filter(|(_, heartbeat)| heartbeat.state.is_some());
+    assert_eq!(told.count(), 0, "the load changed little");
+}
+
+#[test]
+fn unfit_told_at_once() {
+    let mut net = Net::new(1, Faults::NONE);
+    net.start_all(12);
+    net.run(Span::from_secs(10));
+    let local = Local {
+        unfit: vec!["dispatch-1".parse().unwrap()],
+        ..Local::default()
+    };
+    net.faults.loss = 30;
+    net.event(1, Event::Local(local.clone()));
+    net.run(Span::from_millis(350));
+    let told = net.routers.values().filter(|m| {
+        m.view()
+            .get(&net::name(1))
+            .is_some_and(|m| m.unfit == local.unfit)
+    });
+    assert!(told.count() >= 11, "three copies are sent");
+}
+
 #[test]
 fn cut_one_way_ends_use() {
     let mut net = Net::new(1, Faults::NONE);
