--- a/src/ingress/job.rs
+++ b/src/ingress/job.rs
@@ -1,28 +1,18 @@
 //! State of one request.
 
-use super::Request;
+use super::{Action, Request, slot::Slot, turn::Turn};
 use crate::{
     id,
     unit::{Cost, Time},
     wire,
 };
-
-/// A slot that is asked for, granted or in use.
-#[derive(Clone, Debug)]
-pub(super) struct Slot {
-    /// Owner that was asked; the owner of the target, once it runs.
-    pub(super) owner: id::Router,
-    /// Ask as it was sent; its target is the granted one after a grant.
-    pub(super) ask: wire::Ask,
-}
+use std::mem;
 
 /// An attempt that the front was told to send.
 #[derive(Clone, Debug)]
 pub(super) struct Run {
     /// Slot in use.
     pub(super) slot: Slot,
-    /// Earlier owners that were told of the attempt.
-    pub(super) informed: Vec<id::Router>,
     /// A byte may have left.
     pub(super) sent: bool,
     /// Cost so far.
@@ -33,6 +23,27 @@
     pub(super) aborted: bool,
 }
 
+impl Run {
+    /// Returns an attempt of which nothing was sent yet.
+    pub(super) fn new(slot: Slot) -> Self {
+        Self {
+            slot,
+            sent: false,
+            cost: Cost(0),
+            reported: Cost(0),
+            aborted: false,
+        }
+    }
+
+    /// Tells the front to break the attempt off.
+    pub(super) fn abort(&mut self, turn: &mut Turn<'_>) {
+        if !mem::replace(&mut self.aborted, true) {
+            let attempt = self.slot.ask.attempt;
+            turn.out.push(Action::Abort { attempt });
+        }
+    }
+}
+
 /// Where a request stands.
 #[derive(Clone, Debug)]
 pub(super) enum State {
@@ -47,6 +58,8 @@
     },
     /// Was given to the front.
     Running(Run),
+    /// Is refused, and waits to hear whether an earlier try with its key ran.
+    Refusing(wire::Refusal),
     /// Waits for its next attempt.
     Backoff {
         /// Time of the next attempt.
@@ -91,12 +104,38 @@
 }
 
 impl Job {
+    /// Returns a request that has just arrived.
+    pub(super) fn new(request: Request, now: Time) -> Self {
+        Self {
+            request,
+            arrived: now,
+            state: State::Backoff { until: now },
+            claim: Claim::None,
+            tries: 0,
+            hops: 0,
+            failed: Vec::new(),
+            ran: false,
+            resume: None,
+            abandoned: false,
+        }
+    }
+
+    /// Gives back its slot, or its place in a queue.
+    pub(super) fn give_back(&mut self, turn: &mut Turn<'_>) {
+        let until = turn.now;
+        match mem::replace(&mut self.state, State::Backoff { until }) {
+            State::Waiting(slot) => slot.withdraw(turn),
+            State::Claiming { slot, .. } => slot.release(turn),
+            State::Running(_) | State::Refusing(_) | State::Backoff { .. } => {}
+        }
+    }
+
     /// Returns the attempt that an owner knows, if any.
     pub(super) fn attempt(&self) -> Option<id::Attempt> {
         match &self.state {
             State::Waiting(slot) | State::Claiming { slot, .. } => Some(slot.ask.attempt),
             State::Running(run) => Some(run.slot.ask.attempt),
-            State::Backoff { .. } => None,
+            State::Refusing(_) | State::Backoff { .. } => None,
         }
     }
 
--- a/src/standin/target.rs
+++ b/src/standin/target.rs
@@ -2,8 +2,10 @@
 
 use super::{
     Script,
-    ledger::{self, Labels, Ledger, Run},
+    labels::{self, Labels},
+    ledger::Ledger,
     reply::{self, Body, Dropped, Reply},
+    run::Run,
     server::Pauses,
     slots::Slots,
 };
@@ -56,8 +58,8 @@
         let reply = match (method, path) {
             (&Method::GET, "/health") => self.health(),
             (&Method::GET, "/load") => reply::json(&self.slots.load()),
-            (&Method::GET, "/runs") => reply::json(&self.ledger.copy()),
-            (&Method::GET, "/stats") => reply::json(&self.ledger.total()),
+            (&Method::GET, "/runs") => reply::json(&self.ledger.copy(self.slots.usage())),
+            (&Method::GET, "/stats") => reply::json(&self.ledger.total(self.slots.usage())),
             (&Method::POST, "/leave") => {
                 self.leaving.store(true, Ordering::Relaxed);
                 reply::done()
@@ -79,10 +81,10 @@
             .next()
     }
 
-    /// Takes a request in.
-    pub(super) fn admit(&self, headers: &HeaderMap) -> Run {
+    /// Takes in a request with this content.
+    pub(super) fn admit(&self, headers: &HeaderMap, content: &str) -> Run {
         let leaving = self.leaving.load(Ordering::Relaxed);
-        self.ledger.admit(Labels::of(headers), leaving)
+        self.ledger.admit(Labels::of(headers, content), leaving)
     }
 
     fn set_script(&self, script: Script) -> Reply {
@@ -125,13 +127,13 @@
 
 /// Copies the identifiers of a request to its answer.
 pub(super) fn echo(reply: &mut Reply, request: &HeaderMap, faults: &Script) {
-    for name in [ledger::ATTEMPT, ledger::REQUEST] {
+    for name in [labels::ATTEMPT, labels::REQUEST] {
         if let Some(value) = request.get(name) {
             reply.headers_mut().insert(name, value.clone());
         }
     }
     if faults.wrong_attempt {
-        reply.headers_mut().insert(ledger::ATTEMPT, WRONG_ATTEMPT);
+        reply.headers_mut().insert(labels::ATTEMPT, WRONG_ATTEMPT);
     }
 }
 
