Shutdown serves what is on its way: the router gives notice before it stops to accept

Connections that the system had accepted were reset with the listener, and idle ones were closed with a request on its way.

--- a/src/daemon/control/mod.rs
+++ b/src/daemon/control/mod.rs
@@ -290,7 +290,6 @@
         slog::info!(self.parts.log, "shutting down"; "requests" => self.desk.len());
         self.draining = true;
         self.parts.state.drain();
-        self.desk(now, ingress::Event::Drain);
         self.owner(now, owner::Event::Drain);
         self.refresh(now);
     }
--- a/src/daemon/settings.rs
+++ b/src/daemon/settings.rs
@@ -130,6 +130,10 @@
     /// Longest time for a shutdown [default: 10m].
     #[arg(long, env = "MARLRUN_DRAIN_TIMEOUT")]
     pub drain_timeout: Option<Box<str>>,
+    /// Time for which a router that shuts down still takes connections; the balancer must see
+    /// /readyz within it [default: 1s].
+    #[arg(long, env = "MARLRUN_DRAIN_NOTICE")]
+    pub drain_notice: Option<Box<str>>,
     /// Lets the operators' interface set faults; for tests only (true or false).
     #[arg(long, env = "MARLRUN_FAULT_INJECTION")]
     pub fault_injection: Option<Box<str>>,
@@ -221,6 +225,9 @@
             idle: check
                 .optional("idle-timeout", &self.idle_timeout)
                 .unwrap_or(default.idle),
+            notice: check
+                .optional("drain-notice", &self.drain_notice)
+                .unwrap_or(default.notice),
             ..default
         }
     }
--- a/src/front/limits.rs
+++ b/src/front/limits.rs
@@ -13,6 +13,9 @@
     pub head_bytes: usize,
     /// Time in which a request head or body has to arrive, and an answer chunk to be taken.
     pub idle: Span,
+    /// Time for which a router that shuts down still takes connections, so that the balancer learns of
+    /// it before they are refused.
+    pub notice: Span,
 }
 
 impl Default for Limits {
@@ -22,6 +25,7 @@
             body_bytes: 4 << 20,
             head_bytes: 32 << 10,
             idle: Span::from_secs(30),
+            notice: Span::from_secs(1),
         }
     }
 }
--- a/src/front/server.rs
+++ b/src/front/server.rs
@@ -2,15 +2,14 @@
 
 use super::{Limits, Problem, Sink, handler::Handler};
 use crate::{config, id, unit::Span, upstream};
+use futures::FutureExt;
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
-use hyper_util::{
-    rt::{TokioIo, TokioTimer},
-    server::graceful::GracefulShutdown,
-};
+use hyper_util::rt::{TokioIo, TokioTimer};
 use std::{
     convert::Infallible,
     io,
     net::SocketAddr,
+    pin::pin,
     sync::{Arc, RwLock, atomic::AtomicU64},
     time::Duration,
 };
@@ -20,6 +19,7 @@
     sync::{Semaphore, watch},
     task::JoinHandle,
 };
+use tokio_util::task::TaskTracker;
 
 /// Settings of the callers' interface.
 pub struct Settings {
@@ -94,56 +94,88 @@
     listener: TcpListener,
     handler: Arc<Handler>,
     connections: Arc<Semaphore>,
-    mut stopped: watch::Receiver<bool>,
+    stopped: watch::Receiver<bool>,
 ) {
     /// Pause after a failed accept, which mostly means that file descriptors are short.
     const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
-    let graceful = GracefulShutdown::new();
+    let tracker = TaskTracker::new();
+    let notice = Duration::from(handler.limits.notice);
+    let serve = |stream: TcpStream| {
+        // Without the option small writes may be delayed; the connection works all the same.
+        let _ = stream.set_nodelay(true);
+        match connections.clone().try_acquire_owned() {
+            Ok(permit) => {
+                let connection = serve(stream, handler.clone(), stopped.clone());
+                tracker.spawn(async move {
+                    connection.await;
+                    drop(permit);
+                });
+            }
+            Err(_) => drop(tokio::spawn(refuse(stream))),
+        }
+    };
+    let mut stop = stopped.clone();
+    let mut closing = pin!(async {
+        // The sender lives as long as the server.
+        let _ = stop.wait_for(|stop| *stop).await;
+        tokio::time::sleep(notice).await;
+    });
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            _ = stopped.wait_for(|stop| *stop) => break,
-        };
-        let Ok((stream, _)) = accepted else {
-            tokio::time::sleep(ACCEPT_PAUSE).await;
-            continue;
-        };
-        // Without the option small writes may be delayed; the connection works all the same.
-        let _ = stream.set_nodelay(true);
-        let Ok(permit) = connections.clone().try_acquire_owned() else {
-            tokio::spawn(refuse(stream));
-            continue;
+            () = &mut closing => break,
         };
-        let connection = serve(stream, handler.clone());
-        let watched = graceful.watch(connection);
-        tokio::spawn(async move {
-            let _permit = permit;
-            // An error here is the caller's: it went away or sent no HTTP.
-            let _ = watched.await;
-        });
+        match accepted {
+            Ok((stream, _)) => serve(stream),
+            Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
+        }
+    }
+    // What the system accepted already would be reset with the listener.
+    while let Some(Ok((stream, _))) = listener.accept().now_or_never() {
+        serve(stream);
     }
     drop(listener);
-    graceful.shutdown().await;
+    tracker.close();
+    tracker.wait().await;
 }
 
-fn serve(
-    stream: TcpStream,
-    handler: Arc<Handler>,
-) -> http1::Connection<
-    TokioIo<TcpStream>,
-    impl hyper::service::HttpService<Incoming, ResBody = super::Body, Error = Infallible, Future: Send>,
-> {
+/// Serves a connection until its caller closes it, or until the server stops and its last answer
+/// is given.
+async fn serve(stream: TcpStream, handler: Arc<Handler>, mut stopped: watch::Receiver<bool>) {
     let limits = handler.limits.clone();
+    let (running, mut begun) = watch::channel(false);
     let service = service_fn(move |request| {
-        let handler = handler.clone();
-        async move { Ok::<_, Infallible>(handler.handle(request).await) }
+        let (handler, running) = (handler.clone(), running.clone());
+        async move {
+            running.send_replace(true);
+            let response = handler.handle(request).await;
+            running.send_replace(false);
+            Ok::<_, Infallible>(response)
+        }
     });
-    http1::Builder::new()
+    let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(Duration::from(limits.idle))
         .max_buf_size(limits.head_bytes.max(MIN_BUFFER_BYTES))
-        .serve_connection(TokioIo::new(stream), service)
+        .serve_connection(TokioIo::new(stream), service);
+    let mut connection = pin!(connection);
+    // An error of the connection is the caller's: it went away or sent no HTTP.
+    tokio::select! {
+        _ = connection.as_mut() => return,
+        _ = stopped.wait_for(|stop| *stop) => {}
+    }
+    // A request may be on its way on a connection that is idle; closed now, it would be cut off.
+    let begins = tokio::time::timeout(
+        Duration::from(limits.notice),
+        begun.wait_for(|running| *running),
+    );
+    tokio::select! {
+        _ = connection.as_mut() => return,
+        _ = begins => {}
+    }
+    connection.as_mut().graceful_shutdown();
+    let _ = connection.await;
 }
 
 /// Smallest read buffer that the HTTP library accepts, in bytes.
