--- a/benches/config.rs
+++ b/benches/config.rs
@@ -10,11 +10,12 @@
         replica::{Action, Event},
     },
     id,
-    unit::{Time, Version, Weight},
+    unit::{Span, Time, Version, Weight},
     wire::{Message, codec},
 };
 use std::{
     alloc::{GlobalAlloc, Layout, System},
+    collections::VecDeque,
     fmt::Write as _,
     hint::black_box,
     sync::{
@@ -191,12 +192,135 @@
     );
 }
 
+/// Routers of the fleet in two years.
+const ROUTERS: usize = 330;
+/// Time between two heartbeats.
+const HEARTBEAT_PERIOD: Span = Span::from_millis(500);
+/// Routers of other failure domains that a router tells of itself each time.
+const SAMPLES: usize = 3;
+
+/// Routers that hear each other's heartbeats: all of a failure domain, and samples across.
+struct Routers {
+    replicas: Vec<Replica>,
+    queue: VecDeque<(usize, Event)>,
+    /// Deltas that each router sent.
+    sent: Vec<u64>,
+    document: Document,
+    head: u64,
+}
+
+impl Routers {
+    fn spawn() -> Self {
+        let domain = |at: usize| format!("domain-{}", at % DOMAINS).parse().unwrap();
+        Self {
+            replicas: (0..ROUTERS).map(|at| Replica::new(domain(at))).collect(),
+            queue: VecDeque::new(),
+            sent: vec![0; ROUTERS],
+            document: Document::default(),
+            head: 1,
+        }
+    }
+
+    /// Handles the event and those that follow from it.
+    fn event(&mut self, now: Time, at: usize, event: Event) {
+        self.queue.push_back((at, event));
+        while let Some((at, event)) = self.queue.pop_front() {
+            let mut out = Vec::new();
+            self.replicas[at].step(now, event, &mut out);
+            out.into_iter().for_each(|action| self.perform(at, action));
+        }
+    }
+
+    fn perform(&mut self, at: usize, action: Action) {
+        match action {
+            Action::Send(envelope) => {
+                let router = router(at);
+                let event = match envelope.message {
+                    Message::Fetch { have } => Event::Fetch { router, have },
+                    Message::Delta { body, .. } => Event::Delta { router, body },
+                    other => panic!("unexpected {other:?}"),
+                };
+                self.sent[at] += u64::from(matches!(event, Event::Delta { .. }));
+                self.queue.push_back((number(&envelope.to), event));
+            }
+            Action::ReadPlatform { have } => {
+                let answer = (self.head > have.0).then(|| self.update(have));
+                self.queue.push_back((at, Event::Platform(Ok(answer))));
+            }
+            Action::Install(_) => {}
+            Action::Refused { reason, .. } => panic!("{reason}"),
+        }
+    }
+
+    /// Returns the step after a version; all versions hold the same contents.
+    fn update(&self, have: Version) -> Update {
+        let step = Step {
+            from: have,
+            to: Version(self.head),
+            digest: self.document.digest(),
+            delta: Delta::default(),
+        };
+        Update { steps: vec![step] }
+    }
+
+    /// Lets a router tick, and tells its version to those that hear it.
+    fn beat(&mut self, now: Time, at: usize, beat: usize) {
+        self.event(now, at, Event::Tick);
+        let version = self.replicas[at].version();
+        let near = (at % DOMAINS..ROUTERS).step_by(DOMAINS);
+        let far = (1..=SAMPLES).map(|sample| (at + (beat * SAMPLES + sample) * 7) % ROUTERS);
+        for to in near.chain(far).filter(|to| *to != at) {
+            let router = router(at);
+            self.event(now, to, Event::PeerVersion { router, version });
+        }
+    }
+
+    fn is_everywhere(&self, version: u64) -> bool {
+        self.replicas
+            .iter()
+            .all(|replica| replica.version().0 >= version)
+    }
+}
+
+fn router(at: usize) -> id::Router {
+    format!("router-{at}").parse().unwrap()
+}
+
+fn number(router: &id::Router) -> usize {
+    router.as_str()["router-".len()..].parse().unwrap()
+}
+
+/// Counts the time until a change is in force at each router; messages take no time here.
+fn spread() {
+    let mut routers = Routers::spawn();
+    let mut slowest = Span(0);
+    let mut changed = Time(0);
+    let mut in_force = true;
+    // Routers beat evenly spread over the period.
+    for beat in 0..40 * ROUTERS {
+        let now = Time(HEARTBEAT_PERIOD.0 * beat as u64 / ROUTERS as u64);
+        routers.beat(now, beat % ROUTERS, beat / ROUTERS);
+        if !in_force && routers.is_everywhere(routers.head) {
+            in_force = true;
+            slowest = slowest.max(now.since(changed));
+        }
+        if in_force && now > Time(5_000_000) && beat % 1_000 == 0 {
+            (routers.head, changed, in_force) = (routers.head + 1, now, false);
+        }
+    }
+    let most = routers.sent.iter().max().unwrap();
+    let versions = routers.head;
+    println!("330 routers, {versions} versions: in force everywhere after {slowest} at most");
+    println!("deltas sent by the router that sent most: {most}");
+}
+
 /// Returns the encoded length of a message over a link, in bytes.
 fn batch(message: Message) -> usize {
     codec::encode_batch(&[message]).unwrap().len()
 }
 
 fn main() {
+    spread();
     let source = base();
     println!("base file: {:.1} MiB", mebibytes(source.text.len()));
     let document = config::check(&source, &[]).unwrap();
