Bench: spread with the membership's heartbeats, and with a domain cut off from the platform

Cause: the model before had each router tell its whole failure domain each 500 ms; the membership tells two watchers each 200 ms and the others in turn.

--- a/benches/config.rs
+++ b/benches/config.rs
@@ -10,6 +10,7 @@
         replica::{Action, Event},
     },
     id,
+    platform::Fault,
     unit::{Span, Time, Version, Weight},
     wire::{Message, codec},
 };
@@ -192,15 +193,23 @@
     );
 }
 
+/// Heartbeats of each router in a run.
+const BEATS: usize = 300;
+/// Time of the first change, after the start.
+const WARM: Time = Time(5_000_000);
 /// Routers of the fleet in two years.
 const ROUTERS: usize = 330;
-/// Time between two heartbeats.
-const HEARTBEAT_PERIOD: Span = Span::from_millis(500);
-/// Routers of other failure domains that a router tells of itself each time.
-const SAMPLES: usize = 3;
+/// Time between two heartbeats to the routers that watch one, and between two ticks.
+const HEARTBEAT_PERIOD: Span = Span::from_millis(200);
+/// Routers of the failure domain that watch a router.
+const WATCHERS: usize = 2;
+/// Other routers of the failure domain that a router tells of itself in each period, in turn: 10/s.
+const NEAR: usize = 2;
 
-/// Routers that hear each other's heartbeats: all of a failure domain, and samples across.
+/// Routers that hear each other's heartbeats as `member` sends them.
 struct Routers {
+    /// Routers of this failure domain can't reach the platform.
+    cut_off: Option<usize>,
     replicas: Vec<Replica>,
     queue: VecDeque<(usize, Event)>,
     /// Deltas that each router sent.
@@ -210,9 +219,10 @@
 }
 
 impl Routers {
-    fn spawn() -> Self {
+    fn spawn(cut_off: Option<usize>) -> Self {
         let domain = |at: usize| format!("domain-{}", at % DOMAINS).parse().unwrap();
         Self {
+            cut_off,
             replicas: (0..ROUTERS).map(|at| Replica::new(domain(at))).collect(),
             queue: VecDeque::new(),
             sent: vec![0; ROUTERS],
@@ -245,7 +255,11 @@
             }
             Action::ReadPlatform { have } => {
                 let answer = (self.head > have.0).then(|| self.update(have));
-                self.queue.push_back((at, Event::Platform(Ok(answer))));
+                let result = match self.cut_off == Some(at % DOMAINS) {
+                    true => Err(unreachable()),
+                    false => Ok(answer),
+                };
+                self.queue.push_back((at, Event::Platform(result)));
             }
             Action::Install(_) => {}
             Action::Refused { reason, .. } => panic!("{reason}"),
@@ -267,9 +281,12 @@
     fn beat(&mut self, now: Time, at: usize, beat: usize) {
         self.event(now, at, Event::Tick);
         let version = self.replicas[at].version();
-        let near = (at % DOMAINS..ROUTERS).step_by(DOMAINS);
-        let far = (1..=SAMPLES).map(|sample| (at + (beat * SAMPLES + sample) * 7) % ROUTERS);
-        for to in near.chain(far).filter(|to| *to != at) {
+        let neighbour = |distance: usize| (at + distance * DOMAINS) % ROUTERS;
+        let watchers = (1..=WATCHERS).map(neighbour);
+        let near = (0..NEAR).map(|index| neighbour(beat * NEAR + index));
+        let far = (at + beat * 7 + 1) % ROUTERS;
+        let heard = watchers.chain(near).chain([far]);
+        for to in heard.filter(|to| *to != at) {
             let router = router(at);
             self.event(now, to, Event::PeerVersion { router, version });
         }
@@ -282,6 +299,13 @@
     }
 }
 
+fn unreachable() -> Fault {
+    Fault::Unreachable {
+        call: "read".into(),
+        cause: "cut off".into(),
+    }
+}
+
 fn router(at: usize) -> id::Router {
     format!("router-{at}").parse().unwrap()
 }
@@ -291,26 +315,30 @@
 }
 
 /// Counts the time until a change is in force at each router; messages take no time here.
-fn spread() {
-    let mut routers = Routers::spawn();
+fn spread(cut_off: Option<usize>) {
+    let mut routers = Routers::spawn(cut_off);
     let mut slowest = Span(0);
     let mut changed = Time(0);
     let mut in_force = true;
     // Routers beat evenly spread over the period.
-    for beat in 0..40 * ROUTERS {
+    for beat in 0..BEATS * ROUTERS {
         let now = Time(HEARTBEAT_PERIOD.0 * beat as u64 / ROUTERS as u64);
         routers.beat(now, beat % ROUTERS, beat / ROUTERS);
         if !in_force && routers.is_everywhere(routers.head) {
             in_force = true;
             slowest = slowest.max(now.since(changed));
         }
-        if in_force && now > Time(5_000_000) && beat % 1_000 == 0 {
+        if in_force && now > WARM && beat % 1_000 == 0 {
             (routers.head, changed, in_force) = (routers.head + 1, now, false);
         }
     }
     let most = routers.sent.iter().max().unwrap();
     let versions = routers.head;
-    println!("330 routers, {versions} versions: in force everywhere after {slowest} at most");
+    let platform = match cut_off {
+        Some(_) => "one failure domain cut off from the platform",
+        None => "platform reached by all",
+    };
+    println!("330 routers, {platform}: {versions} versions, in force after {slowest} at most");
     println!("deltas sent by the router that sent most: {most}");
 }
 
@@ -320,7 +348,8 @@
 }
 
 fn main() {
-    spread();
+    spread(None);
+    spread(Some(0));
     let source = base();
     println!("base file: {:.1} MiB", mebibytes(source.text.len()));
     let document = config::check(&source, &[]).unwrap();
