--- a/src/cli/apply.rs
+++ b/src/cli/apply.rs
@@ -13,7 +13,6 @@
         Change, Difference, Document, Head, Store,
         store::{Outcome, Proposal, Stored},
     },
-    operator,
     platform::Fault,
     random,
     unit::{Span, Version},
@@ -107,15 +106,12 @@
     if connection.routers.is_empty() {
         return Ok(Version(0));
     }
-    match connection.any_router(operator::Client::routers) {
+    match connection.known_routers(output) {
         Ok(routers) => {
             let versions = routers.into_iter().map(|router| router.version);
             Ok(versions.max().unwrap_or_default())
         }
-        Err(failure @ Failure::Router(_)) => {
-            output.progress(format_args!("{failure}"));
-            Ok(Version(0))
-        }
+        Err(Failure::Router(_)) => Ok(Version(0)),
         Err(failure) => Err(failure),
     }
 }
--- a/src/cli/arguments.rs
+++ b/src/cli/arguments.rs
@@ -6,7 +6,14 @@
     unit::{Span, Version},
 };
 
-const EXIT_CODES: &str = "\
+const EXAMPLES_AND_EXIT_CODES: &str = "\
+Examples:
+  marlrun config check base.toml -o vake.toml
+  marlrun --platform 10.0.0.5:7000 config history --limit 5
+  marlrun --platform 10.0.0.5:7000 workspace list
+  marlrun --router 10.0.0.11:7300 --operator-key-file key router list
+  marlrun --router 10.0.0.11:7300 --operator-key-file key --json target list
+
 Exit codes:
   0  done
   1  failed, for instance a file cannot be read
@@ -64,7 +71,7 @@
 
 /// Drives a marlrun router fleet
 #[derive(clap::Parser, Clone, Debug)]
-#[command(name = "marlrun", version, after_help = EXIT_CODES)]
+#[command(name = "marlrun", version, after_help = EXAMPLES_AND_EXIT_CODES)]
 pub struct Arguments {
     /// Print JSON, one value a line
     #[arg(long, global = true)]
@@ -92,7 +99,7 @@
     /// Targets as a router knows them
     #[command(subcommand)]
     Target(List),
-    /// Routers as one of them knows them
+    /// Routers as those at --router know them
     #[command(subcommand)]
     Router(Router),
     /// Live service, backlog and gap of each workspace, added up over all --router
--- a/src/cli/connection.rs
+++ b/src/cli/connection.rs
@@ -1,8 +1,8 @@
 //! Where the command line finds the platform and the routers.
 
-use super::Failure;
-use crate::{config, operator, platform, unit::Span};
-use std::{fs, net::SocketAddr, path::PathBuf, sync::Arc};
+use super::{Failure, Output};
+use crate::{config, id, operator, platform, unit::Span};
+use std::{collections::BTreeMap, fs, net::SocketAddr, path::PathBuf, sync::Arc};
 
 /// Arguments that tell where the platform and the routers are.
 #[derive(clap::Args, Clone, Debug)]
@@ -83,4 +83,47 @@
         }
         Err(failure)
     }
+
+    /// Asks all routers that are named for the routers that they know, and merges what they say: a router is alive
+    /// if any of them hears it, and has the highest version that any of them knows.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the last router's error if none answers.
+    pub(super) fn known_routers(
+        &self,
+        output: &mut Output<'_>,
+    ) -> Result<Vec<operator::Router>, Failure> {
+        let mut known = BTreeMap::new();
+        let mut answered = false;
+        let mut failure = Failure::NoRouter;
+        for client in self.routers()? {
+            match client.routers() {
+                Ok(routers) => {
+                    answered = true;
+                    routers
+                        .into_iter()
+                        .for_each(|router| merge(&mut known, router));
+                }
+                Err(error) => {
+                    output.progress(format_args!("{error}"));
+                    failure = error.into();
+                }
+            }
+        }
+        match answered {
+            true => Ok(known.into_values().collect()),
+            false => Err(failure),
+        }
+    }
+}
+
+fn merge(known: &mut BTreeMap<id::Router, operator::Router>, router: operator::Router) {
+    let Some(other) = known.get_mut(&router.router) else {
+        known.insert(router.router.clone(), router);
+        return;
+    };
+    other.alive |= router.alive;
+    other.leaving |= router.leaving;
+    other.version = other.version.max(router.version);
 }
--- a/src/cli/history.rs
+++ b/src/cli/history.rs
@@ -43,7 +43,7 @@
     let head = connection.store()?.head()?;
     let routers = match connection.routers.is_empty() {
         true => Vec::new(),
-        false => connection.any_router(operator::Client::routers)?,
+        false => connection.known_routers(output)?,
     };
     let status = Status { head, routers };
     let version = status
--- a/src/cli/list.rs
+++ b/src/cli/list.rs
@@ -89,9 +89,9 @@
     Ok(Exit::Done)
 }
 
-/// Lists the routers that one of them knows.
+/// Lists the routers that those that are named know.
 pub(super) fn routers(connection: &Connection, output: &mut Output<'_>) -> Result<Exit, Failure> {
-    let rows = connection.any_router(operator::Client::routers)?;
+    let rows = connection.known_routers(output)?;
     let mut table = Table::new(&["ROUTER", "DOMAIN", "ADDRESS", "VERSION", "STATE"]);
     for router in &rows {
         let state = match (router.alive, router.leaving) {
--- a/src/cli/wait.rs
+++ b/src/cli/wait.rs
@@ -10,6 +10,9 @@
 /// Time between two questions to a router.
 const POLL_PERIOD: Span = Span::from_millis(250);
 
+/// Routers that a line about progress names.
+const MAX_NAMED: usize = 10;
+
 /// How the wait ended.
 pub(super) enum Waited {
     /// Each live router has the version in force.
@@ -41,15 +44,12 @@
 ) -> Result<Waited, Failure> {
     let start = clock::now();
     let mut reached = BTreeSet::new();
+    let mut told = usize::MAX;
     loop {
         let age = clock::now().since(start);
-        let answer = connection.any_router(operator::Client::routers);
-        let routers = match answer {
+        let routers = match connection.known_routers(output) {
             Ok(routers) => routers,
-            Err(failure @ Failure::Router(_)) if age < limit => {
-                output.progress(format_args!("{failure}"));
-                Vec::new()
-            }
+            Err(Failure::Router(_)) if age < limit => Vec::new(),
             Err(failure) => return Err(failure),
         };
         let live: Vec<_> = routers.iter().filter(|router| router.alive).collect();
@@ -63,6 +63,7 @@
         if !live.is_empty() && missing.is_empty() {
             return Ok(Waited::Everywhere);
         }
+        tell_waiting(&missing, &mut told, output);
         if age >= limit {
             output.print(
                 &Missing {
@@ -81,6 +82,29 @@
     }
 }
 
+/// Tells for which routers the command waits, each time that they become fewer.
+fn tell_waiting(missing: &[&id::Router], told: &mut usize, output: &mut Output<'_>) {
+    if missing.len() >= *told || missing.is_empty() {
+        return;
+    }
+    *told = missing.len();
+    let names: Vec<_> = missing
+        .iter()
+        .take(MAX_NAMED)
+        .map(|router| router.as_str())
+        .collect();
+    let more = if missing.len() > MAX_NAMED {
+        ", ..."
+    } else {
+        ""
+    };
+    output.progress(format_args!(
+        "waiting for {} routers: {}{more}",
+        missing.len(),
+        names.join(", ")
+    ));
+}
+
 fn report(router: &operator::Router, age: Span, output: &mut Output<'_>) -> Result<(), Failure> {
     let (version, name, domain) = (router.version, &router.router, &router.domain);
     let after_ms = age.as_millis();
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -395,6 +395,26 @@
     assert!(!ran.out.contains("dead"), "{}", ran.out);
 }
 
+#[test]
+fn status_merges_what_routers_know() {
+    let world = World::new(9);
+    world.apply(&example("base.toml"), &[]);
+    // The second router says that r1 has version 5, which the first one does not know yet.
+    let ahead = Arc::new(Fake {
+        asked: AtomicU64::new(5),
+        limit: 5,
+        ..Fake::default()
+    });
+    let other = serve(Digest::of(KEY.as_bytes()), &ahead);
+    let other = other.address().to_string();
+    let ran = world.run_with_router(&["--router", &other, "--json", "config", "status"]);
+    let status: serde_json::Value = serde_json::from_str(&ran.out).unwrap();
+    let versions: Vec<_> = status["routers"].as_array().unwrap().iter().collect();
+    assert_eq!(versions.len(), 3, "{}", ran.out);
+    let r1 = versions.iter().find(|router| router["router"] == "r1");
+    assert_eq!(r1.unwrap()["version"], 5, "{}", ran.out);
+}
+
 #[test]
 fn apply_waiting_time_ends() {
     let world = World::new(0);
