--- a/src/daemon/control/mod.rs
+++ b/src/daemon/control/mod.rs
@@ -25,6 +25,8 @@
 const REFRESH_PERIOD: Span = Span::from_millis(100);
 /// Gap between two turns after which the process was paused and its grants are stale.
 const PAUSE: Span = Span::from_millis(900);
+/// Shortest wait for events, so that a machine whose wake-up is overdue cannot take the whole core.
+const MIN_WAIT: Span = Span::from_millis(1);
 /// Longest time that a shutdown waits until the ends of claims are recorded.
 const SETTLE_TIMEOUT: Span = Span::from_secs(3);
 
@@ -111,7 +113,7 @@
         }
         let mut stop_by = None;
         while !self.is_over(stop_by) {
-            let first = inbox.recv_timeout(Duration::from(member::TICK));
+            let first = inbox.recv_timeout(self.patience(clock::now()));
             let now = clock::now();
             self.notice_pause(now);
             if matches!(first, Err(RecvTimeoutError::Disconnected)) {
@@ -129,6 +131,14 @@
         }
     }
 
+    /// Returns the time until a machine has to be woken, at most that between two ticks.
+    fn patience(&self, now: Time) -> Duration {
+        let wakes = [self.owner.wake(), self.registry.wake_at()];
+        let waits = wakes.into_iter().flatten().map(|at| at.since(now));
+        let wait = waits.fold(member::TICK, Span::min);
+        Duration::from(wait.max(MIN_WAIT))
+    }
+
     /// Reports whether a shutdown is complete: the ends of all claims are recorded, or it took too long.
     fn is_over(&self, stop_by: Option<Time>) -> bool {
         stop_by.is_some_and(|limit| self.registry.is_settled() || clock::now() >= limit)
