--- a/src/member/contact.rs
+++ b/src/member/contact.rs
@@ -222,7 +222,8 @@
     /// intervals.
     pub(super) fn tell(&mut self, now: Time, version: u64, sequence: u64, ask: bool) -> bool {
         let telling = &mut self.telling;
-        if self.told >= version {
+        let early = !ask && now.since(telling.last) < COPY_GAP;
+        if self.told >= version || early {
             return false;
         }
         if telling.version != version {
@@ -230,8 +231,6 @@
                 version,
                 ..Telling::default()
             };
-        } else if !ask && now.since(telling.last) < COPY_GAP {
-            return false;
         }
         telling.last = now;
         telling.copies += 1;
