--- a/tests/link.rs
+++ b/tests/link.rs
@@ -7,7 +7,11 @@
     unit::Version,
     wire::Message,
 };
-use std::{net::SocketAddr, time::Duration};
+use std::{
+    io::Read,
+    net::{SocketAddr, TcpStream},
+    time::Duration,
+};
 
 /// Longest wait for an event; far longer than any takes.
 const PATIENCE: Duration = Duration::from_secs(20);
@@ -121,6 +125,14 @@
     assert!(b.events.is_empty());
 }
 
+#[test]
+fn hello_missing() {
+    let a = spawn("a", 1);
+    let mut stream = TcpStream::connect(a.links.address()).unwrap();
+    stream.set_read_timeout(Some(PATIENCE)).unwrap();
+    assert_eq!(stream.read(&mut [0]).unwrap(), 0, "closed by the router");
+}
+
 #[test]
 fn hello_other_router() {
     let (a, c) = (spawn("a", 1), spawn("c", 1));
--- a/tests/member.rs
+++ b/tests/member.rs
@@ -4,9 +4,9 @@
 
 use marlrun::{
     id,
-    member::{self, Action, Event, Local},
-    unit::{Cost, Span, Time},
-    wire::Load,
+    member::{self, Action, Event, Local, Membership},
+    unit::{Cost, Span, Time, Version},
+    wire::{Echo, Heartbeat, Load, Origin},
 };
 use net::{Faults, Net};
 use proptest::{collection::vec, prelude::*};
@@ -318,6 +318,36 @@
         }
     }
 
+    #[test]
+    fn older_never_replaces(order in vec((1_u64..4, 1_u64..20), 1..40)) {
+        let now = Time(1_000_000);
+        let run = id::Incarnation(9);
+        let domain: id::Domain = "vake".parse().unwrap();
+        let mut member = Membership::new(net::name(1), run, domain.clone(), net::address(1));
+        let mut out = Vec::new();
+        member.step(now, Event::Seeds(vec![net::address(2)]), &mut out);
+        member.step(now, Event::Tick, &mut out);
+        let Some(Action::Datagram { heartbeat: asked, .. }) = out.pop() else {
+            panic!("the seed is asked");
+        };
+        let mut latest = (0, 0);
+        for (incarnation, sequence) in order {
+            let heartbeat = Heartbeat {
+                router: net::name(2),
+                incarnation: id::Incarnation(incarnation),
+                sequence,
+                heard: Echo::of(run, asked.sequence),
+                version: Version(sequence),
+                origin: Some(Origin { domain: domain.clone(), address: net::address(2) }),
+                ..*asked.clone()
+            };
+            member.step(now, Event::Heartbeat(Box::new(heartbeat)), &mut out);
+            latest = latest.max((incarnation, sequence));
+            let seen = member.view().get(&net::name(2)).unwrap();
+            prop_assert_eq!((seen.incarnation.0, seen.version.0), latest);
+        }
+    }
+
     #[test]
     fn kill_noticed_despite_loss(seed in any::<u64>(), loss in 0_u8..20, victim in 1_u16..=20) {
         let faults = Faults { seed, loss, copies: 5, delay: Span::from_millis(20) };
