--- a/benches/config.rs
+++ b/benches/config.rs
@@ -6,15 +6,17 @@
 use criterion::Criterion;
 use marlrun::{
     config::{
-        self, Delta, Document, Replica, Source, Step, Update,
+        self, Delta, Digest, Document, Replica, Source, Step, Update,
         replica::{Action, Event},
     },
     id,
-    unit::{Time, Version, Weight},
-    wire::Message,
+    platform::Fault,
+    unit::{Span, Time, Version, Weight},
+    wire::{Message, codec},
 };
 use std::{
     alloc::{GlobalAlloc, Layout, System},
+    collections::VecDeque,
     fmt::Write as _,
     hint::black_box,
     sync::{
@@ -27,6 +29,8 @@
 const TARGETS: usize = 600;
 const SERVICES: usize = 25;
 const DOMAINS: usize = 6;
+const CHANGES_A_DAY: f64 = 2_800.0;
+const SECONDS_A_DAY: f64 = 86_400.0;
 
 /// Counts the bytes that are allocated.
 struct Counting;
@@ -69,7 +73,7 @@
         }
     }
     for workspace in 0..WORKSPACES {
-        let key = config::Digest::of(&workspace.to_be_bytes());
+        let key = Digest::of(&workspace.to_be_bytes());
         writeln!(text, "[workspaces.workspace-{workspace}]").unwrap();
         writeln!(text, "weight = {}", workspace % 9 + 1).unwrap();
         writeln!(text, "key_sha256 = [\"{key}\"]").unwrap();
@@ -97,24 +101,33 @@
     }
 }
 
-/// Returns the contents after another weight for one workspace.
-fn change(document: &Document, number: usize) -> Document {
-    let mut changed = document.clone();
-    let name: id::Workspace = format!("workspace-{}", number * 7 % WORKSPACES)
-        .parse()
-        .unwrap();
-    let holder = changed.workspaces.get_mut(&name).unwrap();
-    let weight = holder.workspace.weight.get() % 9 + 1;
-    Arc::make_mut(&mut holder.workspace).weight = Weight::new(weight).unwrap();
-    changed
+/// Contents at a version, to which changes are made.
+struct Author {
+    document: Document,
+    digest: Digest,
+    version: u64,
 }
 
-fn step(from: u64, old: &Document, new: &Document) -> Step {
-    Step {
-        from: Version(from),
-        to: Version(from + 1),
-        digest: new.digest(),
-        delta: Delta::between(old, new),
+impl Author {
+    /// Gives one workspace another weight and returns the encoded change.
+    fn change(&mut self) -> Vec<u8> {
+        let number = self.version as usize * 7 % WORKSPACES;
+        let name: id::Workspace = format!("workspace-{number}").parse().unwrap();
+        let mut holder = self.document.workspaces[&name].clone();
+        let weight = holder.workspace.weight.get() % 9 + 1;
+        Arc::make_mut(&mut holder.workspace).weight = Weight::new(weight).unwrap();
+        let mut delta = Delta::default();
+        delta.workspaces.insert(name, Some(holder));
+        self.digest = self.document.digest_after(self.digest, &delta);
+        self.document.apply(&delta);
+        let step = Step {
+            from: Version(self.version),
+            to: Version(self.version + 1),
+            digest: self.digest,
+            delta,
+        };
+        self.version += 1;
+        Update { steps: vec![step] }.encode()
     }
 }
 
@@ -144,7 +157,7 @@
     bytes as f64 / f64::from(1 << 20)
 }
 
-fn sizes(document: &Document, whole: &[u8], changed: &Step) {
+fn sizes(whole: &[u8], body: &[u8]) {
     let start = LIVE.load(Relaxed);
     PEAK.store(start, Relaxed);
     let (mut replica, installed) = replica(whole);
@@ -157,36 +170,198 @@
         "peak while loading: {:.1} MiB",
         mebibytes(PEAK.load(Relaxed) - start)
     );
-    let steps = vec![changed.clone()];
-    let body = Update { steps }.encode();
     let live = LIVE.load(Relaxed);
     PEAK.store(live, Relaxed);
-    let _installed = deliver(&mut replica, &body);
+    let _installed = deliver(&mut replica, body);
     println!(
         "peak above that for a change: {:.1} MiB",
         mebibytes(PEAK.load(Relaxed) - live)
     );
     drop(installed);
-    let fetch = Message::Fetch { have: Version(1) };
-    println!("change of one weight, body: {} B", body.len());
-    println!("question to a peer: {fetch:?}");
-    let days = 2_800.0 * body.len() as f64;
+    let have = Version(1);
+    let fetch = batch(Message::Fetch { have });
+    let delta = batch(Message::Delta {
+        from: have,
+        to: have.next(),
+        body: body.to_vec(),
+    });
+    println!("change of one weight: question {fetch} B, answer {delta} B");
+    let daily = CHANGES_A_DAY * (fetch + delta) as f64;
+    let rate = daily / SECONDS_A_DAY;
     println!(
-        "bodies at 2,800 changes a day: {:.1} B/s per router",
-        days / 86_400.0
+        "questions and answers at 2,800 changes a day: {rate:.1} B/s received and sent per router"
     );
-    black_box(document);
+}
+
+/// Heartbeats of each router in a run.
+const BEATS: usize = 300;
+/// Time of the first change, after the start.
+const WARM: Time = Time(5_000_000);
+/// Routers of the fleet in two years.
+const ROUTERS: usize = 330;
+/// Time between two heartbeats to the routers that watch one, and between two ticks.
+const HEARTBEAT_PERIOD: Span = Span::from_millis(200);
+/// Routers of the failure domain that watch a router.
+const WATCHERS: usize = 2;
+/// Other routers of the failure domain that a router tells of itself in each period, in turn: 10/s.
+const NEAR: usize = 2;
+
+/// Routers that hear each other's heartbeats as `member` sends them.
+struct Routers {
+    /// Routers of this failure domain can't reach the platform.
+    cut_off: Option<usize>,
+    replicas: Vec<Replica>,
+    queue: VecDeque<(usize, Event)>,
+    /// Deltas that each router sent.
+    sent: Vec<u64>,
+    document: Document,
+    head: u64,
+}
+
+impl Routers {
+    fn spawn(cut_off: Option<usize>) -> Self {
+        let domain = |at: usize| format!("domain-{}", at % DOMAINS).parse().unwrap();
+        Self {
+            cut_off,
+            replicas: (0..ROUTERS).map(|at| Replica::new(domain(at))).collect(),
+            queue: VecDeque::new(),
+            sent: vec![0; ROUTERS],
+            document: Document::default(),
+            head: 1,
+        }
+    }
+
+    /// Handles the event and those that follow from it.
+    fn event(&mut self, now: Time, at: usize, event: Event) {
+        self.queue.push_back((at, event));
+        while let Some((at, event)) = self.queue.pop_front() {
+            let mut out = Vec::new();
+            self.replicas[at].step(now, event, &mut out);
+            out.into_iter().for_each(|action| self.perform(at, action));
+        }
+    }
+
+    fn perform(&mut self, at: usize, action: Action) {
+        match action {
+            Action::Send(envelope) => {
+                let router = router(at);
+                let event = match envelope.message {
+                    Message::Fetch { have } => Event::Fetch { router, have },
+                    Message::Delta { body, .. } => Event::Delta { router, body },
+                    other => panic!("unexpected {other:?}"),
+                };
+                self.sent[at] += u64::from(matches!(event, Event::Delta { .. }));
+                self.queue.push_back((number(&envelope.to), event));
+            }
+            Action::ReadPlatform { have } => {
+                let answer = (self.head > have.0).then(|| self.update(have));
+                let result = match self.cut_off == Some(at % DOMAINS) {
+                    true => Err(unreachable()),
+                    false => Ok(answer),
+                };
+                self.queue.push_back((at, Event::Platform(result)));
+            }
+            Action::Install(_) => {}
+            Action::Refused { reason, .. } => panic!("{reason}"),
+        }
+    }
+
+    /// Returns the step after a version; all versions hold the same contents.
+    fn update(&self, have: Version) -> Update {
+        let step = Step {
+            from: have,
+            to: Version(self.head),
+            digest: self.document.digest(),
+            delta: Delta::default(),
+        };
+        Update { steps: vec![step] }
+    }
+
+    /// Lets a router tick, and tells its version to those that hear it.
+    fn beat(&mut self, now: Time, at: usize, beat: usize) {
+        self.event(now, at, Event::Tick);
+        let version = self.replicas[at].version();
+        let neighbour = |distance: usize| (at + distance * DOMAINS) % ROUTERS;
+        let watchers = (1..=WATCHERS).map(neighbour);
+        let near = (0..NEAR).map(|index| neighbour(beat * NEAR + index));
+        let far = (at + beat * 7 + 1) % ROUTERS;
+        let heard = watchers.chain(near).chain([far]);
+        for to in heard.filter(|to| *to != at) {
+            let router = router(at);
+            self.event(now, to, Event::PeerVersion { router, version });
+        }
+    }
+
+    fn is_everywhere(&self, version: u64) -> bool {
+        self.replicas
+            .iter()
+            .all(|replica| replica.version().0 >= version)
+    }
+}
+
+fn unreachable() -> Fault {
+    Fault::Unreachable {
+        call: "read".into(),
+        cause: "cut off".into(),
+    }
+}
+
+fn router(at: usize) -> id::Router {
+    format!("router-{at}").parse().unwrap()
+}
+
+fn number(router: &id::Router) -> usize {
+    router.as_str()["router-".len()..].parse().unwrap()
+}
+
+/// Counts the time until a change is in force at each router; messages take no time here.
+fn spread(cut_off: Option<usize>) {
+    let mut routers = Routers::spawn(cut_off);
+    let mut slowest = Span(0);
+    let mut changed = Time(0);
+    let mut in_force = true;
+    // Routers beat evenly spread over the period.
+    for beat in 0..BEATS * ROUTERS {
+        let now = Time(HEARTBEAT_PERIOD.0 * beat as u64 / ROUTERS as u64);
+        routers.beat(now, beat % ROUTERS, beat / ROUTERS);
+        if !in_force && routers.is_everywhere(routers.head) {
+            in_force = true;
+            slowest = slowest.max(now.since(changed));
+        }
+        if in_force && now > WARM && beat % 1_000 == 0 {
+            (routers.head, changed, in_force) = (routers.head + 1, now, false);
+        }
+    }
+    let most = routers.sent.iter().max().unwrap();
+    let versions = routers.head;
+    let platform = match cut_off {
+        Some(_) => "one failure domain cut off from the platform",
+        None => "platform reached by all",
+    };
+    println!("330 routers, {platform}: {versions} versions, in force after {slowest} at most");
+    println!("deltas sent by the router that sent most: {most}");
+}
+
+/// Returns the encoded length of a message over a link, in bytes.
+fn batch(message: Message) -> usize {
+    codec::encode_batch(&[message]).unwrap().len()
 }
 
 fn main() {
+    spread(None);
+    spread(Some(0));
     let source = base();
     println!("base file: {:.1} MiB", mebibytes(source.text.len()));
     let document = config::check(&source, &[]).unwrap();
     let whole = Step::whole(&document, Version(1), document.digest());
     let whole = Update { steps: vec![whole] }.encode();
-    let next = change(&document, 1);
-    let changed = step(1, &document, &next);
-    sizes(&document, &whole, &changed);
+    let mut author = Author {
+        digest: document.digest(),
+        document: document.clone(),
+        version: 1,
+    };
+    let first = author.change();
+    sizes(&whole, &first);
 
     let mut criterion = Criterion::default().sample_size(10).configure_from_args();
     criterion.bench_function("check base file", |b| {
@@ -194,23 +369,10 @@
     });
     criterion.bench_function("replica loads whole update", |b| b.iter(|| replica(&whole)));
     let (mut replica, _) = replica(&whole);
-    let mut documents = (next, 2);
-    deliver(
-        &mut replica,
-        &Update {
-            steps: vec![changed],
-        }
-        .encode(),
-    );
+    deliver(&mut replica, &first);
     criterion.bench_function("replica applies one change", |b| {
         b.iter_batched(
-            || {
-                let (old, version) = (&documents.0, documents.1);
-                let new = change(old, version as usize);
-                let steps = vec![step(version, old, &new)];
-                documents = (new, version + 1);
-                Update { steps }.encode()
-            },
+            || author.change(),
             |body| deliver(&mut replica, &body),
             criterion::BatchSize::PerIteration,
         );
--- a/tests/common/fleet.rs
+++ b/tests/common/fleet.rs
@@ -11,9 +11,37 @@
     fmt::Write,
     fs,
     net::{SocketAddr, TcpStream},
-    process::Command,
+    path::PathBuf,
+    process::{Command, Output},
 };
 
+const SERVICES: &str = r#"
+[services.assistant]
+kind = "model"
+idempotent = true
+quick = 16
+estimate = 100
+timeout = "60s"
+max_waiting = 100
+engine = { fencing = true, resume = true }
+
+[services.panels]
+kind = "plain"
+idempotent = false
+quick = 100
+estimate = 10
+timeout = "20s"
+max_waiting = 100
+
+[services.notes]
+kind = "plain"
+idempotent = true
+quick = 100
+estimate = 10
+timeout = "20s"
+max_waiting = 100
+"#;
+
 /// Addresses of a router.
 #[derive(Clone, Copy, Debug)]
 pub struct Addresses {
@@ -32,6 +60,10 @@
     pub routers: BTreeMap<Box<str>, Process>,
     pub addresses: BTreeMap<Box<str>, Addresses>,
     domains: BTreeMap<Box<str>, Box<str>>,
+    /// Routers take the platform's configuration in place of the base file.
+    pub from_platform: bool,
+    /// Routers know nothing of each other.
+    pub alone: bool,
 }
 
 impl Fleet {
@@ -39,21 +71,27 @@
     /// a plain service `panels` whose calls must not be repeated, and a plain service `notes`
     /// whose calls may be. The key of workspace `w` is `key-w`.
     pub fn new(workspaces: &[&str]) -> Self {
-        let mut base = String::from(
-            "[sites.east]\ndomains = [\"east\"]\n[sites.west]\ndomains = [\"west\"]\n\
-             [services.assistant]\nkind = \"model\"\nidempotent = true\nquick = 16\nestimate = 100\ntimeout = \"60s\"\n\
-             max_waiting = 100\nengine = { fencing = true, resume = true }\n\
-             [services.panels]\nkind = \"plain\"\nidempotent = false\nquick = 100\nestimate = 10\ntimeout = \"20s\"\n\
-             max_waiting = 100\n\
-             [services.notes]\nkind = \"plain\"\nidempotent = true\nquick = 100\nestimate = 10\ntimeout = \"20s\"\n\
-             max_waiting = 100\n",
-        );
-        for workspace in workspaces {
+        let weighted: Vec<_> = workspaces.iter().map(|name| (*name, 1)).collect();
+        Self::with(&["east", "west"], &weighted)
+    }
+
+    /// Returns a fleet with other failure domains, and workspaces with weights.
+    pub fn with(domains: &[&str], workspaces: &[(&str, u32)]) -> Self {
+        let mut base = String::new();
+        for domain in domains {
+            writeln!(base, "[sites.{domain}]\ndomains = [\"{domain}\"]").unwrap();
+        }
+        base += SERVICES;
+        for (workspace, weight) in workspaces {
             let digest = Sha256::digest(format!("key-{workspace}"));
             let hex = digest
                 .iter()
                 .fold(String::new(), |hex, byte| format!("{hex}{byte:02x}"));
-            writeln!(base, "[workspaces.{workspace}]\nkey_sha256 = [\"{hex}\"]").unwrap();
+            writeln!(
+                base,
+                "[workspaces.{workspace}]\nweight = {weight}\nkey_sha256 = [\"{hex}\"]"
+            )
+            .unwrap();
         }
         Self {
             folder: tempfile::tempdir().unwrap(),
@@ -63,6 +101,8 @@
             routers: BTreeMap::new(),
             addresses: BTreeMap::new(),
             domains: BTreeMap::new(),
+            from_platform: false,
+            alone: false,
         }
     }
 
@@ -99,7 +139,8 @@
         self.targets.insert(name.into(), (process, address));
     }
 
-    /// Starts routers with the targets declared so far, and waits until all are ready.
+    /// Starts routers with the targets declared so far, and waits until all are ready unless the platform
+    /// has no configuration for them yet.
     pub fn start_routers(&mut self, routers: &[(&str, &str)]) {
         for (name, domain) in routers {
             let addresses = Addresses {
@@ -111,14 +152,45 @@
             self.addresses.insert((*name).into(), addresses);
             self.domains.insert((*name).into(), (*domain).into());
         }
-        fs::write(self.folder.path().join("base.toml"), &self.base).unwrap();
+        self.base_file();
         fs::write(self.folder.path().join("key"), "operator-key").unwrap();
         for (name, _) in routers {
             self.start_router(name);
         }
+        if self.from_platform {
+            return;
+        }
         for (name, _) in routers {
-            self.wait_ready(name, routers.len());
+            let members = if self.alone { 1 } else { routers.len() };
+            self.wait_ready(name, members);
+        }
+    }
+
+    /// Returns the base file that declares what was started so far.
+    pub fn base_file(&self) -> PathBuf {
+        let path = self.folder.path().join("base.toml");
+        fs::write(&path, &self.base).unwrap();
+        path
+    }
+
+    /// Adds a line to the base file.
+    pub fn declare(&mut self, lines: &str) {
+        self.base += lines;
+    }
+
+    /// Runs the operators' command line against the platform and all routers.
+    pub fn operate(&self, arguments: &[&str]) -> Output {
+        let operators = self.addresses.values().map(|addresses| addresses.operator);
+        let operators = operators.map(|address| address.to_string());
+        let mut command = Command::new(env!("CARGO_BIN_EXE_marlrun"));
+        command
+            .args(["--router", &operators.collect::<Vec<_>>().join(",")])
+            .arg("--operator-key-file")
+            .arg(self.folder.path().join("key"));
+        if let Some((_, platform)) = &self.platform {
+            command.args(["--platform", &platform.to_string()]);
         }
+        command.args(arguments).output().unwrap()
     }
 
     /// Starts a declared router, again or for the first time.
@@ -140,10 +212,13 @@
             .args(["--operator", &addresses.operator.to_string()])
             .arg("--operator-key-file")
             .arg(self.folder.path().join("key"))
-            .arg("--base")
-            .arg(self.folder.path().join("base.toml"))
-            .args(["--seeds", &seeds])
             .args(["--fault-injection", "true", "--log-level", "warning"]);
+        if !self.alone {
+            command.args(["--seeds", &seeds]);
+        }
+        if !self.from_platform {
+            command.arg("--base").arg(self.base_file());
+        }
         if let Some((_, platform)) = &self.platform {
             command.args(["--platform", &platform.to_string()]);
         }
