Replica: reads of the head row are spread over the period

Cause: routers that start together read the head row together, each 3 s, so that a change waits up to 3 s for the first router to see it, and the table gets all reads at once. The period is now shortened by up to a second by a hash of the time of the last answer.

--- a/src/config/replica.rs
+++ b/src/config/replica.rs
@@ -13,9 +13,14 @@
     sync::Arc,
 };
 
-/// Time between two reads of the platform's head row. A change must be in force within 8 s even at a router that
-/// hears no peer; 330 routers then read 110 rows/s of the about 2,000 that the platform serves.
+/// Longest time between two reads of the platform's head row. A change must be in force within 8 s even at a router
+/// that hears no peer; 330 routers then read about 132 rows/s of the about 2,000 that the platform serves.
 const PLATFORM_PERIOD: Span = Span::from_secs(3);
+/// Bits of the part of the period that varies, in microseconds: about a second. Routers that started together then
+/// don't go on to read together.
+const PLATFORM_JITTER_BITS: u32 = 20;
+/// Odd multiplier that spreads close numbers over all high bits: 2^64 divided by the golden ratio.
+const SPREAD: u64 = 0x9e37_79b9_7f4a_7c15;
 /// Time after which a read of the platform counts as lost; longer than the platform client's own timeouts.
 const PLATFORM_TIMEOUT: Span = Span::from_secs(15);
 /// Time after which a peer that was asked for changes is given up and another one is asked.
@@ -282,7 +287,7 @@
         self.fetch_newer(now, None, out);
         let due = match (self.platform.pending, self.platform.answered) {
             (Some(asked), _) => now.since(asked) >= PLATFORM_TIMEOUT,
-            (None, Some(answered)) => now.since(answered) >= PLATFORM_PERIOD,
+            (None, Some(answered)) => now.since(answered) >= platform_period(answered),
             (None, None) => true,
         };
         if due {
@@ -469,6 +474,13 @@
     }
 }
 
+/// Returns the time from an answer of the platform to the next read. The microsecond of the answer varies it: it
+/// differs from router to router, and from one answer to the next.
+fn platform_period(answered: Time) -> Span {
+    let jitter = answered.0.wrapping_mul(SPREAD) >> (u64::BITS - PLATFORM_JITTER_BITS);
+    Span(PLATFORM_PERIOD.0 - jitter)
+}
+
 impl fmt::Display for Origin {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
--- a/tests/config_store.rs
+++ b/tests/config_store.rs
@@ -2,11 +2,12 @@
 
 use marlrun::{
     config::{
-        Change, Document, Store, Update,
+        Change, Document, Replica, Store, Update,
+        replica::Event,
         store::{Error, Outcome, Proposal},
     },
     platform::{Expect, Fault, Objects, Row, Table, Verdict, Write},
-    unit::Version,
+    unit::{Time, Version},
 };
 use proptest::prelude::*;
 use std::{
@@ -293,6 +294,38 @@
     assert_eq!((update.from(), update.to()), (Version(1), Version(8)));
 }
 
+#[test]
+fn changes_after_restored_table_reach_replica() {
+    let (platform, store) = store();
+    let mut replica = Replica::new("a".parse().unwrap());
+    let mut follow = |store: &Store| {
+        let changes = store.changes(replica.version()).unwrap();
+        let mut out = Vec::new();
+        replica.step(Time(0), Event::Platform(Ok(changes)), &mut out);
+        (replica.version(), replica.digest())
+    };
+    accept(&store, 1, 10);
+    let old = platform.rows.lock().unwrap().clone();
+    accept(&store, 2, 20);
+    accept(&store, 3, 30);
+    assert_eq!(follow(&store).0, Version(3));
+    *platform.rows.lock().unwrap() = old;
+    assert_eq!(
+        follow(&store).0,
+        Version(3),
+        "an older table must not set it back"
+    );
+    let mut restored = proposal(&store, 4, 40);
+    restored.floor = Version(3);
+    assert!(matches!(
+        store.apply(&restored, &mut |_| {}),
+        Ok(Outcome::Accepted { .. })
+    ));
+    let stored = store.load().unwrap();
+    assert_eq!(stored.document.capacity, 40);
+    assert_eq!(follow(&store), (Version(4), stored.document.digest()));
+}
+
 #[test]
 fn changes_across_snapshots() {
     let (_, store) = store();
