--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -1,6 +1,7 @@
 //! Configuration in force: what the operators declared.
 
 mod base;
+mod change;
 mod delta;
 mod difference;
 mod digest;
@@ -25,6 +26,7 @@
 mod workspace;
 
 pub use self::{
+    change::{Change, InvalidChange},
     delta::Delta,
     difference::Difference,
     digest::{Digest, InvalidDigest},
@@ -32,7 +34,7 @@
     engine::Engine,
     finding::{Finding, Findings},
     fleet::Fleet,
-    head::{Change, Entry, Head, InvalidChange},
+    head::{Entry, Head},
     load::{check, load},
     map::Map,
     overlay::{Limits, Overlay, Patch},
--- a/src/config/replica.rs
+++ b/src/config/replica/machine.rs
@@ -1,7 +1,8 @@
-//! One router's copy of the configuration.
+//! Decides what one router's copy takes, asks for and sends.
 
-use super::{Damaged, Digest, Document, Fleet, Step, Update};
+use super::{Action, Event, Origin, Reason, State};
 use crate::{
+    config::{Digest, Document, Fleet, Step, Update},
     id,
     platform::Fault,
     unit::{Span, Time, Version},
@@ -9,7 +10,6 @@
 };
 use std::{
     collections::{BTreeMap, VecDeque},
-    fmt,
     sync::Arc,
 };
 
@@ -33,103 +33,6 @@
 /// Steps that are kept to answer peers; 3 minutes' absence misses 6 of 2,800 a day, an hour's misses 117.
 const KEPT_STEPS: usize = 256;
 
-/// What a replica is told.
-#[derive(Debug)]
-pub enum Event {
-    /// A peer's heartbeat named its version.
-    PeerVersion {
-        /// Peer.
-        router: id::Router,
-        /// Version in force there.
-        version: Version,
-    },
-    /// A peer left or is no longer heard.
-    PeerGone {
-        /// Peer.
-        router: id::Router,
-    },
-    /// A peer asks for the changes after a version: `wire::Message::Fetch`.
-    Fetch {
-        /// Peer that asks.
-        router: id::Router,
-        /// Version that it has.
-        have: Version,
-    },
-    /// A peer sent changes: `wire::Message::Delta`.
-    Delta {
-        /// Peer that sent them.
-        router: id::Router,
-        /// Encoded update.
-        body: Vec<u8>,
-    },
-    /// A read of the platform ended: the changes after the version that was asked for, `None` if there are none.
-    Platform(Result<Option<Update>, Fault>),
-    /// Time passed; expected about every 200 ms.
-    Tick,
-}
-
-/// What a replica wants done.
-#[derive(Debug)]
-pub enum Action {
-    /// Send a message.
-    Send(wire::Envelope),
-    /// Read the changes after a version from the platform and report them as [`Event::Platform`].
-    ReadPlatform {
-        /// Version in force here.
-        have: Version,
-    },
-    /// Put a newer configuration in force.
-    Install(Arc<Fleet>),
-    /// Log that changes were refused.
-    Refused {
-        /// Where they came from.
-        origin: Origin,
-        /// Why.
-        reason: Reason,
-    },
-}
-
-/// Where changes came from.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Origin {
-    /// A peer.
-    Peer(id::Router),
-    /// The platform.
-    Platform,
-}
-
-/// Why changes were refused.
-#[derive(Debug, thiserror::Error)]
-pub enum Reason {
-    /// The body cannot be decoded.
-    #[error(transparent)]
-    Damaged(#[from] Damaged),
-    /// The changes do not lead to the contents that were accepted.
-    #[error("configuration version {version} has digest {found} in place of {expected}")]
-    Mismatch {
-        /// Version.
-        version: Version,
-        /// Digest that was accepted.
-        expected: Digest,
-        /// Digest of the contents that the changes led to.
-        found: Digest,
-    },
-}
-
-/// Whether a replica has a configuration.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum State {
-    /// A version is in force.
-    Ready(Version),
-    /// There is none yet.
-    Unready {
-        /// What the platform said last, if it was read.
-        platform: Option<Box<str>>,
-        /// Peers that have a configuration.
-        peers: usize,
-    },
-}
-
 /// One router's copy of the configuration; its version only grows.
 pub struct Replica {
     domain: id::Domain,
@@ -480,27 +383,3 @@
     let jitter = answered.0.wrapping_mul(SPREAD) >> (u64::BITS - PLATFORM_JITTER_BITS);
     Span(PLATFORM_PERIOD.0 - jitter)
 }
-
-impl fmt::Display for Origin {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Origin::Peer(router) => write!(f, "router {router}"),
-            Origin::Platform => f.write_str("the platform"),
-        }
-    }
-}
-
-impl fmt::Display for State {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            State::Ready(version) => write!(f, "configuration version {version}"),
-            State::Unready { platform, peers } => {
-                let said = platform.as_deref().unwrap_or("not read yet");
-                write!(
-                    f,
-                    "no configuration; platform: {said}; peers that have one: {peers}"
-                )
-            }
-        }
-    }
-}
--- /dev/null
+++ b/src/config/replica/state.rs
@@ -0,0 +1,33 @@
+//! Whether a replica has a configuration.
+
+use crate::unit::Version;
+use std::fmt;
+
+/// Whether a replica has a configuration.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum State {
+    /// A version is in force.
+    Ready(Version),
+    /// There is none yet.
+    Unready {
+        /// What the platform said last, if it was read.
+        platform: Option<Box<str>>,
+        /// Peers that have a configuration.
+        peers: usize,
+    },
+}
+
+impl fmt::Display for State {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            State::Ready(version) => write!(f, "configuration version {version}"),
+            State::Unready { platform, peers } => {
+                let said = platform.as_deref().unwrap_or("not read yet");
+                write!(
+                    f,
+                    "no configuration; platform: {said}; peers that have one: {peers}"
+                )
+            }
+        }
+    }
+}
--- a/src/config/store.rs
+++ b/src/config/store/access.rs
@@ -1,17 +1,13 @@
-//! The configuration in the platform: a head row in the table and bodies in the object store.
-//!
-//! Each version's changes are an object of their own, written before the head row names it, so that a head row
-//! never points to nothing. Objects of tries that lost a race stay behind unreferenced.
+//! Reads and writes of the stored configuration.
 
-use super::{Change, Delta, Digest, Document, Entry, Head, Step, Update, update::Damaged};
+use super::{Error, HEAD_KEY, Outcome, Proposal, Stored};
 use crate::{
+    config::{Damaged, Delta, Document, Entry, Head, Step, Update},
     platform::{Expect, Fault, Objects, Row, Table, Verdict, Write},
     unit::Version,
 };
 use std::sync::Arc;
 
-/// Key of the head row.
-const HEAD_KEY: &str = "config/head";
 /// Versions between two whole copies: a router that reads from the platform reads at most that many objects, and
 /// 2,800 changes a day write 22 whole copies.
 const SNAPSHOT_PERIOD: u64 = 128;
@@ -24,95 +20,6 @@
     objects: Arc<dyn Objects>,
 }
 
-/// What an operator wants to put in force.
-#[derive(Clone, Debug)]
-pub struct Proposal {
-    /// Identifier of this try.
-    pub change: Change,
-    /// Version that the document was made from; a change that came in between is a lost race.
-    pub base: Version,
-    /// Contents of that version.
-    pub current: Document,
-    /// New contents.
-    pub document: Document,
-    /// Highest version known to be in force anywhere; the new one is higher.
-    pub floor: Version,
-    /// Operator.
-    pub author: Box<str>,
-    /// Why, in the operator's words.
-    pub note: Box<str>,
-    /// Time by the operator's clock, in milliseconds since the Unix epoch.
-    pub at: u64,
-}
-
-/// How a proposal ended.
-#[derive(Clone, Debug)]
-pub enum Outcome {
-    /// It was accepted.
-    Accepted {
-        /// The new version.
-        head: Head,
-        /// A later version is already in force on top of it.
-        superseded: Option<Head>,
-    },
-    /// The document is the same as the one in force.
-    Unchanged,
-    /// Another change was accepted first; nothing was changed.
-    Conflict {
-        /// The version that won, `None` if the head row is gone.
-        winner: Option<Head>,
-    },
-    /// No answer came; the proposal may be accepted.
-    Unknown {
-        /// What the platform said last.
-        fault: Fault,
-    },
-}
-
-/// Error of a call to the store.
-#[derive(Debug, thiserror::Error)]
-pub enum Error {
-    /// The platform failed; nothing was changed.
-    #[error(transparent)]
-    Platform(#[from] Fault),
-    /// The head row cannot be decoded.
-    #[error("row {HEAD_KEY} of the platform's table is damaged: {0}")]
-    Head(serde_json::Error),
-    /// An object cannot be decoded.
-    #[error("object {name}: {cause}")]
-    Object {
-        /// Name of the object.
-        name: Box<str>,
-        /// What the decoder said.
-        cause: Damaged,
-    },
-    /// An object that the head row needs does not exist.
-    #[error("object {name} is missing from the platform's object store")]
-    Missing {
-        /// Name of the object.
-        name: Box<str>,
-    },
-    /// The stored changes do not lead to the contents that were accepted.
-    #[error("stored configuration version {version} has digest {found} in place of {expected}")]
-    Mismatch {
-        /// Version.
-        version: Version,
-        /// Digest that was accepted.
-        expected: Digest,
-        /// Digest of the stored contents.
-        found: Digest,
-    },
-}
-
-/// The configuration that the platform holds.
-#[derive(Clone, Debug, Default)]
-pub struct Stored {
-    /// Its head, `None` if there is none yet.
-    pub head: Option<Head>,
-    /// Its contents.
-    pub document: Document,
-}
-
 /// Object of one version.
 #[derive(serde::Serialize, serde::Deserialize)]
 struct Object {
@@ -122,13 +29,6 @@
     step: Step,
 }
 
-impl Stored {
-    /// Returns the version, 0 if there is none yet.
-    pub fn version(&self) -> Version {
-        version(self.head.as_ref())
-    }
-}
-
 impl Store {
     /// Returns a store over the platform's services.
     pub fn new(table: Arc<dyn Table>, objects: Arc<dyn Objects>) -> Self {
