--- a/src/config/base.rs
+++ b/src/config/base.rs
@@ -2,9 +2,8 @@
 
 use super::{
     Digest, Document, Engine, Holder, Kind, Service, Target, Workspace,
-    overlay::small,
-    reader::{Reader, suggestion},
-    section::{At, Section},
+    reader::Reader,
+    section::{At, Section, small},
     target::{MAX_SLOTS, MIN_SLOTS},
 };
 use crate::{
@@ -16,7 +15,6 @@
     net::SocketAddr,
     sync::Arc,
 };
-use toml::de::DeTable;
 
 /// Largest estimated cost of a quick call, in tokens, of a service that names none.
 const DEFAULT_QUICK: Cost = Cost(256);
@@ -30,12 +28,8 @@
 impl Document {
     /// Reads a base file; faults go to the reader.
     pub(super) fn read_base(reader: &Reader<'_>) -> Self {
-        let (table, errors) = DeTable::parse_recoverable(reader.text());
-        for error in errors {
-            let offset = error.span().map_or(0, |span| span.start);
-            reader.report(offset, error.message());
-        }
-        let root = Section::root(reader, table.get_ref());
+        let table = reader.parse();
+        let root = Section::root(reader, &table);
         let mut document = Self::default();
         document.read_sites(&root);
         document.read_workspaces(&root);
@@ -57,12 +51,8 @@
         } else {
             section.text("service")?
         };
-        if !self.services.contains_key(&service.value) {
-            let known = self.services.keys().map(id::Service::as_str);
-            let hint = suggestion(service.value.as_str(), known);
-            let message = format!("unknown service {}{hint}", service.value);
-            section.report(service.offset, message);
-        }
+        let known = self.services.keys().map(id::Service::as_str);
+        section.require_known("service", &service, known);
         Some(service)
     }
 
@@ -77,13 +67,8 @@
         } else {
             section.text("domain")?
         };
-        let mut known = self.sites.values().flatten();
-        if !known.any(|known| *known == domain.value) {
-            let known = self.sites.values().flatten().map(id::Domain::as_str);
-            let hint = suggestion(domain.value.as_str(), known);
-            let message = format!("unknown failure domain {}{hint}", domain.value);
-            section.report(domain.offset, message);
-        }
+        let known = self.sites.values().flatten().map(id::Domain::as_str);
+        section.require_known("failure domain", &domain, known);
         Some(domain)
     }
 
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -10,9 +10,11 @@
 mod finding;
 mod fleet;
 mod head;
+mod limits;
 mod load;
 mod map;
 mod overlay;
+mod patch;
 mod place;
 mod reader;
 mod render;
@@ -20,6 +22,7 @@
 mod section;
 mod service;
 mod source;
+mod step;
 pub mod store;
 mod target;
 mod update;
@@ -35,15 +38,18 @@
     finding::{Finding, Findings},
     fleet::Fleet,
     head::{Entry, Head},
+    limits::Limits,
     load::{check, load},
     map::Map,
-    overlay::{Limits, Overlay, Patch},
+    overlay::Overlay,
+    patch::Patch,
     place::Place,
     replica::Replica,
     service::{Kind, Service},
     source::{Source, Unreadable},
+    step::Step,
     store::Store,
     target::Target,
-    update::{Damaged, Step, Update},
+    update::{Damaged, Update},
     workspace::Workspace,
 };
--- /dev/null
+++ b/src/config/patch.rs
@@ -0,0 +1,91 @@
+//! A target that a site adds or changes.
+
+use super::{
+    Document, Target,
+    section::{At, Section, changed, small},
+    target::{MAX_SLOTS, MIN_SLOTS},
+};
+use crate::id;
+use std::{net::SocketAddr, sync::Arc};
+
+/// A target that a site adds or changes; `None` leaves the base's value.
+#[derive(Clone, Debug, Default, PartialEq, serde::Serialize, serde::Deserialize)]
+pub struct Patch {
+    /// Service that it runs; set for a target that the base file lacks.
+    pub service: Option<id::Service>,
+    /// Failure domain that it is in.
+    pub domain: Option<id::Domain>,
+    /// Address of its HTTP interface.
+    pub address: Option<SocketAddr>,
+    /// Requests that it may run at once.
+    pub slots: Option<u32>,
+}
+
+impl Patch {
+    /// Returns the target that comes of a base's target, or `None` if a part is missing.
+    pub(super) fn apply(&self, name: &id::Target, base: Option<&Target>) -> Option<Target> {
+        let service = self.service.as_ref().or(base.map(|base| &base.service));
+        let domain = self.domain.as_ref().or(base.map(|base| &base.domain));
+        Some(Target {
+            name: name.clone(),
+            service: service?.clone(),
+            domain: domain?.clone(),
+            address: self.address.or(base.map(|base| base.address))?,
+            slots: self.slots.or(base.map(|base| base.slots))?,
+        })
+    }
+
+    /// Reads a target; returns the byte offset of its address too.
+    pub(super) fn read(
+        name: &id::Target,
+        section: Section<'_>,
+        document: &Document,
+        site: Option<&id::Site>,
+    ) -> (Self, Option<usize>) {
+        let base = document.targets.get(name).map(Arc::as_ref);
+        let domains = site.and_then(|site| document.sites.get(site));
+        if let (Some(base), Some(domains)) = (base, domains)
+            && !domains.contains(&base.domain)
+        {
+            let message = format!(
+                "target {name} is in failure domain {}, which is not of this site",
+                base.domain
+            );
+            section.report(section.offset(), message);
+        }
+        let service = document.read_service(&section, base.is_none());
+        let domain = document.read_domain(&section, base.is_none());
+        if let (Some(domain), Some(domains)) = (&domain, domains)
+            && !domains.contains(&domain.value)
+        {
+            let message = format!("failure domain {} is not of this site", domain.value);
+            section.report(domain.offset, message);
+        }
+        let (address, slots) = if base.is_some() {
+            let slots = section.number("slots", MIN_SLOTS, MAX_SLOTS);
+            (section.text("address"), slots)
+        } else {
+            let slots = section.required_number("slots", MIN_SLOTS, MAX_SLOTS);
+            (section.required_text("address"), slots)
+        };
+        let address_offset = address
+            .as_ref()
+            .map(|address: &At<SocketAddr>| address.offset);
+        let patch = Self {
+            service: changed(&section, "service", service, base.map(|base| &base.service)),
+            domain: changed(&section, "domain", domain, base.map(|base| &base.domain)),
+            address: changed(&section, "address", address, base.map(|base| &base.address)),
+            slots: changed(
+                &section,
+                "slots",
+                slots.map(small),
+                base.map(|base| &base.slots),
+            ),
+        };
+        if base.is_some() {
+            section.require_some();
+        }
+        section.finish(&[]);
+        (patch, address_offset)
+    }
+}
--- a/src/config/reader.rs
+++ b/src/config/reader.rs
@@ -2,6 +2,7 @@
 
 use super::{Finding, Place, Source};
 use std::{cell::RefCell, fmt};
+use toml::de::DeTable;
 
 /// Gathers the findings of one file and turns byte offsets into places.
 pub(super) struct Reader<'s> {
@@ -22,9 +23,14 @@
         }
     }
 
-    /// Returns the text of the file.
-    pub(super) fn text(&self) -> &'s str {
-        &self.source.text
+    /// Parses the file as TOML and reports its faults; what can be read in spite of them is returned.
+    pub(super) fn parse(&self) -> DeTable<'s> {
+        let (table, errors) = DeTable::parse_recoverable(&self.source.text);
+        for error in errors {
+            let offset = error.span().map_or(0, |span| span.start);
+            self.report(offset, error.message());
+        }
+        table.into_inner()
     }
 
     /// Records a fault at a byte offset.
@@ -42,7 +48,7 @@
 
     fn place(&self, offset: usize) -> Place {
         let line = self.line_starts.partition_point(|start| *start <= offset);
-        let before = self.text().get(self.line_starts[line - 1]..offset);
+        let before = self.source.text.get(self.line_starts[line - 1]..offset);
         Place {
             file: self.source.name.clone(),
             line,
--- a/src/config/section.rs
+++ b/src/config/section.rs
@@ -137,6 +137,21 @@
         outer.map_or_else(Vec::new, |outer| outer.named())
     }
 
+    /// Reports a name that is not among the known ones, with the nearest of them.
+    pub(super) fn require_known<'n, T: fmt::Display>(
+        &self,
+        kind: &str,
+        name: &At<T>,
+        known: impl Iterator<Item = &'n str> + Clone,
+    ) {
+        let text = name.value.to_string();
+        if known.clone().any(|known| known == text) {
+            return;
+        }
+        let hint = suggestion(&text, known);
+        self.report(name.offset, format!("unknown {kind} {text}{hint}"));
+    }
+
     /// Reports an overlay's section without any key.
     pub(super) fn require_some(&self) {
         if self.table.is_empty() {
@@ -244,3 +259,29 @@
         self.reader.report(value.span().start, message);
     }
 }
+
+/// Returns a value that differs from the base's; reports one that does not.
+pub(super) fn changed<T: PartialEq>(
+    section: &Section<'_>,
+    key: &str,
+    value: Option<At<T>>,
+    base: Option<&T>,
+) -> Option<T> {
+    let value = value?;
+    if base == Some(&value.value) {
+        let message = format!(
+            "{} changes nothing: the base file says the same",
+            section.path(key)
+        );
+        section.report(value.offset, message);
+    }
+    Some(value.value)
+}
+
+/// Narrows a number whose range was checked when it was read.
+pub(super) fn small(number: At<u64>) -> At<u32> {
+    At {
+        value: number.value.try_into().unwrap_or(u32::MAX),
+        offset: number.offset,
+    }
+}
--- a/src/config/update.rs
+++ b/src/config/update.rs
@@ -1,21 +1,8 @@
 //! Accepted changes, as they are stored and sent.
 
-use super::{Delta, Digest, Document};
+use super::Step;
 use crate::unit::Version;
 
-/// One accepted change, or a whole document when it starts from version 0.
-#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
-pub struct Step {
-    /// Version that the delta applies to; 0 when the delta is the whole document.
-    pub from: Version,
-    /// Version that it leads to.
-    pub to: Version,
-    /// Digest of the document at that version.
-    pub digest: Digest,
-    /// Changes.
-    pub delta: Delta,
-}
-
 /// Consecutive steps.
 #[derive(Clone, Debug, Default, PartialEq, serde::Serialize, serde::Deserialize)]
 #[serde(transparent)]
@@ -34,18 +21,6 @@
     pub cause: serde_json::Error,
 }
 
-impl Step {
-    /// Returns a step that leads to a whole document.
-    pub fn whole(document: &Document, to: Version, digest: Digest) -> Self {
-        Self {
-            from: Version(0),
-            to,
-            digest,
-            delta: Delta::between(&Document::default(), document),
-        }
-    }
-}
-
 impl Update {
     /// Returns the version that the update starts from, or 0 if it is empty.
     pub fn from(&self) -> Version {
