--- a/src/owner/machine.rs
+++ b/src/owner/machine.rs
@@ -466,9 +466,8 @@
         };
         let free = pool.free(now);
         let due_before = pool.due_before(workspace);
-        let loaded = peers_with_work(&self.peers, &self.fleet, service);
-        let due = loaded.into_iter().filter(|(floor, _)| *floor < due_before);
-        let Some((_, to)) = due.min().filter(|_| !self.draining) else {
+        let lowest = pool.peers.first().filter(|(floor, _)| *floor < due_before);
+        let Some((_, to)) = lowest.filter(|_| !self.draining).cloned() else {
             pool.hold.end(now, free);
             return false;
         };
@@ -500,25 +499,19 @@
         let Some(pool) = self.pools.get_mut(service) else {
             return;
         };
-        if self.draining || !pool.may_pull(self.now) {
+        if self.draining || pool.peers.is_empty() || !pool.may_pull(self.now) {
             return;
         }
-        let Some(target) = pool.roomiest(self.now) else {
-            return;
-        };
         let count = pool.pull_count(self.now);
         if count == 0 {
             return;
         }
-        let ceiling = pool.pull_ceiling(count);
-        let loaded = peers_with_work(&self.peers, &self.fleet, service);
-        let due = loaded.into_iter().filter(|(floor, _)| *floor < ceiling);
-        let mut due: Vec<_> = due.collect();
-        if due.is_empty() {
+        let Some(to) = pool.pull_peer(pool.pull_ceiling(count)) else {
             return;
-        }
-        due.sort();
-        let (_, to) = due.swap_remove(pool.pulls % due.len());
+        };
+        let Some(target) = pool.roomiest(self.now) else {
+            return;
+        };
         pool.note_pull(self.now);
         out.push(pull_message(to, service, target, count));
     }
@@ -557,8 +550,8 @@
 
     /// Reports whether a peer told of waiting work.
     fn has_work(&self, router: &id::Router, service: &id::Service) -> bool {
-        let loaded = peers_with_work(&self.peers, &self.fleet, service);
-        loaded.iter().any(|(_, peer)| peer == router)
+        let pool = self.pools.get(service);
+        pool.is_some_and(|pool| pool.peers.iter().any(|(_, peer)| peer == router))
     }
 
     /// Takes a request out of the queue.
@@ -742,6 +735,7 @@
             let floors = self.peers.iter().flat_map(|peer| &peer.floors);
             let floors = floors.filter(|(service, _)| service == name);
             pool.peer_floor = floors.map(|(_, floor)| *floor).min();
+            pool.peers = peers_with_work(&self.peers, &self.fleet, name);
         }
     }
 
@@ -852,7 +846,7 @@
     }
 }
 
-/// Returns the peers that have waiting work for a service, with their floors.
+/// Returns the peers that have waiting work for a service, the lowest floors first.
 fn peers_with_work(
     peers: &[Peer],
     fleet: &config::Fleet,
@@ -873,7 +867,9 @@
             peer.router.clone(),
         )
     });
-    with_floor.collect()
+    let mut peers: Vec<_> = with_floor.collect();
+    peers.sort();
+    peers
 }
 
 /// Returns the message that asks an owner for work.
--- a/src/owner/pool.rs
+++ b/src/owner/pool.rs
@@ -61,6 +61,8 @@
     pub(super) quick_running: u32,
     /// Lowest floor among the peers.
     pub(super) peer_floor: Option<u64>,
+    /// Peers with waiting work, the lowest floors first.
+    pub(super) peers: Vec<(u64, id::Router)>,
     /// Number of pulls sent; spreads them over the peers.
     pub(super) pulls: usize,
     pub(super) hold: Hold,
@@ -95,6 +97,7 @@
             waiting_cost: Cost(0),
             quick_running: 0,
             peer_floor: None,
+            peers: Vec::new(),
             pulls: 0,
             hold: Hold::new(),
             pulled: None,
@@ -522,13 +525,24 @@
     }
 
     /// Reports whether the last pull is long enough ago for another one.
-    pub(super) fn may_pull(&self, now: Time) -> bool {
-        let interval = if self.waiting == 0 {
-            PULL_IDLE
-        } else {
-            PULL_FAIR
-        };
-        self.pulled.is_none_or(|at| now.since(at) >= interval)
+    ///
+    /// With work in the queue it is looked at only that often, since that takes a walk over it.
+    pub(super) fn may_pull(&mut self, now: Time) -> bool {
+        if self.waiting == 0 {
+            return self.pulled.is_none_or(|at| now.since(at) >= PULL_IDLE);
+        }
+        let due = self.pulled.is_none_or(|at| now.since(at) >= PULL_FAIR);
+        if due {
+            self.pulled = Some(now);
+        }
+        due
+    }
+
+    /// Returns the peer to pull from: in turn among those with a floor below a level.
+    pub(super) fn pull_peer(&self, ceiling: u64) -> Option<id::Router> {
+        let due = self.peers.partition_point(|(floor, _)| *floor < ceiling);
+        let (_, peer) = self.peers.get(self.pulls.checked_rem(due)?)?;
+        Some(peer.clone())
     }
 
     /// Notes that a pull was sent.
--- a/tests/owner.rs
+++ b/tests/owner.rs
@@ -328,7 +328,7 @@
     bench.step(owner::Event::Peers(vec![peer("r2", 500, 0)]));
     let messages = bench.done(1, 200);
     assert_eq!(pull_from(&messages), Some(1));
-    assert_eq!(granted(&messages), []);
+    assert!(granted(&messages).is_empty());
     bench.now = bench.owner.wake().unwrap();
     let messages = bench.step(owner::Event::Tick);
     assert_eq!(granted(&messages), [3], "the wait is over");
