--- a/src/owner/machine.rs
+++ b/src/owner/machine.rs
@@ -182,6 +182,7 @@
             let accounts = pool.accounts.iter();
             rows.extend(accounts.map(|(workspace, account)| account.snapshot(workspace, name)));
         }
+        rows.sort_by(|a, b| (&a.service, &a.workspace).cmp(&(&b.service, &b.workspace)));
         rows
     }
 
--- a/src/owner/pool.rs
+++ b/src/owner/pool.rs
@@ -12,7 +12,7 @@
     wire,
 };
 use std::{
-    collections::{BTreeMap, BTreeSet},
+    collections::{BTreeMap, BTreeSet, HashMap},
     sync::Arc,
 };
 
@@ -53,7 +53,7 @@
 pub(super) struct Pool {
     pub(super) service: Arc<config::Service>,
     pub(super) slots: BTreeMap<id::Target, Slots>,
-    pub(super) accounts: BTreeMap<id::Workspace, Account>,
+    pub(super) accounts: HashMap<id::Workspace, Account>,
     /// Accounts that a report must name.
     pub(super) changed: BTreeSet<id::Workspace>,
     pub(super) waiting: usize,
@@ -91,7 +91,7 @@
         Self {
             service,
             slots: BTreeMap::new(),
-            accounts: BTreeMap::new(),
+            accounts: HashMap::new(),
             changed: BTreeSet::new(),
             waiting: 0,
             waiting_cost: Cost(0),
