--- a/benches/policy.rs
+++ b/benches/policy.rs
@@ -1,14 +1,14 @@
 //! Compares sharing policies on the same seeded load, with owners and tallies in one process.
 //!
 //! Prints one table: the gap between the most and the least served backlogged workspace, and the
-//! slot-time left idle while requests waited.
+//! slot-time left idle while requests waited. A second table has the waits of quick calls.
 
 #[path = "../tests/fake/mod.rs"]
 mod fake;
 
 use fake::{Fake, Plan, Tenant};
-use marlrun::unit::Span;
-use std::thread;
+use marlrun::{unit::Span, wire};
+use std::{mem, thread};
 
 const SEEDS: [u64; 3] = [1, 2, 3];
 const RUN: Span = Span::from_secs(200);
@@ -85,6 +85,52 @@
     mean
 }
 
+/// Returns a load of long requests, a hundredfold flood among them, and of quick calls.
+fn mixed(seed: u64) -> Plan {
+    let flood = Tenant::backlogged(800, 1_000);
+    let long = Tenant::backlogged(8, 1_000);
+    let quick = Tenant {
+        class: wire::Class::Quick,
+        pause: Span::from_millis(400),
+        ..Tenant::backlogged(2, 20)
+    };
+    let mut tenants = vec![flood];
+    tenants.extend(vec![long; 9]);
+    tenants.extend(vec![quick; 6]);
+    let mut plan = Plan::new(seed, 7, 16, tenants);
+    plan.exponential = true;
+    plan
+}
+
+/// Prints the waits of quick calls beside long requests, with and without classes.
+fn print_waits() {
+    println!();
+    println!("| policy | quick p50 | p95 | p99 | idle (%) |");
+    println!("|---|---|---|---|---|");
+    let base = mixed(SEEDS[0]);
+    let single = Plan {
+        classes: false,
+        ..base.clone()
+    };
+    let [first_come, alone, ..] = policies(&single);
+    let rows = [
+        first_come,
+        alone,
+        ("marlrun, one class", single),
+        ("marlrun", base),
+    ];
+    for (name, plan) in rows {
+        let mut fake = Fake::new(plan);
+        fake.run(RUN);
+        let mut waits = mem::take(&mut fake.quick_waits);
+        waits.sort();
+        let at = |percent: usize| waits[(waits.len() - 1) * percent / 100].as_secs_f64();
+        let idle = 100.0 * fake.idle / fake.total;
+        let (p50, p95, p99) = (at(50), at(95), at(99));
+        println!("| {name} | {p50:.3} s | {p95:.3} s | {p99:.3} s | {idle:.2} |");
+    }
+}
+
 fn main() {
     println!("| routers x slots, workspaces | policy | gap (tokens) | idle (%) | messages/s |");
     println!("|---|---|---|---|---|");
@@ -105,4 +151,5 @@
             );
         }
     }
+    print_waits();
 }
--- a/tests/fake/mod.rs
+++ b/tests/fake/mod.rs
@@ -98,6 +98,8 @@
     pub exchange: bool,
     /// All requests of all tenants count as one workspace's.
     pub first_come: bool,
+    /// Quick requests are told apart from long ones.
+    pub classes: bool,
     /// Costs are exponential; otherwise uniform up to twice the mean.
     pub exponential: bool,
 }
@@ -115,6 +117,7 @@
             faults: Vec::new(),
             exchange: true,
             first_come: false,
+            classes: true,
             exponential: false,
         }
     }
@@ -389,7 +392,11 @@
             workspace: name(&workspace),
             service: name(SERVICE),
             target: target_name(target),
-            class: load.class,
+            class: if self.plan.classes {
+                load.class
+            } else {
+                wire::Class::Long
+            },
             estimate: Cost(((cost as f64 * load.hint) as u64).max(1)),
             waited: Span(0),
             remaining: Span::from_secs(100_000),
@@ -594,10 +601,10 @@
         let since = now;
         job.state = State::Running { target, since };
         let wait = now.since(job.arrived);
-        let (tenant, cost, class) = (job.tenant, job.cost, job.ask.class);
+        let (tenant, cost) = (job.tenant, job.cost);
         self.running[target] += 1;
         self.grants += 1;
-        if class == wire::Class::Quick {
+        if self.plan.tenants[tenant].class == wire::Class::Quick {
             self.quick_waits.push(wait);
         }
         let from = self.granted[tenant].max(Time(self.plan.tenants[tenant].from.0));
