--- /dev/null
+++ b/tests/callers.rs
@@ -0,0 +1,286 @@
+//! Callers' HTTP interface of a router process: what bad, slow and vanishing callers get, and that
+//! answers reach good ones as the target gave them.
+
+mod common;
+
+use common::{Answer, Caller, Fleet, Scripted, parse, wait_until};
+use std::{
+    io::{self, Read, Write},
+    net::{Shutdown, TcpStream},
+    sync::mpsc,
+    time::Duration,
+};
+
+/// Longest silence of a router before a test gives up.
+const SILENCE: Duration = Duration::from_secs(30);
+const GOOD: &str = "GET /s/notes/x HTTP/1.1\r\nhost: test\r\nconnection: close\r\nauthorization: Bearer key-alpha\r\n\r\n";
+
+fn fleet(flags: &[&'static str]) -> Fleet {
+    let mut fleet = Fleet::new(&["alpha"]);
+    fleet.alone = true;
+    fleet.flags = flags.to_vec();
+    fleet.start_target("note-1", "notes", "east", 4, &[]);
+    fleet
+}
+
+fn routed(flags: &[&'static str]) -> Fleet {
+    let mut fleet = fleet(flags);
+    fleet.start_routers(&[("east-1", "east")]);
+    fleet
+}
+
+fn scripted(target: &Scripted, service: &str, flags: &[&'static str]) -> Fleet {
+    let mut fleet = Fleet::new(&["alpha"]);
+    fleet.alone = true;
+    fleet.flags = flags.to_vec();
+    fleet.declare(&format!(
+        "[targets.scripted]\nservice = \"{service}\"\ndomain = \"east\"\naddress = \"{}\"\nslots = 4\n",
+        target.address
+    ));
+    fleet.start_routers(&[("east-1", "east")]);
+    fleet
+}
+
+fn engine(flags: &[&'static str], extra: &[&str]) -> Fleet {
+    let mut fleet = fleet(flags);
+    fleet.start_target("engine-1", "assistant", "east", 1, extra);
+    fleet.start_routers(&[("east-1", "east")]);
+    fleet
+}
+
+fn connect(fleet: &Fleet) -> TcpStream {
+    let stream = TcpStream::connect(fleet.addresses["east-1"].listen).unwrap();
+    stream.set_read_timeout(Some(SILENCE)).unwrap();
+    stream
+}
+
+fn read(mut stream: &TcpStream) -> Answer {
+    let mut bytes = Vec::new();
+    let read = stream.read_to_end(&mut bytes);
+    assert!(!bytes.is_empty(), "no answer: {read:?}");
+    parse(&bytes)
+}
+
+/// Sends bytes as they are and reads the answer.
+fn raw(fleet: &Fleet, bytes: &[u8]) -> Answer {
+    let mut stream = connect(fleet);
+    // The router may answer and close before all is written.
+    let _ = stream.write_all(bytes);
+    read(&stream)
+}
+
+fn assert_refused(answer: &Answer, status: u16) {
+    assert_eq!(answer.status, status, "{answer:?}");
+    let outcome = answer.header("marlrun-outcome");
+    assert_eq!(outcome, Some("not-run"), "{answer:?}");
+    let media_type = answer.header("content-type");
+    assert_eq!(media_type, Some("application/problem+json"), "{answer:?}");
+    let problem: serde_json::Value = serde_json::from_str(&answer.body).unwrap();
+    assert_eq!(problem["outcome"], "not-run", "{answer:?}");
+    assert_eq!(problem["status"], status, "{answer:?}");
+}
+
+fn assert_serves(fleet: &Fleet) {
+    let answer = raw(fleet, GOOD.as_bytes());
+    assert_eq!((answer.status, answer.complete), (200, true), "{answer:?}");
+}
+
+#[test]
+fn callers_body_too_large() {
+    let fleet = routed(&["--max-body-bytes", "1000"]);
+    let body = "x".repeat(4_000_000);
+    for body in [
+        format!("content-length: {}\r\n\r\n{body}", body.len()),
+        format!(
+            "transfer-encoding: chunked\r\n\r\n{:x}\r\n{body}",
+            body.len()
+        ),
+    ] {
+        let head = "POST /s/notes/x HTTP/1.1\r\nhost: test\r\nauthorization: Bearer key-alpha\r\n";
+        assert_refused(&raw(&fleet, format!("{head}{body}").as_bytes()), 413);
+    }
+    assert_serves(&fleet);
+}
+
+#[test]
+fn callers_malformed_chunks() {
+    let fleet = routed(&[]);
+    let request = "POST /s/notes/x HTTP/1.1\r\nhost: test\r\nauthorization: Bearer key-alpha\r\ntransfer-encoding: chunked\r\n\r\nnot a size\r\n";
+    assert_refused(&raw(&fleet, request.as_bytes()), 400);
+    assert_serves(&fleet);
+}
+
+#[test]
+fn callers_slow_body() {
+    let fleet = routed(&["--idle-timeout", "300ms"]);
+    let request = "POST /s/notes/x HTTP/1.1\r\nhost: test\r\nauthorization: Bearer key-alpha\r\ncontent-length: 9\r\n\r\nhalf";
+    assert_refused(&raw(&fleet, request.as_bytes()), 408);
+    assert_serves(&fleet);
+}
+
+#[test]
+fn callers_missing_headers() {
+    let fleet = routed(&[]);
+    let unnamed = "GET /s/notes/x HTTP/1.1\r\nhost: test\r\nconnection: close\r\n\r\n";
+    assert_refused(&raw(&fleet, unnamed.as_bytes()), 401);
+    let wrong = GOOD.replace("Bearer", "Basic");
+    assert_refused(&raw(&fleet, wrong.as_bytes()), 401);
+    let hostless = GOOD.replace("host: test\r\n", "").replace("/s/notes", "");
+    assert_refused(&raw(&fleet, hostless.as_bytes()), 404);
+    assert_serves(&fleet);
+}
+
+#[test]
+fn callers_too_many_connections() {
+    let fleet = routed(&["--max-connections", "2"]);
+    let mut first = connect(&fleet);
+    let second = connect(&fleet);
+    let half = GOOD.len() / 2;
+    first.write_all(&GOOD.as_bytes()[..half]).unwrap();
+    wait_until("a third connection is refused", || {
+        let mut third = connect(&fleet);
+        third.write_all(GOOD.as_bytes()).unwrap();
+        let answer = read(&third);
+        if answer.status == 200 {
+            return false;
+        }
+        assert_refused(&answer, 503);
+        assert_eq!(answer.header("retry-after"), Some("1"), "{answer:?}");
+        true
+    });
+    first.write_all(&GOOD.as_bytes()[half..]).unwrap();
+    let answer = read(&first);
+    assert_eq!((answer.status, answer.complete), (200, true), "{answer:?}");
+    drop((first, second));
+    wait_until("connections are free again", || {
+        raw(&fleet, GOOD.as_bytes()).status == 200
+    });
+}
+
+#[test]
+fn callers_chunks_come_as_they_are_sent() {
+    let (go, wait) = mpsc::channel::<()>();
+    let wait = std::sync::Mutex::new(wait);
+    let target = Scripted::start(move |_, _, stream| {
+        let head = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nfirst\r\n";
+        stream.write_all(head.as_bytes()).unwrap();
+        wait.lock().unwrap().recv_timeout(SILENCE).unwrap();
+        stream.write_all(b"6\r\nsecond\r\n0\r\n\r\n").is_ok()
+    });
+    let fleet = scripted(&target, "notes", &[]);
+    let caller = fleet.caller("east-1", "alpha");
+    let mut stream = caller.begin("GET", "/s/notes/x", &[], "").unwrap();
+    let mut bytes = Vec::new();
+    while !bytes.ends_with(b"first\r\n") {
+        let mut byte = [0];
+        stream.read_exact(&mut byte).unwrap();
+        bytes.push(byte[0]);
+    }
+    go.send(()).unwrap();
+    stream.read_to_end(&mut bytes).unwrap();
+    let answer = parse(&bytes);
+    assert_eq!((&*answer.body, answer.complete), ("firstsecond", true));
+}
+
+#[test]
+fn callers_that_go_away_cancel_their_work() {
+    let fleet = engine(&[], &["--token-interval", "50ms"]);
+    let caller = fleet.caller("east-1", "alpha");
+    let body = |prompt: &str| {
+        serde_json::json!({
+            "model": "assistant", "stream": true, "max_tokens": 10_000,
+            "messages": [{"role": "user", "content": prompt}],
+        })
+        .to_string()
+    };
+    let ask = |prompt: &str| caller.begin("POST", "/v1/chat/completions", &[], &body(prompt));
+    let total =
+        |member: &str| fleet.ask_target("engine-1", "GET", "/runs", "")["total"][member].as_u64();
+    let metric = |line: &str| {
+        let page = Caller::new(fleet.addresses["east-1"].health, "");
+        let page = page.send("GET", "/metrics", &[], "").unwrap();
+        page.body.lines().any(|other| other == line)
+    };
+    let mut running = ask("running").unwrap();
+    let mut byte = [0];
+    running.read_exact(&mut byte).unwrap();
+    let waiting = ask("waiting").unwrap();
+    wait_until("a request waits", || metric("marlrun_waiting 1"));
+
+    waiting.shutdown(Shutdown::Both).unwrap();
+    drop(waiting);
+    wait_until("the waiting request is withdrawn", || {
+        metric("marlrun_waiting 0")
+    });
+    assert_eq!(total("started"), Some(1));
+    drop(running);
+    wait_until("the run is cancelled", || total("cancelled") == Some(1));
+    let answer = caller.complete("assistant", "next", 2, false).unwrap();
+    assert_eq!(answer.status, 200, "the slot is not free: {answer:?}");
+    assert_eq!(total("started"), Some(2));
+}
+
+#[test]
+fn callers_bad_ones_do_not_disturb_others() {
+    let fleet = routed(&["--idle-timeout", "2s"]);
+    let bad: Vec<_> = (0..200)
+        .map(|number| {
+            let mut stream = connect(&fleet);
+            let bytes: &[u8] = match number % 4 {
+                0 => b"\0\0\0\0\r\n\r\n",
+                1 => b"GET / HTT",
+                2 => b"POST /s/notes/x HTTP/1.1\r\nauthorization: Bearer key-alpha\r\ncontent-length: 100\r\n\r\n",
+                _ => b"GET /s/notes/x HTTP/1.1\r\nauthorization: Bearer wrong\r\n\r\n",
+            };
+            stream.write_all(bytes).map(|()| stream)
+        })
+        .collect::<io::Result<_>>()
+        .unwrap();
+    for _ in 0..50 {
+        assert_serves(&fleet);
+    }
+    drop(bad);
+}
+
+#[test]
+fn callers_stale_connection_of_target() {
+    for service in ["notes", "panels"] {
+        let target = Scripted::start(|number, _, stream| {
+            if number == 2 {
+                // The connection is closed just as the router uses it again.
+                return false;
+            }
+            write!(stream, "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok").is_ok()
+        });
+        let fleet = scripted(&target, service, &[]);
+        let caller = fleet.caller("east-1", "alpha");
+        let path = format!("/s/{service}/x");
+        let first = caller.send("DELETE", &path, &[], "").unwrap();
+        assert_eq!(first.status, 200, "{first:?}");
+        let second = caller.send("DELETE", &path, &[], "").unwrap();
+        let came = target.heads.lock().unwrap().len();
+        if service == "notes" {
+            assert_eq!((second.status, came), (200, 3), "{second:?}");
+        } else {
+            // It may have run, and must not run twice.
+            assert_eq!((second.status, came), (502, 2), "{second:?}");
+            assert_eq!(second.header("marlrun-outcome"), Some("unknown"));
+        }
+    }
+}
+
+#[test]
+fn callers_closed_connections_of_target_are_not_used() {
+    let target = Scripted::start(|_, _, stream| {
+        let answer = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
+        stream.write_all(answer.as_bytes()).unwrap();
+        false
+    });
+    let fleet = scripted(&target, "panels", &[]);
+    let caller = fleet.caller("east-1", "alpha");
+    for number in 1..=20 {
+        let answer = caller.send("POST", "/s/panels/x", &[], "").unwrap();
+        assert_eq!(answer.status, 200, "{answer:?}");
+        assert_eq!(target.heads.lock().unwrap().len(), number);
+    }
+}
--- a/tests/common/fleet.rs
+++ b/tests/common/fleet.rs
@@ -9,7 +9,7 @@
 use std::{
     collections::BTreeMap,
     fmt::Write,
-    fs,
+    fs::{self, File},
     net::{SocketAddr, TcpStream},
     path::PathBuf,
     process::{Command, Output},
@@ -64,6 +64,10 @@
     pub from_platform: bool,
     /// Routers know nothing of each other.
     pub alone: bool,
+    /// Further flags of routers.
+    pub flags: Vec<&'static str>,
+    /// Least severe line of the routers' logs.
+    pub log_level: &'static str,
 }
 
 impl Fleet {
@@ -103,6 +107,8 @@
             domains: BTreeMap::new(),
             from_platform: false,
             alone: false,
+            flags: Vec::new(),
+            log_level: "warning",
         }
     }
 
@@ -212,7 +218,9 @@
             .args(["--operator", &addresses.operator.to_string()])
             .arg("--operator-key-file")
             .arg(self.folder.path().join("key"))
-            .args(["--fault-injection", "true", "--log-level", "warning"]);
+            .args(["--fault-injection", "true", "--log-level", self.log_level])
+            .args(&self.flags)
+            .stderr(File::create(self.log_path(name)).unwrap());
         if !self.alone {
             command.args(["--seeds", &seeds]);
         }
@@ -226,6 +234,17 @@
         self.routers.insert(name.into(), process);
     }
 
+    /// Returns the lines that a router has logged since its last start.
+    pub fn log(&self, name: &str) -> Vec<serde_json::Value> {
+        let text = fs::read_to_string(self.log_path(name)).unwrap();
+        let lines = text.lines().map(serde_json::from_str);
+        lines.filter_map(Result::ok).collect()
+    }
+
+    fn log_path(&self, name: &str) -> PathBuf {
+        self.folder.path().join(format!("{name}.log"))
+    }
+
     /// Waits until a router is ready and sees `members` routers.
     pub fn wait_ready(&self, name: &str, members: usize) {
         let health = self.addresses[name].health;
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -9,9 +9,11 @@
 mod caller;
 mod fleet;
 mod process;
+mod scripted;
 
 pub use self::{
-    caller::{Answer, Caller},
+    caller::{Answer, Caller, parse},
     fleet::Fleet,
     process::{Process, wait_until},
+    scripted::Scripted,
 };
