HEAD and 304 answers of plain services keep their length

Cause: an answer that names up to 1 MiB was read whole and given to the caller with the length of what came, which is nothing for HEAD and 304; its content-length was left out as one of the connection. Now such answers are passed on with the length that the target names. Before: callers_answers_without_body fails, content-length is None in place of 1234.

--- a/src/front/exchange/relay.rs
+++ b/src/front/exchange/relay.rs
@@ -9,7 +9,7 @@
     wire::Outcome,
 };
 use bytes::Bytes;
-use http::{Response, response};
+use http::{Method, Response, StatusCode, response};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 
@@ -34,13 +34,18 @@
             return self.stream(attempt, caller, head, body).await;
         }
         match length {
-            Some(length) if length <= MAX_WHOLE_BYTES => {
+            Some(length) if length <= MAX_WHOLE_BYTES && !self.is_bodyless(head.status) => {
                 self.whole(attempt, caller, head, body).await
             }
             _ => self.pass(attempt, caller, head, body).await,
         }
     }
 
+    /// Reports whether an answer has no body whatever length it names (RFC 9110, 8.6).
+    fn is_bodyless(&self, status: StatusCode) -> bool {
+        self.message.method == Method::HEAD || status == StatusCode::NOT_MODIFIED
+    }
+
     /// Reads an answer whole, then gives it to the caller: one that breaks can be asked for again.
     async fn whole(
         &mut self,
--- a/tests/callers.rs
+++ b/tests/callers.rs
@@ -157,6 +157,31 @@
     });
 }
 
+#[test]
+fn callers_answers_without_body() {
+    let target = Scripted::start(|_, head, stream| {
+        let answer = match head.split(' ').nth(1) {
+            Some("/head") => "200 OK\r\ncontent-length: 1234\r\n",
+            Some("/not-modified") => "304 Not Modified\r\ncontent-length: 77\r\netag: \"a\"\r\n",
+            _ => "204 No Content\r\n",
+        };
+        write!(stream, "HTTP/1.1 {answer}\r\n").is_ok()
+    });
+    let fleet = scripted(&target, "notes", &[]);
+    let caller = fleet.caller("east-1", "alpha");
+    for (method, path, status, length) in [
+        ("HEAD", "/s/notes/head", 200, Some("1234")),
+        ("GET", "/s/notes/not-modified", 304, Some("77")),
+        ("GET", "/s/notes/nothing", 204, None),
+    ] {
+        let answer = caller.send(method, path, &[], "").unwrap();
+        assert_eq!(answer.status, status, "{answer:?}");
+        assert_eq!(answer.header("content-length"), length, "{answer:?}");
+        assert_eq!(answer.header("transfer-encoding"), None, "{answer:?}");
+        assert_eq!(&*answer.body, "", "{answer:?}");
+    }
+}
+
 #[test]
 fn callers_chunks_come_as_they_are_sent() {
     let (go, wait) = mpsc::channel::<()>();
