A hop from grant to target in traces; marlrun_wait_seconds is recorded

Cause: the time from the grant until the request is sent (mostly a connection) was part of the target's hop, and the documented histogram of waits was never written. A trace has the hops queue, grant and target below the caller's hop; target's identifier is what the target receives in traceparent. The wait is recorded once a request, at its first grant, by service and class. Before: callers_trace_follows_every_hop ends with 3 of 4 hops, callers_metrics_after_a_request misses marlrun_wait_seconds_count.

--- a/src/front/exchange/mod.rs
+++ b/src/front/exchange/mod.rs
@@ -6,12 +6,15 @@
 
 use self::caller::Caller;
 use super::{Answer, Body, Event, Order, Problem, Sink, handler::Message, whole};
-use crate::{answer, clock, config, id, ingress, metric, trace, unit, upstream, wire::Outcome};
+use crate::{
+    answer, clock, config, id, ingress, metric, trace, unit, upstream,
+    wire::{Class, Outcome},
+};
 use bytes::Bytes;
 use http::{HeaderMap, Request, Response};
 use http_body_util::Full;
 use opentelemetry::KeyValue;
-use std::sync::Arc;
+use std::{mem, sync::Arc};
 use tokio::sync::{mpsc, oneshot};
 
 /// One request and all that is needed to carry it.
@@ -19,6 +22,7 @@
     pub(super) request: u64,
     pub(super) name: Box<str>,
     pub(super) service: Arc<config::Service>,
+    pub(super) class: Class,
     pub(super) keyed: bool,
     pub(super) message: Message,
     pub(super) orders: mpsc::UnboundedReceiver<Order>,
@@ -40,7 +44,6 @@
     expires: unit::Time,
     deadline: unit::Time,
     resume: Option<Box<str>>,
-    hop: trace::Hop,
     started: unit::Time,
 }
 
@@ -79,6 +82,7 @@
 
     async fn follow(&mut self, caller: &mut Caller) -> &'static str {
         let mut queue = Some(self.hop.child("queue", clock::now()));
+        let mut first = true;
         loop {
             if let Some(rejection) = self.rejection.take() {
                 return self.reject(caller, rejection).await;
@@ -102,13 +106,15 @@
                     if let Some(hop) = queue.take() {
                         hop.end(&self.log, now, &[]);
                     }
+                    if mem::take(&mut first) {
+                        self.record_wait(now);
+                    }
                     let attempt = Attempt {
                         id: attempt,
                         target,
                         expires,
                         deadline,
                         resume,
-                        hop: self.hop.child("target", now),
                         started: now,
                     };
                     if let Some(result) = self.attempt(attempt, caller).await {
@@ -130,14 +136,8 @@
 
     /// Runs one attempt and reports its end; returns a result if the request ended with it.
     async fn attempt(&mut self, attempt: Attempt, caller: &mut Caller) -> Option<&'static str> {
-        let end = self.send(&attempt, caller).await;
+        let end = self.carry(&attempt, caller).await;
         let outcome = end.outcome;
-        let attributes = [
-            KeyValue::new("attempt", attempt.id.to_string()),
-            KeyValue::new("target", attempt.target.name.to_string()),
-            KeyValue::new("outcome", format!("{outcome:?}")),
-        ];
-        attempt.hop.end(&self.log, clock::now(), &attributes);
         self.sink.send(Event::Ended {
             attempt: attempt.id,
             cost: end.cost,
@@ -152,22 +152,57 @@
         }
     }
 
-    async fn send(&mut self, attempt: &Attempt, caller: &mut Caller) -> End {
+    /// Uses a grant: connects to the target and sends the request, a hop each.
+    async fn carry(&mut self, attempt: &Attempt, caller: &mut Caller) -> End {
+        let grant = self.hop.child("grant", attempt.started);
+        let connected = self.connect(attempt, caller).await;
+        let sent = clock::now();
+        let attributes = [
+            KeyValue::new("attempt", attempt.id.to_string()),
+            KeyValue::new("target", attempt.target.name.to_string()),
+        ];
+        grant.end(&self.log, sent, &attributes);
+        let lease = match connected {
+            Ok(lease) => lease,
+            Err(outcome) => return End::of(outcome),
+        };
+        let hop = self.hop.child("target", sent);
+        let end = self.send(attempt, caller, lease, &hop).await;
+        let [id, target] = attributes;
+        let outcome = KeyValue::new("outcome", format!("{:?}", end.outcome));
+        hop.end(&self.log, clock::now(), &[id, target, outcome]);
+        end
+    }
+
+    /// Returns a connection to the target while the grant is in force.
+    async fn connect(
+        &self,
+        attempt: &Attempt,
+        caller: &mut Caller,
+    ) -> Result<upstream::Lease, Outcome> {
         let leased = tokio::select! {
             leased = self.pool.lease(attempt.target.address, self.service.idempotent) => leased,
-            () = caller.closed() => return End::of(Outcome::Cancelled),
-        };
-        let Ok(mut lease) = leased else {
-            return End::of(Outcome::Unreachable);
+            () = caller.closed() => return Err(Outcome::Cancelled),
         };
+        let lease = leased.map_err(|_| Outcome::Unreachable)?;
         // The process may have been paused since the grant; nothing may be sent on a stale one.
         if clock::now() > attempt.expires {
-            return End::of(Outcome::Cancelled);
+            return Err(Outcome::Cancelled);
         }
+        Ok(lease)
+    }
+
+    async fn send(
+        &mut self,
+        attempt: &Attempt,
+        caller: &mut Caller,
+        mut lease: upstream::Lease,
+        hop: &trace::Hop,
+    ) -> End {
         self.sink.send(Event::Sent {
             attempt: attempt.id,
         });
-        let request = self.request(attempt);
+        let request = self.request(attempt, hop);
         let answered = tokio::select! {
             answered = lease.sender.try_send_request(request) => answered,
             () = caller.closed() => return self.cancelled(attempt),
@@ -204,6 +239,16 @@
         end
     }
 
+    fn record_wait(&self, granted: unit::Time) {
+        let class = match self.class {
+            Class::Quick => "quick",
+            Class::Long => "long",
+        };
+        let service = self.service.name.to_string();
+        let waited = granted.since(self.arrived).as_secs_f64();
+        metrics::histogram!(metric::WAIT, "service" => service, "class" => class).record(waited);
+    }
+
     /// Ends the request without an answer; a stream that was begun ends as an error.
     async fn reject(&self, caller: &mut Caller, rejection: ingress::Rejection) -> &'static str {
         if let Caller::Streaming(chunks) = caller {
@@ -226,7 +271,7 @@
         result
     }
 
-    fn request(&self, attempt: &Attempt) -> Request<Full<Bytes>> {
+    fn request(&self, attempt: &Attempt, hop: &trace::Hop) -> Request<Full<Bytes>> {
         let mut request = Request::new(Full::new(self.message.body.clone()));
         *request.method_mut() = self.message.method.clone();
         *request.uri_mut() = self.message.path.parse().unwrap_or_default();
@@ -239,7 +284,7 @@
         header::insert(headers, "host", &host);
         header::insert(headers, header::ATTEMPT, &attempt.id.to_string());
         header::insert(headers, header::REQUEST, &self.name);
-        header::insert(headers, trace::HEADER, &attempt.hop.header());
+        header::insert(headers, trace::HEADER, &hop.header());
         if let Some(event) = &attempt.resume {
             header::insert(headers, header::LAST_EVENT, event);
         }
--- a/src/front/handler.rs
+++ b/src/front/handler.rs
@@ -135,6 +135,7 @@
             request,
             name: name.into(),
             service,
+            class: call.class,
             keyed: call.key.is_some(),
             message,
             orders: inbox,
--- a/src/trace.rs
+++ b/src/trace.rs
@@ -30,7 +30,7 @@
     }
 }
 
-/// One hop of a request: waiting at the caller's router, in the queue or at the target.
+/// One hop of a request: at the caller's router, in the queue, from the grant to the target, or at the target.
 #[derive(Clone, Debug)]
 pub struct Hop {
     context: SpanContext,
--- a/tests/callers.rs
+++ b/tests/callers.rs
@@ -309,3 +309,78 @@
         assert_eq!(target.heads.lock().unwrap().len(), number);
     }
 }
+
+#[test]
+fn callers_trace_follows_every_hop() {
+    let target = Scripted::start(|_, _, stream| {
+        write!(stream, "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n").is_ok()
+    });
+    let mut fleet = Fleet::new(&["alpha"]);
+    fleet.alone = true;
+    fleet.log_level = "debug";
+    fleet.declare(&format!(
+        "[targets.scripted]\nservice = \"notes\"\ndomain = \"east\"\naddress = \"{}\"\nslots = 4\n",
+        target.address
+    ));
+    fleet.start_routers(&[("east-1", "east")]);
+    let (trace, caller_span) = ("4bf92f3577b34da6a3ce929d0e0e4736", "00f067aa0ba902b7");
+    let parent = format!("00-{trace}-{caller_span}-01");
+    let caller = fleet.caller("east-1", "alpha");
+    let answer = caller
+        .send("GET", "/s/notes/x", &[("traceparent", &parent)], "")
+        .unwrap();
+    assert_eq!(answer.header("marlrun-trace"), Some(trace), "{answer:?}");
+
+    let spans = || {
+        let mut spans = fleet.log("east-1");
+        spans.retain(|line| line["msg"] == "span" && line["trace"] == trace);
+        spans
+    };
+    wait_until("every hop is logged", || spans().len() >= 4);
+    let spans = spans();
+    let span = |hop: &str| {
+        let mut found = spans.iter().filter(|span| span["hop"] == hop);
+        let first = found
+            .next()
+            .unwrap_or_else(|| panic!("no {hop}: {spans:?}"));
+        assert!(found.next().is_none(), "two of {hop}: {spans:?}");
+        let text = |name: &str| first[name].as_str().unwrap().to_owned();
+        (text("span"), text("parent"))
+    };
+    let (root, above) = span("caller");
+    assert_eq!(above, caller_span);
+    for hop in ["queue", "grant", "target"] {
+        assert_eq!(span(hop).1, root, "parent of {hop}");
+    }
+    let received = target.header("traceparent");
+    let expected = format!("00-{trace}-{}-01", span("target").0);
+    assert_eq!(received, [expected]);
+}
+
+#[test]
+fn callers_metrics_after_a_request() {
+    let fleet = routed(&[]);
+    assert_serves(&fleet);
+    let page = Caller::new(fleet.addresses["east-1"].health, "");
+    for (path, status) in [("/healthz", 200), ("/readyz", 200), ("/other", 404)] {
+        let answer = page.send("GET", path, &[], "").unwrap();
+        assert_eq!(answer.status, status, "{answer:?}");
+    }
+    let names = [
+        "marlrun_requests_total{service=\"notes\"} 1",
+        "marlrun_results_total{service=\"notes\",result=\"answered\"} 1",
+        "marlrun_wait_seconds_count{service=\"notes\",class=\"quick\"} 1",
+        "marlrun_first_byte_seconds_count{service=\"notes\"} 1",
+        "marlrun_members 1",
+        "marlrun_running 0",
+        "marlrun_waiting 0",
+        "marlrun_config_version ",
+        "marlrun_control_busy_seconds_total ",
+    ];
+    for name in names {
+        wait_until(name, || {
+            let metrics = page.send("GET", "/metrics", &[], "").unwrap();
+            metrics.body.lines().any(|line| line.starts_with(name))
+        });
+    }
+}
