An answer that is cut off at a slow caller never ends as a whole one

Cause: a chunked answer ended cleanly when its channel was dropped. After a caller had read nothing for twice the idle limit (once for the chunk, once for the error that should have broken the transfer) the channel was dropped, and a caller that then read on got the last chunk: an answer with bytes missing that looks whole. Now the transfer breaks unless the answer was ended explicitly, so nothing has to be sent to break it. The target's end is also seen before the close of a caller that has all bytes; ruled out: looking at the target first of all, which would keep an order to stop waiting behind a fast target.

--- a/src/front/exchange/caller.rs
+++ b/src/front/exchange/caller.rs
@@ -19,13 +19,20 @@
     Streaming(Chunks),
 }
 
-/// Way of a stream's chunks to the caller.
+/// Way of a stream's chunks to the caller. The transfer breaks if the last clone is dropped
+/// before [`Chunks::finish`].
 #[derive(Clone)]
 pub(super) struct Chunks {
-    sender: mpsc::Sender<io::Result<Frame<Bytes>>>,
+    sender: mpsc::Sender<Part>,
     idle: Span,
 }
 
+/// Part of a streamed answer.
+enum Part {
+    Chunk(Bytes),
+    End,
+}
+
 /// Error of a caller that went away or takes nothing for too long.
 #[derive(Debug)]
 pub(super) struct Gone;
@@ -52,8 +59,13 @@
             return chunks.clone();
         }
         let (sender, inbox) = mpsc::channel(MAX_CHUNKS);
-        let frames = futures::stream::unfold(inbox, |mut inbox| async {
-            inbox.recv().await.map(|frame| (frame, inbox))
+        let frames = futures::stream::unfold(Some(inbox), |inbox| async {
+            let mut inbox = inbox?;
+            match inbox.recv().await {
+                Some(Part::Chunk(chunk)) => Some((Ok(Frame::data(chunk)), Some(inbox))),
+                Some(Part::End) => None,
+                None => Some((Err(broken()), None)),
+            }
         });
         let body = StreamBody::new(frames).boxed_unsync();
         let chunks = Chunks { sender, idle };
@@ -88,24 +100,23 @@
         if chunk.is_empty() {
             return Ok(());
         }
-        self.send(Ok(Frame::data(chunk))).await
+        self.send(Part::Chunk(chunk)).await
     }
 
-    /// Ends the answer as a broken transfer.
-    pub(super) async fn fail(&self) {
-        let error = io::Error::new(
-            io::ErrorKind::UnexpectedEof,
-            "the answer of the target broke",
-        );
-        // A caller that went away needs no error.
-        let _ = self.send(Err(error)).await;
+    /// Ends the answer as whole.
+    pub(super) async fn finish(&self) -> Result<(), Gone> {
+        self.send(Part::End).await
     }
 
-    async fn send(&self, frame: io::Result<Frame<Bytes>>) -> Result<(), Gone> {
-        let sent = tokio::time::timeout(Duration::from(self.idle), self.sender.send(frame)).await;
+    async fn send(&self, part: Part) -> Result<(), Gone> {
+        let sent = tokio::time::timeout(Duration::from(self.idle), self.sender.send(part)).await;
         match sent {
             Ok(Ok(())) => Ok(()),
             Ok(Err(_)) | Err(_) => Err(Gone),
         }
     }
 }
+
+fn broken() -> io::Error {
+    io::Error::new(io::ErrorKind::UnexpectedEof, "the answer broke off")
+}
--- a/src/front/exchange/mod.rs
+++ b/src/front/exchange/mod.rs
@@ -85,7 +85,7 @@
         let mut first = true;
         loop {
             if let Some(rejection) = self.rejection.take() {
-                return self.reject(caller, rejection).await;
+                return self.reject(caller, rejection);
             }
             let order = tokio::select! {
                 order = self.orders.recv() => order,
@@ -123,12 +123,12 @@
                     queue = Some(self.hop.child("queue", clock::now()));
                 }
                 Some(Order::Abort { .. }) => {}
-                Some(Order::Reject(rejection)) => return self.reject(caller, rejection).await,
+                Some(Order::Reject(rejection)) => return self.reject(caller, rejection),
                 None => {
                     let rejection = ingress::Rejection::Unknown {
                         doubt: ingress::Doubt::Broken,
                     };
-                    return self.reject(caller, rejection).await;
+                    return self.reject(caller, rejection);
                 }
             }
         }
@@ -250,9 +250,8 @@
     }
 
     /// Ends the request without an answer; a stream that was begun ends as an error.
-    async fn reject(&self, caller: &mut Caller, rejection: ingress::Rejection) -> &'static str {
-        if let Caller::Streaming(chunks) = caller {
-            chunks.fail().await;
+    fn reject(&self, caller: &mut Caller, rejection: ingress::Rejection) -> &'static str {
+        if let Caller::Streaming(_) = caller {
             return "truncated";
         }
         let stored = match &rejection {
--- a/src/front/exchange/relay.rs
+++ b/src/front/exchange/relay.rs
@@ -97,11 +97,13 @@
         let chunks = caller.open(head, self.idle);
         loop {
             let frame = tokio::select! {
-                frame = body.frame() => frame,
-                () = chunks.closed() => return self.cancelled(attempt),
+                // A caller that has all bytes may close before the target's end is seen here.
+                biased;
                 () = aborted(&mut self.orders, &mut self.rejection, attempt.id) => {
                     return self.cancelled(attempt);
                 }
+                frame = body.frame() => frame,
+                () = chunks.closed() => return self.cancelled(attempt),
             };
             let chunk = match frame {
                 Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
@@ -112,6 +114,8 @@
                 return self.cancelled(attempt);
             }
         }
+        // A caller with all bytes of a known length does not wait for the end.
+        let _ = chunks.finish().await;
         End {
             outcome: Outcome::Answered,
             cost: self.cost(attempt, &[]),
@@ -137,11 +141,13 @@
         let mut reported = clock::now();
         loop {
             let frame = tokio::select! {
-                frame = body.frame() => frame,
-                () = chunks.closed() => return self.stream_end(Outcome::Cancelled, before),
+                // A caller that has all bytes may close before the target's end is seen here.
+                biased;
                 () = aborted(&mut self.orders, &mut self.rejection, attempt.id) => {
                     return self.stream_end(Outcome::Cancelled, before);
                 }
+                frame = body.frame() => frame,
+                () = chunks.closed() => return self.stream_end(Outcome::Cancelled, before),
             };
             let Some(Ok(frame)) = frame else {
                 break;
@@ -158,7 +164,11 @@
             self.report(attempt, before, &mut reported);
         }
         let outcome = match self.stream.finish() {
-            Ok(()) => Outcome::Answered,
+            Ok(()) => {
+                // A caller that read the end mark may have closed already.
+                let _ = chunks.finish().await;
+                Outcome::Answered
+            }
             Err(_) => Outcome::Broken,
         };
         self.stream_end(outcome, before)
