Heads that can't be read get a problem document; slow readers lose their connection

Cause: the HTTP library answers a malformed or oversized head with an empty body, closes without an answer when a head is slow, and waits without limit for a caller that reads nothing. A transport below the library replaces its empty answers (they are recognised by their exact form, only while a head has come in part and no request runs), limits the time of a head (408) and of a write that makes no headway, and after the end reads on for up to 1 s, so that an answer isn't lost to a reset when a body is refused half way. Ruled out: the library's own time limit, which gives no answer, and a second handle of the socket.

--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -9,6 +9,7 @@
 mod order;
 mod problem;
 mod server;
+mod transport;
 
 pub use self::{
     answer::Answer,
--- a/src/front/problem.rs
+++ b/src/front/problem.rs
@@ -5,6 +5,7 @@
     ingress::{Doubt, Rejection},
     unit::Span,
 };
+use bytes::Bytes;
 use http::{Response, StatusCode, header};
 
 /// What is known about the run of a refused request.
@@ -17,6 +18,18 @@
     Unknown,
 }
 
+impl Result {
+    fn name(self) -> &'static str {
+        match self {
+            Result::NotRun => "not-run",
+            Result::Unknown => "unknown",
+        }
+    }
+}
+
+/// Media type of problem documents.
+const MEDIA_TYPE: &str = "application/problem+json";
+
 /// A refusal as the caller sees it.
 #[derive(Clone, Debug, PartialEq, Eq, serde::Serialize)]
 pub struct Problem {
@@ -89,6 +102,20 @@
         }
     }
 
+    /// Returns the refusal as the bytes of an answer that ends its connection.
+    pub(crate) fn message(&self) -> Bytes {
+        let body = serde_json::to_string(self).unwrap_or_default();
+        let head = format!(
+            "HTTP/1.1 {} {}\r\ncontent-type: {MEDIA_TYPE}\r\nmarlrun-outcome: {}\r\n\
+             content-length: {}\r\nconnection: close\r\n\r\n",
+            self.status,
+            self.title,
+            self.outcome.name(),
+            body.len(),
+        );
+        Bytes::from(head + &body)
+    }
+
     /// Returns the refusal as an HTTP response.
     pub(crate) fn response(&self) -> Response<Body> {
         let body = serde_json::to_vec(self).unwrap_or_default();
@@ -96,16 +123,13 @@
         *response.status_mut() =
             StatusCode::from_u16(self.status).unwrap_or(StatusCode::BAD_GATEWAY);
         let headers = response.headers_mut();
-        let json = header::HeaderValue::from_static("application/problem+json");
+        let json = header::HeaderValue::from_static(MEDIA_TYPE);
         headers.insert(header::CONTENT_TYPE, json);
         if let Some(seconds) = self.retry_after {
             headers.insert(header::RETRY_AFTER, seconds.into());
         }
-        let outcome = match self.outcome {
-            Result::NotRun => "not-run",
-            Result::Unknown => "unknown",
-        };
-        headers.insert("marlrun-outcome", header::HeaderValue::from_static(outcome));
+        let outcome = header::HeaderValue::from_static(self.outcome.name());
+        headers.insert("marlrun-outcome", outcome);
         response
     }
 }
--- a/src/front/server.rs
+++ b/src/front/server.rs
@@ -1,10 +1,15 @@
 //! Listener of the callers' interface.
 
-use super::{Limits, Problem, Sink, handler::Handler};
+use super::{
+    Limits, Problem, Sink,
+    handler::Handler,
+    transport::{Progress, Running, Transport},
+};
 use crate::{config, id, unit::Span, upstream};
 use futures::FutureExt;
+use http_body_util::BodyExt;
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioIo;
 use std::{
     convert::Infallible,
     io,
@@ -145,20 +150,31 @@
 async fn serve(stream: TcpStream, handler: Arc<Handler>, mut stopped: watch::Receiver<bool>) {
     let limits = handler.limits.clone();
     let (running, mut begun) = watch::channel(false);
+    let progress = Arc::<Progress>::default();
+    let service_progress = progress.clone();
+    let transport = Transport::new(stream, Duration::from(limits.idle), progress);
     let service = service_fn(move |request| {
         let (handler, running) = (handler.clone(), running.clone());
+        let request_runs = Running::begin(&service_progress);
         async move {
             running.send_replace(true);
             let response = handler.handle(request).await;
             running.send_replace(false);
+            // The request runs until its answer is given.
+            let response = response.map(|body| {
+                body.map_err(move |error| {
+                    let _runs = &request_runs;
+                    error
+                })
+            });
             Ok::<_, Infallible>(response)
         }
     });
     let connection = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(Duration::from(limits.idle))
+        // The transport limits the time, with an answer.
+        .header_read_timeout(None)
         .max_buf_size(limits.head_bytes.max(MIN_BUFFER_BYTES))
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(TokioIo::new(transport), service);
     let mut connection = pin!(connection);
     // An error of the connection is the caller's: it went away or sent no HTTP.
     tokio::select! {
--- a/tests/callers.rs
+++ b/tests/callers.rs
@@ -85,6 +85,22 @@
     assert_eq!((answer.status, answer.complete), (200, true), "{answer:?}");
 }
 
+#[test]
+fn callers_head_that_is_no_http() {
+    let fleet = routed(&[]);
+    assert_refused(&raw(&fleet, b"what is this\r\n\r\n"), 400);
+    assert_refused(&raw(&fleet, b"GET / HTTP/1.1\r\nno colon\r\n\r\n"), 400);
+    assert_serves(&fleet);
+}
+
+#[test]
+fn callers_head_too_large() {
+    let fleet = routed(&[]);
+    let head = format!("GET / HTTP/1.1\r\nx: {}\r\n\r\n", "x".repeat(80_000));
+    assert_refused(&raw(&fleet, head.as_bytes()), 431);
+    assert_serves(&fleet);
+}
+
 #[test]
 fn callers_body_too_large() {
     let fleet = routed(&["--max-body-bytes", "1000"]);
@@ -110,6 +126,13 @@
     assert_serves(&fleet);
 }
 
+#[test]
+fn callers_slow_head() {
+    let fleet = routed(&["--idle-timeout", "300ms"]);
+    assert_refused(&raw(&fleet, b"GET / HTTP/1.1\r\nhost: te"), 408);
+    assert_serves(&fleet);
+}
+
 #[test]
 fn callers_slow_body() {
     let fleet = routed(&["--idle-timeout", "300ms"]);
@@ -207,6 +230,43 @@
     assert_eq!((&*answer.body, answer.complete), ("firstsecond", true));
 }
 
+/// A target that sends for as long as it can; tells when its connection is closed.
+fn endless() -> (Scripted, mpsc::Receiver<u64>) {
+    let (closed, wait) = mpsc::channel();
+    let target = Scripted::start(move |_, _, stream| {
+        let head = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
+        stream.write_all(head.as_bytes()).unwrap();
+        let chunk = format!("{:x}\r\n{}\r\n", 1 << 16, "x".repeat(1 << 16));
+        let mut sent = 0;
+        // More than all buffers of the sockets on the way may hold.
+        while sent < 1 << 30 && stream.write_all(chunk.as_bytes()).is_ok() {
+            sent += 1 << 16;
+        }
+        // The test may have ended.
+        let _ = closed.send(sent);
+        false
+    });
+    (target, wait)
+}
+
+#[test]
+fn callers_slow_reader_holds_target_back_and_is_cut_off() {
+    let (target, closed) = endless();
+    let fleet = scripted(&target, "notes", &["--idle-timeout", "500ms"]);
+    let caller = fleet.caller("east-1", "alpha");
+    let mut slow = caller.begin("GET", "/s/notes/x", &[], "").unwrap();
+    let sent = closed.recv_timeout(SILENCE).unwrap();
+    assert!(sent < 1 << 28, "the target could send {sent} bytes unread");
+    wait_until("the connection is closed", || {
+        let mut probe = TcpStream::try_clone(&slow).unwrap();
+        probe.write_all(b"x").is_err()
+    });
+    let mut bytes = Vec::new();
+    // A reset ends the read as well.
+    let _ = slow.read_to_end(&mut bytes);
+    assert!(!parse(&bytes).complete, "a cut off answer looks whole");
+}
+
 #[test]
 fn callers_that_go_away_cancel_their_work() {
     let fleet = engine(&[], &["--token-interval", "50ms"]);
