Front: no clean end after a broken stream, no body without an end, deadlines carried on

Not provoked: a large answer that broke off was taken for one of which nothing had been given, and a caller that left before its attempt was sent was not told to the control thread.

--- a/src/answer/fault.rs
+++ b/src/answer/fault.rs
@@ -1,7 +1,5 @@
 //! Faults of answers.
 
-use crate::id;
-
 /// Why an answer must not be taken for a whole one.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum Fault {
@@ -28,26 +26,7 @@
         /// Number of the event that came.
         got: u64,
     },
-    /// The answer is for another attempt.
-    #[error("the answer is for attempt {got:?}, not for {expected}")]
-    Crossed {
-        /// Attempt that was sent.
-        expected: id::Attempt,
-        /// Attempt that the answer names.
-        got: Box<str>,
-    },
-    /// The body is shorter or longer than declared.
-    #[error("the body has {got} of {expected} declared bytes")]
-    Length {
-        /// Declared length in bytes.
-        expected: u64,
-        /// Bytes that came.
-        got: u64,
-    },
-    /// The body is not a whole JSON value.
-    #[error("the body is not a whole JSON value: {cause}")]
-    Json {
-        /// What the parser said.
-        cause: Box<str>,
-    },
+    /// Nothing says where the body ends.
+    #[error("the body has neither a length nor chunks, so that a cut could not be seen")]
+    Unframed,
 }
--- a/src/daemon/control/requests.rs
+++ b/src/daemon/control/requests.rs
@@ -93,8 +93,22 @@
                 target,
                 resume,
                 not_after,
-                ..
-            } => self.start(now, request, attempt, target, resume, not_after),
+                deadline,
+            } => {
+                let Some(declared) = self.routes.target(&target).cloned() else {
+                    return self.target_gone(now, attempt, resume);
+                };
+                self.running.insert(attempt, request);
+                self.parts.state.recent().start(request, &target);
+                let start = front::Order::Start {
+                    attempt,
+                    target: declared,
+                    expires: not_after,
+                    deadline,
+                    resume,
+                };
+                self.order(request, start);
+            }
             ingress::Action::Abort { attempt } => {
                 if let Some(request) = self.running.get(&attempt) {
                     self.order(*request, front::Order::Abort { attempt });
@@ -108,35 +122,16 @@
         }
     }
 
-    fn start(
-        &mut self,
-        now: Time,
-        request: u64,
-        attempt: id::Attempt,
-        target: id::Target,
-        resume: Option<Box<str>>,
-        not_after: Time,
-    ) {
-        let Some(target) = self.routes.target(&target).cloned() else {
-            // The target was removed from the configuration after the grant; nothing was sent.
-            let ended = ingress::Event::Ended {
-                attempt,
-                cost: Cost(0),
-                outcome: Outcome::Unreachable,
-                resume: resume.map_or(ingress::Resume::Start, ingress::Resume::After),
-                answer: None,
-            };
-            return self.desk(now, ended);
-        };
-        self.running.insert(attempt, request);
-        self.parts.state.recent().start(request, &target.name);
-        let start = front::Order::Start {
+    /// Ends an attempt whose target left the configuration after the grant; nothing was sent.
+    fn target_gone(&mut self, now: Time, attempt: id::Attempt, resume: Option<Box<str>>) {
+        let ended = ingress::Event::Ended {
             attempt,
-            target,
-            expires: not_after,
-            resume,
+            cost: Cost(0),
+            outcome: Outcome::Unreachable,
+            resume: resume.map_or(ingress::Resume::Start, ingress::Resume::After),
+            answer: None,
         };
-        self.order(request, start);
+        self.desk(now, ended);
     }
 
     fn order(&self, request: u64, order: front::Order) {
--- a/src/front/exchange.rs
+++ b/src/front/exchange.rs
@@ -3,7 +3,7 @@
 use super::{Answer, Body, Event, Order, Problem, Sink, handler::Message, whole};
 use crate::{answer, clock, config, id, ingress, metric, trace, unit, upstream, wire::Outcome};
 use bytes::Bytes;
-use http::{HeaderMap, HeaderValue, Request, Response, header};
+use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, header};
 use http_body_util::{BodyExt, Full, StreamBody};
 use hyper::body::{Frame, Incoming};
 use opentelemetry::KeyValue;
@@ -22,6 +22,8 @@
 const ATTEMPT: &str = "marlrun-attempt";
 /// Header that names the request, towards targets and callers.
 const REQUEST: &str = "marlrun-request";
+/// Header that names the milliseconds until the caller gives up, from callers and towards targets.
+const TIMEOUT: &str = "marlrun-timeout-ms";
 /// Header by which a target says that it did not run a request.
 const OUTCOME: &str = "marlrun-outcome";
 
@@ -55,6 +57,7 @@
     id: id::Attempt,
     target: Arc<config::Target>,
     expires: unit::Time,
+    deadline: unit::Time,
     resume: Option<Box<str>>,
     hop: trace::Hop,
     started: unit::Time,
@@ -124,6 +127,7 @@
                     attempt,
                     target,
                     expires,
+                    deadline,
                     resume,
                 }) => {
                     let now = clock::now();
@@ -134,6 +138,7 @@
                         id: attempt,
                         target,
                         expires,
+                        deadline,
                         resume,
                         hop: self.hop.child("target", now),
                         started: now,
@@ -165,6 +170,11 @@
             KeyValue::new("outcome", format!("{outcome:?}")),
         ];
         attempt.hop.end(&self.log, clock::now(), &attributes);
+        if outcome == Outcome::Cancelled && caller.is_closed() {
+            // Told first, so that nothing is asked for in place of the attempt.
+            let request = self.request;
+            self.sink.send(Event::Gone { request });
+        }
         self.sink.send(Event::Ended {
             attempt: attempt.id,
             cost: end.cost,
@@ -244,6 +254,10 @@
         caller: &mut Caller,
         response: Response<Incoming>,
     ) -> End {
+        if matches!(caller, Caller::Streaming(_)) {
+            // The caller has a part of a stream, and this is not its rest.
+            return self.broken(attempt, resume_of(attempt));
+        }
         let (head, mut body) = response.into_parts();
         let mut bytes = Vec::new();
         loop {
@@ -261,6 +275,14 @@
                 return self.pass(attempt, caller, head, bytes, body).await;
             }
         }
+        let bodyless = self.message.method == Method::HEAD
+            || matches!(
+                head.status,
+                StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED
+            );
+        if !bodyless && answer::check_framing(&head.headers).is_err() {
+            return self.broken(attempt, ingress::Resume::Start);
+        }
         let cost = self.cost(attempt, &bytes);
         let answer = if self.keyed {
             keep(&head, &bytes)
@@ -300,7 +322,7 @@
                 return self.cancelled(attempt);
             }
             if broken {
-                return self.broken(attempt, ingress::Resume::Start);
+                return self.broken(attempt, ingress::Resume::Never);
             }
             next = tokio::select! {
                 frame = body.frame() => frame,
@@ -463,6 +485,8 @@
         insert(headers, header::HOST.as_str(), &host);
         insert(headers, ATTEMPT, &attempt.id.to_string());
         insert(headers, REQUEST, &self.name);
+        let left = attempt.deadline.since(clock::now()).as_millis();
+        insert(headers, TIMEOUT, &left.to_string());
         insert(headers, trace::HEADER, &attempt.hop.header());
         if let Some(event) = &attempt.resume {
             insert(headers, "last-event-id", event);
--- a/src/front/order.rs
+++ b/src/front/order.rs
@@ -14,6 +14,8 @@
         target: Arc<config::Target>,
         /// Time after which the grant is stale and nothing may be sent.
         expires: Time,
+        /// Time by which the caller wants the last byte, told to the target.
+        deadline: Time,
         /// Identifier of the last event that the caller already has, when a stream resumes.
         resume: Option<Box<str>>,
     },
--- /dev/null
+++ b/tests/front.rs
@@ -0,0 +1,175 @@
+//! The callers' interface before targets that misbehave in ways that the stand-ins don't.
+
+mod common;
+
+use common::{Answer, Caller};
+use marlrun::daemon;
+use sha2::{Digest, Sha256};
+use std::{
+    fs,
+    io::{Read, Write},
+    net::{SocketAddr, TcpListener, TcpStream},
+    sync::{Arc, Mutex},
+    thread,
+    time::Duration,
+};
+
+/// A target that answers its n-th request with the n-th script, byte by byte, and then closes.
+struct Target {
+    address: SocketAddr,
+    heads: Arc<Mutex<Vec<String>>>,
+}
+
+impl Target {
+    fn bind(scripts: &[&'static str]) -> Self {
+        let scripts = scripts.to_vec();
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let heads = Arc::<Mutex<Vec<String>>>::default();
+        let seen = heads.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming() {
+                answer(stream.unwrap(), &scripts, &seen);
+            }
+        });
+        Self { address, heads }
+    }
+}
+
+fn answer(mut stream: TcpStream, scripts: &[&str], heads: &Mutex<Vec<String>>) {
+    let head = read_head(&mut stream);
+    let script = if head.starts_with("GET /health") || head.starts_with("GET /load") {
+        "HTTP/1.1 204 No Content\r\nconnection: close\r\n\r\n"
+    } else {
+        let mut heads = heads.lock().unwrap();
+        heads.push(head);
+        scripts.get(heads.len() - 1).copied().unwrap_or_default()
+    };
+    // The router may close first.
+    let _ = stream.write_all(script.as_bytes());
+}
+
+/// Reads a request to the end of its declared body and returns it.
+fn read_head(stream: &mut TcpStream) -> String {
+    stream
+        .set_read_timeout(Some(Duration::from_millis(200)))
+        .unwrap();
+    let mut text = String::new();
+    let mut bytes = [0; 4096];
+    while let Ok(count @ 1..) = stream.read(&mut bytes) {
+        text += &String::from_utf8_lossy(&bytes[..count]);
+        let Some((head, body)) = text.split_once("\r\n\r\n") else {
+            continue;
+        };
+        let length = head.lines().find_map(|line| {
+            let (name, value) = line.split_once(": ")?;
+            name.eq_ignore_ascii_case("content-length")
+                .then(|| value.parse::<usize>().ok())?
+        });
+        if body.len() >= length.unwrap_or(0) {
+            break;
+        }
+    }
+    text
+}
+
+/// Starts a router before one target, sends a request and returns the answer.
+fn send(target: &Target, kind: &str, headers: &[(&str, &str)]) -> Answer {
+    let digest = Sha256::digest("key-w");
+    let hex: String = digest.iter().map(|byte| format!("{byte:02x}")).collect();
+    let address = target.address;
+    let base = format!(
+        "[sites.east]\ndomains = [\"east\"]\n\
+         [services.s]\nkind = \"{kind}\"\nidempotent = true\nquick = 16\nestimate = 100\ntimeout = \"5s\"\n\
+         max_waiting = 100\nengine = {{ fencing = true, resume = true }}\n\
+         [targets.t]\nservice = \"s\"\ndomain = \"east\"\naddress = \"{address}\"\nslots = 4\n\
+         [workspaces.w]\nkey_sha256 = [\"{hex}\"]\n"
+    );
+    let folder = tempfile::tempdir().unwrap();
+    let path = folder.path().join("base.toml");
+    fs::write(&path, base).unwrap();
+    let flags = daemon::Flags {
+        router: Some("r".into()),
+        domain: Some("east".into()),
+        listen: Some("127.0.0.1:0".into()),
+        peer: Some("127.0.0.1:0".into()),
+        base: Some(path.to_str().unwrap().into()),
+        drain_notice: Some("0s".into()),
+        ..daemon::Flags::default()
+    };
+    let settings = flags.check().unwrap();
+    let log = slog::Logger::root(slog::Discard, slog::o!());
+    let daemon = daemon::spawn(settings, &log).unwrap();
+    let caller = Caller::new(daemon.address(), "key-w");
+    let answer = if kind == "model" {
+        let body = "{\"model\": \"s\", \"messages\": [], \"stream\": true}";
+        caller.send("POST", "/v1/chat/completions", headers, body)
+    } else {
+        caller.send("GET", "/s/s/x", headers, "")
+    };
+    daemon.drain();
+    answer.unwrap()
+}
+
+#[test]
+fn stream_resumed() {
+    let target = Target::bind(&[
+        "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n\
+         16\r\nid: 1\ndata: a\n\nid: 2\nda\r\n",
+        "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n\
+         1e\r\nid: 2\ndata: b\n\ndata: [DONE]\n\n\r\n0\r\n\r\n",
+    ]);
+    let answer = send(&target, "model", &[]);
+    assert!(answer.complete, "{answer:?}");
+    assert_eq!(
+        &*answer.body,
+        "id: 1\ndata: a\n\nid: 2\ndata: b\n\ndata: [DONE]\n\n"
+    );
+    let heads = target.heads.lock().unwrap();
+    assert!(heads[1].contains("last-event-id: 1"), "{heads:?}");
+}
+
+#[test]
+fn stream_resumed_with_error() {
+    let error = "HTTP/1.1 500 Internal Server Error\r\ncontent-type: application/json\r\n\
+                 content-length: 2\r\n\r\n{}";
+    let target = Target::bind(&[
+        "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n\
+         10\r\nid: 1\ndata: a\n\n\n\r\n",
+        error,
+        error,
+        error,
+        error,
+    ]);
+    let answer = send(&target, "model", &[]);
+    assert_eq!(answer.status, 200);
+    assert!(
+        !answer.complete,
+        "a truncated stream ended cleanly: {answer:?}"
+    );
+}
+
+#[test]
+fn body_without_length() {
+    let cut = "HTTP/1.1 200 OK\r\ncontent-type: text/plain\r\nconnection: close\r\n\r\nlabel 1 of";
+    let target = Target::bind(&[cut, cut, cut, cut, cut]);
+    let answer = send(&target, "plain", &[]);
+    assert_eq!(
+        answer.header("marlrun-outcome"),
+        Some("unknown"),
+        "a body that may be cut off was passed on: {answer:?}"
+    );
+}
+
+#[test]
+fn deadline_carried() {
+    let target = Target::bind(&["HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"]);
+    let answer = send(&target, "plain", &[("marlrun-timeout-ms", "60000")]);
+    assert_eq!(&*answer.body, "ok", "{answer:?}");
+    let heads = target.heads.lock().unwrap();
+    let line = heads[0]
+        .lines()
+        .find_map(|line| line.strip_prefix("marlrun-timeout-ms: "));
+    let left: u64 = line.expect("a time limit").parse().unwrap();
+    assert!(left <= 5_000, "the service's own limit is 5 s: {left}");
+}
