Retries go round the targets of a service

Now the last one that failed comes last. The daemon's choice of targets no longer returns one that was excluded.

--- a/src/daemon/routes.rs
+++ b/src/daemon/routes.rs
@@ -111,13 +111,7 @@
         let fit = targets
             .iter()
             .filter(|target| !self.unfit.contains(*target));
-        let mut eligible: Vec<_> = fit.filter(|target| !exclude.contains(target)).collect();
-        if eligible.is_empty() {
-            eligible = targets
-                .iter()
-                .filter(|target| !self.unfit.contains(*target))
-                .collect();
-        }
+        let eligible: Vec<_> = fit.filter(|target| !exclude.contains(target)).collect();
         let count = eligible.len() as u64;
         let first = *eligible.get((seed % count.max(1)) as usize)?;
         let step = 1 + (seed >> 32) % count.saturating_sub(1).max(1);
--- a/src/ingress/desk.rs
+++ b/src/ingress/desk.rs
@@ -138,10 +138,8 @@
 
     /// Asks for a slot at a target of the desk's choice.
     fn place(&mut self, job: Job, turn: &mut Turn<'_>) {
-        let service = &job.request.service;
         let seed = self.backoff.seed();
-        let fresh = turn.placement.pick(service, &job.failed, seed);
-        let choice = fresh.or_else(|| turn.placement.pick(service, &[], seed));
+        let choice = job.pick(turn.placement, seed);
         match choice {
             Some((target, owner)) => self.ask(job, target, owner, turn),
             None => self.reject(job, wire::Reason::NoTarget, RETRY_AFTER, turn),
@@ -644,7 +642,7 @@
             Some(_) => self.keep(job),
             None => {
                 let seed = self.backoff.seed();
-                let choice = turn.placement.pick(&job.request.service, &job.failed, seed);
+                let choice = job.pick(turn.placement, seed);
                 match choice {
                     Some((target, owner)) => {
                         slot.withdraw(turn);
--- a/src/ingress/job.rs
+++ b/src/ingress/job.rs
@@ -1,12 +1,12 @@
 //! State of one request.
 
-use super::{Action, Request, slot::Slot, turn::Turn};
+use super::{Action, Placement, Request, slot::Slot, turn::Turn};
 use crate::{
     id,
     unit::{Cost, Time},
     wire,
 };
-use std::mem;
+use std::{mem, slice};
 
 /// An attempt that the front was told to send.
 #[derive(Clone, Debug)]
@@ -120,6 +120,17 @@
         }
     }
 
+    /// Returns a target and its owner; one that failed comes after all others, and the last one last.
+    pub(super) fn pick(
+        &self,
+        placement: &dyn Placement,
+        seed: u64,
+    ) -> Option<(id::Target, id::Router)> {
+        let last = self.failed.last().map_or(&[][..], slice::from_ref);
+        let mut excluded = [&self.failed[..], last, &[]].into_iter();
+        excluded.find_map(|failed| placement.pick(&self.request.service, failed, seed))
+    }
+
     /// Gives back its slot, or its place in a queue.
     pub(super) fn give_back(&mut self, turn: &mut Turn<'_>) {
         let until = turn.now;
--- a/tests/attempt.rs
+++ b/tests/attempt.rs
@@ -253,3 +253,21 @@
     assert_eq!(rejection(&out), None);
     assert!(asked(&out).is_some(), "{out:?}");
 }
+
+#[test]
+fn retry_all_failed() {
+    let mut bench = Bench::open();
+    let mut ask = bench.request(false);
+    let mut targets = vec![ask.target.clone()];
+    while !bench.desk.is_empty() {
+        bench.grant(&ask);
+        bench.end(&ask, wire::Outcome::NotRun);
+        let Some(next) = asked(&bench.wait(Span::from_secs(2))) else {
+            break;
+        };
+        targets.push(next.target.clone());
+        ask = next;
+    }
+    let names: Vec<_> = targets.iter().map(id::Target::as_str).collect();
+    assert_eq!(names, ["t1", "t2", "t1", "t2"]);
+}
