--- a/src/daemon/control/requests.rs
+++ b/src/daemon/control/requests.rs
@@ -2,10 +2,11 @@
 
 use super::Control;
 use crate::{
-    claim, front, id, ingress,
+    claim, config, front, id, ingress,
     unit::{Cost, Time},
     wire::Outcome,
 };
+use std::sync::Arc;
 
 impl Control {
     pub(super) fn front(&mut self, now: Time, event: front::Event) {
@@ -95,14 +96,14 @@
                 not_after,
                 deadline,
             } => {
-                let Some(declared) = self.routes.target(&target).cloned() else {
-                    return self.target_gone(now, attempt, resume);
+                let Some(target) = self.declared(now, attempt, &target, &resume) else {
+                    return;
                 };
                 self.running.insert(attempt, request);
-                self.parts.state.recent().start(request, &target);
+                self.parts.state.recent().start(request, &target.name);
                 let start = front::Order::Start {
                     attempt,
-                    target: declared,
+                    target,
                     expires: not_after,
                     deadline,
                     resume,
@@ -122,16 +123,27 @@
         }
     }
 
-    /// Ends an attempt whose target left the configuration after the grant; nothing was sent.
-    fn target_gone(&mut self, now: Time, attempt: id::Attempt, resume: Option<Box<str>>) {
-        let ended = ingress::Event::Ended {
-            attempt,
-            cost: Cost(0),
-            outcome: Outcome::Unreachable,
-            resume: resume.map_or(ingress::Resume::Start, ingress::Resume::After),
-            answer: None,
-        };
-        self.desk(now, ended);
+    /// Returns the target of a grant; if it was removed since, the attempt ends with nothing sent.
+    fn declared(
+        &mut self,
+        now: Time,
+        attempt: id::Attempt,
+        target: &id::Target,
+        resume: &Option<Box<str>>,
+    ) -> Option<Arc<config::Target>> {
+        let declared = self.routes.target(target).cloned();
+        if declared.is_none() {
+            let resume = resume.clone();
+            let ended = ingress::Event::Ended {
+                attempt,
+                cost: Cost(0),
+                outcome: Outcome::Unreachable,
+                resume: resume.map_or(ingress::Resume::Start, ingress::Resume::After),
+                answer: None,
+            };
+            self.desk(now, ended);
+        }
+        declared
     }
 
     fn order(&self, request: u64, order: front::Order) {
