--- a/src/front/exchange/mod.rs
+++ b/src/front/exchange/mod.rs
@@ -138,6 +138,11 @@
     async fn attempt(&mut self, attempt: Attempt, caller: &mut Caller) -> Option<&'static str> {
         let end = self.carry(&attempt, caller).await;
         let outcome = end.outcome;
+        if outcome == Outcome::Cancelled && caller.is_closed() {
+            // Told first, so that nothing is asked for in place of the attempt.
+            let request = self.request;
+            self.sink.send(Event::Gone { request });
+        }
         self.sink.send(Event::Ended {
             attempt: attempt.id,
             cost: end.cost,
--- a/src/front/exchange/relay.rs
+++ b/src/front/exchange/relay.rs
@@ -1,8 +1,8 @@
 //! The ways of an answer from the target to the caller.
 
-use super::{Attempt, Caller, End, Exchange, aborted, header};
+use super::{Attempt, Caller, End, Exchange, aborted, header, resume_of};
 use crate::{
-    clock,
+    answer, clock,
     front::{Answer, Event, whole},
     ingress,
     unit::{Cost, Span, Time},
@@ -33,6 +33,18 @@
         if self.is_model() && header::is_event_stream(&head.headers) {
             return self.stream(attempt, caller, head, body).await;
         }
+        if matches!(caller, Caller::Streaming(_)) {
+            // The caller has a part of a stream, and this is not its rest.
+            return self.broken(attempt, resume_of(attempt));
+        }
+        let bodyless = self.message.method == Method::HEAD
+            || matches!(
+                head.status,
+                StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED
+            );
+        if !bodyless && answer::check_framing(&head.headers).is_err() {
+            return self.broken(attempt, ingress::Resume::Start);
+        }
         match length {
             Some(length) if length <= MAX_WHOLE_BYTES && !self.is_bodyless(head.status) => {
                 self.whole(attempt, caller, head, body).await
