Tests: routers get addresses that nothing else uses

Cause: the harness took a free port of 127.0.0.1 and let it go before the router bound it; connections of other tests took it meanwhile ('Address already in use'), and scripts then waited for a router that had not started. With other test programs running, 5 of 9 scripts failed; ruled out: the routers, since the same scripts passed alone.

--- a/tests/common/process.rs
+++ b/tests/common/process.rs
@@ -6,8 +6,9 @@
 };
 use std::{
     io::{BufRead, BufReader},
-    net::{Ipv4Addr, SocketAddr, TcpListener, UdpSocket},
-    process::{Child, Command, ExitStatus, Stdio},
+    net::{Ipv4Addr, SocketAddr},
+    process::{self, Child, Command, ExitStatus, Stdio},
+    sync::atomic::{AtomicU32, Ordering},
     thread,
     time::Duration,
 };
@@ -69,18 +70,20 @@
     }
 }
 
-/// Returns a loopback address that is free for TCP and UDP.
+/// Returns an address that nothing else uses: an IP of 127.0.0.0/8 made of the process and a count. A port of
+/// 127.0.0.1 that was free a moment ago may be taken by a connection before a router binds it.
 pub fn free_address() -> SocketAddr {
-    for _ in 0..MAX_POLLS {
-        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
-        let address = listener.local_addr().unwrap();
-        if UdpSocket::bind(address).is_ok() {
-            return address;
-        }
-    }
-    panic!("no free address");
+    static COUNT: AtomicU32 = AtomicU32::new(0);
+    let count = COUNT.fetch_add(1, Ordering::Relaxed);
+    let [_, _, high, low] = process::id().to_be_bytes();
+    let [_, _, block, host] = count.to_be_bytes();
+    let ip = Ipv4Addr::new(127, high, low, host);
+    SocketAddr::from((ip, FIRST_PORT + u16::from(block)))
 }
 
+/// First port of routers; below the range that the system gives to connections.
+const FIRST_PORT: u16 = 7_000;
+
 /// Waits until a state has come.
 pub fn wait_until(what: &str, mut reached: impl FnMut() -> bool) {
     for _ in 0..MAX_POLLS {
