Quick calls lead by service, not by count; the reserve keeps whole slots only

Cause: quick calls gave way to a long request after three grants, however small they were, and the reserve for them left 2.08 % of the slot-time idle.

--- a/src/owner/pool.rs
+++ b/src/owner/pool.rs
@@ -16,8 +16,6 @@
     sync::Arc,
 };
 
-/// Quick requests granted in a row while long ones wait; the next grant is a long one.
-const QUICK_RUN: u32 = 3;
 /// Service granted by level for each unit granted in turn, while the spread of the levels is large.
 const LEVEL_PART: u64 = 3;
 /// Spread of the levels from which on some service is granted in turn, in largest charges.
@@ -74,7 +72,10 @@
     quick_arrivals: Rate,
     quick_secs: f64,
     turn: u64,
-    quick_run: u32,
+    /// Service granted to quick requests since the last long one.
+    quick_run: u64,
+    /// Charge of the last long request; quick ones may take as much before the next.
+    long_charge: u64,
     /// Service granted by level that no grant in turn has followed yet.
     level_run: u64,
     /// Service by level that must follow the last grant in turn.
@@ -109,6 +110,7 @@
             quick_secs: 0.0,
             turn: 0,
             quick_run: 0,
+            long_charge: 0,
             level_run: 0,
             turn_price: 0,
             share: 0,
@@ -205,7 +207,7 @@
     /// Returns the number of free slots that long requests must leave to quick ones.
     pub(super) fn reserve(&self, now: Time) -> u32 {
         let demand = self.quick_arrivals.per_second(now) * self.quick_secs;
-        let wanted = (demand + 0.5) as u32;
+        let wanted = demand as u32;
         wanted
             .min(self.limit() / RESERVE_PART)
             .saturating_sub(self.quick_running)
@@ -254,7 +256,7 @@
             (Some(quick), Some(long)) => {
                 let lead = self.largest.saturating_mul(LEAD_CHARGES);
                 let ahead = quick <= long.saturating_add(lead);
-                if ahead && self.quick_run < QUICK_RUN {
+                if quick < long || (ahead && self.quick_run <= self.long_charge) {
                     Some(wire::Class::Quick)
                 } else {
                     Some(wire::Class::Long)
@@ -298,10 +300,13 @@
         } else {
             self.level_run = self.level_run.saturating_add(charge.0);
         }
-        self.quick_run = match class {
-            wire::Class::Quick => self.quick_run + 1,
-            wire::Class::Long => 0,
-        };
+        match class {
+            wire::Class::Quick => self.quick_run = self.quick_run.saturating_add(charge.0),
+            wire::Class::Long => {
+                self.quick_run = 0;
+                self.long_charge = charge.0;
+            }
+        }
         if let Some(account) = self.accounts.get(workspace) {
             let charge = account.weight.normalize(charge);
             self.largest = (self.largest - self.largest / 1024).max(charge);
