--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -1,6 +1,7 @@
 //! Configuration in force: what the operators declared.
 
 mod base;
+mod change;
 mod delta;
 mod difference;
 mod digest;
@@ -9,9 +10,11 @@
 mod finding;
 mod fleet;
 mod head;
+mod limits;
 mod load;
 mod map;
 mod overlay;
+mod patch;
 mod place;
 mod reader;
 mod render;
@@ -19,12 +22,14 @@
 mod section;
 mod service;
 mod source;
+mod step;
 pub mod store;
 mod target;
 mod update;
 mod workspace;
 
 pub use self::{
+    change::{Change, InvalidChange},
     delta::Delta,
     difference::Difference,
     digest::{Digest, InvalidDigest},
@@ -32,16 +37,19 @@
     engine::Engine,
     finding::{Finding, Findings},
     fleet::Fleet,
-    head::{Change, Entry, Head, InvalidChange},
+    head::{Entry, Head},
+    limits::Limits,
     load::{check, load},
     map::Map,
-    overlay::{Limits, Overlay, Patch},
+    overlay::Overlay,
+    patch::Patch,
     place::Place,
     replica::Replica,
     service::{Kind, Service},
     source::{Source, Unreadable},
+    step::Step,
     store::Store,
     target::Target,
-    update::{Damaged, Step, Update},
+    update::{Damaged, Update},
     workspace::Workspace,
 };
--- a/src/front/exchange/relay.rs
+++ b/src/front/exchange/relay.rs
@@ -1,15 +1,15 @@
 //! The ways of an answer from the target to the caller.
 
-use super::{Attempt, Caller, End, Exchange, aborted, header};
+use super::{Attempt, Caller, End, Exchange, aborted, header, resume_of};
 use crate::{
-    clock,
+    answer, clock,
     front::{Answer, Event, whole},
     ingress,
     unit::{Cost, Span, Time},
     wire::Outcome,
 };
 use bytes::Bytes;
-use http::{Response, response};
+use http::{Method, Response, StatusCode, response};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 
@@ -33,14 +33,31 @@
         if self.is_model() && header::is_event_stream(&head.headers) {
             return self.stream(attempt, caller, head, body).await;
         }
+        if matches!(caller, Caller::Streaming(_)) {
+            // The caller has a part of a stream, and this is not its rest.
+            return self.broken(attempt, resume_of(attempt));
+        }
+        let bodyless = self.message.method == Method::HEAD
+            || matches!(
+                head.status,
+                StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED
+            );
+        if !bodyless && answer::check_framing(&head.headers).is_err() {
+            return self.broken(attempt, ingress::Resume::Start);
+        }
         match length {
-            Some(length) if length <= MAX_WHOLE_BYTES => {
+            Some(length) if length <= MAX_WHOLE_BYTES && !self.is_bodyless(head.status) => {
                 self.whole(attempt, caller, head, body).await
             }
             _ => self.pass(attempt, caller, head, body).await,
         }
     }
 
+    /// Reports whether an answer has no body whatever length it names (RFC 9110, 8.6).
+    fn is_bodyless(&self, status: StatusCode) -> bool {
+        self.message.method == Method::HEAD || status == StatusCode::NOT_MODIFIED
+    }
+
     /// Reads an answer whole, then gives it to the caller: one that breaks can be asked for again.
     async fn whole(
         &mut self,
@@ -92,11 +109,13 @@
         let chunks = caller.open(head, self.idle);
         loop {
             let frame = tokio::select! {
-                frame = body.frame() => frame,
-                () = chunks.closed() => return self.cancelled(attempt),
+                // A caller that has all bytes may close before the target's end is seen here.
+                biased;
                 () = aborted(&mut self.orders, &mut self.rejection, attempt.id) => {
                     return self.cancelled(attempt);
                 }
+                frame = body.frame() => frame,
+                () = chunks.closed() => return self.cancelled(attempt),
             };
             let chunk = match frame {
                 Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
@@ -107,6 +126,8 @@
                 return self.cancelled(attempt);
             }
         }
+        // A caller with all bytes of a known length does not wait for the end.
+        let _ = chunks.finish().await;
         End {
             outcome: Outcome::Answered,
             cost: self.cost(attempt, &[]),
@@ -132,11 +153,13 @@
         let mut reported = clock::now();
         loop {
             let frame = tokio::select! {
-                frame = body.frame() => frame,
-                () = chunks.closed() => return self.stream_end(Outcome::Cancelled, before),
+                // A caller that has all bytes may close before the target's end is seen here.
+                biased;
                 () = aborted(&mut self.orders, &mut self.rejection, attempt.id) => {
                     return self.stream_end(Outcome::Cancelled, before);
                 }
+                frame = body.frame() => frame,
+                () = chunks.closed() => return self.stream_end(Outcome::Cancelled, before),
             };
             let Some(Ok(frame)) = frame else {
                 break;
@@ -153,7 +176,11 @@
             self.report(attempt, before, &mut reported);
         }
         let outcome = match self.stream.finish() {
-            Ok(()) => Outcome::Answered,
+            Ok(()) => {
+                // A caller that read the end mark may have closed already.
+                let _ = chunks.finish().await;
+                Outcome::Answered
+            }
             Err(_) => Outcome::Broken,
         };
         self.stream_end(outcome, before)
