--- a/tests/owner.rs
+++ b/tests/owner.rs
@@ -333,3 +333,58 @@
     let messages = bench.step(owner::Event::Tick);
     assert_eq!(granted(&messages), [3], "the wait is over");
 }
+
+#[test]
+fn router_lost_frees_slots() {
+    let mut bench = Bench::open(&[1], &[]);
+    bench.ask("a", 200);
+    let mut ask = bench.request("b", wire::Class::Long, 200);
+    ask.attempt.incarnation = id::Incarnation(2);
+    let from = name("other");
+    bench.step(owner::Event::Ask { from, ask });
+    let messages = bench.step(owner::Event::RouterLost {
+        router: name(INGRESS),
+        incarnation: None,
+    });
+    assert_eq!(granted(&messages), [2]);
+}
+
+#[test]
+fn resync_unrepeated_is_void() {
+    let mut bench = Bench::open(&[2], &[]);
+    bench.ask("a", 200);
+    let kept = bench.request("b", wire::Class::Long, 200);
+    bench.send(kept.clone());
+    let (waiting, _) = bench.ask("c", 200);
+    let from = name(INGRESS);
+    bench.step(owner::Event::Resync { from });
+    bench.send(kept);
+    let mut again = bench.request("c", wire::Class::Long, 200);
+    again.attempt = attempt(waiting);
+    bench.send(again);
+    bench.now = bench.now + Span::from_secs(4);
+    let messages = bench.step(owner::Event::Tick);
+    assert_eq!(granted(&messages), [waiting]);
+}
+
+#[test]
+fn drain_refuses() {
+    let mut bench = Bench::open(&[1], &[]);
+    bench.ask("a", 200);
+    bench.ask("a", 200);
+    let messages = bench.step(owner::Event::Drain);
+    assert_eq!(reason(&messages), Some(wire::Reason::Draining));
+}
+
+#[test]
+fn load_limit_follows() {
+    let mut slots = owner::Slots::new(8);
+    slots.running = 8;
+    slots.learn(Time(0), 5, 3);
+    assert_eq!(slots.limit, 6);
+    slots.learn(Time(1), 5, 3);
+    assert_eq!(slots.limit, 6, "the report lags");
+    slots.running = 6;
+    slots.learn(Time(4_000_000), 6, 0);
+    assert_eq!(slots.limit, 7);
+}
