--- a/src/daemon/settings.rs
+++ b/src/daemon/settings.rs
@@ -1,7 +1,7 @@
 //! Settings of the daemon, from flags and environment variables.
 
 use crate::{front, id, log, unit::Span};
-use std::{fmt, fs, net::SocketAddr, path::PathBuf, str::FromStr};
+use std::{collections::BTreeMap, fmt, fs, net::SocketAddr, path::PathBuf, str::FromStr};
 
 /// Settings of the daemon, checked.
 #[derive(Clone, Debug)]
@@ -160,6 +160,14 @@
         if operator.is_some() && operator_key.is_none() {
             check.find("operator", "needs --operator-key-file");
         }
+        check.file("base", &self.base);
+        check.file("overlay", &self.overlay);
+        check.distinct([
+            ("listen", listen),
+            ("peer", peer),
+            ("health", health),
+            ("operator", operator),
+        ]);
         if self.base.is_none() && self.overlay.is_some() {
             check.find("overlay", "needs --base");
         }
@@ -219,12 +227,15 @@
             1..=1 << 20,
             default.connections as u64,
         );
+        let idle = check.optional("idle-timeout", &self.idle_timeout);
+        let idle = idle.unwrap_or(default.idle);
+        if idle == Span(0) {
+            check.find("idle-timeout", "must be longer than 0s");
+        }
         front::Limits {
             connections: connections as usize,
             body_bytes: body as usize,
-            idle: check
-                .optional("idle-timeout", &self.idle_timeout)
-                .unwrap_or(default.idle),
+            idle,
             notice: check
                 .optional("drain-notice", &self.drain_notice)
                 .unwrap_or(default.notice),
@@ -310,6 +321,30 @@
         values.collect::<Vec<_>>().into_iter().flatten().collect()
     }
 
+    /// Checks that a file can be read; its content is checked with its place in it, later.
+    fn file(&mut self, flag: &'static str, path: &Option<Box<str>>) {
+        let Some(path) = path.as_deref() else {
+            return;
+        };
+        if let Err(error) = fs::read(path) {
+            self.find(flag, format!("the file {path:?} cannot be read: {error}"));
+        }
+    }
+
+    /// Checks that no two interfaces have the same address.
+    fn distinct<const N: usize>(&mut self, addresses: [(&'static str, Option<SocketAddr>); N]) {
+        let mut seen = BTreeMap::new();
+        for (flag, address) in addresses {
+            let Some(address) = address.filter(|address| address.port() != 0) else {
+                continue;
+            };
+            match seen.get(&address) {
+                Some(other) => self.find(flag, format!("{address} is the address of --{other}")),
+                None => drop(seen.insert(address, flag)),
+            }
+        }
+    }
+
     fn secret(&mut self, flag: &'static str, path: &Option<Box<str>>) -> Option<Secret> {
         let path = path.as_deref()?;
         match fs::read_to_string(path) {
--- a/tests/callers.rs
+++ b/tests/callers.rs
@@ -98,6 +98,9 @@
     let fleet = routed(&[]);
     let head = format!("GET / HTTP/1.1\r\nx: {}\r\n\r\n", "x".repeat(80_000));
     assert_refused(&raw(&fleet, head.as_bytes()), 431);
+    let filled = |bytes| GOOD.replace("host", &format!("x: {}\r\nhost", "x".repeat(bytes)));
+    let answer = raw(&fleet, filled(30_000).as_bytes());
+    assert_eq!(answer.status, 200, "{answer:?}");
     assert_serves(&fleet);
 }
 
