Owner split by matter; standard names for the ingress controller and the link's bootstrap object

A request whose connection closed before any byte was sent is 'not run' and may be tried elsewhere (it was told as unknown), and connecting to a target ends with the grant.

--- a/src/daemon/control/claims.rs
+++ b/src/daemon/control/claims.rs
@@ -1,4 +1,4 @@
-//! Claims: between the registry, the platform's table and the desk.
+//! Claims: between the registry, the platform's table and the ingress controller.
 
 use super::Control;
 use crate::{claim, ingress, platform, unit::Time};
@@ -11,7 +11,7 @@
             match action {
                 claim::Action::Send(envelope) => self.mail.push_back(envelope),
                 claim::Action::Verdict { attempt, verdict } => {
-                    self.desk(now, ingress::Event::Claimed { attempt, verdict });
+                    self.ingress(now, ingress::Event::Claimed { attempt, verdict });
                 }
                 call => self.call_table(now, call),
             }
--- a/src/daemon/control/members.rs
+++ b/src/daemon/control/members.rs
@@ -61,7 +61,7 @@
         };
         self.registry(now, lost);
         self.replace(now);
-        self.desk(now, ingress::Event::RouterLost { router });
+        self.ingress(now, ingress::Event::RouterLost { router });
     }
 
     /// Finds owners anew after a change of members or configuration.
@@ -76,7 +76,7 @@
         self.owner(now, owner::Event::Owned(owned));
         self.mark_unfit(now);
         self.refresh(now);
-        self.desk(now, ingress::Event::Placement);
+        self.ingress(now, ingress::Event::Placement);
     }
 
     pub(super) fn probe(&mut self, now: Time, event: probe::Event) {
@@ -103,7 +103,7 @@
                 }
                 self.mark_unfit(now);
                 self.refresh(now);
-                self.desk(now, ingress::Event::Placement);
+                self.ingress(now, ingress::Event::Placement);
             }
         }
     }
@@ -145,7 +145,7 @@
         let state = self.parts.state.clone();
         state.publish(
             self.parts.membership.view(),
-            self.desk.len(),
+            self.ingress.len(),
             self.running.len(),
         );
     }
--- a/src/daemon/control/mod.rs
+++ b/src/daemon/control/mod.rs
@@ -60,7 +60,7 @@
     /// Owned targets that fail their health checks.
     unfit: BTreeSet<id::Target>,
     routes: Routes,
-    desk: ingress::Desk,
+    ingress: ingress::Controller,
     owner: owner::Owner,
     tally: tally::Tally,
     registry: claim::Registry,
@@ -87,7 +87,7 @@
         let settings = ingress::Settings::default();
         Self {
             routes: Routes::new(parts.domain.clone()),
-            desk: ingress::Desk::open(parts.incarnation, settings, random::seeded()),
+            ingress: ingress::Controller::open(parts.incarnation, settings, random::seeded()),
             owner: owner::Owner::new(parts.router.clone(), parts.incarnation),
             tally: tally::Tally::new(),
             registry,
@@ -149,7 +149,7 @@
         let gap = now.since(self.last);
         if gap >= PAUSE {
             slog::warn!(self.parts.log, "process was paused"; "gap_ms" => gap.as_millis());
-            self.desk(now, ingress::Event::Paused);
+            self.ingress(now, ingress::Event::Paused);
         }
     }
 
@@ -170,7 +170,7 @@
 
     fn tick(&mut self, now: Time) {
         self.member(now, member::Event::Tick);
-        self.desk(now, ingress::Event::Tick);
+        self.ingress(now, ingress::Event::Tick);
         self.owner(now, owner::Event::Tick);
         self.registry(now, claim::Event::Tick);
         if now.since(self.refreshed) >= REFRESH_PERIOD {
@@ -192,7 +192,7 @@
                 slog::info!(self.parts.log, "link broken"; "peer" => %peer, "cause" => %cause);
                 self.member(now, member::Event::Unreachable(peer.clone()));
                 self.registry(now, claim::Event::Resync { from: peer.clone() });
-                self.desk(now, ingress::Event::Resync { from: peer });
+                self.ingress(now, ingress::Event::Resync { from: peer });
             }
         }
     }
@@ -240,7 +240,7 @@
                     attempt,
                     target,
                 };
-                self.desk(now, granted);
+                self.ingress(now, granted);
             }
             Message::Refuse { attempt, refusal } => {
                 let refused = ingress::Event::Refused {
@@ -248,7 +248,7 @@
                     attempt,
                     refusal,
                 };
-                self.desk(now, refused);
+                self.ingress(now, refused);
             }
             Message::Move { attempt, target } => {
                 let moved = ingress::Event::Moved {
@@ -256,7 +256,7 @@
                     attempt,
                     target,
                 };
-                self.desk(now, moved);
+                self.ingress(now, moved);
             }
             Message::Report(report) => self.tally(now, tally::Event::Report { from, report }),
             Message::Resync => self.resync(now, from),
@@ -290,14 +290,14 @@
     fn resync(&mut self, now: Time, from: id::Router) {
         self.owner(now, owner::Event::Resync { from: from.clone() });
         self.registry(now, claim::Event::Resync { from: from.clone() });
-        self.desk(now, ingress::Event::Resync { from });
+        self.ingress(now, ingress::Event::Resync { from });
     }
 
     fn drain(&mut self, now: Time) {
         if self.draining {
             return;
         }
-        slog::info!(self.parts.log, "shutting down"; "requests" => self.desk.len());
+        slog::info!(self.parts.log, "shutting down"; "requests" => self.ingress.len());
         self.draining = true;
         self.parts.state.drain();
         self.owner(now, owner::Event::Drain);
--- a/src/daemon/control/requests.rs
+++ b/src/daemon/control/requests.rs
@@ -1,4 +1,4 @@
-//! Callers' requests: between the front, the desk and the tasks that carry them.
+//! Callers' requests: between the front, the ingress controller and the tasks that carry them.
 
 use super::Control;
 use crate::{
@@ -19,16 +19,16 @@
                 self.orders.insert(request, orders);
                 self.parts.state.recent().arrive(request, &call, now);
                 let request = request_of(request, call, now);
-                self.desk(now, ingress::Event::Request(request));
+                self.ingress(now, ingress::Event::Request(request));
             }
             front::Event::Gone { request } => {
                 self.orders.remove(&request);
                 self.parts.state.recent().cancel(request);
-                self.desk(now, ingress::Event::Cancelled { request });
+                self.ingress(now, ingress::Event::Cancelled { request });
             }
-            front::Event::Sent { attempt } => self.desk(now, ingress::Event::Sent { attempt }),
+            front::Event::Sent { attempt } => self.ingress(now, ingress::Event::Sent { attempt }),
             front::Event::Progress { attempt, cost } => {
-                self.desk(now, ingress::Event::Progress { attempt, cost });
+                self.ingress(now, ingress::Event::Progress { attempt, cost });
             }
             front::Event::Ended {
                 attempt,
@@ -48,7 +48,7 @@
                     resume,
                     answer: answer.map(|answer| answer.encode()),
                 };
-                self.desk(now, ended);
+                self.ingress(now, ended);
                 if let (Some(request), Outcome::Answered) = (request, outcome) {
                     self.orders.remove(&request);
                 }
@@ -60,9 +60,9 @@
         }
     }
 
-    pub(super) fn desk(&mut self, now: Time, event: ingress::Event) {
+    pub(super) fn ingress(&mut self, now: Time, event: ingress::Event) {
         let mut actions = Vec::new();
-        self.desk.step(now, event, &self.routes, &mut actions);
+        self.ingress.step(now, event, &self.routes, &mut actions);
         for action in actions {
             self.act(now, action);
         }
@@ -141,7 +141,7 @@
                 resume: resume.map_or(ingress::Resume::Start, ingress::Resume::After),
                 answer: None,
             };
-            self.desk(now, ended);
+            self.ingress(now, ended);
         }
         declared
     }
--- a/src/front/exchange/mod.rs
+++ b/src/front/exchange/mod.rs
@@ -14,7 +14,7 @@
 use http::{HeaderMap, Request, Response};
 use http_body_util::Full;
 use opentelemetry::KeyValue;
-use std::{mem, sync::Arc};
+use std::{mem, sync::Arc, time::Duration};
 use tokio::sync::{mpsc, oneshot};
 
 /// One request and all that is needed to carry it.
@@ -185,11 +185,18 @@
         attempt: &Attempt,
         caller: &mut Caller,
     ) -> Result<upstream::Lease, Outcome> {
+        // A target that swallows packets must not hold the slot past the grant.
+        let limit = Duration::from(attempt.expires.since(clock::now()));
+        let lease = self
+            .pool
+            .lease(attempt.target.address, self.service.idempotent);
         let leased = tokio::select! {
-            leased = self.pool.lease(attempt.target.address, self.service.idempotent) => leased,
+            leased = tokio::time::timeout(limit, lease) => leased,
             () = caller.closed() => return Err(Outcome::Cancelled),
         };
-        let lease = leased.map_err(|_| Outcome::Unreachable)?;
+        let Ok(Ok(lease)) = leased else {
+            return Err(Outcome::Unreachable);
+        };
         // The process may have been paused since the grant; nothing may be sent on a stale one.
         if clock::now() > attempt.expires {
             return Err(Outcome::Cancelled);
@@ -221,7 +228,7 @@
                 // The library hands the request back if no byte of it was sent.
                 let unsent = error.take_message().is_some();
                 return if unsent {
-                    End::of(Outcome::Unreachable)
+                    End::of(Outcome::NotRun)
                 } else {
                     self.broken(attempt, ingress::Resume::Start)
                 };
--- a/src/ingress/action.rs
+++ b/src/ingress/action.rs
@@ -1,9 +1,9 @@
-//! Actions that a desk asks for.
+//! Actions that a controller asks for.
 
 use super::Rejection;
 use crate::{claim, id, unit::Time, wire};
 
-/// Action that a desk asks for.
+/// Action that a controller asks for.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Action {
     /// Send a message to a router.
--- a/src/ingress/desk.rs
+++ b/src/ingress/controller.rs
@@ -24,7 +24,7 @@
 
 /// Drives the requests that this router took, each from its arrival to its one final answer.
 #[derive(Debug)]
-pub struct Desk {
+pub struct Controller {
     incarnation: id::Incarnation,
     settings: Settings,
     sequence: u64,
@@ -38,8 +38,8 @@
     draining: bool,
 }
 
-impl Desk {
-    /// Returns a desk without requests; `random` seeds its delays and choices.
+impl Controller {
+    /// Returns a controller without requests; `random` seeds its delays and choices.
     pub fn open(incarnation: id::Incarnation, settings: Settings, random: ChaCha8Rng) -> Self {
         Self {
             incarnation,
@@ -136,7 +136,7 @@
         self.place(job, turn);
     }
 
-    /// Asks for a slot at a target of the desk's choice.
+    /// Asks for a slot at a target of the controller's choice.
     fn place(&mut self, job: Job, turn: &mut Turn<'_>) {
         let seed = self.backoff.seed();
         let choice = job.pick(turn.placement, seed);
--- a/src/ingress/event.rs
+++ b/src/ingress/event.rs
@@ -1,9 +1,9 @@
-//! Events that a desk is told.
+//! Events that a controller is told.
 
 use super::{Request, Resume};
 use crate::{claim, id, unit::Cost, wire};
 
-/// Event that a desk is told.
+/// Event that a controller is told.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Event {
     /// The front took a request.
--- a/src/ingress/mod.rs
+++ b/src/ingress/mod.rs
@@ -3,7 +3,7 @@
 mod action;
 mod backoff;
 mod budget;
-mod desk;
+mod controller;
 mod event;
 mod job;
 mod placement;
@@ -16,7 +16,7 @@
 
 pub use self::{
     action::Action,
-    desk::Desk,
+    controller::Controller,
     event::Event,
     placement::Placement,
     rejection::{Doubt, Rejection},
--- a/src/ingress/settings.rs
+++ b/src/ingress/settings.rs
@@ -1,8 +1,8 @@
-//! Settings of a desk.
+//! Settings of a controller.
 
 use crate::unit::Span;
 
-/// Settings of a desk.
+/// Settings of a controller.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Settings {
     /// Attempts that one request may start, at most.
--- a/src/ingress/turn.rs
+++ b/src/ingress/turn.rs
@@ -1,9 +1,9 @@
-//! One step of a desk.
+//! One step of a controller.
 
 use super::{Action, Placement};
 use crate::{id, unit::Time, wire};
 
-/// One step of a desk: its inputs and its output.
+/// One step of a controller: its inputs and its output.
 pub(super) struct Turn<'a> {
     /// Time of the step.
     pub(super) now: Time,
--- a/src/link/server.rs
+++ b/src/link/server.rs
@@ -92,12 +92,12 @@
         super::links::reader_options(),
     );
     let entered = Rc::<Cell<bool>>::default();
-    let door = Door {
+    let bootstrap = Bootstrap {
         shared,
         nonces: RefCell::default(),
         entered: entered.clone(),
     };
-    let client: schema::peer::Client = capnp_rpc::new_client(door);
+    let client: schema::peer::Client = capnp_rpc::new_client(bootstrap);
     let mut system = RpcSystem::new(Box::new(network), Some(client.client));
     let early = time::timeout(HELLO_TIMEOUT.into(), &mut system).await;
     if early.is_err() && entered.get() {
@@ -106,13 +106,13 @@
 }
 
 /// First object of a connection: lets in whoever proves to hold the fleet key.
-struct Door<E> {
+struct Bootstrap<E> {
     shared: Rc<Shared<E>>,
     nonces: RefCell<Option<Nonces>>,
     entered: Rc<Cell<bool>>,
 }
 
-impl<E: From<Event> + 'static> schema::peer::Server for Door<E> {
+impl<E: From<Event> + 'static> schema::peer::Server for Bootstrap<E> {
     async fn challenge(
         self: Rc<Self>,
         params: schema::peer::ChallengeParams,
--- /dev/null
+++ b/src/owner/machine/grants.rs
@@ -0,0 +1,199 @@
+//! Slots: granted in fair order, charged while they are held, and free again.
+
+use super::{Owner, pulls::pull_message};
+use crate::{
+    id,
+    owner::{entry::State, pool::Pool},
+    unit::{Cost, Span},
+    wire,
+};
+use std::mem;
+
+/// Time after a running request's deadline at which its slot counts as free.
+const LEASE_GRACE: Span = Span::from_secs(5);
+/// Pause of a target that could not be reached.
+const UNREACHABLE_PAUSE: Span = Span::from_secs(1);
+
+impl Owner {
+    /// Grants free slots while requests wait.
+    pub(super) fn dispatch(&mut self, service: &id::Service, out: &mut Vec<wire::Envelope>) {
+        while self.grant(service, out) {}
+        self.ask_for_work(service, out);
+    }
+
+    pub(super) fn dispatch_all(&mut self, out: &mut Vec<wire::Envelope>) {
+        let services: Vec<_> = self.pools.keys().cloned().collect();
+        for service in services {
+            self.dispatch(&service, out);
+        }
+    }
+
+    /// Grants one slot; reports whether there was one to grant.
+    pub(super) fn grant(&mut self, service: &id::Service, out: &mut Vec<wire::Envelope>) -> bool {
+        let now = self.now;
+        let Some(pool) = self.pools.get(service) else {
+            return false;
+        };
+        let Some((workspace, class)) = pool.pick(now) else {
+            return false;
+        };
+        if class == wire::Class::Long && self.hold(service, &workspace, out) {
+            return false;
+        }
+        let Some(pool) = self.pools.get_mut(service) else {
+            return false;
+        };
+        let Some(attempt) = pool.head(&workspace, class) else {
+            return false;
+        };
+        let Some(entry) = self.entries.get_mut(&attempt) else {
+            return false;
+        };
+        let Some(target) = pool.pick_target(now, &entry.ask.target) else {
+            return false;
+        };
+        pool.granted(now, &workspace, class, entry.estimate);
+        pool.start(now, entry, &target, entry.estimate);
+        let lease = entry.deadline + LEASE_GRACE;
+        self.deadlines.remove(&(entry.deadline, attempt));
+        self.deadlines.insert((lease, attempt));
+        entry.deadline = lease;
+        entry.state = State::Running {
+            target: target.clone(),
+            charged: entry.estimate,
+            progress: Cost(0),
+            base: Cost(0),
+            since: now,
+        };
+        out.push(wire::Envelope {
+            to: entry.from.clone(),
+            message: wire::Message::Grant { attempt, target },
+        });
+        true
+    }
+
+    /// Reports whether the free slots wait for work that is due before that of a workspace.
+    ///
+    /// The first time asks for that work.
+    pub(super) fn hold(
+        &mut self,
+        service: &id::Service,
+        workspace: &id::Workspace,
+        out: &mut Vec<wire::Envelope>,
+    ) -> bool {
+        let now = self.now;
+        let Some(pool) = self.pools.get_mut(service) else {
+            return false;
+        };
+        let free = pool.free(now);
+        let due_before = pool.due_before(workspace);
+        let lowest = pool.peers.first().filter(|(floor, _)| *floor < due_before);
+        let Some((_, to)) = lowest.filter(|_| !self.draining).cloned() else {
+            pool.hold.end(now, free);
+            return false;
+        };
+        if let Some(until) = pool.hold.until() {
+            if until <= now {
+                pool.hold.end(now, free);
+            }
+            return now < until;
+        }
+        let Some(target) = pool.roomiest(now) else {
+            return false;
+        };
+        if !pool.hold.start(now, pool.limit()) {
+            return false;
+        }
+        pool.note_pull(now);
+        out.push(pull_message(to, service, target, free));
+        true
+    }
+
+    /// Takes a running request over from an earlier owner.
+    pub(super) fn held(&mut self, from: id::Router, ask: wire::Ask, cost: Cost) {
+        let attempt = ask.attempt;
+        self.confirm(&attempt);
+        let known = self.entries.get(&attempt).map(|entry| &entry.state);
+        if let Some(State::Running { .. }) = known {
+            self.progress(&[(attempt, cost)]);
+            return;
+        }
+        let owns = |pool: &Pool| pool.slots.contains_key(&ask.target);
+        if !self.pools.get(&ask.service).is_some_and(owns) {
+            return;
+        }
+        self.remove(&attempt);
+        let target = ask.target.clone();
+        self.enqueue(from, ask);
+        let Some(entry) = self.entries.get_mut(&attempt) else {
+            return;
+        };
+        let Some(pool) = self.pools.get_mut(&entry.ask.service) else {
+            return;
+        };
+        let charged = entry.estimate.max(cost);
+        pool.start(self.now, entry, &target, charged.saturating_sub(cost));
+        let lease = entry.deadline + LEASE_GRACE;
+        self.deadlines.remove(&(entry.deadline, attempt));
+        self.deadlines.insert((lease, attempt));
+        entry.deadline = lease;
+        entry.state = State::Running {
+            target,
+            charged,
+            progress: cost,
+            base: cost,
+            since: self.now,
+        };
+    }
+
+    /// Takes costs of running requests.
+    pub(super) fn progress(&mut self, costs: &[(id::Attempt, Cost)]) {
+        for (attempt, cost) in costs {
+            self.confirm(attempt);
+            let Some(entry) = self.entries.get_mut(attempt) else {
+                continue;
+            };
+            let State::Running {
+                charged, progress, ..
+            } = &mut entry.state
+            else {
+                continue;
+            };
+            *progress = (*progress).max(*cost);
+            let old = mem::replace(charged, entry.estimate.max(*progress));
+            let new = *charged;
+            if let Some(pool) = self.pools.get_mut(&entry.ask.service)
+                && old != new
+            {
+                pool.update(self.now, &entry.ask.workspace, |a| a.correct(old, new));
+            }
+        }
+    }
+
+    /// Settles a request that ended.
+    pub(super) fn done(
+        &mut self,
+        attempt: &id::Attempt,
+        cost: Cost,
+        outcome: wire::Outcome,
+        out: &mut Vec<wire::Envelope>,
+    ) {
+        let Some(entry) = self.remove_as(attempt, Some(cost)) else {
+            return;
+        };
+        let Some(pool) = self.pools.get_mut(&entry.ask.service) else {
+            return;
+        };
+        if let State::Running { target, since, .. } = &entry.state {
+            if outcome == wire::Outcome::Unreachable
+                && let Some(slots) = pool.slots.get_mut(target)
+            {
+                slots.pause_for(self.now, UNREACHABLE_PAUSE);
+            }
+            if outcome == wire::Outcome::Answered {
+                pool.learn(&entry, cost, self.now.since(*since));
+            }
+        }
+        self.dispatch(&entry.ask.service, out);
+    }
+}
--- /dev/null
+++ b/src/owner/machine/mod.rs
@@ -0,0 +1,285 @@
+//! Decides who gets the slots of the targets that a router owns.
+
+mod asks;
+mod grants;
+mod pulls;
+mod targets;
+
+use super::{
+    Event, Peer, Snapshot,
+    entry::{Entry, State},
+    pool::Pool,
+};
+use crate::{
+    config, id,
+    unit::{Cost, Span, Time},
+    wire,
+};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    mem,
+    sync::Arc,
+};
+
+/// Owners that a request may have had and still be moved.
+const MAX_HOPS: u8 = 4;
+/// Time in which an ingress repeats its requests after a broken link.
+const CONFIRM: Span = Span::from_secs(3);
+/// Reports of an account after it became inactive; several, since each may be lost.
+const QUIET_REPORTS: u8 = 3;
+
+/// Queues of the targets that a router owns.
+#[derive(Debug)]
+pub struct Owner {
+    router: id::Router,
+    incarnation: id::Incarnation,
+    fleet: Arc<config::Fleet>,
+    owned: BTreeSet<id::Target>,
+    pools: BTreeMap<id::Service, Pool>,
+    entries: BTreeMap<id::Attempt, Entry>,
+    deadlines: BTreeSet<(Time, id::Attempt)>,
+    unconfirmed: BTreeSet<(Time, id::Attempt)>,
+    peers: Vec<Peer>,
+    draining: bool,
+    sequence: u64,
+    now: Time,
+}
+
+impl Owner {
+    /// Returns an owner without targets.
+    pub fn new(router: id::Router, incarnation: id::Incarnation) -> Self {
+        Self {
+            router,
+            incarnation,
+            fleet: Arc::default(),
+            owned: BTreeSet::new(),
+            pools: BTreeMap::new(),
+            entries: BTreeMap::new(),
+            deadlines: BTreeSet::new(),
+            unconfirmed: BTreeSet::new(),
+            peers: Vec::new(),
+            draining: false,
+            sequence: 0,
+            now: Time(0),
+        }
+    }
+
+    /// Takes an event and adds the messages that follow from it.
+    pub fn step(&mut self, now: Time, event: Event, out: &mut Vec<wire::Envelope>) {
+        self.now = self.now.max(now);
+        match event {
+            Event::Config(fleet) => self.configure(fleet, out),
+            Event::Owned(targets) => {
+                self.owned = targets.into_iter().collect();
+                self.sync_targets(out);
+            }
+            Event::Ask { from, ask } => self.ask(from, ask, out),
+            Event::Withdraw { attempt, .. } => self.withdraw(&attempt, out),
+            Event::Held { from, ask, cost } => self.held(from, ask, cost),
+            Event::Progress { costs, .. } => self.progress(&costs),
+            Event::Done {
+                attempt,
+                cost,
+                outcome,
+                ..
+            } => self.done(&attempt, cost, outcome, out),
+            Event::Levels(levels) => self.learn_levels(&levels),
+            Event::Load {
+                target,
+                running,
+                waiting,
+            } => self.load(&target, running, waiting, out),
+            Event::Unfit { target, until } => self.unfit(&target, until, out),
+            Event::Fit { target } => self.fit(&target, out),
+            Event::Pull {
+                from,
+                service,
+                target,
+                free,
+            } => self.pull(&from, &service, &target, free, out),
+            Event::Peers(peers) => self.learn_peers(peers),
+            Event::RouterLost {
+                router,
+                incarnation,
+            } => self.router_lost(&router, incarnation, out),
+            Event::Resync { from } => self.resync(&from),
+            Event::Drain => self.drain(out),
+            Event::Tick => self.tick(out),
+        }
+    }
+
+    /// Returns the load of each owned target, as everybody is told.
+    pub fn loads(&self) -> Vec<wire::Load> {
+        let mut loads = Vec::new();
+        for pool in self.pools.values() {
+            let targets = pool.slots.len().max(1) as u64;
+            loads.extend(pool.slots.iter().map(|(name, slots)| wire::Load {
+                target: name.clone(),
+                free: slots.free(self.now),
+                slots: slots.limit,
+                waiting: Cost(pool.waiting_cost.0.div_ceil(targets)),
+            }));
+        }
+        loads
+    }
+
+    /// Returns the lowest level of the backlogged workspaces of each service.
+    pub fn floors(&self) -> Vec<(id::Service, u64)> {
+        let floors = self.pools.iter().filter_map(|(name, pool)| {
+            let floor = pool.floor(self.now)?;
+            Some((name.clone(), floor))
+        });
+        floors.collect()
+    }
+
+    /// Returns the reports of the service given, each to the tally that `placement` names.
+    pub fn reports(
+        &mut self,
+        now: Time,
+        placement: &dyn Fn(&id::Workspace) -> Option<id::Router>,
+    ) -> Vec<wire::Envelope> {
+        self.now = self.now.max(now);
+        let mut usage: BTreeMap<id::Router, Vec<wire::Usage>> = BTreeMap::new();
+        for (name, pool) in &mut self.pools {
+            for workspace in mem::take(&mut pool.changed) {
+                let Some(account) = pool.accounts.get_mut(&workspace) else {
+                    continue;
+                };
+                if let Some(tally) = placement(&workspace) {
+                    let entry = account.usage(&workspace, name);
+                    usage.entry(tally).or_default().push(entry);
+                }
+                account.quiet = account.quiet.saturating_add(1);
+                if account.is_reported(QUIET_REPORTS) {
+                    continue;
+                }
+                pool.changed.insert(workspace);
+            }
+        }
+        let floors = self.floors();
+        self.sequence += 1;
+        let report = |(to, usage)| wire::Envelope {
+            to,
+            message: wire::Message::Report(wire::Report {
+                incarnation: self.incarnation,
+                sequence: self.sequence,
+                usage,
+                floors: floors.clone(),
+            }),
+        };
+        usage.into_iter().map(report).collect()
+    }
+
+    /// Returns the state of each workspace's queue.
+    pub fn snapshot(&self) -> Vec<Snapshot> {
+        let mut rows = Vec::new();
+        for (name, pool) in &self.pools {
+            let accounts = pool.accounts.iter();
+            rows.extend(accounts.map(|(workspace, account)| account.snapshot(workspace, name)));
+        }
+        rows.sort_by(|a, b| (&a.service, &a.workspace).cmp(&(&b.service, &b.workspace)));
+        rows
+    }
+
+    /// Returns the time at which the owner wants a `Tick`, if that is before the regular one.
+    pub fn wake(&self) -> Option<Time> {
+        let holds = self.pools.values().filter_map(|pool| pool.hold.until());
+        holds.min()
+    }
+
+    /// Takes levels from a tally.
+    fn learn_levels(&mut self, levels: &[wire::Level]) {
+        for level in levels {
+            let Some(pool) = self.pools.get_mut(&level.service) else {
+                continue;
+            };
+            pool.learn_level(self.now, level);
+        }
+    }
+
+    /// Frees what a dead ingress held.
+    fn router_lost(
+        &mut self,
+        router: &id::Router,
+        incarnation: Option<id::Incarnation>,
+        out: &mut Vec<wire::Envelope>,
+    ) {
+        let lost = |attempt: &id::Attempt, entry: &Entry| {
+            entry.from == *router && incarnation.is_none_or(|last| attempt.incarnation <= last)
+        };
+        let entries = self.entries.iter().filter(|(a, e)| lost(a, e));
+        let attempts: Vec<_> = entries.map(|(attempt, _)| *attempt).collect();
+        for attempt in attempts {
+            self.remove(&attempt);
+        }
+        self.dispatch_all(out);
+    }
+
+    /// Marks what a router must repeat.
+    fn resync(&mut self, from: &id::Router) {
+        let until = self.now + CONFIRM;
+        for (attempt, entry) in &mut self.entries {
+            if entry.from == *from && entry.confirm.is_none() {
+                entry.confirm = Some(until);
+                self.unconfirmed.insert((until, *attempt));
+            }
+        }
+    }
+
+    /// Hands all waiting requests on.
+    fn drain(&mut self, out: &mut Vec<wire::Envelope>) {
+        self.draining = true;
+        let services: Vec<_> = self.pools.keys().cloned().collect();
+        for service in services {
+            self.empty(&service, wire::Reason::Draining, out);
+        }
+    }
+
+    /// Ends waits and leases that ran out.
+    fn tick(&mut self, out: &mut Vec<wire::Envelope>) {
+        while let Some((at, attempt)) = self.deadlines.first().copied()
+            && at <= self.now
+        {
+            self.expire(&attempt, out);
+            self.deadlines.remove(&(at, attempt));
+        }
+        while let Some((at, attempt)) = self.unconfirmed.first().copied()
+            && at <= self.now
+        {
+            self.remove(&attempt);
+            self.unconfirmed.remove(&(at, attempt));
+        }
+        for pool in self.pools.values_mut() {
+            pool.forget(self.now);
+        }
+        self.dispatch_all(out);
+    }
+
+    /// Forgets a request; a running one stays charged as it is.
+    fn remove(&mut self, attempt: &id::Attempt) -> Option<Entry> {
+        self.remove_as(attempt, None)
+    }
+
+    /// Forgets a running request that another owner takes over, charged with its cost so far.
+    fn release(&mut self, attempt: &id::Attempt) {
+        let entry = self.entries.get(attempt);
+        let Some(State::Running { progress, .. }) = entry.map(|entry| &entry.state) else {
+            return;
+        };
+        let progress = *progress;
+        self.remove_as(attempt, Some(progress));
+    }
+
+    /// Forgets a request; a running one is settled at its final cost, if that is given.
+    fn remove_as(&mut self, attempt: &id::Attempt, cost: Option<Cost>) -> Option<Entry> {
+        let entry = self.entries.remove(attempt)?;
+        self.deadlines.remove(&(entry.deadline, *attempt));
+        if let Some(until) = entry.confirm {
+            self.unconfirmed.remove(&(until, *attempt));
+        }
+        if let Some(pool) = self.pools.get_mut(&entry.ask.service) {
+            pool.finish(self.now, &entry, cost);
+        }
+        Some(entry)
+    }
+}
--- /dev/null
+++ b/src/owner/machine/pulls.rs
@@ -0,0 +1,134 @@
+//! Work that moves between owners: asked for by those with free slots, given by those with a queue.
+
+use super::{MAX_HOPS, Owner};
+use crate::{config, id, owner::Peer, unit::Cost, wire};
+
+impl Owner {
+    /// Asks another owner for work when there is none here, or when the work there is due earlier.
+    pub(super) fn ask_for_work(&mut self, service: &id::Service, out: &mut Vec<wire::Envelope>) {
+        let Some(pool) = self.pools.get_mut(service) else {
+            return;
+        };
+        if self.draining || pool.peers.is_empty() || !pool.may_pull(self.now) {
+            return;
+        }
+        let count = pool.pull_count(self.now);
+        if count == 0 {
+            return;
+        }
+        let Some(to) = pool.pull_peer(pool.pull_ceiling(count)) else {
+            return;
+        };
+        let Some(target) = pool.roomiest(self.now) else {
+            return;
+        };
+        pool.note_pull(self.now);
+        out.push(pull_message(to, service, target, count));
+    }
+
+    /// Hands waiting requests to another owner, the lowest levels first.
+    ///
+    /// An owner with work of its own knows no more than the floor here, so it gets only what is
+    /// close to that.
+    pub(super) fn pull(
+        &mut self,
+        from: &id::Router,
+        service: &id::Service,
+        target: &id::Target,
+        free: u32,
+        out: &mut Vec<wire::Envelope>,
+    ) {
+        if *from == self.router || self.owned.contains(target) {
+            return;
+        }
+        let Some(pool) = self.pools.get(service) else {
+            return;
+        };
+        let idle = !self.has_work(from, service);
+        let ceiling = if idle { u64::MAX } else { pool.give_ceiling() };
+        let entries = &self.entries;
+        let movable = |attempt: &id::Attempt| {
+            let entry = entries.get(attempt);
+            entry.is_some_and(|entry| entry.ask.hops < MAX_HOPS)
+        };
+        for attempt in pool.fairest(free as usize, ceiling, movable) {
+            if let Some(entry) = self.remove(&attempt) {
+                move_to(entry.from, attempt, target.clone(), out);
+            }
+        }
+    }
+
+    /// Reports whether a peer told of waiting work.
+    pub(super) fn has_work(&self, router: &id::Router, service: &id::Service) -> bool {
+        let pool = self.pools.get(service);
+        pool.is_some_and(|pool| pool.peers.iter().any(|(_, peer)| peer == router))
+    }
+
+    /// Takes the state of the peers.
+    pub(super) fn learn_peers(&mut self, peers: Vec<Peer>) {
+        self.peers = peers;
+        self.peers.retain(|peer| peer.router != self.router);
+        for (name, pool) in &mut self.pools {
+            let floors = self.peers.iter().flat_map(|peer| &peer.floors);
+            let floors = floors.filter(|(service, _)| service == name);
+            pool.peer_floor = floors.map(|(_, floor)| *floor).min();
+            pool.peers = peers_with_work(&self.peers, &self.fleet, name);
+        }
+    }
+}
+
+/// Returns the peers that have waiting work for a service, the lowest floors first.
+pub(super) fn peers_with_work(
+    peers: &[Peer],
+    fleet: &config::Fleet,
+    service: &id::Service,
+) -> Vec<(u64, id::Router)> {
+    let of_service = |load: &&wire::Load| {
+        let target = fleet.targets.get(&load.target);
+        target.is_some_and(|t| &t.service == service)
+    };
+    let loaded = peers.iter().filter(|peer| {
+        let mut loads = peer.loads.iter().filter(of_service);
+        loads.any(|load| load.waiting > Cost(0))
+    });
+    let with_floor = loaded.map(|peer| {
+        let floor = peer.floors.iter().find(|(name, _)| name == service);
+        (
+            floor.map_or(u64::MAX, |(_, floor)| *floor),
+            peer.router.clone(),
+        )
+    });
+    let mut peers: Vec<_> = with_floor.collect();
+    peers.sort();
+    peers
+}
+
+/// Returns the message that asks an owner for work.
+pub(super) fn pull_message(
+    to: id::Router,
+    service: &id::Service,
+    target: id::Target,
+    free: u32,
+) -> wire::Envelope {
+    wire::Envelope {
+        to,
+        message: wire::Message::Pull {
+            service: service.clone(),
+            target,
+            free,
+        },
+    }
+}
+
+/// Sends a request to the owner of another target.
+pub(super) fn move_to(
+    to: id::Router,
+    attempt: id::Attempt,
+    target: id::Target,
+    out: &mut Vec<wire::Envelope>,
+) {
+    out.push(wire::Envelope {
+        to,
+        message: wire::Message::Move { attempt, target },
+    });
+}
--- a/tests/answer.rs
+++ b/tests/answer.rs
@@ -1,8 +1,12 @@
 //! Checks of answers: framing, resumption and truncation.
 
-use marlrun::{answer, ingress};
+use marlrun::{
+    answer::{self, Stream},
+    ingress,
+};
+use proptest::prelude::*;
 
-fn feed(stream: &mut answer::Stream, text: &str) -> Result<String, answer::Fault> {
+fn feed(stream: &mut Stream, text: &str) -> Result<String, answer::Fault> {
     let mut out = Vec::new();
     stream.feed(text.as_bytes(), &mut out)?;
     Ok(String::from_utf8(out).expect("events are text"))
@@ -10,7 +14,7 @@
 
 #[test]
 fn finish_done() {
-    let mut stream = answer::Stream::open();
+    let mut stream = Stream::open();
     let text = "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\ndata: [DONE]\n\n";
     assert_eq!(feed(&mut stream, text).as_deref(), Ok(text));
     assert_eq!(stream.finish(), Ok(()));
@@ -19,7 +23,7 @@
 
 #[test]
 fn finish_truncated() {
-    let mut stream = answer::Stream::open();
+    let mut stream = Stream::open();
     assert_eq!(
         feed(&mut stream, "data: a\n\ndata: [DONE]\n").as_deref(),
         Ok("data: a\n\n")
@@ -29,14 +33,14 @@
 
 #[test]
 fn feed_overrun() {
-    let mut stream = answer::Stream::open();
+    let mut stream = Stream::open();
     let text = "data: [DONE]\n\ndata: b\n\n";
     assert_eq!(feed(&mut stream, text), Err(answer::Fault::Overrun));
 }
 
 #[test]
 fn resume_repeated_event() {
-    let mut stream = answer::Stream::open();
+    let mut stream = Stream::open();
     feed(&mut stream, "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda").expect("whole so far");
     assert_eq!(stream.resume_at(), ingress::Resume::After("2".into()));
     stream.resume();
@@ -50,7 +54,7 @@
 
 #[test]
 fn resume_gap() {
-    let mut stream = answer::Stream::open();
+    let mut stream = Stream::open();
     feed(&mut stream, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n").expect("whole so far");
     stream.resume();
     assert_eq!(
@@ -64,7 +68,64 @@
 
 #[test]
 fn resume_at_anonymous_event() {
-    let mut stream = answer::Stream::open();
+    let mut stream = Stream::open();
     feed(&mut stream, "data: a\n\n").expect("whole so far");
     assert_eq!(stream.resume_at(), ingress::Resume::Never);
 }
+
+/// Returns the events after the one numbered `after`, with the closing mark.
+fn events_after(after: u64, count: u64) -> String {
+    let events = (after + 1..=count).map(|id| format!("id: {id}\ndata: token {id}\n\n"));
+    events.chain(["data: [DONE]\n\n".to_owned()]).collect()
+}
+
+/// Feeds bytes in pieces; returns false at the first fault.
+fn feed_pieces(stream: &mut Stream, bytes: &[u8], piece: usize, out: &mut Vec<u8>) -> bool {
+    let mut pieces = bytes.chunks(piece);
+    pieces.all(|piece| stream.feed(piece, out).is_ok())
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        failure_persistence: None,
+        ..ProptestConfig::with_cases(1_000)
+    })]
+
+    /// However a stream is cut and resumed, the caller gets each event once and in order, and only a
+    /// stream with its end mark is whole.
+    #[test]
+    fn stream_cut_and_resumed(
+        count in 1_u64..40,
+        piece in 1_usize..200,
+        cuts in prop::collection::vec((0_usize..2_000, 0_u64..3), 0..5),
+    ) {
+        let whole = events_after(0, count);
+        let mut stream = Stream::open();
+        let mut out = Vec::new();
+        for (cut, repeated) in cuts {
+            let after = match stream.resume_at() {
+                ingress::Resume::Start => 0,
+                ingress::Resume::After(last) => last.parse::<u64>().unwrap(),
+                ingress::Resume::Never => break,
+            };
+            let bytes = events_after(after.saturating_sub(repeated), count);
+            let cut = cut.min(bytes.len() - 1);
+            prop_assert!(feed_pieces(&mut stream, &bytes.as_bytes()[..cut], piece, &mut out));
+            prop_assert!(stream.is_done() || stream.finish().is_err(), "a cut stream is not whole");
+            prop_assert!(whole.as_bytes().starts_with(&out), "what was passed on starts the answer");
+            if stream.is_done() {
+                break;
+            }
+            stream.resume();
+        }
+        if !stream.is_done() {
+            let after = match stream.resume_at() {
+                ingress::Resume::After(last) => last.parse::<u64>().unwrap(),
+                _ => 0,
+            };
+            prop_assert!(feed_pieces(&mut stream, events_after(after, count).as_bytes(), piece, &mut out));
+        }
+        prop_assert!(stream.finish().is_ok());
+        prop_assert_eq!(String::from_utf8(out).unwrap(), whole);
+    }
+}
--- a/tests/attempt.rs
+++ b/tests/attempt.rs
@@ -37,7 +37,7 @@
 }
 
 struct Bench {
-    desk: ingress::Desk,
+    controller: ingress::Controller,
     now: Time,
 }
 
@@ -46,14 +46,14 @@
         let random = ChaCha8Rng::seed_from_u64(1);
         let settings = ingress::Settings::default();
         Self {
-            desk: ingress::Desk::open(id::Incarnation(1), settings, random),
+            controller: ingress::Controller::open(id::Incarnation(1), settings, random),
             now: Time::default(),
         }
     }
 
     fn step(&mut self, event: ingress::Event) -> Vec<ingress::Action> {
         let mut out = Vec::new();
-        self.desk.step(self.now, event, &Pair, &mut out);
+        self.controller.step(self.now, event, &Pair, &mut out);
         out
     }
 
@@ -170,7 +170,7 @@
         ),
         "{out:?}"
     );
-    assert!(bench.desk.is_empty());
+    assert!(bench.controller.is_empty());
 }
 
 #[test]
@@ -259,7 +259,7 @@
     let mut bench = Bench::open();
     let mut ask = bench.request(false);
     let mut targets = vec![ask.target.clone()];
-    while !bench.desk.is_empty() {
+    while !bench.controller.is_empty() {
         bench.grant(&ask);
         bench.end(&ask, wire::Outcome::NotRun);
         let Some(next) = asked(&bench.wait(Span::from_secs(2))) else {
--- a/tests/outcome.rs
+++ b/tests/outcome.rs
@@ -218,7 +218,7 @@
 }
 
 struct Node {
-    desk: ingress::Desk,
+    controller: ingress::Controller,
     registry: claim::Registry,
     view: View,
     /// Events of the traffic threads that the control thread has not taken yet.
@@ -285,7 +285,11 @@
         let settings = claim::Settings::default();
         let name = router_name(router);
         Node {
-            desk: ingress::Desk::open(incarnation, ingress::Settings::default(), random()),
+            controller: ingress::Controller::open(
+                incarnation,
+                ingress::Settings::default(),
+                random(),
+            ),
             registry: claim::Registry::open(name, incarnation, settings, 0, random()),
             view: View((0..TARGETS).map(|target| Some(target % ROUTERS)).collect()),
             events: VecDeque::new(),
@@ -294,15 +298,15 @@
         }
     }
 
-    fn desk(&mut self, router: usize, event: ingress::Event) {
+    fn controller(&mut self, router: usize, event: ingress::Event) {
         let node = &mut self.nodes[router];
         let mut out = Vec::new();
         if self.now.since(node.last) >= PAUSE {
             let paused = ingress::Event::Paused;
-            node.desk.step(self.now, paused, &node.view, &mut out);
+            node.controller.step(self.now, paused, &node.view, &mut out);
         }
         node.last = self.now;
-        node.desk.step(self.now, event, &node.view, &mut out);
+        node.controller.step(self.now, event, &node.view, &mut out);
         for action in out {
             self.act(router, action);
         }
@@ -395,7 +399,7 @@
             match action {
                 claim::Action::Send(envelope) => self.wires.push((router, envelope)),
                 claim::Action::Verdict { attempt, verdict } => {
-                    self.desk(router, ingress::Event::Claimed { attempt, verdict });
+                    self.controller(router, ingress::Event::Claimed { attempt, verdict });
                 }
                 call => self.nodes[router].call = Some(call),
             }
@@ -451,7 +455,7 @@
             key: self.keys.get(operation).cloned(),
             deadline: self.now + Span::from_secs(seconds),
         };
-        self.desk(router, ingress::Event::Request(request));
+        self.controller(router, ingress::Event::Request(request));
     }
 
     /// Lets an owner act on something it was asked, however long ago.
@@ -504,7 +508,7 @@
                     attempt,
                     target,
                 };
-                self.desk(router, granted);
+                self.controller(router, granted);
             }
             wire::Message::Refuse { attempt, refusal } => {
                 let refused = ingress::Event::Refused {
@@ -512,7 +516,7 @@
                     attempt,
                     refusal,
                 };
-                self.desk(router, refused);
+                self.controller(router, refused);
             }
             wire::Message::Move { attempt, target } => {
                 let moved = ingress::Event::Moved {
@@ -520,7 +524,7 @@
                     attempt,
                     target,
                 };
-                self.desk(router, moved);
+                self.controller(router, moved);
             }
             wire::Message::KeyClaim { attempt, key } => {
                 self.registry(router, claim::Event::KeyClaim { from, attempt, key });
@@ -631,7 +635,7 @@
 
     fn handle(&mut self, router: usize) {
         if let Some(event) = self.nodes[router].events.pop_front() {
-            self.desk(router, event);
+            self.controller(router, event);
         }
     }
 
@@ -644,7 +648,7 @@
         // The caller is gone: nothing that follows is an answer to it.
         front.finals += 1;
         let router = front.router;
-        self.desk(router, ingress::Event::Cancelled { request });
+        self.controller(router, ingress::Event::Cancelled { request });
         let front = self.fronts.get_mut(&request).expect("a known request");
         if front.attempt.is_some() {
             self.ended_after_cancel(request);
@@ -675,7 +679,7 @@
         self.now = self.now + Span::from_millis(millis);
         for router in (0..ROUTERS).filter(|router| *router != still) {
             self.registry(router, claim::Event::Tick);
-            self.desk(router, ingress::Event::Tick);
+            self.controller(router, ingress::Event::Tick);
         }
     }
 
@@ -711,11 +715,11 @@
                 owner,
             } => {
                 self.nodes[router].view.0[target] = owner;
-                self.desk(router, ingress::Event::Placement);
+                self.controller(router, ingress::Event::Placement);
             }
             Step::Lost { router, peer } => {
                 let peer = router_name(peer);
-                self.desk(
+                self.controller(
                     router,
                     ingress::Event::RouterLost {
                         router: peer.clone(),
@@ -726,13 +730,13 @@
             Step::Resync { router, peer } => self.resync(router, peer),
             Step::Pass { millis, still } => self.pass(millis, still),
             Step::Restart { router } => self.restart(router),
-            Step::Drain { router } => self.desk(router, ingress::Event::Drain),
+            Step::Drain { router } => self.controller(router, ingress::Event::Drain),
         }
     }
 
     fn resync(&mut self, router: usize, peer: usize) {
         let from = router_name(peer);
-        self.desk(router, ingress::Event::Resync { from: from.clone() });
+        self.controller(router, ingress::Event::Resync { from: from.clone() });
         self.registry(router, claim::Event::Resync { from });
     }
 
@@ -779,7 +783,7 @@
             assert_eq!(front.finals, 1, "request {number} has no final answer");
         }
         for node in &world.nodes {
-            assert!(node.desk.is_empty(), "a request was forgotten");
+            assert!(node.controller.is_empty(), "a request was forgotten");
             assert!(node.registry.is_settled(), "a claim was forgotten");
         }
         assert!(world.grants.is_empty(), "granted and never given back: {:?}", world.grants);
