--- a/tests/common/fleet.rs
+++ b/tests/common/fleet.rs
@@ -175,7 +175,10 @@
     /// Returns the base file that declares what was started so far.
     pub fn base_file(&self) -> PathBuf {
         let path = self.folder.path().join("base.toml");
-        fs::write(&path, &self.base).unwrap();
+        // Replaced as a whole: a router that starts meanwhile must not read a part of it.
+        let draft = self.folder.path().join("base.toml.draft");
+        fs::write(&draft, &self.base).unwrap();
+        fs::rename(draft, &path).unwrap();
         path
     }
 
