--- a/tests/config_store.rs
+++ b/tests/config_store.rs
@@ -54,8 +54,13 @@
             .collect())
     }
 
-    fn scan(&self, _: &str, _: &str, _: usize) -> Result<Vec<Row>, Fault> {
-        unimplemented!("the store scans nothing")
+    fn scan(&self, prefix: &str, after: &str, limit: usize) -> Result<Vec<Row>, Fault> {
+        let rows = self.rows.lock().unwrap();
+        let mut found: Vec<Row> = rows.values().cloned().collect();
+        found.retain(|row| row.key.starts_with(prefix) && &*row.key > after);
+        found.sort_by(|a, b| a.key.cmp(&b.key));
+        found.truncate(limit);
+        Ok(found)
     }
 
     fn write(&self, writes: &[Write]) -> Result<Verdict, Fault> {
