--- a/benches/config.rs
+++ b/benches/config.rs
@@ -10,7 +10,7 @@
         replica::{Action, Event},
     },
     id,
-    platform::Fault,
+    table::Fault,
     unit::{Span, Time, Version, Weight},
     wire::{Message, codec},
 };
--- a/src/bin/marlrun-standin/app.rs
+++ b/src/bin/marlrun-standin/app.rs
@@ -2,8 +2,8 @@
 
 use clap::{Args, Parser, Subcommand};
 use marlrun::{
-    platform::Memory,
     standin::{self, Handle, engine, plain, platform},
+    table::Memory,
     unit::Span,
 };
 use std::{net::SocketAddr, sync::Arc};
--- a/src/claim/action.rs
+++ b/src/claim/action.rs
@@ -1,7 +1,7 @@
 //! Actions that a registry asks for.
 
 use super::Verdict;
-use crate::{id, platform, wire};
+use crate::{id, table, wire};
 
 /// Action that a registry asks for. One call to the table is under way at a time.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -11,7 +11,7 @@
         /// Number of the call.
         call: u64,
         /// Rows.
-        writes: Vec<platform::Write>,
+        writes: Vec<table::Write>,
     },
     /// Read rows; `Event::Read` follows.
     Read {
--- a/src/claim/batch.rs
+++ b/src/claim/batch.rs
@@ -2,7 +2,7 @@
 
 use super::{Action, End, Record, Settings, State, Verdict};
 use crate::{
-    id, platform,
+    id, table,
     unit::{Span, Time},
 };
 use std::collections::{BTreeMap, BTreeSet};
@@ -190,33 +190,33 @@
         &mut self,
         now: Time,
         number: u64,
-        result: Result<platform::Verdict, platform::Fault>,
+        result: Result<table::Verdict, table::Fault>,
         out: &mut Vec<Action>,
     ) {
         let Some(call) = self.call.take_if(|call| call.number == number) else {
             return;
         };
         match result {
-            Ok(platform::Verdict::Committed) => {
+            Ok(table::Verdict::Committed) => {
                 self.recover();
                 for row in &call.rows {
                     self.commit(now, row, out);
                 }
             }
-            Ok(platform::Verdict::Conflict(found)) => {
+            Ok(table::Verdict::Conflict(found)) => {
                 self.conflict(now, call.rows, &found, out);
             }
-            Err(platform::Fault::Lost { .. }) => {
+            Err(table::Fault::Lost { .. }) => {
                 self.fail(now);
                 self.doubtful.extend(call.rows);
             }
-            Err(platform::Fault::Refused { .. }) => self.refused(now, call.rows, out),
-            Err(platform::Fault::Limited { retry_after, .. }) => {
+            Err(table::Fault::Refused { .. }) => self.refused(now, call.rows, out),
+            Err(table::Fault::Limited { retry_after, .. }) => {
                 self.fail(now);
                 self.not_before = self.not_before.max(now + retry_after);
                 self.requeue(call.rows);
             }
-            Err(platform::Fault::Unreachable { .. }) => {
+            Err(table::Fault::Unreachable { .. }) => {
                 self.fail(now);
                 self.requeue(call.rows);
             }
@@ -228,7 +228,7 @@
         &mut self,
         now: Time,
         number: u64,
-        result: Result<Vec<platform::Row>, platform::Fault>,
+        result: Result<Vec<table::Row>, table::Fault>,
         out: &mut Vec<Action>,
     ) {
         let Some(call) = self.call.take_if(|call| call.number == number) else {
@@ -240,7 +240,7 @@
         self.recover();
         for row in &call.rows {
             self.doubtful.remove(row);
-            let absent = platform::Row {
+            let absent = table::Row {
                 key: row.clone(),
                 version: 0,
                 value: "".into(),
@@ -360,7 +360,7 @@
         due.min()
     }
 
-    fn write(&self, row: &str) -> Option<platform::Write> {
+    fn write(&self, row: &str) -> Option<table::Write> {
         let entry = self.entries.get(row)?;
         let (state, answer) = match &entry.stage {
             Stage::Wanted | Stage::Held => (State::Running, None),
@@ -376,10 +376,10 @@
             answer,
         };
         let expect = match entry.version {
-            0 => platform::Expect::Absent,
-            version => platform::Expect::Version(version),
+            0 => table::Expect::Absent,
+            version => table::Expect::Version(version),
         };
-        Some(platform::Write {
+        Some(table::Write {
             key: row.into(),
             expect,
             value: serde_json::to_string(&record).ok().map(Into::into),
@@ -409,7 +409,7 @@
         &mut self,
         now: Time,
         rows: Vec<Box<str>>,
-        found: &[platform::Row],
+        found: &[table::Row],
         out: &mut Vec<Action>,
     ) {
         let found: Vec<_> = found.iter().filter(|f| rows.contains(&f.key)).collect();
@@ -425,7 +425,7 @@
     }
 
     /// Takes what the table holds for a row whose write failed or may have failed.
-    fn observe(&mut self, now: Time, found: &platform::Row, out: &mut Vec<Action>) {
+    fn observe(&mut self, now: Time, found: &table::Row, out: &mut Vec<Action>) {
         let row = &found.key;
         let Some(entry) = self.entries.get_mut(row) else {
             return;
--- a/src/claim/event.rs
+++ b/src/claim/event.rs
@@ -3,7 +3,7 @@
 use super::{End, Key};
 use crate::{
     id,
-    platform::{Fault, Row, Verdict},
+    table::{Fault, Row, Verdict},
 };
 
 /// Event that a registry is told.
--- a/src/claim/sweep.rs
+++ b/src/claim/sweep.rs
@@ -1,7 +1,7 @@
 //! Removal of old rows.
 
 use super::{Record, Settings, key};
-use crate::{id, platform, unit::Time};
+use crate::{id, table, unit::Time};
 use std::collections::BTreeMap;
 
 /// Rows that one look reads.
@@ -16,7 +16,7 @@
     after: Box<str>,
     next: Time,
     scan: Option<u64>,
-    remove: Vec<platform::Write>,
+    remove: Vec<table::Write>,
     removal: Option<u64>,
 }
 
@@ -70,7 +70,7 @@
         &mut self,
         now: Time,
         call: u64,
-        result: &Result<Vec<platform::Row>, platform::Fault>,
+        result: &Result<Vec<table::Row>, table::Fault>,
     ) -> bool {
         if self.scan != Some(call) {
             return false;
@@ -96,7 +96,7 @@
     }
 
     /// Returns the removals of the rows that are too old.
-    fn old_rows(&self, now: Time, rows: &[platform::Row]) -> Vec<platform::Write> {
+    fn old_rows(&self, now: Time, rows: &[table::Row]) -> Vec<table::Write> {
         let records: BTreeMap<&str, Record> = rows
             .iter()
             .filter_map(|row| Some((&*row.key, serde_json::from_str(&row.value).ok()?)))
@@ -107,13 +107,13 @@
         let own = self.epoch_millis + now.0 / 1_000;
         let today = latest.map_or(own, |latest| latest.min(own));
         let oldest = today.saturating_sub(self.settings.row_lifetime.as_millis());
-        let old = |row: &&platform::Row| {
+        let old = |row: &&table::Row| {
             let record = records.get(&*row.key);
             record.is_some_and(|record| record.claimed_at < oldest)
         };
-        let removal = |row: &platform::Row| platform::Write {
+        let removal = |row: &table::Row| table::Write {
             key: row.key.clone(),
-            expect: platform::Expect::Version(row.version),
+            expect: table::Expect::Version(row.version),
             value: None,
         };
         rows.iter().filter(old).map(removal).collect()
--- a/src/claim/worker.rs
+++ b/src/claim/worker.rs
@@ -1,7 +1,7 @@
 //! Thread that calls the table for a registry.
 
 use super::{Action, Event};
-use crate::platform;
+use crate::table;
 use crossbeam::channel;
 use std::{io, sync::Arc, thread};
 
@@ -22,7 +22,7 @@
     ///
     /// Fails if the system gives no thread.
     pub fn spawn(
-        table: Arc<dyn platform::Table>,
+        table: Arc<dyn table::Table>,
         sink: Box<dyn Fn(Event) + Send>,
     ) -> io::Result<Self> {
         let (sender, receiver) = channel::unbounded();
@@ -59,7 +59,7 @@
 }
 
 /// Calls the table for one action.
-fn call(table: &dyn platform::Table, action: Action) -> Option<Event> {
+fn call(table: &dyn table::Table, action: Action) -> Option<Event> {
     match action {
         Action::Write { call, writes } => {
             let result = table.write(&writes);
--- a/src/cli/apply.rs
+++ b/src/cli/apply.rs
@@ -13,8 +13,8 @@
         Change, Difference, Document, Head, Store,
         store::{Outcome, Proposal, Stored},
     },
-    platform::Fault,
     random,
+    table::Fault,
     unit::{Span, Version},
 };
 use rand_chacha::rand_core::Rng as _;
--- a/src/cli/connection.rs
+++ b/src/cli/connection.rs
@@ -1,7 +1,7 @@
 //! Where the command line finds the platform and the routers.
 
 use super::{Failure, Output};
-use crate::{config, id, operator, platform, unit::Span};
+use crate::{config, id, operator, table, unit::Span};
 use std::{collections::BTreeMap, fs, net::SocketAddr, path::PathBuf, sync::Arc};
 
 /// Arguments that tell where the platform and the routers are.
@@ -41,7 +41,7 @@
     pub(super) fn store(&self) -> Result<config::Store, Failure> {
         let address = self.platform.ok_or(Failure::NoPlatform)?;
         let timeout = self.timeout;
-        let client = platform::Client::open(platform::client::Settings { address, timeout });
+        let client = table::Client::open(table::client::Settings { address, timeout });
         let client = Arc::new(client);
         Ok(config::Store::new(client.clone(), client))
     }
--- a/src/config/replica/event.rs
+++ b/src/config/replica/event.rs
@@ -1,6 +1,6 @@
 //! What a replica is told.
 
-use crate::{config::Update, id, platform::Fault, unit::Version};
+use crate::{config::Update, id, table::Fault, unit::Version};
 
 /// What a replica is told.
 #[derive(Debug)]
--- a/src/config/replica/machine.rs
+++ b/src/config/replica/machine.rs
@@ -4,7 +4,7 @@
 use crate::{
     config::{Digest, Document, Fleet, Step, Update},
     id,
-    platform::Fault,
+    table::Fault,
     unit::{Span, Time, Version},
     wire,
 };
--- a/src/config/store/access.rs
+++ b/src/config/store/access.rs
@@ -3,7 +3,7 @@
 use super::{Error, HEAD_KEY, Outcome, Proposal, Stored};
 use crate::{
     config::{Damaged, Delta, Document, Entry, Head, Step, Update},
-    platform::{Expect, Fault, Objects, Row, Table, Verdict, Write},
+    table::{Expect, Fault, Objects, Row, Table, Verdict, Write},
     unit::Version,
 };
 use std::sync::Arc;
--- a/src/config/store/error.rs
+++ b/src/config/store/error.rs
@@ -3,7 +3,7 @@
 use super::HEAD_KEY;
 use crate::{
     config::{Damaged, Digest},
-    platform::Fault,
+    table::Fault,
     unit::Version,
 };
 
--- a/src/config/store/outcome.rs
+++ b/src/config/store/outcome.rs
@@ -1,6 +1,6 @@
 //! How a proposal ended.
 
-use crate::{config::Head, platform::Fault};
+use crate::{config::Head, table::Fault};
 
 /// How a proposal ended.
 #[derive(Clone, Debug)]
--- a/src/daemon/control/claims.rs
+++ b/src/daemon/control/claims.rs
@@ -1,7 +1,7 @@
 //! Claims: between the registry, the platform's table and the ingress controller.
 
 use super::Control;
-use crate::{claim, ingress, platform, unit::Time};
+use crate::{claim, ingress, table, unit::Time};
 
 impl Control {
     pub(super) fn registry(&mut self, now: Time, event: claim::Event) {
@@ -22,7 +22,7 @@
         if let Some(worker) = &self.parts.worker {
             return worker.submit(action);
         }
-        let fault = platform::Fault::Unreachable {
+        let fault = table::Fault::Unreachable {
             call: "claim".into(),
             cause: "no platform is set".into(),
         };
--- a/src/daemon/control/configuration.rs
+++ b/src/daemon/control/configuration.rs
@@ -3,7 +3,7 @@
 use super::Control;
 use crate::{
     config, id, metric, owner,
-    platform::{State, Vm},
+    table::{State, Vm},
     tally,
     unit::Time,
 };
--- a/src/daemon/event.rs
+++ b/src/daemon/event.rs
@@ -1,6 +1,6 @@
 //! Inputs of the control thread.
 
-use crate::{beacon, claim, config, front, link, platform, probe};
+use crate::{beacon, claim, config, front, link, probe, table};
 
 /// Input of the control thread.
 #[derive(Debug)]
@@ -16,9 +16,9 @@
     /// The platform's table answered a claim.
     Claim(claim::Event),
     /// A read of the platform's configuration ended.
-    Changes(Result<Option<config::Update>, platform::Fault>),
+    Changes(Result<Option<config::Update>, table::Fault>),
     /// The platform listed its VMs.
-    Listed(Vec<platform::Vm>),
+    Listed(Vec<table::Vm>),
     /// The router has to shut down.
     Drain,
     /// The thread has to end; everything has been drained.
--- a/src/daemon/handle.rs
+++ b/src/daemon/handle.rs
@@ -8,8 +8,8 @@
     state::{Inbox, State},
 };
 use crate::{
-    beacon, claim, config, cut, front, health, link, member, metric, operator, platform, probe,
-    random, secret,
+    beacon, claim, config, cut, front, health, link, member, metric, operator, probe, random,
+    secret, table,
     unit::{Span, Version},
 };
 use crossbeam::channel::{self, Sender};
@@ -209,7 +209,7 @@
     let Some(address) = settings.platform else {
         return Ok((Reader::default(), None));
     };
-    let client = Arc::new(platform::Client::open(platform::client::Settings {
+    let client = Arc::new(table::Client::open(table::client::Settings {
         address,
         timeout: PLATFORM_TIMEOUT,
     }));
--- a/src/daemon/platform.rs
+++ b/src/daemon/platform.rs
@@ -3,7 +3,7 @@
 use super::event::Event;
 use crate::{
     config,
-    platform::{Directory, Fault},
+    table::{Directory, Fault},
     unit::{Span, Version},
 };
 use crossbeam::channel::{self, RecvTimeoutError, Sender};
--- a/src/daemon/state.rs
+++ b/src/daemon/state.rs
@@ -2,8 +2,7 @@
 
 use super::{event::Event, recent::Recent};
 use crate::{
-    clock, config, cut, front, health, id, member, metric, operator, owner, platform::Vm,
-    unit::Span,
+    clock, config, cut, front, health, id, member, metric, operator, owner, table::Vm, unit::Span,
 };
 use crossbeam::channel::Sender;
 use std::sync::{
--- a/src/local/fleet.rs
+++ b/src/local/fleet.rs
@@ -4,8 +4,8 @@
 use crate::{
     daemon::{self, Daemon},
     front, id, load, log,
-    platform::Memory,
     standin::{Handle, engine, plain, platform},
+    table::Memory,
     unit::Span,
 };
 use std::{
--- a/src/member/event.rs
+++ b/src/member/event.rs
@@ -1,7 +1,7 @@
 //! What membership is told.
 
 use crate::{
-    id, platform,
+    id, table,
     unit::Version,
     wire::{Heartbeat, Load},
 };
@@ -26,7 +26,7 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Event {
     /// The platform's list of VMs; it may lag, and may be missing for long.
-    Candidates(Vec<platform::Vm>),
+    Candidates(Vec<table::Vm>),
     /// Addresses to try besides those that the platform lists.
     Seeds(Vec<SocketAddr>),
     /// A heartbeat arrived.
--- a/src/member/membership.rs
+++ b/src/member/membership.rs
@@ -11,7 +11,7 @@
     stranger::Strangers,
 };
 use crate::{
-    id, platform,
+    id, table,
     unit::{Span, Time},
     wire::{self, Echo, Heartbeat, Origin, State},
 };
@@ -147,7 +147,7 @@
         }
     }
 
-    fn list(&mut self, now: Time, vms: Vec<platform::Vm>) {
+    fn list(&mut self, now: Time, vms: Vec<table::Vm>) {
         let routers = vms.into_iter().filter(|vm| &*vm.group == GROUP);
         self.listed = routers.map(|vm| vm.address).collect();
         self.welcome(now);
--- a/src/standin/platform.rs
+++ b/src/standin/platform.rs
@@ -7,7 +7,7 @@
 };
 use crate::{
     clock,
-    platform::{
+    table::{
         Fault, Memory, Vm,
         protocol::{self, ReadBody, RowsBody, ScanBody, VmsBody, WriteBody},
     },
--- a/tests/claim.rs
+++ b/tests/claim.rs
@@ -1,7 +1,7 @@
 //! Claims under lost, late and doubled answers, restarts and outages of the table.
 
 use marlrun::{
-    claim, id, platform,
+    claim, id, table,
     unit::{Span, Time},
     wire,
 };
@@ -92,8 +92,8 @@
     ]
 }
 
-fn lost() -> platform::Fault {
-    platform::Fault::Lost {
+fn lost() -> table::Fault {
+    table::Fault::Lost {
         call: "write".into(),
         cause: "timeout".into(),
     }
@@ -102,24 +102,24 @@
 /// The table, as the platform keeps it.
 #[derive(Default)]
 struct Table {
-    rows: BTreeMap<Box<str>, platform::Row>,
+    rows: BTreeMap<Box<str>, table::Row>,
     /// Writes that are still on their way.
-    late: Vec<Vec<platform::Write>>,
+    late: Vec<Vec<table::Write>>,
 }
 
 impl Table {
-    fn write(&mut self, writes: &[platform::Write]) -> platform::Verdict {
+    fn write(&mut self, writes: &[table::Write]) -> table::Verdict {
         let mut broken = Vec::new();
         for write in writes {
             let row = self.rows.get(&write.key).cloned();
             let version = row.as_ref().map_or(0, |row| row.version);
             let holds = match write.expect {
-                platform::Expect::Any => true,
-                platform::Expect::Absent => version == 0,
-                platform::Expect::Version(expected) => version == expected,
+                table::Expect::Any => true,
+                table::Expect::Absent => version == 0,
+                table::Expect::Version(expected) => version == expected,
             };
             if !holds {
-                broken.push(row.unwrap_or(platform::Row {
+                broken.push(row.unwrap_or(table::Row {
                     key: write.key.clone(),
                     version: 0,
                     value: "".into(),
@@ -127,14 +127,14 @@
             }
         }
         if !broken.is_empty() {
-            return platform::Verdict::Conflict(broken);
+            return table::Verdict::Conflict(broken);
         }
         for write in writes {
             let version = self.rows.get(&write.key).map_or(0, |row| row.version) + 1;
             let key = write.key.clone();
             match write.value.clone() {
                 Some(value) => {
-                    let row = platform::Row {
+                    let row = table::Row {
                         key: key.clone(),
                         version,
                         value,
@@ -144,7 +144,7 @@
                 None => drop(self.rows.remove(&key)),
             }
         }
-        platform::Verdict::Committed
+        table::Verdict::Committed
     }
 
     fn call(&mut self, action: claim::Action, fate: Fate) -> claim::Event {
@@ -171,9 +171,9 @@
 
     fn answer(
         &mut self,
-        writes: Vec<platform::Write>,
+        writes: Vec<table::Write>,
         fate: Fate,
-    ) -> Result<platform::Verdict, platform::Fault> {
+    ) -> Result<table::Verdict, table::Fault> {
         let call: Box<str> = "write".into();
         match fate {
             Fate::Answered => Ok(self.write(&writes)),
@@ -186,15 +186,15 @@
                 self.late.push(writes);
                 Err(lost())
             }
-            Fate::Unreachable => Err(platform::Fault::Unreachable {
+            Fate::Unreachable => Err(table::Fault::Unreachable {
                 call,
                 cause: "refused".into(),
             }),
-            Fate::Limited => Err(platform::Fault::Limited {
+            Fate::Limited => Err(table::Fault::Limited {
                 call,
                 retry_after: Span::from_millis(40),
             }),
-            Fate::Refused => Err(platform::Fault::Refused {
+            Fate::Refused => Err(table::Fault::Refused {
                 call,
                 status: 400,
                 detail: "no".into(),
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -5,8 +5,8 @@
     config::Digest,
     id,
     operator::{Phase, Request, Router, Server, Source, Status, Target, Workspace},
-    platform::{Memory, Script},
     standin::{Handle, platform},
+    table::{Memory, Script},
     unit::{Cost, Span, Version, Weight},
 };
 use std::{
@@ -147,7 +147,7 @@
 impl World {
     fn new(limit: u64) -> Self {
         let memory = Arc::new(Memory::open());
-        let platform = platform::bind(platform::Settings {
+        let platform = table::bind(table::Settings {
             listen: "127.0.0.1:0".parse().unwrap(),
             list_lag: Span(0),
             memory: Arc::clone(&memory),
--- a/tests/config_replica.rs
+++ b/tests/config_replica.rs
@@ -6,7 +6,7 @@
         replica::{Action, Event, State},
     },
     id,
-    platform::Fault,
+    table::Fault,
     unit::{Span, Time, Version, Weight},
     wire::{Envelope, Message},
 };
--- a/tests/config_store.rs
+++ b/tests/config_store.rs
@@ -6,7 +6,7 @@
         replica::Event,
         store::{Error, Outcome, Proposal},
     },
-    platform::{Expect, Fault, Objects, Row, Table, Verdict, Write},
+    table::{Expect, Fault, Objects, Row, Table, Verdict, Write},
     unit::{Time, Version},
 };
 use proptest::prelude::*;
--- a/tests/outcome.rs
+++ b/tests/outcome.rs
@@ -2,7 +2,7 @@
 //! outages of the table: what ran, and what the callers were told.
 
 use marlrun::{
-    claim, id, ingress, platform,
+    claim, id, ingress, table,
     unit::{Cost, Span, Time},
     wire,
 };
@@ -240,14 +240,14 @@
     asks: Vec<(usize, wire::Envelope, wire::Ask)>,
     /// Grants that arrived and were not given back: owner, attempt.
     grants: BTreeSet<(usize, id::Attempt)>,
-    table: platform::Memory,
+    table: table::Memory,
 }
 
-fn fault(fate: Fate) -> platform::Fault {
+fn fault(fate: Fate) -> table::Fault {
     let (call, cause) = ("write".into(), "test".into());
     match fate {
-        Fate::Unreachable => platform::Fault::Unreachable { call, cause },
-        _ => platform::Fault::Lost { call, cause },
+        Fate::Unreachable => table::Fault::Unreachable { call, cause },
+        _ => table::Fault::Lost { call, cause },
     }
 }
 
@@ -263,7 +263,7 @@
             wires: Vec::new(),
             asks: Vec::new(),
             grants: BTreeSet::new(),
-            table: platform::Memory::open(),
+            table: table::Memory::open(),
         };
         for router in 0..ROUTERS {
             let node = world.node(router);
@@ -410,7 +410,7 @@
         let Some(action) = self.nodes[router].call.take() else {
             return;
         };
-        let table: &dyn platform::Table = &self.table;
+        let table: &dyn table::Table = &self.table;
         let answered = matches!(fate, Fate::Answered);
         let event = match action {
             claim::Action::Write { call, writes } => {
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -1,11 +1,11 @@
 //! The platform's table, objects and list of VMs, in this process and over HTTP.
 
 use marlrun::{
-    platform::{
+    standin::{Handle, platform},
+    table::{
         Client, Directory, Expect, Fault, Memory, Objects, Row, Script, State, Table, Verdict, Vm,
         Write, client,
     },
-    standin::{Handle, platform},
     unit::Span,
 };
 use std::{sync::Arc, thread};
@@ -23,7 +23,7 @@
 
 fn serve(timeout: Span) -> Served {
     let memory = Arc::new(Memory::open());
-    let handle = platform::bind(platform::Settings {
+    let handle = table::bind(table::Settings {
         listen: LISTEN.parse().unwrap(),
         list_lag: Span(0),
         memory: Arc::clone(&memory),
