--- a/schema/marlrun.capnp
+++ b/schema/marlrun.capnp
@@ -189,3 +189,38 @@
   challenge @0 (nonce :Data) -> (nonce :Data, proof :Data);
   hello @1 (router :Text, incarnation :UInt64, address :Data, receiver :Text, proof :Data) -> (session :Session);
 }
+
+# What one router sent to a target and what is still there. Keys are hashes of names.
+struct TargetLoad {
+  target @0 :UInt64;
+  running @1 :UInt32;
+  backlog @2 :UInt64; # prompt tokens sent and not yet read
+  memory @3 :UInt64; # tokens of running requests
+  suspect @4 :Bool;
+}
+
+# Tokens of a workspace's requests since the router started.
+struct WorkspaceUsage {
+  workspace @0 :UInt64;
+  asked @1 :UInt64;
+  granted @2 :UInt64;
+}
+
+# A part of a prompt that a target was sent.
+struct PromptRead {
+  target @0 :UInt64;
+  part @1 :UInt64;
+  tokens @2 :UInt32;
+}
+
+# Lists hold what changed since the last summary, with absolute values; all is sent again once in a while.
+struct Summary {
+  router @0 :Text;
+  incarnation @1 :UInt64;
+  sequence @2 :UInt64;
+  version @3 :UInt64;
+  leaving @4 :Bool;
+  loads @5 :List(TargetLoad);
+  usages @6 :List(WorkspaceUsage);
+  reads @7 :List(PromptRead);
+}
--- a/src/bin/marlrund/main.rs
+++ b/src/bin/marlrund/main.rs
@@ -1,8 +1,11 @@
 //! The router daemon.
 
 use clap::Parser;
-use marlrun::{daemon, log};
-use std::process::ExitCode;
+use marlrun::{daemon, dispatch, gateway, log, platform, random};
+use std::{
+    path::{Path, PathBuf},
+    process::ExitCode,
+};
 
 /// Exit code of settings that are wrong.
 const EXIT_SETTINGS: u8 = 2;
@@ -13,10 +16,20 @@
 struct Arguments {
     #[command(flatten)]
     flags: daemon::Flags,
+    /// Settings file of the platform; the router then follows the platform's lists, and flags of
+    /// addresses are not needed.
+    #[arg(long, env = "MARLRUN_SETTINGS")]
+    platform_settings: Option<PathBuf>,
+    /// How targets are chosen on the platform.
+    #[arg(long, env = "MARLRUN_PLACEMENT", default_value_t)]
+    placement: dispatch::Placement,
 }
 
 fn main() -> ExitCode {
     let arguments = Arguments::parse();
+    if let Some(path) = &arguments.platform_settings {
+        return run_on_platform(path, &arguments);
+    }
     let settings = match arguments.flags.check() {
         Ok(settings) => settings,
         Err(findings) => {
@@ -35,3 +48,30 @@
         }
     }
 }
+
+fn run_on_platform(path: &Path, arguments: &Arguments) -> ExitCode {
+    let settings = match platform::Settings::read(path) {
+        Ok(settings) => settings,
+        Err(error) => {
+            eprintln!("marlrund: {error}");
+            return ExitCode::from(EXIT_SETTINGS);
+        }
+    };
+    let log = log::open(log::Level::Info);
+    let incarnation = random::incarnation();
+    let mut router = settings.router_settings(incarnation);
+    router.dispatch.placement = arguments.placement;
+    let sources = gateway::Sources::of_platform(&settings, incarnation);
+    let path = path.to_owned();
+    let reload: gateway::Reload = Box::new(move || {
+        let read = platform::Settings::read(&path).map_err(|error| error.to_string())?;
+        Ok(settings.changes(&read))
+    });
+    match gateway::run(router, sources, &reload, &log) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("marlrund: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- a/src/daemon/handle.rs
+++ b/src/daemon/handle.rs
@@ -11,9 +11,15 @@
     beacon, claim, config, cut, front, health, link, member, metric, operator, probe, random,
     secret, table,
     unit::{Span, Version},
+    upstream,
 };
 use crossbeam::channel::{self, Sender};
-use std::{net::SocketAddr, sync::Arc, thread, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::{Arc, atomic::AtomicU64},
+    thread,
+    time::Duration,
+};
 use tokio::{
     runtime::{self, Runtime},
     signal::unix::{SignalKind, signal},
@@ -94,13 +100,18 @@
         // The control thread ends last; what is found after that is of no use.
         Arc::new(move |event: probe::Event| drop(found.send(event.into()))),
     );
-    let server = front::Settings {
-        address: settings.listen,
-        limits: settings.limits.clone(),
+    let handler = front::Handler {
         fleet: state.shared_fleet(),
-        incarnation,
         sink: Arc::new(Inbox(inbox.clone())),
+        limits: settings.limits.clone(),
+        pool: upstream::Pool::default(),
+        incarnation,
         log: log.clone(),
+        next: AtomicU64::new(1),
+    };
+    let server = front::Settings {
+        address: settings.listen,
+        handler: Arc::new(handler),
     };
     let server =
         front::Server::bind(server, runtime.handle()).map_err(Error::bind(settings.listen))?;
--- /dev/null
+++ b/src/dispatch/machine/mod.rs
@@ -0,0 +1,336 @@
+//! The machine: requests from arrival to their end.
+
+mod fleet;
+mod place;
+
+use super::{
+    Action, End, Event, Reason, Refusal, Request, Settings,
+    peer::Peer,
+    queue::{Queue, Waiting},
+    run::Run,
+    share::Share,
+    target::Target,
+};
+use crate::{
+    gossip, id,
+    ingress::Budget,
+    placement::hash,
+    routing,
+    unit::{Span, Time, Version},
+};
+use std::{
+    collections::{BTreeMap, HashMap},
+    sync::Arc,
+};
+
+/// Time after which a caller may come back when its service has no target: about the time in which
+/// a target that restarts is listed again.
+const NO_TARGET_RETRY: Span = Span::from_millis(1_000);
+/// Time after which a caller may come back when all targets were full: several requests end within
+/// it at each target.
+const OVERLOAD_RETRY: Span = Span::from_millis(1_000);
+/// Bounds of the time after which a workspace beyond its share may come back.
+const SHARE_RETRY: (Span, Span) = (Span::from_millis(300), Span::from_millis(3_000));
+/// Least time that a request which is sent once more gets until it is due.
+const AGAIN_DUE: Span = Span::from_millis(200);
+/// Part of a request's time to its deadline for which it may wait here, as a divisor: the rest is
+/// for its run, or for another try of its caller.
+const HOLD_DIVISOR: u64 = 3;
+/// Sends whose connection could not be opened, per request: they reach no target and so count
+/// neither as attempts nor as repeats.
+const MAX_UNSENT: usize = 3;
+
+/// Tokens of a workspace at this router since it started.
+#[derive(Clone, Copy, Debug, Default)]
+struct Usage {
+    asked: u64,
+    granted: u64,
+    /// The other routers were not told the newest values.
+    changed: bool,
+}
+
+/// Decides for the requests that this router took.
+#[derive(Clone, Debug)]
+pub struct Dispatcher {
+    settings: Settings,
+    routing: Arc<routing::Table>,
+    targets: BTreeMap<id::Target, Target>,
+    keys: HashMap<u64, id::Target>,
+    queues: BTreeMap<id::Service, Queue>,
+    runs: HashMap<u64, Run>,
+    budgets: BTreeMap<id::Service, Budget>,
+    share: Share,
+    usages: HashMap<u64, Usage>,
+    peers: BTreeMap<id::Router, Peer>,
+    /// Parts of prompts sent that the other routers were not told of.
+    reads: Vec<gossip::Read>,
+    sequence: u64,
+    told_all: Time,
+}
+
+impl Dispatcher {
+    /// Returns a dispatcher that knows no target.
+    pub fn open(settings: Settings) -> Self {
+        Self {
+            share: Share::new(settings.share_window),
+            settings,
+            routing: Arc::default(),
+            targets: BTreeMap::new(),
+            keys: HashMap::new(),
+            queues: BTreeMap::new(),
+            runs: HashMap::new(),
+            budgets: BTreeMap::new(),
+            usages: HashMap::new(),
+            peers: BTreeMap::new(),
+            reads: Vec::new(),
+            sequence: 0,
+            told_all: Time::default(),
+        }
+    }
+
+    /// Returns the number of requests that wait.
+    pub fn waiting(&self) -> usize {
+        self.queues.values().map(Queue::len).sum()
+    }
+
+    /// Returns the number of requests that were sent and have not ended.
+    pub fn running(&self) -> usize {
+        self.runs.len()
+    }
+
+    /// Returns the newest configuration version that another router told.
+    pub fn newest_version(&self) -> Version {
+        let versions = self.peers.values().map(|peer| peer.version);
+        versions.max().unwrap_or_default()
+    }
+
+    /// Takes an event and appends the actions that follow from it.
+    pub fn step(&mut self, now: Time, event: Event, out: &mut Vec<Action>) {
+        match event {
+            Event::Arrived(request) => self.arrive(now, request, out),
+            Event::Begun { number } => self.begin(now, number, out),
+            Event::Ended { number, end, again } => self.end(now, number, end, again, out),
+            Event::Gone { number } => self.forget(now, number, out),
+            Event::Targets(targets) => self.set_targets(now, targets, out),
+            Event::Routing(table) => self.set_routing(now, table, out),
+            Event::Summary(summary) => self.hear(now, &summary, out),
+            Event::Tick => self.tick(now, out),
+        }
+    }
+
+    fn arrive(&mut self, now: Time, request: Request, out: &mut Vec<Action>) {
+        self.budget(&request.service).earn();
+        let beyond = self.ask(&request);
+        let until = self.hold_until(now, &request);
+        let waiting = Waiting {
+            request,
+            tried: Vec::new(),
+            ran: false,
+            until,
+        };
+        if waiting.request.deadline <= now {
+            return refuse(&waiting, Reason::Deadline, Span(0), out);
+        }
+        if !self.has_target(&waiting.request.service) {
+            return refuse(&waiting, Reason::NoTarget, NO_TARGET_RETRY, out);
+        }
+        // Those that wait already go first, unless they can't use what this one can.
+        if let Some(offer) = self.find(now, &waiting, beyond) {
+            return self.send(now, waiting, offer, out);
+        }
+        if beyond {
+            let retry = self.share_retry(&waiting.request);
+            return refuse(&waiting, Reason::Share, retry, out);
+        }
+        let service = waiting.request.service.clone();
+        self.queues.entry(service).or_default().push(waiting);
+    }
+
+    /// Counts a request against its workspace; returns whether it is beyond the workspace's share.
+    fn ask(&mut self, request: &Request) -> bool {
+        let (Some(workspace), Some(prompt)) = (&request.workspace, &request.prompt) else {
+            return false;
+        };
+        let key = hash(workspace.as_str());
+        let cost = prompt.cost();
+        let usage = self.usages.entry(key).or_default();
+        usage.asked += cost;
+        usage.changed = true;
+        self.share.add(key, cost, 0);
+        self.settings.placement.sees_others() && self.share.is_beyond(key, cost)
+    }
+
+    fn share_retry(&self, request: &Request) -> Span {
+        let (Some(workspace), Some(prompt)) = (&request.workspace, &request.prompt) else {
+            return OVERLOAD_RETRY;
+        };
+        let after = self
+            .share
+            .room_after(hash(workspace.as_str()), prompt.cost());
+        after.clamp(SHARE_RETRY.0, SHARE_RETRY.1)
+    }
+
+    fn hold_until(&self, now: Time, request: &Request) -> Time {
+        let left = request.deadline.since(now);
+        let part = Span(left.0 / HOLD_DIVISOR);
+        now + part.min(self.settings.hold)
+    }
+
+    fn budget(&mut self, service: &id::Service) -> &mut Budget {
+        let routers = self.peers.len() as u32 + 1;
+        let settings = &self.settings;
+        self.budgets.entry(service.clone()).or_insert_with(|| {
+            Budget::new(settings.repeat_permille, settings.repeat_extra / routers)
+        })
+    }
+
+    fn begin(&mut self, now: Time, number: u64, out: &mut Vec<Action>) {
+        let Some(run) = self.runs.get_mut(&number) else {
+            return;
+        };
+        if run.begun {
+            return;
+        }
+        run.begun = true;
+        let service = run.request.service.clone();
+        if let Some(target) = self.targets.get_mut(&run.offer.target) {
+            target.read(run);
+            if run.request.prompt.is_some() {
+                target.pace.learn_first(now.since(run.sent), run.ahead);
+            }
+            if target.health.answer(now) {
+                out.push(belief(target));
+            }
+        }
+        self.serve(now, &service, out);
+    }
+
+    fn end(&mut self, now: Time, number: u64, end: End, again: bool, out: &mut Vec<Action>) {
+        let Some(mut run) = self.runs.remove(&number) else {
+            return;
+        };
+        self.release(now, &run, end, out);
+        let service = run.request.service.clone();
+        let may_have_run = !matches!(end, End::NotRun | End::Unsent);
+        run.ran |= may_have_run;
+        let ended = matches!(end, End::Answered | End::Cancelled);
+        if !ended {
+            self.send_again(now, run, end, again, out);
+        }
+        self.serve(now, &service, out);
+    }
+
+    /// Gives back what a run took and learns from how it ended.
+    fn release(&mut self, now: Time, run: &Run, end: End, out: &mut Vec<Action>) {
+        let Some(target) = self.targets.get_mut(&run.offer.target) else {
+            return;
+        };
+        target.end(run);
+        let changed = match end {
+            End::Answered => {
+                if run.request.prompt.is_none() {
+                    target.pace.learn_work(now.since(run.sent));
+                }
+                target.health.answer(now)
+            }
+            End::Cancelled | End::NotRun => {
+                target.health.forget();
+                false
+            }
+            End::Failed | End::Unsent | End::Broken | End::Silent => target.health.fail(now),
+        };
+        if changed {
+            out.push(belief(target));
+        }
+    }
+
+    fn send_again(&mut self, now: Time, run: Run, end: End, again: bool, out: &mut Vec<Action>) {
+        let mut request = run.request;
+        let mut waiting = Waiting {
+            tried: run.tried,
+            ran: run.ran,
+            until: self.hold_until(now, &request),
+            request: request.clone(),
+        };
+        if !again || (waiting.ran && !request.kind.is_repeatable()) {
+            return refuse(&waiting, Reason::Attempts, Span(0), out);
+        }
+        let free = end == End::Unsent;
+        if free {
+            waiting.tried.pop();
+            // The target that can't be reached is out of use for this request all the same.
+            waiting.request.attempts = request.attempts;
+        }
+        let unsent = waiting.tried.len() >= MAX_UNSENT * request.attempts.max(1) as usize;
+        if unsent || (!free && waiting.tried.len() >= request.attempts as usize) {
+            return refuse(&waiting, Reason::Attempts, OVERLOAD_RETRY, out);
+        }
+        if !free && !self.budget(&request.service).spend() {
+            return refuse(&waiting, Reason::Budget, OVERLOAD_RETRY, out);
+        }
+        request.due = request.due.max(now + AGAIN_DUE);
+        waiting.request = request;
+        if !self.has_target(&waiting.request.service) {
+            return refuse(&waiting, Reason::NoTarget, NO_TARGET_RETRY, out);
+        }
+        match self.find(now, &waiting, false) {
+            Some(offer) => self.send(now, waiting, offer, out),
+            None => {
+                let service = waiting.request.service.clone();
+                self.queues.entry(service).or_default().push(waiting);
+            }
+        }
+    }
+
+    fn forget(&mut self, now: Time, number: u64, out: &mut Vec<Action>) {
+        for queue in self.queues.values_mut() {
+            if queue.remove(number).is_some() {
+                return;
+            }
+        }
+        if self.runs.contains_key(&number) {
+            self.end(now, number, End::Cancelled, false, out);
+        }
+    }
+
+    fn tick(&mut self, now: Time, out: &mut Vec<Action>) {
+        self.share.tick(now);
+        self.drop_silent_peers(now);
+        self.abandon(now, out);
+        let services: Vec<id::Service> = self.queues.keys().cloned().collect();
+        for service in services {
+            self.serve(now, &service, out);
+            let expired = self.queues.get_mut(&service).map(|queue| queue.expire(now));
+            for waiting in expired.into_iter().flatten() {
+                let reason = if waiting.request.deadline <= now {
+                    Reason::Deadline
+                } else {
+                    Reason::Overload
+                };
+                refuse(&waiting, reason, OVERLOAD_RETRY, out);
+            }
+        }
+        self.queues.retain(|_, queue| queue.len() > 0);
+    }
+}
+
+fn refuse(waiting: &Waiting, reason: Reason, retry_after: Span, out: &mut Vec<Action>) {
+    out.push(Action::Refuse {
+        number: waiting.request.number,
+        refusal: Refusal {
+            reason,
+            retry_after,
+            ran: waiting.ran,
+        },
+    });
+}
+
+fn belief(target: &Target) -> Action {
+    let (failures, answers) = target.health.counts();
+    Action::Belief {
+        target: target.entry.name.clone(),
+        suspect: target.health.is_suspect(),
+        failures,
+        answers,
+    }
+}
--- /dev/null
+++ b/src/dispatch/machine/place.rs
@@ -0,0 +1,203 @@
+//! Which waiting request goes next, and to which target.
+
+use super::{Dispatcher, Queue, Run, Usage, Waiting};
+use crate::{
+    dispatch::{
+        Action, Offer, Placement,
+        target::{Room, Target},
+    },
+    gossip, id,
+    placement::hash,
+    unit::{Span, Time},
+};
+
+/// Waiting requests that are tried at once; the rest can hardly find room where these found none.
+const SCAN: usize = 12;
+/// Longest wait inside a target for a request that is late already: it must not make later
+/// requests late, which usually ask for their first event within 300 ms.
+const LATE_WAIT: Span = Span::from_millis(120);
+/// Longest wait inside a target for a request beyond its workspace's share.
+const BEYOND_WAIT: Span = Span::from_millis(40);
+/// Time that an answer needs from the target to the caller.
+const WAY_BACK: Span = Span::from_millis(8);
+/// Time beyond the expected one after which a target counts as silent.
+const SILENCE: Span = Span::from_millis(500);
+/// Time in which another router's suspicion counts, unless this router had an answer since.
+const SUSPICION: Span = Span::from_millis(1_000);
+
+impl Dispatcher {
+    /// Returns the best target that has room for a request.
+    pub(super) fn find(&self, now: Time, waiting: &Waiting, beyond: bool) -> Option<Offer> {
+        let request = &waiting.request;
+        let placement = self.settings.placement;
+        let view_age = self.view_age(now);
+        let mut best: Option<Offer> = None;
+        // The time that an idle target would take tells whether the request can be on time at all.
+        let mut fastest = Span(u64::MAX);
+        let mut offers = Vec::new();
+        for trusted in [true, false] {
+            for target in self.targets.values() {
+                if target.entry.service != request.service
+                    || target.entry.leaving
+                    || waiting.tried.contains(&target.entry.name)
+                    || trusted != self.is_trusted(target, now)
+                {
+                    continue;
+                }
+                let near = target.entry.domain == self.settings.domain;
+                let Some(mut offer) = target.offer(request, near, view_age) else {
+                    continue;
+                };
+                if placement == Placement::Alone {
+                    offer.price = u64::from(target.own.running);
+                }
+                fastest = fastest.min(Span(offer.first.0 - offer.wait.0));
+                offers.push((target, offer));
+            }
+            if !offers.is_empty() {
+                break;
+            }
+        }
+        let hopeless = now + fastest + WAY_BACK > request.due;
+        let room = match (beyond, hopeless) {
+            (true, _) => Room::Wait(BEYOND_WAIT),
+            (false, true) => Room::Wait(LATE_WAIT),
+            (false, false) => Room::OnTime,
+        };
+        for (target, offer) in offers {
+            let has_room =
+                placement != Placement::Shared || target.has_room(&offer, request, room, now);
+            if has_room && best.as_ref().is_none_or(|best| offer.price < best.price) {
+                best = Some(offer);
+            }
+        }
+        best
+    }
+
+    /// Reports whether a target is believed to answer.
+    fn is_trusted(&self, target: &Target, now: Time) -> bool {
+        if !target.health.is_usable(now) {
+            return false;
+        }
+        let (Some(at), true) = (target.suspected, self.settings.placement.sees_others()) else {
+            return true;
+        };
+        now.since(at) >= SUSPICION || target.health.last_answer().is_some_and(|last| last > at)
+    }
+
+    pub(super) fn has_target(&self, service: &id::Service) -> bool {
+        let mut targets = self.targets.values();
+        targets.any(|target| target.entry.service == *service && !target.entry.leaving)
+    }
+
+    /// Sends a request to a target.
+    pub(super) fn send(
+        &mut self,
+        now: Time,
+        waiting: Waiting,
+        offer: Offer,
+        out: &mut Vec<Action>,
+    ) {
+        let Waiting {
+            request,
+            mut tried,
+            ran,
+            ..
+        } = waiting;
+        let Some(target) = self.targets.get_mut(&offer.target) else {
+            return;
+        };
+        let (memory, ahead) = target.begin(&request, offer.unread, now);
+        if let Some(prompt) = &request.prompt {
+            let reads = prompt.parts.iter().map(|part| gossip::Read {
+                target: target.key,
+                part: part.id,
+                tokens: part.tokens,
+            });
+            self.reads.extend(reads);
+            if let Some(workspace) = request.workspace.as_ref().filter(|_| tried.is_empty()) {
+                let key = hash(workspace.as_str());
+                let usage: &mut Usage = self.usages.entry(key).or_default();
+                usage.granted += prompt.cost();
+                usage.changed = true;
+                self.share.add(key, 0, prompt.cost());
+            }
+        }
+        out.push(Action::Send {
+            number: request.number,
+            offer: offer.clone(),
+            earlier: tried.len() as u32,
+            waited: now.since(request.arrived),
+        });
+        tried.push(offer.target.clone());
+        let run = Run {
+            ahead,
+            memory,
+            sent: now,
+            tried,
+            begun: false,
+            ran,
+            abandoned: false,
+            offer,
+            request,
+        };
+        self.runs.insert(run.request.number, run);
+    }
+
+    /// Sends waiting requests of a service as long as targets have room for them.
+    pub(super) fn serve(&mut self, now: Time, service: &id::Service, out: &mut Vec<Action>) {
+        let Some(queue) = self.queues.get(service) else {
+            return;
+        };
+        let mut sent = Vec::new();
+        for index in queue.order(now, SCAN) {
+            let Some(number) = queue.get(index).map(|waiting| waiting.request.number) else {
+                continue;
+            };
+            sent.push(number);
+        }
+        for number in sent {
+            let queue = self.queues.entry(service.clone()).or_default();
+            let Some(waiting) = queue.remove(number) else {
+                continue;
+            };
+            match self.find(now, &waiting, false) {
+                Some(offer) => self.send(now, waiting, offer, out),
+                None => self.put_back(service, waiting),
+            }
+        }
+    }
+
+    fn put_back(&mut self, service: &id::Service, waiting: Waiting) {
+        let queue: &mut Queue = self.queues.entry(service.clone()).or_default();
+        queue.push(waiting);
+    }
+
+    /// Stops to wait for targets that fell silent, where another target may run the request.
+    pub(super) fn abandon(&mut self, now: Time, out: &mut Vec<Action>) {
+        let mut silent = Vec::new();
+        for run in self.runs.values_mut() {
+            let patience = Span(2 * run.offer.first.0 + SILENCE.0);
+            let due = now.since(run.sent) >= patience;
+            if !due || run.begun || run.abandoned {
+                continue;
+            }
+            run.abandoned = true;
+            silent.push((run.request.number, run.offer.target.clone()));
+        }
+        for (number, name) in silent {
+            let Some(run) = self.runs.get(&number) else {
+                continue;
+            };
+            let may_move =
+                run.request.kind.is_repeatable() && run.tried.len() < run.request.attempts as usize;
+            if may_move {
+                out.push(Action::Abandon { number });
+            } else if let Some(target) = self.targets.get_mut(&name)
+                && target.health.fail(now)
+            {
+                out.push(super::belief(target));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/dispatch/peer.rs
@@ -0,0 +1,54 @@
+//! What another router told.
+
+use super::View;
+use crate::{
+    gossip, id,
+    unit::{Time, Version},
+};
+use std::collections::HashMap;
+
+/// What another router told, newest values.
+#[derive(Clone, Debug)]
+pub(super) struct Peer {
+    pub(super) incarnation: id::Incarnation,
+    pub(super) sequence: u64,
+    pub(super) heard: Time,
+    pub(super) version: Version,
+    pub(super) loads: HashMap<u64, gossip::Load>,
+    usages: HashMap<u64, gossip::Usage>,
+}
+
+impl Peer {
+    pub(super) fn new(summary: &gossip::Summary, now: Time) -> Self {
+        Self {
+            incarnation: summary.incarnation,
+            sequence: 0,
+            heard: now,
+            version: summary.version,
+            loads: HashMap::new(),
+            usages: HashMap::new(),
+        }
+    }
+
+    /// Takes a load; returns the view before and after.
+    pub(super) fn take_load(&mut self, load: &gossip::Load) -> (View, View) {
+        let old = self.loads.insert(load.target, *load);
+        (
+            old.as_ref().map(View::from).unwrap_or_default(),
+            load.into(),
+        )
+    }
+
+    /// Takes a usage; returns the tokens asked and granted since the last one.
+    ///
+    /// What a router did before it was first heard of counts for nothing: its age is not known.
+    pub(super) fn take_usage(&mut self, usage: &gossip::Usage) -> (u64, u64) {
+        match self.usages.insert(usage.workspace, *usage) {
+            Some(old) => (
+                usage.asked.saturating_sub(old.asked),
+                usage.granted.saturating_sub(old.granted),
+            ),
+            None => (0, 0),
+        }
+    }
+}
--- /dev/null
+++ b/src/dispatch/share.rs
@@ -0,0 +1,124 @@
+//! Fair shares of the fleet's capacity, by max-min fairness over a sliding window.
+//!
+//! Answers the load of a workspace that floods the fleet: what it asks beyond its share must not
+//! take the others' place.
+
+use crate::unit::{Span, Time};
+use std::collections::HashMap;
+
+/// Buckets of the window: its age is known to a sixteenth.
+const BUCKETS: usize = 16;
+
+/// Tokens of one workspace in the window, fleet-wide.
+#[derive(Clone, Debug, Default)]
+struct Window {
+    asked: [u64; BUCKETS],
+    granted: [u64; BUCKETS],
+}
+
+/// Fair shares of the fleet's capacity.
+#[derive(Clone, Debug)]
+pub(super) struct Share {
+    window: Span,
+    /// Tokens that the fleet serves in a window; `None` if that is not known.
+    capacity: Option<u64>,
+    workspaces: HashMap<u64, Window>,
+    /// Number of the newest bucket since the router started.
+    bucket: u64,
+    /// Most tokens that a workspace is owed in a window; `None` while all get what they ask.
+    level: Option<u64>,
+}
+
+impl Share {
+    pub(super) fn new(window: Span) -> Self {
+        Self {
+            window,
+            capacity: None,
+            workspaces: HashMap::new(),
+            bucket: 0,
+            level: None,
+        }
+    }
+
+    /// Sets the fleet's capacity.
+    pub(super) fn set_capacity(&mut self, tokens_per_s: Option<u64>) {
+        self.capacity = tokens_per_s.map(|rate| rate * self.window.0 / 1_000_000);
+    }
+
+    /// Adds tokens that a workspace asked for and was granted, at any router.
+    pub(super) fn add(&mut self, workspace: u64, asked: u64, granted: u64) {
+        let at = (self.bucket % BUCKETS as u64) as usize;
+        let window = self.workspaces.entry(workspace).or_default();
+        window.asked[at] += asked;
+        window.granted[at] += granted;
+    }
+
+    /// Forgets what has left the window and works out the level.
+    pub(super) fn tick(&mut self, now: Time) {
+        let bucket = now.0 * BUCKETS as u64 / self.window.0.max(1);
+        let passed = bucket.saturating_sub(self.bucket);
+        for step in 1..=passed.min(BUCKETS as u64) {
+            let at = ((self.bucket + step) % BUCKETS as u64) as usize;
+            for window in self.workspaces.values_mut() {
+                window.asked[at] = 0;
+                window.granted[at] = 0;
+            }
+        }
+        self.bucket = self.bucket.max(bucket);
+        if passed > 0 {
+            self.workspaces
+                .retain(|_, window| window.asked.iter().any(|tokens| *tokens > 0));
+        }
+        self.level = self.capacity.and_then(|capacity| {
+            let asked = self.workspaces.values().map(Window::asked);
+            water_level(asked.collect(), capacity)
+        });
+    }
+
+    /// Returns the level and what a workspace was granted in the window.
+    pub(super) fn standing(&self, workspace: u64) -> (Option<u64>, u64) {
+        let window = self.workspaces.get(&workspace);
+        (self.level, window.map_or(0, Window::granted))
+    }
+
+    /// Reports whether a workspace has had its share, so that `cost` more is beyond it.
+    pub(super) fn is_beyond(&self, workspace: u64, cost: u64) -> bool {
+        let (level, granted) = self.standing(workspace);
+        level.is_some_and(|level| granted + cost > level)
+    }
+
+    /// Returns the time after which enough of what a workspace was granted has left the window.
+    pub(super) fn room_after(&self, workspace: u64, cost: u64) -> Span {
+        let (Some(level), granted) = self.standing(workspace) else {
+            return Span(0);
+        };
+        let beyond = (granted + cost).saturating_sub(level);
+        Span((beyond.saturating_mul(self.window.0) / level.max(1)).min(self.window.0))
+    }
+}
+
+impl Window {
+    fn asked(&self) -> u64 {
+        self.asked.iter().sum()
+    }
+
+    fn granted(&self) -> u64 {
+        self.granted.iter().sum()
+    }
+}
+
+/// Returns the level up to which all demands can be met with the capacity, or `None` if all can.
+fn water_level(mut demands: Vec<u64>, capacity: u64) -> Option<u64> {
+    demands.sort_unstable();
+    let mut left = capacity;
+    let mut waiting = demands.len() as u64;
+    for demand in demands {
+        let even = left / waiting;
+        if demand > even {
+            return Some(even);
+        }
+        left -= demand;
+        waiting -= 1;
+    }
+    None
+}
--- /dev/null
+++ b/src/dispatch/target.rs
@@ -0,0 +1,202 @@
+//! A target with its load and what was learned of it.
+
+use super::{Offer, Request, View, cache::Cache, health::Health, pace::Pace, run::Run};
+use crate::{
+    catalog, gossip,
+    placement::hash,
+    routing::Engine,
+    unit::{Span, Time},
+};
+use std::collections::HashMap;
+
+/// Part of an engine's memory that requests are sent to, in percent. An engine that runs out stops
+/// its newest request and reads it again; estimates of output are rough.
+const MEMORY_PERCENT: u64 = 90;
+/// Requests that wait inside a plain target, per slot: its own queue hides the time between two
+/// requests, more would only wait there.
+const PLAIN_QUEUE_PER_SLOT: u32 = 1;
+/// Weight of reading a prompt again against waiting: the time that it takes the engine delays every
+/// request that comes after.
+const READ_WEIGHT: u64 = 4;
+/// Price of each request that a target runs already: each one slows the others' tokens.
+const RUNNING_PRICE: Span = Span(700);
+/// Price of a target in another failure domain: two hops more and bytes between domains.
+const DOMAIN_PRICE: Span = Span(500);
+
+/// A target with its load and what was learned of it.
+#[derive(Clone, Debug)]
+pub(super) struct Target {
+    pub(super) entry: catalog::Target,
+    /// Hash of the name and run; other routers use it, too.
+    pub(super) key: u64,
+    pub(super) engine: Option<Engine>,
+    /// Requests of this router that it may run at once: its share of the connections.
+    pub(super) own_limit: u32,
+    pub(super) own: View,
+    pub(super) others: View,
+    pub(super) pace: Pace,
+    pub(super) health: Health,
+    pub(super) cache: Cache,
+    /// Leading parts that requests of this router use there: users and tokens.
+    in_use: HashMap<u64, (u32, u32)>,
+    /// What the other routers were told last.
+    pub(super) told: gossip::Load,
+    /// Last time at which another router said that it fails.
+    pub(super) suspected: Option<Time>,
+}
+
+/// How much room a request asks for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Room {
+    /// Its first event must come by the time it is due.
+    OnTime,
+    /// It is late already, or cannot be on time anywhere: the wait must be shorter than this.
+    Wait(Span),
+}
+
+impl Target {
+    pub(super) fn new(entry: catalog::Target, engine: Option<Engine>, own_limit: u32) -> Self {
+        let key = key_of(&entry);
+        Self {
+            entry,
+            key,
+            engine,
+            own_limit,
+            own: View::default(),
+            others: View::default(),
+            pace: Pace::default(),
+            health: Health::default(),
+            cache: Cache::default(),
+            in_use: HashMap::new(),
+            told: gossip::Load::default(),
+            suspected: None,
+        }
+    }
+
+    fn memory(&self) -> u64 {
+        self.engine.map_or(0, |engine| engine.memory_tokens)
+    }
+
+    fn slots(&self) -> u32 {
+        let declared = self.engine.map_or(self.entry.slots, |engine| engine.slots);
+        declared.max(1)
+    }
+
+    /// Returns what a request would meet here, or `None` if there is no slot or memory for it.
+    pub(super) fn offer(&self, request: &Request, near: bool, view_age: Span) -> Option<Offer> {
+        let view = self.own.plus(self.others);
+        if self.own.running >= self.own_limit {
+            return None;
+        }
+        let mut offer = Offer {
+            target: self.entry.name.clone(),
+            view,
+            view_age,
+            unread: 0,
+            wait: Span(0),
+            first: Span(0),
+            price: if near { 0 } else { DOMAIN_PRICE.0 },
+        };
+        let (Some(engine), Some(prompt)) = (&self.engine, &request.prompt) else {
+            let slots = self.slots();
+            if view.running >= slots * (1 + PLAIN_QUEUE_PER_SLOT) {
+                return None;
+            }
+            let rounds = u64::from(view.running / slots);
+            offer.wait = Span(rounds * self.pace.work().0);
+            offer.first = Span(offer.wait.0 + self.pace.work().0);
+            offer.price += offer.first.0 + u64::from(view.running) * RUNNING_PRICE.0;
+            return Some(offer);
+        };
+        let kept = self.cache.kept(&prompt.parts, engine.memory_tokens);
+        offer.unread = u64::from(prompt.tokens).saturating_sub(kept);
+        let need = self.need(request);
+        let full = view.memory + need > engine.memory_tokens * MEMORY_PERCENT / 100;
+        if view.running >= engine.slots || (full && view.running > 0) {
+            return None;
+        }
+        offer.wait = self.pace.read(view.backlog);
+        let read = self.pace.read(offer.unread);
+        offer.first = Span(self.pace.base().0 + offer.wait.0 + read.0);
+        offer.price +=
+            offer.wait.0 + READ_WEIGHT * read.0 + u64::from(view.running) * RUNNING_PRICE.0;
+        Some(offer)
+    }
+
+    /// Reports whether an offer leaves a request as much room as it asks for.
+    pub(super) fn has_room(&self, offer: &Offer, request: &Request, room: Room, now: Time) -> bool {
+        match room {
+            Room::OnTime => now + offer.first <= request.due,
+            Room::Wait(most) => offer.wait <= most,
+        }
+    }
+
+    /// Returns the tokens of memory that a request takes here, parts in use aside.
+    fn need(&self, request: &Request) -> u64 {
+        let Some(prompt) = &request.prompt else {
+            return 0;
+        };
+        let used = prompt
+            .parts
+            .iter()
+            .take_while(|part| self.in_use.contains_key(&part.id));
+        let used: u64 = used.map(|part| u64::from(part.tokens)).sum();
+        u64::from(prompt.tokens).saturating_sub(used) + u64::from(prompt.output)
+    }
+
+    /// Takes a request; returns the memory that it needs by itself and the backlog before it runs.
+    pub(super) fn begin(&mut self, request: &Request, unread: u64, now: Time) -> (u64, u64) {
+        self.health.send(now);
+        self.own.running += 1;
+        let Some(prompt) = &request.prompt else {
+            return (0, 0);
+        };
+        let need = self.need(request);
+        let memory = self.memory();
+        for part in &prompt.parts {
+            self.in_use.entry(part.id).or_insert((0, part.tokens)).0 += 1;
+            self.cache.touch(part.id, part.tokens, memory);
+        }
+        self.own.memory += need;
+        self.own.backlog += unread;
+        (need, self.own.plus(self.others).backlog)
+    }
+
+    /// Notes that a request's prompt was read.
+    pub(super) fn read(&mut self, run: &Run) {
+        self.own.backlog = self.own.backlog.saturating_sub(run.offer.unread);
+    }
+
+    /// Gives back what a request took.
+    pub(super) fn end(&mut self, run: &Run) {
+        self.own.running = self.own.running.saturating_sub(1);
+        self.own.memory = self.own.memory.saturating_sub(run.memory);
+        if !run.begun {
+            self.read(run);
+        }
+        for part in run.request.prompt.iter().flat_map(|prompt| &prompt.parts) {
+            if let Some(users) = self.in_use.get_mut(&part.id) {
+                users.0 -= 1;
+                if users.0 == 0 {
+                    self.in_use.remove(&part.id);
+                }
+            }
+        }
+    }
+
+    /// Returns what the other routers are to know.
+    pub(super) fn load(&self) -> gossip::Load {
+        gossip::Load {
+            target: self.key,
+            running: self.own.running,
+            backlog: self.own.backlog,
+            memory: self.own.memory,
+            suspect: self.health.is_suspect(),
+        }
+    }
+}
+
+/// Returns the hash by which routers speak of a run of a target.
+pub(super) fn key_of(entry: &catalog::Target) -> u64 {
+    hash(entry.name.as_str()) ^ entry.born.rotate_left(32)
+}
--- a/src/front/exchange/mod.rs
+++ b/src/front/exchange/mod.rs
@@ -1,11 +1,10 @@
 //! Task that carries one request: waits for orders, runs attempts, and answers the caller.
 
 mod caller;
-mod header;
 mod relay;
 
 use self::caller::Caller;
-use super::{Answer, Body, Event, Order, Problem, Sink, handler::Message, whole};
+use super::{Answer, Body, Event, Order, Problem, Sink, handler::Message, header, whole};
 use crate::{
     answer, clock, config, id, ingress, metric, trace, unit, upstream,
     wire::{Class, Outcome},
--- a/src/front/handler.rs
+++ b/src/front/handler.rs
@@ -1,6 +1,6 @@
 //! From a request's head and body to a call.
 
-use super::{Body, Call, Event, Limits, Problem, Sink, exchange, whole};
+use super::{Body, Call, Event, Limits, Problem, Responder, Sink, exchange, whole};
 use crate::{
     answer, claim, clock, config, id, metric, trace,
     unit::{Cost, Span},
@@ -8,6 +8,7 @@
     wire::Class,
 };
 use bytes::Bytes;
+use futures::{FutureExt, future::BoxFuture};
 use http::{HeaderMap, Method, Request, Response, StatusCode, Uri, header};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
@@ -35,14 +36,21 @@
 const MAX_KEY_BYTES: usize = 128;
 
 /// Shared by all connections of the callers' interface.
-pub(super) struct Handler {
-    pub(super) fleet: Arc<RwLock<Arc<config::Fleet>>>,
-    pub(super) sink: Arc<dyn Sink>,
-    pub(super) limits: Limits,
-    pub(super) pool: upstream::Pool,
-    pub(super) incarnation: id::Incarnation,
-    pub(super) log: slog::Logger,
-    pub(super) next: AtomicU64,
+pub struct Handler {
+    /// Configuration in force.
+    pub fleet: Arc<RwLock<Arc<config::Fleet>>>,
+    /// Receiver of what happens to requests.
+    pub sink: Arc<dyn Sink>,
+    /// Limits on what a caller may send.
+    pub limits: Limits,
+    /// Connections to targets.
+    pub pool: upstream::Pool,
+    /// Run of this router.
+    pub incarnation: id::Incarnation,
+    /// Log.
+    pub log: slog::Logger,
+    /// Number of the next request.
+    pub next: AtomicU64,
 }
 
 /// A request with its body, ready to be sent to a target.
@@ -66,15 +74,20 @@
     max_tokens: Option<u64>,
 }
 
-impl Handler {
-    /// Answers one request.
-    pub(super) async fn handle(&self, request: Request<Incoming>) -> Response<Body> {
-        match self.answer(request).await {
-            Ok(response) => response,
-            Err(problem) => problem.response(),
-        }
+impl Responder for Handler {
+    fn respond(&self, request: Request<Incoming>) -> BoxFuture<'_, Response<Body>> {
+        let answered = self.answer(request);
+        answered
+            .map(|answered| answered.unwrap_or_else(|problem| problem.response()))
+            .boxed()
+    }
+
+    fn limits(&self) -> Limits {
+        self.limits.clone()
     }
+}
 
+impl Handler {
     async fn answer(&self, request: Request<Incoming>) -> Result<Response<Body>, Problem> {
         let hop = trace::Hop::arrive(request.headers(), clock::now());
         let fleet = self.fleet();
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -5,9 +5,11 @@
 mod event;
 mod exchange;
 mod handler;
+pub(crate) mod header;
 mod limits;
 mod order;
 mod problem;
+mod responder;
 mod server;
 mod transport;
 
@@ -15,9 +17,11 @@
     answer::Answer,
     call::Call,
     event::Event,
+    handler::Handler,
     limits::Limits,
     order::Order,
     problem::{Problem, Result as Verdict},
+    responder::Responder,
     server::{Server, Settings},
 };
 
--- /dev/null
+++ b/src/front/responder.rs
@@ -0,0 +1,15 @@
+//! What answers requests behind a listener.
+
+use super::{Body, Limits};
+use futures::future::BoxFuture;
+use http::{Request, Response};
+use hyper::body::Incoming;
+
+/// What answers requests behind a listener.
+pub trait Responder: Send + Sync {
+    /// Answers one request. Dropped before its end if the caller goes away.
+    fn respond(&self, request: Request<Incoming>) -> BoxFuture<'_, Response<Body>>;
+
+    /// Returns the limits for a connection that opens now.
+    fn limits(&self) -> Limits;
+}
--- a/src/front/server.rs
+++ b/src/front/server.rs
@@ -1,23 +1,15 @@
 //! Listener of the callers' interface.
 
 use super::{
-    Limits, Problem, Sink,
-    handler::Handler,
-    transport::{Progress, Running, Transport},
+    Problem, Responder,
+    transport::{Progress, Running, Times, Transport},
 };
-use crate::{config, id, unit::Span, upstream};
+use crate::unit::Span;
 use futures::FutureExt;
 use http_body_util::BodyExt;
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::TokioIo;
-use std::{
-    convert::Infallible,
-    io,
-    net::SocketAddr,
-    pin::pin,
-    sync::{Arc, RwLock, atomic::AtomicU64},
-    time::Duration,
-};
+use std::{convert::Infallible, io, net::SocketAddr, pin::pin, sync::Arc, time::Duration};
 use tokio::{
     net::{TcpListener, TcpStream},
     runtime::Handle,
@@ -30,16 +22,8 @@
 pub struct Settings {
     /// Address to listen on.
     pub address: SocketAddr,
-    /// Limits on what a caller may send.
-    pub limits: Limits,
-    /// Configuration in force.
-    pub fleet: Arc<RwLock<Arc<config::Fleet>>>,
-    /// Run of this router.
-    pub incarnation: id::Incarnation,
-    /// Receiver of what happens to requests.
-    pub sink: Arc<dyn Sink>,
-    /// Log.
-    pub log: slog::Logger,
+    /// What answers the requests.
+    pub handler: Arc<dyn Responder>,
 }
 
 /// Running listener; it stops by [`Server::drain`].
@@ -60,16 +44,8 @@
         listener.set_nonblocking(true)?;
         let address = listener.local_addr()?;
         let (stop, stopped) = watch::channel(false);
-        let connections = Arc::new(Semaphore::new(settings.limits.connections));
-        let handler = Arc::new(Handler {
-            fleet: settings.fleet,
-            sink: settings.sink,
-            limits: settings.limits,
-            pool: upstream::Pool::default(),
-            incarnation: settings.incarnation,
-            log: settings.log,
-            next: AtomicU64::new(1),
-        });
+        let handler = settings.handler;
+        let connections = Arc::new(Semaphore::new(handler.limits().connections));
         let listener = {
             let _entered = runtime.enter();
             TcpListener::from_std(listener)?
@@ -97,7 +73,7 @@
 
 async fn accept(
     listener: TcpListener,
-    handler: Arc<Handler>,
+    handler: Arc<dyn Responder>,
     connections: Arc<Semaphore>,
     stopped: watch::Receiver<bool>,
 ) {
@@ -105,7 +81,7 @@
     const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
     let tracker = TaskTracker::new();
-    let notice = Duration::from(handler.limits.notice);
+    let notice = Duration::from(handler.limits().notice);
     let serve = |stream: TcpStream| {
         // Without the option small writes may be delayed; the connection works all the same.
         let _ = stream.set_nodelay(true);
@@ -147,18 +123,22 @@
 
 /// Serves a connection until its caller closes it, or until the server stops and its last answer
 /// is given.
-async fn serve(stream: TcpStream, handler: Arc<Handler>, mut stopped: watch::Receiver<bool>) {
-    let limits = handler.limits.clone();
+async fn serve(stream: TcpStream, handler: Arc<dyn Responder>, mut stopped: watch::Receiver<bool>) {
+    let limits = handler.limits();
     let (running, mut begun) = watch::channel(false);
     let progress = Arc::<Progress>::default();
     let service_progress = progress.clone();
-    let transport = Transport::new(stream, Duration::from(limits.idle), progress);
+    let times = Times {
+        head: Duration::from(limits.head),
+        idle: Duration::from(limits.idle),
+    };
+    let transport = Transport::new(stream, times, progress.clone());
     let service = service_fn(move |request| {
         let (handler, running) = (handler.clone(), running.clone());
         let request_runs = Running::begin(&service_progress);
         async move {
             running.send_replace(true);
-            let response = handler.handle(request).await;
+            let response = handler.respond(request).await;
             running.send_replace(false);
             // The request runs until its answer is given.
             let response = response.map(|body| {
@@ -191,9 +171,21 @@
         _ = begins => {}
     }
     connection.as_mut().graceful_shutdown();
-    let _ = connection.await;
+    // A head that was begun and doesn't come must not hold up the shutdown.
+    loop {
+        tokio::select! {
+            _ = connection.as_mut() => return,
+            () = tokio::time::sleep(Duration::from(HEAD_GRACE)) => {}
+        }
+        if !progress.is_running() {
+            return;
+        }
+    }
 }
 
+/// Time for which a head that was begun is awaited after the notice of a shutdown.
+const HEAD_GRACE: Span = Span::from_millis(500);
+
 /// Smallest read buffer that the HTTP library accepts, in bytes.
 const MIN_BUFFER_BYTES: usize = 8_192;
 
--- a/src/front/transport.rs
+++ b/src/front/transport.rs
@@ -37,6 +37,22 @@
     running: AtomicBool,
 }
 
+impl Progress {
+    /// Reports whether a request runs or its answer is being given.
+    pub(super) fn is_running(&self) -> bool {
+        self.running.load(Ordering::Relaxed)
+    }
+}
+
+/// Time limits of a caller's connection.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Times {
+    /// For a head that was begun.
+    pub(super) head: Duration,
+    /// For the next head, and for a caller that takes nothing of its answer.
+    pub(super) idle: Duration,
+}
+
 /// A request that runs until this is dropped.
 pub(super) struct Running(Arc<Progress>);
 
@@ -57,7 +73,7 @@
 /// A caller's connection.
 pub(super) struct Transport {
     stream: TcpStream,
-    idle: Duration,
+    times: Times,
     progress: Arc<Progress>,
     /// Requests begun when the transport last looked.
     begun: u64,
@@ -76,10 +92,10 @@
 }
 
 impl Transport {
-    pub(super) fn new(stream: TcpStream, idle: Duration, progress: Arc<Progress>) -> Self {
+    pub(super) fn new(stream: TcpStream, times: Times, progress: Arc<Progress>) -> Self {
         Self {
             stream,
-            idle,
+            times,
             progress,
             begun: 0,
             partial: false,
@@ -108,13 +124,17 @@
 
     /// Ends a connection whose head takes too long: with an answer if a part of it came.
     fn expire(&mut self, cx: &mut Context<'_>) -> Poll<()> {
-        let idle = self.idle;
+        let limit = if self.partial {
+            self.times.head
+        } else {
+            self.times.idle
+        };
         let timer = self
             .head
-            .get_or_insert_with(|| Box::pin(tokio::time::sleep(idle)));
+            .get_or_insert_with(|| Box::pin(tokio::time::sleep(limit)));
         ready!(timer.as_mut().poll(cx));
         if self.partial {
-            let detail = format!("the head did not arrive within {idle:?}");
+            let detail = format!("the head did not arrive within {limit:?}");
             self.answer = Problem::invalid(StatusCode::REQUEST_TIMEOUT, detail).message();
         }
         self.ended = true;
@@ -144,7 +164,7 @@
             self.stall = None;
             return written;
         }
-        let idle = self.idle;
+        let idle = self.times.idle;
         let timer = self
             .stall
             .get_or_insert_with(|| Box::pin(tokio::time::sleep(idle)));
@@ -204,7 +224,11 @@
         if !this.ended {
             let before = buffer.filled().len();
             if let Poll::Ready(read) = Pin::new(&mut this.stream).poll_read(cx, buffer) {
-                this.partial |= awaits && buffer.filled().len() > before;
+                if awaits && !this.partial && buffer.filled().len() > before {
+                    this.partial = true;
+                    // From now on the time of a head counts.
+                    this.head = None;
+                }
                 return Poll::Ready(read);
             }
             if !awaits {
--- /dev/null
+++ b/src/gateway/exchange.rs
@@ -0,0 +1,479 @@
+//! One request: its tries at targets until it has an answer.
+
+use super::{
+    Dialect, Fleet, Outgoing, Reply, call::Call, logbook::Entry, relay::Relay, ticket::Ticket,
+};
+use crate::{
+    clock,
+    dispatch::{End, Event, Offer, Refusal},
+    front::{Body, Problem, header, whole},
+    id, metric,
+    routing::Kind,
+    unit::{Span, Time},
+    upstream,
+};
+use bytes::{Bytes, BytesMut};
+use http::{HeaderValue, Method, Request, Response, StatusCode, response};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use std::{sync::Arc, time::Duration};
+
+/// Longest idle time of a connection that carries a request which may run only once: a target may
+/// have dropped an older one without a word, and a send on it leaves the outcome unknown.
+const ONCE_MAX_IDLE: Span = Span::from_millis(1_000);
+/// Largest answer that is read whole before the caller gets any of it, in bytes.
+const MAX_WHOLE_BYTES: usize = 256 << 10;
+/// Time after which a caller may come back whose request was not run and whose time was up.
+const EXPIRED_RETRY: Span = Span::from_millis(1_000);
+
+/// What all exchanges share.
+pub(super) struct Shared {
+    pub(super) fleet: Arc<Fleet>,
+    pub(super) dialect: Arc<dyn Dialect>,
+    pub(super) pool: upstream::Pool,
+}
+
+/// One request and its place at the dispatcher.
+pub(super) struct Exchange {
+    pub(super) call: Call,
+    pub(super) ticket: Ticket,
+    pub(super) shared: Arc<Shared>,
+    /// A target may have run the request.
+    ran: bool,
+    /// The caller has its final answer, or the router gave up.
+    finished: bool,
+    first: Option<Span>,
+}
+
+/// An answer whose head came.
+pub(super) struct Begun {
+    pub(super) target: id::Target,
+    pub(super) sent: Time,
+    pub(super) head: response::Parts,
+    pub(super) reply: Reply,
+    pub(super) body: Incoming,
+    pub(super) lease: upstream::Lease,
+}
+
+/// A try that gave no answer for the caller.
+pub(super) struct Failed {
+    pub(super) target: id::Target,
+    pub(super) sent: Time,
+    pub(super) end: End,
+    pub(super) cause: Box<str>,
+    /// The target's own failure, which the caller gets if there is no other try.
+    answer: Option<Response<Body>>,
+}
+
+impl Exchange {
+    pub(super) fn new(call: Call, ticket: Ticket, shared: Arc<Shared>) -> Self {
+        Self {
+            call,
+            ticket,
+            shared,
+            ran: false,
+            finished: false,
+            first: None,
+        }
+    }
+
+    /// Tries targets until there is an answer for the caller.
+    pub(super) async fn run(mut self) -> Response<Body> {
+        let mut failure = None;
+        loop {
+            let left = Duration::from(self.call.remaining(clock::now()));
+            let decision = tokio::time::timeout(left, self.ticket.decision()).await;
+            let offer = match decision {
+                Ok(Some(Ok((offer, _)))) => offer,
+                Ok(Some(Err(refusal))) => return self.give_up(failure, &refusal),
+                Ok(None) | Err(_) => return self.expire(),
+            };
+            let left = Duration::from(self.call.remaining(clock::now()));
+            let attempt = tokio::time::timeout(left, self.attempt(&offer)).await;
+            let Ok(attempt) = attempt else {
+                return self.expire();
+            };
+            let failed = match attempt {
+                Ok(begun) if self.call.route.kind.is_stream() => return self.stream(begun),
+                Ok(begun) => {
+                    let left = Duration::from(self.call.remaining(clock::now()));
+                    match tokio::time::timeout(left, self.gather(begun)).await {
+                        Ok(Ok(gathered)) => return self.deliver(gathered),
+                        Ok(Err(failed)) => failed,
+                        Err(_) => return self.expire(),
+                    }
+                }
+                Err(failed) => failed,
+            };
+            self.note_end(&failed);
+            failure = failed.answer;
+            self.ticket.tell(Event::Ended {
+                number: self.call.number,
+                end: failed.end,
+                again: true,
+            });
+        }
+    }
+
+    /// Sends the request to a target and waits for the head of its answer.
+    pub(super) async fn attempt(&mut self, offer: &Offer) -> Result<Begun, Failed> {
+        let sent = clock::now();
+        let failed = |end, cause: &dyn std::fmt::Display| Failed {
+            target: offer.target.clone(),
+            sent,
+            end,
+            cause: cause.to_string().into(),
+            answer: None,
+        };
+        let Some(target) = self.shared.fleet.target(&offer.target) else {
+            return Err(failed(End::Unsent, &"the target is not listed any more"));
+        };
+        let mut most_idle = Some(match self.call.route.kind {
+            Kind::Once => ONCE_MAX_IDLE,
+            _ => Span(u64::MAX),
+        });
+        let ran_before = self.ran;
+        let (response, lease) = loop {
+            let leased = self
+                .shared
+                .pool
+                .lease_fresh(target.address, most_idle)
+                .await;
+            let mut lease = leased.map_err(|error| failed(End::Unsent, &error))?;
+            let reused = if lease.is_reused() { "yes" } else { "no" };
+            metrics::counter!(metric::CONNECTIONS, "reused" => reused).increment(1);
+            let request = self.request(&offer.target);
+            self.ran = true;
+            let answered = tokio::select! {
+                answered = lease.sender.try_send_request(request) => answered,
+                () = self.ticket.abandoned() => {
+                    return Err(failed(End::Silent, &"no answer within the expected time"));
+                }
+            };
+            match answered {
+                Ok(response) => break (response, lease),
+                Err(mut error) => {
+                    // The library hands the request back if no byte of it was sent.
+                    let unsent = error.take_message().is_some();
+                    if !unsent {
+                        return Err(failed(End::Broken, error.error()));
+                    }
+                    self.ran = ran_before;
+                    if !lease.is_reused() {
+                        return Err(failed(End::Unsent, error.error()));
+                    }
+                    most_idle = None;
+                }
+            }
+        };
+        let (head, body) = response.into_parts();
+        let reply = self.shared.dialect.reply(head.status, &head.headers);
+        let own = reply
+            .request
+            .as_ref()
+            .is_none_or(|name| *name == self.call.head.request);
+        if !own {
+            metrics::counter!(metric::CROSSED).increment(1);
+            return Err(failed(End::Broken, &"the answer is to another request"));
+        }
+        if reply.not_run {
+            self.ran = ran_before;
+            let cause = format!("the target refused with {}", head.status);
+            if body.collect().await.is_ok() {
+                release(lease, &reply);
+            }
+            return Err(failed(End::NotRun, &cause));
+        }
+        if !reply.signed || reply.encoded {
+            let cause = format!("an answer {} without signature", head.status);
+            return Err(failed(End::Broken, &cause));
+        }
+        let begun = Begun {
+            target: offer.target.clone(),
+            sent,
+            head,
+            reply,
+            body,
+            lease,
+        };
+        if begun.head.status.is_server_error() {
+            return Err(self.fail(begun).await);
+        }
+        Ok(begun)
+    }
+
+    /// Reads a failure of the target's own.
+    async fn fail(&self, begun: Begun) -> Failed {
+        let (target, sent) = (begun.target.clone(), begun.sent);
+        let status = begun.head.status;
+        let failed = |end, cause: String, answer| Failed {
+            target,
+            sent,
+            end,
+            cause: cause.into(),
+            answer,
+        };
+        match begun.body.collect().await {
+            Ok(body) => {
+                release(begun.lease, &begun.reply);
+                let mut response = Response::new(whole(body.to_bytes()));
+                *response.status_mut() = status;
+                header::copy(&begun.head.headers, response.headers_mut());
+                let cause = format!("the target failed with {status}");
+                failed(End::Failed, cause, Some(response))
+            }
+            Err(error) => failed(End::Broken, error.to_string(), None),
+        }
+    }
+
+    /// Reads an answer that isn't a stream, as far as it is held before the caller gets it.
+    async fn gather(&mut self, mut begun: Begun) -> Result<(Begun, Bytes, bool), Failed> {
+        let mut gathered = BytesMut::new();
+        while gathered.len() <= MAX_WHOLE_BYTES {
+            match begun.body.frame().await {
+                Some(Ok(frame)) => {
+                    gathered.extend_from_slice(frame.data_ref().unwrap_or(&Bytes::new()));
+                }
+                Some(Err(error)) => {
+                    return Err(Failed {
+                        target: begun.target,
+                        sent: begun.sent,
+                        end: End::Broken,
+                        cause: error.to_string().into(),
+                        answer: None,
+                    });
+                }
+                None => return Ok((begun, gathered.freeze(), true)),
+            }
+        }
+        Ok((begun, gathered.freeze(), false))
+    }
+
+    /// Gives the caller an answer that isn't a stream.
+    fn deliver(mut self, (begun, gathered, complete): (Begun, Bytes, bool)) -> Response<Body> {
+        self.note_first();
+        let mut response = Response::new(());
+        *response.status_mut() = begun.head.status;
+        header::copy(&begun.head.headers, response.headers_mut());
+        if !complete {
+            let length = begun.head.headers.get(http::header::CONTENT_LENGTH);
+            if let Some(length) = length.cloned() {
+                response
+                    .headers_mut()
+                    .insert(http::header::CONTENT_LENGTH, length);
+            }
+            let relay = Relay::bytes(self, begun, gathered);
+            return response.map(|()| relay.into_body());
+        }
+        self.finish(&begun.target, begun.head.status);
+        let length = begun.head.headers.get(http::header::CONTENT_LENGTH);
+        if self.call.method == Method::HEAD
+            && let Some(length) = length.cloned()
+        {
+            response
+                .headers_mut()
+                .insert(http::header::CONTENT_LENGTH, length);
+        }
+        release(begun.lease, &begun.reply);
+        response.map(|()| whole(gathered))
+    }
+
+    /// Gives the caller a stream, event by event.
+    fn stream(self, begun: Begun) -> Response<Body> {
+        let mut response = Response::new(());
+        *response.status_mut() = begun.head.status;
+        header::copy(&begun.head.headers, response.headers_mut());
+        let relay = Relay::events(self, begun);
+        response.map(|()| relay.into_body())
+    }
+
+    /// Notes that the first event, or the whole of a plain answer, came.
+    pub(super) fn note_first(&mut self) {
+        if self.first.is_some() {
+            return;
+        }
+        let first = clock::now().since(self.call.arrived);
+        self.first = Some(first);
+        let service = self.call.service.to_string();
+        metrics::histogram!(metric::FIRST_BYTE, "service" => service).record(first.as_secs_f64());
+        self.ticket.tell(Event::Begun {
+            number: self.call.number,
+        });
+    }
+
+    /// Notes that the caller has the whole answer of a target.
+    pub(super) fn finish(&mut self, target: &id::Target, status: StatusCode) {
+        self.finished = true;
+        self.ticket.tell(Event::Ended {
+            number: self.call.number,
+            end: End::Answered,
+            again: false,
+        });
+        self.count("answered");
+        let entry = Entry::Answered {
+            request: &self.call.head.request,
+            workspace: self.call.workspace.as_ref(),
+            route: &self.call.route.name,
+            target,
+            status: status.as_u16(),
+            first: self.first.unwrap_or_default(),
+            after: self.age(),
+        };
+        entry.write(self.ticket.hub().log());
+    }
+
+    /// Notes how a try ended.
+    pub(super) fn note_end(&self, failed: &Failed) {
+        let entry = Entry::Ended {
+            request: &self.call.head.request,
+            target: &failed.target,
+            end: failed.end,
+            cause: &failed.cause,
+            after: clock::now().since(failed.sent),
+        };
+        entry.write(self.ticket.hub().log());
+        let end = failed.end.to_string();
+        metrics::counter!(metric::RUN_FAILURES, "end" => end).increment(1);
+    }
+
+    /// Notes that an answer which was begun can't be completed.
+    pub(super) fn cut(&mut self, cause: &str, events: u64) {
+        self.finished = true;
+        self.count("cut");
+        let entry = Entry::Cut {
+            request: &self.call.head.request,
+            cause,
+            events,
+            after: self.age(),
+        };
+        entry.write(self.ticket.hub().log());
+    }
+
+    fn count(&self, result: &'static str) {
+        let service = self.call.service.to_string();
+        metrics::counter!(metric::RESULTS, "service" => service, "result" => result).increment(1);
+    }
+
+    fn age(&self) -> Span {
+        clock::now().since(self.call.arrived)
+    }
+
+    /// Answers a request that gets no answer of a target: with the target's own failure if there is
+    /// one.
+    fn give_up(mut self, failure: Option<Response<Body>>, refusal: &Refusal) -> Response<Body> {
+        let ran = self.ran || refusal.ran;
+        if let Some(response) = failure {
+            self.refused(response.status(), &refusal.reason.to_string(), ran, Span(0));
+            return response;
+        }
+        let reason = refusal.reason.to_string();
+        self.refuse(StatusCode::BAD_GATEWAY, &reason, ran, refusal.retry_after)
+    }
+
+    /// Answers a request whose time is up.
+    fn expire(mut self) -> Response<Body> {
+        let ran = self.ran;
+        let reason = "the time of the request is up";
+        self.refuse(StatusCode::GATEWAY_TIMEOUT, reason, ran, EXPIRED_RETRY)
+    }
+
+    /// Refuses a request; `doubt` is the status if it may have run.
+    fn refuse(
+        &mut self,
+        doubt: StatusCode,
+        reason: &str,
+        ran: bool,
+        retry_after: Span,
+    ) -> Response<Body> {
+        let problem = if ran {
+            Problem::unknown(doubt, reason)
+        } else {
+            Problem::not_run(reason, retry_after)
+        };
+        let mut response = problem.response();
+        if ran {
+            response.headers_mut().remove(http::header::RETRY_AFTER);
+        } else {
+            set_retry_after(&mut response, retry_after);
+        }
+        self.refused(response.status(), reason, ran, retry_after);
+        response
+    }
+
+    fn refused(&mut self, status: StatusCode, reason: &str, ran: bool, retry_after: Span) {
+        self.finished = true;
+        self.count(if ran { "unknown" } else { "not-run" });
+        let entry = Entry::Refused {
+            request: &self.call.head.request,
+            workspace: self.call.workspace.as_ref(),
+            status: status.as_u16(),
+            reason,
+            ran,
+            retry_after,
+            after: self.age(),
+        };
+        entry.write(self.ticket.hub().log());
+    }
+
+    /// Returns the request as the target gets it.
+    fn request(&self, target: &id::Target) -> Request<Full<Bytes>> {
+        let call = &self.call;
+        let mut request = Request::new(Full::new(call.body.clone()));
+        *request.method_mut() = call.method.clone();
+        *request.uri_mut() = call.uri.clone();
+        header::copy(&call.headers, request.headers_mut());
+        let outgoing = Outgoing {
+            target,
+            workspace: call.workspace.as_ref(),
+            remaining: call.remaining(clock::now()),
+            last_event: call.head.last_event.as_deref(),
+        };
+        self.shared.dialect.write(request.headers_mut(), &outgoing);
+        request
+    }
+}
+
+impl Drop for Exchange {
+    fn drop(&mut self) {
+        if !self.finished {
+            self.count("left");
+            let entry = Entry::Left {
+                request: &self.call.head.request,
+                after: self.age(),
+            };
+            entry.write(self.ticket.hub().log());
+        }
+    }
+}
+
+/// Returns a connection to the pool whose answer was read whole.
+pub(super) fn release(lease: upstream::Lease, reply: &Reply) {
+    match reply.keep {
+        _ if reply.closes => {}
+        Some(keep) => lease.release_for(keep),
+        None => lease.release(),
+    }
+}
+
+/// Tells the caller when to come back, in seconds with a fraction.
+pub(super) fn set_retry_after(response: &mut Response<Body>, after: Span) {
+    let text = format!("{:.3}", after.as_secs_f64());
+    if let Ok(value) = HeaderValue::from_str(&text) {
+        response
+            .headers_mut()
+            .insert(http::header::RETRY_AFTER, value);
+    }
+}
+
+impl Failed {
+    /// Returns the failure of an answer that was begun.
+    pub(super) fn broken(begun: &Begun, end: End, cause: &str) -> Self {
+        Self {
+            target: begun.target.clone(),
+            sent: begun.sent,
+            end,
+            cause: cause.into(),
+            answer: None,
+        }
+    }
+}
--- /dev/null
+++ b/src/gateway/fleet.rs
@@ -0,0 +1,80 @@
+//! What the handlers of requests read: configuration, targets, readiness.
+
+use crate::{catalog, health, id, routing, unit::Span};
+use std::{
+    collections::BTreeMap,
+    sync::{
+        Arc, PoisonError, RwLock,
+        atomic::{AtomicBool, Ordering},
+    },
+};
+
+/// Targets by name.
+pub(super) type Targets = BTreeMap<id::Target, catalog::Target>;
+
+/// What the handlers of requests read: configuration, targets, readiness.
+#[derive(Debug, Default)]
+pub struct Fleet {
+    table: RwLock<Arc<routing::Table>>,
+    targets: RwLock<Arc<Targets>>,
+    listed: AtomicBool,
+    draining: AtomicBool,
+}
+
+impl Fleet {
+    /// Time after which a caller may come back to a router that knows no configuration yet.
+    pub const UNREADY_RETRY: Span = Span::from_millis(1_000);
+
+    /// Returns the configuration in force.
+    pub fn table(&self) -> Arc<routing::Table> {
+        let table = self.table.read().unwrap_or_else(PoisonError::into_inner);
+        table.clone()
+    }
+
+    /// Puts a configuration in force.
+    pub fn set_table(&self, table: Arc<routing::Table>) {
+        *self.table.write().unwrap_or_else(PoisonError::into_inner) = table;
+    }
+
+    /// Returns a target.
+    pub fn target(&self, name: &id::Target) -> Option<catalog::Target> {
+        let targets = self.targets.read().unwrap_or_else(PoisonError::into_inner);
+        targets.get(name).cloned()
+    }
+
+    /// Replaces the targets.
+    pub fn set_targets(&self, new: Arc<Targets>) {
+        *self.targets.write().unwrap_or_else(PoisonError::into_inner) = new;
+        self.listed.store(true, Ordering::Relaxed);
+    }
+
+    /// Reports whether a configuration is in force.
+    pub fn is_configured(&self) -> bool {
+        self.table().version.0 > 0
+    }
+
+    /// Notes that the router shuts down.
+    pub fn drain(&self) {
+        self.draining.store(true, Ordering::Relaxed);
+    }
+
+    /// Reports whether the router shuts down.
+    pub fn is_draining(&self) -> bool {
+        self.draining.load(Ordering::Relaxed)
+    }
+}
+
+impl health::Source for Fleet {
+    fn unready(&self) -> Option<Box<str>> {
+        if self.is_draining() {
+            return Some("the router is shutting down".into());
+        }
+        if !self.is_configured() {
+            return Some("no configuration is in force".into());
+        }
+        if !self.listed.load(Ordering::Relaxed) {
+            return Some("the list of targets was not read yet".into());
+        }
+        None
+    }
+}
--- /dev/null
+++ b/src/gateway/logbook.rs
@@ -0,0 +1,181 @@
+//! Log lines about decisions, one definition each.
+
+use crate::{
+    dispatch::{End, Offer},
+    id,
+    unit::{Span, Version},
+};
+
+/// A line about a decision on a request, or about a change of what the router believes.
+pub(super) enum Entry<'a> {
+    /// A request was sent to a target.
+    Sent {
+        request: &'a str,
+        offer: &'a Offer,
+        earlier: u32,
+        waited: Span,
+    },
+    /// A request's run at a target ended.
+    Ended {
+        request: &'a str,
+        target: &'a id::Target,
+        end: End,
+        cause: &'a str,
+        after: Span,
+    },
+    /// A request got its final answer from the router itself.
+    Refused {
+        request: &'a str,
+        workspace: Option<&'a id::Workspace>,
+        status: u16,
+        reason: &'a str,
+        ran: bool,
+        retry_after: Span,
+        after: Span,
+    },
+    /// A request got its target's answer to the end.
+    Answered {
+        request: &'a str,
+        workspace: Option<&'a id::Workspace>,
+        route: &'a str,
+        target: &'a id::Target,
+        status: u16,
+        first: Span,
+        after: Span,
+    },
+    /// An answer that was begun ended before it was whole.
+    Cut {
+        request: &'a str,
+        cause: &'a str,
+        events: u64,
+        after: Span,
+    },
+    /// The caller went away before its answer was whole.
+    Left { request: &'a str, after: Span },
+    /// A target is out of use, or in use again.
+    Target {
+        target: &'a id::Target,
+        suspect: bool,
+        failures: u32,
+        answers: u32,
+    },
+    /// A configuration came into force.
+    Configuration {
+        version: Version,
+        routes: usize,
+        services: usize,
+    },
+    /// A configuration can't be used; the one before stays in force.
+    BadConfiguration { version: Version, cause: &'a str },
+    /// The live targets changed.
+    Targets {
+        version: u64,
+        live: usize,
+        leaving: usize,
+    },
+    /// A list of the platform can't be read.
+    Lost { list: &'a str, cause: &'a str },
+    /// A list of the platform is read again.
+    Regained { list: &'a str, after: Span },
+    /// Another router appeared, or was removed.
+    Peer {
+        router: &'a id::Router,
+        present: bool,
+    },
+}
+
+impl Entry<'_> {
+    /// Writes the line.
+    pub(super) fn write(&self, log: &slog::Logger) {
+        match self {
+            Entry::Sent {
+                request,
+                offer,
+                earlier,
+                waited,
+            } => slog::info!(log, "sent"; "request" => request,
+                "target" => offer.target.as_str(), "earlier" => earlier,
+                "waited_ms" => millis(*waited), "running" => offer.view.running,
+                "backlog_tokens" => offer.view.backlog, "memory_tokens" => offer.view.memory,
+                "unread_tokens" => offer.unread, "expected_ms" => millis(offer.first),
+                "view_age_ms" => millis(offer.view_age)),
+            Entry::Ended {
+                request,
+                target,
+                end,
+                cause,
+                after,
+            } => slog::info!(log, "run ended"; "request" => request, "target" => target.as_str(),
+                "end" => %end, "cause" => cause, "after_ms" => millis(*after)),
+            Entry::Refused {
+                request,
+                workspace,
+                status,
+                reason,
+                ran,
+                retry_after,
+                after,
+            } => slog::info!(log, "refused"; "request" => request,
+                "workspace" => workspace.map_or("-", |w| w.as_str()), "status" => status,
+                "reason" => reason, "may_have_run" => ran,
+                "retry_after_ms" => millis(*retry_after), "after_ms" => millis(*after)),
+            Entry::Answered {
+                request,
+                workspace,
+                route,
+                target,
+                status,
+                first,
+                after,
+            } => slog::info!(log, "answered"; "request" => request,
+                "workspace" => workspace.map_or("-", |w| w.as_str()), "route" => route,
+                "target" => target.as_str(), "status" => status, "first_ms" => millis(*first),
+                "after_ms" => millis(*after)),
+            Entry::Cut {
+                request,
+                cause,
+                events,
+                after,
+            } => slog::warn!(log, "answer cut"; "request" => request, "cause" => cause,
+                "events" => events, "after_ms" => millis(*after)),
+            Entry::Left { request, after } => {
+                slog::info!(log, "caller left"; "request" => request, "after_ms" => millis(*after));
+            }
+            Entry::Target {
+                target,
+                suspect,
+                failures,
+                answers,
+            } => slog::warn!(log, "target believed"; "target" => target.as_str(),
+                "suspect" => suspect, "failures" => failures, "answers" => answers),
+            Entry::Configuration {
+                version,
+                routes,
+                services,
+            } => slog::info!(log, "configuration in force"; "version" => version.0,
+                "routes" => routes, "services" => services),
+            Entry::BadConfiguration { version, cause } => {
+                slog::error!(log, "configuration unusable"; "in_force" => version.0, "cause" => cause);
+            }
+            Entry::Targets {
+                version,
+                live,
+                leaving,
+            } => slog::info!(log, "targets changed"; "list_version" => version, "live" => live,
+                "leaving" => leaving),
+            Entry::Lost { list, cause } => {
+                slog::warn!(log, "dependency lost"; "list" => list, "cause" => cause);
+            }
+            Entry::Regained { list, after } => {
+                slog::info!(log, "dependency regained"; "list" => list, "after_ms" => millis(*after));
+            }
+            Entry::Peer { router, present } => {
+                slog::info!(log, "router listed"; "peer" => router.as_str(), "present" => present);
+            }
+        }
+    }
+}
+
+fn millis(span: Span) -> f64 {
+    span.0 as f64 / 1e3
+}
--- /dev/null
+++ b/src/gateway/mod.rs
@@ -0,0 +1,33 @@
+//! Callers' requests by host and path: read, decided on, sent to a target, answered.
+
+mod call;
+mod dialect;
+mod error;
+mod events;
+mod exchange;
+mod fleet;
+mod handler;
+mod head;
+mod hub;
+mod logbook;
+mod outgoing;
+mod relay;
+mod reply;
+mod router;
+mod settings;
+mod signals;
+mod ticket;
+
+pub use self::{
+    dialect::Dialect,
+    error::Error,
+    events::Events,
+    fleet::Fleet,
+    handler::Handler,
+    head::Head,
+    hub::Hub,
+    outgoing::Outgoing,
+    reply::Reply,
+    router::{Reload, Router, run, spawn},
+    settings::{Configuration, Peer, Registry, Settings, Sources},
+};
--- /dev/null
+++ b/src/gateway/router.rs
@@ -0,0 +1,459 @@
+//! Start, run and end of a router that follows the platform's lists.
+
+use super::{
+    Error, Fleet, Handler, Hub, Settings, Sources,
+    logbook::Entry,
+    settings::{Configuration, Peer},
+    signals::{Arrived, Signals},
+};
+use crate::{
+    catalog::{self, Catalog},
+    clock, cut,
+    dispatch::{Dispatcher, Event},
+    front, gossip, health, id, metric,
+    unit::{Span, Time},
+    upstream, watch,
+};
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
+use tokio::{
+    runtime::{Builder, Handle},
+    sync::mpsc,
+    task::JoinHandle,
+    time::MissedTickBehavior,
+};
+
+/// Period in which waiting requests, silent targets and shares are looked at.
+const TICK: Span = Span::from_millis(10);
+/// Period in which routers tell each other their loads, while they are few.
+const TELL: Span = Span::from_millis(20);
+/// Datagrams that a router sends in a second at most, beyond which it tells less often: their cost
+/// in processor time must stay far below that of the requests.
+const MAX_SENDS_PER_S: u64 = 400;
+/// Time after which a newer version that another router has is read again, in case the connection
+/// for changes fell silent.
+const VERSION_LAG: Span = Span::from_millis(150);
+/// Time for which a router that shuts down takes new connections: the balancer asks each second and
+/// stops after two refusals.
+const NOTICE: Span = Span::from_millis(2_600);
+/// Time kept free before the platform kills the process.
+const STOP_MARGIN: Span = Span::from_millis(250);
+/// Period in which idle connections to targets are looked through.
+const SWEEP: Span = Span::from_millis(500);
+/// Pause between two tries to write this router's entry.
+const REGISTER_PAUSE: Span = Span::from_millis(500);
+/// Time for the removal of the entry at the end.
+const REMOVE_TIMEOUT: Span = Span::from_millis(500);
+/// Descriptors that the platform keeps for files.
+const FILE_DESCRIPTORS: u32 = 200;
+/// Part of the other descriptors for callers' connections, in percent; targets get the rest.
+const CALLERS_PERCENT: u32 = 65;
+/// Time limit of a call of a list beyond its wait.
+const LIST_SLACK: Span = Span::from_millis(600);
+/// First and longest pause between calls of a list that fail.
+const LIST_PAUSES: (Span, Span) = (Span::from_millis(100), Span::from_millis(800));
+/// Wait of the list of routers for changes; nothing depends on its age, since routers that start
+/// tell the others.
+const ROUTERS_WAIT: Span = Span::from_secs(20);
+
+/// Reads the settings again and tells what changed.
+pub type Reload = Box<dyn Fn() -> Result<Box<str>, Box<str>> + Send + Sync>;
+
+/// Running router.
+pub struct Router {
+    settings: Settings,
+    registry: Arc<dyn super::Registry>,
+    hub: Arc<Hub>,
+    fleet: Arc<Fleet>,
+    server: front::Server,
+    peer: SocketAddr,
+    outbox: mpsc::UnboundedSender<()>,
+    task: JoinHandle<()>,
+}
+
+/// Runs a router until SIGTERM or SIGINT, then shuts it down gracefully.
+///
+/// # Errors
+///
+/// Fails if the router cannot start.
+pub fn run(
+    settings: Settings,
+    sources: Sources,
+    reload: &Reload,
+    log: &slog::Logger,
+) -> Result<(), Error> {
+    // One thread: VMs have one core, and what decides is never behind what carries bytes.
+    let runtime = Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .map_err(start("runtime"))?;
+    runtime.block_on(async {
+        let router = spawn(settings, sources, log).await?;
+        let mut signals = Signals::open().map_err(start("signal handlers"))?;
+        loop {
+            match signals.next().await {
+                Arrived::Stop => break,
+                Arrived::Reload => match reload() {
+                    Ok(changes) => slog::info!(log, "settings read again"; "changes" => &*changes),
+                    Err(cause) => {
+                        slog::error!(log, "settings unusable, the old ones stay"; "cause" => &*cause);
+                    }
+                },
+            }
+        }
+        router.drain(log).await;
+        Ok(())
+    })
+}
+
+/// Starts a router; needs a running runtime.
+///
+/// # Errors
+///
+/// Fails if an address cannot be bound.
+pub async fn spawn(
+    settings: Settings,
+    sources: Sources,
+    log: &slog::Logger,
+) -> Result<Router, Error> {
+    metric::install();
+    let dispatch = settings.dispatch.clone();
+    let log = log.new(slog::o!(
+        "router" => dispatch.router.to_string(),
+        "incarnation" => dispatch.incarnation.to_string(),
+    ));
+    let fleet = Arc::<Fleet>::default();
+    let hub = Arc::new(Hub::open(Dispatcher::open(dispatch.clone()), log.clone()));
+    let pool = upstream::Pool::default();
+    let socket = gossip::Socket::bind(settings.peer, cut::Switch::default()).await;
+    let socket = Arc::new(socket.map_err(bind(settings.peer))?);
+    let peer = socket.address().map_err(bind(settings.peer))?;
+    let sockets = settings.descriptors.saturating_sub(FILE_DESCRIPTORS).max(1);
+    let connections = (sockets / 100 * CALLERS_PERCENT) as usize;
+    let handler = Handler::open(
+        hub.clone(),
+        fleet.clone(),
+        sources.dialect.clone(),
+        pool.clone(),
+        connections.max(1),
+        NOTICE,
+    );
+    let server = front::Settings {
+        address: settings.listen,
+        handler: Arc::new(handler),
+    };
+    let server = front::Server::bind(server, &Handle::current()).map_err(bind(settings.listen))?;
+    health::bind(settings.health, fleet.clone()).map_err(bind(settings.health))?;
+    slog::info!(log, "router started"; "listen" => %server.address(), "peer" => %peer,
+        "domain" => %dispatch.domain, "placement" => %dispatch.placement,
+        "release" => env!("CARGO_PKG_VERSION"));
+    let (outbox, stop) = mpsc::unbounded_channel();
+    let keeper = Keeper {
+        settings: settings.clone(),
+        hub: hub.clone(),
+        fleet: fleet.clone(),
+        pool,
+        socket,
+        catalog: Catalog::default(),
+        list_version: 0,
+        peers: BTreeMap::new(),
+        behind: None,
+        log: log.clone(),
+    };
+    let registry = sources.registry.clone();
+    tokio::spawn(register(registry.clone(), log.clone()));
+    let task = tokio::spawn(keeper.run(sources, stop));
+    Ok(Router {
+        settings,
+        registry,
+        hub,
+        fleet,
+        server,
+        peer,
+        outbox,
+        task,
+    })
+}
+
+impl Router {
+    /// Returns the address of the callers' interface.
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Returns the address for datagrams.
+    pub fn peer(&self) -> SocketAddr {
+        self.peer
+    }
+
+    /// Takes no more requests, ends those that it has, and stops.
+    pub async fn drain(self, log: &slog::Logger) {
+        let running = self
+            .hub
+            .views()
+            .values()
+            .map(|(own, _)| own.running)
+            .sum::<u32>();
+        slog::info!(log, "shutting down"; "running" => running);
+        self.fleet.drain();
+        let removal = self.registry.remove();
+        let removal = tokio::time::timeout(Duration::from(REMOVE_TIMEOUT), removal).await;
+        match removal {
+            Ok(Ok(())) => {}
+            Ok(Err(fault)) => slog::warn!(log, "own entry not removed"; "cause" => %fault),
+            Err(_) => slog::warn!(log, "own entry not removed"; "cause" => "no answer in time"),
+        }
+        let used = Span(REMOVE_TIMEOUT.0 + STOP_MARGIN.0);
+        let limit = Duration::from(self.settings.stop_bound.saturating_sub(used));
+        let drained = tokio::time::timeout(limit, self.server.drain()).await;
+        let cut = if drained.is_ok() {
+            "nothing"
+        } else {
+            "requests that were left"
+        };
+        slog::info!(log, "stopped"; "cut" => cut);
+        // The task ends with the channel.
+        drop(self.outbox);
+        self.task.abort();
+    }
+}
+
+fn bind(address: SocketAddr) -> impl Fn(std::io::Error) -> Error {
+    move |cause| Error::Bind { address, cause }
+}
+
+fn start(part: &'static str) -> impl Fn(std::io::Error) -> Error {
+    move |cause| Error::Start { part, cause }
+}
+
+/// Writes this router's entry until it is written.
+async fn register(registry: Arc<dyn super::Registry>, log: slog::Logger) {
+    loop {
+        match registry.register().await {
+            Ok(()) => return slog::info!(log, "own entry written"),
+            Err(fault) => slog::warn!(log, "own entry not written"; "cause" => %fault),
+        }
+        tokio::time::sleep(Duration::from(REGISTER_PAUSE)).await;
+    }
+}
+
+/// Keeps configuration, targets and routers up to date.
+struct Keeper {
+    settings: Settings,
+    hub: Arc<Hub>,
+    fleet: Arc<Fleet>,
+    pool: upstream::Pool,
+    socket: Arc<gossip::Socket>,
+    catalog: Catalog,
+    list_version: u64,
+    peers: BTreeMap<id::Router, SocketAddr>,
+    /// Time since when another router has a newer configuration.
+    behind: Option<Time>,
+    log: slog::Logger,
+}
+
+impl Keeper {
+    async fn run(mut self, sources: Sources, mut stop: mpsc::UnboundedReceiver<()>) {
+        let (configurations, mut configuration) = mpsc::unbounded_channel();
+        let (listings, mut listed) = mpsc::unbounded_channel();
+        let (routers, mut router) = mpsc::unbounded_channel();
+        let wait = Span(self.settings.configuration_bound.0 * 3 / 4);
+        let follow = |wait| watch::Settings {
+            wait,
+            slack: LIST_SLACK,
+            pause: LIST_PAUSES.0,
+            most_pause: LIST_PAUSES.1,
+        };
+        let follower = watch::Follower::spawn(sources.configuration, follow(wait), configurations);
+        let _targets = watch::Follower::spawn(sources.targets, follow(wait), listings);
+        let _routers = watch::Follower::spawn(sources.routers, follow(ROUTERS_WAIT), routers);
+        let mut tick = interval(TICK);
+        let mut tell = interval(TELL);
+        let mut sweep = interval(SWEEP);
+        let (heard, mut summaries) = mpsc::unbounded_channel();
+        let listener = tokio::spawn(listen(self.socket.clone(), heard, self.log.clone()));
+        loop {
+            tokio::select! {
+                Some(event) = configuration.recv() => self.configure(event),
+                Some(event) = listed.recv() => self.list(event),
+                Some(event) = router.recv() => self.meet(event),
+                Some((from, summary)) = summaries.recv() => self.hear(from, summary),
+                _ = tick.tick() => self.tick(&follower),
+                _ = tell.tick() => {
+                    self.tell().await;
+                    tell.reset_after(Duration::from(self.tell_period()));
+                }
+                _ = sweep.tick() => self.pool.sweep(),
+                _ = stop.recv() => break,
+            }
+        }
+        listener.abort();
+    }
+
+    fn configure(&mut self, event: watch::Event<Configuration>) {
+        let entries = match event {
+            watch::Event::Whole { entries, .. } | watch::Event::Changed { entries, .. } => entries,
+            watch::Event::Lost { fault } => return self.lost("configuration", &fault),
+            watch::Event::Regained { after } => return self.regained("configuration", after),
+        };
+        for entry in entries {
+            let in_force = self.fleet.table().version;
+            match entry {
+                Ok(table) if table.version > in_force => {
+                    let entry = Entry::Configuration {
+                        version: table.version,
+                        routes: table.len(),
+                        services: table.services.len(),
+                    };
+                    entry.write(&self.log);
+                    metrics::gauge!(metric::VERSION).set(table.version.0 as f64);
+                    self.fleet.set_table(table.clone());
+                    self.hub.step(Event::Routing(table));
+                    self.behind = None;
+                }
+                // Versions never go back, whatever an old answer says.
+                Ok(_) => {}
+                Err(cause) => Entry::BadConfiguration {
+                    version: in_force,
+                    cause: &cause,
+                }
+                .write(&self.log),
+            }
+        }
+    }
+
+    fn list(&mut self, event: watch::Event<catalog::Listed>) {
+        let event = match event {
+            watch::Event::Whole { entries, version } => {
+                self.list_version = version;
+                catalog::Event::Whole(entries)
+            }
+            watch::Event::Changed { entries, version } => {
+                self.list_version = version;
+                catalog::Event::Changed(entries)
+            }
+            watch::Event::Lost { fault } => {
+                self.lost("targets", &fault);
+                catalog::Event::Lost
+            }
+            watch::Event::Regained { after } => {
+                self.regained("targets", after);
+                catalog::Event::Regained
+            }
+        };
+        let whole = matches!(event, catalog::Event::Whole(_));
+        if self.catalog.step(clock::now(), event) || whole {
+            self.publish();
+        }
+    }
+
+    /// Passes the live targets on.
+    fn publish(&mut self) {
+        let targets = self.catalog.targets().clone();
+        let entry = Entry::Targets {
+            version: self.list_version,
+            live: targets.len(),
+            leaving: targets.values().filter(|target| target.leaving).count(),
+        };
+        entry.write(&self.log);
+        self.fleet.set_targets(Arc::new(targets.clone()));
+        self.hub.step(Event::Targets(targets));
+    }
+
+    fn meet(&mut self, event: watch::Event<Peer>) {
+        let entries = match event {
+            watch::Event::Whole { entries, .. } | watch::Event::Changed { entries, .. } => entries,
+            watch::Event::Lost { fault } => return self.lost("routers", &fault),
+            watch::Event::Regained { after } => return self.regained("routers", after),
+        };
+        for (router, address) in entries {
+            if router == self.settings.dispatch.router {
+                continue;
+            }
+            let present = address.is_some();
+            let changed = match address {
+                Some(address) => self.peers.insert(router.clone(), address) != Some(address),
+                None => self.peers.remove(&router).is_some(),
+            };
+            if changed {
+                let router = &router;
+                Entry::Peer { router, present }.write(&self.log);
+            }
+        }
+    }
+
+    fn hear(&mut self, from: SocketAddr, summary: gossip::Summary) {
+        if !summary.leaving && !self.peers.contains_key(&summary.router) {
+            let router = &summary.router;
+            Entry::Peer {
+                router,
+                present: true,
+            }
+            .write(&self.log);
+            self.peers.insert(summary.router.clone(), from);
+        }
+        self.hub.step(Event::Summary(summary));
+    }
+
+    fn tick(&mut self, follower: &watch::Follower) {
+        let now = clock::now();
+        if self.catalog.step(now, catalog::Event::Tick) {
+            self.publish();
+        }
+        self.hub.step(Event::Tick);
+        if self.hub.newest_version() <= self.fleet.table().version {
+            self.behind = None;
+            return;
+        }
+        let since = *self.behind.get_or_insert(now);
+        if now.since(since) >= VERSION_LAG {
+            self.behind = Some(now);
+            follower.hurry();
+        }
+    }
+
+    async fn tell(&mut self) {
+        for summary in self.hub.tell(self.fleet.is_draining()) {
+            let peers = self.peers.values().copied();
+            self.socket.send(peers, &summary).await;
+        }
+    }
+
+    fn tell_period(&self) -> Span {
+        let peers = self.peers.len() as u64;
+        TELL.max(Span(peers * 1_000_000 / MAX_SENDS_PER_S))
+    }
+
+    fn lost(&self, list: &str, fault: &watch::Fault) {
+        let cause = &fault.to_string();
+        Entry::Lost { list, cause }.write(&self.log);
+    }
+
+    fn regained(&self, list: &str, after: Span) {
+        Entry::Regained { list, after }.write(&self.log);
+    }
+}
+
+/// Passes on what other routers tell.
+async fn listen(
+    socket: Arc<gossip::Socket>,
+    heard: mpsc::UnboundedSender<(SocketAddr, gossip::Summary)>,
+    log: slog::Logger,
+) {
+    /// Pause after a failure of the socket, which the system reports for datagrams that nobody took.
+    const PAUSE: Duration = Duration::from_millis(5);
+
+    while !heard.is_closed() {
+        match socket.receive().await {
+            // The receiver ends with the process.
+            Ok(Ok(summary)) => drop(heard.send(summary)),
+            Ok(Err(error)) => slog::warn!(log, "datagram dropped"; "cause" => %error),
+            Err(_) => tokio::time::sleep(PAUSE).await,
+        }
+    }
+}
+
+fn interval(period: Span) -> tokio::time::Interval {
+    let mut interval = tokio::time::interval(Duration::from(period));
+    interval.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    interval
+}
--- /dev/null
+++ b/src/gossip/codec.rs
@@ -0,0 +1,115 @@
+//! Bytes of summaries: packed Cap'n Proto, decoded with limits on every size.
+
+use super::{Load, Read, Summary, Usage};
+use crate::{
+    id,
+    unit::Version,
+    wire::marlrun_capnp::{summary, target_load},
+};
+use capnp::{message, serialize_packed};
+
+/// Bytes of a datagram at most; it is not fragmented on Ethernet.
+pub const MAX_DATAGRAM_BYTES: usize = 1_400;
+/// Words that the decoder visits at most; packing saves up to seven of eight bytes.
+const MAX_WORDS: usize = 8 * MAX_DATAGRAM_BYTES;
+/// Depth of the schema, with room for additions.
+const MAX_NESTING: i32 = 8;
+
+/// Why bytes are not a summary.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// The bytes are not of the schema.
+    #[error("malformed summary: {0}")]
+    Malformed(#[from] capnp::Error),
+    /// A text is not UTF-8.
+    #[error("malformed summary: {0}")]
+    Text(#[from] std::str::Utf8Error),
+    /// The router's name is not an identifier.
+    #[error(transparent)]
+    Name(#[from] id::Invalid),
+}
+
+/// Encodes a summary.
+pub fn encode(from: &Summary) -> Vec<u8> {
+    let mut builder = message::Builder::new_default();
+    write(builder.init_root(), from);
+    let mut bytes = Vec::new();
+    // Writing to a vector cannot fail.
+    let written = serialize_packed::write_message(&mut bytes, &builder);
+    debug_assert!(written.is_ok(), "a vector takes any bytes");
+    bytes
+}
+
+fn write(mut to: summary::Builder<'_>, from: &Summary) {
+    to.set_router(from.router.as_str());
+    to.set_incarnation(from.incarnation.0);
+    to.set_sequence(from.sequence);
+    to.set_version(from.version.0);
+    to.set_leaving(from.leaving);
+    let mut loads = to.reborrow().init_loads(from.loads.len() as u32);
+    for (index, load) in from.loads.iter().enumerate() {
+        let mut to = loads.reborrow().get(index as u32);
+        to.set_target(load.target);
+        to.set_running(load.running);
+        to.set_backlog(load.backlog);
+        to.set_memory(load.memory);
+        to.set_suspect(load.suspect);
+    }
+    let mut usages = to.reborrow().init_usages(from.usages.len() as u32);
+    for (index, usage) in from.usages.iter().enumerate() {
+        let mut to = usages.reborrow().get(index as u32);
+        to.set_workspace(usage.workspace);
+        to.set_asked(usage.asked);
+        to.set_granted(usage.granted);
+    }
+    let mut reads = to.init_reads(from.reads.len() as u32);
+    for (index, read) in from.reads.iter().enumerate() {
+        let mut to = reads.reborrow().get(index as u32);
+        to.set_target(read.target);
+        to.set_part(read.part);
+        to.set_tokens(read.tokens);
+    }
+}
+
+/// Decodes a summary.
+///
+/// # Errors
+///
+/// Fails if the bytes are not a summary within the limits.
+pub fn decode(mut bytes: &[u8]) -> Result<Summary, Error> {
+    let mut options = message::ReaderOptions::new();
+    options.traversal_limit_in_words(Some(MAX_WORDS));
+    options.nesting_limit(MAX_NESTING);
+    let reader = serialize_packed::read_message(&mut bytes, options)?;
+    let from = reader.get_root::<summary::Reader<'_>>()?;
+    let usages = from.get_usages()?.iter().map(|usage| Usage {
+        workspace: usage.get_workspace(),
+        asked: usage.get_asked(),
+        granted: usage.get_granted(),
+    });
+    let reads = from.get_reads()?.iter().map(|read| Read {
+        target: read.get_target(),
+        part: read.get_part(),
+        tokens: read.get_tokens(),
+    });
+    Ok(Summary {
+        router: from.get_router()?.to_str()?.parse()?,
+        incarnation: id::Incarnation(from.get_incarnation()),
+        sequence: from.get_sequence(),
+        version: Version(from.get_version()),
+        leaving: from.get_leaving(),
+        loads: from.get_loads()?.iter().map(read_load).collect(),
+        usages: usages.collect(),
+        reads: reads.collect(),
+    })
+}
+
+fn read_load(load: target_load::Reader<'_>) -> Load {
+    Load {
+        target: load.get_target(),
+        running: load.get_running(),
+        backlog: load.get_backlog(),
+        memory: load.get_memory(),
+        suspect: load.get_suspect(),
+    }
+}
--- /dev/null
+++ b/src/gossip/socket.rs
@@ -0,0 +1,69 @@
+//! Datagrams between routers.
+
+use super::{Error, MAX_DATAGRAM_BYTES, Summary, decode, encode};
+use crate::{cut, metric};
+use std::{io, net::SocketAddr};
+use tokio::net::UdpSocket;
+
+/// Bytes of the IPv4 and UDP headers of a datagram.
+const UDP_HEADERS: usize = 28;
+
+/// Socket for summaries.
+pub struct Socket {
+    socket: UdpSocket,
+    cuts: cut::Switch,
+}
+
+impl Socket {
+    /// Binds the address; needs a running runtime.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the address cannot be bound.
+    pub async fn bind(address: SocketAddr, cuts: cut::Switch) -> io::Result<Self> {
+        let socket = UdpSocket::bind(address).await?;
+        Ok(Self { socket, cuts })
+    }
+
+    /// Returns the bound address.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the system does not tell it.
+    pub fn address(&self) -> io::Result<SocketAddr> {
+        self.socket.local_addr()
+    }
+
+    /// Sends a summary to each address; one that cannot be sent counts as lost.
+    pub async fn send(&self, to: impl IntoIterator<Item = SocketAddr>, summary: &Summary) {
+        let bytes = encode(summary);
+        for address in to {
+            if self.cuts.blocks_out(address) {
+                continue;
+            }
+            let result = match self.socket.send_to(&bytes, address).await {
+                Ok(_) => "sent",
+                Err(_) => "failed",
+            };
+            metrics::counter!(metric::CONTROL_SENDS, "way" => "summary", "result" => result)
+                .increment(1);
+            metrics::counter!(metric::CONTROL_BYTES, "way" => "summary")
+                .increment((bytes.len() + UDP_HEADERS) as u64);
+        }
+    }
+
+    /// Waits for the next datagram.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the socket fails; a datagram that is no summary is the inner error.
+    pub async fn receive(&self) -> io::Result<Result<(SocketAddr, Summary), Error>> {
+        let mut space = [0; MAX_DATAGRAM_BYTES];
+        loop {
+            let (count, from) = self.socket.recv_from(&mut space).await?;
+            if !self.cuts.blocks_in(from) {
+                return Ok(decode(&space[..count]).map(|summary| (from, summary)));
+            }
+        }
+    }
+}
--- a/src/ingress/mod.rs
+++ b/src/ingress/mod.rs
@@ -14,6 +14,7 @@
 mod slot;
 mod turn;
 
+pub(crate) use self::budget::Budget;
 pub use self::{
     action::Action,
     controller::Controller,
--- a/src/metric.rs
+++ b/src/metric.rs
@@ -28,6 +28,14 @@
 /// Datagrams and calls sent to other routers, by way.
 pub const CONTROL_SENDS: &str = "marlrun_control_sends_total";
 
+/// Calls to the platform's store, by call and result.
+pub const STORE_CALLS: &str = "marlrun_store_calls_total";
+
+/// Runs at targets that gave no answer for the caller, by end.
+pub const RUN_FAILURES: &str = "marlrun_run_failures_total";
+/// Requests sent to targets, by whether their connection was reused.
+pub const CONNECTIONS: &str = "marlrun_connections_total";
+
 static PAGE: OnceLock<Option<PrometheusHandle>> = OnceLock::new();
 
 /// Starts to collect metrics; later calls change nothing.
--- /dev/null
+++ b/src/platform/header.rs
@@ -0,0 +1,156 @@
+//! Headers of requests and answers.
+
+use crate::{
+    dispatch::{Part, Prompt},
+    gateway::{Dialect, Head, Outgoing, Reply},
+    unit::Span,
+};
+use http::{HeaderMap, HeaderName, HeaderValue, StatusCode, header};
+
+/// Identifier of one attempt of a caller; targets echo it.
+const REQUEST: HeaderName = HeaderName::from_static("x-marlrun-request-id");
+/// Milliseconds that the sender waits: the caller's whole time, or what is left at a target.
+const DEADLINE: HeaderName = HeaderName::from_static("x-marlrun-deadline-ms");
+/// Prompt tokens and most output tokens, with a comma between.
+const TOKENS: HeaderName = HeaderName::from_static("x-marlrun-token-count");
+/// Parts of the whole prompt, not only its beginning: `ID:TOKENS`, separated by commas, ID in hex.
+const PARTS: HeaderName = HeaderName::from_static("x-marlrun-prompt-prefix");
+/// The caller's estimate of the output, in tokens rather than bytes.
+const LENGTH_HINT: HeaderName = HeaderName::from_static("x-marlrun-length-hint");
+/// Last event that the caller has.
+const LAST_EVENT: HeaderName = HeaderName::from_static("last-event-id");
+/// Signature of the target that answered.
+const STAMP: HeaderName = HeaderName::from_static("x-marlrun-response-stamp");
+/// The target did not run the request.
+const NOT_RUN: HeaderName = HeaderName::from_static("x-marlrun-not-run");
+/// Workspace of the caller, which the platform calls a tenant.
+const TENANT: HeaderName = HeaderName::from_static("x-marlrun-tenant");
+/// Target that is to run the request.
+const EXPECT_INSTANCE: HeaderName = HeaderName::from_static("x-marlrun-expect-instance");
+
+/// Headers that are the system's to set; a caller's are dropped.
+const OWN: [HeaderName; 9] = [
+    TENANT,
+    EXPECT_INSTANCE,
+    HeaderName::from_static("x-marlrun-expect-version"),
+    HeaderName::from_static("x-marlrun-hold"),
+    HeaderName::from_static("x-marlrun-pin-ms"),
+    HeaderName::from_static("x-marlrun-kv-backup"),
+    HeaderName::from_static("kv-from"),
+    HeaderName::from_static("kv-fetch"),
+    header::AUTHORIZATION,
+];
+
+/// Part of the most output tokens that is expected where no estimate came, as a divisor: the
+/// users' requests produce about half of what they allow.
+const OUTPUT_DIVISOR: u32 = 2;
+
+/// The platform's headers.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Header;
+
+impl Dialect for Header {
+    fn read(&self, headers: &HeaderMap) -> Result<Head, Box<str>> {
+        let key = text(headers, &header::AUTHORIZATION);
+        let key = key.and_then(|value| value.strip_prefix("Bearer "));
+        Ok(Head {
+            request: text(headers, &REQUEST).unwrap_or_default().into(),
+            deadline: number(headers, &DEADLINE)?.map(Span::from_millis),
+            key: key.map(|key| key.trim().into()),
+            prompt: prompt(headers)?,
+            last_event: text(headers, &LAST_EVENT).map(Into::into),
+        })
+    }
+
+    fn write(&self, headers: &mut HeaderMap, to: &Outgoing<'_>) {
+        for name in OWN {
+            headers.remove(name);
+        }
+        set(headers, EXPECT_INSTANCE, to.target.as_str());
+        set(headers, DEADLINE, &to.remaining.as_millis().to_string());
+        if let Some(workspace) = to.workspace {
+            set(headers, TENANT, workspace.as_str());
+        }
+        if let Some(event) = to.last_event {
+            set(headers, LAST_EVENT, event);
+        }
+    }
+
+    fn reply(&self, status: StatusCode, headers: &HeaderMap) -> Reply {
+        let connection = text(headers, &header::CONNECTION).unwrap_or_default();
+        let mut options = connection.split(',').map(str::trim);
+        let keep = text(headers, &HeaderName::from_static("keep-alive"));
+        let keep = keep.and_then(|value| {
+            let mut fields = value.split(',').map(str::trim);
+            fields.find_map(|field| field.strip_prefix("timeout=")?.parse().ok())
+        });
+        Reply {
+            request: text(headers, &REQUEST).map(Into::into),
+            signed: headers.contains_key(STAMP),
+            not_run: headers.contains_key(NOT_RUN) || status == StatusCode::MISDIRECTED_REQUEST,
+            keep: keep.map(Span::from_secs),
+            closes: options.any(|option| option.eq_ignore_ascii_case("close")),
+            encoded: headers.contains_key(header::CONTENT_ENCODING),
+        }
+    }
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Option<&'a str> {
+    headers.get(name)?.to_str().ok()
+}
+
+fn set(headers: &mut HeaderMap, name: HeaderName, value: &str) {
+    // Names of targets and workspaces are checked where they are read.
+    if let Ok(value) = HeaderValue::from_str(value) {
+        headers.insert(name, value);
+    }
+}
+
+fn number(headers: &HeaderMap, name: &HeaderName) -> Result<Option<u64>, Box<str>> {
+    let Some(value) = headers.get(name) else {
+        return Ok(None);
+    };
+    let parsed = value
+        .to_str()
+        .ok()
+        .and_then(|text| text.trim().parse().ok());
+    let wrong = || format!("the header {name} is not a whole number").into();
+    parsed.map(Some).ok_or_else(wrong)
+}
+
+fn prompt(headers: &HeaderMap) -> Result<Option<Prompt>, Box<str>> {
+    let Some(counts) = text(headers, &TOKENS) else {
+        return Ok(None);
+    };
+    let wrong = |name: &HeaderName| Box::from(format!("the header {name} cannot be read"));
+    let counts = counts.split_once(',').and_then(|(prompt, most)| {
+        Some((
+            prompt.trim().parse().ok()?,
+            most.trim().parse::<u32>().ok()?,
+        ))
+    });
+    let (tokens, most) = counts.ok_or_else(|| wrong(&TOKENS))?;
+    let parts = text(headers, &PARTS).unwrap_or_default();
+    let parts = parts
+        .split(',')
+        .map(str::trim)
+        .filter(|part| !part.is_empty());
+    let parts: Option<Box<[Part]>> = parts
+        .map(|part| {
+            let (id, tokens) = part.split_once(':')?;
+            Some(Part {
+                id: u64::from_str_radix(id, 16).ok()?,
+                tokens: tokens.parse().ok()?,
+            })
+        })
+        .collect();
+    let hint = number(headers, &LENGTH_HINT)?;
+    let output = hint.map_or(most / OUTPUT_DIVISOR, |hint| {
+        u32::try_from(hint).unwrap_or(most).min(most)
+    });
+    Ok(Some(Prompt {
+        parts: parts.ok_or_else(|| wrong(&PARTS))?,
+        tokens,
+        output,
+    }))
+}
--- /dev/null
+++ b/src/platform/store.rs
@@ -0,0 +1,202 @@
+//! Client of the platform's store.
+
+use super::row::{Row, Rows};
+use crate::{metric, unit::Span, upstream, watch::Fault};
+use base64::{Engine as _, prelude::BASE64_STANDARD};
+use bytes::Bytes;
+use http::{Method, Request, StatusCode, header};
+use http_body_util::{BodyExt, Full, Limited};
+use std::{net::SocketAddr, time::Duration};
+
+/// Largest answer that is read, in bytes: the store sends at most 1 MB of rows a page, in base64.
+const MAX_ANSWER_BYTES: usize = 4 << 20;
+/// Pages of one read at most; a longer table isn't one of the platform's.
+const MAX_PAGES: usize = 200;
+
+/// Client of the platform's store.
+#[derive(Clone)]
+pub struct Store {
+    address: SocketAddr,
+    pool: upstream::Pool,
+    /// Time in which a call that doesn't wait for changes has to be answered.
+    timeout: Span,
+}
+
+impl Store {
+    /// Returns a client; nothing is connected yet.
+    pub fn open(address: SocketAddr, timeout: Span) -> Self {
+        Self {
+            address,
+            pool: upstream::Pool::default(),
+            timeout,
+        }
+    }
+
+    /// Reads a whole table; returns its rows and the store's version before the first page.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the store can't be reached or refuses.
+    pub async fn rows(&self, table: &str) -> Result<(Vec<Row>, u64), Fault> {
+        let mut all = Vec::new();
+        let mut first = None;
+        for _ in 0..MAX_PAGES {
+            let mut path = format!("/api/rows-get?table={table}&part=");
+            if let Some(last) = all.last().map(|row: &Row| row.key.clone()) {
+                // `from` includes its key, and no key lies between a key and itself with a zero byte.
+                path += &format!("&from={}%00", escape(&last));
+            }
+            let body = self.call(Method::GET, &path, Bytes::new()).await?;
+            let page: Rows = self.parse(&path, &body)?;
+            first.get_or_insert(page.ver);
+            let has_more = page.has_more;
+            all.extend(page.into_rows());
+            if !has_more {
+                break;
+            }
+        }
+        Ok((all, first.unwrap_or_default()))
+    }
+
+    /// Waits for rows of a table that changed after a version.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the store can't be reached or refuses, or with [`Fault::Forgotten`] if it no longer
+    /// keeps changes as old as that.
+    pub async fn feed(
+        &self,
+        table: &str,
+        after: u64,
+        wait: Span,
+    ) -> Result<(Vec<Row>, u64), Fault> {
+        let wait_ms = wait.as_millis();
+        let path = format!("/api/rows-feed?table={table}&after={after}&wait-ms={wait_ms}");
+        let limit = Span(wait.0 + self.timeout.0);
+        let body = self
+            .call_within(limit, Method::GET, &path, Bytes::new())
+            .await?;
+        let page: Rows = self.parse(&path, &body)?;
+        let version = page.ver;
+        Ok((page.into_rows(), version))
+    }
+
+    /// Writes a row, whatever it held before. A call without an answer may have been performed.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the store can't be reached or refuses.
+    pub async fn put(&self, table: &str, key: &str, value: &[u8]) -> Result<(), Fault> {
+        let row = serde_json::json!({
+            "table": table, "part": "", "key": key, "value": BASE64_STANDARD.encode(value),
+        });
+        let body = serde_json::json!({ "precondition": [], "put": [row], "remove": [] });
+        self.transact(body).await
+    }
+
+    /// Removes a row, if it is there.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the store can't be reached or refuses.
+    pub async fn remove(&self, table: &str, key: &str) -> Result<(), Fault> {
+        let row = serde_json::json!({ "table": table, "part": "", "key": key });
+        let body = serde_json::json!({ "precondition": [], "put": [], "remove": [row] });
+        self.transact(body).await
+    }
+
+    async fn transact(&self, body: serde_json::Value) -> Result<(), Fault> {
+        let body = Bytes::from(body.to_string());
+        let answer = self.call(Method::POST, "/api/rows-tx", body).await;
+        answer.map(drop)
+    }
+
+    async fn call(&self, method: Method, path: &str, body: Bytes) -> Result<Bytes, Fault> {
+        self.call_within(self.timeout, method, path, body).await
+    }
+
+    async fn call_within(
+        &self,
+        limit: Span,
+        method: Method,
+        path: &str,
+        body: Bytes,
+    ) -> Result<Bytes, Fault> {
+        let call = path.split('?').next().unwrap_or(path).to_owned();
+        let answered = tokio::time::timeout(Duration::from(limit), self.send(method, path, body));
+        let answered = answered.await.unwrap_or_else(|_| {
+            let place = self.place(path);
+            Err(Fault::Timeout { place, limit })
+        });
+        let result = match &answered {
+            Ok(_) => "ok",
+            Err(Fault::Timeout { .. }) => "timeout",
+            Err(Fault::Unreachable { .. }) => "unreachable",
+            Err(Fault::Refused { .. }) => "refused",
+            Err(Fault::Forgotten { .. }) => "forgotten",
+            Err(Fault::Malformed { .. }) => "malformed",
+        };
+        metrics::counter!(metric::STORE_CALLS, "call" => call, "result" => result).increment(1);
+        answered
+    }
+
+    async fn send(&self, method: Method, path: &str, body: Bytes) -> Result<Bytes, Fault> {
+        let unreachable = |cause: &dyn std::fmt::Display| Fault::Unreachable {
+            place: self.place(path),
+            cause: cause.to_string().into(),
+        };
+        let lease = self.pool.lease(self.address, true).await;
+        let mut lease = lease.map_err(|error| unreachable(&error))?;
+        let mut request = Request::new(Full::new(body));
+        *request.method_mut() = method;
+        *request.uri_mut() = path.parse().map_err(|e| self.malformed(path, &e))?;
+        let headers = request.headers_mut();
+        let json = header::HeaderValue::from_static("application/json");
+        headers.insert(header::CONTENT_TYPE, json);
+        if let Ok(host) = header::HeaderValue::from_str(&self.address.to_string()) {
+            headers.insert(header::HOST, host);
+        }
+        let response = lease.sender.send_request(request).await;
+        let (head, body) = response.map_err(|error| unreachable(&error))?.into_parts();
+        let body = Limited::new(body, MAX_ANSWER_BYTES).collect().await;
+        let body = body.map_err(|error| unreachable(&error))?.to_bytes();
+        lease.release();
+        match head.status {
+            StatusCode::OK => Ok(body),
+            StatusCode::GONE => Err(Fault::Forgotten {
+                place: self.place(path),
+            }),
+            status => Err(Fault::Refused {
+                place: self.place(path),
+                status: status.as_u16(),
+            }),
+        }
+    }
+
+    fn parse<T: serde::de::DeserializeOwned>(&self, path: &str, body: &[u8]) -> Result<T, Fault> {
+        serde_json::from_slice(body).map_err(|error| self.malformed(path, &error))
+    }
+
+    fn malformed(&self, path: &str, cause: &dyn std::fmt::Display) -> Fault {
+        Fault::Malformed {
+            place: self.place(path),
+            cause: cause.to_string().into(),
+        }
+    }
+
+    fn place(&self, path: &str) -> Box<str> {
+        let call = path.split('?').next().unwrap_or(path);
+        format!("the store at {}{call}", self.address).into()
+    }
+}
+
+/// Escapes a text for a query.
+fn escape(text: &str) -> String {
+    let escaped = text.bytes().map(|byte| match byte {
+        b'a'..=b'z' | b'A'..=b'Z' | b'0'..=b'9' | b'-' | b'_' | b'.' | b'~' => {
+            char::from(byte).to_string()
+        }
+        _ => format!("%{byte:02X}"),
+    });
+    escaped.collect()
+}
--- /dev/null
+++ b/src/routing/service.rs
@@ -0,0 +1,15 @@
+//! A service that requests are routed to.
+
+use super::Engine;
+use crate::id;
+
+/// A service that requests are routed to.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Service {
+    /// Name.
+    pub name: id::Service,
+    /// Connections that one target accepts from all routers together.
+    pub max_connections: u32,
+    /// Figures of its model engines; `None` for a plain service.
+    pub engine: Option<Engine>,
+}
--- a/src/wire/marlrun_capnp.rs
+++ b/src/wire/marlrun_capnp.rs
@@ -9524,3 +9524,1269 @@
         }
     }
 }
+
+pub mod target_load {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <> Reader<'_,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_target(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn get_running(self) -> u32 {
+            self.reader.get_data_field::<u32>(2)
+        }
+        #[inline]
+        pub fn get_backlog(self) -> u64 {
+            self.reader.get_data_field::<u64>(2)
+        }
+        #[inline]
+        pub fn get_memory(self) -> u64 {
+            self.reader.get_data_field::<u64>(3)
+        }
+        #[inline]
+        pub fn get_suspect(self) -> bool {
+            self.reader.get_bool_field(96)
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 0 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_target(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn set_target(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(0, value);
+        }
+        #[inline]
+        pub fn get_running(self) -> u32 {
+            self.builder.get_data_field::<u32>(2)
+        }
+        #[inline]
+        pub fn set_running(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(2, value);
+        }
+        #[inline]
+        pub fn get_backlog(self) -> u64 {
+            self.builder.get_data_field::<u64>(2)
+        }
+        #[inline]
+        pub fn set_backlog(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(2, value);
+        }
+        #[inline]
+        pub fn get_memory(self) -> u64 {
+            self.builder.get_data_field::<u64>(3)
+        }
+        #[inline]
+        pub fn set_memory(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(3, value);
+        }
+        #[inline]
+        pub fn get_suspect(self) -> bool {
+            self.builder.get_bool_field(96)
+        }
+        #[inline]
+        pub fn set_suspect(&mut self, value: bool)  {
+            self.builder.set_bool_field(96, value);
+        }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 93] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(55, 170, 52, 95, 10, 146, 45, 161),
+            ::capnp::word(14, 0, 0, 0, 1, 0, 4, 0),
+            ::capnp::word(38, 126, 1, 23, 67, 249, 194, 213),
+            ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 202, 0, 0, 0),
+            ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 31, 1, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(109, 97, 114, 108, 114, 117, 110, 46),
+            ::capnp::word(99, 97, 112, 110, 112, 58, 84, 97),
+            ::capnp::word(114, 103, 101, 116, 76, 111, 97, 100),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(125, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(129, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(124, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(136, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(133, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(128, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(140, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(137, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(132, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(144, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 0, 0, 96, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(141, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(136, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(148, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(116, 97, 114, 103, 101, 116, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 117, 110, 110, 105, 110, 103, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(98, 97, 99, 107, 108, 111, 103, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(109, 101, 109, 111, 114, 121, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 117, 115, 112, 101, 99, 116, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                3 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                4 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,3,1,4,0];
+        pub(crate) const TYPE_ID: u64 = 0xa12d_920a_5f34_aa37;
+    }
+}
+
+pub mod workspace_usage {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <> Reader<'_,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_workspace(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn get_asked(self) -> u64 {
+            self.reader.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn get_granted(self) -> u64 {
+            self.reader.get_data_field::<u64>(2)
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 0 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_workspace(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn set_workspace(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(0, value);
+        }
+        #[inline]
+        pub fn get_asked(self) -> u64 {
+            self.builder.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn set_asked(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(1, value);
+        }
+        #[inline]
+        pub fn get_granted(self) -> u64 {
+            self.builder.get_data_field::<u64>(2)
+        }
+        #[inline]
+        pub fn set_granted(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(2, value);
+        }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 64] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(109, 133, 247, 203, 102, 58, 135, 139),
+            ::capnp::word(14, 0, 0, 0, 1, 0, 3, 0),
+            ::capnp::word(38, 126, 1, 23, 67, 249, 194, 213),
+            ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 234, 0, 0, 0),
+            ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 175, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(109, 97, 114, 108, 114, 117, 110, 46),
+            ::capnp::word(99, 97, 112, 110, 112, 58, 87, 111),
+            ::capnp::word(114, 107, 115, 112, 97, 99, 101, 85),
+            ::capnp::word(115, 97, 103, 101, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(69, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(77, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(81, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(76, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(88, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(119, 111, 114, 107, 115, 112, 97, 99),
+            ::capnp::word(101, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 115, 107, 101, 100, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(103, 114, 97, 110, 116, 101, 100, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,2,0];
+        pub(crate) const TYPE_ID: u64 = 0x8b87_3a66_cbf7_856d;
+    }
+}
+
+pub mod prompt_read {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <> Reader<'_,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_target(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn get_part(self) -> u64 {
+            self.reader.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn get_tokens(self) -> u32 {
+            self.reader.get_data_field::<u32>(4)
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 0 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_target(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn set_target(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(0, value);
+        }
+        #[inline]
+        pub fn get_part(self) -> u64 {
+            self.builder.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn set_part(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(1, value);
+        }
+        #[inline]
+        pub fn get_tokens(self) -> u32 {
+            self.builder.get_data_field::<u32>(4)
+        }
+        #[inline]
+        pub fn set_tokens(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(4, value);
+        }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 63] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(113, 220, 85, 166, 250, 50, 93, 152),
+            ::capnp::word(14, 0, 0, 0, 1, 0, 3, 0),
+            ::capnp::word(38, 126, 1, 23, 67, 249, 194, 213),
+            ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 202, 0, 0, 0),
+            ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 175, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(109, 97, 114, 108, 114, 117, 110, 46),
+            ::capnp::word(99, 97, 112, 110, 112, 58, 80, 114),
+            ::capnp::word(111, 109, 112, 116, 82, 101, 97, 100),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(69, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(73, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(77, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(116, 97, 114, 103, 101, 116, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 97, 114, 116, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(116, 111, 107, 101, 110, 115, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                2 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0,2];
+        pub(crate) const TYPE_ID: u64 = 0x985d_32fa_a655_dc71;
+    }
+}
+
+pub mod summary {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> Reader<'a,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_router(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_router(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
+        pub fn get_incarnation(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn get_sequence(self) -> u64 {
+            self.reader.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn get_version(self) -> u64 {
+            self.reader.get_data_field::<u64>(2)
+        }
+        #[inline]
+        pub fn get_leaving(self) -> bool {
+            self.reader.get_bool_field(192)
+        }
+        #[inline]
+        pub fn get_loads(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::wire::marlrun_capnp::target_load::Owned>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_loads(&self) -> bool {
+            !self.reader.get_pointer_field(1).is_null()
+        }
+        #[inline]
+        pub fn get_usages(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::wire::marlrun_capnp::workspace_usage::Owned>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(2), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_usages(&self) -> bool {
+            !self.reader.get_pointer_field(2).is_null()
+        }
+        #[inline]
+        pub fn get_reads(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::wire::marlrun_capnp::prompt_read::Owned>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(3), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_reads(&self) -> bool {
+            !self.reader.get_pointer_field(3).is_null()
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 4 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_router(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_router(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
+        }
+        #[inline]
+        pub fn init_router(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(0).init_text(size)
+        }
+        #[inline]
+        pub fn has_router(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn get_incarnation(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn set_incarnation(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(0, value);
+        }
+        #[inline]
+        pub fn get_sequence(self) -> u64 {
+            self.builder.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn set_sequence(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(1, value);
+        }
+        #[inline]
+        pub fn get_version(self) -> u64 {
+            self.builder.get_data_field::<u64>(2)
+        }
+        #[inline]
+        pub fn set_version(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(2, value);
+        }
+        #[inline]
+        pub fn get_leaving(self) -> bool {
+            self.builder.get_bool_field(192)
+        }
+        #[inline]
+        pub fn set_leaving(&mut self, value: bool)  {
+            self.builder.set_bool_field(192, value);
+        }
+        #[inline]
+        pub fn get_loads(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::wire::marlrun_capnp::target_load::Owned>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_loads(&mut self, value: ::capnp::struct_list::Reader<'_,crate::wire::marlrun_capnp::target_load::Owned>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false)
+        }
+        #[inline]
+        pub fn init_loads(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::wire::marlrun_capnp::target_load::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(1), size)
+        }
+        #[inline]
+        pub fn has_loads(&self) -> bool {
+            !self.builder.is_pointer_field_null(1)
+        }
+        #[inline]
+        pub fn get_usages(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::wire::marlrun_capnp::workspace_usage::Owned>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(2), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_usages(&mut self, value: ::capnp::struct_list::Reader<'_,crate::wire::marlrun_capnp::workspace_usage::Owned>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(2), value, false)
+        }
+        #[inline]
+        pub fn init_usages(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::wire::marlrun_capnp::workspace_usage::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(2), size)
+        }
+        #[inline]
+        pub fn has_usages(&self) -> bool {
+            !self.builder.is_pointer_field_null(2)
+        }
+        #[inline]
+        pub fn get_reads(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::wire::marlrun_capnp::prompt_read::Owned>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(3), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_reads(&mut self, value: ::capnp::struct_list::Reader<'_,crate::wire::marlrun_capnp::prompt_read::Owned>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(3), value, false)
+        }
+        #[inline]
+        pub fn init_reads(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::wire::marlrun_capnp::prompt_read::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(3), size)
+        }
+        #[inline]
+        pub fn has_reads(&self) -> bool {
+            !self.builder.is_pointer_field_null(3)
+        }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 151] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(184, 219, 41, 190, 56, 25, 149, 148),
+            ::capnp::word(14, 0, 0, 0, 1, 0, 4, 0),
+            ::capnp::word(38, 126, 1, 23, 67, 249, 194, 213),
+            ::capnp::word(4, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 178, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 199, 1, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(109, 97, 114, 108, 114, 117, 110, 46),
+            ::capnp::word(99, 97, 112, 110, 112, 58, 83, 117),
+            ::capnp::word(109, 109, 97, 114, 121, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(32, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(209, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(204, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(216, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(213, 0, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(212, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(224, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(221, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(220, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(232, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(229, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(224, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(236, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 0, 0, 192, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(233, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(228, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(240, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(5, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(237, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(232, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(4, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(6, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(252, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(24, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(7, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(44, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(114, 111, 117, 116, 101, 114, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(105, 110, 99, 97, 114, 110, 97, 116),
+            ::capnp::word(105, 111, 110, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 101, 113, 117, 101, 110, 99, 101),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(118, 101, 114, 115, 105, 111, 110, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 101, 97, 118, 105, 110, 103, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 111, 97, 100, 115, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(55, 170, 52, 95, 10, 146, 45, 161),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(117, 115, 97, 103, 101, 115, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(109, 133, 247, 203, 102, 58, 135, 139),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 101, 97, 100, 115, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(113, 220, 85, 166, 250, 50, 93, 152),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                3 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                4 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                5 => <::capnp::struct_list::Owned<crate::wire::marlrun_capnp::target_load::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                6 => <::capnp::struct_list::Owned<crate::wire::marlrun_capnp::workspace_usage::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                7 => <::capnp::struct_list::Owned<crate::wire::marlrun_capnp::prompt_read::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,4,5,7,0,2,6,3];
+        pub(crate) const TYPE_ID: u64 = 0x9495_1938_be29_dbb8;
+    }
+}
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -147,7 +147,7 @@
 impl World {
     fn new(limit: u64) -> Self {
         let memory = Arc::new(Memory::open());
-        let platform = table::bind(table::Settings {
+        let platform = platform::bind(platform::Settings {
             listen: "127.0.0.1:0".parse().unwrap(),
             list_lag: Span(0),
             memory: Arc::clone(&memory),
