--- a/src/dispatch/machine/mod.rs
+++ b/src/dispatch/machine/mod.rs
@@ -120,7 +120,7 @@
 
     fn arrive(&mut self, now: Time, request: Request, out: &mut Vec<Action>) {
         self.budget(&request.service).earn();
-        let beyond = self.ask(&request);
+        let excess = self.ask(&request);
         let until = self.hold_until(now, &request);
         let waiting = Waiting {
             request,
@@ -135,10 +135,10 @@
             return refuse(&waiting, Reason::NoTarget, NO_TARGET_RETRY, out);
         }
         // Those that wait already go first, unless they can't use what this one can.
-        if let Some(offer) = self.find(now, &waiting, beyond) {
+        if let Some(offer) = self.find(now, &waiting, excess) {
             return self.send(now, waiting, offer, out);
         }
-        if beyond {
+        if excess.is_some() {
             let retry = self.share_retry(&waiting.request);
             return refuse(&waiting, Reason::Share, retry, out);
         }
@@ -146,10 +146,10 @@
         self.queues.entry(service).or_default().push(waiting);
     }
 
-    /// Counts a request against its workspace; returns whether it is beyond the workspace's share.
-    fn ask(&mut self, request: &Request) -> bool {
+    /// Counts a request against its workspace; returns by how much it is beyond its share.
+    fn ask(&mut self, request: &Request) -> Option<f64> {
         let (Some(workspace), Some(prompt)) = (&request.workspace, &request.prompt) else {
-            return false;
+            return None;
         };
         let key = hash(workspace.as_str());
         let cost = prompt.cost();
@@ -157,7 +157,11 @@
         usage.asked += cost;
         usage.changed = true;
         self.share.add(key, cost, 0);
-        self.settings.placement.sees_others() && self.share.is_beyond(key, cost)
+        if self.settings.placement.sees_others() {
+            self.share.excess(key, cost)
+        } else {
+            None
+        }
     }
 
     fn share_retry(&self, request: &Request) -> Span {
@@ -273,7 +277,7 @@
         if !self.has_target(&waiting.request.service) {
             return refuse(&waiting, Reason::NoTarget, NO_TARGET_RETRY, out);
         }
-        match self.find(now, &waiting, false) {
+        match self.find(now, &waiting, None) {
             Some(offer) => self.send(now, waiting, offer, out),
             None => {
                 let service = waiting.request.service.clone();
--- a/src/dispatch/machine/place.rs
+++ b/src/dispatch/machine/place.rs
@@ -16,7 +16,13 @@
 /// Longest wait inside a target for a request that is late already: it must not make later
 /// requests late, which usually ask for their first event within 300 ms.
 const LATE_WAIT: Span = Span::from_millis(120);
-/// Longest wait inside a target for a request beyond its workspace's share.
+/// Times by which a wait counts longer for a request beyond its workspace's share: room that it
+/// takes is room that others, who have not had theirs, would look for a moment later.
+const SPARE_WAITS: f64 = 1.0;
+/// Further times for each whole share that the workspace is beyond its own, so that those who ask
+/// for too much get alike of what is left.
+const SPARE_WAITS_PER_EXCESS: f64 = 4.0;
+/// Longest wait inside a target for a request beyond its workspace's share that is late already.
 const BEYOND_WAIT: Span = Span::from_millis(40);
 /// Time that an answer needs from the target to the caller.
 const WAY_BACK: Span = Span::from_millis(8);
@@ -27,11 +33,10 @@
 
 impl Dispatcher {
     /// Returns the best target that has room for a request.
-    pub(super) fn find(&self, now: Time, waiting: &Waiting, beyond: bool) -> Option<Offer> {
+    pub(super) fn find(&self, now: Time, waiting: &Waiting, excess: Option<f64>) -> Option<Offer> {
         let request = &waiting.request;
         let placement = self.settings.placement;
         let view_age = self.view_age(now);
-        let mut best: Option<Offer> = None;
         // The time that an idle target would take tells whether the request can be on time at all.
         let mut fastest = Span(u64::MAX);
         let mut offers = Vec::new();
@@ -59,18 +64,23 @@
             }
         }
         let hopeless = now + fastest + WAY_BACK > request.due;
-        let room = match (beyond, hopeless) {
-            (true, _) => Room::Wait(BEYOND_WAIT),
-            (false, true) => Room::Wait(LATE_WAIT),
-            (false, false) => Room::OnTime,
+        let room = match (excess, hopeless) {
+            (Some(excess), false) => Room::Spare(SPARE_WAITS + SPARE_WAITS_PER_EXCESS * excess),
+            (Some(_), true) => Room::Wait(BEYOND_WAIT),
+            (None, true) => Room::Wait(LATE_WAIT),
+            (None, false) => Room::OnTime,
         };
-        for (target, offer) in offers {
-            let has_room =
-                placement != Placement::Shared || target.has_room(&offer, request, room, now);
-            if has_room && best.as_ref().is_none_or(|best| offer.price < best.price) {
-                best = Some(offer);
-            }
+        let has_room = |(target, offer): &(&Target, Offer)| {
+            placement != Placement::Shared || target.has_room(offer, request, room, now)
+        };
+        if excess.is_some() {
+            // What is beyond a share must not cost others: only the cheapest target may take it.
+            offers.sort_by_key(|(_, offer)| offer.price);
+            offers.truncate(1);
         }
+        offers.retain(has_room);
+        let offers = offers.into_iter().map(|(_, offer)| offer);
+        let best = offers.min_by_key(|offer| offer.price);
         best
     }
 
@@ -161,7 +171,7 @@
             let Some(waiting) = queue.remove(number) else {
                 continue;
             };
-            match self.find(now, &waiting, false) {
+            match self.find(now, &waiting, None) {
                 Some(offer) => self.send(now, waiting, offer, out),
                 None => self.put_back(service, waiting),
             }
--- a/src/dispatch/share.rs
+++ b/src/dispatch/share.rs
@@ -20,7 +20,7 @@
 #[derive(Clone, Debug)]
 pub(super) struct Share {
     window: Span,
-    /// Tokens that the fleet serves in a window; `None` if that is not known.
+    /// Tokens that the fleet serves in a window, as declared; `None` if it is not.
     capacity: Option<u64>,
     workspaces: HashMap<u64, Window>,
     /// Number of the newest bucket since the router started.
@@ -81,10 +81,13 @@
         (self.level, window.map_or(0, Window::granted))
     }
 
-    /// Reports whether a workspace has had its share, so that `cost` more is beyond it.
-    pub(super) fn is_beyond(&self, workspace: u64, cost: u64) -> bool {
+    /// Returns by how much a workspace goes beyond its share with `cost` more, relative to the
+    /// share; `None` if it does not.
+    pub(super) fn excess(&self, workspace: u64, cost: u64) -> Option<f64> {
         let (level, granted) = self.standing(workspace);
-        level.is_some_and(|level| granted + cost > level)
+        let level = level?;
+        let beyond = (granted + cost).checked_sub(level)?;
+        Some(beyond as f64 / level.max(1) as f64)
     }
 
     /// Returns the time after which enough of what a workspace was granted has left the window.
--- a/src/dispatch/target.rs
+++ b/src/dispatch/target.rs
@@ -17,7 +17,7 @@
 const PLAIN_QUEUE_PER_SLOT: u32 = 1;
 /// Weight of reading a prompt again against waiting: the time that it takes the engine delays every
 /// request that comes after.
-const READ_WEIGHT: u64 = 4;
+const READ_WEIGHT: u64 = 12;
 /// Price of each request that a target runs already: each one slows the others' tokens.
 const RUNNING_PRICE: Span = Span(700);
 /// Price of a target in another failure domain: two hops more and bytes between domains.
@@ -46,10 +46,12 @@
 }
 
 /// How much room a request asks for.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub(super) enum Room {
     /// Its first event must come by the time it is due.
     OnTime,
+    /// Its first event must come by then though the wait takes this many times longer.
+    Spare(f64),
     /// It is late already, or cannot be on time anywhere: the wait must be shorter than this.
     Wait(Span),
 }
@@ -127,6 +129,10 @@
     pub(super) fn has_room(&self, offer: &Offer, request: &Request, room: Room, now: Time) -> bool {
         match room {
             Room::OnTime => now + offer.first <= request.due,
+            Room::Spare(times) => {
+                let longer = Span((offer.wait.0 as f64 * times) as u64);
+                now + offer.first + longer <= request.due
+            }
             Room::Wait(most) => offer.wait <= most,
         }
     }
