--- a/src/gateway/logbook.rs
+++ b/src/gateway/logbook.rs
@@ -105,7 +105,7 @@
                 end,
                 cause,
                 after,
-            } => slog::info!(log, "run ended"; "request" => request, "target" => target.as_str(),
+            } => slog::warn!(log, "run ended"; "request" => request, "target" => target.as_str(),
                 "end" => %end, "cause" => cause, "after_ms" => millis(*after)),
             Entry::Refused {
                 request,
@@ -115,7 +115,7 @@
                 ran,
                 retry_after,
                 after,
-            } => slog::info!(log, "refused"; "request" => request,
+            } => slog::warn!(log, "refused"; "request" => request,
                 "workspace" => workspace.map_or("-", |w| w.as_str()), "status" => status,
                 "reason" => reason, "may_have_run" => ran,
                 "retry_after_ms" => millis(*retry_after), "after_ms" => millis(*after)),
@@ -139,7 +139,7 @@
             } => slog::warn!(log, "answer cut"; "request" => request, "cause" => cause,
                 "events" => events, "after_ms" => millis(*after)),
             Entry::Left { request, after } => {
-                slog::info!(log, "caller left"; "request" => request, "after_ms" => millis(*after));
+                slog::warn!(log, "caller left"; "request" => request, "after_ms" => millis(*after));
             }
             Entry::Target {
                 target,
--- a/tests/common/fleet.rs
+++ b/tests/common/fleet.rs
@@ -212,6 +212,7 @@
             .map(SocketAddr::to_string)
             .collect::<Vec<_>>()
             .join(",");
+        let log = File::create(self.log_path(name)).unwrap();
         let mut command = Command::new(env!("CARGO_BIN_EXE_marlrund"));
         command
             .args(["--router", name, "--domain", &self.domains[name]])
@@ -223,7 +224,8 @@
             .arg(self.folder.path().join("key"))
             .args(["--fault-injection", "true", "--log-level", self.log_level])
             .args(&self.flags)
-            .stderr(File::create(self.log_path(name)).unwrap());
+            .stdout(log.try_clone().unwrap())
+            .stderr(log);
         if !self.alone {
             command.args(["--seeds", &seeds]);
         }
