Tests of routers on the platform against stand-ins that speak its published protocol

Store (busy, silent, reset, slow, lost answers, forgotten history, entries of other writers) and targets (full, failing, lost, mute, cut, stalled, crossed and unsigned answers, reused addresses) in tests/world; 23 cases in tests/gateway.rs run the daemon as a process.

--- a/src/dispatch/machine/place.rs
+++ b/src/dispatch/machine/place.rs
@@ -80,8 +80,7 @@
         }
         offers.retain(has_room);
         let offers = offers.into_iter().map(|(_, offer)| offer);
-        let best = offers.min_by_key(|offer| offer.price);
-        best
+        offers.min_by_key(|offer| offer.price)
     }
 
     /// Reports whether a target is believed to answer.
--- a/src/gateway/events.rs
+++ b/src/gateway/events.rs
@@ -85,15 +85,16 @@
     }
 }
 
-/// Returns the end of the last whole event: behind the last blank line.
+/// Returns the end of the last whole event: behind the last blank line. The bytes before `scanned`
+/// hold none.
 fn last_end(bytes: &[u8], scanned: usize) -> Option<usize> {
-    let from = scanned.saturating_sub(3);
-    (from + 1..bytes.len()).rev().find_map(|at| {
-        let blank = bytes[at] == b'\n'
-            && (bytes[at - 1] == b'\n' || (at >= 3 && bytes[at - 3..at] == *b"\n\r"));
-        let blank = blank || (at >= 3 && bytes[at - 3..=at] == *b"\r\n\r\n");
-        blank.then_some(at + 1)
-    })
+    // A blank line may begin in what was scanned.
+    let from = scanned.saturating_sub(2);
+    let ends_blank_line = |end: &usize| {
+        let before = &bytes[..*end];
+        before.ends_with(b"\n\n") || before.ends_with(b"\n\r\n")
+    };
+    (from + 1..=bytes.len()).rev().find(ends_blank_line)
 }
 
 /// Returns the number of an event from its line `id: NUMBER`.
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -456,7 +456,7 @@
 }
 
 /// Tells the caller when to come back, in seconds with a fraction.
-pub(super) fn set_retry_after(response: &mut Response<Body>, after: Span) {
+fn set_retry_after(response: &mut Response<Body>, after: Span) {
     let text = format!("{:.3}", after.as_secs_f64());
     if let Ok(value) = HeaderValue::from_str(&text) {
         response
--- a/src/gateway/handler.rs
+++ b/src/gateway/handler.rs
@@ -3,7 +3,7 @@
 use super::{
     Dialect, Fleet, Head, Hub,
     call::Call,
-    exchange::{Exchange, Shared, set_retry_after},
+    exchange::{Exchange, Shared},
 };
 use crate::{
     clock,
@@ -61,21 +61,22 @@
         }
     }
 
-    async fn answer(&self, request: Request<Incoming>) -> Result<Response<Body>, Response<Body>> {
+    async fn answer(&self, request: Request<Incoming>) -> Result<Response<Body>, Problem> {
         let arrived = clock::now();
         let table = self.shared.fleet.table();
         if table.version.0 == 0 {
-            return Err(unready());
+            let detail = "no configuration is in force yet";
+            return Err(Problem::not_run(detail, Fleet::UNREADY_RETRY));
         }
         let (parts, body) = request.into_parts();
         let head = self.shared.dialect.read(&parts.headers);
-        let head = head.map_err(|cause| invalid(StatusCode::BAD_REQUEST, cause))?;
+        let head = head.map_err(|cause| Problem::invalid(StatusCode::BAD_REQUEST, cause))?;
         let route = find_route(&table, &parts.uri, &parts.headers)?;
         let workspace = authenticate(&table, &route, &head)?;
         let service = route.pick(hash(&head.request)).cloned();
         let service = service.ok_or_else(|| {
             let detail = format!("the route {:?} has no service", route.name);
-            Problem::not_run(detail, Fleet::UNREADY_RETRY).response()
+            Problem::not_run(detail, Fleet::UNREADY_RETRY)
         })?;
         metrics::counter!(metric::REQUESTS, "service" => service.to_string()).increment(1);
         let body = self.read(body, &table).await?;
@@ -98,21 +99,21 @@
         Ok(Exchange::new(call, ticket, self.shared.clone()).run().await)
     }
 
-    async fn read(&self, body: Incoming, table: &Table) -> Result<Bytes, Response<Body>> {
+    async fn read(&self, body: Incoming, table: &Table) -> Result<Bytes, Problem> {
         let limits = table.limits;
         let limited = Limited::new(body, limits.body_bytes);
         let idle = Duration::from(limits.idle_timeout);
         match tokio::time::timeout(idle, limited.collect()).await {
             Ok(Ok(body)) => Ok(body.to_bytes()),
-            Ok(Err(error)) if error.is::<LengthLimitError>() => Err(invalid(
+            Ok(Err(error)) if error.is::<LengthLimitError>() => Err(Problem::invalid(
                 StatusCode::PAYLOAD_TOO_LARGE,
                 format!("the body is larger than {} bytes", limits.body_bytes),
             )),
-            Ok(Err(error)) => Err(invalid(
+            Ok(Err(error)) => Err(Problem::invalid(
                 StatusCode::BAD_REQUEST,
                 format!("the body could not be read: {error}"),
             )),
-            Err(_) => Err(invalid(
+            Err(_) => Err(Problem::invalid(
                 StatusCode::REQUEST_TIMEOUT,
                 format!("the body did not arrive within {}", limits.idle_timeout),
             )),
@@ -124,7 +125,7 @@
     fn respond(&self, request: Request<Incoming>) -> BoxFuture<'_, Response<Body>> {
         let answered = self.answer(request);
         answered
-            .map(|answered| answered.unwrap_or_else(|refusal| refusal))
+            .map(|answered| answered.unwrap_or_else(|problem| problem.response()))
             .boxed()
     }
 
@@ -141,18 +142,7 @@
     }
 }
 
-fn unready() -> Response<Body> {
-    let problem = Problem::not_run("no configuration is in force yet", Fleet::UNREADY_RETRY);
-    let mut response = problem.response();
-    set_retry_after(&mut response, Fleet::UNREADY_RETRY);
-    response
-}
-
-fn invalid(status: StatusCode, detail: impl Into<Box<str>>) -> Response<Body> {
-    Problem::invalid(status, detail).response()
-}
-
-fn find_route(table: &Table, uri: &Uri, headers: &HeaderMap) -> Result<Arc<Route>, Response<Body>> {
+fn find_route(table: &Table, uri: &Uri, headers: &HeaderMap) -> Result<Arc<Route>, Problem> {
     let named = headers
         .get(header::HOST)
         .and_then(|host| host.to_str().ok());
@@ -161,7 +151,7 @@
     route.cloned().ok_or_else(|| {
         let path = uri.path();
         let detail = format!("the host {host:?} has no route for the path {path:?}");
-        invalid(StatusCode::NOT_FOUND, detail)
+        Problem::invalid(StatusCode::NOT_FOUND, detail)
     })
 }
 
@@ -170,7 +160,7 @@
     table: &Table,
     route: &Route,
     head: &Head,
-) -> Result<Option<id::Workspace>, Response<Body>> {
+) -> Result<Option<id::Workspace>, Problem> {
     let key = head.key.as_deref().map(str::as_bytes);
     let workspace = key.and_then(|key| table.workspace(key)).cloned();
     if workspace.is_some() || route.public || !table.is_guarded() {
@@ -180,7 +170,7 @@
         Some(_) => "the key belongs to no workspace",
         None => "the header Authorization is missing or not of the form Bearer <key>",
     };
-    Err(invalid(StatusCode::UNAUTHORIZED, detail))
+    Err(Problem::invalid(StatusCode::UNAUTHORIZED, detail))
 }
 
 /// Returns path and query alone, as targets get them.
--- a/src/table/mod.rs
+++ b/src/table/mod.rs
@@ -5,20 +5,20 @@
 mod fault;
 mod memory;
 pub(crate) mod protocol;
+mod row;
 mod script;
 mod stats;
 mod store;
-mod table;
 mod vm;
 
 pub use self::{
     client::Client,
     fault::Fault,
     memory::Memory,
+    row::{Expect, Row, Verdict, Write},
     script::Script,
     stats::Stats,
     store::{MAX_ROWS, MAX_WRITES},
-    table::{Expect, Row, Verdict, Write},
     vm::{State, Vm},
 };
 
--- /dev/null
+++ b/tests/gateway.rs
@@ -0,0 +1,438 @@
+//! Routers on the platform: what callers and targets see, with targets, store and signals that
+//! misbehave.
+
+mod world;
+
+use nix::sys::signal::Signal;
+use std::{io::Read, thread, time::Duration};
+use world::{Answer, Caller, Fault, KEY, Mode, OTHER_KEY, Router, World, wait_for};
+
+fn events(count: u64) -> String {
+    (1..=count)
+        .map(|n| format!("id: {n}\ndata: piece {n}\n\n"))
+        .collect()
+}
+
+#[test]
+fn request_served() {
+    let world = World::open(1, 1);
+    let router = Router::ready(&world.store, "r1");
+    let plain = Caller::new(router.listen, "POST", "/book/x?y=1", "q1").body(b"hello");
+    let answer = plain.call();
+    assert_eq!((answer.status, answer.whole), (200, true), "{answer:?}");
+    assert_eq!(answer.body, "answer to q1");
+    assert!(answer.header("x-marlrun-response-stamp").is_some());
+    let run = world.runs_of("q1").remove(0);
+    assert_eq!(
+        (run.method.as_str(), run.path.as_str()),
+        ("POST", "/book/x?y=1")
+    );
+    assert_eq!(&run.body[..], b"hello");
+    assert_eq!(run.headers["x-marlrun-tenant"], "east-desk");
+    assert!(!run.headers.contains_key("authorization"));
+
+    let stream = Caller::stream(router.listen, "plan", "q2").call();
+    assert_eq!((stream.status, stream.whole), (200, true));
+    assert_eq!(stream.body, events(5));
+}
+
+#[test]
+fn request_forged_headers() {
+    let world = World::open(1, 1);
+    let router = Router::ready(&world.store, "r1");
+    let forged = [
+        ("x-marlrun-tenant", "west-desk"),
+        ("x-marlrun-hold", "h1"),
+        ("x-marlrun-pin-ms", "4000"),
+        ("x-marlrun-kv-backup", "127.0.0.1:1"),
+        ("x-marlrun-expect-instance", "i-other"),
+        ("x-marlrun-expect-version", "7"),
+        ("kv-from", "127.0.0.1:1/x"),
+        ("kv-fetch", "127.0.0.1:1"),
+    ];
+    let caller = Caller::stream(router.listen, "plan", "q1");
+    let caller = forged.iter().fold(caller, |c, (n, v)| c.with(n, v));
+    assert_eq!(caller.call().status, 200);
+    let run = world.runs_of("q1").remove(0);
+    assert_eq!(run.headers["x-marlrun-tenant"], "east-desk");
+    assert_eq!(
+        run.headers["x-marlrun-expect-instance"],
+        run.target.as_str()
+    );
+    for (name, _) in &forged[1..] {
+        let kept = run
+            .headers
+            .get(*name)
+            .filter(|_| !name.contains("expect-instance"));
+        assert_eq!(kept, None, "{name}");
+    }
+}
+
+#[test]
+fn request_keys_and_routes() {
+    let world = World::open(0, 1);
+    let router = Router::ready(&world.store, "r1");
+    let call = |path: &str| Caller::new(router.listen, "GET", path, "q");
+    let status = |caller: Caller| caller.call().status;
+    assert_eq!(status(call("/look/a")), 200);
+    assert_eq!(status(call("/lookup/a")), 404);
+    assert_eq!(status(call("/look/a").with("host", "other.example")), 404);
+    assert_eq!(status(call("/look/a").without("authorization")), 401);
+    assert_eq!(
+        status(call("/look/a").with("authorization", "Bearer wrong")),
+        401
+    );
+    let other = call("/look/a").with("authorization", &format!("Bearer {OTHER_KEY}"));
+    assert_eq!(status(other), 200);
+    let tenants: Vec<_> = world.apps[0].runs();
+    assert_eq!(tenants[1].headers["x-marlrun-tenant"], "west-desk");
+}
+
+#[test]
+fn request_too_large() {
+    let world = World::open(0, 1);
+    let router = Router::ready(&world.store, "r1");
+    let large = Caller::new(router.listen, "POST", "/book/x", "q1").body(&[b'x'; 70_000]);
+    assert_eq!(large.call().status, 413);
+    assert!(world.runs_of("q1").is_empty());
+}
+
+#[test]
+fn configuration_unknown() {
+    let world = World::open(0, 1);
+    world.store.remove("op", "config");
+    let router = Router::spawn(&world.store, "r1");
+    wait_for("the router listens", || router.page("/healthz").is_some());
+    let answer = Caller::new(router.listen, "GET", "/look/a", "q1").call();
+    assert_eq!(answer.status, 503);
+    assert!(answer.header("retry-after").is_some());
+    assert!(!router.is_ready());
+    world.store.put("op", "config", &world::configuration(3));
+    wait_for("the router is ready", || router.is_ready());
+}
+
+#[test]
+fn configuration_never_back() {
+    let world = World::open(0, 1);
+    let router = Router::ready(&world.store, "r1");
+    let mut newer = world::configuration(5);
+    newer["routes"][3]["prefix"] = "/seek/".into();
+    world.store.put("op", "config", &newer);
+    let status = |path| Caller::new(router.listen, "GET", path, "q").call().status;
+    wait_for("the new route", || status("/seek/a") == 200);
+    assert_eq!(status("/look/a"), 404);
+    world.store.put("op", "config", &world::configuration(4));
+    world
+        .store
+        .put_bytes("op", "config", b"not a configuration".to_vec());
+    thread::sleep(Duration::from_millis(300));
+    assert_eq!(status("/seek/a"), 200);
+    wait_for("a log line", || {
+        router.log().contains("configuration unusable")
+    });
+}
+
+#[test]
+fn configuration_after_outage() {
+    for fault in [Fault::Busy, Fault::Silent, Fault::Reset] {
+        let world = World::open(0, 1);
+        let router = Router::ready(&world.store, "r1");
+        world.store.fail(fault);
+        let mut newer = world::configuration(5);
+        newer["tenants"][1]["api-keys"] = serde_json::json!([]);
+        world.store.put("op", "config", &newer);
+        thread::sleep(Duration::from_millis(300));
+        let call = Caller::new(router.listen, "GET", "/look/a", "q1");
+        assert_eq!(call.call().status, 200, "served during {fault:?}");
+        world.store.fail(Fault::None);
+        let revoked = call.with("authorization", &format!("Bearer {OTHER_KEY}"));
+        wait_for("the key is revoked", || revoked.call().status == 401);
+    }
+}
+
+#[test]
+fn history_forgotten() {
+    let world = World::open(0, 1);
+    let router = Router::ready(&world.store, "r1");
+    world.store.forget();
+    world.store.put("op", "config", &world::configuration(9));
+    wait_for("version 9", || {
+        router
+            .page("/metrics")
+            .is_some_and(|page| page.contains("marlrun_config_version 9"))
+    });
+    assert_eq!(
+        Caller::new(router.listen, "GET", "/look/a", "q")
+            .call()
+            .status,
+        200
+    );
+}
+
+#[test]
+fn target_entries_of_others() {
+    let world = World::open(0, 1);
+    world
+        .store
+        .put_bytes("servers", "i-noise", vec![0xff, 0x00]);
+    world.store.put(
+        "servers",
+        "i-half",
+        &serde_json::json!({ "service": "app" }),
+    );
+    let odd = serde_json::json!({
+        "service": "app", "address": "127.0.0.1:9", "zone": "east", "slots": 6,
+        "state": "resting", "born": 1, "seq": 1,
+    });
+    world.store.put("servers", "i-odd", &odd);
+    let router = Router::ready(&world.store, "r1");
+    for number in 0..10 {
+        let name = format!("q{number}");
+        let answer = Caller::new(router.listen, "POST", "/book/x", &name).call();
+        assert_eq!(answer.status, 200);
+    }
+}
+
+#[test]
+fn target_leaving() {
+    let world = World::open(0, 2);
+    let router = Router::ready(&world.store, "r1");
+    world.apps[0].register("draining");
+    world.apps[1].unregister();
+    let call = || Caller::new(router.listen, "GET", "/look/a", "q").call();
+    wait_for("nothing is left", || call().status == 503);
+    let before = world.apps[0].runs().len() + world.apps[1].runs().len();
+    let answer = call();
+    assert!(answer.header("retry-after").is_some());
+    assert!(answer.after < Duration::from_secs(1), "refused at once");
+    assert_eq!(
+        world.apps[0].runs().len() + world.apps[1].runs().len(),
+        before
+    );
+    world.apps[0].register("ready");
+    wait_for("the target is back", || call().status == 200);
+}
+
+#[test]
+fn target_full() {
+    let world = World::open(0, 2);
+    let router = Router::ready(&world.store, "r1");
+    world.apps[0].behave(Mode::Full);
+    for number in 0..6 {
+        let name = format!("q{number}");
+        let answer = Caller::new(router.listen, "POST", "/book/x", &name).call();
+        assert_eq!(answer.status, 200, "the other target runs it");
+        assert_eq!(world.runs_of(&name).len(), 1);
+    }
+    world.apps[1].behave(Mode::Full);
+    let answer = Caller::new(router.listen, "POST", "/book/x", "q9").call();
+    assert_eq!(answer.status, 503);
+    assert!(answer.header("retry-after").is_some());
+    assert!(world.runs_of("q9").is_empty());
+}
+
+#[test]
+fn target_answer_lost() {
+    let world = World::open(0, 2);
+    let router = Router::ready(&world.store, "r1");
+    for app in &world.apps {
+        app.behave(Mode::Lost);
+    }
+    let once = Caller::new(router.listen, "POST", "/book/x", "q1").call();
+    assert_eq!(once.status, 502, "it may have run");
+    assert_eq!(world.runs_of("q1").len(), 1);
+    let safe = Caller::new(router.listen, "GET", "/look/x", "q2").call();
+    assert_eq!(safe.status, 502);
+    assert_eq!(world.runs_of("q2").len(), 2);
+    for app in &world.apps {
+        app.behave(Mode::Good);
+    }
+    wait_for("targets are used again", || {
+        Caller::new(router.listen, "GET", "/look/x", "q3")
+            .call()
+            .status
+            == 200
+    });
+}
+
+#[test]
+fn target_failing() {
+    let world = World::open(0, 2);
+    let router = Router::ready(&world.store, "r1");
+    world.apps[0].behave(Mode::Failing);
+    for number in 0..6 {
+        let name = format!("q{number}");
+        let safe = Caller::new(router.listen, "GET", "/look/x", &name).call();
+        assert_eq!(safe.status, 200, "the other target answers");
+    }
+    world.apps[1].behave(Mode::Failing);
+    let once = Caller::new(router.listen, "POST", "/book/x", "q9").call();
+    assert_eq!((once.status, once.body.as_str()), (500, "out of order"));
+    assert!(once.header("x-marlrun-response-stamp").is_some());
+    assert_eq!(world.runs_of("q9").len(), 1);
+}
+
+#[test]
+fn target_spoilt_answers() {
+    for mode in [Mode::Crossed, Mode::Unsigned] {
+        let world = World::open(0, 1);
+        let router = Router::ready(&world.store, "r1");
+        world.apps[0].behave(mode);
+        let answer = Caller::new(router.listen, "POST", "/book/x", "q1").call();
+        assert_eq!(answer.status, 502, "{mode:?}");
+        assert!(!answer.body.contains("answer to"));
+    }
+}
+
+#[test]
+fn target_address_reused() {
+    let world = World::open(0, 2);
+    let router = Router::ready(&world.store, "r1");
+    // The entry of the first target now leads to the second one, which refuses to run for it.
+    let entry = serde_json::json!({
+        "service": "app", "address": world.apps[1].address().to_string(), "zone": "east",
+        "slots": 6, "state": "ready", "born": 1_800_000_000_000_u64, "seq": 1,
+    });
+    world.store.put("servers", &world.apps[0].name, &entry);
+    thread::sleep(Duration::from_millis(200));
+    for number in 0..6 {
+        let name = format!("q{number}");
+        let answer = Caller::new(router.listen, "POST", "/book/x", &name).call();
+        assert_eq!(answer.status, 200);
+        let runs = world.runs_of(&name);
+        assert_eq!(runs.len(), 1);
+        assert_eq!(runs[0].target, world.apps[1].name);
+    }
+}
+
+#[test]
+fn stream_resumed() {
+    for mode in [Mode::CutAfter(3), Mode::StallAfter(2)] {
+        let world = World::open(2, 0);
+        let router = Router::ready(&world.store, "r1");
+        for engine in &world.engines {
+            engine.pace(8, Duration::from_millis(5));
+        }
+        world.engines[0].behave(mode);
+        for number in 0..4 {
+            let name = format!("q{number}");
+            let answer = Caller::stream(router.listen, "plan", &name).call();
+            assert_eq!(
+                (answer.status, answer.whole),
+                (200, true),
+                "{mode:?} {answer:?}"
+            );
+            assert_eq!(answer.body, events(8), "{mode:?}");
+        }
+    }
+}
+
+#[test]
+fn stream_cut_and_not_resumable() {
+    let world = World::open(1, 0);
+    let router = Router::ready(&world.store, "r1");
+    world.engines[0].behave(Mode::CutAfter(3));
+    let answer = Caller::stream(router.listen, "sum", "q1").call();
+    assert_eq!(answer.body, events(3));
+    assert!(!answer.whole, "a cut stream must not look whole");
+    assert_eq!(world.runs_of("q1").len(), 1);
+    wait_for("a log line", || router.log().contains("answer cut"));
+}
+
+#[test]
+fn stream_resumed_by_caller() {
+    let world = World::open(1, 0);
+    let router = Router::ready(&world.store, "r1");
+    let caller = Caller::stream(router.listen, "plan", "q1").with("last-event-id", "3");
+    let answer = caller.call();
+    assert_eq!(
+        answer.body,
+        "id: 4\ndata: piece 4\n\nid: 5\ndata: piece 5\n\n"
+    );
+    assert!(answer.whole);
+}
+
+#[test]
+fn caller_leaves() {
+    let world = World::open(1, 1);
+    let router = Router::ready(&world.store, "r1");
+    world.engines[0].pace(1_000, Duration::from_millis(20));
+    let mut stream = Caller::stream(router.listen, "plan", "q1").open();
+    stream.read_exact(&mut [0; 64]).unwrap();
+    drop(stream);
+    wait_for("the stream's run ends", || world.engines[0].running() == 0);
+    world.apps[0].hold(true);
+    let stream = Caller::new(router.listen, "GET", "/look/x", "q2").open();
+    wait_for("the request runs", || world.apps[0].running() == 1);
+    drop(stream);
+    wait_for("the request's run ends", || world.apps[0].running() == 0);
+}
+
+#[test]
+fn deadline_passes() {
+    let world = World::open(0, 1);
+    let router = Router::ready(&world.store, "r1");
+    world.apps[0].behave(Mode::Mute);
+    let caller = Caller::new(router.listen, "POST", "/book/x", "q1");
+    let answer = caller.with("x-marlrun-deadline-ms", "400").call();
+    assert_eq!(answer.status, 504);
+    assert!(answer.after >= Duration::from_millis(380));
+    let run = world.runs_of("q1").remove(0);
+    let left: u64 = run.headers["x-marlrun-deadline-ms"]
+        .to_str()
+        .unwrap()
+        .parse()
+        .unwrap();
+    assert!(left <= 400);
+}
+
+#[test]
+fn stop_graceful() {
+    let world = World::open(1, 1);
+    let mut router = Router::ready(&world.store, "r1");
+    world.engines[0].pace(60, Duration::from_millis(40));
+    let listen = router.listen;
+    let stream = thread::spawn(move || Caller::stream(listen, "plan", "q1").call());
+    wait_for("the stream runs", || world.engines[0].running() == 1);
+    router.signal(Signal::SIGTERM);
+    wait_for("not ready", || !router.is_ready());
+    let late = Caller::new(listen, "POST", "/book/x", "q2").call();
+    assert_eq!(late.status, 200, "the balancer may not know yet");
+    let answer: Answer = stream.join().unwrap();
+    assert_eq!(answer.body, events(60));
+    assert!(answer.whole);
+    wait_for("the router ends", || router.ended() == Some(0));
+    assert!(world.store.get("routers", "r1").is_none());
+}
+
+#[test]
+fn stop_with_half_heads() {
+    use std::io::Write;
+    let world = World::open(0, 1);
+    let mut router = Router::ready(&world.store, "r1");
+    let mut open = Vec::new();
+    for _ in 0..100 {
+        let mut stream = std::net::TcpStream::connect(router.listen).unwrap();
+        stream.write_all(b"GET /x HT").unwrap();
+        open.push(stream);
+    }
+    router.signal(Signal::SIGTERM);
+    wait_for("the router ends", || router.ended() == Some(0));
+}
+
+#[test]
+fn reload_keeps_serving() {
+    let world = World::open(0, 1);
+    let mut router = Router::ready(&world.store, "r1");
+    router.signal(Signal::SIGHUP);
+    wait_for("a log line", || {
+        router.log().contains("settings read again")
+    });
+    std::fs::write(router.settings_path(), "{").unwrap();
+    router.signal(Signal::SIGHUP);
+    wait_for("a log line", || router.log().contains("settings unusable"));
+    let answer = Caller::new(router.listen, "GET", "/look/a", "q")
+        .with("authorization", &format!("Bearer {KEY}"));
+    assert_eq!(answer.call().status, 200);
+    assert_eq!(router.ended(), None);
+}
--- a/tests/platform.rs
+++ b/tests/table.rs
@@ -23,7 +23,7 @@
 
 fn serve(timeout: Span) -> Served {
     let memory = Arc::new(Memory::open());
-    let handle = table::bind(table::Settings {
+    let handle = platform::bind(platform::Settings {
         listen: LISTEN.parse().unwrap(),
         list_lag: Span(0),
         memory: Arc::clone(&memory),
--- /dev/null
+++ b/tests/world/replica.rs
@@ -0,0 +1,305 @@
+//! Stand-in of a target: what it answers, how it fails, and what it ran.
+
+use super::{
+    Store,
+    listener::{Answered, Body, Listener, answer, whole},
+};
+use bytes::Bytes;
+use futures::{FutureExt, StreamExt, future::BoxFuture, stream};
+use http_body_util::{BodyExt, StreamBody};
+use hyper::{
+    HeaderMap, Request, Response,
+    body::{Frame, Incoming},
+};
+use serde_json::json;
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard},
+    time::Duration,
+};
+use tokio::sync::watch;
+
+/// How a target behaves.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Mode {
+    /// Answers.
+    Good,
+    /// Refuses, and says that it did not run the request.
+    Full,
+    /// Runs the request and fails with 500.
+    Failing,
+    /// Runs the request and closes the connection without an answer.
+    Lost,
+    /// Runs the request and gives no answer.
+    Mute,
+    /// Breaks a stream off within an event, after this many whole ones.
+    CutAfter(u64),
+    /// Stops within a stream after this many events.
+    StallAfter(u64),
+    /// Answers with the identifier of another request.
+    Crossed,
+    /// Answers without signature.
+    Unsigned,
+}
+
+/// A request that a target ran.
+#[derive(Clone, Debug)]
+pub(crate) struct Run {
+    pub(crate) request: String,
+    pub(crate) target: String,
+    pub(crate) method: String,
+    pub(crate) path: String,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+    /// The connection was closed before the answer was whole.
+    pub(crate) dropped: bool,
+}
+
+struct State {
+    mode: Mode,
+    runs: Vec<Run>,
+    running: usize,
+    most_running: usize,
+    connections: usize,
+}
+
+/// A target; it ends when it is dropped, without a word.
+pub(crate) struct Replica {
+    pub(crate) name: String,
+    shared: Arc<Shared>,
+    store: Arc<Store>,
+    listener: Listener,
+}
+
+struct Shared {
+    name: String,
+    service: String,
+    state: Mutex<State>,
+    /// Events of each stream, and the time between two.
+    events: Mutex<(u64, Duration)>,
+    hold: watch::Sender<bool>,
+}
+
+impl Replica {
+    /// Starts a target and registers it.
+    pub(crate) fn bind(store: &Arc<Store>, service: &str, name: &str) -> Self {
+        let shared = Arc::new(Shared {
+            name: name.into(),
+            service: service.into(),
+            state: Mutex::new(State {
+                mode: Mode::Good,
+                runs: Vec::new(),
+                running: 0,
+                most_running: 0,
+                connections: 0,
+            }),
+            events: Mutex::new((5, Duration::from_millis(5))),
+            hold: watch::Sender::new(false),
+        });
+        let served = shared.clone();
+        let listener = Listener::bind(Arc::new(move |request| served.clone().serve(request)));
+        let replica = Self {
+            name: name.into(),
+            shared,
+            store: store.clone(),
+            listener,
+        };
+        replica.register("ready");
+        replica
+    }
+
+    pub(crate) fn address(&self) -> SocketAddr {
+        self.listener.address
+    }
+
+    /// Writes the target's entry with a state.
+    pub(crate) fn register(&self, state: &str) {
+        let entry = json!({
+            "service": self.shared.service, "address": self.address().to_string(),
+            "zone": "east", "version": "v1", "slots": 8, "state": state, "cold-left-ms": 0,
+            "born": 1_700_000_000_000_u64, "seq": 1,
+        });
+        self.store.put("servers", &self.name, &entry);
+    }
+
+    /// Removes the entry; the target goes on to serve.
+    pub(crate) fn unregister(&self) {
+        self.store.remove("servers", &self.name);
+    }
+
+    pub(crate) fn behave(&self, mode: Mode) {
+        self.shared.state().mode = mode;
+    }
+
+    /// Sets the events of each stream and the time between two.
+    pub(crate) fn pace(&self, events: u64, gap: Duration) {
+        *self.shared.events.lock().unwrap() = (events, gap);
+    }
+
+    /// Holds back all answers, or lets them go.
+    pub(crate) fn hold(&self, held: bool) {
+        self.shared.hold.send_replace(held);
+    }
+
+    pub(crate) fn runs(&self) -> Vec<Run> {
+        self.shared.state().runs.clone()
+    }
+
+    pub(crate) fn running(&self) -> usize {
+        self.shared.state().running
+    }
+
+    pub(crate) fn most_running(&self) -> usize {
+        self.shared.state().most_running
+    }
+}
+
+/// Counts a run until it is dropped.
+struct Running {
+    shared: Arc<Shared>,
+    index: usize,
+    whole: bool,
+}
+
+impl Running {
+    /// Notes that the answer is whole.
+    fn finish(&mut self) {
+        self.whole = true;
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        let mut state = self.shared.state();
+        state.running -= 1;
+        state.runs[self.index].dropped = !self.whole;
+    }
+}
+
+impl Shared {
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap()
+    }
+
+    fn serve(self: Arc<Self>, request: Request<Incoming>) -> BoxFuture<'static, Answered> {
+        async move {
+            let (head, body) = request.into_parts();
+            let body = body.collect().await.map_err(std::io::Error::other)?;
+            let text = |name: &str| {
+                let value = head.headers.get(name);
+                value.map(|value| value.to_str().unwrap().to_owned())
+            };
+            let name = text("x-marlrun-request-id").unwrap_or_default();
+            if text("x-marlrun-expect-instance").as_deref() != Some(&self.name) {
+                return Ok(answer(421, ""));
+            }
+            let mode = self.state().mode;
+            if mode == Mode::Full {
+                let mut refusal = answer(503, "");
+                sign(&mut refusal, &name);
+                refusal
+                    .headers_mut()
+                    .insert("x-marlrun-not-run", "1".parse().unwrap());
+                return Ok(refusal);
+            }
+            let after = text("last-event-id").and_then(|last| last.parse().ok());
+            let run = Run {
+                request: name.clone(),
+                target: self.name.clone(),
+                method: head.method.to_string(),
+                path: head.uri.to_string(),
+                headers: head.headers.clone(),
+                body: body.to_bytes(),
+                dropped: false,
+            };
+            let mut running = self.begin(run);
+            let mut hold = self.hold.subscribe();
+            // The sender lives as long as the target.
+            let _ = hold.wait_for(|held| !held).await;
+            match mode {
+                Mode::Failing => {
+                    running.finish();
+                    let mut failure = answer(500, "out of order");
+                    sign(&mut failure, &name);
+                    Ok(failure)
+                }
+                Mode::Lost => Err(std::io::ErrorKind::ConnectionReset.into()),
+                Mode::Mute => std::future::pending().await,
+                _ if head.headers.contains_key("x-marlrun-token-count") => {
+                    let mut response =
+                        Response::new(self.stream(mode, after.unwrap_or(0), running));
+                    sign(&mut response, &name);
+                    Ok(response)
+                }
+                _ => {
+                    running.finish();
+                    let mut response = answer(200, format!("answer to {name}"));
+                    let named = if mode == Mode::Crossed {
+                        "another"
+                    } else {
+                        &name
+                    };
+                    if mode != Mode::Unsigned {
+                        sign(&mut response, named);
+                    }
+                    Ok(response)
+                }
+            }
+        }
+        .boxed()
+    }
+
+    fn begin(self: &Arc<Self>, run: Run) -> Running {
+        let mut state = self.state();
+        state.running += 1;
+        state.most_running = state.most_running.max(state.running);
+        state.runs.push(run);
+        Running {
+            shared: self.clone(),
+            index: state.runs.len() - 1,
+            whole: false,
+        }
+    }
+
+    fn stream(self: &Arc<Self>, mode: Mode, after: u64, running: Running) -> Body {
+        let (count, gap) = *self.events.lock().unwrap();
+        let items = stream::unfold(
+            (after + 1, running),
+            move |(number, mut running)| async move {
+                if number > count {
+                    running.whole = true;
+                    return None;
+                }
+                tokio::time::sleep(gap).await;
+                let item = match mode {
+                    Mode::CutAfter(last) if number == last + 1 => {
+                        Ok(Bytes::from(format!("id: {number}\nda")))
+                    }
+                    Mode::CutAfter(last) if number > last => {
+                        Err(std::io::ErrorKind::ConnectionReset.into())
+                    }
+                    Mode::StallAfter(last) if number > last => std::future::pending().await,
+                    _ => Ok(Bytes::from(event(number))),
+                };
+                Some((item, (number + 1, running)))
+            },
+        );
+        StreamBody::new(items.map(|item| item.map(Frame::data))).boxed_unsync()
+    }
+}
+
+/// Returns an event of a stream; all targets generate the same ones.
+pub(crate) fn event(number: u64) -> String {
+    format!("id: {number}\ndata: piece {number}\n\n")
+}
+
+fn sign(response: &mut Response<Body>, name: &str) {
+    let headers = response.headers_mut();
+    headers.insert("x-marlrun-request-id", name.parse().unwrap());
+    headers.insert("x-marlrun-response-stamp", "1.2.3".parse().unwrap());
+}
+
+/// Returns an empty body.
+pub(crate) fn nothing() -> Body {
+    whole(Bytes::new())
+}
--- /dev/null
+++ b/tests/world/router.rs
@@ -0,0 +1,125 @@
+//! A router as a process of its own.
+
+use super::{Store, wait_for};
+use nix::{
+    sys::signal::{self, Signal},
+    unistd::Pid,
+};
+use serde_json::json;
+use std::{
+    fs::{self, File},
+    io::{Read, Write},
+    net::{SocketAddr, TcpListener, TcpStream, UdpSocket},
+    path::PathBuf,
+    process::{Child, Command},
+    sync::Arc,
+    time::Duration,
+};
+use tempfile::TempDir;
+
+/// A running router; it is killed when it is dropped.
+pub(crate) struct Router {
+    pub(crate) listen: SocketAddr,
+    pub(crate) health: SocketAddr,
+    folder: TempDir,
+    child: Child,
+}
+
+impl Router {
+    /// Starts a router and returns at once.
+    pub(crate) fn spawn(store: &Arc<Store>, name: &str) -> Self {
+        Self::spawn_with(store, name, &[])
+    }
+
+    /// Starts a router with more arguments and returns at once.
+    pub(crate) fn spawn_with(store: &Arc<Store>, name: &str, arguments: &[&str]) -> Self {
+        let folder = tempfile::tempdir().unwrap();
+        let (listen, health) = (free_address(), free_address());
+        let peer = UdpSocket::bind("127.0.0.1:0")
+            .unwrap()
+            .local_addr()
+            .unwrap();
+        let settings = json!({
+            "node": name, "zone": "east", "ip": "127.0.0.1", "a-new-field": [1],
+            "listen": { "front": listen.to_string(), "ready": health.to_string() },
+            "port-range": [peer.port(), peer.port() + 1],
+            "limits": { "max-fds": 1_000, "cpu-share": 0.5 },
+            "bounds": { "config-ms": 1_200, "grace-s": 8, "retry-extra": 50, "retry-ratio": 0.2 },
+            "provider": { "address": store.address().to_string() },
+        });
+        let path = folder.path().join("settings.json");
+        fs::write(&path, settings.to_string()).unwrap();
+        let log = File::create(folder.path().join("log")).unwrap();
+        let child = Command::new(env!("CARGO_BIN_EXE_marlrund"))
+            .arg("--platform-settings")
+            .arg(&path)
+            .args(arguments)
+            .stdout(log.try_clone().unwrap())
+            .stderr(log)
+            .spawn()
+            .unwrap();
+        Self {
+            listen,
+            health,
+            folder,
+            child,
+        }
+    }
+
+    /// Starts a router and waits until it is ready.
+    pub(crate) fn ready(store: &Arc<Store>, name: &str) -> Self {
+        let router = Self::spawn(store, name);
+        wait_for("the router is ready", || router.is_ready());
+        router
+    }
+
+    pub(crate) fn is_ready(&self) -> bool {
+        self.page("/readyz")
+            .is_some_and(|page| page.starts_with("HTTP/1.1 200"))
+    }
+
+    /// Returns the answer of a page for operators.
+    pub(crate) fn page(&self, path: &str) -> Option<String> {
+        let mut stream = TcpStream::connect(self.health).ok()?;
+        stream
+            .set_read_timeout(Some(Duration::from_secs(2)))
+            .unwrap();
+        let request = format!("GET {path} HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n");
+        stream.write_all(request.as_bytes()).ok()?;
+        let mut page = String::new();
+        stream.read_to_string(&mut page).ok()?;
+        Some(page)
+    }
+
+    pub(crate) fn settings_path(&self) -> PathBuf {
+        self.folder.path().join("settings.json")
+    }
+
+    pub(crate) fn log(&self) -> String {
+        fs::read_to_string(self.folder.path().join("log")).unwrap()
+    }
+
+    pub(crate) fn signal(&self, signal: Signal) {
+        let pid = Pid::from_raw(self.child.id().try_into().unwrap());
+        signal::kill(pid, signal).unwrap();
+    }
+
+    /// Returns the exit code if the process has ended.
+    pub(crate) fn ended(&mut self) -> Option<i32> {
+        let status = self.child.try_wait().unwrap()?;
+        Some(status.code().unwrap_or(-1))
+    }
+}
+
+impl Drop for Router {
+    fn drop(&mut self) {
+        // It may have ended already.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+fn free_address() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    listener.local_addr().unwrap()
+}
