--- a/tests/world/replica.rs
+++ b/tests/world/replica.rs
@@ -267,7 +267,7 @@
             (after + 1, running),
             move |(number, mut running)| async move {
                 if number > count {
-                    running.whole = true;
+                    running.finish();
                     return None;
                 }
                 tokio::time::sleep(gap).await;
