Few routers of a failure domain read the platform's lists; the others read their copies

Two leaders of each failure domain, those with the most processor, now read it; the others ask them, the platform if they don't answer, and other routers if the platform fails. Copies bear the time since the platform told them, so that they can't keep each other fresh. Several changes are gathered into one call.

--- a/src/bin/marlrund/main.rs
+++ b/src/bin/marlrund/main.rs
@@ -61,7 +61,7 @@
     let incarnation = random::incarnation();
     let mut router = settings.router_settings(incarnation);
     router.dispatch.placement = arguments.placement;
-    let sources = gateway::Sources::of_platform(&settings, incarnation);
+    let sources = gateway::Sources::of_platform(&settings);
     let path = path.to_owned();
     let reload: gateway::Reload = Box::new(move || {
         let read = platform::Settings::read(&path).map_err(|error| error.to_string())?;
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -15,6 +15,7 @@
 mod reply;
 mod router;
 mod settings;
+mod shelves;
 mod signals;
 mod ticket;
 
@@ -29,5 +30,5 @@
     outgoing::Outgoing,
     reply::Reply,
     router::{Reload, Router, run, spawn},
-    settings::{Configuration, Peer, Registry, Settings, Sources},
+    settings::{Configuration, Decoder, Peer, Registry, Settings, Sources},
 };
--- a/src/gateway/router.rs
+++ b/src/gateway/router.rs
@@ -1,20 +1,21 @@
 //! Start, run and end of a router that follows the platform's lists.
 
 use super::{
-    Error, Fleet, Handler, Hub, Settings, Sources,
+    Decoder, Error, Fleet, Handler, Hub, Settings, Sources,
     logbook::Entry,
-    settings::{Configuration, Peer},
+    shelves::{CONFIGURATION, ROUTERS, Shelves, TARGETS},
     signals::{Arrived, Signals},
 };
 use crate::{
     catalog::{self, Catalog},
     clock, cut,
     dispatch::{Dispatcher, Event},
-    front, gossip, health, id, metric,
+    front, gossip, health, metric, mirror,
+    roster::Roster,
     unit::{Span, Time},
     upstream, watch,
 };
-use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 use tokio::{
     runtime::{Builder, Handle},
     sync::mpsc,
@@ -47,13 +48,22 @@
 const FILE_DESCRIPTORS: u32 = 200;
 /// Part of the other descriptors for callers' connections, in percent; targets get the rest.
 const CALLERS_PERCENT: u32 = 65;
-/// Time limit of a call of a list beyond its wait.
+/// Time limit of a call for changes beyond its wait.
 const LIST_SLACK: Span = Span::from_millis(600);
+/// Pause after changes of a list; a tenth of the shortest bound that users set for changes.
+const GATHER: Span = Span::from_millis(200);
+/// Pause after changes of the list of routers: many of them start at the same time.
+const GATHER_ROUTERS: Span = Span::from_millis(1_000);
+/// Routers of other failure domains, or that do not lead, that are asked for lists when all else
+/// fails.
+const MAX_FAR_PLACES: usize = 3;
 /// First and longest pause between calls of a list that fail.
 const LIST_PAUSES: (Span, Span) = (Span::from_millis(100), Span::from_millis(800));
 /// Wait of the list of routers for changes; nothing depends on its age, since routers that start
 /// tell the others.
 const ROUTERS_WAIT: Span = Span::from_secs(20);
+/// Age beyond which a copy of the list of routers is of no use to others.
+const ROUTERS_AGE: Span = Span::from_secs(25);
 
 /// Reads the settings again and tells what changed.
 pub type Reload = Box<dyn Fn() -> Result<Box<str>, Box<str>> + Send + Sync>;
@@ -65,7 +75,7 @@
     hub: Arc<Hub>,
     fleet: Arc<Fleet>,
     server: front::Server,
-    peer: SocketAddr,
+    lists: front::Server,
     outbox: mpsc::UnboundedSender<()>,
     task: JoinHandle<()>,
 }
@@ -124,9 +134,17 @@
     let fleet = Arc::<Fleet>::default();
     let hub = Arc::new(Hub::open(Dispatcher::open(dispatch.clone()), log.clone()));
     let pool = upstream::Pool::default();
-    let socket = gossip::Socket::bind(settings.peer, cut::Switch::default()).await;
-    let socket = Arc::new(socket.map_err(bind(settings.peer))?);
-    let peer = socket.address().map_err(bind(settings.peer))?;
+    let peer = settings.own.peer;
+    let socket = gossip::Socket::bind(peer, cut::Switch::default()).await;
+    let socket = Arc::new(socket.map_err(bind(peer))?);
+    let shelves = Shelves::open(settings.most_age(), ROUTERS_AGE);
+    let lists = front::Settings {
+        address: peer,
+        handler: Arc::new(mirror::Lists {
+            shelves: shelves.by_name(),
+        }),
+    };
+    let lists = front::Server::bind(lists, &Handle::current()).map_err(bind(peer))?;
     let sockets = settings.descriptors.saturating_sub(FILE_DESCRIPTORS).max(1);
     let connections = (sockets / 100 * CALLERS_PERCENT) as usize;
     let handler = Handler::open(
@@ -155,7 +173,10 @@
         socket,
         catalog: Catalog::default(),
         list_version: 0,
-        peers: BTreeMap::new(),
+        roster: Roster::open(settings.own.clone()),
+        way: Arc::default(),
+        shelves,
+        decoder: sources.decoder,
         behind: None,
         log: log.clone(),
     };
@@ -168,7 +189,7 @@
         hub,
         fleet,
         server,
-        peer,
+        lists,
         outbox,
         task,
     })
@@ -180,9 +201,9 @@
         self.server.address()
     }
 
-    /// Returns the address for datagrams.
+    /// Returns the address for datagrams and lists.
     pub fn peer(&self) -> SocketAddr {
-        self.peer
+        self.lists.address()
     }
 
     /// Takes no more requests, ends those that it has, and stops.
@@ -245,7 +266,10 @@
     socket: Arc<gossip::Socket>,
     catalog: Catalog,
     list_version: u64,
-    peers: BTreeMap<id::Router, SocketAddr>,
+    roster: Roster,
+    way: Arc<mirror::Way>,
+    shelves: Shelves,
+    decoder: Decoder,
     /// Time since when another router has a newer configuration.
     behind: Option<Time>,
     log: slog::Logger,
@@ -256,16 +280,29 @@
         let (configurations, mut configuration) = mpsc::unbounded_channel();
         let (listings, mut listed) = mpsc::unbounded_channel();
         let (routers, mut router) = mpsc::unbounded_channel();
-        let wait = Span(self.settings.configuration_bound.0 * 3 / 4);
         let follow = |wait| watch::Settings {
             wait,
             slack: LIST_SLACK,
+            gather: GATHER,
             pause: LIST_PAUSES.0,
             most_pause: LIST_PAUSES.1,
         };
-        let follower = watch::Follower::spawn(sources.configuration, follow(wait), configurations);
-        let _targets = watch::Follower::spawn(sources.targets, follow(wait), listings);
-        let _routers = watch::Follower::spawn(sources.routers, follow(ROUTERS_WAIT), routers);
+        let wait = self.settings.list_wait();
+        let most_age = self.settings.most_age();
+        let open = |name, platform, most_age| -> Arc<dyn watch::Source> {
+            let (pool, way) = (upstream::Pool::default(), self.way.clone());
+            Arc::new(mirror::Source::open(name, platform, pool, way, most_age))
+        };
+        let source = open(CONFIGURATION, sources.configuration, most_age);
+        let follower = watch::Follower::spawn(source, follow(wait), configurations);
+        let source = open(TARGETS, sources.targets, most_age);
+        let _targets = watch::Follower::spawn(source, follow(wait), listings);
+        let source = open(ROUTERS, sources.routers, ROUTERS_AGE);
+        let follow_routers = watch::Settings {
+            gather: GATHER_ROUTERS,
+            ..follow(ROUTERS_WAIT)
+        };
+        let _routers = watch::Follower::spawn(source, follow_routers, routers);
         let mut tick = interval(TICK);
         let mut tell = interval(TELL);
         let mut sweep = interval(SWEEP);
@@ -276,7 +313,7 @@
                 Some(event) = configuration.recv() => self.configure(event),
                 Some(event) = listed.recv() => self.list(event),
                 Some(event) = router.recv() => self.meet(event),
-                Some((from, summary)) = summaries.recv() => self.hear(from, summary),
+                Some(summary) = summaries.recv() => self.hear(summary),
                 _ = tick.tick() => self.tick(&follower),
                 _ = tell.tick() => {
                     self.tell().await;
@@ -289,9 +326,11 @@
         listener.abort();
     }
 
-    fn configure(&mut self, event: watch::Event<Configuration>) {
-        let entries = match event {
+    fn configure(&mut self, event: watch::Event<watch::Row>) {
+        self.shelves.configuration.take(&event);
+        let entries = match watch::decode(event, self.decoder.configuration) {
             watch::Event::Whole { entries, .. } | watch::Event::Changed { entries, .. } => entries,
+            watch::Event::Current { .. } => return,
             watch::Event::Lost { fault } => return self.lost("configuration", &fault),
             watch::Event::Regained { after } => return self.regained("configuration", after),
         };
@@ -321,13 +360,19 @@
         }
     }
 
-    fn list(&mut self, event: watch::Event<catalog::Listed>) {
-        let event = match event {
-            watch::Event::Whole { entries, version } => {
+    fn list(&mut self, event: watch::Event<watch::Row>) {
+        self.shelves.targets.take(&event);
+        let event = match watch::decode(event, self.decoder.target) {
+            watch::Event::Current { .. } => return,
+            watch::Event::Whole {
+                entries, version, ..
+            } => {
                 self.list_version = version;
                 catalog::Event::Whole(entries)
             }
-            watch::Event::Changed { entries, version } => {
+            watch::Event::Changed {
+                entries, version, ..
+            } => {
                 self.list_version = version;
                 catalog::Event::Changed(entries)
             }
@@ -359,38 +404,46 @@
         self.hub.step(Event::Targets(targets));
     }
 
-    fn meet(&mut self, event: watch::Event<Peer>) {
-        let entries = match event {
+    fn meet(&mut self, event: watch::Event<watch::Row>) {
+        self.shelves.routers.take(&event);
+        let entries = match watch::decode(event, self.decoder.router) {
             watch::Event::Whole { entries, .. } | watch::Event::Changed { entries, .. } => entries,
+            watch::Event::Current { .. } => return,
             watch::Event::Lost { fault } => return self.lost("routers", &fault),
             watch::Event::Regained { after } => return self.regained("routers", after),
         };
-        for (router, address) in entries {
-            if router == self.settings.dispatch.router {
-                continue;
-            }
-            let present = address.is_some();
-            let changed = match address {
-                Some(address) => self.peers.insert(router.clone(), address) != Some(address),
-                None => self.peers.remove(&router).is_some(),
+        for (router, entry) in entries {
+            let present = entry.is_some();
+            let changed = match entry {
+                Some(entry) => self.roster.add(entry),
+                None => self.roster.remove(&router),
             };
             if changed {
                 let router = &router;
                 Entry::Peer { router, present }.write(&self.log);
             }
         }
+        self.find_way();
     }
 
-    fn hear(&mut self, from: SocketAddr, summary: gossip::Summary) {
-        if !summary.leaving && !self.peers.contains_key(&summary.router) {
-            let router = &summary.router;
-            Entry::Peer {
-                router,
-                present: true,
-            }
-            .write(&self.log);
-            self.peers.insert(summary.router.clone(), from);
+    /// Sets which routers are asked for lists.
+    fn find_way(&self) {
+        let own = &self.roster.own().router;
+        let leaders = self.roster.leaders();
+        let others = leaders.iter().filter(|entry| entry.router != *own);
+        let near: Vec<SocketAddr> = others.map(|entry| entry.peer).collect();
+        let far = self.roster.others().map(|entry| entry.peer);
+        let far = far.filter(|peer| !near.contains(peer)).take(MAX_FAR_PLACES);
+        let far: Vec<SocketAddr> = far.collect();
+        if self.roster.leads() {
+            self.way
+                .set(Vec::new(), near.into_iter().chain(far).collect());
+        } else {
+            self.way.set(near, far);
         }
+    }
+
+    fn hear(&mut self, summary: gossip::Summary) {
         self.hub.step(Event::Summary(summary));
     }
 
@@ -412,14 +465,15 @@
     }
 
     async fn tell(&mut self) {
+        let peers = self.roster.others().map(|entry| entry.peer);
+        let peers: Vec<SocketAddr> = peers.collect();
         for summary in self.hub.tell(self.fleet.is_draining()) {
-            let peers = self.peers.values().copied();
-            self.socket.send(peers, &summary).await;
+            self.socket.send(&peers, &summary).await;
         }
     }
 
     fn tell_period(&self) -> Span {
-        let peers = self.peers.len() as u64;
+        let peers = self.roster.len() as u64;
         TELL.max(Span(peers * 1_000_000 / MAX_SENDS_PER_S))
     }
 
@@ -436,7 +490,7 @@
 /// Passes on what other routers tell.
 async fn listen(
     socket: Arc<gossip::Socket>,
-    heard: mpsc::UnboundedSender<(SocketAddr, gossip::Summary)>,
+    heard: mpsc::UnboundedSender<gossip::Summary>,
     log: slog::Logger,
 ) {
     /// Pause after a failure of the socket, which the system reports for datagrams that nobody took.
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -2,9 +2,9 @@
 
 use super::Dialect;
 use crate::{
-    catalog, dispatch, id, routing,
+    catalog, dispatch, id, roster, routing,
     unit::Span,
-    watch::{Fault, Source},
+    watch::{Fault, Row, Source},
 };
 use futures::future::BoxFuture;
 use std::{net::SocketAddr, sync::Arc};
@@ -14,8 +14,8 @@
 pub struct Settings {
     /// Address of the callers' interface.
     pub listen: SocketAddr,
-    /// Address for datagrams between routers.
-    pub peer: SocketAddr,
+    /// This router as the others know it; its address is for datagrams and lists.
+    pub own: roster::Entry,
     /// Address of the health and metrics pages.
     pub health: SocketAddr,
     /// Descriptors that the process may have open.
@@ -28,8 +28,8 @@
     pub dispatch: dispatch::Settings,
 }
 
-/// Another router's address; `None` if it was removed from the list.
-pub type Peer = (id::Router, Option<SocketAddr>);
+/// Another router; `None` if it was removed from the list.
+pub type Peer = (id::Router, Option<roster::Entry>);
 
 /// A configuration that was read, or why it can't be used.
 pub type Configuration = Result<Arc<routing::Table>, Box<str>>;
@@ -43,16 +43,42 @@
     fn remove(&self) -> BoxFuture<'_, Result<(), Fault>>;
 }
 
+/// What entries of lists mean; those of other writers give nothing.
+#[derive(Clone, Copy)]
+pub struct Decoder {
+    /// Configuration, or why it can't be used.
+    pub configuration: fn(Row) -> Option<Configuration>,
+    /// Target.
+    pub target: fn(Row) -> Option<catalog::Listed>,
+    /// Router.
+    pub router: fn(Row) -> Option<Peer>,
+}
+
 /// What a router gets from outside.
 pub struct Sources {
-    /// Configurations.
-    pub configuration: Arc<dyn Source<Configuration>>,
-    /// Targets.
-    pub targets: Arc<dyn Source<catalog::Listed>>,
-    /// Routers.
-    pub routers: Arc<dyn Source<Peer>>,
+    /// List of configurations; the newest one is in force.
+    pub configuration: Arc<dyn Source>,
+    /// List of targets.
+    pub targets: Arc<dyn Source>,
+    /// List of routers.
+    pub routers: Arc<dyn Source>,
+    /// What entries of the lists mean.
+    pub decoder: Decoder,
     /// This router's entry.
     pub registry: Arc<dyn Registry>,
     /// Headers of requests and answers.
     pub dialect: Arc<dyn Dialect>,
 }
+
+impl Settings {
+    /// Returns the longest wait of one call for changes of a list: connections that fell silent are
+    /// noticed in time for the bound of a change.
+    pub(super) fn list_wait(&self) -> Span {
+        Span(self.configuration_bound.0 * 3 / 4)
+    }
+
+    /// Returns the age beyond which a copy of a list is of no use to others.
+    pub(super) fn most_age(&self) -> Span {
+        Span(self.configuration_bound.0 * 5 / 4)
+    }
+}
--- a/src/gossip/socket.rs
+++ b/src/gossip/socket.rs
@@ -35,9 +35,9 @@
     }
 
     /// Sends a summary to each address; one that cannot be sent counts as lost.
-    pub async fn send(&self, to: impl IntoIterator<Item = SocketAddr>, summary: &Summary) {
+    pub async fn send(&self, to: &[SocketAddr], summary: &Summary) {
         let bytes = encode(summary);
-        for address in to {
+        for &address in to {
             if self.cuts.blocks_out(address) {
                 continue;
             }
@@ -57,12 +57,12 @@
     /// # Errors
     ///
     /// Fails if the socket fails; a datagram that is no summary is the inner error.
-    pub async fn receive(&self) -> io::Result<Result<(SocketAddr, Summary), Error>> {
+    pub async fn receive(&self) -> io::Result<Result<Summary, Error>> {
         let mut space = [0; MAX_DATAGRAM_BYTES];
         loop {
             let (count, from) = self.socket.recv_from(&mut space).await?;
             if !self.cuts.blocks_in(from) {
-                return Ok(decode(&space[..count]).map(|summary| (from, summary)));
+                return Ok(decode(&space[..count]));
             }
         }
     }
--- /dev/null
+++ b/src/mirror/page.rs
@@ -0,0 +1,58 @@
+//! A page of a list between routers.
+
+use crate::{
+    unit::Span,
+    watch::{Page, Row},
+};
+use base64::{Engine as _, prelude::BASE64_STANDARD};
+use serde::{Deserialize, Serialize};
+
+/// A page of a list between routers.
+#[derive(Debug, Serialize, Deserialize)]
+pub(super) struct Wire {
+    version: u64,
+    /// Time since the platform told the list, in milliseconds.
+    age_ms: u64,
+    rows: Vec<WireRow>,
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+struct WireRow {
+    key: Box<str>,
+    /// Content in base64; none if the entry was removed.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    value: Option<Box<str>>,
+}
+
+impl From<Page<Row>> for Wire {
+    fn from(page: Page<Row>) -> Self {
+        let rows = page.entries.into_iter().map(|row| WireRow {
+            key: row.key,
+            value: row.value.map(|v| BASE64_STANDARD.encode(v).into()),
+        });
+        Self {
+            version: page.version,
+            age_ms: page.age.as_millis(),
+            rows: rows.collect(),
+        }
+    }
+}
+
+impl TryFrom<Wire> for Page<Row> {
+    type Error = base64::DecodeError;
+
+    fn try_from(wire: Wire) -> Result<Self, Self::Error> {
+        let rows = wire.rows.into_iter().map(|row| {
+            let value = row.value.map(|v| BASE64_STANDARD.decode(v.as_bytes()));
+            Ok(Row {
+                key: row.key,
+                value: value.transpose()?,
+            })
+        });
+        Ok(Page {
+            entries: rows.collect::<Result<_, _>>()?,
+            version: wire.version,
+            age: Span::from_millis(wire.age_ms),
+        })
+    }
+}
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -2,7 +2,6 @@
 //! the project's own types. It decides nothing.
 
 mod configuration;
-mod feed;
 mod header;
 mod registration;
 mod replica;
@@ -10,14 +9,14 @@
 mod settings;
 mod sources;
 mod store;
+mod table;
 
 pub use self::{
     configuration::{Findings, decode as decode_configuration},
-    feed::Feed,
     header::Header,
-    registration::{Registration, Run, decode as decode_registration},
+    registration::{Registration, decode as decode_registration},
     replica::decode as decode_replica,
-    row::Row,
     settings::{Settings, Unreadable},
     store::Store,
+    table::Table,
 };
--- a/src/platform/registration.rs
+++ b/src/platform/registration.rs
@@ -1,7 +1,10 @@
 //! Routers' own entries in the store, by which they find each other.
 
-use super::{Row, Store};
-use crate::{id, watch::Fault};
+use super::Store;
+use crate::{
+    id, roster,
+    watch::{Fault, Row},
+};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
@@ -13,17 +16,16 @@
 pub struct Registration {
     /// Router.
     pub router: id::Router,
-    /// Run of the router; `None` if the entry was removed.
-    pub run: Option<Run>,
+    /// The router as it registered itself; `None` if the entry was removed.
+    pub entry: Option<roster::Entry>,
 }
 
-/// Run of a router and its address.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Run {
-    /// Run.
-    pub incarnation: id::Incarnation,
-    /// Address for datagrams.
-    pub peer: SocketAddr,
+/// Content of an entry.
+#[derive(Serialize, Deserialize)]
+struct Wire {
+    domain: id::Domain,
+    peer: SocketAddr,
+    millicores: u32,
 }
 
 impl Registration {
@@ -35,12 +37,17 @@
     /// # Errors
     ///
     /// Fails if the store can't be reached or refuses.
-    pub async fn write(store: &Store, router: &id::Router, run: &Run) -> Result<(), Fault> {
-        let value = serde_json::to_vec(run).map_err(|cause| Fault::Malformed {
+    pub async fn write(store: &Store, entry: &roster::Entry) -> Result<(), Fault> {
+        let wire = Wire {
+            domain: entry.domain.clone(),
+            peer: entry.peer,
+            millicores: entry.millicores,
+        };
+        let value = serde_json::to_vec(&wire).map_err(|cause| Fault::Malformed {
             place: "the router's own entry".into(),
             cause: cause.to_string().into(),
         })?;
-        store.put(TABLE, router.as_str(), &value).await
+        store.put(TABLE, entry.router.as_str(), &value).await
     }
 
     /// Removes the entry.
@@ -55,10 +62,15 @@
 
 /// Decodes a router's entry; others' entries are left out.
 pub fn decode(row: Row) -> Option<Registration> {
-    Some(Registration {
-        router: row.key.parse().ok()?,
-        run: row
-            .value
-            .and_then(|value| serde_json::from_slice(&value).ok()),
-    })
+    let router: id::Router = row.key.parse().ok()?;
+    let wire: Option<Wire> = row
+        .value
+        .and_then(|value| serde_json::from_slice(&value).ok());
+    let entry = wire.map(|wire| roster::Entry {
+        router: router.clone(),
+        domain: wire.domain,
+        peer: wire.peer,
+        millicores: wire.millicores,
+    });
+    Some(Registration { router, entry })
 }
--- a/src/platform/replica.rs
+++ b/src/platform/replica.rs
@@ -1,10 +1,10 @@
 //! Entries of the list of targets; the wire calls them servers.
 
-use super::Row;
 use crate::{
     catalog::{Listed, Target},
     id,
     unit::Span,
+    watch::Row,
 };
 use serde::Deserialize;
 use std::net::SocketAddr;
--- a/src/platform/row.rs
+++ b/src/platform/row.rs
@@ -1,17 +1,9 @@
-//! A row of the store's tables.
+//! Rows of the store's tables on the wire.
 
+use crate::watch::Row;
 use base64::{Engine as _, prelude::BASE64_STANDARD};
 use serde::Deserialize;
 
-/// A row of the store's tables.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Row {
-    /// Key within its table.
-    pub key: Box<str>,
-    /// Content; `None` if the row was removed or its content can't be read.
-    pub value: Option<Vec<u8>>,
-}
-
 /// Answer to a read of rows.
 #[derive(Debug, Deserialize)]
 pub(super) struct Rows {
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -1,6 +1,6 @@
 //! The platform's settings file of a process.
 
-use crate::{dispatch, gateway, id, unit::Span};
+use crate::{dispatch, gateway, id, roster, unit::Span};
 use serde::Deserialize;
 use std::{collections::BTreeMap, fs, net::SocketAddr, path::Path};
 
@@ -19,6 +19,8 @@
     pub peer: SocketAddr,
     /// Address of the platform's store.
     pub store: SocketAddr,
+    /// Thousandths of a core that the VM has.
+    pub millicores: u32,
     /// Descriptors that the process may have open.
     pub descriptors: u32,
     /// Time in which a configuration must be in force after it was accepted.
@@ -89,6 +91,9 @@
 struct Limits {
     #[serde(rename = "max-fds")]
     max_fds: u32,
+    /// Cores of the VM, as a fraction of one.
+    #[serde(rename = "cpu-share")]
+    cpu_share: f64,
 }
 
 /// The platform's store; the wire calls it a provider.
@@ -161,6 +166,7 @@
             health: health?,
             peer: peer?,
             store: store?,
+            millicores: (self.limits.cpu_share.max(0.0) * 1e3) as u32,
             descriptors: self.limits.max_fds,
             configuration_bound: millis("config-ms", DEFAULT_CONFIG_MS),
             drain_bound: millis("drain-ms", DEFAULT_DRAIN_MS),
@@ -193,6 +199,16 @@
 }
 
 impl Settings {
+    /// Returns this router's entry for the others.
+    pub fn entry(&self) -> roster::Entry {
+        roster::Entry {
+            router: self.router.clone(),
+            domain: self.domain.clone(),
+            peer: self.peer,
+            millicores: self.millicores,
+        }
+    }
+
     /// Returns the settings of a router that starts with these.
     pub fn router_settings(&self, incarnation: id::Incarnation) -> gateway::Settings {
         let mut dispatch =
@@ -202,7 +218,7 @@
         dispatch.repeat_extra = self.repeat_extra;
         gateway::Settings {
             listen: self.listen,
-            peer: self.peer,
+            own: self.entry(),
             health: self.health,
             descriptors: self.descriptors,
             stop_bound: self.stop_bound,
--- a/src/platform/sources.rs
+++ b/src/platform/sources.rs
@@ -1,14 +1,14 @@
 //! Everything that a router gets from the platform.
 
 use super::{
-    Feed, Header, Registration, Row, Run, Settings, Store, decode_configuration,
-    decode_registration, decode_replica,
+    Header, Registration, Settings, Store, Table, decode_configuration, decode_registration,
+    decode_replica,
 };
 use crate::{
-    gateway::{Configuration, Peer, Registry, Sources},
-    id,
+    gateway::{Configuration, Decoder, Registry, Sources},
+    roster,
     unit::Span,
-    watch::Fault,
+    watch::{Fault, Row},
 };
 use futures::{FutureExt, future::BoxFuture};
 use std::sync::Arc;
@@ -26,35 +26,39 @@
 /// This router's entry in the store.
 struct Entry {
     store: Store,
-    router: id::Router,
-    run: Run,
+    entry: roster::Entry,
 }
 
 impl Registry for Entry {
     fn register(&self) -> BoxFuture<'_, Result<(), Fault>> {
-        Registration::write(&self.store, &self.router, &self.run).boxed()
+        Registration::write(&self.store, &self.entry).boxed()
     }
 
     fn remove(&self) -> BoxFuture<'_, Result<(), Fault>> {
-        Registration::remove(&self.store, &self.router).boxed()
+        Registration::remove(&self.store, &self.entry.router).boxed()
     }
 }
 
 impl Sources {
     /// Returns the sources of a router on the platform.
-    pub fn of_platform(settings: &Settings, incarnation: id::Incarnation) -> Self {
+    pub fn of_platform(settings: &Settings) -> Self {
         let store = Store::open(settings.store, CALL_TIMEOUT);
+        let table = |name| Arc::new(Table::open(store.clone(), name));
         Self {
-            configuration: Arc::new(Feed::open(store.clone(), OPERATORS_TABLE, configuration)),
-            targets: Arc::new(Feed::open(store.clone(), TARGETS_TABLE, decode_replica)),
-            routers: Arc::new(Feed::open(store.clone(), Registration::TABLE, peer)),
+            configuration: table(OPERATORS_TABLE),
+            targets: table(TARGETS_TABLE),
+            routers: table(Registration::TABLE),
+            decoder: Decoder {
+                configuration,
+                target: decode_replica,
+                router: |row| {
+                    let registration = decode_registration(row)?;
+                    Some((registration.router, registration.entry))
+                },
+            },
             registry: Arc::new(Entry {
                 store,
-                router: settings.router.clone(),
-                run: Run {
-                    incarnation,
-                    peer: settings.peer,
-                },
+                entry: settings.entry(),
             }),
             dialect: Arc::new(Header),
         }
@@ -71,9 +75,3 @@
     let decoded = decode_configuration(&value);
     Some(decoded.map(Arc::new).map_err(|f| f.to_string().into()))
 }
-
-fn peer(row: Row) -> Option<Peer> {
-    let registration = decode_registration(row)?;
-    let address = registration.run.map(|run| run.peer);
-    Some((registration.router, address))
-}
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -1,11 +1,16 @@
 //! Client of the platform's store.
 
-use super::row::{Row, Rows};
-use crate::{metric, unit::Span, upstream, watch::Fault};
+use super::row::Rows;
+use crate::{
+    metric,
+    unit::Span,
+    upstream,
+    watch::{Fault, Row},
+};
 use base64::{Engine as _, prelude::BASE64_STANDARD};
 use bytes::Bytes;
 use http::{Method, Request, StatusCode, header};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use std::{net::SocketAddr, time::Duration};
 
 /// Largest answer that is read, in bytes: the store sends at most 1 MB of rows a page, in base64.
@@ -141,27 +146,20 @@
     }
 
     async fn send(&self, method: Method, path: &str, body: Bytes) -> Result<Bytes, Fault> {
-        let unreachable = |cause: &dyn std::fmt::Display| Fault::Unreachable {
-            place: self.place(path),
-            cause: cause.to_string().into(),
-        };
-        let lease = self.pool.lease(self.address, true).await;
-        let mut lease = lease.map_err(|error| unreachable(&error))?;
         let mut request = Request::new(Full::new(body));
         *request.method_mut() = method;
         *request.uri_mut() = path.parse().map_err(|e| self.malformed(path, &e))?;
-        let headers = request.headers_mut();
         let json = header::HeaderValue::from_static("application/json");
-        headers.insert(header::CONTENT_TYPE, json);
-        if let Ok(host) = header::HeaderValue::from_str(&self.address.to_string()) {
-            headers.insert(header::HOST, host);
-        }
-        let response = lease.sender.send_request(request).await;
-        let (head, body) = response.map_err(|error| unreachable(&error))?.into_parts();
-        let body = Limited::new(body, MAX_ANSWER_BYTES).collect().await;
-        let body = body.map_err(|error| unreachable(&error))?.to_bytes();
-        lease.release();
-        match head.status {
+        request.headers_mut().insert(header::CONTENT_TYPE, json);
+        let answered = self
+            .pool
+            .fetch(self.address, request, MAX_ANSWER_BYTES)
+            .await;
+        let (status, body) = answered.map_err(|cause| Fault::Unreachable {
+            place: self.place(path),
+            cause: cause.to_string().into(),
+        })?;
+        match status {
             StatusCode::OK => Ok(body),
             StatusCode::GONE => Err(Fault::Forgotten {
                 place: self.place(path),
--- /dev/null
+++ b/src/platform/table.rs
@@ -0,0 +1,43 @@
+//! A table of the store as a list that can be followed.
+
+use super::Store;
+use crate::{
+    unit::Span,
+    watch::{Fault, Page, Row, Source},
+};
+use futures::{FutureExt, future::BoxFuture};
+
+/// A table of the store as a list that can be followed.
+pub struct Table {
+    store: Store,
+    name: &'static str,
+}
+
+impl Table {
+    /// Returns a table of the store.
+    pub fn open(store: Store, name: &'static str) -> Self {
+        Self { store, name }
+    }
+}
+
+fn page((entries, version): (Vec<Row>, u64)) -> Page<Row> {
+    Page {
+        entries,
+        version,
+        age: Span(0),
+    }
+}
+
+impl Source for Table {
+    fn read(&self) -> BoxFuture<'_, Result<Page<Row>, Fault>> {
+        self.store
+            .rows(self.name)
+            .map(|rows| rows.map(page))
+            .boxed()
+    }
+
+    fn follow(&self, after: u64, wait: Span) -> BoxFuture<'_, Result<Page<Row>, Fault>> {
+        let feed = self.store.feed(self.name, after, wait);
+        feed.map(|rows| rows.map(page)).boxed()
+    }
+}
--- a/src/upstream/pool.rs
+++ b/src/upstream/pool.rs
@@ -4,6 +4,9 @@
     clock,
     unit::{Span, Time},
 };
+use bytes::Bytes;
+use http::{Request, StatusCode, header};
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use std::{
@@ -26,7 +29,7 @@
 /// a target, and below the time in which system libraries send their first packet again.
 const CONNECT_TIMEOUT: Span = Span::from_millis(900);
 
-type Sender = http1::SendRequest<http_body_util::Full<bytes::Bytes>>;
+type Sender = http1::SendRequest<Full<Bytes>>;
 
 /// Idle connections by target address.
 #[derive(Clone, Default)]
@@ -93,6 +96,30 @@
         })
     }
 
+    /// Sends a request that may run twice, and reads the answer whole, up to some bytes.
+    ///
+    /// # Errors
+    ///
+    /// Fails if there is no connection, or it breaks.
+    pub async fn fetch(
+        &self,
+        address: SocketAddr,
+        mut request: Request<Full<Bytes>>,
+        most_bytes: usize,
+    ) -> io::Result<(StatusCode, Bytes)> {
+        let host = header::HeaderValue::from_str(&address.to_string());
+        request
+            .headers_mut()
+            .insert(header::HOST, host.map_err(io::Error::other)?);
+        let mut lease = self.lease(address, true).await?;
+        let response = lease.sender.send_request(request).await;
+        let (head, body) = response.map_err(io::Error::other)?.into_parts();
+        let body = Limited::new(body, most_bytes).collect().await;
+        let body = body.map_err(io::Error::other)?.to_bytes();
+        lease.release();
+        Ok((head.status, body))
+    }
+
     /// Closes the idle connections to an address.
     pub fn forget(&self, address: SocketAddr) {
         if let Ok(mut idle) = self.idle.lock() {
--- a/src/watch/event.rs
+++ b/src/watch/event.rs
@@ -1,5 +1,6 @@
 //! What a follower finds.
 
+use super::Fault;
 use crate::unit::Span;
 
 /// What a follower finds.
@@ -11,6 +12,8 @@
         entries: Vec<T>,
         /// Version of the list.
         version: u64,
+        /// Time since the platform told it.
+        age: Span,
     },
     /// Entries changed.
     Changed {
@@ -18,11 +21,20 @@
         entries: Vec<T>,
         /// Version of the list.
         version: u64,
+        /// Time since the platform told it.
+        age: Span,
     },
-    /// The list cannot be read.
+    /// Nothing changed.
+    Current {
+        /// Version of the list.
+        version: u64,
+        /// Time since the platform told it.
+        age: Span,
+    },
+    /// The list cannot be read anywhere.
     Lost {
         /// Why.
-        fault: super::Fault,
+        fault: Fault,
     },
     /// The list is read again.
     Regained {
--- a/src/watch/follower.rs
+++ b/src/watch/follower.rs
@@ -1,6 +1,6 @@
 //! Follows one list.
 
-use super::{Event, Fault, Page, Source};
+use super::{Event, Fault, Page, Row, Source};
 use crate::{
     clock,
     unit::{Span, Time},
@@ -16,8 +16,10 @@
 pub struct Settings {
     /// Longest wait of one call for a change. A connection that fell silent is noticed after it.
     pub wait: Span,
-    /// Time beyond the wait in which a call has to be answered.
+    /// Time beyond the wait in which a call for changes has to be answered.
     pub slack: Span,
+    /// Pause after changes, before the next call.
+    pub gather: Span,
     /// Pause after the first failure; it doubles up to [`Settings::most_pause`].
     pub pause: Span,
     /// Longest pause between two calls that fail.
@@ -33,10 +35,10 @@
 
 impl Follower {
     /// Starts to follow a list and passes what it finds to `sink`; needs a running runtime.
-    pub fn spawn<T: Send + 'static>(
-        source: Arc<dyn Source<T>>,
+    pub fn spawn(
+        source: Arc<dyn Source>,
         settings: Settings,
-        sink: mpsc::UnboundedSender<Event<T>>,
+        sink: mpsc::UnboundedSender<Event<Row>>,
     ) -> Self {
         let wake = Arc::<Notify>::default();
         let state = State {
@@ -45,6 +47,7 @@
             sink,
             wake: wake.clone(),
             version: None,
+            newest: 0,
             lost: None,
             pause: settings.pause,
         };
@@ -52,7 +55,7 @@
         Self { wake, task }
     }
 
-    /// Makes the follower read the whole list at once, on another connection.
+    /// Makes the follower read the whole list at once, from another place than before.
     pub fn hurry(&self) {
         self.wake.notify_one();
     }
@@ -64,84 +67,105 @@
     }
 }
 
-struct State<T> {
-    source: Arc<dyn Source<T>>,
+struct State {
+    source: Arc<dyn Source>,
     settings: Settings,
-    sink: mpsc::UnboundedSender<Event<T>>,
+    sink: mpsc::UnboundedSender<Event<Row>>,
     wake: Arc<Notify>,
-    /// Newest version that was passed on; `None` until the list was read whole, and after a gap.
+    /// Version after which changes are asked for; `None` until the list was read whole, and after a
+    /// gap.
     version: Option<u64>,
+    newest: u64,
     lost: Option<Time>,
     pause: Span,
 }
 
-impl<T: Send + 'static> State<T> {
+impl State {
     async fn run(mut self) {
-        let mut newest = 0;
         while !self.sink.is_closed() {
-            let (found, whole) = match self.version {
-                Some(version) => tokio::select! {
-                    found = self.follow(version) => (found, false),
-                    () = self.wake.notified() => {
-                        self.version = None;
-                        continue;
-                    }
-                },
-                None => (self.read().await, true),
-            };
-            match found {
-                // An older state of the list than one that was seen tells nothing.
-                Ok(page) if page.version < newest => {
-                    self.version = None;
-                    self.rest().await;
-                }
-                Ok(page) => {
-                    newest = page.version;
-                    self.regain();
-                    self.pass(page, whole);
-                }
-                Err(Fault::Forgotten { .. }) => self.version = None,
-                Err(fault) => self.lose(fault).await,
+            match self.version {
+                Some(version) => self.follow(version).await,
+                None => self.read().await,
             }
         }
     }
 
-    async fn read(&self) -> Result<Page<T>, Fault> {
-        let limit = Span(self.settings.slack.0);
-        limited(limit, self.source.read()).await
-    }
-
-    async fn follow(&self, after: u64) -> Result<Page<T>, Fault> {
-        let limit = Span(self.settings.wait.0 + self.settings.slack.0);
-        limited(limit, self.source.follow(after, self.settings.wait)).await
-    }
-
-    fn pass(&mut self, page: Page<T>, whole: bool) {
-        let Page { entries, version } = page;
-        self.version = Some(version);
-        if whole {
-            self.send(Event::Whole { entries, version });
-        } else if !entries.is_empty() {
-            self.send(Event::Changed { entries, version });
+    async fn read(&mut self) {
+        match self.source.read().await {
+            // An older state of the list than one that was seen tells nothing.
+            Ok(page) if page.version < self.newest => {
+                self.source.doubt();
+                self.rest().await;
+            }
+            Ok(page) => {
+                self.pause = self.settings.pause;
+                if let Some(since) = self.lost.take() {
+                    let after = clock::now().since(since);
+                    self.send(Event::Regained { after });
+                }
+                self.pass(page, true);
+            }
+            Err(fault) => {
+                if self.lost.is_none() {
+                    self.lost = Some(clock::now());
+                    self.send(Event::Lost { fault });
+                }
+                self.rest().await;
+            }
         }
     }
 
-    fn regain(&mut self) {
-        self.pause = self.settings.pause;
-        if let Some(since) = self.lost.take() {
-            let after = clock::now().since(since);
-            self.send(Event::Regained { after });
+    /// Waits for changes. After a failure the list is read whole: what changed meanwhile may not be
+    /// kept.
+    async fn follow(&mut self, version: u64) {
+        let limit = Duration::from(Span(self.settings.wait.0 + self.settings.slack.0));
+        let call = self.source.follow(version, self.settings.wait);
+        let found = tokio::select! {
+            found = tokio::time::timeout(limit, call) => found,
+            () = self.wake.notified() => {
+                self.source.doubt();
+                self.version = None;
+                return;
+            }
+        };
+        match found {
+            Ok(Ok(page)) if page.version >= self.newest => {
+                let changed = !page.entries.is_empty();
+                self.pass(page, false);
+                if changed {
+                    // Changes mostly come in series: one call brings the next ones.
+                    tokio::time::sleep(Duration::from(self.settings.gather)).await;
+                }
+            }
+            Ok(Err(Fault::Forgotten { .. })) => self.version = None,
+            Ok(Ok(_) | Err(_)) | Err(_) => {
+                self.source.doubt();
+                self.version = None;
+            }
         }
     }
 
-    async fn lose(&mut self, fault: Fault) {
-        if self.lost.is_none() {
-            self.lost = Some(clock::now());
-            self.send(Event::Lost { fault });
-        }
-        // What changed meanwhile may not be kept: the list is read whole.
-        self.version = None;
-        self.rest().await;
+    fn pass(&mut self, page: Page<Row>, whole: bool) {
+        let Page {
+            entries,
+            version,
+            age,
+        } = page;
+        self.version = Some(version);
+        self.newest = version;
+        self.send(match (whole, entries.is_empty()) {
+            (true, _) => Event::Whole {
+                entries,
+                version,
+                age,
+            },
+            (false, true) => Event::Current { version, age },
+            (false, false) => Event::Changed {
+                entries,
+                version,
+                age,
+            },
+        });
     }
 
     async fn rest(&mut self) {
@@ -150,20 +174,8 @@
         tokio::time::sleep(Duration::from(pause)).await;
     }
 
-    fn send(&self, event: Event<T>) {
+    fn send(&self, event: Event<Row>) {
         // The receiver ends last, with the process.
         drop(self.sink.send(event));
     }
 }
-
-/// Limits the time of a call.
-async fn limited<T>(
-    limit: Span,
-    call: impl Future<Output = Result<Page<T>, Fault>>,
-) -> Result<Page<T>, Fault> {
-    let answered = tokio::time::timeout(Duration::from(limit), call).await;
-    answered.unwrap_or_else(|_| {
-        let place = "the list".into();
-        Err(Fault::Timeout { place, limit })
-    })
-}
--- a/src/watch/page.rs
+++ b/src/watch/page.rs
@@ -1,5 +1,7 @@
 //! Entries of a list.
 
+use crate::unit::Span;
+
 /// Entries of a list as of one version.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Page<T> {
@@ -7,4 +9,6 @@
     pub entries: Vec<T>,
     /// Version of the list.
     pub version: u64,
+    /// Time since the platform told it.
+    pub age: Span,
 }
