A router whose processor is overloaded refuses connections unread, at once

The lateness of a timer now sets a limit of requests carried; above it a connection gets a refusal without being read, and the caller's next try reaches another router.

--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -10,6 +10,7 @@
 mod order;
 mod problem;
 mod responder;
+mod seconds;
 mod server;
 mod transport;
 
@@ -22,6 +23,7 @@
     order::Order,
     problem::{Problem, Result as Verdict},
     responder::Responder,
+    seconds::Seconds,
     server::{Server, Settings},
 };
 
--- a/src/front/problem.rs
+++ b/src/front/problem.rs
@@ -1,6 +1,6 @@
 //! Refusals in the form of problem documents (RFC 9457).
 
-use super::{Body, whole};
+use super::{Body, Seconds, whole};
 use crate::{
     ingress::{Doubt, Rejection},
     unit::Span,
@@ -43,7 +43,7 @@
     pub outcome: Result,
     /// Seconds after which a repeat makes sense.
     #[serde(skip_serializing_if = "Option::is_none")]
-    pub retry_after: Option<u64>,
+    pub retry_after: Option<Seconds>,
 }
 
 impl Problem {
@@ -65,10 +65,16 @@
             title: "Not run",
             detail: detail.into(),
             outcome: Result::NotRun,
-            retry_after: Some(seconds(retry_after)),
+            retry_after: Some(Seconds::whole(retry_after)),
         }
     }
 
+    /// Tells the exact time after which a repeat makes sense, with a fraction of a second.
+    pub fn after(mut self, retry_after: Option<Span>) -> Self {
+        self.retry_after = retry_after.map(Seconds::exact);
+        self
+    }
+
     /// Returns a refusal of a request that may have run.
     pub fn unknown(status: StatusCode, detail: impl Into<Box<str>>) -> Self {
         Self {
@@ -76,7 +82,7 @@
             title: "Outcome unknown",
             detail: detail.into(),
             outcome: Result::Unknown,
-            retry_after: Some(seconds(UNKNOWN_RETRY)),
+            retry_after: Some(Seconds::whole(UNKNOWN_RETRY)),
         }
     }
 
@@ -105,8 +111,11 @@
     /// Returns the refusal as the bytes of an answer that ends its connection.
     pub(crate) fn message(&self) -> Bytes {
         let body = serde_json::to_string(self).unwrap_or_default();
+        let retry_after = self.retry_after.as_ref();
+        let retry_after = retry_after.map(|after| format!("retry-after: {after}\r\n"));
+        let retry_after = retry_after.unwrap_or_default();
         let head = format!(
-            "HTTP/1.1 {} {}\r\ncontent-type: {MEDIA_TYPE}\r\nmarlrun-outcome: {}\r\n\
+            "HTTP/1.1 {} {}\r\ncontent-type: {MEDIA_TYPE}\r\nmarlrun-outcome: {}\r\n{retry_after}\
              content-length: {}\r\nconnection: close\r\n\r\n",
             self.status,
             self.title,
@@ -125,8 +134,10 @@
         let headers = response.headers_mut();
         let json = header::HeaderValue::from_static(MEDIA_TYPE);
         headers.insert(header::CONTENT_TYPE, json);
-        if let Some(seconds) = self.retry_after {
-            headers.insert(header::RETRY_AFTER, seconds.into());
+        let after = self.retry_after.map(|after| after.to_string());
+        let after = after.and_then(|after| header::HeaderValue::from_str(&after).ok());
+        if let Some(after) = after {
+            headers.insert(header::RETRY_AFTER, after);
         }
         let outcome = header::HeaderValue::from_static(self.outcome.name());
         headers.insert("marlrun-outcome", outcome);
@@ -136,8 +147,3 @@
 
 /// Time after which the outcome of a request may be known.
 const UNKNOWN_RETRY: Span = Span::from_secs(2);
-
-/// Returns a time to wait in whole seconds, as `Retry-After` has it; at least 1.
-fn seconds(span: Span) -> u64 {
-    span.secs_ceil().max(1)
-}
--- a/src/front/responder.rs
+++ b/src/front/responder.rs
@@ -1,6 +1,6 @@
 //! What answers requests behind a listener.
 
-use super::{Body, Limits};
+use super::{Body, Limits, Problem};
 use futures::future::BoxFuture;
 use http::{Request, Response};
 use hyper::body::Incoming;
@@ -12,4 +12,10 @@
 
     /// Returns the limits for a connection that opens now.
     fn limits(&self) -> Limits;
+
+    /// Returns the refusal that a new connection gets without being read, if no request can be
+    /// taken now: reading and answering it as usual would cost more than the router has left.
+    fn refusal(&self) -> Option<Problem> {
+        None
+    }
 }
--- a/src/front/server.rs
+++ b/src/front/server.rs
@@ -7,10 +7,11 @@
 use crate::unit::Span;
 use futures::FutureExt;
 use http_body_util::BodyExt;
-use hyper::{body::Incoming, server::conn::http1, service::service_fn};
+use hyper::{server::conn::http1, service::service_fn};
 use hyper_util::rt::TokioIo;
 use std::{convert::Infallible, io, net::SocketAddr, pin::pin, sync::Arc, time::Duration};
 use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
     runtime::Handle,
     sync::{Semaphore, watch},
@@ -81,11 +82,28 @@
     const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
     let tracker = TaskTracker::new();
+    let refused = Arc::new(Semaphore::new(MAX_REFUSED));
     let notice = Duration::from(handler.limits().notice);
     let serve = |stream: TcpStream| {
         // Without the option small writes may be delayed; the connection works all the same.
         let _ = stream.set_nodelay(true);
-        match connections.clone().try_acquire_owned() {
+        let permit = connections.clone().try_acquire_owned();
+        let refusal = handler.refusal().or_else(|| {
+            let detail = "the router has as many connections as it may have";
+            let full = permit.is_err();
+            full.then(|| Problem::not_run(detail, Span::from_secs(1)))
+        });
+        if let Some(problem) = refusal {
+            drop(permit);
+            if let Ok(place) = refused.clone().try_acquire_owned() {
+                tokio::spawn(async move {
+                    refuse(stream, problem).await;
+                    drop(place);
+                });
+            }
+            return;
+        }
+        match permit {
             Ok(permit) => {
                 let connection = serve(stream, handler.clone(), stopped.clone());
                 tracker.spawn(async move {
@@ -93,7 +111,8 @@
                     drop(permit);
                 });
             }
-            Err(_) => drop(tokio::spawn(refuse(stream))),
+            // Refused above.
+            Err(_) => {}
         }
     };
     let mut stop = stopped.clone();
@@ -189,19 +208,23 @@
 /// Smallest read buffer that the HTTP library accepts, in bytes.
 const MIN_BUFFER_BYTES: usize = 8_192;
 
-/// Answers a connection over the limit at once.
-async fn refuse(stream: TcpStream) {
-    let service = service_fn(|_request: http::Request<Incoming>| async {
-        let detail = "the router has as many connections as it may have";
-        let problem = Problem::not_run(detail, Span::from_secs(1));
-        Ok::<_, Infallible>(problem.response())
-    });
-    let connection = http1::Builder::new()
-        .keep_alive(false)
-        .serve_connection(TokioIo::new(stream), service);
+/// Refuses a connection without reading its request, and lets the caller read the answer before it
+/// closes.
+async fn refuse(mut stream: TcpStream, problem: Problem) {
+    let answered = async {
+        stream.write_all(&problem.message()).await?;
+        stream.shutdown().await?;
+        let mut space = [0; DISCARD_BYTES];
+        while stream.read(&mut space).await? > 0 {}
+        io::Result::Ok(())
+    };
     // The caller may go away; nothing was promised to it.
-    let _ = tokio::time::timeout(REFUSE_TIME, connection).await;
+    drop(tokio::time::timeout(Duration::from(REFUSE_TIME), answered).await);
 }
 
-/// Time in which a connection over the limit has to send its request.
-const REFUSE_TIME: Duration = Duration::from_secs(1);
+/// Time in which a refused caller has to read its answer and close.
+const REFUSE_TIME: Span = Span::from_millis(500);
+/// Connections that are being refused at once; more are closed without a word.
+const MAX_REFUSED: usize = 200;
+/// Bytes that are read and dropped at once while a connection closes.
+const DISCARD_BYTES: usize = 4_096;
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -1,7 +1,8 @@
 //! One request: its tries at targets until it has an answer.
 
 use super::{
-    Dialect, Fleet, Outgoing, Reply, call::Call, logbook::Entry, relay::Relay, ticket::Ticket,
+    Dialect, Fleet, Outgoing, Reply, call::Call, fleet::Carried, logbook::Entry, relay::Relay,
+    ticket::Ticket,
 };
 use crate::{
     clock,
@@ -13,7 +14,7 @@
     upstream,
 };
 use bytes::{Bytes, BytesMut};
-use http::{HeaderValue, Method, Request, Response, StatusCode, response};
+use http::{Method, Request, Response, StatusCode, response};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use std::{sync::Arc, time::Duration};
@@ -38,6 +39,7 @@
     pub(super) call: Call,
     pub(super) ticket: Ticket,
     pub(super) shared: Arc<Shared>,
+    _carried: Carried,
     /// A target may have run the request.
     ran: bool,
     /// The caller has its final answer, or the router gave up.
@@ -66,11 +68,12 @@
 }
 
 impl Exchange {
-    pub(super) fn new(call: Call, ticket: Ticket, shared: Arc<Shared>) -> Self {
+    pub(super) fn new(call: Call, ticket: Ticket, shared: Arc<Shared>, carried: Carried) -> Self {
         Self {
             call,
             ticket,
             shared,
+            _carried: carried,
             ran: false,
             finished: false,
             first: None,
@@ -390,12 +393,7 @@
         } else {
             Problem::not_run(reason, retry_after)
         };
-        let mut response = problem.response();
-        if ran {
-            response.headers_mut().remove(http::header::RETRY_AFTER);
-        } else {
-            set_retry_after(&mut response, retry_after);
-        }
+        let response = problem.after((!ran).then_some(retry_after)).response();
         self.refused(response.status(), reason, ran, retry_after);
         response
     }
@@ -455,16 +453,6 @@
     }
 }
 
-/// Tells the caller when to come back, in seconds with a fraction.
-fn set_retry_after(response: &mut Response<Body>, after: Span) {
-    let text = format!("{:.3}", after.as_secs_f64());
-    if let Ok(value) = HeaderValue::from_str(&text) {
-        response
-            .headers_mut()
-            .insert(http::header::RETRY_AFTER, value);
-    }
-}
-
 impl Failed {
     /// Returns the failure of an answer that was begun.
     pub(super) fn broken(begun: &Begun, end: End, cause: &str) -> Self {
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -1,11 +1,12 @@
 //! What the handlers of requests read: configuration, targets, readiness.
 
+use super::Pressure;
 use crate::{catalog, health, id, routing, unit::Span};
 use std::{
     collections::BTreeMap,
     sync::{
-        Arc, PoisonError, RwLock,
-        atomic::{AtomicBool, Ordering},
+        Arc, Mutex, PoisonError, RwLock,
+        atomic::{AtomicBool, AtomicU32, Ordering},
     },
 };
 
@@ -19,6 +20,19 @@
     targets: RwLock<Arc<Targets>>,
     listed: AtomicBool,
     draining: AtomicBool,
+    /// Requests that the router carries.
+    carried: AtomicU32,
+    pressure: Mutex<Pressure>,
+}
+
+/// A request that the router carries until this is dropped.
+#[derive(Debug)]
+pub(super) struct Carried(Arc<Fleet>);
+
+impl Drop for Carried {
+    fn drop(&mut self) {
+        self.0.carried.fetch_sub(1, Ordering::Relaxed);
+    }
 }
 
 impl Fleet {
@@ -53,6 +67,32 @@
         self.table().version.0 > 0
     }
 
+    /// Takes a request if the router can carry one more.
+    pub(super) fn carry(self: &Arc<Self>) -> Option<Carried> {
+        let carried = self.carried.load(Ordering::Relaxed);
+        let pressure = self.pressure.lock().unwrap_or_else(PoisonError::into_inner);
+        pressure.admits(carried).then(|| {
+            self.carried.fetch_add(1, Ordering::Relaxed);
+            Carried(self.clone())
+        })
+    }
+
+    /// Reports whether the router carries as many requests as it can.
+    pub(super) fn is_busy(&self) -> bool {
+        let carried = self.carried.load(Ordering::Relaxed);
+        let pressure = self.pressure.lock().unwrap_or_else(PoisonError::into_inner);
+        !pressure.admits(carried)
+    }
+
+    /// Takes the lateness of a timer, and returns the limit of requests carried before and after.
+    pub(super) fn look(&self, late: Span) -> (u32, u32) {
+        let carried = self.carried.load(Ordering::Relaxed);
+        let mut pressure = self.pressure.lock().unwrap_or_else(PoisonError::into_inner);
+        let before = pressure.limit();
+        pressure.look(late, carried);
+        (before, pressure.limit())
+    }
+
     /// Notes that the router shuts down.
     pub fn drain(&self) {
         self.draining.store(true, Ordering::Relaxed);
--- a/src/gateway/handler.rs
+++ b/src/gateway/handler.rs
@@ -28,6 +28,11 @@
     time::Duration,
 };
 
+/// What a caller is told whose request a router can't carry.
+const BUSY: &str = "the router has as many requests as its processor can carry";
+/// Time after which such a caller may come back: its next try reaches another router.
+const BUSY_RETRY: Span = Span::from_millis(20);
+
 /// Answers callers' requests.
 pub struct Handler {
     hub: Arc<Hub>,
@@ -68,6 +73,10 @@
             let detail = "no configuration is in force yet";
             return Err(Problem::not_run(detail, Fleet::UNREADY_RETRY));
         }
+        let Some(carried) = self.shared.fleet.carry() else {
+            metrics::counter!(metric::BUSY).increment(1);
+            return Err(busy());
+        };
         let (parts, body) = request.into_parts();
         let head = self.shared.dialect.read(&parts.headers);
         let head = head.map_err(|cause| Problem::invalid(StatusCode::BAD_REQUEST, cause))?;
@@ -96,7 +105,8 @@
         };
         let wanted = wanted(&call, &table);
         let ticket = self.hub.arrive(&call.head.request, wanted);
-        Ok(Exchange::new(call, ticket, self.shared.clone()).run().await)
+        let exchange = Exchange::new(call, ticket, self.shared.clone(), carried);
+        Ok(exchange.run().await)
     }
 
     async fn read(&self, body: Incoming, table: &Table) -> Result<Bytes, Problem> {
@@ -140,6 +150,18 @@
             notice: self.notice,
         }
     }
+
+    fn refusal(&self) -> Option<Problem> {
+        let busy_router = self.shared.fleet.is_busy();
+        busy_router.then(|| {
+            metrics::counter!(metric::BUSY).increment(1);
+            busy()
+        })
+    }
+}
+
+fn busy() -> Problem {
+    Problem::not_run(BUSY, BUSY_RETRY).after(Some(BUSY_RETRY))
 }
 
 fn find_route(table: &Table, uri: &Uri, headers: &HeaderMap) -> Result<Arc<Route>, Problem> {
--- a/src/gateway/logbook.rs
+++ b/src/gateway/logbook.rs
@@ -77,6 +77,8 @@
     Lost { list: &'a str, cause: &'a str },
     /// A list of the platform is read again.
     Regained { list: &'a str, after: Span },
+    /// The processor is overloaded for the first time; a limit of requests is in force from now on.
+    Busy { late: Span, limit: u32 },
     /// Another router appeared, or was removed.
     Peer {
         router: &'a id::Router,
@@ -169,6 +171,9 @@
             Entry::Regained { list, after } => {
                 slog::info!(log, "dependency regained"; "list" => list, "after_ms" => millis(*after));
             }
+            Entry::Busy { late, limit } => {
+                slog::warn!(log, "processor busy"; "late_ms" => millis(*late), "limit" => limit);
+            }
             Entry::Peer { router, present } => {
                 slog::info!(log, "router listed"; "peer" => router.as_str(), "present" => present);
             }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -11,6 +11,7 @@
 mod hub;
 mod logbook;
 mod outgoing;
+mod pressure;
 mod relay;
 mod reply;
 mod router;
@@ -28,6 +29,7 @@
     head::Head,
     hub::Hub,
     outgoing::Outgoing,
+    pressure::Pressure,
     reply::Reply,
     router::{Reload, Router, run, spawn},
     settings::{Configuration, Decoder, Peer, Registry, Settings, Sources},
--- a/src/gateway/router.rs
+++ b/src/gateway/router.rs
@@ -177,6 +177,7 @@
         way: Arc::default(),
         shelves,
         decoder: sources.decoder,
+        next_tick: clock::now() + TICK,
         behind: None,
         log: log.clone(),
     };
@@ -270,6 +271,8 @@
     way: Arc<mirror::Way>,
     shelves: Shelves,
     decoder: Decoder,
+    /// Time at which the next tick is due.
+    next_tick: Time,
     /// Time since when another router has a newer configuration.
     behind: Option<Time>,
     log: slog::Logger,
@@ -449,6 +452,7 @@
 
     fn tick(&mut self, follower: &watch::Follower) {
         let now = clock::now();
+        self.look(now);
         if self.catalog.step(now, catalog::Event::Tick) {
             self.publish();
         }
@@ -464,6 +468,20 @@
         }
     }
 
+    /// Judges by the lateness of this tick how busy the processor is.
+    fn look(&mut self, now: Time) {
+        let late = now.since(self.next_tick);
+        self.next_tick = now + TICK;
+        let (before, after) = self.fleet.look(late);
+        if before == after {
+            return;
+        }
+        metrics::gauge!(metric::CARRY_LIMIT).set(f64::from(after));
+        if before == u32::MAX {
+            Entry::Busy { late, limit: after }.write(&self.log);
+        }
+    }
+
     async fn tell(&mut self) {
         let peers = self.roster.others().map(|entry| entry.peer);
         let peers: Vec<SocketAddr> = peers.collect();
--- a/src/metric.rs
+++ b/src/metric.rs
@@ -36,6 +36,11 @@
 /// Requests sent to targets, by whether their connection was reused.
 pub const CONNECTIONS: &str = "marlrun_connections_total";
 
+/// Requests refused because the router's processor was busy.
+pub const BUSY: &str = "marlrun_busy_total";
+/// Requests that the router may carry at once, while its processor limits them.
+pub const CARRY_LIMIT: &str = "marlrun_carry_limit";
+
 static PAGE: OnceLock<Option<PrometheusHandle>> = OnceLock::new();
 
 /// Starts to collect metrics; later calls change nothing.
