--- a/src/dispatch/machine/place.rs
+++ b/src/dispatch/machine/place.rs
@@ -26,8 +26,11 @@
 const BEYOND_WAIT: Span = Span::from_millis(40);
 /// Time that an answer needs from the target to the caller.
 const WAY_BACK: Span = Span::from_millis(8);
-/// Time beyond the expected one after which a target counts as silent.
+/// Time beyond the expected one, without an answer to any request, after which a target counts as
+/// silent.
 const SILENCE: Span = Span::from_millis(500);
+/// Times that patience after which a request is taken from a target that answers others.
+const MOST_PATIENCE: u64 = 3;
 /// Time in which another router's suspicion counts, unless this router had an answer since.
 const SUSPICION: Span = Span::from_millis(1_000);
 
@@ -187,8 +190,14 @@
         let mut silent = Vec::new();
         for run in self.runs.values_mut() {
             let patience = Span(2 * run.offer.first.0 + SILENCE.0);
-            let due = now.since(run.sent) >= patience;
-            if !due || run.begun || run.abandoned {
+            let waited = now.since(run.sent);
+            if waited < patience || run.begun || run.abandoned {
+                continue;
+            }
+            let target = self.targets.get(&run.offer.target);
+            let answered = target.and_then(|target| target.health.last_answer());
+            let silence = now.since(answered.unwrap_or_default().max(run.sent));
+            if silence < patience && waited.0 < MOST_PATIENCE * patience.0 {
                 continue;
             }
             run.abandoned = true;
--- a/src/front/server.rs
+++ b/src/front/server.rs
@@ -6,13 +6,14 @@
 };
 use crate::unit::Span;
 use futures::FutureExt;
+use http::header;
 use http_body_util::BodyExt;
 use hyper::{server::conn::http1, service::service_fn};
 use hyper_util::rt::TokioIo;
 use std::{convert::Infallible, io, net::SocketAddr, pin::pin, sync::Arc, time::Duration};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
-    net::{TcpListener, TcpStream},
+    net::{TcpListener, TcpSocket, TcpStream},
     runtime::Handle,
     sync::{Semaphore, watch},
     task::JoinHandle,
@@ -41,16 +42,14 @@
     ///
     /// Fails if the address cannot be bound.
     pub fn bind(settings: Settings, runtime: &Handle) -> io::Result<Self> {
-        let listener = std::net::TcpListener::bind(settings.address)?;
-        listener.set_nonblocking(true)?;
-        let address = listener.local_addr()?;
         let (stop, stopped) = watch::channel(false);
         let handler = settings.handler;
         let connections = Arc::new(Semaphore::new(handler.limits().connections));
         let listener = {
             let _entered = runtime.enter();
-            TcpListener::from_std(listener)?
+            listen(settings.address)?
         };
+        let address = listener.local_addr()?;
         let task = runtime.spawn(accept(listener, handler, connections, stopped));
         Ok(Self {
             address,
@@ -72,6 +71,21 @@
     }
 }
 
+/// Connections that the system holds until they are accepted. Callers come in bursts, and the system
+/// drops what is beyond without a word; their next packet comes a second later.
+const BACKLOG: u32 = 4_096;
+
+/// Binds a listener.
+fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4(),
+        SocketAddr::V6(_) => TcpSocket::new_v6(),
+    }?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
+
 async fn accept(
     listener: TcpListener,
     handler: Arc<dyn Responder>,
@@ -82,18 +96,14 @@
     const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
     let tracker = TaskTracker::new();
+    let most = connections.available_permits();
     let refused = Arc::new(Semaphore::new(MAX_REFUSED));
     let notice = Duration::from(handler.limits().notice);
     let serve = |stream: TcpStream| {
         // Without the option small writes may be delayed; the connection works all the same.
         let _ = stream.set_nodelay(true);
         let permit = connections.clone().try_acquire_owned();
-        let refusal = handler.refusal().or_else(|| {
-            let detail = "the router has as many connections as it may have";
-            let full = permit.is_err();
-            full.then(|| Problem::not_run(detail, Span::from_secs(1)))
-        });
-        if let Some(problem) = refusal {
+        if let Some(problem) = handler.refusal(permit.is_err()) {
             drop(permit);
             if let Ok(place) = refused.clone().try_acquire_owned() {
                 tokio::spawn(async move {
@@ -105,7 +115,11 @@
         }
         match permit {
             Ok(permit) => {
-                let connection = serve(stream, handler.clone(), stopped.clone());
+                let crowd = Crowd {
+                    places: connections.clone(),
+                    spare: most / SPARE_DIVISOR,
+                };
+                let connection = serve(stream, handler.clone(), crowd, stopped.clone());
                 tracker.spawn(async move {
                     connection.await;
                     drop(permit);
@@ -140,9 +154,32 @@
     tracker.wait().await;
 }
 
+/// How many connections are open, for a connection that may end.
+#[derive(Clone)]
+struct Crowd {
+    places: Arc<Semaphore>,
+    /// Free places below which connections end with their next answer.
+    spare: usize,
+}
+
+impl Crowd {
+    fn is_thick(&self) -> bool {
+        self.places.available_permits() < self.spare
+    }
+}
+
+/// Part of the connections that is kept free, as a divisor: callers who open one for each request
+/// leave the old ones open until they are idle for too long.
+const SPARE_DIVISOR: usize = 2;
+
 /// Serves a connection until its caller closes it, or until the server stops and its last answer
 /// is given.
-async fn serve(stream: TcpStream, handler: Arc<dyn Responder>, mut stopped: watch::Receiver<bool>) {
+async fn serve(
+    stream: TcpStream,
+    handler: Arc<dyn Responder>,
+    crowd: Crowd,
+    mut stopped: watch::Receiver<bool>,
+) {
     let limits = handler.limits();
     let (running, mut begun) = watch::channel(false);
     let progress = Arc::<Progress>::default();
@@ -153,11 +190,15 @@
     };
     let transport = Transport::new(stream, times, progress.clone());
     let service = service_fn(move |request| {
-        let (handler, running) = (handler.clone(), running.clone());
+        let (handler, running, crowd) = (handler.clone(), running.clone(), crowd.clone());
         let request_runs = Running::begin(&service_progress);
         async move {
             running.send_replace(true);
-            let response = handler.respond(request).await;
+            let mut response = handler.respond(request).await;
+            if crowd.is_thick() {
+                let close = header::HeaderValue::from_static("close");
+                response.headers_mut().insert(header::CONNECTION, close);
+            }
             running.send_replace(false);
             // The request runs until its answer is given.
             let response = response.map(|body| {
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -6,7 +6,7 @@
     collections::BTreeMap,
     sync::{
         Arc, Mutex, PoisonError, RwLock,
-        atomic::{AtomicBool, AtomicU32, Ordering},
+        atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering},
     },
 };
 
@@ -23,6 +23,8 @@
     /// Requests that the router carries.
     carried: AtomicU32,
     pressure: Mutex<Pressure>,
+    /// Connections refused unread since the log told of them.
+    unread: AtomicU64,
 }
 
 /// A request that the router carries until this is dropped.
@@ -77,6 +79,23 @@
         })
     }
 
+    /// Returns the limit of requests carried; `u32::MAX` while there is none.
+    pub(super) fn limit(&self) -> u32 {
+        let pressure = self.pressure.lock().unwrap_or_else(PoisonError::into_inner);
+        pressure.limit()
+    }
+
+    /// Counts a connection that was refused unread.
+    pub(super) fn refuse_unread(&self) {
+        self.unread.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Returns the connections refused unread since the last call, and the requests carried now.
+    pub(super) fn take_unread(&self) -> (u64, u32) {
+        let unread = self.unread.swap(0, Ordering::Relaxed);
+        (unread, self.carried.load(Ordering::Relaxed))
+    }
+
     /// Reports whether the router carries as many requests as it can.
     pub(super) fn is_busy(&self) -> bool {
         let carried = self.carried.load(Ordering::Relaxed);
--- a/src/gateway/handler.rs
+++ b/src/gateway/handler.rs
@@ -29,7 +29,7 @@
 };
 
 /// What a caller is told whose request a router can't carry.
-const BUSY: &str = "the router has as many requests as its processor can carry";
+const BUSY: &str = "the router has as many requests or connections as it can carry";
 /// Time after which such a caller may come back: its next try reaches another router.
 const BUSY_RETRY: Span = Span::from_millis(20);
 
@@ -151,10 +151,11 @@
         }
     }
 
-    fn refusal(&self) -> Option<Problem> {
-        let busy_router = self.shared.fleet.is_busy();
-        busy_router.then(|| {
+    fn refusal(&self, full: bool) -> Option<Problem> {
+        let refused = full || self.shared.fleet.is_busy();
+        refused.then(|| {
             metrics::counter!(metric::BUSY).increment(1);
+            self.shared.fleet.refuse_unread();
             busy()
         })
     }
--- a/src/gateway/logbook.rs
+++ b/src/gateway/logbook.rs
@@ -79,6 +79,12 @@
     Regained { list: &'a str, after: Span },
     /// The processor is overloaded for the first time; a limit of requests is in force from now on.
     Busy { late: Span, limit: u32 },
+    /// Connections were refused unread since the last such line.
+    Unread {
+        connections: u64,
+        carried: u32,
+        limit: u32,
+    },
     /// Another router appeared, or was removed.
     Peer {
         router: &'a id::Router,
@@ -174,6 +180,12 @@
             Entry::Busy { late, limit } => {
                 slog::warn!(log, "processor busy"; "late_ms" => millis(*late), "limit" => limit);
             }
+            Entry::Unread {
+                connections,
+                carried,
+                limit,
+            } => slog::warn!(log, "connections refused unread"; "connections" => connections,
+                "carried" => carried, "limit" => limit),
             Entry::Peer { router, present } => {
                 slog::info!(log, "router listed"; "peer" => router.as_str(), "present" => present);
             }
--- a/src/gateway/router.rs
+++ b/src/gateway/router.rs
@@ -322,7 +322,7 @@
                     self.tell().await;
                     tell.reset_after(Duration::from(self.tell_period()));
                 }
-                _ = sweep.tick() => self.pool.sweep(),
+                _ = sweep.tick() => self.sweep(),
                 _ = stop.recv() => break,
             }
         }
@@ -468,6 +468,20 @@
         }
     }
 
+    fn sweep(&mut self) {
+        self.pool.sweep();
+        let (connections, carried) = self.fleet.take_unread();
+        if connections > 0 {
+            let limit = self.fleet.limit();
+            Entry::Unread {
+                connections,
+                carried,
+                limit,
+            }
+            .write(&self.log);
+        }
+    }
+
     /// Judges by the lateness of this tick how busy the processor is.
     fn look(&mut self, now: Time) {
         let late = now.since(self.next_tick);
--- /dev/null
+++ b/tests/dispatch.rs
@@ -0,0 +1,421 @@
+//! Decisions of the dispatcher: shares, placement, order, repeats, and loads that are played through
+//! it with a small model of engines.
+
+mod engines;
+
+use engines::{Engines, Load};
+use marlrun::{
+    catalog,
+    dispatch::{Action, Dispatcher, End, Event, Part, Prompt, Reason, Request, Settings},
+    gossip, id,
+    routing::{Engine, Kind, Limits, Service, Table},
+    unit::{Span, Time, Version},
+};
+use proptest::prelude::*;
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
+
+const STREAM: Kind = Kind::Stream {
+    pause: Span::from_millis(250),
+    resumable: true,
+};
+
+fn at(millis: u64) -> Time {
+    Time(millis * 1_000)
+}
+
+fn dispatcher(name: &str) -> Dispatcher {
+    let settings = Settings::new(
+        name.parse().unwrap(),
+        id::Incarnation(1),
+        "east".parse().unwrap(),
+    );
+    Dispatcher::open(settings)
+}
+
+fn table(tokens_per_s: Option<u64>) -> Arc<Table> {
+    let limits = Limits {
+        tokens_per_s,
+        ..Limits::default()
+    };
+    let mut table = Table::new(Version(1), limits, true);
+    table.add_service(Service {
+        name: "llm".parse().unwrap(),
+        max_connections: 400,
+        engine: Some(Engine {
+            slots: 32,
+            memory_tokens: 400_000,
+        }),
+    });
+    table.add_service(Service {
+        name: "app".parse().unwrap(),
+        max_connections: 100,
+        engine: None,
+    });
+    Arc::new(table)
+}
+
+fn target(name: &str, service: &str) -> catalog::Target {
+    catalog::Target {
+        name: name.parse().unwrap(),
+        born: 1,
+        service: service.parse().unwrap(),
+        address: "127.0.0.1:9".parse().unwrap(),
+        domain: "east".parse().unwrap(),
+        slots: 4,
+        leaving: false,
+        warm_up: Span(0),
+    }
+}
+
+fn targets(list: &[catalog::Target]) -> Event {
+    let named = list.iter().map(|t| (t.name.clone(), t.clone()));
+    Event::Targets(named.collect::<BTreeMap<_, _>>())
+}
+
+fn ready(name: &str, list: &[catalog::Target]) -> Dispatcher {
+    let mut dispatcher = dispatcher(name);
+    step(&mut dispatcher, 0, Event::Routing(table(Some(100_000))));
+    step(&mut dispatcher, 0, targets(list));
+    dispatcher
+}
+
+fn step(dispatcher: &mut Dispatcher, millis: u64, event: Event) -> Vec<Action> {
+    let mut out = Vec::new();
+    dispatcher.step(at(millis), event, &mut out);
+    out
+}
+
+fn prompt(parts: &[(u64, u32)]) -> Prompt {
+    Prompt {
+        parts: parts
+            .iter()
+            .map(|&(id, tokens)| Part { id, tokens })
+            .collect(),
+        tokens: parts.iter().map(|(_, tokens)| tokens).sum(),
+        output: 100,
+    }
+}
+
+fn request(number: u64, millis: u64, service: &str) -> Request {
+    Request {
+        number,
+        workspace: Some("east-desk".parse().unwrap()),
+        service: service.parse().unwrap(),
+        kind: if service == "llm" { STREAM } else { Kind::Once },
+        rank: 1,
+        arrived: at(millis),
+        due: at(millis + 300),
+        deadline: at(millis + 10_000),
+        attempts: 2,
+        prompt: (service == "llm").then(|| prompt(&[(1, 500), (1_000 + number, 500)])),
+    }
+}
+
+fn sent_to(actions: &[Action]) -> Option<(u64, String)> {
+    actions.iter().find_map(|action| match action {
+        Action::Send { number, offer, .. } => Some((*number, offer.target.to_string())),
+        _ => None,
+    })
+}
+
+fn refused(actions: &[Action]) -> Option<(Reason, bool)> {
+    actions.iter().find_map(|action| match action {
+        Action::Refuse { refusal, .. } => Some((refusal.reason, refusal.ran)),
+        _ => None,
+    })
+}
+
+#[test]
+fn arrive_without_target() {
+    let mut dispatcher = ready("r1", &[]);
+    let actions = step(&mut dispatcher, 1, Event::Arrived(request(1, 1, "llm")));
+    assert_eq!(refused(&actions), Some((Reason::NoTarget, false)));
+}
+
+#[test]
+fn arrive_leaving_target() {
+    let mut leaving = target("a", "app");
+    leaving.leaving = true;
+    let mut dispatcher = ready("r1", &[leaving, target("b", "app"), target("c", "llm")]);
+    for number in 0..4 {
+        let actions = step(
+            &mut dispatcher,
+            1,
+            Event::Arrived(request(number, 1, "app")),
+        );
+        assert_eq!(sent_to(&actions), Some((number, "b".into())));
+    }
+}
+
+#[test]
+fn arrive_prompt_goes_where_it_is_kept() {
+    let mut dispatcher = ready("r1", &[target("a", "llm"), target("b", "llm")]);
+    let mut wanted = request(1, 0, "llm");
+    wanted.prompt = Some(prompt(&[(7, 4_000), (8, 100)]));
+    let (_, home) = sent_to(&step(&mut dispatcher, 0, Event::Arrived(wanted))).unwrap();
+    for number in 2..6 {
+        let mut wanted = request(number, 5_000, "llm");
+        wanted.prompt = Some(prompt(&[(7, 4_000), (100 + number, 100)]));
+        let actions = step(&mut dispatcher, 5_000, Event::Arrived(wanted));
+        assert_eq!(sent_to(&actions).unwrap().1, home);
+    }
+}
+
+#[test]
+fn arrive_prompt_kept_through_another_router() {
+    let list = [target("a", "llm"), target("b", "llm")];
+    let (mut one, mut two) = (ready("r1", &list), ready("r2", &list));
+    let mut wanted = request(1, 0, "llm");
+    wanted.prompt = Some(prompt(&[(7, 4_000), (8, 100)]));
+    let (_, home) = sent_to(&step(&mut one, 0, Event::Arrived(wanted.clone()))).unwrap();
+    for summary in one.tell(at(20), false) {
+        let bytes = gossip::encode(&summary);
+        assert!(bytes.len() <= gossip::MAX_DATAGRAM_BYTES);
+        let heard = gossip::decode(&bytes).unwrap();
+        assert_eq!(heard, summary);
+        step(&mut two, 21, Event::Summary(heard));
+    }
+    step(&mut one, 400, Event::Begun { number: 1 });
+    wanted.arrived = at(2_000);
+    wanted.due = at(2_300);
+    wanted.deadline = at(9_000);
+    let actions = step(&mut two, 2_000, Event::Arrived(wanted));
+    assert_eq!(sent_to(&actions).unwrap().1, home);
+}
+
+#[test]
+fn arrive_restarted_target_keeps_nothing() {
+    let mut dispatcher = ready("r1", &[target("a", "llm")]);
+    let mut wanted = request(1, 0, "llm");
+    wanted.prompt = Some(prompt(&[(7, 4_000)]));
+    step(&mut dispatcher, 0, Event::Arrived(wanted.clone()));
+    let mut restarted = target("a", "llm");
+    restarted.born = 2;
+    step(&mut dispatcher, 10, targets(&[restarted]));
+    wanted.number = 2;
+    let actions = step(&mut dispatcher, 20, Event::Arrived(wanted));
+    let Some(Action::Send { offer, .. }) = actions.first() else {
+        panic!("{actions:?}");
+    };
+    assert_eq!(offer.unread, 4_000);
+}
+
+#[test]
+fn end_not_run_goes_elsewhere() {
+    let mut dispatcher = ready("r1", &[target("a", "app"), target("b", "app")]);
+    let first = sent_to(&step(
+        &mut dispatcher,
+        0,
+        Event::Arrived(request(1, 0, "app")),
+    ));
+    let ended = |end| Event::Ended {
+        number: 1,
+        end,
+        again: true,
+    };
+    let second = sent_to(&step(&mut dispatcher, 5, ended(End::NotRun)));
+    assert_ne!(first.unwrap().1, second.unwrap().1);
+    let actions = step(&mut dispatcher, 9, ended(End::NotRun));
+    assert_eq!(refused(&actions), Some((Reason::Attempts, false)));
+}
+
+#[test]
+fn end_broken_once_is_never_sent_again() {
+    let mut dispatcher = ready("r1", &[target("a", "app"), target("b", "app")]);
+    step(&mut dispatcher, 0, Event::Arrived(request(1, 0, "app")));
+    let ended = Event::Ended {
+        number: 1,
+        end: End::Broken,
+        again: true,
+    };
+    let actions = step(&mut dispatcher, 5, ended);
+    assert_eq!(sent_to(&actions), None);
+    assert_eq!(refused(&actions), Some((Reason::Attempts, true)));
+}
+
+#[test]
+fn end_failures_put_target_out_of_use() {
+    let mut dispatcher = ready("r1", &[target("a", "app"), target("b", "app")]);
+    let mut number = 0;
+    let mut failed = 0;
+    for millis in (0..400).step_by(10) {
+        number += 1;
+        let mut wanted = request(number, millis, "app");
+        wanted.kind = Kind::Idempotent;
+        let actions = step(&mut dispatcher, millis, Event::Arrived(wanted));
+        let (_, to) = sent_to(&actions).unwrap();
+        failed += u64::from(to == "a");
+        let end = if to == "a" {
+            End::Failed
+        } else {
+            End::Answered
+        };
+        let ended = Event::Ended {
+            number,
+            end,
+            again: false,
+        };
+        step(&mut dispatcher, millis + 5, ended);
+    }
+    assert!(
+        failed <= 6,
+        "{failed} of 40 requests met the failing target"
+    );
+}
+
+#[test]
+fn tick_silent_target() {
+    let mut dispatcher = ready("r1", &[target("a", "llm"), target("b", "llm")]);
+    step(&mut dispatcher, 0, Event::Arrived(request(1, 0, "llm")));
+    let mut abandoned = false;
+    for millis in (0..3_000).step_by(10) {
+        let actions = step(&mut dispatcher, millis, Event::Tick);
+        abandoned |= actions.contains(&Action::Abandon { number: 1 });
+    }
+    assert!(abandoned);
+}
+
+#[test]
+fn tick_overload_is_refused_at_once() {
+    let mut dispatcher = ready("r1", &[target("a", "app")]);
+    for number in 0..8 {
+        let actions = step(
+            &mut dispatcher,
+            0,
+            Event::Arrived(request(number, 0, "app")),
+        );
+        assert!(sent_to(&actions).is_some(), "slots and as many more");
+    }
+    let mut late = request(9, 0, "app");
+    late.deadline = at(900);
+    assert!(step(&mut dispatcher, 0, Event::Arrived(late)).is_empty());
+    let refusal = (0..900).step_by(10).find_map(|millis| {
+        let actions = step(&mut dispatcher, millis, Event::Tick);
+        refused(&actions).map(|(reason, ran)| (millis, reason, ran))
+    });
+    let (millis, reason, ran) = refusal.unwrap();
+    assert!(millis <= 400, "well before its deadline, after {millis} ms");
+    assert_eq!((reason, ran), (Reason::Overload, false));
+}
+
+#[test]
+fn gone_frees_the_target() {
+    let mut dispatcher = ready("r1", &[target("a", "llm")]);
+    step(&mut dispatcher, 0, Event::Arrived(request(1, 0, "llm")));
+    assert_eq!(dispatcher.running(), 1);
+    step(&mut dispatcher, 5, Event::Gone { number: 1 });
+    assert_eq!(dispatcher.running(), 0);
+    let (own, _) = dispatcher.views()[&"a".parse::<id::Target>().unwrap()];
+    assert_eq!((own.running, own.backlog, own.memory), (0, 0, 0));
+}
+
+/// Plays a load through seven routers and returns it.
+fn play(load: Load) -> Engines {
+    let mut engines = Engines::open(7, 6, table(Some(300_000)), load);
+    engines.play(Span::from_secs(12));
+    engines
+}
+
+#[test]
+fn play_calm_load_is_on_time() {
+    let engines = play(Load {
+        flood: 1,
+        requests_per_s: 120,
+    });
+    for (workspace, outcome) in engines.outcomes() {
+        let share = outcome.on_time * 100 / outcome.asked.max(1);
+        assert!(share >= 95, "{workspace}: {outcome:?}");
+    }
+}
+
+#[test]
+fn play_flood_leaves_others_on_time() {
+    let engines = play(Load {
+        flood: 12,
+        requests_per_s: 120,
+    });
+    for (workspace, outcome) in engines.outcomes() {
+        if workspace != "w0" {
+            let share = outcome.on_time * 100 / outcome.asked.max(1);
+            assert!(share >= 90, "{workspace}: {outcome:?}");
+        }
+    }
+    let flood = &engines.outcomes()["w0"];
+    assert!(flood.refused > 0, "{flood:?}");
+    assert!(flood.served > 0, "a flood is not starved: {flood:?}");
+    assert_eq!(flood.slowest_refusal.as_millis() / 100, 0, "{flood:?}");
+}
+
+#[test]
+fn play_flood_idles_no_engine() {
+    let engines = play(Load {
+        flood: 40,
+        requests_per_s: 120,
+    });
+    assert!(
+        engines.held_percent() >= 70,
+        "{} % of the slots were held while requests were refused",
+        engines.held_percent()
+    );
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(64))]
+
+    /// Whatever happens in whatever order, loads are given back, each request gets one end, and what
+    /// may run once is sent at most once after it may have run.
+    #[test]
+    fn step_any_order(choices in prop::collection::vec((0..8_u8, 0..12_u64, 0..200_u64), 1..200)) {
+        let list = [target("a", "app"), target("b", "app"), target("c", "llm")];
+        let mut dispatcher = ready("r1", &list);
+        let mut now = 0;
+        let mut next = 0;
+        let mut may_have_run = BTreeMap::new();
+        let mut running = BTreeSet::new();
+        let mut live = Vec::<u64>::new();
+        for (what, pick, pause) in choices {
+            now += pause;
+            let number = live.get(pick as usize % live.len().max(1)).copied();
+            let event = match (what, number) {
+                (0..=2, _) => {
+                    next += 1;
+                    live.push(next);
+                    Event::Arrived(request(next, now, if what == 0 { "llm" } else { "app" }))
+                }
+                (3, Some(number)) => Event::Begun { number },
+                (4, Some(number)) => {
+                    if running.remove(&number) {
+                        may_have_run.insert(number, true);
+                    }
+                    Event::Ended { number, end: End::Broken, again: true }
+                }
+                (5, Some(number)) => {
+                    running.remove(&number);
+                    Event::Ended { number, end: End::NotRun, again: true }
+                }
+                (6, Some(number)) => {
+                    live.retain(|other| *other != number);
+                    Event::Gone { number }
+                }
+                _ => Event::Tick,
+            };
+            for action in step(&mut dispatcher, now, event) {
+                if let Action::Send { number, offer, .. } = action {
+                    running.insert(number);
+                    let once = offer.target.as_str() != "c";
+                    prop_assert!(!(once && may_have_run.contains_key(&number)));
+                }
+            }
+        }
+        for number in live {
+            step(&mut dispatcher, now, Event::Gone { number });
+        }
+        prop_assert_eq!((dispatcher.running(), dispatcher.waiting()), (0, 0));
+        for (own, _) in dispatcher.views().values() {
+            prop_assert_eq!((own.running, own.backlog, own.memory), (0, 0, 0));
+        }
+    }
+}
--- /dev/null
+++ b/tests/engines/mod.rs
@@ -0,0 +1,343 @@
+//! A small model of engines and callers around the dispatchers of several routers, on a virtual
+//! clock.
+
+use marlrun::{
+    catalog,
+    dispatch::{Action, Dispatcher, End, Event, Part, Prompt, Request, Settings},
+    id,
+    routing::{Kind, Table},
+    unit::{Span, Time},
+};
+use rand_chacha::{
+    ChaCha8Rng,
+    rand_core::{Rng, SeedableRng},
+};
+use std::{
+    collections::{BTreeMap, VecDeque},
+    sync::Arc,
+};
+
+/// Tokens that an engine reads in a millisecond.
+const READ_PER_MS: u64 = 100;
+/// Requests that an engine runs at once.
+const SLOTS: usize = 32;
+/// Time from the end of reading to the first event.
+const FIRST_MS: u64 = 50;
+/// Time that a request stays after its first event.
+const STREAM_MS: u64 = 700;
+/// Period in which routers tell each other their loads.
+const TELL_MS: u64 = 20;
+/// Time of a message between routers.
+const HOP_MS: u64 = 1;
+/// Workspaces; the first one floods.
+const WORKSPACES: u64 = 8;
+/// Prompts that requests share.
+const SHARED: u64 = 40;
+/// Aim of the first event.
+const AIM: Span = Span::from_millis(300);
+
+/// A load.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Load {
+    /// Times its usual that the first workspace asks, from the second second on.
+    pub(crate) flood: u64,
+    /// Requests of all workspaces in a second, without the flood.
+    pub(crate) requests_per_s: u64,
+}
+
+/// What the callers of a workspace got.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Outcome {
+    pub(crate) asked: u64,
+    pub(crate) served: u64,
+    pub(crate) on_time: u64,
+    pub(crate) refused: u64,
+    pub(crate) slowest_refusal: Span,
+}
+
+struct Job {
+    router: usize,
+    workspace: usize,
+    arrived: Time,
+    prompt: Prompt,
+}
+
+#[derive(Default)]
+struct Engine {
+    /// Requests that wait for their prompt to be read, with the tokens left.
+    reading: VecDeque<(u64, u64)>,
+    /// Events that come at a time: the first one of a request, and its end.
+    coming: Vec<(u64, u64, bool)>,
+    kept: BTreeMap<u64, u64>,
+    /// Slots held, added up over milliseconds.
+    held_ms: u64,
+}
+
+/// Routers, engines and callers.
+pub(crate) struct Engines {
+    routers: Vec<Dispatcher>,
+    engines: Vec<Engine>,
+    jobs: BTreeMap<u64, Job>,
+    outcomes: Vec<Outcome>,
+    load: Load,
+    random: ChaCha8Rng,
+    next: u64,
+    now_ms: u64,
+}
+
+impl Engines {
+    pub(crate) fn open(routers: usize, engines: usize, table: Arc<Table>, load: Load) -> Self {
+        let target = |index: usize| catalog::Target {
+            name: format!("e{index}").parse().unwrap(),
+            born: 1,
+            service: "llm".parse().unwrap(),
+            address: "127.0.0.1:9".parse().unwrap(),
+            domain: "east".parse().unwrap(),
+            slots: SLOTS as u32,
+            leaving: false,
+            warm_up: Span(0),
+        };
+        let targets: BTreeMap<id::Target, catalog::Target> = (0..engines)
+            .map(|index| (target(index).name, target(index)))
+            .collect();
+        let open = |index: usize| {
+            let settings = Settings::new(
+                format!("r{index}").parse().unwrap(),
+                id::Incarnation(1),
+                "east".parse().unwrap(),
+            );
+            let mut dispatcher = Dispatcher::open(settings);
+            let mut out = Vec::new();
+            dispatcher.step(Time(0), Event::Routing(table.clone()), &mut out);
+            dispatcher.step(Time(0), Event::Targets(targets.clone()), &mut out);
+            dispatcher
+        };
+        Self {
+            routers: (0..routers).map(open).collect(),
+            engines: (0..engines).map(|_| Engine::default()).collect(),
+            jobs: BTreeMap::new(),
+            outcomes: vec![Outcome::default(); WORKSPACES as usize],
+            load,
+            random: ChaCha8Rng::seed_from_u64(7),
+            next: 0,
+            now_ms: 0,
+        }
+    }
+
+    /// Plays the load for a time.
+    pub(crate) fn play(&mut self, length: Span) {
+        let mut told = VecDeque::new();
+        for now_ms in 0..length.as_millis() {
+            self.now_ms = now_ms;
+            self.arrive();
+            self.work();
+            if now_ms % TELL_MS == 0 {
+                let now = self.now();
+                for index in 0..self.routers.len() {
+                    for summary in self.routers[index].tell(now, false) {
+                        told.push_back((now_ms + HOP_MS, index, summary));
+                    }
+                }
+            }
+            while told.front().is_some_and(|(at, ..)| *at <= now_ms) {
+                let (_, from, summary) = told.pop_front().unwrap();
+                for index in (0..self.routers.len()).filter(|index| *index != from) {
+                    self.step(index, Event::Summary(summary.clone()));
+                }
+            }
+            if now_ms % 10 == 0 {
+                for index in 0..self.routers.len() {
+                    self.step(index, Event::Tick);
+                }
+            }
+        }
+    }
+
+    pub(crate) fn outcomes(&self) -> BTreeMap<String, Outcome> {
+        let named = self.outcomes.iter().enumerate();
+        named
+            .map(|(index, outcome)| (format!("w{index}"), *outcome))
+            .collect()
+    }
+
+    /// Returns the part of all slots that were held, after the flood began.
+    pub(crate) fn held_percent(&self) -> u64 {
+        let held: u64 = self.engines.iter().map(|engine| engine.held_ms).sum();
+        let flooded = self.now_ms.saturating_sub(1_000).max(1);
+        held * 100 / (flooded * (self.engines.len() * SLOTS) as u64)
+    }
+
+    fn now(&self) -> Time {
+        Time(self.now_ms * 1_000)
+    }
+
+    fn draw(&mut self, below: u64) -> u64 {
+        self.random.next_u64() % below
+    }
+
+    /// Lets requests arrive in this millisecond.
+    fn arrive(&mut self) {
+        for workspace in 0..WORKSPACES {
+            let flood = workspace == 0 && self.now_ms >= 1_000;
+            let times = if flood { self.load.flood } else { 1 };
+            let per_s = self.load.requests_per_s / WORKSPACES * times;
+            // Callers of one workspace come in pairs, unevenly.
+            if self.draw(2_000) < per_s {
+                self.ask(workspace as usize);
+                self.ask(workspace as usize);
+            }
+        }
+    }
+
+    fn ask(&mut self, workspace: usize) {
+        self.next += 1;
+        let number = self.next;
+        // Most callers of a workspace reach the same router.
+        let spread = self.draw(3) == 0;
+        let router = if spread {
+            self.draw(self.routers.len() as u64) as usize
+        } else {
+            workspace % self.routers.len()
+        };
+        let shared = self.draw(SHARED);
+        let own = 300 + self.draw(1_500) as u32;
+        let parts = [(1 + shared, 1_500), (1_000_000 + number, own)];
+        let prompt = Prompt {
+            parts: parts
+                .iter()
+                .map(|&(id, tokens)| Part { id, tokens })
+                .collect(),
+            tokens: 1_500 + own,
+            output: 100,
+        };
+        self.outcomes[workspace].asked += 1;
+        let arrived = self.now();
+        let job = Job {
+            router,
+            workspace,
+            arrived,
+            prompt: prompt.clone(),
+        };
+        self.jobs.insert(number, job);
+        let request = Request {
+            number,
+            workspace: Some(format!("w{workspace}").parse().unwrap()),
+            service: "llm".parse().unwrap(),
+            kind: Kind::Stream {
+                pause: Span::from_millis(250),
+                resumable: true,
+            },
+            rank: 1,
+            arrived,
+            due: arrived + AIM,
+            deadline: arrived + Span::from_secs(10),
+            attempts: 2,
+            prompt: Some(prompt),
+        };
+        self.step(router, Event::Arrived(request));
+    }
+
+    fn step(&mut self, router: usize, event: Event) {
+        let mut actions = Vec::new();
+        let now = self.now();
+        self.routers[router].step(now, event, &mut actions);
+        for action in actions {
+            self.act(action);
+        }
+    }
+
+    fn act(&mut self, action: Action) {
+        match action {
+            Action::Send { number, offer, .. } => {
+                let index: usize = offer.target.as_str()[1..].parse().unwrap();
+                let engine = &mut self.engines[index];
+                let parts = self.jobs[&number].prompt.parts.iter();
+                let now_ms = self.now_ms;
+                let unread = parts.filter(|part| {
+                    let used = engine.kept.insert(part.id, now_ms);
+                    used.is_none_or(|used| now_ms - used > 5_000)
+                });
+                let unread: u64 = unread.map(|part| u64::from(part.tokens)).sum();
+                engine.reading.push_back((number, unread));
+            }
+            Action::Refuse { number, .. } => {
+                let Some(job) = self.jobs.remove(&number) else {
+                    return;
+                };
+                let waited = self.now().since(job.arrived);
+                let outcome = &mut self.outcomes[job.workspace];
+                outcome.refused += 1;
+                // Those that wait in the queue are refused later; a flood's excess never waits.
+                outcome.slowest_refusal = outcome.slowest_refusal.max(waited);
+                self.step(job.router, Event::Gone { number });
+            }
+            Action::Abandon { number } => {
+                let router = self.jobs[&number].router;
+                for engine in &mut self.engines {
+                    engine.reading.retain(|(other, _)| *other != number);
+                    engine.coming.retain(|(_, other, _)| *other != number);
+                }
+                let ended = Event::Ended {
+                    number,
+                    end: End::Silent,
+                    again: true,
+                };
+                self.step(router, ended);
+            }
+            Action::Belief { .. } => {}
+        }
+    }
+
+    /// Lets engines read for a millisecond, and tells what came of them.
+    fn work(&mut self) {
+        let now_ms = self.now_ms;
+        let mut came = Vec::new();
+        for engine in &mut self.engines {
+            let mut budget = READ_PER_MS;
+            let streaming = engine.coming.iter().filter(|(.., end)| *end).count();
+            let held = (engine.reading.len() + streaming).min(SLOTS) as u64;
+            engine.held_ms += if now_ms >= 1_000 { held } else { 0 };
+            while let Some((number, left)) = engine.reading.front_mut() {
+                let read = budget.min(*left);
+                *left -= read;
+                budget -= read;
+                if *left > 0 {
+                    break;
+                }
+                let first = now_ms + FIRST_MS;
+                engine.coming.push((first, *number, false));
+                engine.coming.push((first + STREAM_MS, *number, true));
+                engine.reading.pop_front();
+            }
+            let due = engine.coming.iter().filter(|(at, ..)| *at <= now_ms);
+            came.extend(due.map(|(_, number, end)| (*number, *end)));
+            engine.coming.retain(|(at, ..)| *at > now_ms);
+        }
+        for (number, end) in came {
+            self.tell(number, end);
+        }
+    }
+
+    fn tell(&mut self, number: u64, end: bool) {
+        let now = self.now();
+        let Some(job) = self.jobs.get(&number) else {
+            return;
+        };
+        let router = job.router;
+        if !end {
+            let on_time = now.since(job.arrived) <= AIM;
+            let outcome = &mut self.outcomes[job.workspace];
+            outcome.served += 1;
+            outcome.on_time += u64::from(on_time);
+            return self.step(router, Event::Begun { number });
+        }
+        self.jobs.remove(&number);
+        let ended = Event::Ended {
+            number,
+            end: End::Answered,
+            again: false,
+        };
+        self.step(router, ended);
+        self.step(router, Event::Gone { number });
+    }
+}
