--- a/src/cli/arguments.rs
+++ b/src/cli/arguments.rs
@@ -1,6 +1,6 @@
 //! Arguments of the command line.
 
-use super::{connection::Connection, files::Files};
+use super::{connection::Connection, explain::Explain, files::Files};
 use crate::{
     id,
     unit::{Span, Version},
@@ -64,6 +64,11 @@
   marlrun --router 10.0.0.11:7300 router drain
   marlrun --router 10.0.0.11:7300 router drain --wait 10m";
 
+const EXPLAIN_EXAMPLES: &str = "\
+Examples:
+  marlrun explain 9c41d07be2a35f68 east-1.log east-2.log
+  cat *.log | marlrun --json explain 9c41d07be2a35f68 -";
+
 const COMPLETION_EXAMPLES: &str = "\
 Examples:
   marlrun completion bash > /etc/bash_completion.d/marlrun
@@ -111,6 +116,9 @@
         /// Identifier that the caller was given
         id: Box<str>,
     },
+    /// Tell a request's story from the logs of routers
+    #[command(after_help = EXPLAIN_EXAMPLES)]
+    Explain(Explain),
     /// Print a shell's completion script
     #[command(after_help = COMPLETION_EXAMPLES)]
     Completion {
--- /dev/null
+++ b/src/cli/explain.rs
@@ -0,0 +1,111 @@
+//! `marlrun explain`: the story of one request, from the logs of routers.
+
+use super::{Exit, Failure, output::Output};
+use serde_json::{Map, Value};
+use std::{
+    fs::File,
+    io::{self, BufRead, BufReader},
+    path::PathBuf,
+};
+
+/// Lines between two notes of progress.
+const PROGRESS_LINES: u64 = 1_000_000;
+/// Members of a line that are printed in front, or not at all.
+const LEADING: [&str; 6] = ["ts_ms", "level", "msg", "router", "incarnation", "request"];
+
+/// Arguments of `explain`.
+#[derive(clap::Args, Clone, Debug)]
+pub struct Explain {
+    /// Identifier that the caller gave the request
+    pub request: Box<str>,
+    /// Logs of routers; `-` reads standard input
+    #[arg(required = true, value_name = "FILE")]
+    pub files: Vec<PathBuf>,
+}
+
+/// A line about the request.
+struct Line {
+    at: u64,
+    fields: Map<String, Value>,
+}
+
+/// Prints all lines about a request in the order of their time, and what its routers believed of
+/// the targets that it was sent to.
+pub(super) fn run(explain: &Explain, output: &mut Output<'_>) -> Result<Exit, Failure> {
+    let mut lines = Vec::new();
+    let mut beliefs = Vec::new();
+    let mut unreadable = 0;
+    for path in &explain.files {
+        let name = path.display().to_string();
+        let opened: Box<dyn BufRead> = if name == "-" {
+            Box::new(BufReader::new(io::stdin()))
+        } else {
+            let file = File::open(path).map_err(|cause| Failure::Log {
+                file: name.as_str().into(),
+                cause,
+            })?;
+            Box::new(BufReader::new(file))
+        };
+        let mut count = 0_u64;
+        for line in opened.lines() {
+            count += 1;
+            if count.is_multiple_of(PROGRESS_LINES) {
+                output.progress(format_args!("{name}: {count} lines read"));
+            }
+            match parse(&line?) {
+                Some(line) if text(&line, "request") == explain.request.as_ref() => {
+                    lines.push(line);
+                }
+                Some(line) if text(&line, "msg") == "target believed" => beliefs.push(line),
+                Some(_) => {}
+                None => unreadable += 1,
+            }
+        }
+    }
+    if unreadable > 0 {
+        output.progress(format_args!("{unreadable} lines are no log lines"));
+    }
+    if lines.is_empty() {
+        output.progress(format_args!(
+            "no line names the request {}",
+            explain.request
+        ));
+        return Ok(Exit::NotFound);
+    }
+    // What was believed before a target was chosen decided with the rest.
+    let targets: Vec<String> = lines.iter().map(|l| text(l, "target").to_owned()).collect();
+    let end = lines.iter().map(|line| line.at).max().unwrap_or_default();
+    beliefs.retain(|line| {
+        line.at <= end && targets.iter().any(|target| target == text(line, "target"))
+    });
+    lines.extend(beliefs);
+    lines.sort_by_key(|line| line.at);
+    let start = lines.first().map_or(0, |line| line.at);
+    for line in &lines {
+        output.print(&line.fields, |out| {
+            let after = line.at - start;
+            let (router, msg) = (text(line, "router"), text(line, "msg"));
+            write!(out, "{after:>8} ms  {router}  {msg}")?;
+            for (name, value) in &line.fields {
+                if !LEADING.contains(&name.as_str()) {
+                    write!(out, " {name}={value}")?;
+                }
+            }
+            writeln!(out)
+        })?;
+    }
+    Ok(Exit::Done)
+}
+
+/// Returns a log line, which may stand behind text of whoever collected it.
+fn parse(line: &str) -> Option<Line> {
+    let json = &line[line.find('{')?..];
+    let fields: Map<String, Value> = serde_json::from_str(json).ok()?;
+    let at = fields.get("ts_ms")?.as_u64()?;
+    Some(Line { at, fields })
+}
+
+fn text<'l>(line: &'l Line, name: &str) -> &'l str {
+    let value = line.fields.get(name).and_then(Value::as_str);
+    value.unwrap_or_default()
+}
--- a/src/cli/failure.rs
+++ b/src/cli/failure.rs
@@ -24,6 +24,14 @@
         /// What the system said.
         cause: io::Error,
     },
+    /// A log cannot be read.
+    #[error("the log {file}: {cause}")]
+    Log {
+        /// Name of the file.
+        file: Box<str>,
+        /// What the system said.
+        cause: io::Error,
+    },
     /// No platform is named.
     #[error("name the platform by --platform or MARLRUN_PLATFORM")]
     NoPlatform,
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -7,6 +7,7 @@
 mod diff;
 mod drain;
 mod exit;
+mod explain;
 mod failure;
 mod files;
 mod history;
--- a/src/cli/run.rs
+++ b/src/cli/run.rs
@@ -3,7 +3,7 @@
 use super::{
     Arguments, Exit, Failure, Output, apply,
     arguments::{Command, Config, List, Router},
-    check, diff, drain, history, list, request, show, top,
+    check, diff, drain, explain, history, list, request, show, top,
 };
 use clap::CommandFactory as _;
 
@@ -34,6 +34,7 @@
         Command::Router(Router::Drain { wait }) => drain::run(*wait, connection, output),
         Command::Top(top) => top::run(top, connection, output),
         Command::Request { id } => request::run(id, connection, output),
+        Command::Explain(arguments) => explain::run(arguments, output),
         Command::Completion { shell } => {
             let mut command = Arguments::command();
             clap_complete::generate(*shell, &mut command, "marlrun", &mut output.out);
--- a/src/front/server.rs
+++ b/src/front/server.rs
@@ -73,7 +73,7 @@
 
 /// Connections that the system holds until they are accepted. Callers come in bursts, and the system
 /// drops what is beyond without a word; their next packet comes a second later.
-const BACKLOG: u32 = 4_096;
+const BACKLOG: u32 = 512;
 
 /// Binds a listener.
 fn listen(address: SocketAddr) -> io::Result<TcpListener> {
@@ -113,21 +113,19 @@
             }
             return;
         }
-        match permit {
-            Ok(permit) => {
-                let crowd = Crowd {
-                    places: connections.clone(),
-                    spare: most / SPARE_DIVISOR,
-                };
-                let connection = serve(stream, handler.clone(), crowd, stopped.clone());
-                tracker.spawn(async move {
-                    connection.await;
-                    drop(permit);
-                });
-            }
-            // Refused above.
-            Err(_) => {}
-        }
+        // A connection without a place was refused above.
+        let Ok(permit) = permit else {
+            return;
+        };
+        let crowd = Crowd {
+            places: connections.clone(),
+            spare: most / SPARE_DIVISOR,
+        };
+        let connection = serve(stream, handler.clone(), crowd, stopped.clone());
+        tracker.spawn(async move {
+            connection.await;
+            drop(permit);
+        });
     };
     let mut stop = stopped.clone();
     let mut closing = pin!(async {
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -23,6 +23,8 @@
     /// Requests that the router carries.
     carried: AtomicU32,
     pressure: Mutex<Pressure>,
+    /// More callers come than the router can carry; the balancer is to send them elsewhere.
+    crowded: AtomicBool,
     /// Connections refused unread since the log told of them.
     unread: AtomicU64,
 }
@@ -79,6 +81,11 @@
         })
     }
 
+    /// Sets whether more callers come than the router can carry; returns whether that is new.
+    pub(super) fn set_crowded(&self, crowded: bool) -> bool {
+        self.crowded.swap(crowded, Ordering::Relaxed) != crowded
+    }
+
     /// Returns the limit of requests carried; `u32::MAX` while there is none.
     pub(super) fn limit(&self) -> u32 {
         let pressure = self.pressure.lock().unwrap_or_else(PoisonError::into_inner);
@@ -128,6 +135,9 @@
         if self.is_draining() {
             return Some("the router is shutting down".into());
         }
+        if self.crowded.load(Ordering::Relaxed) {
+            return Some("more callers come than the router can carry".into());
+        }
         if !self.is_configured() {
             return Some("no configuration is in force".into());
         }
--- a/src/gateway/logbook.rs
+++ b/src/gateway/logbook.rs
@@ -85,6 +85,8 @@
         carried: u32,
         limit: u32,
     },
+    /// The router tells the balancer to send callers elsewhere, or to send them again.
+    Crowded { crowded: bool, refused: u64 },
     /// Another router appeared, or was removed.
     Peer {
         router: &'a id::Router,
@@ -186,6 +188,9 @@
                 limit,
             } => slog::warn!(log, "connections refused unread"; "connections" => connections,
                 "carried" => carried, "limit" => limit),
+            Entry::Crowded { crowded, refused } => {
+                slog::warn!(log, "readiness"; "crowded" => crowded, "refused" => refused);
+            }
             Entry::Peer { router, present } => {
                 slog::info!(log, "router listed"; "peer" => router.as_str(), "present" => present);
             }
--- a/src/gateway/router.rs
+++ b/src/gateway/router.rs
@@ -40,6 +40,12 @@
 const STOP_MARGIN: Span = Span::from_millis(250);
 /// Period in which idle connections to targets are looked through.
 const SWEEP: Span = Span::from_millis(500);
+/// Connections refused unread between two sweeps that are many.
+const CROWD: u64 = 40;
+/// Sweeps in a row with so many after which the router says that it is not ready.
+const CROWDED_SWEEPS: u32 = 2;
+/// Time for which it says so after the last of them: the balancer needs two seconds to see it.
+const CROWD_HOLD: Span = Span::from_secs(5);
 /// Pause between two tries to write this router's entry.
 const REGISTER_PAUSE: Span = Span::from_millis(500);
 /// Time for the removal of the entry at the end.
@@ -177,6 +183,8 @@
         way: Arc::default(),
         shelves,
         decoder: sources.decoder,
+        crowded_sweeps: 0,
+        crowded_until: Time::default(),
         next_tick: clock::now() + TICK,
         behind: None,
         log: log.clone(),
@@ -271,6 +279,9 @@
     way: Arc<mirror::Way>,
     shelves: Shelves,
     decoder: Decoder,
+    /// Sweeps in a row with many refused connections.
+    crowded_sweeps: u32,
+    crowded_until: Time,
     /// Time at which the next tick is due.
     next_tick: Time,
     /// Time since when another router has a newer configuration.
@@ -471,6 +482,7 @@
     fn sweep(&mut self) {
         self.pool.sweep();
         let (connections, carried) = self.fleet.take_unread();
+        self.crowd(connections);
         if connections > 0 {
             let limit = self.fleet.limit();
             Entry::Unread {
@@ -482,6 +494,23 @@
         }
     }
 
+    /// Tells the balancer to send callers elsewhere while too many come, and for a while after.
+    fn crowd(&mut self, refused: u64) {
+        let now = clock::now();
+        self.crowded_sweeps = if refused >= CROWD {
+            self.crowded_sweeps + 1
+        } else {
+            0
+        };
+        if self.crowded_sweeps >= CROWDED_SWEEPS {
+            self.crowded_until = now + CROWD_HOLD;
+        }
+        let crowded = now < self.crowded_until;
+        if self.fleet.set_crowded(crowded) {
+            Entry::Crowded { crowded, refused }.write(&self.log);
+        }
+    }
+
     /// Judges by the lateness of this tick how busy the processor is.
     fn look(&mut self, now: Time) {
         let late = now.since(self.next_tick);
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -566,3 +566,33 @@
     assert_eq!(ran.code, 2);
     assert!("a b".parse::<id::Site>().is_err());
 }
+
+#[test]
+fn explain_request() {
+    let folder = tempfile::tempdir().unwrap();
+    let log = folder.path().join("r1.log");
+    let lines = [
+        r#"{"msg":"target believed","level":"warning","ts_ms":900,"router":"r1","target":"i-1","suspect":true}"#,
+        r#"{"msg":"sent","level":"info","ts_ms":1000,"router":"r1","request":"q1","target":"i-1","backlog_tokens":7}"#,
+        r#"{"msg":"sent","level":"info","ts_ms":1001,"router":"r1","request":"q2","target":"i-2"}"#,
+        "not a line of a log",
+        r#"{"msg":"refused","level":"warning","ts_ms":1400,"router":"r1","request":"q1","reason":"the budget of repeats is spent"}"#,
+    ];
+    fs::write(&log, lines.join("\n")).unwrap();
+    let run = |arguments: &[&str]| {
+        let mut command = Command::cargo_bin("marlrun").unwrap();
+        let output = command.args(arguments).arg(&log).output().unwrap();
+        let text = String::from_utf8(output.stdout).unwrap();
+        (output.status.code().unwrap(), text)
+    };
+    let (code, text) = run(&["explain", "q1"]);
+    assert_eq!(code, 0);
+    let told: Vec<&str> = text.lines().collect();
+    assert_eq!(told.len(), 3, "{text}");
+    assert!(told[0].contains("target believed"));
+    assert!(told[1].contains("backlog_tokens=7"));
+    assert!(told[2].starts_with("     500 ms") && told[2].contains("budget of repeats"));
+    let (code, text) = run(&["--json", "explain", "q1"]);
+    assert_eq!((code, text.lines().count()), (0, 3));
+    assert_eq!(run(&["explain", "q9"]).0, 8);
+}
