--- a/tests/common/process.rs
+++ b/tests/common/process.rs
@@ -26,7 +26,7 @@
 impl Process {
     /// Starts a process whose output nobody reads.
     pub fn spawn(command: &mut Command) -> Self {
-        let child = command.stdout(Stdio::null()).stdin(Stdio::null()).spawn();
+        let child = command.stdin(Stdio::null()).spawn();
         Self {
             child: child.unwrap(),
         }
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -4,6 +4,9 @@
 //! `SOAK_SEED`, `SOAK_SECONDS` and `SOAK_SEEDS` choose the first seed, the length of a run and the
 //! number of runs. Seeds that ever failed stay in [`REGRESSIONS`], each with its cause.
 
+// A soak runs by the system's clock.
+#![allow(clippy::disallowed_methods)]
+
 mod world;
 
 use nix::sys::signal::Signal;
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -1,7 +1,7 @@
 //! Stand-ins of the users' platform, written after its published protocol: the store with its
 //! faults, targets with theirs, and routers as processes before them.
 // Each test file uses a part of it, and tests wait by the system's clock.
-#![allow(dead_code, clippy::disallowed_methods)]
+#![allow(dead_code, unused_imports, clippy::disallowed_methods)]
 
 mod caller;
 mod listener;
