--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -5,6 +5,9 @@
 
 mod caller;
 mod listener;
+#[allow(unreachable_pub)]
+#[path = "../common/process.rs"]
+mod process;
 mod replica;
 mod router;
 mod store;
--- a/tests/world/router.rs
+++ b/tests/world/router.rs
@@ -1,6 +1,6 @@
 //! A router as a process of its own.
 
-use super::{Store, wait_for};
+use super::{Store, process::free_address, wait_for};
 use nix::{
     sys::signal::{self, Signal},
     unistd::Pid,
@@ -9,7 +9,7 @@
 use std::{
     fs::{self, File},
     io::{Read, Write},
-    net::{SocketAddr, TcpListener, TcpStream, UdpSocket},
+    net::{SocketAddr, TcpStream},
     path::PathBuf,
     process::{Child, Command},
     sync::Arc,
@@ -34,13 +34,9 @@
     /// Starts a router with more arguments and returns at once.
     pub(crate) fn spawn_with(store: &Arc<Store>, name: &str, arguments: &[&str]) -> Self {
         let folder = tempfile::tempdir().unwrap();
-        let (listen, health) = (free_address(), free_address());
-        let peer = UdpSocket::bind("127.0.0.1:0")
-            .unwrap()
-            .local_addr()
-            .unwrap();
+        let (listen, health, peer) = (free_address(), free_address(), free_address());
         let settings = json!({
-            "node": name, "zone": "east", "ip": "127.0.0.1", "a-new-field": [1],
+            "node": name, "zone": "east", "ip": peer.ip().to_string(), "a-new-field": [1],
             "listen": { "front": listen.to_string(), "ready": health.to_string() },
             "port-range": [peer.port(), peer.port() + 1],
             "limits": { "max-fds": 1_000, "cpu-share": 0.5 },
@@ -118,8 +114,3 @@
         let _ = self.child.wait();
     }
 }
-
-fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    listener.local_addr().unwrap()
-}
