A stop takes no request later than 2.8 s after its signal

The time at which connections close is now set once, by the signal. gateway::stop_late_request failed before and passes.

--- a/src/front/server.rs
+++ b/src/front/server.rs
@@ -4,7 +4,10 @@
     Problem, Responder,
     transport::{Progress, Running, Times, Transport},
 };
-use crate::unit::Span;
+use crate::{
+    clock,
+    unit::{Span, Time},
+};
 use futures::FutureExt;
 use http::header;
 use http_body_util::BodyExt;
@@ -31,7 +34,9 @@
 /// Running listener; it stops by [`Server::drain`].
 pub struct Server {
     address: SocketAddr,
-    stop: watch::Sender<bool>,
+    /// Time at which connections close, once the server stops.
+    stop: watch::Sender<Option<Time>>,
+    notice: Span,
     task: JoinHandle<()>,
 }
 
@@ -42,8 +47,9 @@
     ///
     /// Fails if the address cannot be bound.
     pub fn bind(settings: Settings, runtime: &Handle) -> io::Result<Self> {
-        let (stop, stopped) = watch::channel(false);
+        let (stop, stopped) = watch::channel(None);
         let handler = settings.handler;
+        let notice = handler.limits().notice;
         let connections = Arc::new(Semaphore::new(handler.limits().connections));
         let listener = {
             let _entered = runtime.enter();
@@ -54,6 +60,7 @@
         Ok(Self {
             address,
             stop,
+            notice,
             task,
         })
     }
@@ -65,7 +72,7 @@
 
     /// Stops to accept, lets every request end, and returns when all connections are closed.
     pub async fn drain(self) {
-        self.stop.send_replace(true);
+        self.stop.send_replace(Some(clock::now() + self.notice));
         // The task only fails if it panicked; the listener is closed then, too.
         let _ = self.task.await;
     }
@@ -90,7 +97,7 @@
     listener: TcpListener,
     handler: Arc<dyn Responder>,
     connections: Arc<Semaphore>,
-    stopped: watch::Receiver<bool>,
+    stopped: watch::Receiver<Option<Time>>,
 ) {
     /// Pause after a failed accept, which mostly means that file descriptors are short.
     const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
@@ -98,7 +105,6 @@
     let tracker = TaskTracker::new();
     let most = connections.available_permits();
     let refused = Arc::new(Semaphore::new(MAX_REFUSED));
-    let notice = Duration::from(handler.limits().notice);
     let serve = |stream: TcpStream| {
         // Without the option small writes may be delayed; the connection works all the same.
         let _ = stream.set_nodelay(true);
@@ -130,8 +136,8 @@
     let mut stop = stopped.clone();
     let mut closing = pin!(async {
         // The sender lives as long as the server.
-        let _ = stop.wait_for(|stop| *stop).await;
-        tokio::time::sleep(notice).await;
+        let _ = stop.wait_for(Option::is_some).await;
+        tokio::time::sleep(left(&stop)).await;
     });
     loop {
         let accepted = tokio::select! {
@@ -176,7 +182,7 @@
     stream: TcpStream,
     handler: Arc<dyn Responder>,
     crowd: Crowd,
-    mut stopped: watch::Receiver<bool>,
+    mut stopped: watch::Receiver<Option<Time>>,
 ) {
     let limits = handler.limits();
     let (running, mut begun) = watch::channel(false);
@@ -217,13 +223,10 @@
     // An error of the connection is the caller's: it went away or sent no HTTP.
     tokio::select! {
         _ = connection.as_mut() => return,
-        _ = stopped.wait_for(|stop| *stop) => {}
+        _ = stopped.wait_for(Option::is_some) => {}
     }
     // A request may be on its way on a connection that is idle; closed now, it would be cut off.
-    let begins = tokio::time::timeout(
-        Duration::from(limits.notice),
-        begun.wait_for(|running| *running),
-    );
+    let begins = tokio::time::timeout(left(&stopped), begun.wait_for(|running| *running));
     tokio::select! {
         _ = connection.as_mut() => return,
         _ = begins => {}
@@ -241,8 +244,14 @@
     }
 }
 
+/// Returns the time until connections close.
+fn left(stopped: &watch::Receiver<Option<Time>>) -> Duration {
+    let close = stopped.borrow().unwrap_or_default();
+    Duration::from(close.since(clock::now()))
+}
+
 /// Time for which a head that was begun is awaited after the notice of a shutdown.
-const HEAD_GRACE: Span = Span::from_millis(500);
+const HEAD_GRACE: Span = Span::from_millis(400);
 
 /// Smallest read buffer that the HTTP library accepts, in bytes.
 const MIN_BUFFER_BYTES: usize = 8_192;
--- a/src/gateway/router.rs
+++ b/src/gateway/router.rs
@@ -35,7 +35,7 @@
 const VERSION_LAG: Span = Span::from_millis(150);
 /// Time for which a router that shuts down takes new connections: the balancer asks each second and
 /// stops after two refusals.
-const NOTICE: Span = Span::from_millis(2_600);
+const NOTICE: Span = Span::from_millis(2_400);
 /// Time kept free before the platform kills the process.
 const STOP_MARGIN: Span = Span::from_millis(250);
 /// Period in which idle connections to targets are looked through.
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -436,3 +436,24 @@
     assert_eq!(answer.call().status, 200);
     assert_eq!(router.ended(), None);
 }
+
+#[test]
+fn stop_late_request() {
+    use std::io::Write;
+    let world = World::open(0, 1);
+    let mut router = Router::ready(&world.store, "r1");
+    router.signal(Signal::SIGTERM);
+    thread::sleep(Duration::from_millis(2_000));
+    // Connected before the listener closes, with a request after the time that a stop leaves.
+    let mut late = std::net::TcpStream::connect(router.listen).unwrap();
+    thread::sleep(Duration::from_millis(1_500));
+    let request = format!(
+        "POST /book/x HTTP/1.1\r\nhost: {}\r\nauthorization: Bearer {KEY}\r\n\
+         x-marlrun-request-id: late\r\ncontent-length: 0\r\n\r\n",
+        world::HOST
+    );
+    // The router may have closed the connection.
+    let _ = late.write_all(request.as_bytes());
+    wait_for("the router ends", || router.ended() == Some(0));
+    assert!(world.runs_of("late").is_empty());
+}
