--- a/src/bin/marlrund/main.rs
+++ b/src/bin/marlrund/main.rs
@@ -18,7 +18,7 @@
     flags: daemon::Flags,
     /// Settings file of the platform; the router then follows the platform's lists, and flags of
     /// addresses are not needed.
-    #[arg(long, env = "MARLRUN_SETTINGS")]
+    #[arg(long, env = platform::Settings::VARIABLE)]
     platform_settings: Option<PathBuf>,
     /// How targets are chosen on the platform.
     #[arg(long, env = "MARLRUN_PLACEMENT", default_value_t)]
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -9,6 +9,7 @@
 mod handler;
 mod head;
 mod hub;
+mod keeper;
 mod logbook;
 mod outgoing;
 mod pressure;
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -111,6 +111,9 @@
 const DEFAULT_RETRY_EXTRA: f64 = 50.0;
 
 impl Settings {
+    /// Environment variable in which the platform names the file.
+    pub const VARIABLE: &str = "MARLRUN_SETTINGS";
+
     /// Reads the settings file.
     ///
     /// # Errors
