--- a/src/dispatch/machine/mod.rs
+++ b/src/dispatch/machine/mod.rs
@@ -125,6 +125,7 @@
         let waiting = Waiting {
             request,
             tried: Vec::new(),
+            unsent: 0,
             ran: false,
             until,
         };
@@ -249,40 +250,34 @@
     }
 
     fn send_again(&mut self, now: Time, run: Run, end: End, again: bool, out: &mut Vec<Action>) {
-        let mut request = run.request;
+        let unsent = end == End::Unsent;
         let mut waiting = Waiting {
+            until: self.hold_until(now, &run.request),
+            request: run.request,
             tried: run.tried,
+            unsent: run.unsent + usize::from(unsent),
             ran: run.ran,
-            until: self.hold_until(now, &request),
-            request: request.clone(),
         };
-        if !again || (waiting.ran && !request.kind.is_repeatable()) {
+        let request = &mut waiting.request;
+        request.due = request.due.max(now + AGAIN_DUE);
+        let service = request.service.clone();
+        let attempts = request.attempts as usize;
+        let reached = waiting.tried.len() - waiting.unsent;
+        if !again || (waiting.ran && !waiting.request.kind.is_repeatable()) {
             return refuse(&waiting, Reason::Attempts, Span(0), out);
         }
-        let free = end == End::Unsent;
-        if free {
-            waiting.tried.pop();
-            // The target that can't be reached is out of use for this request all the same.
-            waiting.request.attempts = request.attempts;
-        }
-        let unsent = waiting.tried.len() >= MAX_UNSENT * request.attempts.max(1) as usize;
-        if unsent || (!free && waiting.tried.len() >= request.attempts as usize) {
+        if waiting.unsent >= MAX_UNSENT || reached >= attempts {
             return refuse(&waiting, Reason::Attempts, OVERLOAD_RETRY, out);
         }
-        if !free && !self.budget(&request.service).spend() {
+        if !unsent && !self.budget(&service).spend() {
             return refuse(&waiting, Reason::Budget, OVERLOAD_RETRY, out);
         }
-        request.due = request.due.max(now + AGAIN_DUE);
-        waiting.request = request;
-        if !self.has_target(&waiting.request.service) {
+        if !self.has_target(&service) {
             return refuse(&waiting, Reason::NoTarget, NO_TARGET_RETRY, out);
         }
         match self.find(now, &waiting, None) {
             Some(offer) => self.send(now, waiting, offer, out),
-            None => {
-                let service = waiting.request.service.clone();
-                self.queues.entry(service).or_default().push(waiting);
-            }
+            None => self.queues.entry(service).or_default().push(waiting),
         }
     }
 
--- a/src/dispatch/machine/place.rs
+++ b/src/dispatch/machine/place.rs
@@ -113,6 +113,7 @@
         let Waiting {
             request,
             mut tried,
+            unsent,
             ran,
             ..
         } = waiting;
@@ -147,6 +148,7 @@
             memory,
             sent: now,
             tried,
+            unsent,
             begun: false,
             ran,
             abandoned: false,
--- a/src/dispatch/queue.rs
+++ b/src/dispatch/queue.rs
@@ -9,6 +9,8 @@
     pub(super) request: Request,
     /// Targets that it was sent to.
     pub(super) tried: Vec<id::Target>,
+    /// How many of them could not be reached.
+    pub(super) unsent: usize,
     /// A target may have run it.
     pub(super) ran: bool,
     /// Time at which it must be sent or refused.
--- a/src/dispatch/run.rs
+++ b/src/dispatch/run.rs
@@ -11,6 +11,8 @@
     pub(super) sent: Time,
     /// Targets that it was sent to, the last one at the end.
     pub(super) tried: Vec<id::Target>,
+    /// How many of them could not be reached.
+    pub(super) unsent: usize,
     /// Prompt tokens that were waiting at the target when it was sent, its own included.
     pub(super) ahead: u64,
     /// Tokens of its own in the target's memory, without shared parts.
--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -222,6 +222,35 @@
     assert_eq!(refused(&actions), Some((Reason::Attempts, false)));
 }
 
+#[test]
+fn end_unsent_is_not_tried_for_ever() {
+    let mut dispatcher = ready("r1", &[target("a", "app"), target("b", "app")]);
+    let mut sends = 0;
+    let mut actions = step(&mut dispatcher, 0, Event::Arrived(request(1, 0, "app")));
+    for millis in (10..4_000).step_by(10) {
+        if sent_to(&actions).is_some() {
+            sends += 1;
+            let ended = Event::Ended {
+                number: 1,
+                end: End::Unsent,
+                again: true,
+            };
+            actions = step(&mut dispatcher, millis, ended);
+        } else {
+            actions = step(&mut dispatcher, millis, Event::Tick);
+        }
+        if let Some((_, ran)) = refused(&actions) {
+            assert!(!ran, "no byte of it left");
+            assert!(
+                sends <= 3,
+                "{sends} targets that can't be reached were tried"
+            );
+            return;
+        }
+    }
+    panic!("never refused after {sends} sends");
+}
+
 #[test]
 fn end_broken_once_is_never_sent_again() {
     let mut dispatcher = ready("r1", &[target("a", "app"), target("b", "app")]);
