A silent leader is noticed after 0.8 s

A router that waits for changes at a leader which fell silent gave up after three quarters of the bound for changes and a further 0.3 s.

--- a/src/mirror/source.rs
+++ b/src/mirror/source.rs
@@ -21,6 +21,9 @@
 const MAX_PAGE_BYTES: usize = 32 << 20;
 /// Time in which another router has to answer, beyond the wait that it was asked for.
 const PEER_TIMEOUT: Span = Span::from_millis(300);
+/// Longest wait that another router is asked for: calls between routers are cheap, and one that fell
+/// silent must be noticed well inside the bound of a change.
+const PEER_WAIT: Span = Span::from_millis(800);
 /// Time after a failure in which the places that failed are not asked first.
 const RETURN: Span = Span::from_secs(5);
 
@@ -178,6 +181,7 @@
         let Some(Some(peer)) = self.places().first().copied() else {
             return self.platform.follow(after, wait);
         };
+        let wait = wait.min(PEER_WAIT);
         async move {
             let query = format!("?after={after}&wait-ms={}", wait.as_millis());
             self.ask(peer, &query, wait).await
