--- a/schema/marlrun.capnp
+++ b/schema/marlrun.capnp
@@ -213,6 +213,13 @@
   tokens @2 :UInt32;
 }
 
+# Whose load a summary holds.
+enum Scope {
+  group @0; # the sender's and that of the routers that follow it
+  follower @1; # the sender's; it follows the receiver
+  rest @2; # all routers' but the receiver's
+}
+
 # Lists hold what changed since the last summary, with absolute values; all is sent again once in a while.
 struct Summary {
   router @0 :Text;
@@ -223,4 +230,7 @@
   loads @5 :List(TargetLoad);
   usages @6 :List(WorkspaceUsage);
   reads @7 :List(PromptRead);
+  scope @8 :Scope;
+  routers @9 :UInt32; # routers whose load it holds
+  ageMicros @10 :UInt64; # of the oldest report that it holds
 }
--- /dev/null
+++ b/src/dispatch/count.rs
@@ -0,0 +1,17 @@
+//! Tokens asked for and granted.
+
+use std::ops::AddAssign;
+
+/// Tokens asked for and granted.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(super) struct Count {
+    pub(super) asked: u64,
+    pub(super) granted: u64,
+}
+
+impl AddAssign for Count {
+    fn add_assign(&mut self, other: Self) {
+        self.asked += other.asked;
+        self.granted += other.granted;
+    }
+}
--- a/src/dispatch/event.rs
+++ b/src/dispatch/event.rs
@@ -34,6 +34,13 @@
     Routing(Arc<routing::Table>),
     /// Another router told its load.
     Summary(gossip::Summary),
+    /// The known routers changed.
+    Roster {
+        /// Routers that this one may follow, best first; none if it leads.
+        candidates: Vec<id::Router>,
+        /// Other routers that lead.
+        leaders: Vec<id::Router>,
+    },
     /// Time has passed.
     Tick,
 }
--- /dev/null
+++ b/src/dispatch/ledger.rs
@@ -0,0 +1,37 @@
+//! What was told to one audience.
+
+use crate::{gossip, unit::Time};
+use std::collections::HashMap;
+
+/// What was told to one audience, so that only changes are told.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Ledger {
+    loads: HashMap<u64, gossip::Load>,
+    /// Time of the last summary.
+    pub(super) at: Time,
+}
+
+impl Ledger {
+    /// Returns the loads that differ from what was told, or all of them.
+    pub(super) fn changes(
+        &mut self,
+        loads: impl Iterator<Item = gossip::Load>,
+        all: bool,
+    ) -> Vec<gossip::Load> {
+        let mut changes = Vec::new();
+        for load in loads {
+            let idle = load.running == 0 && !load.suspect;
+            let told = self.loads.insert(load.target, load);
+            let known = told.map_or(idle, |told| told == load);
+            if all || !known {
+                changes.push(load);
+            }
+        }
+        changes
+    }
+
+    /// Forgets loads of targets that are gone.
+    pub(super) fn retain(&mut self, is_known: impl Fn(u64) -> bool) {
+        self.loads.retain(|target, _| is_known(*target));
+    }
+}
--- a/src/dispatch/machine/fleet.rs
+++ b/src/dispatch/machine/fleet.rs
@@ -1,10 +1,11 @@
 //! The targets, the configuration and the other routers.
 
-use super::{Dispatcher, Peer, Target};
+use super::{Circle, Count, Dispatcher, Ledger, Peer, Target};
 use crate::{
     catalog,
-    dispatch::{Action, View},
-    gossip, id, routing,
+    dispatch::{Action, Audience, View},
+    gossip::{self, Scope},
+    id, routing,
     unit::{Span, Time},
 };
 use std::{
@@ -15,10 +16,6 @@
 /// Time after which a router that was not heard of counts for nothing. Its requests end with it, or
 /// it is cut off and its load no longer known.
 const PEER_SILENCE: Span = Span::from_millis(1_500);
-/// Period in which everything is told again, since datagrams are lost.
-const TELL_ALL: Span = Span::from_millis(500);
-/// Items of all kinds in one summary; it fits a datagram with names of usual length.
-const MAX_ITEMS: usize = 44;
 /// Part of a target's connections that the routers use together, in percent: the list of routers
 /// lags, and a connection that was closed may count at the target for a while.
 const CONNECTIONS_PERCENT: u32 = 80;
@@ -62,7 +59,7 @@
 
     /// Returns this router's part of the connections of one target.
     fn own_limit(&self, service: Option<&routing::Service>) -> u32 {
-        let routers = self.peers.len() as u32 + 1;
+        let routers = self.routers();
         let all = service.map_or(u32::MAX, |service| service.max_connections);
         (all / 100 * CONNECTIONS_PERCENT + all % 100 * CONNECTIONS_PERCENT / 100)
             .div_ceil(routers)
@@ -93,13 +90,65 @@
             target.own_limit = self.own_limit(service.map(Arc::as_ref));
         }
         self.targets = targets;
-        let routers = self.peers.len() as u32 + 1;
+        let routers = self.routers();
         let burst = self.settings.repeat_extra / routers;
         self.budgets.values_mut().for_each(|b| b.limit(burst));
     }
 
+    /// Takes the routers that may be followed and those that lead.
+    pub(super) fn set_roster(
+        &mut self,
+        now: Time,
+        candidates: Vec<id::Router>,
+        leaders: Vec<id::Router>,
+    ) {
+        self.change_circle(|circle| circle.set(now, candidates, leaders));
+    }
+
+    /// Follows another router if the one that was followed is silent.
+    pub(super) fn keep_circle(&mut self, now: Time) {
+        self.change_circle(|circle| circle.tick(now));
+    }
+
+    fn change_circle(&mut self, change: impl FnOnce(&mut Circle)) {
+        let before = self.circle.followed().cloned();
+        let audience = self.audience();
+        change(&mut self.circle);
+        let after = self.circle.followed();
+        if before.as_ref() == after {
+            return;
+        }
+        if after.is_none() {
+            // From now on the loads of groups are added up here.
+            self.drop_peers(|peer| peer.scope == Scope::Rest);
+        }
+        self.farewells.push(audience);
+        if before.is_none() {
+            let followers = self.followers();
+            self.drop_peers(Peer::follows);
+            let followers = (Scope::Rest, Audience::Routers(followers));
+            self.farewells.push(followers);
+        }
+        self.ledger = Ledger::default();
+        self.told_all = Time::default();
+    }
+
+    /// Returns the number of known routers, this one with them.
+    pub(super) fn routers(&self) -> u32 {
+        1 + self.peers.values().map(|peer| peer.routers).sum::<u32>()
+    }
+
+    /// Reports whether a summary is for what this router is at present: one that follows another
+    /// hears all loads from that one, and others hear each load from one router.
+    fn is_for_this(&self, summary: &gossip::Summary) -> bool {
+        match (summary.scope, self.circle.followed()) {
+            (Scope::Rest, followed) => followed == Some(&summary.router),
+            (Scope::Group | Scope::Follower, followed) => followed.is_none(),
+        }
+    }
+
     pub(super) fn hear(&mut self, now: Time, summary: &gossip::Summary, out: &mut Vec<Action>) {
-        if summary.router == self.settings.router {
+        if summary.router == self.settings.router || !self.is_for_this(summary) {
             return;
         }
         let known = self.peers.get(&summary.router);
@@ -110,21 +159,50 @@
             return;
         }
         if summary.leaving {
-            self.drop_peer(&summary.router);
+            self.drop_peers_named(std::slice::from_ref(&summary.router));
+            if summary.scope == Scope::Rest {
+                self.change_circle(|circle| circle.leave(now));
+            }
             return;
         }
-        if known.is_none_or(|peer| peer.incarnation < summary.incarnation) {
-            self.drop_peer(&summary.router);
+        if known.is_none_or(|peer| {
+            peer.incarnation < summary.incarnation || peer.scope != summary.scope
+        }) {
+            if summary.scope == Scope::Rest {
+                self.drop_peers(|_| true);
+            } else {
+                self.drop_peers_named(std::slice::from_ref(&summary.router));
+            }
             let peer = Peer::new(summary, now);
             self.peers.insert(summary.router.clone(), peer);
             self.spread_limits();
         }
+        if summary.scope == Scope::Rest {
+            self.circle.hear_followed(now);
+        } else if summary.scope == Scope::Group {
+            self.change_circle(|circle| circle.hear_group(now, &summary.router));
+        }
+        self.take(now, summary);
+        if summary.loads.is_empty() {
+            return;
+        }
+        let services: Vec<id::Service> = self.queues.keys().cloned().collect();
+        for service in services {
+            self.serve(now, &service, out);
+        }
+    }
+
+    /// Takes what a known router told.
+    fn take(&mut self, now: Time, summary: &gossip::Summary) {
         let Some(peer) = self.peers.get_mut(&summary.router) else {
             return;
         };
         peer.sequence = summary.sequence;
         peer.heard = now;
+        peer.age = summary.age;
         peer.version = peer.version.max(summary.version);
+        let more_routers = peer.routers != summary.routers;
+        peer.routers = summary.routers;
         for load in &summary.loads {
             let (before, after) = peer.take_load(load);
             let target = self.keys.get(&load.target);
@@ -138,6 +216,8 @@
         for usage in &summary.usages {
             let (asked, granted) = peer.take_usage(usage);
             self.share.add(usage.workspace, asked, granted);
+            let account = self.accounts.entry(usage.workspace).or_default();
+            account.add(&summary.router, peer.follows(), Count { asked, granted });
         }
         for read in &summary.reads {
             let target = self.keys.get(&read.target);
@@ -146,105 +226,51 @@
                 target.cache.touch(read.part, read.tokens, memory);
             }
         }
-        if summary.loads.is_empty() {
-            return;
+        if summary.scope != Scope::Rest {
+            let reads = summary.reads.iter();
+            let reads = reads.map(|read| (Some(summary.router.clone()), *read));
+            self.reads.extend(reads);
         }
-        let services: Vec<id::Service> = self.queues.keys().cloned().collect();
-        for service in services {
-            self.serve(now, &service, out);
+        if more_routers {
+            self.spread_limits();
         }
     }
 
-    /// Forgets what a router told.
-    fn drop_peer(&mut self, router: &id::Router) {
-        let Some(peer) = self.peers.remove(router) else {
-            return;
-        };
-        for load in peer.loads.values() {
-            let target = self.keys.get(&load.target);
-            if let Some(target) = target.and_then(|name| self.targets.get_mut(name)) {
-                target.others = replace(target.others, load.into(), View::default());
+    /// Forgets what routers told.
+    fn drop_peers(&mut self, is_dropped: impl Fn(&Peer) -> bool) {
+        let dropped = self.peers.iter().filter(|(_, peer)| is_dropped(peer));
+        let dropped: Vec<id::Router> = dropped.map(|(router, _)| router.clone()).collect();
+        self.drop_peers_named(&dropped);
+    }
+
+    fn drop_peers_named(&mut self, routers: &[id::Router]) {
+        let known = self.peers.len();
+        for router in routers {
+            let Some(peer) = self.peers.remove(router) else {
+                continue;
+            };
+            for load in peer.loads.values() {
+                let target = self.keys.get(&load.target);
+                if let Some(target) = target.and_then(|name| self.targets.get_mut(name)) {
+                    target.others = replace(target.others, load.into(), View::default());
+                }
             }
         }
-        self.spread_limits();
+        if self.peers.len() != known {
+            self.spread_limits();
+        }
     }
 
     pub(super) fn drop_silent_peers(&mut self, now: Time) {
-        let silent = self.peers.iter();
-        let silent = silent.filter(|(_, peer)| now.since(peer.heard) >= PEER_SILENCE);
-        let silent: Vec<id::Router> = silent.map(|(router, _)| router.clone()).collect();
-        for router in silent {
-            self.drop_peer(&router);
-        }
+        self.drop_peers(|peer| now.since(peer.heard) >= PEER_SILENCE);
     }
 
     /// Returns the age of the oldest report that counts.
     pub(super) fn view_age(&self, now: Time) -> Span {
-        let ages = self.peers.values().map(|peer| now.since(peer.heard));
+        let ages = self.peers.values().map(|peer| peer.age(now));
         ages.max().unwrap_or_default()
     }
 
-    /// Returns what the other routers are to be told now.
-    pub fn tell(&mut self, now: Time, leaving: bool) -> Vec<gossip::Summary> {
-        let all = now.since(self.told_all) >= TELL_ALL;
-        if all {
-            self.told_all = now;
-        }
-        let mut loads = Vec::new();
-        for target in self.targets.values_mut() {
-            let load = target.load();
-            let idle = load.running == 0 && target.told.running == 0 && !load.suspect;
-            if (all && !idle) || load != target.told {
-                target.told = load;
-                loads.push(load);
-            }
-        }
-        let mut usages = Vec::new();
-        for (workspace, usage) in &mut self.usages {
-            if all || usage.changed {
-                usage.changed = false;
-                usages.push(gossip::Usage {
-                    workspace: *workspace,
-                    asked: usage.asked,
-                    granted: usage.granted,
-                });
-            }
-        }
-        let reads = std::mem::take(&mut self.reads);
-        self.pack(leaving, all, &loads, &usages, &reads)
-    }
-
-    /// Cuts what is to be told into summaries that fit a datagram each.
-    fn pack(
-        &mut self,
-        leaving: bool,
-        always: bool,
-        mut loads: &[gossip::Load],
-        mut usages: &[gossip::Usage],
-        mut reads: &[gossip::Read],
-    ) -> Vec<gossip::Summary> {
-        let mut summaries = Vec::new();
-        while !loads.is_empty()
-            || !usages.is_empty()
-            || !reads.is_empty()
-            || (summaries.is_empty() && (always || leaving))
-        {
-            self.sequence += 1;
-            let mut room = MAX_ITEMS;
-            summaries.push(gossip::Summary {
-                router: self.settings.router.clone(),
-                incarnation: self.settings.incarnation,
-                sequence: self.sequence,
-                version: self.routing.version,
-                leaving,
-                loads: cut(&mut loads, &mut room),
-                usages: cut(&mut usages, &mut room),
-                reads: cut(&mut reads, &mut room),
-            });
-        }
-        summaries
-    }
-
     /// Returns the loads of all targets, this router's part and the others'.
     pub fn views(&self) -> HashMap<id::Target, (View, View)> {
         let targets = self.targets.iter();
@@ -262,12 +288,3 @@
         memory: (sum.memory + after.memory).saturating_sub(before.memory),
     }
 }
-
-/// Takes items from the front of a list while there is room.
-fn cut<T: Clone>(items: &mut &[T], room: &mut usize) -> Vec<T> {
-    let count = items.len().min(*room);
-    let (taken, rest) = items.split_at(count);
-    *items = rest;
-    *room -= count;
-    taken.to_vec()
-}
--- a/src/dispatch/machine/mod.rs
+++ b/src/dispatch/machine/mod.rs
@@ -2,9 +2,14 @@
 
 mod fleet;
 mod place;
+mod tell;
 
 use super::{
-    Action, End, Event, Reason, Refusal, Request, Settings,
+    Action, Audience, End, Event, Reason, Refusal, Request, Settings, Standing,
+    account::Account,
+    circle::Circle,
+    count::Count,
+    ledger::Ledger,
     peer::Peer,
     queue::{Queue, Waiting},
     run::Run,
@@ -12,7 +17,8 @@
     target::Target,
 };
 use crate::{
-    gossip, id,
+    gossip::{self, Scope},
+    id,
     ingress::Budget,
     placement::hash,
     routing,
@@ -40,15 +46,6 @@
 /// neither as attempts nor as repeats.
 const MAX_UNSENT: usize = 3;
 
-/// Tokens of a workspace at this router since it started.
-#[derive(Clone, Copy, Debug, Default)]
-struct Usage {
-    asked: u64,
-    granted: u64,
-    /// The other routers were not told the newest values.
-    changed: bool,
-}
-
 /// Decides for the requests that this router took.
 #[derive(Clone, Debug)]
 pub struct Dispatcher {
@@ -60,10 +57,17 @@
     runs: HashMap<u64, Run>,
     budgets: BTreeMap<id::Service, Budget>,
     share: Share,
-    usages: HashMap<u64, Usage>,
+    accounts: HashMap<u64, Account>,
+    circle: Circle,
     peers: BTreeMap<id::Router, Peer>,
-    /// Parts of prompts sent that the other routers were not told of.
-    reads: Vec<gossip::Read>,
+    /// What the routers that lead, or the one that is followed, were told.
+    ledger: Ledger,
+    /// Parts of prompts sent that others were not told of, with the router that told this one.
+    reads: Vec<(Option<id::Router>, gossip::Read)>,
+    /// When a target's part was told last.
+    told_reads: HashMap<(u64, u64), Time>,
+    /// Those that this router told and won't tell any more, as long as they don't know.
+    farewells: Vec<(Scope, Audience)>,
     sequence: u64,
     told_all: Time,
 }
@@ -80,9 +84,13 @@
             queues: BTreeMap::new(),
             runs: HashMap::new(),
             budgets: BTreeMap::new(),
-            usages: HashMap::new(),
+            accounts: HashMap::new(),
+            circle: Circle::open(),
             peers: BTreeMap::new(),
+            ledger: Ledger::default(),
             reads: Vec::new(),
+            told_reads: HashMap::new(),
+            farewells: Vec::new(),
             sequence: 0,
             told_all: Time::default(),
         }
@@ -114,6 +122,10 @@
             Event::Targets(targets) => self.set_targets(now, targets, out),
             Event::Routing(table) => self.set_routing(now, table, out),
             Event::Summary(summary) => self.hear(now, &summary, out),
+            Event::Roster {
+                candidates,
+                leaders,
+            } => self.set_roster(now, candidates, leaders),
             Event::Tick => self.tick(now, out),
         }
     }
@@ -130,10 +142,10 @@
             until,
         };
         if waiting.request.deadline <= now {
-            return refuse(&waiting, Reason::Deadline, Span(0), out);
+            return self.refuse(now, &waiting, Reason::Deadline, Span(0), out);
         }
         if !self.has_target(&waiting.request.service) {
-            return refuse(&waiting, Reason::NoTarget, NO_TARGET_RETRY, out);
+            return self.refuse(now, &waiting, Reason::NoTarget, NO_TARGET_RETRY, out);
         }
         // Those that wait already go first, unless they can't use what this one can.
         if let Some(offer) = self.find(now, &waiting, excess) {
@@ -141,7 +153,7 @@
         }
         if excess.is_some() {
             let retry = self.share_retry(&waiting.request);
-            return refuse(&waiting, Reason::Share, retry, out);
+            return self.refuse(now, &waiting, Reason::Share, retry, out);
         }
         let service = waiting.request.service.clone();
         self.queues.entry(service).or_default().push(waiting);
@@ -154,9 +166,10 @@
         };
         let key = hash(workspace.as_str());
         let cost = prompt.cost();
-        let usage = self.usages.entry(key).or_default();
-        usage.asked += cost;
-        usage.changed = true;
+        self.accounts.entry(key).or_default().add_own(Count {
+            asked: cost,
+            granted: 0,
+        });
         self.share.add(key, cost, 0);
         if self.settings.placement.sees_others() {
             self.share.excess(key, cost)
@@ -182,7 +195,7 @@
     }
 
     fn budget(&mut self, service: &id::Service) -> &mut Budget {
-        let routers = self.peers.len() as u32 + 1;
+        let routers = self.routers();
         let settings = &self.settings;
         self.budgets.entry(service.clone()).or_insert_with(|| {
             Budget::new(settings.repeat_permille, settings.repeat_extra / routers)
@@ -264,16 +277,16 @@
         let attempts = request.attempts as usize;
         let reached = waiting.tried.len() - waiting.unsent;
         if !again || (waiting.ran && !waiting.request.kind.is_repeatable()) {
-            return refuse(&waiting, Reason::Attempts, Span(0), out);
+            return self.refuse(now, &waiting, Reason::Attempts, Span(0), out);
         }
         if waiting.unsent >= MAX_UNSENT || reached >= attempts {
-            return refuse(&waiting, Reason::Attempts, OVERLOAD_RETRY, out);
+            return self.refuse(now, &waiting, Reason::Attempts, OVERLOAD_RETRY, out);
         }
         if !unsent && !self.budget(&service).spend() {
-            return refuse(&waiting, Reason::Budget, OVERLOAD_RETRY, out);
+            return self.refuse(now, &waiting, Reason::Budget, OVERLOAD_RETRY, out);
         }
         if !self.has_target(&service) {
-            return refuse(&waiting, Reason::NoTarget, NO_TARGET_RETRY, out);
+            return self.refuse(now, &waiting, Reason::NoTarget, NO_TARGET_RETRY, out);
         }
         match self.find(now, &waiting, None) {
             Some(offer) => self.send(now, waiting, offer, out),
@@ -295,6 +308,7 @@
     fn tick(&mut self, now: Time, out: &mut Vec<Action>) {
         self.share.tick(now);
         self.drop_silent_peers(now);
+        self.keep_circle(now);
         self.abandon(now, out);
         let services: Vec<id::Service> = self.queues.keys().cloned().collect();
         for service in services {
@@ -306,22 +320,34 @@
                 } else {
                     Reason::Overload
                 };
-                refuse(&waiting, reason, OVERLOAD_RETRY, out);
+                self.refuse(now, &waiting, reason, OVERLOAD_RETRY, out);
             }
         }
         self.queues.retain(|_, queue| queue.len() > 0);
     }
-}
 
-fn refuse(waiting: &Waiting, reason: Reason, retry_after: Span, out: &mut Vec<Action>) {
-    out.push(Action::Refuse {
-        number: waiting.request.number,
-        refusal: Refusal {
-            reason,
-            retry_after,
-            ran: waiting.ran,
-        },
-    });
+    fn refuse(
+        &self,
+        now: Time,
+        waiting: &Waiting,
+        reason: Reason,
+        retry_after: Span,
+        out: &mut Vec<Action>,
+    ) {
+        let workspace = waiting.request.workspace.as_ref();
+        out.push(Action::Refuse {
+            number: waiting.request.number,
+            refusal: Refusal {
+                reason,
+                retry_after,
+                ran: waiting.ran,
+                standing: workspace.map_or_else(Standing::default, |workspace| {
+                    self.share.standing(hash(workspace.as_str()))
+                }),
+                view_age: self.view_age(now),
+            },
+        });
+    }
 }
 
 fn belief(target: &Target) -> Action {
--- a/src/dispatch/machine/place.rs
+++ b/src/dispatch/machine/place.rs
@@ -1,6 +1,6 @@
 //! Which waiting request goes next, and to which target.
 
-use super::{Dispatcher, Queue, Run, Usage, Waiting};
+use super::{Count, Dispatcher, Queue, Run, Waiting};
 use crate::{
     dispatch::{
         Action, Offer, Placement,
@@ -127,12 +127,13 @@
                 part: part.id,
                 tokens: part.tokens,
             });
-            self.reads.extend(reads);
+            self.reads.extend(reads.map(|read| (None, read)));
             if let Some(workspace) = request.workspace.as_ref().filter(|_| tried.is_empty()) {
                 let key = hash(workspace.as_str());
-                let usage: &mut Usage = self.usages.entry(key).or_default();
-                usage.granted += prompt.cost();
-                usage.changed = true;
+                self.accounts.entry(key).or_default().add_own(Count {
+                    asked: 0,
+                    granted: prompt.cost(),
+                });
                 self.share.add(key, 0, prompt.cost());
             }
         }
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -3,11 +3,15 @@
 //! A plain state machine without network, clock or threads. Each router decides for its own
 //! requests, with the loads that all routers report to each other in view.
 
+mod account;
 mod action;
 mod cache;
+mod circle;
+mod count;
 mod end;
 mod event;
 mod health;
+mod ledger;
 mod machine;
 mod offer;
 mod pace;
@@ -20,7 +24,9 @@
 mod run;
 mod settings;
 mod share;
+mod standing;
 mod target;
+mod told;
 mod view;
 
 pub use self::{
@@ -34,5 +40,7 @@
     refusal::{Reason, Refusal},
     request::Request,
     settings::Settings,
+    standing::Standing,
+    told::{Audience, Told},
     view::View,
 };
--- a/src/dispatch/peer.rs
+++ b/src/dispatch/peer.rs
@@ -1,9 +1,10 @@
 //! What another router told.
 
-use super::View;
+use super::{View, ledger::Ledger};
 use crate::{
-    gossip, id,
-    unit::{Time, Version},
+    gossip::{self, Scope},
+    id,
+    unit::{Span, Time, Version},
 };
 use std::collections::HashMap;
 
@@ -11,25 +12,46 @@
 #[derive(Clone, Debug)]
 pub(super) struct Peer {
     pub(super) incarnation: id::Incarnation,
+    pub(super) scope: Scope,
     pub(super) sequence: u64,
     pub(super) heard: Time,
     pub(super) version: Version,
+    /// Routers whose load it told.
+    pub(super) routers: u32,
+    /// Age of the oldest report that it told of, when it did.
+    pub(super) age: Span,
     pub(super) loads: HashMap<u64, gossip::Load>,
     usages: HashMap<u64, gossip::Usage>,
+    /// What it was told, if it follows this router.
+    pub(super) ledger: Ledger,
 }
 
 impl Peer {
     pub(super) fn new(summary: &gossip::Summary, now: Time) -> Self {
         Self {
             incarnation: summary.incarnation,
+            scope: summary.scope,
             sequence: 0,
             heard: now,
             version: summary.version,
+            routers: summary.routers,
+            age: summary.age,
             loads: HashMap::new(),
             usages: HashMap::new(),
+            ledger: Ledger::default(),
         }
     }
 
+    /// Returns the age of the oldest report that it told of.
+    pub(super) fn age(&self, now: Time) -> Span {
+        Span(now.since(self.heard).0 + self.age.0)
+    }
+
+    /// Reports whether it follows this router.
+    pub(super) fn follows(&self) -> bool {
+        self.scope == Scope::Follower
+    }
+
     /// Takes a load; returns the view before and after.
     pub(super) fn take_load(&mut self, load: &gossip::Load) -> (View, View) {
         let old = self.loads.insert(load.target, *load);
--- a/src/dispatch/refusal.rs
+++ b/src/dispatch/refusal.rs
@@ -1,5 +1,6 @@
 //! Why a request is not sent to a target, or not once more.
 
+use super::Standing;
 use crate::unit::Span;
 use std::fmt;
 
@@ -29,6 +30,10 @@
     pub retry_after: Span,
     /// A target may have run the request.
     pub ran: bool,
+    /// Where its workspace stood.
+    pub standing: Standing,
+    /// Age of the oldest report of another router that counted.
+    pub view_age: Span,
 }
 
 impl fmt::Display for Reason {
--- a/src/dispatch/share.rs
+++ b/src/dispatch/share.rs
@@ -3,6 +3,7 @@
 //! Answers the load of a workspace that floods the fleet: what it asks beyond its share must not
 //! take the others' place.
 
+use super::Standing;
 use crate::unit::{Span, Time};
 use std::collections::HashMap;
 
@@ -75,28 +76,32 @@
         });
     }
 
-    /// Returns the level and what a workspace was granted in the window.
-    pub(super) fn standing(&self, workspace: u64) -> (Option<u64>, u64) {
+    /// Returns where a workspace stands.
+    pub(super) fn standing(&self, workspace: u64) -> Standing {
         let window = self.workspaces.get(&workspace);
-        (self.level, window.map_or(0, Window::granted))
+        Standing {
+            share: self.level,
+            granted: window.map_or(0, Window::granted),
+        }
     }
 
     /// Returns by how much a workspace goes beyond its share with `cost` more, relative to the
     /// share; `None` if it does not.
     pub(super) fn excess(&self, workspace: u64, cost: u64) -> Option<f64> {
-        let (level, granted) = self.standing(workspace);
-        let level = level?;
-        let beyond = (granted + cost).checked_sub(level)?;
-        Some(beyond as f64 / level.max(1) as f64)
+        let standing = self.standing(workspace);
+        let share = standing.share?;
+        let beyond = (standing.granted + cost).checked_sub(share)?;
+        Some(beyond as f64 / share.max(1) as f64)
     }
 
     /// Returns the time after which enough of what a workspace was granted has left the window.
     pub(super) fn room_after(&self, workspace: u64, cost: u64) -> Span {
-        let (Some(level), granted) = self.standing(workspace) else {
+        let standing = self.standing(workspace);
+        let Some(share) = standing.share else {
             return Span(0);
         };
-        let beyond = (granted + cost).saturating_sub(level);
-        Span((beyond.saturating_mul(self.window.0) / level.max(1)).min(self.window.0))
+        let beyond = (standing.granted + cost).saturating_sub(share);
+        Span((beyond.saturating_mul(self.window.0) / share.max(1)).min(self.window.0))
     }
 }
 
--- a/src/dispatch/target.rs
+++ b/src/dispatch/target.rs
@@ -2,7 +2,7 @@
 
 use super::{Offer, Request, View, cache::Cache, health::Health, pace::Pace, run::Run};
 use crate::{
-    catalog, gossip,
+    catalog,
     placement::hash,
     routing::Engine,
     unit::{Span, Time},
@@ -39,8 +39,6 @@
     pub(super) cache: Cache,
     /// Leading parts that requests of this router use there: users and tokens.
     in_use: HashMap<u64, (u32, u32)>,
-    /// What the other routers were told last.
-    pub(super) told: gossip::Load,
     /// Last time at which another router said that it fails.
     pub(super) suspected: Option<Time>,
 }
@@ -70,7 +68,6 @@
             health: Health::default(),
             cache: Cache::default(),
             in_use: HashMap::new(),
-            told: gossip::Load::default(),
             suspected: None,
         }
     }
@@ -189,17 +186,6 @@
             }
         }
     }
-
-    /// Returns what the other routers are to know.
-    pub(super) fn load(&self) -> gossip::Load {
-        gossip::Load {
-            target: self.key,
-            running: self.own.running,
-            backlog: self.own.backlog,
-            memory: self.own.memory,
-            suspect: self.health.is_suspect(),
-        }
-    }
 }
 
 /// Returns the hash by which routers speak of a run of a target.
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -366,18 +366,26 @@
     fn give_up(mut self, failure: Option<Response<Body>>, refusal: &Refusal) -> Response<Body> {
         let ran = self.ran || refusal.ran;
         if let Some(response) = failure {
-            self.refused(response.status(), &refusal.reason.to_string(), ran, Span(0));
+            let reason = refusal.reason.to_string();
+            self.refused(response.status(), &reason, ran, Span(0), Some(refusal));
             return response;
         }
         let reason = refusal.reason.to_string();
-        self.refuse(StatusCode::BAD_GATEWAY, &reason, ran, refusal.retry_after)
+        let after = refusal.retry_after;
+        self.refuse(StatusCode::BAD_GATEWAY, &reason, ran, after, Some(refusal))
     }
 
     /// Answers a request whose time is up.
     fn expire(mut self) -> Response<Body> {
         let ran = self.ran;
         let reason = "the time of the request is up";
-        self.refuse(StatusCode::GATEWAY_TIMEOUT, reason, ran, EXPIRED_RETRY)
+        self.refuse(
+            StatusCode::GATEWAY_TIMEOUT,
+            reason,
+            ran,
+            EXPIRED_RETRY,
+            None,
+        )
     }
 
     /// Refuses a request; `doubt` is the status if it may have run.
@@ -387,6 +395,7 @@
         reason: &str,
         ran: bool,
         retry_after: Span,
+        refusal: Option<&Refusal>,
     ) -> Response<Body> {
         let problem = if ran {
             Problem::unknown(doubt, reason)
@@ -394,11 +403,18 @@
             Problem::not_run(reason, retry_after)
         };
         let response = problem.after((!ran).then_some(retry_after)).response();
-        self.refused(response.status(), reason, ran, retry_after);
+        self.refused(response.status(), reason, ran, retry_after, refusal);
         response
     }
 
-    fn refused(&mut self, status: StatusCode, reason: &str, ran: bool, retry_after: Span) {
+    fn refused(
+        &mut self,
+        status: StatusCode,
+        reason: &str,
+        ran: bool,
+        retry_after: Span,
+        refusal: Option<&Refusal>,
+    ) {
         self.finished = true;
         self.count(if ran { "unknown" } else { "not-run" });
         let entry = Entry::Refused {
@@ -409,6 +425,7 @@
             ran,
             retry_after,
             after: self.age(),
+            refusal,
         };
         entry.write(self.ticket.hub().log());
     }
--- a/src/gateway/hub.rs
+++ b/src/gateway/hub.rs
@@ -6,8 +6,8 @@
 };
 use crate::{
     clock,
-    dispatch::{Action, Dispatcher, Event, Request, View},
-    gossip, id, metric,
+    dispatch::{Action, Dispatcher, Event, Request, Told, View},
+    id, metric,
     unit::Version,
 };
 use std::{
@@ -120,7 +120,7 @@
     }
 
     /// Returns what the other routers are to be told.
-    pub fn tell(&self, leaving: bool) -> Vec<gossip::Summary> {
+    pub fn tell(&self, leaving: bool) -> Vec<Told> {
         let mut state = self.state();
         let (waiting, running) = (state.dispatcher.waiting(), state.dispatcher.running());
         metrics::gauge!(metric::WAITING).set(waiting as f64);
--- a/src/gateway/keeper.rs
+++ b/src/gateway/keeper.rs
@@ -8,7 +8,7 @@
 use crate::{
     catalog::{self, Catalog},
     clock,
-    dispatch::Event,
+    dispatch::{Audience, Event},
     gossip, metric, mirror,
     roster::Roster,
     unit::{Span, Time},
@@ -25,7 +25,7 @@
 const TELL: Span = Span::from_millis(20);
 /// Datagrams that a router sends in a second at most, beyond which it tells less often: their cost
 /// in processor time must stay far below that of the requests.
-const MAX_SENDS_PER_S: u64 = 400;
+const MAX_SENDS_PER_S: u64 = 1_000;
 /// Time after which a newer version that another router has is read again, in case the connection
 /// for changes fell silent.
 const VERSION_LAG: Span = Span::from_millis(150);
@@ -68,6 +68,8 @@
     /// Sweeps in a row with many refused connections.
     pub(super) crowded_sweeps: u32,
     pub(super) crowded_until: Time,
+    /// Datagrams that the last summaries took.
+    pub(super) sends: u64,
     /// Time at which the next tick is due.
     pub(super) next_tick: Time,
     /// Time since when another router has a newer configuration.
@@ -224,6 +226,10 @@
             }
         }
         self.find_way();
+        self.hub.step(Event::Roster {
+            candidates: self.roster.candidates(),
+            leaders: self.roster.other_leaders(),
+        });
     }
 
     /// Sets which routers are asked for lists.
@@ -312,16 +318,25 @@
     }
 
     async fn tell(&mut self) {
-        let peers = self.roster.others().map(|entry| entry.peer);
-        let peers: Vec<SocketAddr> = peers.collect();
-        for summary in self.hub.tell(self.fleet.is_draining()) {
-            self.socket.send(&peers, &summary).await;
+        self.sends = 0;
+        for told in self.hub.tell(self.fleet.is_draining()) {
+            let peers: Vec<SocketAddr> = match &told.audience {
+                Audience::All => self.roster.others().map(|entry| entry.peer).collect(),
+                Audience::Routers(routers) => {
+                    let routers = routers.iter();
+                    routers.filter_map(|r| self.roster.address(r)).collect()
+                }
+            };
+            self.sends += (peers.len() * told.summaries.len()) as u64;
+            for summary in &told.summaries {
+                self.socket.send(&peers, summary).await;
+            }
         }
     }
 
+    /// Returns the time until the others are told again, after the last summaries were sent.
     fn tell_period(&self) -> Span {
-        let peers = self.roster.len() as u64;
-        TELL.max(Span(peers * 1_000_000 / MAX_SENDS_PER_S))
+        TELL.max(Span(self.sends * 1_000_000 / MAX_SENDS_PER_S))
     }
 
     fn lost(&self, list: &str, fault: &watch::Fault) {
--- a/src/gateway/logbook.rs
+++ b/src/gateway/logbook.rs
@@ -1,7 +1,7 @@
 //! Log lines about decisions, one definition each.
 
 use crate::{
-    dispatch::{End, Offer},
+    dispatch::{End, Offer, Refusal},
     id,
     unit::{Span, Version},
 };
@@ -32,6 +32,8 @@
         ran: bool,
         retry_after: Span,
         after: Span,
+        /// The dispatcher's decision, if it was its.
+        refusal: Option<&'a Refusal>,
     },
     /// A request got its target's answer to the end.
     Answered {
@@ -125,10 +127,14 @@
                 ran,
                 retry_after,
                 after,
+                refusal,
             } => slog::warn!(log, "refused"; "request" => request,
                 "workspace" => workspace.map_or("-", |w| w.as_str()), "status" => status,
                 "reason" => reason, "may_have_run" => ran,
-                "retry_after_ms" => millis(*retry_after), "after_ms" => millis(*after)),
+                "retry_after_ms" => millis(*retry_after), "after_ms" => millis(*after),
+                "share_tokens" => refusal.and_then(|refusal| refusal.standing.share),
+                "granted_tokens" => refusal.map(|refusal| refusal.standing.granted),
+                "view_age_ms" => refusal.map(|refusal| millis(refusal.view_age))),
             Entry::Answered {
                 request,
                 workspace,
--- a/src/gossip/codec.rs
+++ b/src/gossip/codec.rs
@@ -1,10 +1,10 @@
 //! Bytes of summaries: packed Cap'n Proto, decoded with limits on every size.
 
-use super::{Load, Read, Summary, Usage};
+use super::{Load, Read, Scope, Summary, Usage};
 use crate::{
     id,
-    unit::Version,
-    wire::marlrun_capnp::{summary, target_load},
+    unit::{Span, Version},
+    wire::marlrun_capnp::{self, summary, target_load},
 };
 use capnp::{message, serialize_packed};
 
@@ -24,6 +24,9 @@
     /// A text is not UTF-8.
     #[error("malformed summary: {0}")]
     Text(#[from] std::str::Utf8Error),
+    /// The scope is not one of the schema.
+    #[error("malformed summary: {0}")]
+    Scope(#[from] capnp::NotInSchema),
     /// The router's name is not an identifier.
     #[error(transparent)]
     Name(#[from] id::Invalid),
@@ -46,6 +49,13 @@
     to.set_sequence(from.sequence);
     to.set_version(from.version.0);
     to.set_leaving(from.leaving);
+    to.set_scope(match from.scope {
+        Scope::Group => marlrun_capnp::Scope::Group,
+        Scope::Follower => marlrun_capnp::Scope::Follower,
+        Scope::Rest => marlrun_capnp::Scope::Rest,
+    });
+    to.set_routers(from.routers);
+    to.set_age_micros(from.age.0);
     let mut loads = to.reborrow().init_loads(from.loads.len() as u32);
     for (index, load) in from.loads.iter().enumerate() {
         let mut to = loads.reborrow().get(index as u32);
@@ -98,6 +108,13 @@
         sequence: from.get_sequence(),
         version: Version(from.get_version()),
         leaving: from.get_leaving(),
+        scope: match from.get_scope()? {
+            marlrun_capnp::Scope::Group => Scope::Group,
+            marlrun_capnp::Scope::Follower => Scope::Follower,
+            marlrun_capnp::Scope::Rest => Scope::Rest,
+        },
+        routers: from.get_routers(),
+        age: Span(from.get_age_micros()),
         loads: from.get_loads()?.iter().map(read_load).collect(),
         usages: usages.collect(),
         reads: reads.collect(),
--- a/src/gossip/mod.rs
+++ b/src/gossip/mod.rs
@@ -4,6 +4,7 @@
 mod codec;
 mod load;
 mod read;
+mod scope;
 mod socket;
 mod summary;
 mod usage;
@@ -12,6 +13,7 @@
     codec::{Error, MAX_DATAGRAM_BYTES, decode, encode},
     load::Load,
     read::Read,
+    scope::Scope,
     socket::Socket,
     summary::Summary,
     usage::Usage,
--- a/src/gossip/summary.rs
+++ b/src/gossip/summary.rs
@@ -1,7 +1,10 @@
 //! What a router tells the others.
 
-use super::{Load, Read, Usage};
-use crate::{id, unit::Version};
+use super::{Load, Read, Scope, Usage};
+use crate::{
+    id,
+    unit::{Span, Version},
+};
 
 /// What a router tells the others: absolute values of what changed since its last summary.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -16,6 +19,12 @@
     pub version: Version,
     /// The router shuts down.
     pub leaving: bool,
+    /// Whose load it holds.
+    pub scope: Scope,
+    /// Routers whose load it holds.
+    pub routers: u32,
+    /// Age of the oldest report that it holds, at the sender.
+    pub age: Span,
     /// Loads of targets.
     pub loads: Vec<Load>,
     /// Usages of workspaces.
--- a/src/roster/machine.rs
+++ b/src/roster/machine.rs
@@ -2,11 +2,21 @@
 
 use super::Entry;
 use crate::{id, placement::hash};
-use std::{cmp::Reverse, collections::BTreeMap};
+use std::{
+    cmp::Reverse,
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+};
 
 /// Routers of a failure domain that read the platform's lists for all of it: one that does and one
 /// that is ready to take its place. Each one costs calls of the platform.
 const LEADERS: usize = 2;
+/// Routers up to which all exchange their loads directly; their datagrams then cost each less than
+/// its requests do.
+const MESH: usize = 12;
+/// Routers of the failure domain that one follows at most: beyond that, so many are silent that the
+/// domain is falling apart.
+const CANDIDATES: usize = 4;
 
 /// The known routers. All routers that know the same ones agree on who leads.
 #[derive(Clone, Debug)]
@@ -63,15 +73,60 @@
         self.others.remove(router).is_some()
     }
 
+    /// Returns the address of another router.
+    pub fn address(&self, router: &id::Router) -> Option<SocketAddr> {
+        self.others.get(router).map(|entry| entry.peer)
+    }
+
     /// Returns the routers that lead this router's failure domain, the first one first.
     pub fn leaders(&self) -> Vec<&Entry> {
-        let all = self.others.values().chain([&self.own]);
-        let mut near: Vec<&Entry> = all.filter(|e| e.domain == self.own.domain).collect();
-        near.sort_by_key(|entry| (Reverse(entry.millicores), hash(entry.router.as_str())));
+        let mut near = self.ranked(&self.own.domain);
         near.truncate(LEADERS);
         near
     }
 
+    /// Returns the routers of a failure domain, those that lead it first.
+    fn ranked(&self, domain: &id::Domain) -> Vec<&Entry> {
+        let all = self.others.values().chain([&self.own]);
+        let mut routers: Vec<&Entry> = all.filter(|entry| entry.domain == *domain).collect();
+        routers.sort_by_key(|entry| (Reverse(entry.millicores), hash(entry.router.as_str())));
+        routers
+    }
+
+    /// Returns the routers that this one may follow, best first; none if it leads itself.
+    ///
+    /// Those of the failure domain that rank before it; the routers that lead share the others.
+    pub fn candidates(&self) -> Vec<id::Router> {
+        let own = &self.own.router;
+        if self.others.len() < MESH || self.leads() {
+            return Vec::new();
+        }
+        let ranked = self.ranked(&self.own.domain);
+        let before = ranked.iter().take_while(|entry| entry.router != *own);
+        let before = before.map(|entry| entry.router.clone());
+        let mut candidates: Vec<id::Router> = before.take(CANDIDATES).collect();
+        let leaders = candidates.len().min(LEADERS);
+        candidates[..leaders].rotate_left(hash(own.as_str()) as usize % leaders.max(1));
+        candidates
+    }
+
+    /// Returns the other routers that lead a failure domain, or all while they are few.
+    pub fn other_leaders(&self) -> Vec<id::Router> {
+        let others = self.others.values();
+        if self.others.len() < MESH {
+            return others.map(|entry| entry.router.clone()).collect();
+        }
+        let all = others.chain([&self.own]);
+        let domains: BTreeSet<&id::Domain> = all.map(|entry| &entry.domain).collect();
+        let leaders = domains.into_iter().flat_map(|domain| {
+            let ranked = self.ranked(domain).into_iter().take(LEADERS);
+            ranked.map(|entry| entry.router.clone())
+        });
+        leaders
+            .filter(|router| *router != self.own.router)
+            .collect()
+    }
+
     /// Reports whether this router is one of those that lead its failure domain.
     pub fn leads(&self) -> bool {
         let leaders = self.leaders();
--- a/src/wire/marlrun_capnp.rs
+++ b/src/wire/marlrun_capnp.rs
@@ -10338,6 +10338,77 @@
     }
 }
 
+#[repr(u16)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Scope {
+    Group = 0,
+    Follower = 1,
+    Rest = 2,
+}
+
+impl ::capnp::introspect::Introspect for Scope {
+    fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Enum(::capnp::introspect::RawEnumSchema::new(&scope::ARENA, scope::get_annotation_types)).into() }
+}
+impl ::core::convert::From<Scope> for ::capnp::dynamic_value::Reader<'_> {
+    fn from(e: Scope) -> Self { ::capnp::dynamic_value::Enum::new(e.into(), ::capnp::introspect::RawEnumSchema::new(&scope::ARENA, scope::get_annotation_types).into()).into() }
+}
+impl ::core::convert::TryFrom<u16> for Scope {
+    type Error = ::capnp::NotInSchema;
+    fn try_from(value: u16) -> ::core::result::Result<Self, <Scope as ::core::convert::TryFrom<u16>>::Error> {
+        match value {
+            0 => ::core::result::Result::Ok(Self::Group),
+            1 => ::core::result::Result::Ok(Self::Follower),
+            2 => ::core::result::Result::Ok(Self::Rest),
+            n => ::core::result::Result::Err(::capnp::NotInSchema(n)),
+        }
+    }
+}
+impl From<Scope> for u16 {
+    #[inline]
+    fn from(x: Scope) -> u16 { x as u16 }
+}
+impl ::capnp::traits::HasTypeId for Scope {
+    const TYPE_ID: u64 = 0xe5e8_0d02_dc87_05ddu64;
+}
+mod scope {
+pub(crate) static ENCODED_NODE: [::capnp::Word; 30] = [
+    ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+    ::capnp::word(221, 5, 135, 220, 2, 13, 232, 229),
+    ::capnp::word(14, 0, 0, 0, 2, 0, 0, 0),
+    ::capnp::word(38, 126, 1, 23, 67, 249, 194, 213),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(21, 0, 0, 0, 162, 0, 0, 0),
+    ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(25, 0, 0, 0, 79, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(109, 97, 114, 108, 114, 117, 110, 46),
+    ::capnp::word(99, 97, 112, 110, 112, 58, 83, 99),
+    ::capnp::word(111, 112, 101, 0, 0, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+    ::capnp::word(12, 0, 0, 0, 1, 0, 2, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(29, 0, 0, 0, 50, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(21, 0, 0, 0, 74, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(17, 0, 0, 0, 42, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(103, 114, 111, 117, 112, 0, 0, 0),
+    ::capnp::word(102, 111, 108, 108, 111, 119, 101, 114),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(114, 101, 115, 116, 0, 0, 0, 0),
+];
+pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+    ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+}
+pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+}
+
 pub mod summary {
     #[derive(Copy, Clone)]
     pub struct Owned(());
@@ -10447,11 +10518,23 @@
         pub fn has_reads(&self) -> bool {
             !self.reader.get_pointer_field(3).is_null()
         }
+        #[inline]
+        pub fn get_scope(self) -> ::core::result::Result<crate::wire::marlrun_capnp::Scope,::capnp::NotInSchema> {
+            ::core::convert::TryFrom::try_from(self.reader.get_data_field::<u16>(13))
+        }
+        #[inline]
+        pub fn get_routers(self) -> u32 {
+            self.reader.get_data_field::<u32>(7)
+        }
+        #[inline]
+        pub fn get_age_micros(self) -> u64 {
+            self.reader.get_data_field::<u64>(4)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 4 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 5, pointers: 4 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -10597,6 +10680,30 @@
         pub fn has_reads(&self) -> bool {
             !self.builder.is_pointer_field_null(3)
         }
+        #[inline]
+        pub fn get_scope(self) -> ::core::result::Result<crate::wire::marlrun_capnp::Scope,::capnp::NotInSchema> {
+            ::core::convert::TryFrom::try_from(self.builder.get_data_field::<u16>(13))
+        }
+        #[inline]
+        pub fn set_scope(&mut self, value: crate::wire::marlrun_capnp::Scope)  {
+            self.builder.set_data_field::<u16>(13, value as u16);
+        }
+        #[inline]
+        pub fn get_routers(self) -> u32 {
+            self.builder.get_data_field::<u32>(7)
+        }
+        #[inline]
+        pub fn set_routers(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(7, value);
+        }
+        #[inline]
+        pub fn get_age_micros(self) -> u64 {
+            self.builder.get_data_field::<u64>(4)
+        }
+        #[inline]
+        pub fn set_age_micros(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(4, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -10608,80 +10715,101 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 151] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 197] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(184, 219, 41, 190, 56, 25, 149, 148),
-            ::capnp::word(14, 0, 0, 0, 1, 0, 4, 0),
+            ::capnp::word(14, 0, 0, 0, 1, 0, 5, 0),
             ::capnp::word(38, 126, 1, 23, 67, 249, 194, 213),
             ::capnp::word(4, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 178, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 199, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 111, 2, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(109, 97, 114, 108, 114, 117, 110, 46),
             ::capnp::word(99, 97, 112, 110, 112, 58, 83, 117),
             ::capnp::word(109, 109, 97, 114, 121, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(32, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(44, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(209, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(37, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(204, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(216, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(32, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(44, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(213, 0, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(41, 1, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(212, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(224, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(40, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(52, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(221, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(49, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(220, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(232, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(48, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(60, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(229, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(57, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(224, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(236, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(52, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(64, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 192, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(233, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(61, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(228, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(240, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(56, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(68, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(237, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(65, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(232, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(4, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(60, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(88, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(1, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(85, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(252, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(24, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(80, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(108, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(105, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(16, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(44, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(100, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(128, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(8, 0, 0, 0, 13, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(125, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(120, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(132, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(9, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(129, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(124, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(136, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(10, 0, 0, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(133, 1, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(132, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(144, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(114, 111, 117, 116, 101, 114, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -10760,6 +10888,31 @@
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 99, 111, 112, 101, 0, 0, 0),
+            ::capnp::word(15, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(221, 5, 135, 220, 2, 13, 232, 229),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(15, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 111, 117, 116, 101, 114, 115, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 103, 101, 77, 105, 99, 114, 111),
+            ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -10771,6 +10924,9 @@
                 5 => <::capnp::struct_list::Owned<crate::wire::marlrun_capnp::target_load::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 6 => <::capnp::struct_list::Owned<crate::wire::marlrun_capnp::workspace_usage::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 7 => <::capnp::struct_list::Owned<crate::wire::marlrun_capnp::prompt_read::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                8 => <crate::wire::marlrun_capnp::Scope as ::capnp::introspect::Introspect>::introspect(),
+                9 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                10 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -10784,9 +10940,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,4,5,7,0,2,6,3];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[10,1,4,5,7,0,9,8,2,6,3];
         pub(crate) const TYPE_ID: u64 = 0x9495_1938_be29_dbb8;
     }
 }
--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -2,6 +2,7 @@
 //! it with a small model of engines.
 
 mod engines;
+mod fleet;
 
 use engines::{Engines, Load};
 use marlrun::{
@@ -171,7 +172,8 @@
     let mut wanted = request(1, 0, "llm");
     wanted.prompt = Some(prompt(&[(7, 4_000), (8, 100)]));
     let (_, home) = sent_to(&step(&mut one, 0, Event::Arrived(wanted.clone()))).unwrap();
-    for summary in one.tell(at(20), false) {
+    let told = one.tell(at(20), false);
+    for summary in told.into_iter().flat_map(|told| told.summaries) {
         let bytes = gossip::encode(&summary);
         assert!(bytes.len() <= gossip::MAX_DATAGRAM_BYTES);
         let heard = gossip::decode(&bytes).unwrap();
@@ -343,7 +345,12 @@
 
 /// Plays a load through seven routers and returns it.
 fn play(load: Load) -> Engines {
-    let mut engines = Engines::open(7, 6, table(Some(300_000)), load);
+    play_at(7, load)
+}
+
+/// Plays a load through some routers and returns it.
+fn play_at(routers: usize, load: Load) -> Engines {
+    let mut engines = Engines::open(routers, 6, table(Some(300_000)), load);
     engines.play(Span::from_secs(12));
     engines
 }
@@ -360,6 +367,30 @@
     }
 }
 
+#[test]
+fn play_calm_load_is_on_time_in_a_large_fleet() {
+    let load = Load {
+        flood: 1,
+        requests_per_s: 120,
+    };
+    for (workspace, outcome) in play_at(48, load).outcomes() {
+        let share = outcome.on_time * 100 / outcome.asked.max(1);
+        assert!(share >= 95, "{workspace}: {outcome:?}");
+    }
+}
+
+#[test]
+fn play_flood_leaves_others_on_time_in_a_large_fleet() {
+    let load = Load {
+        flood: 12,
+        requests_per_s: 120,
+    };
+    for (workspace, outcome) in play_at(48, load).outcomes() {
+        let share = outcome.on_time * 100 / outcome.asked.max(1);
+        assert!(workspace == "w0" || share >= 90, "{workspace}: {outcome:?}");
+    }
+}
+
 #[test]
 fn play_flood_leaves_others_on_time() {
     let engines = play(Load {
--- a/tests/engines/mod.rs
+++ b/tests/engines/mod.rs
@@ -1,6 +1,7 @@
 //! A small model of engines and callers around the dispatchers of several routers, on a virtual
 //! clock.
 
+use crate::fleet;
 use marlrun::{
     catalog,
     dispatch::{Action, Dispatcher, End, Event, Part, Prompt, Request, Settings},
@@ -101,15 +102,14 @@
             .map(|index| (target(index).name, target(index)))
             .collect();
         let open = |index: usize| {
-            let settings = Settings::new(
-                format!("r{index}").parse().unwrap(),
-                id::Incarnation(1),
-                "east".parse().unwrap(),
-            );
+            let settings =
+                Settings::new(fleet::name(index), id::Incarnation(1), fleet::domain(index));
             let mut dispatcher = Dispatcher::open(settings);
             let mut out = Vec::new();
             dispatcher.step(Time(0), Event::Routing(table.clone()), &mut out);
             dispatcher.step(Time(0), Event::Targets(targets.clone()), &mut out);
+            let roster = fleet::roster(index, routers);
+            dispatcher.step(Time(0), fleet::event(&roster), &mut out);
             dispatcher
         };
         Self {
@@ -134,15 +134,16 @@
             if now_ms % TELL_MS == 0 {
                 let now = self.now();
                 for index in 0..self.routers.len() {
-                    for summary in self.routers[index].tell(now, false) {
-                        told.push_back((now_ms + HOP_MS, index, summary));
-                    }
+                    let tells = self.routers[index].tell(now, false);
+                    told.extend(tells.into_iter().map(|tell| (now_ms + HOP_MS, index, tell)));
                 }
             }
             while told.front().is_some_and(|(at, ..)| *at <= now_ms) {
-                let (_, from, summary) = told.pop_front().unwrap();
-                for index in (0..self.routers.len()).filter(|index| *index != from) {
-                    self.step(index, Event::Summary(summary.clone()));
+                let (_, from, tell) = told.pop_front().unwrap();
+                for index in fleet::audience(from, self.routers.len(), &tell.audience) {
+                    for summary in &tell.summaries {
+                        self.step(index, Event::Summary(summary.clone()));
+                    }
                 }
             }
             if now_ms % 10 == 0 {
--- /dev/null
+++ b/tests/exchange.rs
@@ -0,0 +1,322 @@
+//! What routers of a large fleet know of each other's loads, through kills and cuts.
+
+mod fleet;
+
+use marlrun::{
+    catalog,
+    dispatch::{Action, Dispatcher, Event, Part, Prompt, Request, Settings, Told},
+    gossip, id,
+    routing::{Engine, Kind, Limits, Service, Table},
+    unit::{Span, Time, Version},
+};
+use proptest::prelude::*;
+use std::{
+    collections::{BTreeMap, BTreeSet, VecDeque},
+    sync::Arc,
+};
+
+/// Routers of the fleet.
+const ROUTERS: usize = 28;
+/// Period in which routers tell each other, in milliseconds.
+const TELL_MS: u64 = 20;
+
+/// Routers and the network between them.
+struct Net {
+    routers: Vec<Option<Dispatcher>>,
+    /// Runs of each router so far.
+    runs: Vec<u64>,
+    /// Pairs of sender and receiver between which nothing passes.
+    cuts: BTreeSet<(usize, usize)>,
+    /// Requests that each router has sent to the target.
+    sent: Vec<u32>,
+    told: VecDeque<(usize, Told)>,
+    datagrams: u64,
+    now_ms: u64,
+    next: u64,
+}
+
+impl Net {
+    fn open() -> Self {
+        let mut net = Self {
+            routers: (0..ROUTERS).map(|_| None).collect(),
+            runs: vec![0; ROUTERS],
+            cuts: BTreeSet::new(),
+            sent: vec![0; ROUTERS],
+            told: VecDeque::new(),
+            datagrams: 0,
+            now_ms: 0,
+            next: 0,
+        };
+        (0..ROUTERS).for_each(|index| net.start(index));
+        net
+    }
+
+    /// Starts a router anew.
+    fn start(&mut self, index: usize) {
+        self.runs[index] += 1;
+        self.sent[index] = 0;
+        let incarnation = id::Incarnation(self.runs[index]);
+        let settings = Settings::new(fleet::name(index), incarnation, fleet::domain(index));
+        self.routers[index] = Some(Dispatcher::open(settings));
+        self.step(index, Event::Routing(table()));
+        let target = target();
+        self.step(
+            index,
+            Event::Targets(BTreeMap::from([(target.name.clone(), target)])),
+        );
+        self.step(index, fleet::event(&fleet::roster(index, ROUTERS)));
+    }
+
+    fn kill(&mut self, index: usize) {
+        self.routers[index] = None;
+        self.sent[index] = 0;
+    }
+
+    fn step(&mut self, index: usize, event: Event) -> Vec<Action> {
+        let mut out = Vec::new();
+        if let Some(router) = &mut self.routers[index] {
+            router.step(Time(self.now_ms * 1_000), event, &mut out);
+        }
+        out
+    }
+
+    /// Lets a router take a request.
+    fn ask(&mut self, index: usize) -> Vec<Action> {
+        self.next += 1;
+        let now = Time(self.now_ms * 1_000);
+        let event = Event::Arrived(Request {
+            number: self.next,
+            workspace: Some("east-desk".parse().unwrap()),
+            service: "llm".parse().unwrap(),
+            kind: Kind::Stream {
+                pause: Span::from_millis(250),
+                resumable: true,
+            },
+            rank: 1,
+            arrived: now,
+            due: now + Span::from_secs(5),
+            deadline: now + Span::from_secs(60),
+            attempts: 2,
+            prompt: Some(Prompt {
+                parts: Box::new([Part { id: 1, tokens: 50 }]),
+                tokens: 100,
+                output: 0,
+            }),
+        });
+        let actions = self.step(index, event);
+        let is_sent = |action: &Action| matches!(action, Action::Send { .. });
+        self.sent[index] += u32::from(actions.iter().any(is_sent));
+        actions
+    }
+
+    /// Lets time pass.
+    fn pass(&mut self, millis: u64) {
+        for _ in 0..millis {
+            self.now_ms += 1;
+            let now = Time(self.now_ms * 1_000);
+            for (from, told) in std::mem::take(&mut self.told) {
+                for to in fleet::audience(from, ROUTERS, &told.audience) {
+                    self.datagrams += told.summaries.len() as u64;
+                    if self.cuts.contains(&(from, to)) {
+                        continue;
+                    }
+                    for summary in &told.summaries {
+                        let bytes = gossip::encode(summary);
+                        assert!(bytes.len() <= gossip::MAX_DATAGRAM_BYTES);
+                        let heard = gossip::decode(&bytes).unwrap();
+                        assert_eq!(heard, *summary);
+                        self.step(to, Event::Summary(heard));
+                    }
+                }
+            }
+            for index in 0..ROUTERS {
+                if (self.now_ms + index as u64).is_multiple_of(TELL_MS) {
+                    let told = self.routers[index].as_mut().map(|r| r.tell(now, false));
+                    let told = told.into_iter().flatten().map(|told| (index, told));
+                    self.told.extend(told);
+                }
+                if self.now_ms.is_multiple_of(10) {
+                    self.step(index, Event::Tick);
+                }
+            }
+        }
+    }
+
+    /// Checks that each router of a part of the fleet knows the loads of all of that part.
+    fn assert_known(&self, part: &[usize]) {
+        let all: u32 = part.iter().map(|index| self.sent[*index]).sum();
+        for index in part {
+            let Some(router) = &self.routers[*index] else {
+                continue;
+            };
+            let (own, others) = router.views()[&target().name];
+            let seen = (own.running, own.running + others.running);
+            assert_eq!(seen, (self.sent[*index], all), "as router {index} sees it");
+        }
+    }
+}
+
+fn table() -> Arc<Table> {
+    let limits = Limits {
+        tokens_per_s: Some(1_000),
+        ..Limits::default()
+    };
+    let mut table = Table::new(Version(1), limits, true);
+    table.add_service(Service {
+        name: "llm".parse().unwrap(),
+        max_connections: 100_000,
+        engine: Some(Engine {
+            slots: 100_000,
+            memory_tokens: 1_000_000_000,
+        }),
+    });
+    Arc::new(table)
+}
+
+fn target() -> catalog::Target {
+    catalog::Target {
+        name: "e1".parse().unwrap(),
+        born: 1,
+        service: "llm".parse().unwrap(),
+        address: "127.0.0.1:9".parse().unwrap(),
+        domain: "d0".parse().unwrap(),
+        slots: 4,
+        leaving: false,
+        warm_up: Span(0),
+    }
+}
+
+fn all() -> Vec<usize> {
+    (0..ROUTERS).collect()
+}
+
+/// Returns the routers of a failure domain, those that lead it first.
+fn domain(index: usize) -> Vec<usize> {
+    let mut routers: Vec<usize> = all();
+    routers.retain(|other| fleet::domain(*other) == fleet::domain(index));
+    let leads = |router: &usize| fleet::roster(*router, ROUTERS).leads();
+    routers.sort_by_key(|router| !leads(router));
+    routers
+}
+
+#[test]
+fn tell_loads_reach_all() {
+    let mut net = Net::open();
+    net.pass(300);
+    for index in 0..ROUTERS {
+        net.ask(index);
+    }
+    net.pass(100);
+    net.assert_known(&all());
+}
+
+#[test]
+fn tell_grows_with_the_fleet() {
+    let mut net = Net::open();
+    net.pass(1_000);
+    let before = net.datagrams;
+    for step in 0..1_000 {
+        net.ask(step % ROUTERS);
+        net.pass(1);
+    }
+    let per_router = (net.datagrams - before) / ROUTERS as u64;
+    assert!(
+        per_router <= 200,
+        "{per_router} datagrams a router and second"
+    );
+}
+
+#[test]
+fn tell_leaders_killed() {
+    let mut net = Net::open();
+    net.pass(300);
+    for index in 0..ROUTERS {
+        net.ask(index);
+    }
+    net.pass(100);
+    for index in &domain(1)[..2] {
+        net.kill(*index);
+    }
+    net.pass(3_000);
+    net.assert_known(&all());
+    for index in &domain(1)[..2] {
+        net.start(*index);
+    }
+    net.pass(3_000);
+    net.ask(1);
+    net.pass(200);
+    net.assert_known(&all());
+}
+
+#[test]
+fn tell_domain_cut() {
+    let mut net = Net::open();
+    net.pass(300);
+    for index in 0..ROUTERS {
+        net.ask(index);
+    }
+    let near = domain(2);
+    let far: Vec<usize> = all().into_iter().filter(|i| !near.contains(i)).collect();
+    let pairs = near.iter().flat_map(|a| far.iter().map(move |b| (*a, *b)));
+    net.cuts = pairs.flat_map(|(a, b)| [(a, b), (b, a)]).collect();
+    net.pass(3_000);
+    net.ask(near[0]);
+    net.pass(200);
+    net.assert_known(&near);
+    net.assert_known(&far);
+    net.cuts.clear();
+    net.pass(1_000);
+    net.assert_known(&all());
+}
+
+#[test]
+fn tell_usages_count_once() {
+    let mut net = Net::open();
+    net.pass(600);
+    for index in 0..ROUTERS {
+        net.ask(index);
+    }
+    net.pass(200);
+    // Each request took 100 tokens of the 4,000 of a window; one that asks for more is told so.
+    for index in 0..ROUTERS {
+        for _ in 0..40 {
+            net.ask(index);
+        }
+        net.pass(200);
+    }
+    let granted: u64 = net.sent.iter().map(|sent| u64::from(*sent) * 100).sum();
+    assert!(granted >= 2_800, "{granted} tokens");
+    net.assert_known(&all());
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(12))]
+
+    /// Whatever was killed, started and cut in whatever order, all know the loads once it is calm.
+    #[test]
+    fn tell_after_any_faults(
+        faults in prop::collection::vec((0..5_u8, 0..ROUTERS, 0..ROUTERS, 0..600_u64), 1..30)
+    ) {
+        let mut net = Net::open();
+        net.pass(300);
+        for (what, one, other, pause) in faults {
+            match what {
+                0 => net.kill(one),
+                1 => net.start(one),
+                2 => drop(net.cuts.insert((one, other))),
+                3 => net.cuts.clear(),
+                _ => drop(net.ask(one)),
+            }
+            net.pass(pause);
+        }
+        net.cuts.clear();
+        net.pass(4_500);
+        for index in 0..ROUTERS {
+            if net.routers[index].is_some() {
+                net.ask(index);
+            }
+        }
+        net.pass(300);
+        net.assert_known(&all());
+    }
+}
--- /dev/null
+++ b/tests/fleet/mod.rs
@@ -0,0 +1,54 @@
+//! Names and lists of the routers of a fleet, in four failure domains.
+
+use marlrun::{
+    dispatch::{Audience, Event},
+    id, roster,
+};
+
+/// Failure domains.
+const DOMAINS: usize = 4;
+
+pub(crate) fn name(index: usize) -> id::Router {
+    format!("r{index}").parse().unwrap()
+}
+
+pub(crate) fn domain(index: usize) -> id::Domain {
+    format!("d{}", index % DOMAINS).parse().unwrap()
+}
+
+fn entry(index: usize) -> roster::Entry {
+    roster::Entry {
+        router: name(index),
+        domain: domain(index),
+        peer: "127.0.0.1:9".parse().unwrap(),
+        millicores: 250,
+    }
+}
+
+/// Returns the list of the routers as one of them has it.
+pub(crate) fn roster(index: usize, routers: usize) -> roster::Roster {
+    let mut roster = roster::Roster::open(entry(index));
+    for other in 0..routers {
+        roster.add(entry(other));
+    }
+    roster
+}
+
+/// Returns the event that tells a dispatcher of the list.
+pub(crate) fn event(roster: &roster::Roster) -> Event {
+    Event::Roster {
+        candidates: roster.candidates(),
+        leaders: roster.other_leaders(),
+    }
+}
+
+/// Returns the routers of an audience.
+pub(crate) fn audience(from: usize, routers: usize, audience: &Audience) -> Vec<usize> {
+    let others = (0..routers).filter(|index| *index != from);
+    match audience {
+        Audience::All => others.collect(),
+        Audience::Routers(named) => others
+            .filter(|index| named.contains(&name(*index)))
+            .collect(),
+    }
+}
