Beyond a share: no prompt is read again, nobody gets far ahead of a workspace that is refused

What goes beyond a share now stays at targets that keep most of its prompt, and ends at one and a half times what the least served workspace got that is refused; connections refused unread count as requests like the last one read.

--- a/src/dispatch/event.rs
+++ b/src/dispatch/event.rs
@@ -34,6 +34,11 @@
     Routing(Arc<routing::Table>),
     /// Another router told its load.
     Summary(gossip::Summary),
+    /// Requests were refused before they were read.
+    Unread {
+        /// How many.
+        count: u64,
+    },
     /// The known routers changed.
     Roster {
         /// Routers that this one may follow, best first; none if it leads.
--- a/src/dispatch/machine/mod.rs
+++ b/src/dispatch/machine/mod.rs
@@ -58,6 +58,8 @@
     budgets: BTreeMap<id::Service, Budget>,
     share: Share,
     accounts: HashMap<u64, Account>,
+    /// Workspace and tokens of the last request that arrived.
+    last: Option<(u64, u64)>,
     circle: Circle,
     peers: BTreeMap<id::Router, Peer>,
     /// What the routers that lead, or the one that is followed, were told.
@@ -85,6 +87,7 @@
             runs: HashMap::new(),
             budgets: BTreeMap::new(),
             accounts: HashMap::new(),
+            last: None,
             circle: Circle::open(),
             peers: BTreeMap::new(),
             ledger: Ledger::default(),
@@ -126,6 +129,7 @@
                 candidates,
                 leaders,
             } => self.set_roster(now, candidates, leaders),
+            Event::Unread { count } => self.refuse_unread(count),
             Event::Tick => self.tick(now, out),
         }
     }
@@ -147,8 +151,9 @@
         if !self.has_target(&waiting.request.service) {
             return self.refuse(now, &waiting, Reason::NoTarget, NO_TARGET_RETRY, out);
         }
+        let ahead = excess.is_some() && self.is_ahead(&waiting.request);
         // Those that wait already go first, unless they can't use what this one can.
-        if let Some(offer) = self.find(now, &waiting, excess) {
+        if !ahead && let Some(offer) = self.find(now, &waiting, excess) {
             return self.send(now, waiting, offer, out);
         }
         if excess.is_some() {
@@ -166,11 +171,8 @@
         };
         let key = hash(workspace.as_str());
         let cost = prompt.cost();
-        self.accounts.entry(key).or_default().add_own(Count {
-            asked: cost,
-            granted: 0,
-        });
-        self.share.add(key, cost, 0);
+        self.last = Some((key, cost));
+        self.count_asked(key, cost);
         if self.settings.placement.sees_others() {
             self.share.excess(key, cost)
         } else {
@@ -178,6 +180,28 @@
         }
     }
 
+    fn count_asked(&mut self, workspace: u64, asked: u64) {
+        let count = Count { asked, granted: 0 };
+        self.accounts.entry(workspace).or_default().add_own(count);
+        self.share.add(workspace, asked, 0);
+    }
+
+    /// Counts requests that were refused before they were read as if they were like the last one that
+    /// was: whose they are isn't known, but whoever asks most is refused most.
+    fn refuse_unread(&mut self, count: u64) {
+        if let Some((workspace, cost)) = self.last {
+            self.count_asked(workspace, cost * count);
+        }
+    }
+
+    /// Reports whether a request would take its workspace too far ahead of others.
+    fn is_ahead(&self, request: &Request) -> bool {
+        let (Some(workspace), Some(prompt)) = (&request.workspace, &request.prompt) else {
+            return false;
+        };
+        self.share.is_ahead(hash(workspace.as_str()), prompt.cost())
+    }
+
     fn share_retry(&self, request: &Request) -> Span {
         let (Some(workspace), Some(prompt)) = (&request.workspace, &request.prompt) else {
             return OVERLOAD_RETRY;
--- a/src/dispatch/machine/place.rs
+++ b/src/dispatch/machine/place.rs
@@ -1,6 +1,6 @@
 //! Which waiting request goes next, and to which target.
 
-use super::{Count, Dispatcher, Queue, Run, Waiting};
+use super::{Count, Dispatcher, Queue, Request, Run, Waiting};
 use crate::{
     dispatch::{
         Action, Offer, Placement,
@@ -77,7 +77,10 @@
             placement != Placement::Shared || target.has_room(offer, request, room, now)
         };
         if excess.is_some() {
-            // What is beyond a share must not cost others: only the cheapest target may take it.
+            // What is beyond a share must not cost others: no prompt is read once more for it, and only
+            // the cheapest target may take it.
+            let unread = self.least_unread(request);
+            offers.retain(|(_, offer)| offer.unread <= unread);
             offers.sort_by_key(|(_, offer)| offer.price);
             offers.truncate(1);
         }
@@ -86,6 +89,14 @@
         offers.min_by_key(|offer| offer.price)
     }
 
+    /// Returns the tokens of a request's prompt that the target which keeps most of it lacks.
+    fn least_unread(&self, request: &Request) -> u64 {
+        let targets = self.targets.values();
+        let targets = targets.filter(|t| t.entry.service == request.service && !t.entry.leaving);
+        let unread = targets.map(|target| target.unread(request));
+        unread.min().unwrap_or_default()
+    }
+
     /// Reports whether a target is believed to answer.
     fn is_trusted(&self, target: &Target, now: Time) -> bool {
         if !target.health.is_usable(now) {
--- a/src/dispatch/share.rs
+++ b/src/dispatch/share.rs
@@ -10,6 +10,12 @@
 /// Buckets of the window: its age is known to a sixteenth.
 const BUCKETS: usize = 16;
 
+/// How far a workspace may get ahead of one that is refused, in percent of what that one got. Callers
+/// of the two see a gap of two at most; the rest is for what they ask unevenly.
+const LEAD_PERCENT: u64 = 150;
+/// Part of what a workspace got, in percent, by which it must ask for more to count as refused.
+const REFUSED_PERCENT: u64 = 10;
+
 /// Tokens of one workspace in the window, fleet-wide.
 #[derive(Clone, Debug, Default)]
 struct Window {
@@ -28,6 +34,8 @@
     bucket: u64,
     /// Most tokens that a workspace is owed in a window; `None` while all get what they ask.
     level: Option<u64>,
+    /// Least tokens that a workspace got which asked for more; `None` while there is none.
+    least: Option<u64>,
 }
 
 impl Share {
@@ -38,6 +46,7 @@
             workspaces: HashMap::new(),
             bucket: 0,
             level: None,
+            least: None,
         }
     }
 
@@ -74,6 +83,8 @@
             let asked = self.workspaces.values().map(Window::asked);
             water_level(asked.collect(), capacity)
         });
+        let refused = self.workspaces.values().filter(|w| w.is_refused());
+        self.least = refused.map(Window::granted).min();
     }
 
     /// Returns where a workspace stands.
@@ -94,6 +105,16 @@
         Some(beyond as f64 / share.max(1) as f64)
     }
 
+    /// Reports whether a workspace with `cost` more would be further ahead of another one, which is
+    /// refused at times, than it may be. What it takes to spare then belongs to that one.
+    pub(super) fn is_ahead(&self, workspace: u64, cost: u64) -> bool {
+        let standing = self.standing(workspace);
+        let (Some(share), Some(least)) = (standing.share, self.least) else {
+            return false;
+        };
+        (standing.granted + cost) * 100 > least.max(share) * LEAD_PERCENT
+    }
+
     /// Returns the time after which enough of what a workspace was granted has left the window.
     pub(super) fn room_after(&self, workspace: u64, cost: u64) -> Span {
         let standing = self.standing(workspace);
@@ -110,6 +131,10 @@
         self.asked.iter().sum()
     }
 
+    fn is_refused(&self) -> bool {
+        self.asked() * 100 > self.granted() * (100 + REFUSED_PERCENT)
+    }
+
     fn granted(&self) -> u64 {
         self.granted.iter().sum()
     }
--- a/src/dispatch/target.rs
+++ b/src/dispatch/target.rs
@@ -96,7 +96,7 @@
             first: Span(0),
             price: if near { 0 } else { DOMAIN_PRICE.0 },
         };
-        let (Some(engine), Some(prompt)) = (&self.engine, &request.prompt) else {
+        let (Some(engine), Some(_)) = (&self.engine, &request.prompt) else {
             let slots = self.slots();
             if view.running >= slots * (1 + PLAIN_QUEUE_PER_SLOT) {
                 return None;
@@ -107,8 +107,7 @@
             offer.price += offer.first.0 + u64::from(view.running) * RUNNING_PRICE.0;
             return Some(offer);
         };
-        let kept = self.cache.kept(&prompt.parts, engine.memory_tokens);
-        offer.unread = u64::from(prompt.tokens).saturating_sub(kept);
+        offer.unread = self.unread(request);
         let need = self.need(request);
         let full = view.memory + need > engine.memory_tokens * MEMORY_PERCENT / 100;
         if view.running >= engine.slots || (full && view.running > 0) {
@@ -122,6 +121,15 @@
         Some(offer)
     }
 
+    /// Returns the tokens of a request's prompt that are probably not kept here.
+    pub(super) fn unread(&self, request: &Request) -> u64 {
+        let Some(prompt) = &request.prompt else {
+            return 0;
+        };
+        let kept = self.cache.kept(&prompt.parts, self.memory());
+        u64::from(prompt.tokens).saturating_sub(kept)
+    }
+
     /// Reports whether an offer leaves a request as much room as it asks for.
     pub(super) fn has_room(&self, offer: &Offer, request: &Request, room: Room, now: Time) -> bool {
         match room {
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -25,7 +25,7 @@
     pressure: Mutex<Pressure>,
     /// More callers come than the router can carry; the balancer is to send them elsewhere.
     crowded: AtomicBool,
-    /// Connections refused unread since the log told of them.
+    /// Connections refused unread since the dispatcher was told of them.
     unread: AtomicU64,
 }
 
@@ -97,10 +97,14 @@
         self.unread.fetch_add(1, Ordering::Relaxed);
     }
 
-    /// Returns the connections refused unread since the last call, and the requests carried now.
-    pub(super) fn take_unread(&self) -> (u64, u32) {
-        let unread = self.unread.swap(0, Ordering::Relaxed);
-        (unread, self.carried.load(Ordering::Relaxed))
+    /// Returns the connections refused unread since the last call.
+    pub(super) fn take_unread(&self) -> u64 {
+        self.unread.swap(0, Ordering::Relaxed)
+    }
+
+    /// Returns the requests carried now.
+    pub(super) fn carried(&self) -> u32 {
+        self.carried.load(Ordering::Relaxed)
     }
 
     /// Reports whether the router carries as many requests as it can.
--- a/src/gateway/keeper.rs
+++ b/src/gateway/keeper.rs
@@ -68,6 +68,8 @@
     /// Sweeps in a row with many refused connections.
     pub(super) crowded_sweeps: u32,
     pub(super) crowded_until: Time,
+    /// Connections refused unread since the last sweep.
+    pub(super) unread: u64,
     /// Datagrams that the last summaries took.
     pub(super) sends: u64,
     /// Time at which the next tick is due.
@@ -258,6 +260,11 @@
         if self.catalog.step(now, catalog::Event::Tick) {
             self.publish();
         }
+        let count = self.fleet.take_unread();
+        self.unread += count;
+        if count > 0 {
+            self.hub.step(Event::Unread { count });
+        }
         self.hub.step(Event::Tick);
         if self.hub.newest_version() <= self.fleet.table().version {
             self.behind = None;
@@ -272,7 +279,8 @@
 
     fn sweep(&mut self) {
         self.pool.sweep();
-        let (connections, carried) = self.fleet.take_unread();
+        let connections = std::mem::take(&mut self.unread);
+        let carried = self.fleet.carried();
         self.crowd(connections);
         if connections > 0 {
             let limit = self.fleet.limit();
--- a/src/gateway/router.rs
+++ b/src/gateway/router.rs
@@ -150,6 +150,7 @@
         decoder: sources.decoder,
         crowded_sweeps: 0,
         crowded_until: Time::default(),
+        unread: 0,
         sends: 0,
         next_tick: clock::now() + TICK,
         behind: None,
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -74,12 +74,12 @@
     /// Returns the longest wait of one call for changes of a list: connections that fell silent are
     /// noticed in time for the bound of a change.
     pub(super) fn list_wait(&self) -> Span {
-        Span(self.change_bound.0 / 3)
+        Span(self.change_bound.0 / 2)
     }
 
     /// Returns the age beyond which a copy of a list is of no use to others: above the wait by an
     /// answer that takes long, below the bound by the time to read the list elsewhere.
     pub(super) fn most_age(&self) -> Span {
-        Span(self.change_bound.0 * 7 / 12)
+        Span(self.change_bound.0 * 2 / 3)
     }
 }
--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -188,6 +188,139 @@
     assert_eq!(sent_to(&actions).unwrap().1, home);
 }
 
+/// Returns the key by which routers speak of a workspace.
+fn key(workspace: &str) -> u64 {
+    let mut other = ready("r8", &[target("a", "llm")]);
+    let mut asked = request(1, 0, "llm");
+    asked.workspace = Some(workspace.parse().unwrap());
+    step(&mut other, 0, Event::Arrived(asked));
+    let told = other.tell(at(600), false);
+    told[0].summaries[0].usages[0].workspace
+}
+
+/// Returns a summary of another router that tells of one workspace.
+fn usage(sequence: u64, workspace: &str, asked: u64, granted: u64) -> Event {
+    let usage = gossip::Usage {
+        workspace: key(workspace),
+        asked,
+        granted,
+    };
+    Event::Summary(gossip::Summary {
+        router: "r9".parse().unwrap(),
+        incarnation: id::Incarnation(1),
+        sequence,
+        version: Version(1),
+        leaving: false,
+        scope: gossip::Scope::Group,
+        routers: 1,
+        age: Span(0),
+        loads: Vec::new(),
+        usages: vec![usage],
+        reads: Vec::new(),
+    })
+}
+
+/// Returns the tokens that a flooding workspace is granted at idle targets while another workspace
+/// asks for `asked` tokens at another router and gets `granted`.
+fn granted_beside(asked: u64, granted: u64) -> u64 {
+    let list: Vec<_> = (0..20).map(|i| target(&format!("e{i}"), "llm")).collect();
+    let mut dispatcher = ready("r1", &list);
+    step(&mut dispatcher, 900, usage(1, "west-desk", 0, 0));
+    step(&mut dispatcher, 950, usage(2, "west-desk", asked, granted));
+    let mut taken = 0;
+    for number in 0..600 {
+        let millis = 1_000 + number;
+        step(&mut dispatcher, millis, Event::Tick);
+        let wanted = request(1 + number, millis, "llm");
+        let cost = wanted.prompt.as_ref().unwrap().cost();
+        let sent = sent_to(&step(&mut dispatcher, millis, Event::Arrived(wanted)));
+        taken += if sent.is_some() { cost } else { 0 };
+        step(&mut dispatcher, millis, Event::Begun { number: 1 + number });
+        step(&mut dispatcher, millis, Event::Gone { number: 1 + number });
+    }
+    taken
+}
+
+#[test]
+fn arrive_flood_stays_near_a_refused_workspace() {
+    // The fleet serves 400,000 tokens in a window; each of the two is owed half.
+    let taken = granted_beside(2_000_000, 150_000);
+    assert!((200_000..=302_000).contains(&taken), "{taken} tokens");
+}
+
+#[test]
+fn unread_workspace_counts_as_refused() {
+    let list: Vec<_> = (0..20).map(|i| target(&format!("e{i}"), "llm")).collect();
+    let mut busy = ready("r9", &list);
+    let mut dispatcher = ready("r1", &list);
+    let mut taken = 0;
+    let mut told = Vec::new();
+    for number in 0..600 {
+        let millis = 1_000 + number;
+        let mut asked = request(number, millis, "llm");
+        asked.workspace = Some("west-desk".parse().unwrap());
+        if number % 10 == 0 {
+            // A small router reads one of ten requests of the flood that it gets.
+            step(&mut busy, millis, Event::Arrived(asked));
+            step(&mut busy, millis, Event::Gone { number });
+            step(&mut busy, millis, Event::Unread { count: 9 });
+        }
+        told.extend(busy.tell(at(millis), false));
+        for summary in told.drain(..).flat_map(|told| told.summaries) {
+            step(&mut dispatcher, millis, Event::Summary(summary));
+        }
+        step(&mut dispatcher, millis, Event::Tick);
+        // The other flood comes when this one has long asked for more than its share.
+        let asked = if number < 300 { 0 } else { 4 };
+        for part in 0..asked {
+            let number = 4 * number + part;
+            let wanted = request(number, millis, "llm");
+            let cost = wanted.prompt.as_ref().unwrap().cost();
+            let sent = sent_to(&step(&mut dispatcher, millis, Event::Arrived(wanted)));
+            taken += if sent.is_some() { cost } else { 0 };
+            step(&mut dispatcher, millis, Event::Begun { number });
+            step(&mut dispatcher, millis, Event::Gone { number });
+        }
+    }
+    // Each of the two is owed 200,000 tokens.
+    assert!(taken <= 302_000, "{taken} tokens");
+}
+
+#[test]
+fn arrive_flood_takes_all_that_nobody_else_asks_for() {
+    let cost = request(1, 0, "llm").prompt.unwrap().cost();
+    assert_eq!(granted_beside(150_000, 150_000), 600 * cost);
+}
+
+#[test]
+fn arrive_beyond_share_reads_no_prompt_again() {
+    let list = [target("a", "llm"), target("b", "llm")];
+    let mut dispatcher = ready("r1", &list);
+    let wanted = |number| {
+        let mut wanted = request(number, 1_000, "llm");
+        wanted.prompt = Some(prompt(&[(7, 8_000), (100 + number, 100)]));
+        wanted
+    };
+    // The workspace has had more than the fleet's 400,000 tokens.
+    step(&mut dispatcher, 900, usage(1, "east-desk", 0, 0));
+    step(
+        &mut dispatcher,
+        950,
+        usage(2, "east-desk", 900_000, 900_000),
+    );
+    step(&mut dispatcher, 1_000, Event::Tick);
+    let (_, home) = sent_to(&step(&mut dispatcher, 1_000, Event::Arrived(wanted(1)))).unwrap();
+    step(&mut dispatcher, 1_000, Event::Begun { number: 1 });
+    // More requests than the home has slots for.
+    let mut homes = BTreeSet::new();
+    for number in 2..60 {
+        let actions = step(&mut dispatcher, 1_000, Event::Arrived(wanted(number)));
+        homes.extend(sent_to(&actions).map(|(_, target)| target));
+        step(&mut dispatcher, 1_000, Event::Begun { number });
+    }
+    assert_eq!(homes, BTreeSet::from([home]));
+}
+
 #[test]
 fn arrive_restarted_target_keeps_nothing() {
     let mut dispatcher = ready("r1", &[target("a", "llm")]);
