--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -9,6 +9,7 @@
 mod limits;
 mod order;
 mod problem;
+mod refused;
 mod responder;
 mod seconds;
 mod server;
--- a/src/front/server.rs
+++ b/src/front/server.rs
@@ -1,7 +1,8 @@
 //! Listener of the callers' interface.
 
 use super::{
-    Problem, Responder,
+    Responder,
+    refused::Refused,
     transport::{Progress, Running, Times, Transport},
 };
 use crate::{
@@ -15,7 +16,6 @@
 use hyper_util::rt::TokioIo;
 use std::{convert::Infallible, io, net::SocketAddr, pin::pin, sync::Arc, time::Duration};
 use tokio::{
-    io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpSocket, TcpStream},
     runtime::Handle,
     sync::{Semaphore, watch},
@@ -104,20 +104,13 @@
 
     let tracker = TaskTracker::new();
     let most = connections.available_permits();
-    let refused = Arc::new(Semaphore::new(MAX_REFUSED));
-    let serve = |stream: TcpStream| {
+    let mut refused = Refused::default();
+    let serve = |stream: TcpStream, refused: &mut Refused| {
         // Without the option small writes may be delayed; the connection works all the same.
         let _ = stream.set_nodelay(true);
         let permit = connections.clone().try_acquire_owned();
         if let Some(problem) = handler.refusal(permit.is_err()) {
-            drop(permit);
-            if let Ok(place) = refused.clone().try_acquire_owned() {
-                tokio::spawn(async move {
-                    refuse(stream, problem).await;
-                    drop(place);
-                });
-            }
-            return;
+            return refused.refuse(stream, &problem);
         }
         // A connection without a place was refused above.
         let Ok(permit) = permit else {
@@ -140,18 +133,23 @@
         tokio::time::sleep(left(&stop)).await;
     });
     loop {
+        let next = refused.next().map(Duration::from);
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
+            () = tokio::time::sleep(next.unwrap_or_default()), if next.is_some() => {
+                refused.close();
+                continue;
+            }
             () = &mut closing => break,
         };
         match accepted {
-            Ok((stream, _)) => serve(stream),
+            Ok((stream, _)) => serve(stream, &mut refused),
             Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
         }
     }
     // What the system accepted already would be reset with the listener.
     while let Some(Ok((stream, _))) = listener.accept().now_or_never() {
-        serve(stream);
+        serve(stream, &mut refused);
     }
     drop(listener);
     tracker.close();
@@ -255,24 +253,3 @@
 
 /// Smallest read buffer that the HTTP library accepts, in bytes.
 const MIN_BUFFER_BYTES: usize = 8_192;
-
-/// Refuses a connection without reading its request, and lets the caller read the answer before it
-/// closes.
-async fn refuse(mut stream: TcpStream, problem: Problem) {
-    let answered = async {
-        stream.write_all(&problem.message()).await?;
-        stream.shutdown().await?;
-        let mut space = [0; DISCARD_BYTES];
-        while stream.read(&mut space).await? > 0 {}
-        io::Result::Ok(())
-    };
-    // The caller may go away; nothing was promised to it.
-    drop(tokio::time::timeout(Duration::from(REFUSE_TIME), answered).await);
-}
-
-/// Time in which a refused caller has to read its answer and close.
-const REFUSE_TIME: Span = Span::from_millis(500);
-/// Connections that are being refused at once; more are closed without a word.
-const MAX_REFUSED: usize = 200;
-/// Bytes that are read and dropped at once while a connection closes.
-const DISCARD_BYTES: usize = 4_096;
--- a/src/metric.rs
+++ b/src/metric.rs
@@ -38,6 +38,8 @@
 
 /// Requests refused because the router's processor was busy.
 pub const BUSY: &str = "marlrun_busy_total";
+/// Connections refused before their request was read, by whether the answer could be given.
+pub const REFUSED_UNREAD: &str = "marlrun_refused_unread_total";
 /// Requests that the router may carry at once, while its processor limits them.
 pub const CARRY_LIMIT: &str = "marlrun_carry_limit";
 
--- a/tests/front.rs
+++ b/tests/front.rs
@@ -73,8 +73,8 @@
     text
 }
 
-/// Starts a router before one target, sends a request and returns the answer.
-fn send(target: &Target, kind: &str, headers: &[(&str, &str)]) -> Answer {
+/// Starts a router before one target.
+fn spawn(target: &Target, kind: &str, flags: daemon::Flags) -> daemon::Daemon {
     let digest = Sha256::digest("key-w");
     let hex: String = digest.iter().map(|byte| format!("{byte:02x}")).collect();
     let address = target.address;
@@ -95,11 +95,16 @@
         peer: Some("127.0.0.1:0".into()),
         base: Some(path.to_str().unwrap().into()),
         drain_notice: Some("0s".into()),
-        ..daemon::Flags::default()
+        ..flags
     };
     let settings = flags.check().unwrap();
     let log = slog::Logger::root(slog::Discard, slog::o!());
-    let daemon = daemon::spawn(settings, &log).unwrap();
+    daemon::spawn(settings, &log).unwrap()
+}
+
+/// Starts a router before one target, sends a request and returns the answer.
+fn send(target: &Target, kind: &str, headers: &[(&str, &str)]) -> Answer {
+    let daemon = spawn(target, kind, daemon::Flags::default());
     let caller = Caller::new(daemon.address(), "key-w");
     let answer = if kind == "model" {
         let body = "{\"model\": \"s\", \"messages\": [], \"stream\": true}";
@@ -173,3 +178,33 @@
     let left: u64 = line.expect("a time limit").parse().unwrap();
     assert!(left <= 5_000, "the service's own limit is 5 s: {left}");
 }
+
+#[test]
+fn connections_beyond_the_limit_are_answered() {
+    const CALLERS: usize = 400;
+
+    let target = Target::bind(&[]);
+    let flags = daemon::Flags {
+        max_connections: Some("1".into()),
+        ..daemon::Flags::default()
+    };
+    let daemon = spawn(&target, "plain", flags);
+    let _first = TcpStream::connect(daemon.address()).unwrap();
+    let open = |_| {
+        let mut stream = TcpStream::connect(daemon.address()).unwrap();
+        stream
+            .write_all(b"GET /s/s/x HTTP/1.1\r\nhost: s\r\n\r\n")
+            .unwrap();
+        stream
+    };
+    let callers: Vec<TcpStream> = (0..CALLERS).map(open).collect();
+    let mut answered = 0;
+    for mut caller in callers {
+        let mut text = String::new();
+        // A caller without an answer is counted below.
+        let _ = caller.read_to_string(&mut text);
+        let whole = text.starts_with("HTTP/1.1 503") && text.ends_with('}');
+        answered += usize::from(whole && text.contains("\r\nretry-after: "));
+    }
+    assert_eq!(answered, CALLERS);
+}
