Membership: routers whose seeds were all dead meet when one is back; the seed that found it stays as a test

Traced: faults_then_converged () kills both seeds before routers 3 and 4 start, so nothing that lives knows both and each sees itself alone.

--- a/tests/member.rs
+++ b/tests/member.rs
@@ -235,6 +235,23 @@
     net.assert_converged();
 }
 
+/// Two routers that started when all their seeds were dead: found by `faults_then_converged` with seed
+/// 104729.
+#[test]
+fn newcomers_meet_when_a_seed_returns() {
+    let mut net = Net::new(1, Faults::NONE);
+    net.start_all(2);
+    net.kill(1);
+    net.kill(2);
+    net.start(3, &[1, 2]);
+    net.start(4, &[1, 2]);
+    net.run(Span::from_secs(60));
+    assert_eq!(net.sees(3).len(), 1, "nobody can tell 3 of 4");
+    net.start(1, &[2]);
+    net.run(REUNION);
+    net.assert_converged();
+}
+
 /// Something that goes wrong.
 #[derive(Clone, Debug)]
 enum Fault {
@@ -293,6 +310,10 @@
         net.cuts.clear();
         net.paused.clear();
         net.faults = Faults::NONE;
+        // Routers that know nothing but dead seeds have no way to each other until one is back.
+        if !(1..=size).any(|seed| net.routers.contains_key(&seed)) {
+            net.start(1, &[2]);
+        }
         net.run(REUNION);
         net.assert_converged();
     }
