A silent target is left only for one that has room, and with the repeat paid

The wait now ends only when another target has room at that moment and the repeat was paid, and is looked at again each 0.2 s.

--- a/src/dispatch/machine/mod.rs
+++ b/src/dispatch/machine/mod.rs
@@ -288,6 +288,7 @@
 
     fn send_again(&mut self, now: Time, run: Run, end: End, again: bool, out: &mut Vec<Action>) {
         let unsent = end == End::Unsent;
+        let paid = run.abandoned && end == End::Silent;
         let mut waiting = Waiting {
             until: self.hold_until(now, &run.request),
             request: run.request,
@@ -306,7 +307,7 @@
         if waiting.unsent >= MAX_UNSENT || reached >= attempts {
             return self.refuse(now, &waiting, Reason::Attempts, OVERLOAD_RETRY, out);
         }
-        if !unsent && !self.budget(&service).spend() {
+        if !unsent && !paid && !self.budget(&service).spend() {
             return self.refuse(now, &waiting, Reason::Budget, OVERLOAD_RETRY, out);
         }
         if !self.has_target(&service) {
--- a/src/dispatch/machine/place.rs
+++ b/src/dispatch/machine/place.rs
@@ -29,6 +29,8 @@
 /// Time beyond the expected one, without an answer to any request, after which a target counts as
 /// silent.
 const SILENCE: Span = Span::from_millis(500);
+/// Period in which another target is looked for while the one that has a request is silent.
+const LOOK_AGAIN: Span = Span::from_millis(200);
 /// Times that patience after which a request is taken from a target that answers others.
 const MOST_PATIENCE: u64 = 3;
 /// Time in which another router's suspicion counts, unless this router had an answer since.
@@ -164,6 +166,7 @@
             begun: false,
             ran,
             abandoned: false,
+            doubted: None,
             offer,
             request,
         };
@@ -199,37 +202,55 @@
         queue.push(waiting);
     }
 
-    /// Stops to wait for targets that fell silent, where another target may run the request.
+    /// Stops to wait for targets that fell silent, where another target has room to run the request
+    /// now. A silent target may still answer, so where none has, waiting goes on.
     pub(super) fn abandon(&mut self, now: Time, out: &mut Vec<Action>) {
-        let mut silent = Vec::new();
-        for run in self.runs.values_mut() {
-            let patience = Span(2 * run.offer.first.0 + SILENCE.0);
-            let waited = now.since(run.sent);
-            if waited < patience || run.begun || run.abandoned {
-                continue;
-            }
-            let target = self.targets.get(&run.offer.target);
-            let answered = target.and_then(|target| target.health.last_answer());
-            let silence = now.since(answered.unwrap_or_default().max(run.sent));
-            if silence < patience && waited.0 < MOST_PATIENCE * patience.0 {
-                continue;
-            }
-            run.abandoned = true;
-            silent.push((run.request.number, run.offer.target.clone()));
-        }
-        for (number, name) in silent {
-            let Some(run) = self.runs.get(&number) else {
+        for number in self.silent(now) {
+            let Some(run) = self.runs.get_mut(&number) else {
                 continue;
             };
+            let is_first = run.doubted.replace(now).is_none();
             let may_move =
                 run.request.kind.is_repeatable() && run.tried.len() < run.request.attempts as usize;
-            if may_move {
+            let waiting = Waiting {
+                request: run.request.clone(),
+                tried: run.tried.clone(),
+                unsent: run.unsent,
+                ran: run.ran,
+                until: now,
+            };
+            let name = run.offer.target.clone();
+            let moves = may_move
+                && self.find(now, &waiting, None).is_some()
+                && self.budget(&waiting.request.service).spend();
+            if moves {
+                if let Some(run) = self.runs.get_mut(&number) {
+                    run.abandoned = true;
+                }
                 out.push(Action::Abandon { number });
-            } else if let Some(target) = self.targets.get_mut(&name)
+            } else if is_first
+                && let Some(target) = self.targets.get_mut(&name)
                 && target.health.fail(now)
             {
                 out.push(super::belief(target));
             }
         }
     }
+
+    /// Returns the requests whose targets are silent and that were not looked at lately.
+    fn silent(&self, now: Time) -> Vec<u64> {
+        let silent = self.runs.values().filter(|run| {
+            let patience = Span(2 * run.offer.first.0 + SILENCE.0);
+            let waited = now.since(run.sent);
+            let looked = run.doubted.is_some_and(|at| now.since(at) < LOOK_AGAIN);
+            if waited < patience || run.begun || run.abandoned || looked {
+                return false;
+            }
+            let target = self.targets.get(&run.offer.target);
+            let answered = target.and_then(|target| target.health.last_answer());
+            let silence = now.since(answered.unwrap_or_default().max(run.sent));
+            silence >= patience || waited.0 >= MOST_PATIENCE * patience.0
+        });
+        silent.map(|run| run.request.number).collect()
+    }
 }
--- a/src/dispatch/run.rs
+++ b/src/dispatch/run.rs
@@ -21,6 +21,8 @@
     pub(super) begun: bool,
     /// A target may have run it.
     pub(super) ran: bool,
-    /// The gateway was told to stop waiting.
+    /// The gateway was told to stop waiting; the repeat is paid from the budget.
     pub(super) abandoned: bool,
+    /// Time at which the target was last found silent.
+    pub(super) doubted: Option<Time>,
 }
--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -442,6 +442,39 @@
     assert!(abandoned);
 }
 
+#[test]
+fn tick_silent_target_without_another() {
+    let mut dispatcher = ready("r1", &[target("a", "llm")]);
+    step(&mut dispatcher, 0, Event::Arrived(request(1, 0, "llm")));
+    for millis in (0..9_000).step_by(10) {
+        let actions = step(&mut dispatcher, millis, Event::Tick);
+        assert!(!actions.contains(&Action::Abandon { number: 1 }));
+    }
+}
+
+#[test]
+fn tick_silent_target_without_budget() {
+    let mut settings = Settings::new(
+        "r1".parse().unwrap(),
+        id::Incarnation(1),
+        "east".parse().unwrap(),
+    );
+    settings.repeat_extra = 0;
+    settings.repeat_permille = 0;
+    let mut dispatcher = Dispatcher::open(settings);
+    step(&mut dispatcher, 0, Event::Routing(table(None)));
+    step(
+        &mut dispatcher,
+        0,
+        targets(&[target("a", "llm"), target("b", "llm")]),
+    );
+    step(&mut dispatcher, 0, Event::Arrived(request(1, 0, "llm")));
+    for millis in (0..9_000).step_by(10) {
+        let actions = step(&mut dispatcher, millis, Event::Tick);
+        assert!(!actions.contains(&Action::Abandon { number: 1 }));
+    }
+}
+
 #[test]
 fn tick_overload_is_refused_at_once() {
     let mut dispatcher = ready("r1", &[target("a", "app")]);
