--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -1,4 +1,5 @@
 //! Names and lists of the routers of a fleet, in four failure domains.
+#![allow(dead_code, reason = "each test program uses a part of it")]
 
 use marlrun::{
     dispatch::{Audience, Event},
