Bound the exchange of loads in large fleets

Cause: on the large deployment leaders sent so many datagrams that a round took longer than the 0.4 s after which followers look for another leader.

Change: a router follows leaders of other failure domains if none of its own answers; an isolated router sends to its failure domain and the leaders only; a round has a limit of items for each recipient, the largest and oldest differences first, and never takes longer than 0.1 s; usages are sent each 0.1 s between groups and each 0.15 s to followers; in a large fleet the last prompt part, which hardly any other request shares, is not announced, and its tokens displace others in the estimated caches; sums are computed once for all followers; routers of a large fleet send each 30 ms; the delay that batches list changes follows the configured bound instead of a constant.

Test: exchange::summarize_large_fleet_is_bounded. Ruled out: a change of one interval alone; the loop starts again at the next size.

--- a/src/dispatch/account.rs
+++ b/src/dispatch/account.rs
@@ -1,7 +1,7 @@
 //! Token totals of a workspace.
 
 use super::tokens::Tokens;
-use crate::id;
+use crate::{id, unit::Time};
 use std::collections::HashMap;
 
 /// Token totals of a workspace since this router started, kept separately for each kind of
@@ -14,25 +14,31 @@
     pub(super) all: Tokens,
     /// Tokens at each follower; included in `all` and `group`.
     followers: HashMap<id::Router, Tokens>,
-    /// The totals changed since they were last sent to other routers.
-    pub(super) changed: bool,
+    /// Time of the last change.
+    pub(super) changed_at: Time,
 }
 
 impl Account {
     /// Adds tokens at this router.
-    pub(super) fn add_own(&mut self, tokens: Tokens) {
+    pub(super) fn add_own(&mut self, now: Time, tokens: Tokens) {
         self.group += tokens;
         self.all += tokens;
-        self.changed = true;
+        self.changed_at = now;
     }
 
     /// Adds tokens that another router reported.
-    pub(super) fn add(&mut self, router: &id::Router, is_follower: bool, tokens: Tokens) {
+    pub(super) fn add(
+        &mut self,
+        now: Time,
+        router: &id::Router,
+        is_follower: bool,
+        tokens: Tokens,
+    ) {
         if tokens == Tokens::default() {
             return;
         }
         self.all += tokens;
-        self.changed = true;
+        self.changed_at = now;
         if is_follower {
             self.group += tokens;
             *self.followers.entry(router.clone()).or_default() += tokens;
--- a/src/dispatch/cache.rs
+++ b/src/dispatch/cache.rs
@@ -32,6 +32,11 @@
         cached.map(|part| u64::from(part.tokens)).sum()
     }
 
+    /// Records that the target processed tokens of parts that are not tracked.
+    pub(super) fn displace(&mut self, tokens: u64) {
+        self.processed += tokens;
+    }
+
     /// Records that a part was sent to the target.
     pub(super) fn touch(&mut self, id: u64, tokens: u32, memory: u64) {
         let capacity = memory * CACHE_PERCENT / 100;
--- a/src/dispatch/dispatcher/fleet.rs
+++ b/src/dispatch/dispatcher/fleet.rs
@@ -3,7 +3,7 @@
 use super::{Baseline, Dispatcher, Peer, Target, Topology};
 use crate::{
     catalog,
-    dispatch::{Action, Recipients, View},
+    dispatch::{Action, View},
     gossip::{self, Scope},
     id, routing,
     unit::{Span, Time},
@@ -102,14 +102,16 @@
         self.budgets.values_mut().for_each(|b| b.set_burst(burst));
     }
 
-    /// Sets the routers that this one may follow and the other leading routers.
+    /// Sets the routers that this one may follow, the other leading routers, and those of its
+    /// failure domain.
     pub(super) fn set_roster(
         &mut self,
         now: Time,
         candidates: Vec<id::Router>,
         leaders: Vec<id::Router>,
+        neighbors: Vec<id::Router>,
     ) {
-        self.change_topology(|topology| topology.set(now, candidates, leaders));
+        self.change_topology(|topology| topology.set(now, candidates, leaders, neighbors));
     }
 
     /// Follows another router if the followed one is silent.
@@ -135,11 +137,9 @@
         if before.is_none() {
             let followers = self.followers();
             self.drop_peers(Peer::is_follower);
-            let followers = (Scope::Rest, Recipients::Routers(followers));
-            self.former_recipients.push(followers);
+            self.former_recipients.push((Scope::Rest, followers));
         }
         self.baseline = Baseline::default();
-        self.last_full = Time::default();
     }
 
     /// Returns the number of known routers, including this one.
@@ -227,13 +227,16 @@
                 }
             }
         }
+        let mut granted = 0;
         for usage in &summary.usages {
             let tokens = peer.set_usage(usage);
             self.share
                 .add(usage.workspace, tokens.requested, tokens.granted);
             let account = self.accounts.entry(usage.workspace).or_default();
-            account.add(&summary.router, peer.is_follower(), tokens);
+            account.add(now, &summary.router, peer.is_follower(), tokens);
+            granted += tokens.granted;
         }
+        self.count_unshared(granted);
         for prefill in &summary.prefills {
             let target = self.names.get(&prefill.target);
             if let Some(target) = target.and_then(|name| self.targets.get_mut(name)) {
--- a/src/dispatch/dispatcher/mod.rs
+++ b/src/dispatch/dispatcher/mod.rs
@@ -5,7 +5,7 @@
 mod summaries;
 
 use super::{
-    Action, Allocation, Event, Outcome, Reason, Recipients, Refusal, Request, Settings,
+    Action, Allocation, Event, Outcome, Reason, Refusal, Request, Settings,
     account::Account,
     attempt::Attempt,
     baseline::Baseline,
@@ -71,10 +71,15 @@
     /// Time at which a prompt part of a target was last announced to other routers.
     announced_prefills: HashMap<(u64, u64), Time>,
     /// Former recipients that are still to be informed that this router sends them nothing more.
-    former_recipients: Vec<(Scope, Recipients)>,
+    former_recipients: Vec<(Scope, Vec<id::Router>)>,
     sequence: u64,
-    /// Time at which everything was last sent to other routers.
-    last_full: Time,
+    /// Time at which records of unknown targets and old announcements were last dropped.
+    last_cleanup: Time,
+    /// Tokens that each engine processed of prompt parts that no other request shares, as far as
+    /// usages tell; not applied to the estimated caches yet.
+    unshared_tokens: f64,
+    /// Fraction of the granted tokens that such parts make up, from this router's own requests.
+    unshared_fraction: f64,
 }
 
 impl Dispatcher {
@@ -98,7 +103,9 @@
             announced_prefills: HashMap::new(),
             former_recipients: Vec::new(),
             sequence: 0,
-            last_full: Time::default(),
+            last_cleanup: Time::default(),
+            unshared_tokens: 0.0,
+            unshared_fraction: 0.0,
         }
     }
 
@@ -135,15 +142,16 @@
             Event::Roster {
                 candidates,
                 leaders,
-            } => self.set_roster(now, candidates, leaders),
-            Event::Shed { count } => self.record_shed(count),
+                neighbors,
+            } => self.set_roster(now, candidates, leaders, neighbors),
+            Event::Shed { count } => self.record_shed(now, count),
             Event::Tick => self.tick(now, out),
         }
     }
 
     fn arrive(&mut self, now: Time, request: Request, out: &mut Vec<Action>) {
         self.budget(&request.service).deposit();
-        let excess = self.record_demand(&request);
+        let excess = self.record_demand(now, &request);
         let expires = self.queue_deadline(now, &request);
         let pending = Pending {
             request,
@@ -174,14 +182,14 @@
 
     /// Adds a request to the demand of its workspace; returns by how much the workspace exceeds its
     /// share.
-    fn record_demand(&mut self, request: &Request) -> Option<f64> {
+    fn record_demand(&mut self, now: Time, request: &Request) -> Option<f64> {
         let (Some(workspace), Some(prompt)) = (&request.workspace, &request.prompt) else {
             return None;
         };
         let key = hash(workspace.as_str());
         let cost = prompt.cost();
         self.last_demand = Some((key, cost));
-        self.add_demand(key, cost);
+        self.add_demand(now, key, cost);
         if self.settings.policy.uses_peer_reports() {
             self.share.excess(key, cost)
         } else {
@@ -189,21 +197,22 @@
         }
     }
 
-    fn add_demand(&mut self, workspace: u64, requested: u64) {
+    fn add_demand(&mut self, now: Time, workspace: u64, requested: u64) {
         let tokens = Tokens {
             requested,
             granted: 0,
         };
-        self.accounts.entry(workspace).or_default().add_own(tokens);
+        let account = self.accounts.entry(workspace).or_default();
+        account.add_own(now, tokens);
         self.share.add(workspace, requested, 0);
     }
 
     /// Attributes requests that were shed before they were parsed to the workspace and cost of the
     /// last generation that was. Their workspace is unknown, but the one that sends most is shed
     /// most.
-    fn record_shed(&mut self, count: u64) {
+    fn record_shed(&mut self, now: Time, count: u64) {
         if let Some((workspace, cost)) = self.last_demand {
-            self.add_demand(workspace, cost * count);
+            self.add_demand(now, workspace, cost * count);
         }
     }
 
@@ -365,6 +374,7 @@
 
     fn tick(&mut self, now: Time, out: &mut Vec<Action>) {
         self.share.tick(now);
+        self.displace_unshared();
         self.drop_silent_peers(now);
         self.tick_topology(now);
         self.abandon_silent(now, out);
--- a/src/dispatch/dispatcher/selection.rs
+++ b/src/dispatch/dispatcher/selection.rs
@@ -6,7 +6,7 @@
         Action, Estimate, Policy,
         target::{Condition, Target},
     },
-    gossip, id,
+    id,
     placement::hash,
     unit::{Span, Time},
 };
@@ -150,20 +150,16 @@
             return;
         };
         let (memory, ahead) = target.start(&request, estimate.uncached_tokens, now);
+        let target_key = target.key;
         if let Some(prompt) = &request.prompt {
-            let prefills = prompt.parts.iter().map(|part| gossip::Prefill {
-                target: target.key,
-                part: part.id,
-                tokens: part.tokens,
-            });
-            self.prefills
-                .extend(prefills.map(|prefill| (None, prefill)));
+            self.announce(target_key, prompt);
             if let Some(workspace) = request.workspace.as_ref().filter(|_| tried.is_empty()) {
                 let key = hash(workspace.as_str());
-                self.accounts.entry(key).or_default().add_own(Tokens {
+                let tokens = Tokens {
                     requested: 0,
                     granted: prompt.cost(),
-                });
+                };
+                self.accounts.entry(key).or_default().add_own(now, tokens);
                 self.share.add(key, 0, prompt.cost());
             }
         }
--- a/src/dispatch/dispatcher/summaries.rs
+++ b/src/dispatch/dispatcher/summaries.rs
@@ -1,16 +1,20 @@
 //! Summaries for other routers.
 
-use super::Dispatcher;
+use super::{Dispatcher, Peer};
 use crate::{
-    dispatch::{Batch, Recipients, View},
+    dispatch::{Batch, Prompt, View, account::Account, baseline::Baseline, tokens::Tokens},
     gossip::{self, Scope},
     id,
     unit::{Span, Time, Version},
 };
-use std::collections::HashMap;
+use std::{cmp::Reverse, collections::HashMap};
 
-/// Interval at which everything is sent again, since datagrams may be lost.
+/// Interval at which all usages are sent again, since datagrams may be lost.
 const FULL_INTERVAL: Span = Span::from_millis(500);
+/// Intervals at which changed usages are sent between groups and to a follower; fractions of the
+/// window over which shares are computed. A follower sends its own, which are few, in each summary.
+const GROUP_USAGE_INTERVAL: Span = Span::from_millis(100);
+const REST_USAGE_INTERVAL: Span = Span::from_millis(150);
 /// Maximum time without a summary. A router that follows another one looks for a new one after four
 /// of these.
 const KEEPALIVE_INTERVAL: Span = Span::from_millis(100);
@@ -19,7 +23,14 @@
 const ANNOUNCE_INTERVAL: Span = Span::from_millis(1_000);
 /// Maximum number of items of all kinds in a summary. With names of usual length, it then fits in a
 /// datagram.
-const MAX_SUMMARY_ITEMS: usize = 44;
+const MAX_SUMMARY_ITEMS: usize = 56;
+/// Datagrams of loads and prefills that a router sends in one round to all recipients together. At
+/// the rate limit of datagrams, rounds then follow each other within [`KEEPALIVE_INTERVAL`].
+const ROUND_DATAGRAMS: usize = 100;
+/// Maximum number of datagrams of loads and prefills for one recipient in a round.
+const MAX_RECIPIENT_DATAGRAMS: usize = 8;
+/// Weight of one request in the moving average of the fraction of tokens that are not shared.
+const UNSHARED_ALPHA: f64 = 0.02;
 
 /// Contents of a message to one set of recipients, before it is split into summaries.
 struct Content {
@@ -32,61 +43,159 @@
     prefills: Vec<gossip::Prefill>,
 }
 
-/// Load of a target, added up over followers.
+/// Load of a target, added up over routers.
 #[derive(Clone, Copy, Default)]
 struct Total {
     view: View,
-    /// Followers that report the target as failing.
+    /// Routers that report the target as failing.
     suspects: u32,
 }
 
+impl Total {
+    fn add(&mut self, load: &gossip::Load) {
+        self.view = self.view.plus(load.into());
+        self.suspects += u32::from(load.suspect);
+    }
+}
+
+/// What a round of summaries is made from.
+struct Round {
+    now: Time,
+    leaving: bool,
+    /// Maximum number of loads and prefills for a recipient.
+    max_items: usize,
+    prefills: Vec<(Option<id::Router>, gossip::Prefill)>,
+    /// Loads of all targets, added up over this router and all others.
+    totals: HashMap<u64, Total>,
+}
+
 impl Dispatcher {
     /// Returns the summaries to be sent to other routers now.
     pub fn summarize(&mut self, now: Time, leaving: bool) -> Vec<Batch> {
-        let all = now.since(self.last_full) >= FULL_INTERVAL;
-        if all {
-            self.last_full = now;
+        if now.since(self.last_cleanup) >= FULL_INTERVAL {
+            self.last_cleanup = now;
             self.announced_prefills
                 .retain(|_, at| now.since(*at) < ANNOUNCE_INTERVAL);
             let names = &self.names;
             self.baseline.retain(|target| names.contains_key(&target));
+            for peer in self.peers.values_mut() {
+                peer.baseline.retain(|target| names.contains_key(&target));
+            }
         }
-        let prefills = self.take_prefills(now);
-        let changed = self.accounts.iter_mut();
-        let changed = changed.filter(|(_, account)| all || account.changed);
-        let changed: Vec<u64> = changed
-            .map(|(workspace, account)| {
-                account.changed = false;
-                *workspace
-            })
-            .collect();
+        let followers = self.followers();
+        let recipient_count = followers.len() + self.recipients().1.len();
+        let datagrams = ROUND_DATAGRAMS / recipient_count.max(1);
+        let max_items = datagrams.clamp(1, MAX_RECIPIENT_DATAGRAMS) * MAX_SUMMARY_ITEMS;
+        let round = Round {
+            now,
+            leaving,
+            max_items,
+            prefills: self.take_prefills(now, max_items / 4),
+            totals: if followers.is_empty() {
+                HashMap::new()
+            } else {
+                self.totals()
+            },
+        };
         let mut batches = self.leave_notices();
-        batches.extend(self.summarize_group(now, (all, leaving), &changed, &prefills));
-        for follower in self.followers() {
-            batches.extend(self.summarize_rest(
-                now,
-                (all, leaving),
-                &follower,
-                &changed,
-                &prefills,
-            ));
+        batches.extend(self.summarize_group(&round));
+        for follower in followers {
+            batches.extend(self.summarize_rest(&round, &follower));
         }
         batches
     }
 
+    /// Adds up the loads of all targets over this router and all others.
+    fn totals(&self) -> HashMap<u64, Total> {
+        let targets = self.targets.values();
+        let mut totals: HashMap<u64, Total> = targets
+            .map(|target| {
+                let total = Total {
+                    view: target.own.plus(target.others),
+                    suspects: u32::from(target.health.is_suspect()),
+                };
+                (target.key, total)
+            })
+            .collect();
+        for load in self.peers.values().flat_map(|peer| peer.loads.values()) {
+            if let Some(total) = totals.get_mut(&load.target) {
+                total.suspects += u32::from(load.suspect);
+            }
+        }
+        totals
+    }
+
+    /// Records the parts of a prompt that was sent to a target. In a large fleet, the last part is
+    /// left out: hardly any other request shares it, and there are more of these than of all others.
+    pub(super) fn announce(&mut self, target: u64, prompt: &Prompt) {
+        let Some((last, shared)) = prompt.parts.split_last() else {
+            return;
+        };
+        let fraction = f64::from(last.tokens) / prompt.cost().max(1) as f64;
+        self.unshared_fraction += UNSHARED_ALPHA * (fraction - self.unshared_fraction);
+        let announced = if self.is_large_fleet() {
+            shared
+        } else {
+            &prompt.parts
+        };
+        let prefills = announced.iter().map(|part| gossip::Prefill {
+            target,
+            part: part.id,
+            tokens: part.tokens,
+        });
+        self.prefills
+            .extend(prefills.map(|prefill| (None, prefill)));
+    }
+
+    /// Reports whether loads are exchanged through leading routers.
+    fn is_large_fleet(&self) -> bool {
+        self.topology.followed().is_some() || self.peers.values().any(Peer::is_follower)
+    }
+
+    /// Counts tokens that other routers granted, as far as they belong to prompt parts that are not
+    /// announced.
+    pub(super) fn count_unshared(&mut self, granted: u64) {
+        if self.is_large_fleet() {
+            let engines = self.targets.values().filter(|t| t.engine.is_some());
+            let engines = engines.count().max(1) as f64;
+            self.unshared_tokens += granted as f64 * self.unshared_fraction / engines;
+        }
+    }
+
+    /// Applies the tokens of parts that are not announced to the estimated caches: they displace
+    /// other parts there.
+    pub(super) fn displace_unshared(&mut self) {
+        let tokens = self.unshared_tokens as u64;
+        if tokens > 0 {
+            self.unshared_tokens = 0.0;
+            let engines = self.targets.values_mut();
+            let engines = engines.filter(|target| target.engine.is_some());
+            engines.for_each(|target| target.cache.displace(tokens));
+        }
+    }
+
     /// Takes the prompt parts that are to be announced, without those that were announced recently.
-    fn take_prefills(&mut self, now: Time) -> Vec<(Option<id::Router>, gossip::Prefill)> {
+    /// If there are more than `limit`, the largest ones are announced: processing them again would
+    /// take longest.
+    fn take_prefills(
+        &mut self,
+        now: Time,
+        limit: usize,
+    ) -> Vec<(Option<id::Router>, gossip::Prefill)> {
         let mut prefills = std::mem::take(&mut self.prefills);
+        let announced = &self.announced_prefills;
         prefills.retain(|(_, prefill)| {
-            let announced = self.announced_prefills.get(&(prefill.target, prefill.part));
-            let is_due =
-                announced.is_none_or(|announced| now.since(*announced) >= ANNOUNCE_INTERVAL);
-            if is_due {
-                self.announced_prefills
-                    .insert((prefill.target, prefill.part), now);
-            }
-            is_due
+            let announced = announced.get(&(prefill.target, prefill.part));
+            announced.is_none_or(|announced| now.since(*announced) >= ANNOUNCE_INTERVAL)
         });
+        if prefills.len() > limit {
+            prefills.sort_by_key(|(_, prefill)| Reverse(prefill.tokens));
+            prefills.truncate(limit);
+        }
+        for (_, prefill) in &prefills {
+            let key = (prefill.target, prefill.part);
+            self.announced_prefills.insert(key, now);
+        }
         prefills
     }
 
@@ -97,11 +206,10 @@
     }
 
     /// Returns the recipients of the load of this router and its followers.
-    pub(super) fn recipients(&self) -> (Scope, Recipients) {
+    pub(super) fn recipients(&self) -> (Scope, Vec<id::Router>) {
         match self.topology.followed().cloned() {
-            Some(router) => (Scope::Follower, Recipients::Routers(vec![router])),
-            None if self.topology.is_isolated() => (Scope::Group, Recipients::All),
-            None => (Scope::Group, Recipients::Routers(self.group_recipients())),
+            Some(router) => (Scope::Follower, vec![router]),
+            None => (Scope::Group, self.group_recipients()),
         }
     }
 
@@ -129,13 +237,8 @@
 
     /// Summarizes the load of this router and its followers for the followed router, or for the
     /// leading ones.
-    fn summarize_group(
-        &mut self,
-        now: Time,
-        (all, leaving): (bool, bool),
-        changed: &[u64],
-        prefills: &[(Option<id::Router>, gossip::Prefill)],
-    ) -> Option<Batch> {
+    fn summarize_group(&mut self, round: &Round) -> Option<Batch> {
+        let now = round.now;
         let (scope, recipients) = self.recipients();
         let followers = self.peers.values().filter(|peer| peer.is_follower());
         let mut totals: HashMap<u64, Total> = HashMap::new();
@@ -144,36 +247,33 @@
             router_count += peer.router_count;
             age = age.max(peer.age(now));
             version = version.max(peer.version);
-            for load in peer.loads.values() {
-                let sum = totals.entry(load.target).or_default();
-                sum.view = sum.view.plus(load.into());
-                sum.suspects += u32::from(load.suspect);
-            }
+            let loads = peer.loads.values();
+            loads.for_each(|load| totals.entry(load.target).or_default().add(load));
         }
+        let mut baseline = std::mem::take(&mut self.baseline);
+        let usages = self.usages(now, &mut baseline, scope, |account| account.group);
+        let prefills = select_prefills(&round.prefills, |from| {
+            from.is_none_or(|router| self.peers.get(router).is_some_and(Peer::is_follower))
+        });
         let targets = self.targets.values();
         let loads = targets.map(|target| {
             let sum = totals.get(&target.key).copied().unwrap_or_default();
             let suspect = target.health.is_suspect() || sum.suspects > 0;
             new_load(target.key, target.own.plus(sum.view), suspect)
         });
+        let max_loads = round.max_loads(usages.len() + prefills.len());
         let content = Content {
             scope,
             version,
             router_count,
             age,
-            loads: self.baseline.changes(loads, all),
-            usages: self.usages(changed, |account| account.group),
-            prefills: select_prefills(prefills, |from| {
-                from.is_none_or(|router| self.peers.get(router).is_some_and(|p| p.is_follower()))
-            }),
+            loads: baseline.select(now, loads, max_loads),
+            usages,
+            prefills,
         };
-        let always = all || leaving || now.since(self.baseline.last_sent) >= KEEPALIVE_INTERVAL;
-        let summaries = self.split(leaving, always, content);
-        if summaries.is_empty() {
-            return None;
-        }
-        self.baseline.last_sent = now;
-        Some(Batch {
+        let summaries = self.split_due(round, &mut baseline, content);
+        self.baseline = baseline;
+        (!summaries.is_empty()).then_some(Batch {
             recipients,
             summaries,
         })
@@ -181,7 +281,7 @@
 
     /// Returns the other routers that exchange the loads of groups.
     fn group_recipients(&self) -> Vec<id::Router> {
-        let mut routers = self.topology.leaders().to_vec();
+        let mut routers = self.topology.group_recipients();
         let leading = self.peers.iter();
         let leading = leading.filter(|(_, peer)| peer.scope == Scope::Group);
         for (router, _) in leading {
@@ -193,72 +293,75 @@
     }
 
     /// Summarizes the load of all other routers for a follower.
-    fn summarize_rest(
-        &mut self,
-        now: Time,
-        (all, leaving): (bool, bool),
-        follower: &id::Router,
-        changed: &[u64],
-        prefills: &[(Option<id::Router>, gossip::Prefill)],
-    ) -> Option<Batch> {
+    fn summarize_rest(&mut self, round: &Round, follower: &id::Router) -> Option<Batch> {
+        let now = round.now;
         let mut peer = self.peers.remove(follower)?;
-        let others = self.peers.values();
-        let age = others.clone().map(|other| other.age(now)).max();
-        let version = others.clone().map(|other| other.version).max();
-        let targets = self.targets.values();
-        let loads = targets.map(|target| {
-            let part = peer.loads.get(&target.key).copied().unwrap_or_default();
-            let all = target.own.plus(target.others);
+        let mut baseline = std::mem::take(&mut peer.baseline);
+        let scope = Scope::Rest;
+        let usages = self.usages(now, &mut baseline, scope, |account| {
+            account.except(follower)
+        });
+        let prefills = select_prefills(&round.prefills, |from| from != Some(follower));
+        let max_loads = round.max_loads(usages.len() + prefills.len());
+        let loads = round.totals.iter().map(|(target, total)| {
+            let part = peer.loads.get(target).copied().unwrap_or_default();
             let view = View {
-                running: all.running.saturating_sub(part.running),
-                backlog: all.backlog.saturating_sub(part.backlog),
-                memory: all.memory.saturating_sub(part.memory),
+                running: total.view.running.saturating_sub(part.running),
+                backlog: total.view.backlog.saturating_sub(part.backlog),
+                memory: total.view.memory.saturating_sub(part.memory),
             };
-            let mut others = others.clone();
-            let suspect = target.health.is_suspect()
-                || others.any(|other| {
-                    let load = other.loads.get(&target.key);
-                    load.is_some_and(|load| load.suspect)
-                });
-            new_load(target.key, view, suspect)
+            new_load(*target, view, total.suspects > u32::from(part.suspect))
         });
-        let loads = peer.baseline.changes(loads, all);
-        if all {
-            let names = &self.names;
-            peer.baseline.retain(|target| names.contains_key(&target));
-        }
+        let loads = baseline.select(now, loads, max_loads);
+        let others = self.peers.values();
+        let age = others.clone().map(|other| other.age(now)).max();
+        let version = others.clone().map(|other| other.version).max();
         let content = Content {
-            scope: Scope::Rest,
+            scope,
             version: self.routing.version.max(version.unwrap_or_default()),
             router_count: 1 + others.map(|other| other.router_count).sum::<u32>(),
             age: age.unwrap_or_default(),
             loads,
-            usages: self.usages(changed, |account| account.except(follower)),
-            prefills: select_prefills(prefills, |from| from != Some(follower)),
+            usages,
+            prefills,
         };
-        let always = all || leaving || now.since(peer.baseline.last_sent) >= KEEPALIVE_INTERVAL;
-        let summaries = self.split(leaving, always, content);
-        if !summaries.is_empty() {
-            peer.baseline.last_sent = now;
-        }
+        let summaries = self.split_due(round, &mut baseline, content);
+        peer.baseline = baseline;
         self.peers.insert(follower.clone(), peer);
         (!summaries.is_empty()).then(|| Batch {
-            recipients: Recipients::Routers(vec![follower.clone()]),
+            recipients: vec![follower.clone()],
             summaries,
         })
     }
 
+    /// Returns the usages to be sent to the recipients of a baseline now.
     fn usages(
         &self,
-        workspaces: &[u64],
-        tokens: impl Fn(&super::Account) -> super::Tokens,
+        now: Time,
+        baseline: &mut Baseline,
+        scope: Scope,
+        tokens: impl Fn(&Account) -> Tokens,
     ) -> Vec<gossip::Usage> {
-        let accounts = workspaces.iter();
-        let accounts = accounts.filter_map(|key| Some((*key, self.accounts.get(key)?)));
+        let interval = match scope {
+            Scope::Follower => Span(0),
+            Scope::Group => GROUP_USAGE_INTERVAL,
+            Scope::Rest => REST_USAGE_INTERVAL,
+        };
+        let all = now.since(baseline.usages_complete) >= FULL_INTERVAL;
+        let since = baseline.usages_sent;
+        if !all && now.since(since) < interval {
+            return Vec::new();
+        }
+        baseline.usages_sent = now;
+        if all {
+            baseline.usages_complete = now;
+        }
+        let accounts = self.accounts.iter();
+        let accounts = accounts.filter(|(_, account)| all || account.changed_at >= since);
         let usages = accounts.map(|(workspace, account)| {
             let tokens = tokens(account);
             gossip::Usage {
-                workspace,
+                workspace: *workspace,
                 requested: tokens.requested,
                 granted: tokens.granted,
             }
@@ -266,6 +369,22 @@
         usages.collect()
     }
 
+    /// Splits contents into summaries; returns none for empty contents, unless a summary is due.
+    fn split_due(
+        &mut self,
+        round: &Round,
+        baseline: &mut Baseline,
+        content: Content,
+    ) -> Vec<gossip::Summary> {
+        let since_last = round.now.since(baseline.last_sent);
+        let always = round.leaving || since_last >= KEEPALIVE_INTERVAL;
+        let summaries = self.split(round.leaving, always, content);
+        if !summaries.is_empty() {
+            baseline.last_sent = round.now;
+        }
+        summaries
+    }
+
     /// Splits contents into summaries that fit in a datagram each. Returns none for empty contents,
     /// unless `always` is set.
     fn split(&mut self, leaving: bool, always: bool, content: Content) -> Vec<gossip::Summary> {
@@ -298,6 +417,14 @@
     }
 }
 
+impl Round {
+    /// Returns the maximum number of loads for a recipient that gets a number of other items.
+    fn max_loads(&self, other_items: usize) -> usize {
+        let rest = self.max_items.saturating_sub(other_items);
+        rest.max(self.max_items / 2)
+    }
+}
+
 fn new_load(target: u64, view: View, suspect: bool) -> gossip::Load {
     gossip::Load {
         target,
--- a/src/dispatch/event.rs
+++ b/src/dispatch/event.rs
@@ -46,6 +46,8 @@
         candidates: Vec<id::Router>,
         /// Other leading routers.
         leaders: Vec<id::Router>,
+        /// Other routers of the same failure domain.
+        neighbors: Vec<id::Router>,
     },
     /// Time has passed.
     Tick,
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -36,7 +36,7 @@
 pub use self::{
     action::Action,
     allocation::Allocation,
-    batch::{Batch, Recipients},
+    batch::Batch,
     dispatcher::Dispatcher,
     estimate::Estimate,
     event::Event,
--- a/src/dispatch/topology.rs
+++ b/src/dispatch/topology.rs
@@ -36,6 +36,8 @@
     candidates: Vec<id::Router>,
     /// Other leading routers.
     leaders: Vec<id::Router>,
+    /// Other routers of the failure domain.
+    neighbors: Vec<id::Router>,
 }
 
 impl Topology {
@@ -45,13 +47,22 @@
             state: State::Leading,
             candidates: Vec::new(),
             leaders: Vec::new(),
+            neighbors: Vec::new(),
         }
     }
 
-    /// Sets the routers that this one may follow, none if it leads, and the other leading routers.
-    pub(super) fn set(&mut self, now: Time, candidates: Vec<id::Router>, leaders: Vec<id::Router>) {
+    /// Sets the routers that this one may follow, none if it leads, the other leading routers, and
+    /// those of its failure domain.
+    pub(super) fn set(
+        &mut self,
+        now: Time,
+        candidates: Vec<id::Router>,
+        leaders: Vec<id::Router>,
+        neighbors: Vec<id::Router>,
+    ) {
         let followed = self.followed().cloned();
         self.leaders = leaders;
+        self.neighbors = neighbors;
         self.candidates = candidates;
         let index = self
             .candidates
@@ -73,14 +84,17 @@
         }
     }
 
-    /// Reports whether none of the candidates answers.
-    pub(super) fn is_isolated(&self) -> bool {
-        matches!(self.state, State::Isolated(_))
-    }
-
-    /// Returns the other leading routers.
-    pub(super) fn leaders(&self) -> &[id::Router] {
-        &self.leaders
+    /// Returns the other routers that the load of a group is sent to: the leading ones. An isolated
+    /// router also sends it to those of its failure domain, since others there may be isolated too.
+    /// It doesn't send it to the whole fleet: that costs most when many routers are isolated because
+    /// they or their leaders are overloaded, and then adds to the overload.
+    pub(super) fn group_recipients(&self) -> Vec<id::Router> {
+        let mut recipients = self.leaders.clone();
+        if matches!(self.state, State::Isolated(_)) {
+            let neighbors = self.neighbors.iter();
+            recipients.extend(neighbors.filter(|r| !self.leaders.contains(r)).cloned());
+        }
+        recipients
     }
 
     /// Records that the followed router was heard from.
--- a/src/gateway/controller.rs
+++ b/src/gateway/controller.rs
@@ -9,7 +9,7 @@
 use crate::{
     catalog::{self, Catalog},
     clock,
-    dispatch::{Event, Recipients},
+    dispatch::Event,
     gossip, metric, mirror,
     roster::Roster,
     unit::{Span, Time},
@@ -22,11 +22,17 @@
 pub(super) const TICK_INTERVAL: Span = Span::from_millis(10);
 /// Maximum age at which the cached list of routers is served to or accepted from other routers.
 pub(super) const ROUTERS_MAX_AGE: Span = Span::from_secs(25);
-/// Minimum interval of load summaries; it grows with the number of datagrams sent.
+/// Minimum interval of load summaries in a small fleet and in one whose routers follow leaders; it
+/// grows with the number of datagrams sent. A leader sends several datagrams to each follower, so
+/// that shorter intervals there only wake it up more often.
 const SUMMARY_INTERVAL: Span = Span::from_millis(20);
+const LARGE_FLEET_SUMMARY_INTERVAL: Span = Span::from_millis(30);
 /// Maximum rate of datagrams with load summaries. Above it the interval grows, so that their CPU
 /// time stays far below that of the requests.
 const MAX_DATAGRAMS_PER_S: u64 = 1_000;
+/// Maximum interval of load summaries. A router that is silent for four of these is replaced as a
+/// leader.
+const MAX_SUMMARY_INTERVAL: Span = Span::from_millis(100);
 /// Time after which the configuration is read again if another router reports a newer version: the
 /// long-polling connection may be dead.
 const REREAD_DELAY: Span = Span::from_millis(150);
@@ -40,9 +46,6 @@
 const OVERLOAD_HOLD: Span = Span::from_secs(10);
 /// Time allowed for a long-polling call beyond its requested wait.
 const LONG_POLL_MARGIN: Span = Span::from_millis(600);
-/// Delay before polling again after changes of a list, which batches changes; a tenth of the
-/// shortest configured bound for applying changes.
-const BATCH_DELAY: Span = Span::from_millis(200);
 /// Batching delay for the list of routers; longer because many routers start at the same time.
 const ROUTERS_BATCH_DELAY: Span = Span::from_millis(1_000);
 /// Maximum number of further routers, in any failure domain, that are asked for lists when the
@@ -85,10 +88,11 @@
         let (configuration_sender, mut configuration_events) = mpsc::unbounded_channel();
         let (targets_sender, mut target_events) = mpsc::unbounded_channel();
         let (routers_sender, mut router_events) = mpsc::unbounded_channel();
+        let batch_delay = self.settings.batch_delay();
         let watch_settings = |wait| watch::Settings {
             wait,
             margin: LONG_POLL_MARGIN,
-            batch_delay: BATCH_DELAY,
+            batch_delay,
             min_backoff: LIST_BACKOFF.0,
             max_backoff: LIST_BACKOFF.1,
         };
@@ -127,7 +131,7 @@
                 _ = tick_timer.tick() => self.tick(&configuration_watcher),
                 _ = summary_timer.tick() => {
                     self.send_summaries().await;
-                    summary_timer.reset_after(Duration::from(self.summary_interval()));
+                    summary_timer.reset_after(Duration::from(summary_interval(self.datagrams, self.roster.is_large())));
                 }
                 _ = sweep_timer.tick() => self.sweep(),
                 _ = stop.recv() => break,
@@ -239,6 +243,7 @@
         self.driver.step(Event::Roster {
             candidates: self.roster.candidates(),
             leaders: self.roster.other_leaders(),
+            neighbors: self.roster.neighbors(),
         });
     }
 
@@ -340,13 +345,9 @@
     async fn send_summaries(&mut self) {
         self.datagrams = 0;
         for batch in self.driver.summaries(self.state.is_draining()) {
-            let peers: Vec<SocketAddr> = match &batch.recipients {
-                Recipients::All => self.roster.others().map(|entry| entry.peer).collect(),
-                Recipients::Routers(routers) => {
-                    let routers = routers.iter();
-                    routers.filter_map(|r| self.roster.address(r)).collect()
-                }
-            };
+            let routers = batch.recipients.iter();
+            let peers = routers.filter_map(|router| self.roster.address(router));
+            let peers: Vec<SocketAddr> = peers.collect();
             self.datagrams += (peers.len() * batch.summaries.len()) as u64;
             for summary in &batch.summaries {
                 self.socket.send(&peers, summary).await;
@@ -354,11 +355,6 @@
         }
     }
 
-    /// Returns the time until the next round of summaries.
-    fn summary_interval(&self) -> Span {
-        SUMMARY_INTERVAL.max(Span(self.datagrams * 1_000_000 / MAX_DATAGRAMS_PER_S))
-    }
-
     fn log_lost(&self, list: &str, fault: &watch::Fault) {
         let cause = &fault.to_string();
         Record::ListLost { list, cause }.write(&self.log);
@@ -369,6 +365,17 @@
     }
 }
 
+/// Returns the time until the next round of summaries, after one of a number of datagrams.
+pub fn summary_interval(datagrams: u64, is_large_fleet: bool) -> Span {
+    let min = if is_large_fleet {
+        LARGE_FLEET_SUMMARY_INTERVAL
+    } else {
+        SUMMARY_INTERVAL
+    };
+    let interval = Span(datagrams * 1_000_000 / MAX_DATAGRAMS_PER_S);
+    interval.clamp(min, MAX_SUMMARY_INTERVAL)
+}
+
 /// Receives summaries of other routers and passes them on.
 async fn receive_summaries(
     socket: Arc<gossip::Socket>,
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -23,6 +23,7 @@
 mod submission;
 
 pub use self::{
+    controller::summary_interval,
     driver::Driver,
     error::Error,
     framer::Framer,
--- a/src/roster/routers.rs
+++ b/src/roster/routers.rs
@@ -14,9 +14,12 @@
 /// Fleet size up to which all routers exchange their loads directly; up to this size the datagrams
 /// cost a router less than its requests do.
 const FULL_MESH_SIZE: usize = 12;
-/// Maximum number of routers that a router may follow. If all of them are silent, the failure
-/// domain as a whole is failing.
+/// Maximum number of routers of its failure domain that a router may follow. If all of them are
+/// silent, most of the failure domain is failing.
 const MAX_CANDIDATES: usize = 4;
+/// Leaders of other failure domains that a router may follow after those of its own. Two, because
+/// one of them may have stopped as well.
+const DISTANT_CANDIDATES: usize = 2;
 
 /// The known routers. Routers that know the same ones agree on the leaders.
 #[derive(Clone, Debug)]
@@ -94,14 +97,20 @@
         routers
     }
 
+    /// Reports whether the fleet is so large that its routers exchange their loads through leaders.
+    pub fn is_large(&self) -> bool {
+        self.others.len() >= FULL_MESH_SIZE
+    }
+
     /// Returns the routers that this one may follow, in order of preference; none if it is a leader
     /// or the fleet is small.
     ///
-    /// These are the routers of its failure domain that rank before it. The order of the leaders
-    /// depends on the name of this router, so that they share the followers.
+    /// These are the routers of its failure domain that rank before it, then leaders of other
+    /// failure domains. The order of the leaders depends on the name of this router, so that they
+    /// share the followers.
     pub fn candidates(&self) -> Vec<id::Router> {
         let own = &self.own.router;
-        if self.others.len() < FULL_MESH_SIZE || self.is_leader() {
+        if !self.is_large() || self.is_leader() {
             return Vec::new();
         }
         let ranked = self.ranked(&self.own.domain);
@@ -110,13 +119,31 @@
         let mut candidates: Vec<id::Router> = preceding.take(MAX_CANDIDATES).collect();
         let leaders = candidates.len().min(LEADERS_PER_DOMAIN);
         candidates[..leaders].rotate_left(hash(own.as_str()) as usize % leaders.max(1));
+        let mut distant = self.other_leaders();
+        distant.retain(|router| self.domain_of(router) != Some(&self.own.domain));
+        let first = hash(own.as_str()) as usize % distant.len().max(1);
+        distant.rotate_left(first);
+        candidates.extend(distant.into_iter().take(DISTANT_CANDIDATES));
         candidates
     }
 
+    fn domain_of(&self, router: &id::Router) -> Option<&id::Domain> {
+        self.others.get(router).map(|entry| &entry.domain)
+    }
+
+    /// Returns the other routers of this router's failure domain.
+    pub fn neighbors(&self) -> Vec<id::Router> {
+        let near = self
+            .others
+            .values()
+            .filter(|entry| entry.domain == self.own.domain);
+        near.map(|entry| entry.router.clone()).collect()
+    }
+
     /// Returns the other routers that lead a failure domain; in a small fleet, all other routers.
     pub fn other_leaders(&self) -> Vec<id::Router> {
         let others = self.others.values();
-        if self.others.len() < FULL_MESH_SIZE {
+        if !self.is_large() {
             return others.map(|entry| entry.router.clone()).collect();
         }
         let all = others.chain([&self.own]);
--- a/tests/exchange.rs
+++ b/tests/exchange.rs
@@ -5,20 +5,22 @@
 use marlrun::{
     catalog,
     dispatch::{Action, Batch, Dispatcher, Event, Part, Prompt, Request, Settings},
-    gossip, id,
+    gateway, gossip, id,
     routing::{Engine, Kind, Limits, Service, Table},
     unit::{Span, Time, Version},
 };
 use proptest::prelude::*;
 use std::{
-    collections::{BTreeMap, BTreeSet, VecDeque},
+    collections::{BTreeSet, VecDeque},
     sync::Arc,
 };
 
 /// Routers of the fleet.
 const ROUTERS: usize = 28;
-/// Interval of summaries, in milliseconds.
-const SUMMARY_INTERVAL_MS: u64 = 20;
+/// Routers of a fleet in which leading routers are at their limit of datagrams.
+const MANY_ROUTERS: usize = 160;
+/// Targets of that fleet.
+const MANY_TARGETS: usize = 90;
 
 /// Routers and the network between them.
 struct Net {
@@ -31,26 +33,39 @@
     sent: Vec<u32>,
     batches: VecDeque<(usize, Batch)>,
     datagrams: u64,
+    /// Time of each router's next summary, in milliseconds.
+    next_summary: Vec<u64>,
+    targets: usize,
     now_ms: u64,
     next: u64,
 }
 
 impl Net {
     fn open() -> Self {
+        Self::open_sized(ROUTERS, 1)
+    }
+
+    fn open_sized(routers: usize, targets: usize) -> Self {
         let mut net = Self {
-            routers: (0..ROUTERS).map(|_| None).collect(),
-            runs: vec![0; ROUTERS],
+            routers: (0..routers).map(|_| None).collect(),
+            runs: vec![0; routers],
             cuts: BTreeSet::new(),
-            sent: vec![0; ROUTERS],
+            sent: vec![0; routers],
             batches: VecDeque::new(),
             datagrams: 0,
+            next_summary: (0..routers as u64).map(|index| 1 + index % 20).collect(),
+            targets,
             now_ms: 0,
             next: 0,
         };
-        (0..ROUTERS).for_each(|index| net.start(index));
+        (0..routers).for_each(|index| net.start(index));
         net
     }
 
+    fn size(&self) -> usize {
+        self.routers.len()
+    }
+
     /// Starts or restarts a router.
     fn start(&mut self, index: usize) {
         self.runs[index] += 1;
@@ -59,12 +74,11 @@
         let settings = Settings::new(fleet::name(index), incarnation, fleet::domain(index));
         self.routers[index] = Some(Dispatcher::open(settings));
         self.step(index, Event::Routing(table()));
-        let target = target();
-        self.step(
-            index,
-            Event::Targets(BTreeMap::from([(target.name.clone(), target)])),
-        );
-        self.step(index, fleet::event(&fleet::roster(index, ROUTERS)));
+        let targets = (1..=self.targets).map(target);
+        let targets = targets.map(|target| (target.name.clone(), target));
+        let targets = Event::Targets(targets.collect());
+        self.step(index, targets);
+        self.step(index, fleet::event(&fleet::roster(index, self.size())));
     }
 
     fn kill(&mut self, index: usize) {
@@ -140,9 +154,8 @@
     fn advance(&mut self, millis: u64) {
         for _ in 0..millis {
             self.now_ms += 1;
-            let now = Time(self.now_ms * 1_000);
             for (from, batch) in std::mem::take(&mut self.batches) {
-                for to in fleet::recipients(from, ROUTERS, &batch.recipients) {
+                for to in fleet::recipients(from, self.size(), &batch.recipients) {
                     self.datagrams += batch.summaries.len() as u64;
                     if self.cuts.contains(&(from, to)) {
                         continue;
@@ -156,13 +169,9 @@
                     }
                 }
             }
-            for index in 0..ROUTERS {
-                if (self.now_ms + index as u64).is_multiple_of(SUMMARY_INTERVAL_MS) {
-                    let batches = self.routers[index]
-                        .as_mut()
-                        .map(|r| r.summarize(now, false));
-                    let batches = batches.into_iter().flatten().map(|batch| (index, batch));
-                    self.batches.extend(batches);
+            for index in 0..self.size() {
+                if self.now_ms >= self.next_summary[index] {
+                    self.summarize(index);
                 }
                 if self.now_ms.is_multiple_of(10) {
                     self.step(index, Event::Tick);
@@ -171,6 +180,22 @@
         }
     }
 
+    /// Has a router send its summaries.
+    fn summarize(&mut self, index: usize) {
+        let now = Time(self.now_ms * 1_000);
+        let router = self.routers[index].as_mut();
+        let batches = router.map(|router| router.summarize(now, false));
+        let batches = batches.unwrap_or_default();
+        let sent = batches
+            .iter()
+            .map(|batch| batch.recipients.len() * batch.summaries.len());
+        let is_large = fleet::roster(index, self.size()).is_large();
+        let interval = gateway::summary_interval(sent.sum::<usize>() as u64, is_large);
+        self.next_summary[index] = self.now_ms + interval.as_millis();
+        self.batches
+            .extend(batches.into_iter().map(|batch| (index, batch)));
+    }
+
     /// Checks that each of some routers knows the load of all of them.
     fn assert_known(&self, part: &[usize]) {
         let all: u32 = part.iter().map(|index| self.sent[*index]).sum();
@@ -178,7 +203,7 @@
             let Some(router) = &self.routers[*index] else {
                 continue;
             };
-            let (own, others) = router.views()[&target().name];
+            let (own, others) = router.views()[&target(1).name];
             let seen = (own.running, own.running + others.running);
             assert_eq!(seen, (self.sent[*index], all), "at router {index}");
         }
@@ -202,9 +227,9 @@
     Arc::new(table)
 }
 
-fn target() -> catalog::Target {
+fn target(index: usize) -> catalog::Target {
     catalog::Target {
-        name: "e1".parse().unwrap(),
+        name: format!("e{index}").parse().unwrap(),
         started_at_ms: 1,
         service: "llm".parse().unwrap(),
         address: "127.0.0.1:9".parse().unwrap(),
@@ -255,6 +280,31 @@
     );
 }
 
+#[test]
+fn summarize_large_fleet_is_bounded() {
+    let mut net = Net::open_sized(MANY_ROUTERS, MANY_TARGETS);
+    net.advance(1_000);
+    let before = net.datagrams;
+    for step in 0..2_000 {
+        net.send_request(step % MANY_ROUTERS);
+        net.advance(1);
+    }
+    let per_router = (net.datagrams - before) / (2 * MANY_ROUTERS as u64);
+    assert!(
+        per_router <= 200,
+        "{per_router} datagrams per router and second"
+    );
+    net.advance(1_500);
+    for index in 0..MANY_ROUTERS {
+        let views = net.routers[index].as_ref().unwrap().views();
+        let known: u32 = views
+            .values()
+            .map(|(own, others)| own.running + others.running)
+            .sum();
+        assert_eq!(known, net.sent.iter().sum::<u32>(), "at router {index}");
+    }
+}
+
 #[test]
 fn summarize_leaders_killed() {
     let mut net = Net::open();
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -1,10 +1,7 @@
 //! Names and rosters of routers in four failure domains.
 #![allow(dead_code, reason = "each test program uses a part of it")]
 
-use marlrun::{
-    dispatch::{Event, Recipients},
-    id, roster,
-};
+use marlrun::{dispatch::Event, id, roster};
 
 /// Number of failure domains.
 const DOMAINS: usize = 4;
@@ -40,16 +37,17 @@
     Event::Roster {
         candidates: roster.candidates(),
         leaders: roster.other_leaders(),
+        neighbors: roster.neighbors(),
     }
 }
 
-/// Returns the routers of an audience.
-pub(crate) fn recipients(from: usize, routers: usize, recipients: &Recipients) -> Vec<usize> {
-    let others = (0..routers).filter(|index| *index != from);
-    match recipients {
-        Recipients::All => others.collect(),
-        Recipients::Routers(named) => others
-            .filter(|index| named.contains(&name(*index)))
-            .collect(),
-    }
+/// Returns the indices of the recipients of a batch.
+pub(crate) fn recipients(from: usize, routers: usize, recipients: &[id::Router]) -> Vec<usize> {
+    let indices = recipients.iter().map(|router| {
+        let index = router.as_str().strip_prefix('r').unwrap();
+        index.parse::<usize>().unwrap()
+    });
+    indices
+        .filter(|index| *index != from && *index < routers)
+        .collect()
 }
