Estimate the capacity that shares are computed from

Cause: shares come from the configured tokens per second. Where engines don't reach it (crashed, slow, fewer than the figure is for), no workspace is beyond a share, all queue behind the one that floods, and everybody is late.

Change: dispatch::capacity lowers the estimate, starting from what engines are granted, while most engines could not serve a typical generation on time and demand is unmet, and raises it up to the configured rate while they have room. All routers see the same loads and usages, so they agree on it.

--- a/src/dispatch/dispatcher/mod.rs
+++ b/src/dispatch/dispatcher/mod.rs
@@ -15,6 +15,7 @@
     target::Target,
     tokens::Tokens,
     topology::Topology,
+    typical::Typical,
 };
 use crate::{
     gossip::{self, Scope},
@@ -58,6 +59,7 @@
     attempts: HashMap<u64, Attempt>,
     budgets: BTreeMap<id::Service, Budget>,
     share: Share,
+    typical: Typical,
     accounts: HashMap<u64, Account>,
     /// Workspace and cost of the last generation that arrived.
     last_demand: Option<(u64, u64)>,
@@ -88,6 +90,7 @@
         Self {
             share: Share::new(settings.share_window),
             settings,
+            typical: Typical::default(),
             routing: Arc::default(),
             targets: BTreeMap::new(),
             names: HashMap::new(),
@@ -373,7 +376,9 @@
     }
 
     fn tick(&mut self, now: Time, out: &mut Vec<Action>) {
-        self.share.tick(now);
+        let (targets, typical) = (&self.targets, &self.typical);
+        self.share
+            .tick(now, || pressure(targets.values(), typical, now));
         self.displace_unshared();
         self.drop_silent_peers(now);
         self.tick_topology(now);
@@ -418,6 +423,17 @@
     }
 }
 
+/// Returns the fraction of the engines in use where a typical generation could not be on time.
+fn pressure<'a>(targets: impl Iterator<Item = &'a Target>, typical: &Typical, now: Time) -> f64 {
+    let engines = targets.filter(|t| t.engine.is_some() && !t.entry.draining);
+    let (mut all, mut crowded) = (0_u32, 0_u32);
+    for target in engines.filter(|target| target.health.is_usable(now)) {
+        all += 1;
+        crowded += u32::from(target.is_crowded(typical));
+    }
+    f64::from(crowded) / f64::from(all.max(1))
+}
+
 fn health_change(target: &Target) -> Action {
     let (failures, answers) = target.health.counts();
     Action::HealthChanged {
--- a/src/dispatch/dispatcher/selection.rs
+++ b/src/dispatch/dispatcher/selection.rs
@@ -152,6 +152,7 @@
         let (memory, ahead) = target.start(&request, estimate.uncached_tokens, now);
         let target_key = target.key;
         if let Some(prompt) = &request.prompt {
+            self.typical.record(&request, &estimate);
             self.announce(target_key, prompt);
             if let Some(workspace) = request.workspace.as_ref().filter(|_| tried.is_empty()) {
                 let key = hash(workspace.as_str());
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -14,6 +14,7 @@
 mod baseline;
 mod batch;
 mod cache;
+mod capacity;
 mod dispatcher;
 mod estimate;
 mod event;
@@ -31,6 +32,7 @@
 mod target;
 mod tokens;
 mod topology;
+mod typical;
 mod view;
 
 pub use self::{
--- a/src/dispatch/share.rs
+++ b/src/dispatch/share.rs
@@ -3,13 +3,18 @@
 //! Limits a workspace that floods the fleet, so that its demand beyond its share does not displace
 //! others.
 
-use super::Allocation;
+use super::{
+    Allocation,
+    capacity::{Capacity, Observation},
+};
 use crate::unit::{Span, Time};
 use std::collections::HashMap;
 
 /// Buckets of the sliding window; tokens leave it in steps of a sixteenth.
 const BUCKETS: usize = 16;
 
+/// Most recent buckets that the capacity is measured over: a second of a window of four.
+const OBSERVED_BUCKETS: u64 = 4;
 /// Most that a workspace may be granted, in percent of its share or of what the least-served
 /// refused workspace got, whichever is larger. Callers should see a ratio of at most two between
 /// workspaces; the difference of this value from 200 is a margin for uneven demand.
@@ -28,8 +33,7 @@
 #[derive(Clone, Debug)]
 pub(super) struct Share {
     window: Span,
-    /// Tokens that the fleet serves in a window; `None` if no capacity is configured.
-    capacity: Option<u64>,
+    capacity: Capacity,
     workspaces: HashMap<u64, Window>,
     /// Number of the current bucket, counted from the start of the clock.
     bucket: u64,
@@ -43,7 +47,7 @@
     pub(super) fn new(window: Span) -> Self {
         Self {
             window,
-            capacity: None,
+            capacity: Capacity::default(),
             workspaces: HashMap::new(),
             bucket: 0,
             fair_share: None,
@@ -51,9 +55,9 @@
         }
     }
 
-    /// Sets the fleet's capacity.
+    /// Sets the configured capacity of the fleet.
     pub(super) fn set_capacity(&mut self, tokens_per_s: Option<u64>) {
-        self.capacity = tokens_per_s.map(|rate| rate * self.window.0 / 1_000_000);
+        self.capacity.configure(tokens_per_s);
     }
 
     /// Adds tokens that a workspace requested and was granted, at any router.
@@ -64,10 +68,14 @@
         window.granted[at] += granted;
     }
 
-    /// Advances the window and recomputes the fair share.
-    pub(super) fn tick(&mut self, now: Time) {
+    /// Advances the window and recomputes the fair share. `pressure` returns the fraction of the
+    /// engines that are crowded.
+    pub(super) fn tick(&mut self, now: Time, pressure: impl FnOnce() -> f64) {
         let bucket = now.0 * BUCKETS as u64 / self.window.0.max(1);
         let elapsed = bucket.saturating_sub(self.bucket);
+        if elapsed > 0 {
+            self.observe_capacity(pressure());
+        }
         for step in 1..=elapsed.min(BUCKETS as u64) {
             let at = ((self.bucket + step) % BUCKETS as u64) as usize;
             for window in self.workspaces.values_mut() {
@@ -80,7 +88,9 @@
             self.workspaces
                 .retain(|_, window| window.requested.iter().any(|tokens| *tokens > 0));
         }
-        self.fair_share = self.capacity.and_then(|capacity| {
+        let capacity = self.capacity.tokens_per_s();
+        let capacity = capacity.map(|rate| rate * self.window.0 / 1_000_000);
+        self.fair_share = capacity.and_then(|capacity| {
             let requested = self.workspaces.values().map(Window::requested);
             water_level(requested.collect(), capacity)
         });
@@ -88,6 +98,30 @@
         self.least_granted = refused.map(Window::granted).min();
     }
 
+    /// Updates the capacity with the tokens of the most recent buckets, of which the current one is
+    /// complete.
+    fn observe_capacity(&mut self, pressure: f64) {
+        // At the start, the older buckets have no tokens.
+        if self.bucket < OBSERVED_BUCKETS {
+            return;
+        }
+        let (mut requested, mut granted) = (0, 0);
+        for bucket in self.bucket + 1 - OBSERVED_BUCKETS..=self.bucket {
+            let at = (bucket % BUCKETS as u64) as usize;
+            for window in self.workspaces.values() {
+                requested += window.requested[at];
+                granted += window.granted[at];
+            }
+        }
+        let span = self.window.0 * OBSERVED_BUCKETS / BUCKETS as u64;
+        let per_s = |tokens: u64| tokens * 1_000_000 / span.max(1);
+        self.capacity.observe(Observation {
+            requested_per_s: per_s(requested),
+            granted_per_s: per_s(granted),
+            pressure,
+        });
+    }
+
     /// Returns the share and usage of a workspace.
     pub(super) fn allocation(&self, workspace: u64) -> Allocation {
         let window = self.workspaces.get(&workspace);
--- a/src/dispatch/target.rs
+++ b/src/dispatch/target.rs
@@ -2,6 +2,7 @@
 
 use super::{
     Estimate, Request, View, attempt::Attempt, cache::Cache, health::Health, speed::Speed,
+    typical::Typical,
 };
 use crate::{
     catalog,
@@ -134,6 +135,15 @@
         Some(estimate)
     }
 
+    /// Reports whether a typical generation could not be on time at this engine.
+    pub(super) fn is_crowded(&self, typical: &Typical) -> bool {
+        let view = self.own.plus(self.others);
+        let tokens = view.backlog + typical.uncached_tokens();
+        let first_event = Span(self.speed.base_time().0 + self.speed.prefill_time(tokens).0);
+        let is_late = typical.limit().is_some_and(|limit| first_event > limit);
+        view.running >= self.slots() || is_late
+    }
+
     /// Returns the prompt tokens of a request that are probably not cached here.
     pub(super) fn uncached_tokens(&self, request: &Request) -> u64 {
         let Some(prompt) = &request.prompt else {
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -77,6 +77,13 @@
         Span(self.change_bound.0 / 2)
     }
 
+    /// Returns the delay before polling again after changes of a list, which batches changes: a tenth
+    /// of the bound, since a change passes two routers at most. On a large fleet targets change all
+    /// the time, so that this delay sets the rate of calls to the platform.
+    pub(super) fn batch_delay(&self) -> Span {
+        Span(self.change_bound.0 / 10)
+    }
+
     /// Returns the maximum age of a cached list that is served to or accepted from other routers.
     /// It exceeds the long-polling wait by the time of a slow response, and leaves enough of the
     /// bound to read the list elsewhere.
--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -532,7 +532,12 @@
 
 /// Simulates a load on a number of routers.
 fn simulate_fleet(routers: usize, load: Load) -> Simulation {
-    let mut simulation = Simulation::open(routers, 6, table(Some(300_000)), load);
+    simulate_configured(routers, 300_000, load)
+}
+
+/// Simulates a load on a number of routers that are configured with a capacity in tokens per second.
+fn simulate_configured(routers: usize, tokens_per_s: u64, load: Load) -> Simulation {
+    let mut simulation = Simulation::open(routers, 6, table(Some(tokens_per_s)), load);
     simulation.run(Span::from_secs(12));
     simulation
 }
@@ -594,6 +599,24 @@
     assert_eq!(flood.slowest_refusal.as_millis() / 100, 0, "{flood:?}");
 }
 
+#[test]
+fn simulate_flood_leaves_others_on_time_beyond_real_capacity() {
+    let load = Load {
+        flood: 30,
+        requests_per_s: 120,
+    };
+    let simulation = simulate_configured(7, 3_000_000, load);
+    for (workspace, stats) in simulation.stats() {
+        let share = stats.on_time * 100 / stats.requests.max(1);
+        assert!(workspace == "w0" || share >= 80, "{workspace}: {stats:?}");
+    }
+    assert!(
+        simulation.used_slots_percent() >= 60,
+        "only {} % of the slots were in use while requests were refused",
+        simulation.used_slots_percent()
+    );
+}
+
 #[test]
 fn simulate_flood_idles_no_engine() {
     let simulation = simulate(Load {
