Log and measure the capacity in use and the router that is followed

Cause: on call, a refusal's share could not be traced to the capacity behind it, nor an old view to the leader it came from. Change: log lines "capacity" and "loads received from", gauge marlrun_capacity_tokens_per_second. No decision changes.

--- a/src/dispatch/capacity.rs
+++ b/src/dispatch/capacity.rs
@@ -51,6 +51,11 @@
         Some(estimate.min(configured).max(1))
     }
 
+    /// Returns the estimate in tokens per second; `None` while the configured rate applies.
+    pub(super) fn estimated(&self) -> Option<u64> {
+        self.estimate.map(|estimate| estimate as u64)
+    }
+
     /// Updates the estimate. While engines have no room and demand is unmet, it falls from what they
     /// are granted; while they have room, it rises up to the configured rate.
     pub(super) fn observe(&mut self, seen: Observation) {
--- a/src/dispatch/dispatcher/mod.rs
+++ b/src/dispatch/dispatcher/mod.rs
@@ -122,6 +122,23 @@
         self.attempts.len()
     }
 
+    /// Returns the tokens per second that shares are computed from; `None` if no capacity is
+    /// configured.
+    pub fn capacity(&self) -> Option<u64> {
+        self.share.capacity().tokens_per_s()
+    }
+
+    /// Returns the estimate of the capacity; `None` while the configured rate applies.
+    pub fn estimated_capacity(&self) -> Option<u64> {
+        self.share.capacity().estimated()
+    }
+
+    /// Returns the router from which this one gets the loads of all others; `None` if it adds them
+    /// up itself.
+    pub fn followed(&self) -> Option<&id::Router> {
+        self.topology.followed()
+    }
+
     /// Returns the newest configuration version that another router reported.
     pub fn newest_version(&self) -> Version {
         let versions = self.peers.values().map(|peer| peer.version);
--- a/src/dispatch/share.rs
+++ b/src/dispatch/share.rs
@@ -60,6 +60,11 @@
         self.capacity.configure(tokens_per_s);
     }
 
+    /// Returns the capacity that shares are computed from.
+    pub(super) fn capacity(&self) -> &Capacity {
+        &self.capacity
+    }
+
     /// Adds tokens that a workspace requested and was granted, at any router.
     pub(super) fn add(&mut self, workspace: u64, requested: u64, granted: u64) {
         let at = (self.bucket % BUCKETS as u64) as usize;
--- a/src/gateway/controller.rs
+++ b/src/gateway/controller.rs
@@ -10,7 +10,7 @@
     catalog::{self, Catalog},
     clock,
     dispatch::Event,
-    gossip, metric, mirror,
+    gossip, id, metric, mirror,
     roster::Roster,
     unit::{Span, Time},
     upstream, watch,
@@ -80,6 +80,10 @@
     pub(super) next_tick: Time,
     /// Time since which another router reports a newer configuration, or of the last forced read.
     pub(super) behind_since: Option<Time>,
+    /// Whether the last sweep found an estimated capacity.
+    pub(super) capacity_estimated: bool,
+    /// Router that this one followed at the last sweep.
+    pub(super) followed: Option<id::Router>,
     pub(super) log: slog::Logger,
 }
 
@@ -295,6 +299,7 @@
         let connections = std::mem::take(&mut self.refused_connections);
         let in_progress = self.state.in_progress();
         self.update_readiness(connections);
+        self.log_changes();
         if connections > 0 {
             let limit = self.state.limit();
             Record::ConnectionsRefused {
@@ -306,6 +311,28 @@
         }
     }
 
+    /// Logs changes of what the dispatcher decides by itself.
+    fn log_changes(&mut self) {
+        let estimated = self.driver.estimated_capacity();
+        if self.capacity_estimated != estimated.is_some() {
+            self.capacity_estimated = estimated.is_some();
+            let configured = self.state.table().limits.tokens_per_s;
+            Record::Capacity {
+                configured,
+                estimated,
+            }
+            .write(&self.log);
+        }
+        let followed = self.driver.followed();
+        if self.followed != followed {
+            Record::Followed {
+                router: followed.as_ref(),
+            }
+            .write(&self.log);
+            self.followed = followed;
+        }
+    }
+
     /// Reports the router as not ready while many connections are refused, and for
     /// [`OVERLOAD_HOLD`] after.
     fn update_readiness(&mut self, refused: u64) {
--- a/src/gateway/driver.rs
+++ b/src/gateway/driver.rs
@@ -126,9 +126,22 @@
         let (waiting, running) = (inner.dispatcher.waiting(), inner.dispatcher.running());
         metrics::gauge!(metric::WAITING).set(waiting as f64);
         metrics::gauge!(metric::RUNNING).set(running as f64);
+        if let Some(capacity) = inner.dispatcher.capacity() {
+            metrics::gauge!(metric::CAPACITY).set(capacity as f64);
+        }
         inner.dispatcher.summarize(clock::now(), draining)
     }
 
+    /// Returns the estimate of the capacity; `None` while the configured rate applies.
+    pub fn estimated_capacity(&self) -> Option<u64> {
+        self.lock().dispatcher.estimated_capacity()
+    }
+
+    /// Returns the router from which this one gets the loads of all others.
+    pub fn followed(&self) -> Option<id::Router> {
+        self.lock().dispatcher.followed().cloned()
+    }
+
     /// Returns the newest configuration version reported by another router.
     pub fn newest_version(&self) -> Version {
         self.lock().dispatcher.newest_version()
--- a/src/gateway/record.rs
+++ b/src/gateway/record.rs
@@ -94,6 +94,15 @@
         router: &'a id::Router,
         present: bool,
     },
+    /// The capacity that shares are computed from became an estimate below the configured rate, or
+    /// is the configured rate again.
+    Capacity {
+        configured: Option<u64>,
+        estimated: Option<u64>,
+    },
+    /// The router from which this one gets the loads of all others changed; `None` if it adds them
+    /// up itself.
+    Followed { router: Option<&'a id::Router> },
 }
 
 impl Record<'_> {
@@ -200,6 +209,13 @@
             } => {
                 slog::warn!(log, "readiness"; "crowded" => overloaded, "refused" => refused);
             }
+            Record::Capacity {
+                configured,
+                estimated,
+            } => slog::info!(log, "capacity"; "configured_tokens_per_s" => configured,
+                "estimated_tokens_per_s" => estimated),
+            Record::Followed { router } => slog::info!(log, "loads received from";
+                "peer" => router.map(id::Router::as_str)),
             Record::Peer { router, present } => {
                 slog::info!(log, "router listed"; "peer" => router.as_str(), "present" => present);
             }
--- a/src/gateway/router.rs
+++ b/src/gateway/router.rs
@@ -162,6 +162,8 @@
         datagrams: 0,
         next_tick: clock::now() + TICK_INTERVAL,
         behind_since: None,
+        capacity_estimated: false,
+        followed: None,
         log: log.clone(),
     };
     let registry = sources.registry.clone();
--- a/src/metric.rs
+++ b/src/metric.rs
@@ -43,6 +43,8 @@
 pub const REFUSED_UNREAD: &str = "marlrun_refused_unread_total";
 /// Limit of concurrent requests while CPU overload restricts them.
 pub const CARRY_LIMIT: &str = "marlrun_carry_limit";
+/// Tokens per second that shares are computed from.
+pub const CAPACITY: &str = "marlrun_capacity_tokens_per_second";
 
 static PAGE: OnceLock<Option<PrometheusHandle>> = OnceLock::new();
 
