Let the estimated capacity recover after an outage of all engines

Cause, found while reading the change: after an outage of several seconds nothing was granted, the estimate fell to one token a second, and rose by 3 % each quarter second only: every request was beyond its share and refused long after the engines were back (dispatch::simulate_outage_of_all_engines_is_forgotten before: 0 of 60 requests of a workspace on time from the fifth to the ninth second after the outage).

Change: the estimate rises the faster the fewer engines are crowded (25, 10 or 3 % each quarter second) and does not fall below a twentieth of the configured rate. Result: that test passes (95 % on time and more); the figures of simulate_flood_leaves_others_on_time_beyond_real_capacity are as before.

--- a/src/dispatch/capacity.rs
+++ b/src/dispatch/capacity.rs
@@ -7,16 +7,17 @@
 /// Percentage by which demand must exceed the granted tokens for the capacity to be lowered; what
 /// is refused for other reasons doesn't lower it.
 const MIN_UNMET_PERCENT: u64 = 10;
-/// Fraction of the crowded engines above which the estimate falls.
+/// Fraction of the engines that are crowded above which the estimate falls.
 const HIGH_PRESSURE: f64 = 0.75;
-/// Fraction of the crowded engines below which the estimate rises.
-const LOW_PRESSURE: f64 = 0.5;
 /// Ratio of the estimate after and before an observation above [`HIGH_PRESSURE`].
 const DECREASE: f64 = 0.95;
-/// Ratio of the estimate after and before an observation below [`LOW_PRESSURE`].
-const INCREASE: f64 = 1.03;
+/// Fractions of the engines that are crowded, in ascending order, and the ratio by which the estimate
+/// rises below each: fast while most of the capacity is idle, as after an outage of all engines.
+const INCREASES: [(f64, f64); 3] = [(0.25, 1.25), (0.5, 1.1), (HIGH_PRESSURE, 1.03)];
 /// Minimum ratio of the estimate to the granted rate: engines do serve what is granted.
 const MIN_RATIO: f64 = 0.85;
+/// Minimum ratio of the estimate to the configured rate, so that it recovers within seconds.
+const MIN_CONFIGURED_RATIO: f64 = 0.05;
 
 /// What was seen of demand and engines in the most recent part of the window.
 #[derive(Clone, Copy, Debug)]
@@ -67,11 +68,12 @@
         let is_unmet = seen.requested_per_s * 100 > seen.granted_per_s * (100 + MIN_UNMET_PERCENT);
         let estimate = if seen.pressure > HIGH_PRESSURE && is_unmet {
             (estimate.min(granted) * DECREASE).max(granted * MIN_RATIO)
-        } else if seen.pressure < LOW_PRESSURE {
-            estimate * INCREASE
         } else {
-            estimate
+            let mut increases = INCREASES.iter();
+            let increase = increases.find(|(below, _)| seen.pressure < *below);
+            estimate * increase.map_or(1.0, |(_, ratio)| *ratio)
         };
-        self.estimate = Some(estimate.max(1.0)).filter(|estimate| *estimate < configured);
+        let estimate = estimate.max(configured * MIN_CONFIGURED_RATIO);
+        self.estimate = Some(estimate).filter(|estimate| *estimate < configured);
     }
 }
--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -617,6 +617,27 @@
     );
 }
 
+#[test]
+fn simulate_outage_of_all_engines_is_forgotten() {
+    let load = Load {
+        flood: 1,
+        requests_per_s: 120,
+    };
+    let mut simulation = Simulation::open(7, 6, table(Some(600_000)), load);
+    simulation.outage = 2_000..8_000;
+    simulation.run(Span::from_secs(13));
+    let before = simulation.stats();
+    simulation.run(Span::from_secs(4));
+    for (workspace, stats) in simulation.stats() {
+        let requests = stats.requests - before[&workspace].requests;
+        let on_time = stats.on_time - before[&workspace].on_time;
+        assert!(
+            on_time * 100 >= requests * 95,
+            "{workspace}: {on_time} of {requests} requests were on time"
+        );
+    }
+}
+
 #[test]
 fn simulate_flood_idles_no_engine() {
     let simulation = simulate(Load {
--- a/tests/engines/mod.rs
+++ b/tests/engines/mod.rs
@@ -79,6 +79,8 @@
     engines: Vec<Engine>,
     jobs: BTreeMap<u64, Job>,
     stats: Vec<Stats>,
+    /// Time during which the engines process nothing, in milliseconds.
+    pub(crate) outage: std::ops::Range<u64>,
     load: Load,
     random: ChaCha8Rng,
     next: u64,
@@ -116,6 +118,7 @@
             engines: (0..engines).map(|_| Engine::default()).collect(),
             jobs: BTreeMap::new(),
             stats: vec![Stats::default(); WORKSPACES as usize],
+            outage: 0..0,
             load,
             random: ChaCha8Rng::seed_from_u64(7),
             next: 0,
@@ -123,13 +126,16 @@
         }
     }
 
-    /// Runs the simulation for a time.
+    /// Runs the simulation for a further time.
     pub(crate) fn run(&mut self, length: Span) {
         let mut batches = VecDeque::new();
-        for now_ms in 0..length.as_millis() {
+        let start = self.now_ms;
+        for now_ms in start..start + length.as_millis() {
             self.now_ms = now_ms;
             self.arrive();
-            self.advance_engines();
+            if !self.outage.contains(&now_ms) {
+                self.advance_engines();
+            }
             if now_ms % SUMMARY_INTERVAL_MS == 0 {
                 let now = self.now();
                 for index in 0..self.routers.len() {
@@ -154,6 +160,7 @@
                 }
             }
         }
+        self.now_ms = start + length.as_millis();
     }
 
     pub(crate) fn stats(&self) -> BTreeMap<String, Stats> {
