Log why a cut stream was not continued, and count callers' connections that the router ends

Cause: an `answer cut` line named how the last target failed, but not whether the target had been silent, why no other target continued, nor how much time was left; so the four hypotheses of the incident could not be told apart. Change: `not_resumed`, `silent_ms`, `left_ms` and `version` on that line; marlrun_callers_closed_total by reason.

--- a/src/front/transport.rs
+++ b/src/front/transport.rs
@@ -2,6 +2,7 @@
 //! hyper sends for an invalid request head by problem details.
 
 use super::Problem;
+use crate::metric;
 use bytes::{Buf, Bytes};
 use http::StatusCode;
 use std::{
@@ -134,6 +135,8 @@
             .head_timer
             .get_or_insert_with(|| Box::pin(tokio::time::sleep(limit)));
         ready!(timer.as_mut().poll(cx));
+        let reason = if self.head_started { "head" } else { "idle" };
+        count_closed(reason);
         if self.head_started {
             let detail = format!("the request head did not arrive within {limit:?}");
             self.generated = Problem::invalid(StatusCode::REQUEST_TIMEOUT, detail).message();
@@ -170,6 +173,7 @@
             .write_timer
             .get_or_insert_with(|| Box::pin(tokio::time::sleep(idle)));
         ready!(timer.as_mut().poll(cx));
+        count_closed("write");
         Poll::Ready(Err(io::ErrorKind::TimedOut.into()))
     }
 
@@ -208,13 +212,18 @@
             let mut space = [0; DISCARD_BYTES];
             let mut buffer = ReadBuf::new(&mut space);
             match ready!(Pin::new(&mut self.stream).poll_read(cx, &mut buffer)) {
-                Ok(()) if !buffer.filled().is_empty() => {}
+                // Part of a request that crossed the end of the connection.
+                Ok(()) if !buffer.filled().is_empty() => count_closed("crossed"),
                 Ok(()) | Err(_) => return Poll::Ready(()),
             }
         }
     }
 }
 
+fn count_closed(reason: &'static str) {
+    metrics::counter!(metric::CALLERS_CLOSED, "reason" => reason).increment(1);
+}
+
 impl AsyncRead for Transport {
     fn poll_read(
         mut self: Pin<&mut Self>,
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -360,14 +360,24 @@
     }
 
     /// Records that a response was broken off after its start.
-    pub(super) fn record_truncation(&mut self, cause: &str, events: u64) {
+    pub(super) fn record_truncation(
+        &mut self,
+        cause: &str,
+        not_resumed: &str,
+        events: u64,
+        silent: Span,
+    ) {
         self.finished = true;
         self.count_result("cut");
         let record = Record::Truncated {
             request: &self.call.head.request_id,
             cause,
+            not_resumed,
             events,
+            silent,
             elapsed: self.elapsed(),
+            remaining: self.call.remaining(clock::now()),
+            version: self.context.state.table().version,
         };
         record.write(self.submission.driver().log());
     }
--- a/src/gateway/record.rs
+++ b/src/gateway/record.rs
@@ -49,8 +49,16 @@
     Truncated {
         request: &'a str,
         cause: &'a str,
+        /// Why no other target continued the response.
+        not_resumed: &'a str,
         events: u64,
+        /// Time since a target last sent something.
+        silent: Span,
         elapsed: Span,
+        /// Time left until the deadline.
+        remaining: Span,
+        /// Configuration in force.
+        version: Version,
     },
     /// The caller disconnected before the end of its response.
     Disconnected { request: &'a str, elapsed: Span },
@@ -159,10 +167,16 @@
             Record::Truncated {
                 request,
                 cause,
+                not_resumed,
                 events,
+                silent,
                 elapsed,
+                remaining,
+                version,
             } => slog::warn!(log, "answer cut"; "request" => request, "cause" => cause,
-                "events" => events, "after_ms" => millis(*elapsed)),
+                "not_resumed" => not_resumed, "events" => events, "silent_ms" => millis(*silent),
+                "after_ms" => millis(*elapsed), "left_ms" => millis(*remaining),
+                "version" => version.0),
             Record::Disconnected { request, elapsed } => {
                 slog::warn!(log, "caller left"; "request" => request, "after_ms" => millis(*elapsed));
             }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -9,7 +9,7 @@
     dispatch::{Event, Outcome},
     front::Body,
     routing::Kind,
-    unit::Span,
+    unit::{Span, Time},
 };
 use bytes::Bytes;
 use http_body_util::{BodyExt, StreamBody};
@@ -36,6 +36,16 @@
     /// Response being read; `None` once the relay has ended.
     transfer: Option<Transfer>,
     mode: Mode,
+    /// Time at which a target last sent something.
+    last_received: Time,
+}
+
+/// Why a response cannot be completed.
+struct Cut {
+    /// How the last target failed.
+    cause: Box<str>,
+    /// Why no other target continues.
+    not_resumed: Box<str>,
 }
 
 /// Result of waiting for bytes of a target.
@@ -55,6 +65,7 @@
             exchange,
             transfer: Some(transfer),
             mode: Mode::Events(framer),
+            last_received: clock::now(),
         }
     }
 
@@ -64,6 +75,7 @@
             exchange,
             transfer: Some(transfer),
             mode: Mode::Bytes(Some(buffered)),
+            last_received: clock::now(),
         }
     }
 
@@ -87,24 +99,33 @@
         loop {
             self.transfer.as_ref()?;
             let (outcome, cause) = match self.receive().await {
-                Received::Bytes(bytes) => match self.process(bytes) {
-                    Ok(bytes) if bytes.is_empty() => continue,
-                    Ok(bytes) => {
-                        self.exchange.record_first_byte();
-                        return Some(Ok(bytes));
+                Received::Bytes(bytes) => {
+                    self.last_received = clock::now();
+                    match self.process(bytes) {
+                        Ok(bytes) if bytes.is_empty() => continue,
+                        Ok(bytes) => {
+                            self.exchange.record_first_byte();
+                            return Some(Ok(bytes));
+                        }
+                        Err(cause) => (Outcome::Broken, cause),
                     }
-                    Err(cause) => (Outcome::Broken, cause),
-                },
+                }
                 Received::End if self.is_complete() => {
                     self.complete();
                     return None;
                 }
                 Received::End => (Outcome::Broken, "the stream ended within an event".into()),
                 Received::Failed(outcome, cause) => (outcome, cause),
-                Received::Expired => return Some(Err(self.truncate("the deadline passed"))),
+                Received::Expired => {
+                    let cut = Cut {
+                        cause: "the deadline passed".into(),
+                        not_resumed: "the deadline passed".into(),
+                    };
+                    return Some(Err(self.truncate(&cut)));
+                }
             };
-            if let Err(cause) = self.resume(outcome, cause).await {
-                return Some(Err(self.truncate(&cause)));
+            if let Err(cut) = self.resume(outcome, cause).await {
+                return Some(Err(self.truncate(&cut)));
             }
         }
     }
@@ -175,17 +196,23 @@
     }
 
     /// Breaks the response off with an error, so that the caller cannot take it for complete.
-    fn truncate(&mut self, cause: &str) -> io::Error {
+    fn truncate(&mut self, cut: &Cut) -> io::Error {
         self.transfer = None;
-        self.exchange.record_truncation(cause, self.event_count());
-        io::Error::new(io::ErrorKind::UnexpectedEof, cause.to_owned())
+        let silent = clock::now().since(self.last_received);
+        let events = self.event_count();
+        self.exchange
+            .record_truncation(&cut.cause, &cut.not_resumed, events, silent);
+        io::Error::new(io::ErrorKind::UnexpectedEof, cut.cause.to_string())
     }
 
-    /// Continues a stream at another target after a failure. Returns the cause if that is not
-    /// possible.
-    async fn resume(&mut self, outcome: Outcome, cause: Box<str>) -> Result<(), Box<str>> {
+    /// Continues a stream at another target after a failure, if that is possible.
+    async fn resume(&mut self, outcome: Outcome, cause: Box<str>) -> Result<(), Cut> {
+        let cut = |not_resumed: &str| Cut {
+            cause: cause.clone(),
+            not_resumed: not_resumed.into(),
+        };
         let Some(transfer) = self.transfer.take() else {
-            return Err(cause);
+            return Err(cut("the response has ended"));
         };
         let (mut failure, number) = (
             Failure::broken(&transfer, outcome, &cause),
@@ -204,8 +231,11 @@
             let remaining = Duration::from(self.exchange.call.remaining(clock::now()));
             let decision =
                 tokio::time::timeout(remaining, self.exchange.submission.decision()).await;
-            let Ok(Some(Ok((estimate, _)))) = decision else {
-                return Err(cause);
+            let estimate = match decision {
+                Ok(Some(Ok((estimate, _)))) => estimate,
+                Ok(Some(Err(refusal))) => return Err(cut(&refusal.reason.to_string())),
+                Ok(None) => return Err(cut("the dispatcher has stopped")),
+                Err(_) => return Err(cut("the deadline passed")),
             };
             if let Mode::Events(framer) = &mut self.mode {
                 framer.discard_partial();
@@ -227,7 +257,7 @@
                     )
                 }
                 Ok(Err(next)) => failure = next,
-                Err(_) => return Err(cause),
+                Err(_) => return Err(cut("the deadline passed")),
             }
         }
     }
--- a/src/metric.rs
+++ b/src/metric.rs
@@ -41,6 +41,8 @@
 pub const BUSY: &str = "marlrun_busy_total";
 /// Connections refused before their request was read, by whether the refusal could be sent.
 pub const REFUSED_UNREAD: &str = "marlrun_refused_unread_total";
+/// Callers' connections that the router ended, by reason.
+pub const CALLERS_CLOSED: &str = "marlrun_callers_closed_total";
 /// Limit of concurrent requests while CPU overload restricts them.
 pub const CARRY_LIMIT: &str = "marlrun_carry_limit";
 /// Tokens per second that shares are computed from.
