Failing tests: a stream is cut when its target is silent for 1.25 s

Callers see a response with status 200 that breaks off after two of eight events, 2.05 s after the request with one engine and 2.75 s with two (1.05 s of silence, then the time in the dispatcher's queue), although the engines go on after 1.25 s. Six versions of the configuration come into force meanwhile.

--- a/tests/world/replica.rs
+++ b/tests/world/replica.rs
@@ -36,6 +36,8 @@
     CutAfter(u64),
     /// Stops within a stream after this many events.
     StallAfter(u64),
+    /// Is silent within a stream for this long after this many events, then goes on.
+    PauseAfter(u64, Duration),
     /// Answers with the identifier of another request.
     Crossed,
     /// Answers without signature.
@@ -270,7 +272,11 @@
                     running.finish();
                     return None;
                 }
-                tokio::time::sleep(gap).await;
+                let pause = match mode {
+                    Mode::PauseAfter(last, pause) if number == last + 1 => pause,
+                    _ => gap,
+                };
+                tokio::time::sleep(pause).await;
                 let item = match mode {
                     Mode::CutAfter(last) if number == last + 1 => {
                         Ok(Bytes::from(format!("id: {number}\nda")))
