Leave a silent target only in the step in which another one takes the request

Cause: the relay closed the connection to a silent target on a timer of its own and only then asked the dispatcher for another one, which could refuse. Before the first event, the dispatcher checked for another target, but ended the attempt in a later step, in which that target could be gone. Change: the relay reports a stalled stream, and the dispatcher moves it to another target that accepts it now and whose retry the budget allows, in one step; otherwise the stream stays. The same function moves requests before their first event. A stalled stream looks for another target every 200 ms.

--- a/src/dispatch/action.rs
+++ b/src/dispatch/action.rs
@@ -5,7 +5,8 @@
 /// Output of the dispatcher, carried out by the gateway.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Action {
-    /// Send a request to a target now.
+    /// Send a request to a target now. If the request is at another target, the attempt there has
+    /// ended as silent, and its connection is to be closed first.
     Send {
         /// Request.
         number: u64,
@@ -23,11 +24,6 @@
         /// Why.
         refusal: Refusal,
     },
-    /// Stop waiting for the target that a request was sent to; the attempt ends as silent.
-    Abandon {
-        /// Request.
-        number: u64,
-    },
     /// A target was ejected because of failures, or is in use again.
     HealthChanged {
         /// Target.
--- a/src/dispatch/attempt.rs
+++ b/src/dispatch/attempt.rs
@@ -22,8 +22,6 @@
     pub(super) response_started: bool,
     /// One of those targets may have run the request.
     pub(super) may_have_run: bool,
-    /// The gateway was told to stop waiting; the retry is already charged to the budget.
-    pub(super) abandoned: bool,
     /// Time at which the target was last found silent.
     pub(super) silent_at: Option<Time>,
 }
--- a/src/dispatch/dispatcher/mod.rs
+++ b/src/dispatch/dispatcher/mod.rs
@@ -39,7 +39,7 @@
 /// Range of the time after which a caller may retry when its workspace is beyond its share.
 const SHARE_RETRY_AFTER_RANGE: (Span, Span) = (Span::from_millis(300), Span::from_millis(3_000));
 /// Minimum time until a retried request is due.
-const MIN_RETRY_DUE: Span = Span::from_millis(200);
+pub(super) const MIN_RETRY_DUE: Span = Span::from_millis(200);
 /// A request is queued for at most the time to its deadline divided by this. The rest is left for
 /// the attempt, or for a retry by the caller.
 const QUEUE_TIME_DIVISOR: u64 = 3;
@@ -150,6 +150,7 @@
         match event {
             Event::Arrived(request) => self.arrive(now, request, out),
             Event::ResponseStarted { number } => self.start_response(now, number, out),
+            Event::Stalled { number } => self.move_stalled(now, number, out),
             Event::Ended {
                 number,
                 outcome,
@@ -261,7 +262,7 @@
         now + part.min(self.settings.max_queue_time)
     }
 
-    fn budget(&mut self, service: &id::Service) -> &mut Budget {
+    pub(super) fn budget(&mut self, service: &id::Service) -> &mut Budget {
         let router_count = self.router_count();
         let settings = &self.settings;
         self.budgets.entry(service.clone()).or_insert_with(|| {
@@ -292,6 +293,14 @@
         self.send_queued(now, &service, out);
     }
 
+    /// Moves a stream that had started and then fell silent, if another target can continue it now.
+    fn move_stalled(&mut self, now: Time, number: u64, out: &mut Vec<Action>) {
+        let started = |attempt: &Attempt| attempt.response_started;
+        if self.attempts.get(&number).is_some_and(started) {
+            self.try_move(now, number, out);
+        }
+    }
+
     fn end_attempt(
         &mut self,
         now: Time,
@@ -316,7 +325,13 @@
 
     /// Releases what an attempt took, and updates the target's estimates and health with its
     /// outcome.
-    fn release(&mut self, now: Time, attempt: &Attempt, outcome: Outcome, out: &mut Vec<Action>) {
+    pub(super) fn release(
+        &mut self,
+        now: Time,
+        attempt: &Attempt,
+        outcome: Outcome,
+        out: &mut Vec<Action>,
+    ) {
         let Some(target) = self.targets.get_mut(&attempt.estimate.target) else {
             return;
         };
@@ -350,7 +365,6 @@
         out: &mut Vec<Action>,
     ) {
         let unsent = outcome == Outcome::Unsent;
-        let paid = attempt.abandoned && outcome == Outcome::Silent;
         let mut pending = Pending {
             expires: self.queue_deadline(now, &attempt.request),
             request: attempt.request,
@@ -369,7 +383,7 @@
         if pending.unsent >= MAX_UNSENT_PER_REQUEST || reached >= max_attempts {
             return self.refuse(now, &pending, Reason::Attempts, OVERLOAD_RETRY_AFTER, out);
         }
-        if !unsent && !paid && !self.budget(&service).try_withdraw() {
+        if !unsent && !self.budget(&service).try_withdraw() {
             return self.refuse(now, &pending, Reason::Budget, OVERLOAD_RETRY_AFTER, out);
         }
         if !self.has_target(&service) {
@@ -399,7 +413,7 @@
         self.displace_unshared();
         self.drop_silent_peers(now);
         self.tick_topology(now);
-        self.abandon_silent(now, out);
+        self.check_silent(now, out);
         let services: Vec<id::Service> = self.queues.keys().cloned().collect();
         for service in services {
             self.send_queued(now, &service, out);
--- a/src/dispatch/dispatcher/selection.rs
+++ b/src/dispatch/dispatcher/selection.rs
@@ -1,6 +1,6 @@
 //! Choice of targets, and the order in which queued requests are sent.
 
-use super::{Attempt, Dispatcher, Pending, Queue, Request, Tokens};
+use super::{Attempt, Dispatcher, MIN_RETRY_DUE, Outcome, Pending, Queue, Request, Tokens};
 use crate::{
     dispatch::{
         Action, Estimate, Policy,
@@ -179,7 +179,6 @@
             unsent,
             response_started: false,
             may_have_run,
-            abandoned: false,
             silent_at: None,
             estimate,
             request,
@@ -216,33 +215,17 @@
         queue.push(pending);
     }
 
-    /// Stops waiting for silent targets where another target can run the request now. Otherwise the
-    /// wait goes on, because a silent target may still answer.
-    pub(super) fn abandon_silent(&mut self, now: Time, out: &mut Vec<Action>) {
+    /// Moves requests from silent targets to others. Where no other target accepts the request, it
+    /// keeps waiting, because a silent target may still answer.
+    pub(super) fn check_silent(&mut self, now: Time, out: &mut Vec<Action>) {
         for number in self.silent_attempts(now) {
             let Some(attempt) = self.attempts.get_mut(&number) else {
                 continue;
             };
             let is_first = attempt.silent_at.replace(now).is_none();
-            let may_move = attempt.request.kind.is_repeatable()
-                && attempt.tried.len() < attempt.request.max_attempts as usize;
-            let pending = Pending {
-                request: attempt.request.clone(),
-                tried: attempt.tried.clone(),
-                unsent: attempt.unsent,
-                may_have_run: attempt.may_have_run,
-                expires: now,
-            };
             let name = attempt.estimate.target.clone();
-            let moves = may_move
-                && self.choose(now, &pending, None).is_some()
-                && self.budget(&pending.request.service).try_withdraw();
-            if moves {
-                if let Some(attempt) = self.attempts.get_mut(&number) {
-                    attempt.abandoned = true;
-                }
-                out.push(Action::Abandon { number });
-            } else if is_first
+            if !self.try_move(now, number, out)
+                && is_first
                 && let Some(target) = self.targets.get_mut(&name)
                 && target.health.record_failure(now)
             {
@@ -251,6 +234,41 @@
         }
     }
 
+    /// Moves a request from a silent target to another one, if one accepts it now and the retry
+    /// budget allows it; returns whether it was moved. The request leaves its target in the same
+    /// step in which another one takes it, so that it is never without a target.
+    pub(super) fn try_move(&mut self, now: Time, number: u64, out: &mut Vec<Action>) -> bool {
+        let Some(attempt) = self.attempts.get(&number) else {
+            return false;
+        };
+        let request = &attempt.request;
+        let reached = attempt.tried.len() - attempt.unsent;
+        if !request.kind.is_repeatable() || reached >= request.max_attempts as usize {
+            return false;
+        }
+        let pending = Pending {
+            request: Request {
+                due: request.due.max(now + MIN_RETRY_DUE),
+                ..request.clone()
+            },
+            tried: attempt.tried.clone(),
+            unsent: attempt.unsent,
+            may_have_run: true,
+            expires: now,
+        };
+        let Some(estimate) = self.choose(now, &pending, None) else {
+            return false;
+        };
+        if !self.budget(&pending.request.service).try_withdraw() {
+            return false;
+        }
+        if let Some(attempt) = self.attempts.remove(&number) {
+            self.release(now, &attempt, Outcome::Silent, out);
+        }
+        self.send(now, pending, estimate, out);
+        true
+    }
+
     /// Returns the requests at silent targets that were not checked in the last interval.
     fn silent_attempts(&self, now: Time) -> Vec<u64> {
         let silent = self.attempts.values().filter(|attempt| {
@@ -259,7 +277,7 @@
             let is_checked = attempt
                 .silent_at
                 .is_some_and(|at| now.since(at) < SILENCE_CHECK_INTERVAL);
-            if waited < timeout || attempt.response_started || attempt.abandoned || is_checked {
+            if waited < timeout || attempt.response_started || is_checked {
                 return false;
             }
             let target = self.targets.get(&attempt.estimate.target);
--- a/src/dispatch/event.rs
+++ b/src/dispatch/event.rs
@@ -14,6 +14,11 @@
         /// Request.
         number: u64,
     },
+    /// A streamed response that had started is silent for too long.
+    Stalled {
+        /// Request.
+        number: u64,
+    },
     /// An attempt ended.
     Ended {
         /// Request.
--- a/src/gateway/driver.rs
+++ b/src/gateway/driver.rs
@@ -1,8 +1,9 @@
 //! Driver of the dispatcher: feeds it events and delivers its actions.
 
 use super::{
+    decisions::{Decision, Decisions},
     record::Record,
-    submission::{Decision, Submission},
+    submission::Submission,
 };
 use crate::{
     clock,
@@ -47,8 +48,12 @@
         }
     }
 
-    /// Registers a request with the dispatcher; its decisions arrive through the returned handle.
-    pub(super) fn submit(self: &Arc<Self>, request_id: &str, request: Request) -> Submission {
+    /// Registers a request with the dispatcher.
+    pub(super) fn submit(
+        self: &Arc<Self>,
+        request_id: &str,
+        request: Request,
+    ) -> (Submission, Decisions) {
         let (decisions, receiver) = mpsc::unbounded_channel();
         let number = request.number;
         let pending = Pending {
@@ -57,7 +62,8 @@
         };
         self.lock().requests.insert(number, pending);
         self.step(Event::Arrived(request));
-        Submission::new(number, self.clone(), receiver)
+        let submission = Submission::new(number, self.clone());
+        (submission, Decisions::new(receiver))
     }
 
     /// Removes a request from the dispatcher.
@@ -94,10 +100,9 @@
                     };
                     record.write(&self.log);
                 }
-                (number, Decision::Send { estimate, earlier })
+                (number, Decision::Send(estimate))
             }
             Action::Refuse { number, refusal } => (number, Decision::Refuse(refusal)),
-            Action::Abandon { number } => (number, Decision::Abandon),
             Action::HealthChanged {
                 target,
                 suspect,
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -1,7 +1,12 @@
 //! Forwarding of one request: attempts at targets until there is a response for the caller.
 
 use super::{
-    Outgoing, Protocol, Reply, State, call::Call, record::Record, relay::Relay, state::Permit,
+    Outgoing, Protocol, Reply, State,
+    call::Call,
+    decisions::{Decision, Decisions},
+    record::Record,
+    relay::Relay,
+    state::Permit,
     submission::Submission,
 };
 use crate::{
@@ -57,6 +62,14 @@
     pub(super) lease: upstream::Lease,
 }
 
+/// Successful start of a response.
+enum Fetched {
+    /// A stream of events, of which nothing was read.
+    Stream(Transfer),
+    /// Another response, with the bytes that were read and whether these are all.
+    Buffered((Transfer, Bytes, bool)),
+}
+
 /// An attempt that gave no response for the caller.
 pub(super) struct Failure {
     pub(super) target: id::Target,
@@ -86,41 +99,66 @@
     }
 
     /// Sends the request to targets until there is a response for the caller.
-    pub(super) async fn run(mut self) -> Response<Body> {
+    pub(super) async fn run(mut self, mut decisions: Decisions) -> Response<Body> {
         let mut error_response = None;
+        let mut decision = self.decide(&mut decisions).await;
         loop {
-            let remaining = Duration::from(self.call.remaining(clock::now()));
-            let decision = tokio::time::timeout(remaining, self.submission.decision()).await;
             let estimate = match decision {
-                Ok(Some(Ok((estimate, _)))) => estimate,
-                Ok(Some(Err(refusal))) => return self.respond_refused(error_response, &refusal),
-                Ok(None) | Err(_) => return self.respond_timeout(),
-            };
-            let remaining = Duration::from(self.call.remaining(clock::now()));
-            let attempt = tokio::time::timeout(remaining, self.attempt(&estimate)).await;
-            let Ok(attempt) = attempt else {
-                return self.respond_timeout();
+                Some(Decision::Send(estimate)) => estimate,
+                Some(Decision::Refuse(refusal)) => {
+                    return self.respond_refused(error_response, &refusal);
+                }
+                None => return self.respond_timeout(),
             };
-            let failure = match attempt {
-                Ok(transfer) if self.call.route.kind.is_stream() => return self.relay(transfer),
-                Ok(transfer) => {
-                    let remaining = Duration::from(self.call.remaining(clock::now()));
-                    match tokio::time::timeout(remaining, self.buffer(transfer)).await {
-                        Ok(Ok(buffered)) => return self.respond(buffered),
-                        Ok(Err(failure)) => failure,
-                        Err(_) => return self.respond_timeout(),
-                    }
+            let sent = clock::now();
+            let remaining = Duration::from(self.call.remaining(sent));
+            let fetched = tokio::select! {
+                biased;
+                next = decisions.next() => {
+                    self.record_failure(&Failure::moved(&estimate.target, sent));
+                    error_response = None;
+                    decision = Some(next);
+                    continue;
                 }
-                Err(failure) => failure,
+                fetched = tokio::time::timeout(remaining, self.fetch(&estimate)) => fetched,
             };
-            self.record_failure(&failure);
-            error_response = failure.error_response;
-            self.submission.report(Event::Ended {
-                number: self.call.number,
-                outcome: failure.outcome,
-                can_retry: true,
-            });
+            match fetched {
+                Ok(Ok(Fetched::Stream(transfer))) => return self.relay(transfer, decisions),
+                Ok(Ok(Fetched::Buffered(buffered))) => return self.respond(buffered, decisions),
+                Ok(Err(failure)) => {
+                    error_response = self.end_attempt(failure, true);
+                    decision = self.decide(&mut decisions).await;
+                }
+                Err(_) => return self.respond_timeout(),
+            }
+        }
+    }
+
+    /// Waits for the dispatcher's decision; returns `None` if the deadline passes.
+    pub(super) async fn decide(&self, decisions: &mut Decisions) -> Option<Decision> {
+        let remaining = Duration::from(self.call.remaining(clock::now()));
+        let decision = tokio::time::timeout(remaining, decisions.next()).await;
+        decision.ok()
+    }
+
+    /// Logs a failed attempt and reports it to the dispatcher; returns the target's error response.
+    pub(super) fn end_attempt(&self, failure: Failure, can_retry: bool) -> Option<Response<Body>> {
+        self.record_failure(&failure);
+        self.submission.report(Event::Ended {
+            number: self.call.number,
+            outcome: failure.outcome,
+            can_retry,
+        });
+        failure.error_response
+    }
+
+    /// Sends the request to a target, and buffers a response that is not a stream.
+    async fn fetch(&mut self, estimate: &Estimate) -> Result<Fetched, Failure> {
+        let transfer = self.attempt(estimate).await?;
+        if self.call.route.kind.is_stream() {
+            return Ok(Fetched::Stream(transfer));
         }
+        self.buffer(transfer).await.map(Fetched::Buffered)
     }
 
     /// Sends the request to a target and waits for the head of the response.
@@ -152,13 +190,7 @@
             metrics::counter!(metric::CONNECTIONS, "reused" => reused).increment(1);
             let request = self.target_request(&estimate.target);
             self.may_have_run = true;
-            let result = tokio::select! {
-                result = lease.sender.try_send_request(request) => result,
-                () = self.submission.abandoned() => {
-                    return Err(failure(Outcome::Silent, &"no response within the expected time"));
-                }
-            };
-            match result {
+            match lease.sender.try_send_request(request).await {
                 Ok(response) => break (response, lease),
                 Err(mut error) => {
                     // hyper hands the request back if no byte of it was sent.
@@ -271,6 +303,7 @@
     fn respond(
         mut self,
         (transfer, buffered, complete): (Transfer, Bytes, bool),
+        decisions: Decisions,
     ) -> Response<Body> {
         self.record_first_byte();
         let mut response = Response::new(());
@@ -283,7 +316,7 @@
                     .headers_mut()
                     .insert(http::header::CONTENT_LENGTH, length);
             }
-            let relay = Relay::bytes(self, transfer, buffered);
+            let relay = Relay::bytes(self, transfer, buffered, decisions);
             return response.map(|()| relay.into_body());
         }
         self.record_completion(&transfer.target, transfer.head.status);
@@ -300,11 +333,11 @@
     }
 
     /// Returns the response for the caller, if it is a stream of events.
-    fn relay(self, transfer: Transfer) -> Response<Body> {
+    fn relay(self, transfer: Transfer, decisions: Decisions) -> Response<Body> {
         let mut response = Response::new(());
         *response.status_mut() = transfer.head.status;
         header::copy(&transfer.head.headers, response.headers_mut());
-        let relay = Relay::events(self, transfer);
+        let relay = Relay::events(self, transfer, decisions);
         response.map(|()| relay.into_body())
     }
 
@@ -537,4 +570,15 @@
             error_response: None,
         }
     }
+
+    /// Creates the failure of a silent target whose request was moved to another one.
+    pub(super) fn moved(target: &id::Target, sent: Time) -> Self {
+        Self {
+            target: target.clone(),
+            sent,
+            outcome: Outcome::Silent,
+            cause: "silent; another target takes the request".into(),
+            error_response: None,
+        }
+    }
 }
--- a/src/gateway/handler.rs
+++ b/src/gateway/handler.rs
@@ -105,9 +105,9 @@
             deadline: arrived + timeout,
         };
         let dispatch_request = dispatch_request(&call, &table);
-        let submission = self.driver.submit(&call.head.request_id, dispatch_request);
+        let (submission, decisions) = self.driver.submit(&call.head.request_id, dispatch_request);
         let exchange = Exchange::new(call, submission, self.context.clone(), permit);
-        Ok(exchange.run().await)
+        Ok(exchange.run(decisions).await)
     }
 
     async fn read_body(&self, body: Incoming, table: &Table) -> Result<Bytes, Problem> {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -4,6 +4,7 @@
 mod caches;
 mod call;
 mod controller;
+mod decisions;
 mod driver;
 mod error;
 mod exchange;
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -2,6 +2,7 @@
 
 use super::{
     Framer,
+    decisions::{Decision, Decisions},
     exchange::{Exchange, Failure, Transfer, release},
 };
 use crate::{
@@ -21,6 +22,8 @@
 const STALL_PAUSES: u64 = 3;
 /// Time added to that multiple.
 const STALL_MARGIN: Span = Span::from_millis(300);
+/// Interval at which a stalled stream looks for another target.
+const STALL_CHECK_INTERVAL: Span = Span::from_millis(200);
 
 /// How received bytes are processed.
 enum Mode {
@@ -33,11 +36,14 @@
 /// Relay of a response body, which continues a stream at another target after a failure.
 pub(super) struct Relay {
     exchange: Exchange,
+    decisions: Decisions,
     /// Response being read; `None` once the relay has ended.
     transfer: Option<Transfer>,
     mode: Mode,
     /// Time at which a target last sent something.
     last_received: Time,
+    /// Time from which the stream counts as stalled, or at which it looks for another target again.
+    stalled_at: Time,
 }
 
 /// Why a response cannot be completed.
@@ -53,29 +59,58 @@
     Bytes(Bytes),
     End,
     Failed(Outcome, Box<str>),
+    /// Nothing for so long that the stream counts as stalled.
+    Stalled,
+    /// Another target takes the request.
+    Moved(Decision),
     /// The request's deadline passed.
     Expired,
 }
 
 impl Relay {
     /// Creates the relay of a stream of events.
-    pub(super) fn events(exchange: Exchange, transfer: Transfer) -> Self {
+    pub(super) fn events(exchange: Exchange, transfer: Transfer, decisions: Decisions) -> Self {
         let framer = Framer::resuming_after(exchange.call.head.last_event_id.as_deref());
-        Self {
-            exchange,
-            transfer: Some(transfer),
-            mode: Mode::Events(framer),
-            last_received: clock::now(),
-        }
+        Self::new(exchange, transfer, decisions, Mode::Events(framer))
     }
 
     /// Creates the relay of a large response of which some bytes are buffered.
-    pub(super) fn bytes(exchange: Exchange, transfer: Transfer, buffered: Bytes) -> Self {
-        Self {
+    pub(super) fn bytes(
+        exchange: Exchange,
+        transfer: Transfer,
+        buffered: Bytes,
+        decisions: Decisions,
+    ) -> Self {
+        Self::new(exchange, transfer, decisions, Mode::Bytes(Some(buffered)))
+    }
+
+    fn new(exchange: Exchange, transfer: Transfer, decisions: Decisions, mode: Mode) -> Self {
+        let mut relay = Self {
             exchange,
+            decisions,
             transfer: Some(transfer),
-            mode: Mode::Bytes(Some(buffered)),
-            last_received: clock::now(),
+            mode,
+            last_received: Time::default(),
+            stalled_at: Time::default(),
+        };
+        relay.record_received();
+        relay
+    }
+
+    /// Records that a target sent something, or that another target takes over.
+    fn record_received(&mut self) {
+        self.last_received = clock::now();
+        self.stalled_at = self.last_received + self.stall_timeout();
+    }
+
+    /// Returns the silence after which a stream counts as stalled.
+    fn stall_timeout(&self) -> Span {
+        match self.exchange.call.route.kind {
+            Kind::Stream {
+                pause,
+                resumable: true,
+            } => Span(pause.0 * STALL_PAUSES + STALL_MARGIN.0),
+            _ => self.exchange.call.remaining(self.last_received),
         }
     }
 
@@ -100,7 +135,7 @@
             self.transfer.as_ref()?;
             let (outcome, cause) = match self.receive().await {
                 Received::Bytes(bytes) => {
-                    self.last_received = clock::now();
+                    self.record_received();
                     match self.process(bytes) {
                         Ok(bytes) if bytes.is_empty() => continue,
                         Ok(bytes) => {
@@ -116,6 +151,18 @@
                 }
                 Received::End => (Outcome::Broken, "the stream ended within an event".into()),
                 Received::Failed(outcome, cause) => (outcome, cause),
+                Received::Stalled => {
+                    let number = self.exchange.call.number;
+                    self.exchange.submission.report(Event::Stalled { number });
+                    self.stalled_at = clock::now() + STALL_CHECK_INTERVAL;
+                    continue;
+                }
+                Received::Moved(decision) => {
+                    if let Err(cut) = self.move_to(decision).await {
+                        return Some(Err(self.truncate(&cut)));
+                    }
+                    continue;
+                }
                 Received::Expired => {
                     let cut = Cut {
                         cause: "the deadline passed".into(),
@@ -132,35 +179,27 @@
 
     /// Waits for bytes from the target.
     async fn receive(&mut self) -> Received {
-        let remaining = self.exchange.call.remaining(clock::now());
-        let stall_timeout = match (&self.mode, self.exchange.call.route.kind) {
-            (
-                Mode::Events(framer),
-                Kind::Stream {
-                    pause,
-                    resumable: true,
-                },
-            ) if framer.count() > 0 => Span(pause.0 * STALL_PAUSES + STALL_MARGIN.0),
-            _ => Span(u64::MAX),
-        };
-        let limit = Duration::from(remaining.min(stall_timeout));
+        let now = clock::now();
+        let remaining = self.exchange.call.remaining(now);
+        let until_stalled = self.stalled_at.since(now);
+        let limit = Duration::from(remaining.min(until_stalled));
+        let can_move = matches!(self.mode, Mode::Events(_));
         let Some(transfer) = &mut self.transfer else {
             return Received::End;
         };
         tokio::select! {
+            biased;
+            decision = self.decisions.next(), if can_move => Received::Moved(decision),
             frame = transfer.body.frame() => match frame {
                 Some(Ok(frame)) => Received::Bytes(frame.into_data().unwrap_or_default()),
                 Some(Err(error)) => Received::Failed(Outcome::Broken, error.to_string().into()),
                 None => Received::End,
             },
-            () = self.exchange.submission.abandoned() => {
-                Received::Failed(Outcome::Silent, "no event within the expected time".into())
-            }
             () = tokio::time::sleep(limit) => {
-                if remaining <= stall_timeout {
+                if remaining <= until_stalled {
                     Received::Expired
                 } else {
-                    Received::Failed(Outcome::Silent, "the pause between two events was too long".into())
+                    Received::Stalled
                 }
             }
         }
@@ -207,35 +246,42 @@
 
     /// Continues a stream at another target after a failure, if that is possible.
     async fn resume(&mut self, outcome: Outcome, cause: Box<str>) -> Result<(), Cut> {
-        let cut = |not_resumed: &str| Cut {
-            cause: cause.clone(),
-            not_resumed: not_resumed.into(),
-        };
         let Some(transfer) = self.transfer.take() else {
-            return Err(cut("the response has ended"));
+            let not_resumed = "the response has ended".into();
+            return Err(Cut { cause, not_resumed });
         };
-        let (mut failure, number) = (
-            Failure::broken(&transfer, outcome, &cause),
-            self.exchange.call.number,
-        );
+        let failure = Failure::broken(&transfer, outcome, &cause);
         // Dropping the lease closes the connection, which ends the run at the target.
         drop(transfer);
-        loop {
+        let can_retry = matches!(self.mode, Mode::Events(_));
+        self.exchange.end_attempt(failure, can_retry);
+        let decision = self.exchange.decide(&mut self.decisions).await;
+        self.proceed(decision, &cause).await
+    }
+
+    /// Leaves a silent target for the one that the dispatcher decided on.
+    async fn move_to(&mut self, decision: Decision) -> Result<(), Cut> {
+        let cause = "the target was silent";
+        if let Some(transfer) = self.transfer.take() {
+            let failure = Failure::moved(&transfer.target, transfer.sent);
+            drop(transfer);
             self.exchange.record_failure(&failure);
-            let can_retry = matches!(self.mode, Mode::Events(_));
-            self.exchange.submission.report(Event::Ended {
-                number,
-                outcome: failure.outcome,
-                can_retry,
-            });
-            let remaining = Duration::from(self.exchange.call.remaining(clock::now()));
-            let decision =
-                tokio::time::timeout(remaining, self.exchange.submission.decision()).await;
+        }
+        self.proceed(Some(decision), cause).await
+    }
+
+    /// Follows decisions until a target continues the stream; `cause` is the failure that made it
+    /// necessary.
+    async fn proceed(&mut self, mut decision: Option<Decision>, cause: &str) -> Result<(), Cut> {
+        let cut = |not_resumed: &str| Cut {
+            cause: cause.into(),
+            not_resumed: not_resumed.into(),
+        };
+        loop {
             let estimate = match decision {
-                Ok(Some(Ok((estimate, _)))) => estimate,
-                Ok(Some(Err(refusal))) => return Err(cut(&refusal.reason.to_string())),
-                Ok(None) => return Err(cut("the dispatcher has stopped")),
-                Err(_) => return Err(cut("the deadline passed")),
+                Some(Decision::Send(estimate)) => estimate,
+                Some(Decision::Refuse(refusal)) => return Err(cut(&refusal.reason.to_string())),
+                None => return Err(cut("the deadline passed")),
             };
             if let Mode::Events(framer) = &mut self.mode {
                 framer.discard_partial();
@@ -243,22 +289,35 @@
                     self.exchange.call.head.last_event_id = Some(last.to_string().into());
                 }
             }
-            let remaining = Duration::from(self.exchange.call.remaining(clock::now()));
-            match tokio::time::timeout(remaining, self.exchange.attempt(&estimate)).await {
+            let sent = clock::now();
+            let remaining = Duration::from(self.exchange.call.remaining(sent));
+            let attempt = tokio::time::timeout(remaining, self.exchange.attempt(&estimate));
+            let attempt = tokio::select! {
+                biased;
+                next = self.decisions.next() => {
+                    let failure = Failure::moved(&estimate.target, sent);
+                    self.exchange.record_failure(&failure);
+                    decision = Some(next);
+                    continue;
+                }
+                attempt = attempt => attempt,
+            };
+            let failure = match attempt {
                 Ok(Ok(transfer)) if transfer.head.status.is_success() => {
                     self.transfer = Some(transfer);
+                    self.record_received();
                     return Ok(());
                 }
-                Ok(Ok(transfer)) => {
-                    failure = Failure::broken(
-                        &transfer,
-                        Outcome::Failed,
-                        "the target did not resume the stream",
-                    )
-                }
-                Ok(Err(next)) => failure = next,
+                Ok(Ok(transfer)) => Failure::broken(
+                    &transfer,
+                    Outcome::Failed,
+                    "the target did not resume the stream",
+                ),
+                Ok(Err(failure)) => failure,
                 Err(_) => return Err(cut("the deadline passed")),
-            }
+            };
+            self.exchange.end_attempt(failure, true);
+            decision = self.exchange.decide(&mut self.decisions).await;
         }
     }
 }
--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -443,30 +443,8 @@
     );
 }
 
-#[test]
-fn tick_silent_target() {
-    let mut dispatcher = ready("r1", &[target("a", "llm"), target("b", "llm")]);
-    step(&mut dispatcher, 0, Event::Arrived(request(1, 0, "llm")));
-    let mut abandoned = false;
-    for millis in (0..3_000).step_by(10) {
-        let actions = step(&mut dispatcher, millis, Event::Tick);
-        abandoned |= actions.contains(&Action::Abandon { number: 1 });
-    }
-    assert!(abandoned);
-}
-
-#[test]
-fn tick_silent_target_without_another() {
-    let mut dispatcher = ready("r1", &[target("a", "llm")]);
-    step(&mut dispatcher, 0, Event::Arrived(request(1, 0, "llm")));
-    for millis in (0..9_000).step_by(10) {
-        let actions = step(&mut dispatcher, millis, Event::Tick);
-        assert!(!actions.contains(&Action::Abandon { number: 1 }));
-    }
-}
-
-#[test]
-fn tick_silent_target_without_budget() {
+/// Returns a dispatcher that may not retry anything, with two engines.
+fn without_retry_budget() -> Dispatcher {
     let mut settings = Settings::new(
         "r1".parse().unwrap(),
         id::Incarnation(1),
@@ -481,11 +459,86 @@
         0,
         targets(&[target("a", "llm"), target("b", "llm")]),
     );
-    step(&mut dispatcher, 0, Event::Arrived(request(1, 0, "llm")));
-    for millis in (0..9_000).step_by(10) {
-        let actions = step(&mut dispatcher, millis, Event::Tick);
-        assert!(!actions.contains(&Action::Abandon { number: 1 }));
-    }
+    dispatcher
+}
+
+/// Sends request 1 and returns all actions of the ticks until a time.
+fn ticks_after_send(dispatcher: &mut Dispatcher, until_ms: u64) -> Vec<Action> {
+    step(dispatcher, 0, Event::Arrived(request(1, 0, "llm")));
+    let ticks = (0..until_ms).step_by(10);
+    ticks
+        .flat_map(|millis| step(dispatcher, millis, Event::Tick))
+        .collect()
+}
+
+#[test]
+fn tick_silent_target() {
+    let mut dispatcher = ready("r1", &[target("a", "llm"), target("b", "llm")]);
+    let actions = ticks_after_send(&mut dispatcher, 3_000);
+    assert_eq!(sent_to(&actions), Some((1, "b".into())));
+    assert_eq!(refused(&actions), None);
+    let running = |name: &str| {
+        let (own, _) = dispatcher.views()[&name.parse::<id::Target>().unwrap()];
+        own.running
+    };
+    assert_eq!((running("a"), running("b")), (0, 1), "moved in one step");
+}
+
+#[test]
+fn tick_silent_target_without_another() {
+    let mut dispatcher = ready("r1", &[target("a", "llm")]);
+    let actions = ticks_after_send(&mut dispatcher, 9_000);
+    assert_eq!((sent_to(&actions), refused(&actions)), (None, None));
+}
+
+#[test]
+fn tick_silent_target_without_budget() {
+    let mut dispatcher = without_retry_budget();
+    let actions = ticks_after_send(&mut dispatcher, 9_000);
+    assert_eq!((sent_to(&actions), refused(&actions)), (None, None));
+}
+
+/// Starts the stream of request 1 and reports it as stalled.
+fn stall(dispatcher: &mut Dispatcher) -> Vec<Action> {
+    step(dispatcher, 0, Event::Arrived(request(1, 0, "llm")));
+    step(dispatcher, 100, Event::ResponseStarted { number: 1 });
+    step(dispatcher, 1_600, Event::Stalled { number: 1 })
+}
+
+#[test]
+fn stalled_stream_moves() {
+    let mut dispatcher = ready("r1", &[target("a", "llm"), target("b", "llm")]);
+    let actions = stall(&mut dispatcher);
+    assert_eq!(sent_to(&actions), Some((1, "b".into())));
+    assert_eq!(dispatcher.running(), 1);
+}
+
+#[test]
+fn stalled_stream_without_another_stays() {
+    let mut dispatcher = ready("r1", &[target("a", "llm")]);
+    assert_eq!(stall(&mut dispatcher), []);
+    assert_eq!(dispatcher.running(), 1);
+}
+
+#[test]
+fn stalled_stream_without_budget_stays() {
+    let mut dispatcher = without_retry_budget();
+    assert_eq!(stall(&mut dispatcher), []);
+    assert_eq!(dispatcher.running(), 1);
+}
+
+#[test]
+fn stalled_stream_while_others_are_full_stays() {
+    let mut dispatcher = ready("r1", &[target("a", "llm"), target("b", "llm")]);
+    let taken = (2..400).find(|number| {
+        let arrived = Event::Arrived(request(*number, 0, "llm"));
+        let actions = step(&mut dispatcher, 0, arrived);
+        sent_to(&actions).is_none()
+    });
+    assert!(taken.is_some(), "both engines are full");
+    step(&mut dispatcher, 100, Event::ResponseStarted { number: 2 });
+    let actions = step(&mut dispatcher, 101, Event::Stalled { number: 2 });
+    assert_eq!(sent_to(&actions).filter(|(number, _)| *number == 2), None);
 }
 
 #[test]
--- a/tests/engines/mod.rs
+++ b/tests/engines/mod.rs
@@ -261,6 +261,11 @@
             Action::Send {
                 number, estimate, ..
             } => {
+                // A request that is moved leaves its engine first.
+                for engine in &mut self.engines {
+                    engine.prefilling.retain(|(other, _)| *other != number);
+                    engine.events.retain(|(_, other, _)| *other != number);
+                }
                 let index: usize = estimate.target.as_str()[1..].parse().unwrap();
                 let engine = &mut self.engines[index];
                 let parts = self.jobs[&number].prompt.parts.iter();
@@ -283,19 +288,6 @@
                 stats.slowest_refusal = stats.slowest_refusal.max(waited);
                 self.step(job.router, Event::Closed { number });
             }
-            Action::Abandon { number } => {
-                let router = self.jobs[&number].router;
-                for engine in &mut self.engines {
-                    engine.prefilling.retain(|(other, _)| *other != number);
-                    engine.events.retain(|(_, other, _)| *other != number);
-                }
-                let ended = Event::Ended {
-                    number,
-                    outcome: Outcome::Silent,
-                    can_retry: true,
-                };
-                self.step(router, ended);
-            }
             Action::HealthChanged { .. } => {}
         }
     }
