Report the start of a response at each target, not only at the first one

What callers saw: a stream that another target had resumed was moved a second time while its events arrived, which used up its attempts and the retry budget; before it was cut if no third target took it. Cause: the gateway reported the start of a response once per request, so that the dispatcher took the second target for silent. Change: the relay reports the first event of each target. Test: gateway::stream_resumed_stays_while_events_arrive ran at three targets before, and at two now.

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -305,7 +305,7 @@
         (transfer, buffered, complete): (Transfer, Bytes, bool),
         decisions: Decisions,
     ) -> Response<Body> {
-        self.record_first_byte();
+        self.record_start();
         let mut response = Response::new(());
         *response.status_mut() = transfer.head.status;
         header::copy(&transfer.head.headers, response.headers_mut());
@@ -341,9 +341,12 @@
         response.map(|()| relay.into_body())
     }
 
-    /// Records the arrival of the first event of a stream, or of the buffered part of another
-    /// response.
-    pub(super) fn record_first_byte(&mut self) {
+    /// Records that a target's response started: the first event of a stream, or the buffered part
+    /// of another response. To be called once for each target.
+    pub(super) fn record_start(&mut self) {
+        self.submission.report(Event::ResponseStarted {
+            number: self.call.number,
+        });
         if self.first_byte.is_some() {
             return;
         }
@@ -352,9 +355,6 @@
         let service = self.call.service.to_string();
         metrics::histogram!(metric::FIRST_BYTE, "service" => service)
             .record(first_byte.as_secs_f64());
-        self.submission.report(Event::ResponseStarted {
-            number: self.call.number,
-        });
     }
 
     /// Records that a target's response was received completely.
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -40,6 +40,8 @@
     /// Response being read; `None` once the relay has ended.
     transfer: Option<Transfer>,
     mode: Mode,
+    /// Whether the target sent an event.
+    started: bool,
     /// Time at which a target last sent something.
     last_received: Time,
     /// Time from which the stream counts as stalled, or at which it looks for another target again.
@@ -90,6 +92,7 @@
             decisions,
             transfer: Some(transfer),
             mode,
+            started: false,
             last_received: Time::default(),
             stalled_at: Time::default(),
         };
@@ -139,7 +142,9 @@
                     match self.process(bytes) {
                         Ok(bytes) if bytes.is_empty() => continue,
                         Ok(bytes) => {
-                            self.exchange.record_first_byte();
+                            if !std::mem::replace(&mut self.started, true) {
+                                self.exchange.record_start();
+                            }
                             return Some(Ok(bytes));
                         }
                         Err(cause) => (Outcome::Broken, cause),
@@ -305,6 +310,7 @@
             let failure = match attempt {
                 Ok(Ok(transfer)) if transfer.head.status.is_success() => {
                     self.transfer = Some(transfer);
+                    self.started = false;
                     self.record_received();
                     return Ok(());
                 }
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -374,6 +374,24 @@
     }
 }
 
+#[test]
+fn stream_resumed_stays_while_events_arrive() {
+    let world = World::open(3, 0);
+    let router = Router::ready(&world.store, "r1");
+    for engine in &world.engines {
+        engine.pace(20, Duration::from_millis(100));
+    }
+    world.engines[0].behave(Mode::CutAfter(2));
+    let answer = Caller::stream(router.listen, "plan", "q1").call();
+    assert_eq!((answer.whole, answer.body), (true, events(20)));
+    let targets: Vec<String> = world
+        .runs_of("q1")
+        .into_iter()
+        .map(|run| run.target)
+        .collect();
+    assert_eq!(targets.len(), 2, "the second target was left: {targets:?}");
+}
+
 #[test]
 fn stream_cut_and_not_resumable() {
     let world = World::open(1, 0);
