Take a target for silent only after three quarters of the time that its callers wait

What callers saw: while a healthy target was silent for 1.25 s, its requests were sent to a second target after 0.7 s (before the first event) or 1.05 s (later), although the first one went on. That used up attempts and retry budget and processed prompts twice. Cause: both timeouts were derived from latency objectives, not from the time for which a caller waits. Callers of streams disconnect after at least 2 s without an event. Change: one timeout, dispatch::Request::silence_timeout, for both: three quarters of that time, 1.5 s for most streams, or of the time to the deadline. Meanwhile a target with an overdue response is only used if no other one accepts a request; it is neither ejected nor left, and fully used again with its next response.

--- a/src/dispatch/dispatcher/mod.rs
+++ b/src/dispatch/dispatcher/mod.rs
@@ -286,6 +286,7 @@
                     .speed
                     .observe_first_event(now.since(attempt.sent), attempt.ahead);
             }
+            target.quiet = false;
             if target.health.record_success(now) {
                 out.push(health_change(target));
             }
--- a/src/dispatch/dispatcher/selection.rs
+++ b/src/dispatch/dispatcher/selection.rs
@@ -28,14 +28,14 @@
 const MAX_EXCESS_WAIT: Span = Span::from_millis(40);
 /// Time that a response takes from the target to the caller.
 const RETURN_TIME: Span = Span::from_millis(8);
-/// Added to twice the expected time to the first event, this gives the silence timeout: a target
-/// that answers no request for so long counts as silent.
-const SILENCE_MARGIN: Span = Span::from_millis(500);
+/// Added to twice the expected time to the first event, this is the time at which a response is
+/// overdue.
+const OVERDUE_MARGIN: Span = Span::from_millis(500);
 /// Interval at which a request at a silent target looks for another target.
 const SILENCE_CHECK_INTERVAL: Span = Span::from_millis(200);
-/// Multiple of the silence timeout after which a target counts as silent for a request even if it
-/// answers others.
-const MAX_TIMEOUT_FACTOR: u64 = 3;
+/// Multiple of the time at which a response is overdue, after which a target counts as silent for
+/// its request even if it answers others.
+const MAX_OVERDUE_FACTOR: u64 = 3;
 /// Time for which another router's report of a failing target counts, unless a request to the
 /// target succeeded since.
 const SUSPICION_TTL: Span = Span::from_millis(1_000);
@@ -114,7 +114,7 @@
 
     /// Reports whether a target is expected to answer.
     fn is_trusted(&self, target: &Target, now: Time) -> bool {
-        if !target.health.is_usable(now) {
+        if target.quiet || !target.health.is_usable(now) {
             return false;
         }
         let (Some(at), true) = (
@@ -269,22 +269,35 @@
         true
     }
 
-    /// Returns the requests at silent targets that were not checked in the last interval.
-    fn silent_attempts(&self, now: Time) -> Vec<u64> {
-        let silent = self.attempts.values().filter(|attempt| {
-            let timeout = Span(2 * attempt.estimate.first_event.0 + SILENCE_MARGIN.0);
+    /// Returns the requests at silent targets that were not checked in the last interval, and marks
+    /// the targets at which a response is overdue.
+    fn silent_attempts(&mut self, now: Time) -> Vec<u64> {
+        self.targets
+            .values_mut()
+            .for_each(|target| target.quiet = false);
+        let mut silent = Vec::new();
+        for attempt in self.attempts.values() {
+            let request = &attempt.request;
+            let overdue = Span(2 * attempt.estimate.first_event.0 + OVERDUE_MARGIN.0);
             let waited = now.since(attempt.sent);
+            if waited < overdue || attempt.response_started {
+                continue;
+            }
+            let mut last_response = attempt.sent;
+            if let Some(target) = self.targets.get_mut(&attempt.estimate.target) {
+                last_response = last_response.max(target.health.last_success().unwrap_or_default());
+                target.quiet |= now.since(last_response) >= overdue;
+            }
+            let timeout = overdue.max(request.silence_timeout());
+            let is_silent = now.since(last_response) >= timeout
+                || waited >= timeout.max(Span(overdue.0 * MAX_OVERDUE_FACTOR));
             let is_checked = attempt
                 .silent_at
                 .is_some_and(|at| now.since(at) < SILENCE_CHECK_INTERVAL);
-            if waited < timeout || attempt.response_started || is_checked {
-                return false;
+            if is_silent && !is_checked {
+                silent.push(request.number);
             }
-            let target = self.targets.get(&attempt.estimate.target);
-            let last_success = target.and_then(|target| target.health.last_success());
-            let silence = now.since(last_success.unwrap_or_default().max(attempt.sent));
-            silence >= timeout || waited.0 >= MAX_TIMEOUT_FACTOR * timeout.0
-        });
-        silent.map(|attempt| attempt.request.number).collect()
+        }
+        silent
     }
 }
--- a/src/dispatch/request.rs
+++ b/src/dispatch/request.rs
@@ -1,7 +1,16 @@
 //! A request as the dispatcher sees it.
 
 use super::Prompt;
-use crate::{id, routing::Kind, unit::Time};
+use crate::{
+    id,
+    routing::Kind,
+    unit::{Span, Time},
+};
+
+/// Percentage of the time for which a caller waits without a byte, after which its target counts as
+/// silent. Healthy targets may pause for about a second, and another target needs the rest for its
+/// first event.
+const SILENCE_PERCENT: u64 = 75;
 
 /// A request as the dispatcher sees it.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -27,3 +36,14 @@
     /// Prompt, if the request goes to a model engine.
     pub prompt: Option<Prompt>,
 }
+
+impl Request {
+    /// Returns the silence of a target after which another one is tried.
+    pub fn silence_timeout(&self) -> Span {
+        let patience = match self.kind {
+            Kind::Stream { patience, .. } => patience,
+            Kind::Once | Kind::Idempotent => self.deadline.since(self.arrived),
+        };
+        Span(patience.0 * SILENCE_PERCENT / 100)
+    }
+}
--- a/src/dispatch/target.rs
+++ b/src/dispatch/target.rs
@@ -45,6 +45,8 @@
     parts_in_use: HashMap<u64, (u32, u32)>,
     /// Last time at which another router reported the target as failing.
     pub(super) suspected_at: Option<Time>,
+    /// A response is overdue, and none has started meanwhile. Others are preferred until one does.
+    pub(super) quiet: bool,
 }
 
 /// Condition that a target must meet to be sent a request.
@@ -77,6 +79,7 @@
             cache: Cache::default(),
             parts_in_use: HashMap::new(),
             suspected_at: None,
+            quiet: false,
         }
     }
 
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -17,11 +17,6 @@
 use hyper::body::Frame;
 use std::{io, time::Duration};
 
-/// Multiple of the route's objective for pauses between events after which a resumable stream
-/// counts as stalled, once its first event was relayed.
-const STALL_PAUSES: u64 = 3;
-/// Time added to that multiple.
-const STALL_MARGIN: Span = Span::from_millis(300);
 /// Interval at which a stalled stream looks for another target.
 const STALL_CHECK_INTERVAL: Span = Span::from_millis(200);
 
@@ -110,9 +105,8 @@
     fn stall_timeout(&self) -> Span {
         match self.exchange.call.route.kind {
             Kind::Stream {
-                pause,
-                resumable: true,
-            } => Span(pause.0 * STALL_PAUSES + STALL_MARGIN.0),
+                resumable: true, ..
+            } => self.exchange.submission.silence_timeout(),
             _ => self.exchange.call.remaining(self.last_received),
         }
     }
--- a/src/routing/kind.rs
+++ b/src/routing/kind.rs
@@ -12,8 +12,8 @@
     Idempotent,
     /// The response is a stream of numbered events.
     Stream {
-        /// Objective for the longest pause between two events.
-        pause: Span,
+        /// Time without an event after which callers disconnect.
+        patience: Span,
         /// Whether another target can continue after the last event that the caller received.
         resumable: bool,
     },
