Test stand-ins: a proxy on each link, connections that stay open, targets that pause

The fault soak had no way to harm a connection between two processes, and its callers opened one connection for each request. Proxy delays, holds back (one way or both), resets and refuses connections by what the test sets; Connection sends several requests on one connection and tells bytes after an answer from the answer; Fleet starts routers behind proxies and a balancer that checks readiness each second, and restarts them at their addresses. Targets may be silent for a time before an answer or within a stream. No behaviour of the program changes.

--- a/tests/world/caller.rs
+++ b/tests/world/caller.rs
@@ -77,6 +77,12 @@
     fn try_open(&self) -> io::Result<TcpStream> {
         let mut stream = TcpStream::connect(self.address)?;
         stream.set_read_timeout(Some(Duration::from_secs(10)))?;
+        stream.write_all(&self.message())?;
+        Ok(stream)
+    }
+
+    /// Returns the bytes of the request.
+    pub(crate) fn message(&self) -> Vec<u8> {
         let mut head = format!("{} {} HTTP/1.1\r\n", self.method, self.path);
         for (name, value) in &self.headers {
             head += &format!("{name}: {value}\r\n");
@@ -86,8 +92,7 @@
         }
         let mut bytes = (head + "\r\n").into_bytes();
         bytes.extend_from_slice(&self.body);
-        stream.write_all(&bytes)?;
-        Ok(stream)
+        bytes
     }
 
     /// Sends the request on a connection of its own and reads the answer.
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -4,16 +4,22 @@
 #![allow(dead_code, unused_imports, clippy::disallowed_methods)]
 
 mod caller;
+mod connection;
+mod fleet;
 mod listener;
 #[allow(unreachable_pub)]
 #[path = "../common/process.rs"]
 mod process;
+mod proxy;
 mod replica;
 mod router;
 mod store;
 
 pub(crate) use self::{
     caller::{Answer, Caller},
+    connection::{Connection, Reply},
+    fleet::Fleet,
+    proxy::{Harm, Proxy},
     replica::{Mode, Replica, Run, event},
     router::Router,
     store::{Fault, Store},
--- a/tests/world/replica.rs
+++ b/tests/world/replica.rs
@@ -36,6 +36,10 @@
     CutAfter(u64),
     /// Stops within a stream after this many events.
     StallAfter(u64),
+    /// Is silent for a time before it answers.
+    PauseBefore(Duration),
+    /// Is silent for a time within a stream, after this many events.
+    PauseAfter(u64, Duration),
     /// Answers with the identifier of another request.
     Crossed,
     /// Answers without signature.
@@ -69,6 +73,8 @@
     shared: Arc<Shared>,
     store: Arc<Store>,
     listener: Listener,
+    /// Address in the target's entry.
+    listed: Mutex<SocketAddr>,
 }
 
 struct Shared {
@@ -102,6 +108,7 @@
             name: name.into(),
             shared,
             store: store.clone(),
+            listed: Mutex::new(listener.address),
             listener,
         };
         replica.register("ready");
@@ -112,10 +119,16 @@
         self.listener.address
     }
 
+    /// Writes the target's entry with the address of a proxy before it.
+    pub(crate) fn list_at(&self, address: SocketAddr) {
+        *self.listed.lock().unwrap() = address;
+        self.register("ready");
+    }
+
     /// Writes the target's entry with a state.
     pub(crate) fn register(&self, state: &str) {
         let entry = json!({
-            "service": self.shared.service, "address": self.address().to_string(),
+            "service": self.shared.service, "address": self.listed.lock().unwrap().to_string(),
             "zone": "east", "version": "v1", "slots": 8, "state": state, "cold-left-ms": 0,
             "born": 1_700_000_000_000_u64, "seq": 1,
         });
@@ -216,6 +229,9 @@
             let mut hold = self.hold.subscribe();
             // The sender lives as long as the target.
             let _ = hold.wait_for(|held| !held).await;
+            if let Mode::PauseBefore(pause) = mode {
+                tokio::time::sleep(pause).await;
+            }
             match mode {
                 Mode::Failing => {
                     running.finish();
@@ -279,6 +295,10 @@
                         Err(std::io::ErrorKind::ConnectionReset.into())
                     }
                     Mode::StallAfter(last) if number > last => std::future::pending().await,
+                    Mode::PauseAfter(last, pause) if number == last + 1 => {
+                        tokio::time::sleep(pause).await;
+                        Ok(Bytes::from(event(number)))
+                    }
                     _ => Ok(Bytes::from(event(number))),
                 };
                 Some((item, (number + 1, running)))
--- a/tests/world/router.rs
+++ b/tests/world/router.rs
@@ -21,7 +21,10 @@
 pub(crate) struct Router {
     pub(crate) listen: SocketAddr,
     pub(crate) health: SocketAddr,
+    /// Address for other routers.
+    pub(crate) peer: SocketAddr,
     folder: TempDir,
+    arguments: Vec<Box<str>>,
     child: Child,
 }
 
@@ -33,6 +36,11 @@
 
     /// Starts a router with more arguments and returns at once.
     pub(crate) fn spawn_with(store: &Arc<Store>, name: &str, arguments: &[&str]) -> Self {
+        Self::spawn_at(store.address(), name, arguments)
+    }
+
+    /// Starts a router that reaches the store at an address and returns at once.
+    pub(crate) fn spawn_at(store: SocketAddr, name: &str, arguments: &[&str]) -> Self {
         let folder = tempfile::tempdir().unwrap();
         let (listen, health, peer) = (free_address(), free_address(), free_address());
         let settings = json!({
@@ -41,27 +49,31 @@
             "port-range": [peer.port(), peer.port() + 1],
             "limits": { "max-fds": 1_000, "cpu-share": 0.5 },
             "bounds": { "config-ms": 1_200, "grace-s": 8, "retry-extra": 50, "retry-ratio": 0.2 },
-            "provider": { "address": store.address().to_string() },
+            "provider": { "address": store.to_string() },
         });
         let path = folder.path().join("settings.json");
         fs::write(&path, settings.to_string()).unwrap();
-        let log = File::create(folder.path().join("log")).unwrap();
-        let child = Command::new(env!("CARGO_BIN_EXE_marlrund"))
-            .arg("--platform-settings")
-            .arg(&path)
-            .args(arguments)
-            .stdout(log.try_clone().unwrap())
-            .stderr(log)
-            .spawn()
-            .unwrap();
+        let arguments = arguments.iter().map(|&argument| argument.into());
+        let arguments: Vec<Box<str>> = arguments.collect();
         Self {
             listen,
             health,
+            peer,
+            child: start(&folder, &arguments),
             folder,
-            child,
+            arguments,
         }
     }
 
+    /// Starts the process again with the same settings, after killing it if it still runs; the log
+    /// goes on.
+    pub(crate) fn restart(&mut self) {
+        // It may have ended already.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        self.child = start(&self.folder, &self.arguments);
+    }
+
     /// Starts a router and waits until it is ready.
     pub(crate) fn ready(store: &Arc<Store>, name: &str) -> Self {
         let router = Self::spawn(store, name);
@@ -70,21 +82,17 @@
     }
 
     pub(crate) fn is_ready(&self) -> bool {
-        self.page("/readyz")
-            .is_some_and(|page| page.starts_with("HTTP/1.1 200"))
+        Self::is_ready_at(self.health)
+    }
+
+    /// Reports whether the router with this address for health checks is ready.
+    pub(crate) fn is_ready_at(health: SocketAddr) -> bool {
+        page(health, "/readyz").is_some_and(|page| page.starts_with("HTTP/1.1 200"))
     }
 
     /// Returns the answer of a page for operators.
     pub(crate) fn page(&self, path: &str) -> Option<String> {
-        let mut stream = TcpStream::connect(self.health).ok()?;
-        stream
-            .set_read_timeout(Some(Duration::from_secs(2)))
-            .unwrap();
-        let request = format!("GET {path} HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n");
-        stream.write_all(request.as_bytes()).ok()?;
-        let mut page = String::new();
-        stream.read_to_string(&mut page).ok()?;
-        Some(page)
+        page(self.health, path)
     }
 
     pub(crate) fn settings_path(&self) -> PathBuf {
@@ -114,3 +122,33 @@
         let _ = self.child.wait();
     }
 }
+
+/// Starts the process; what it writes is added to the log.
+fn start(folder: &TempDir, arguments: &[Box<str>]) -> Child {
+    let path = folder.path().join("log");
+    let log = File::options()
+        .create(true)
+        .append(true)
+        .open(path)
+        .unwrap();
+    Command::new(env!("CARGO_BIN_EXE_marlrund"))
+        .arg("--platform-settings")
+        .arg(folder.path().join("settings.json"))
+        .args(arguments.iter().map(|argument| &**argument))
+        .stdout(log.try_clone().unwrap())
+        .stderr(log)
+        .spawn()
+        .unwrap()
+}
+
+fn page(address: SocketAddr, path: &str) -> Option<String> {
+    let mut stream = TcpStream::connect(address).ok()?;
+    stream
+        .set_read_timeout(Some(Duration::from_secs(2)))
+        .unwrap();
+    let request = format!("GET {path} HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n");
+    stream.write_all(request.as_bytes()).ok()?;
+    let mut page = String::new();
+    stream.read_to_string(&mut page).ok()?;
+    Some(page)
+}
