Handle signals before any address is bound

Cause: a router opened its signal handlers after it had bound its addresses and logged its start. A SIGHUP in between (the settings file changes while a router starts) had its default effect and ended the process without a log line.

Change: the handlers are opened first.

gateway::reload_during_start sends SIGHUP as soon as the first address accepts connections, for twenty starts.

--- a/src/gateway/router.rs
+++ b/src/gateway/router.rs
@@ -70,8 +70,9 @@
         .build()
         .map_err(start_error("runtime"))?;
     runtime.block_on(async {
-        let router = spawn(settings, sources, log).await?;
+        // Before any address is bound: an unhandled SIGHUP ends the process.
         let mut signals = Signals::open().map_err(start_error("signal handlers"))?;
+        let router = spawn(settings, sources, log).await?;
         loop {
             match signals.next().await {
                 Action::Stop => break,
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -441,6 +441,23 @@
     assert_eq!(router.ended(), None);
 }
 
+#[test]
+fn reload_during_start() {
+    let world = World::open(0, 1);
+    // The first address is bound long before the router is ready; each start is a new race.
+    for start in 0..20 {
+        let mut router = Router::spawn(&world.store, "r1");
+        while std::net::TcpStream::connect(router.peer).is_err() {
+            assert_eq!(router.ended(), None, "start {start}");
+        }
+        router.signal(Signal::SIGHUP);
+        wait_for("a log line", || {
+            assert_eq!(router.ended(), None, "start {start}");
+            router.log().contains("settings read again")
+        });
+    }
+}
+
 #[test]
 fn stop_late_request() {
     use std::io::Write;
