--- a/tests/world/replica.rs
+++ b/tests/world/replica.rs
@@ -36,9 +36,9 @@
     CutAfter(u64),
     /// Stops within a stream after this many events.
     StallAfter(u64),
-    /// Is silent for a time before it answers.
+    /// Is silent for this long before it answers.
     PauseBefore(Duration),
-    /// Is silent for a time within a stream, after this many events.
+    /// Is silent within a stream for this long after this many events, then goes on.
     PauseAfter(u64, Duration),
     /// Answers with the identifier of another request.
     Crossed,
@@ -286,7 +286,11 @@
                     running.finish();
                     return None;
                 }
-                tokio::time::sleep(gap).await;
+                let pause = match mode {
+                    Mode::PauseAfter(last, pause) if number == last + 1 => pause,
+                    _ => gap,
+                };
+                tokio::time::sleep(pause).await;
                 let item = match mode {
                     Mode::CutAfter(last) if number == last + 1 => {
                         Ok(Bytes::from(format!("id: {number}\nda")))
@@ -295,10 +299,6 @@
                         Err(std::io::ErrorKind::ConnectionReset.into())
                     }
                     Mode::StallAfter(last) if number > last => std::future::pending().await,
-                    Mode::PauseAfter(last, pause) if number == last + 1 => {
-                        tokio::time::sleep(pause).await;
-                        Ok(Bytes::from(event(number)))
-                    }
                     _ => Ok(Bytes::from(event(number))),
                 };
                 Some((item, (number + 1, running)))
