Soak: faults on all links, kept connections, series that overlap, planned work and pauses

The soak ran one fault after the other, opened a connection for each request, and could not tell a request that planned work lost from one that a fault ended.

- each router, the store and each target are behind a proxy that delays, holds back (one way or both), resets and refuses connections;
- callers keep connections open until they end and send several requests on each; a balancer checks readiness each second and chooses the router of new ones;
- signals, restarts of each router, faults of the store and of targets, configurations and faults of the three kinds of links are series of their own, each with a generator from the seed;
- every fifth seed has 16 routers instead of 3, so that most of them follow leaders;
- planned_work_loses_no_request (SIGTERM, SIGHUP, configurations) and target_pauses_lose_no_request (targets silent for 1.0 to 1.4 s, configurations) accept no cut answer, no 5xx but 503, and no connection that ends without answer once the request ran or 200 ms after it was sent.
SIGHUP and SIGTERM are sent once a router listens: no process can handle a signal before its first line.

In all runs: what may run once ran at most once, no more attempts than the route allows, refused requests never ran, answers are whole and of their request, routers don't end by themselves, and each serves each route after the faults.

--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -493,7 +493,7 @@
     // The first address is bound long before the router is ready; each start is a new race.
     for start in 0..20 {
         let mut router = Router::spawn(&world.store, "r1");
-        while std::net::TcpStream::connect(router.peer).is_err() {
+        while !router.listens() {
             assert_eq!(router.ended(), None, "start {start}");
         }
         router.signal(Signal::SIGHUP);
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -1,8 +1,9 @@
-//! Randomized faults on routers as processes, on targets and on the store, while callers check what
-//! the pages promise.
+//! Randomized faults on routers as processes, on targets, on the store and on the links between
+//! them, while callers check what the pages promise.
 //!
 //! `SOAK_SEED`, `SOAK_SECONDS` and `SOAK_SEEDS` choose the first seed, the length of a run and the
-//! number of runs. Seeds that ever failed stay in [`REGRESSIONS`], each with its cause.
+//! number of runs; `SOAK_LOGS` a folder for the routers' logs of runs that fail. Seeds that ever
+//! failed stay in [`REGRESSIONS`], each with its cause.
 
 // A soak runs by the system's clock.
 #![allow(clippy::disallowed_methods)]
@@ -15,8 +16,9 @@
     rand_core::{Rng, SeedableRng},
 };
 use std::{
-    env,
-    net::SocketAddr,
+    collections::HashMap,
+    env, fs,
+    path::PathBuf,
     sync::{
         Mutex,
         atomic::{AtomicBool, AtomicU64, Ordering},
@@ -24,25 +26,61 @@
     thread,
     time::{Duration, Instant},
 };
-use world::{Answer, Caller, Fault, Mode, Router, World, event, wait_for};
+use world::{
+    Caller, Connection, Fault, Fleet, Harm, Mode, Proxy, Reply, Run, configuration, event,
+};
 
 /// Seed of the run in CI.
 const SEED: u64 = 20_261_203;
-/// Seeds that ever failed, with the cause.
-const REGRESSIONS: [u64; 0] = [];
-/// Routers of a run.
-const ROUTERS: usize = 3;
+/// Seeds that ever failed, with the run they belong to and the cause.
+const REGRESSIONS: [(Kind, u64); 0] = [];
+/// Routers of a run, and of every fifth one: there most of them follow leaders.
+const ROUTERS: (usize, usize) = (3, 16);
 /// Callers of a run.
-const CALLERS: u64 = 8;
+const CALLERS: u64 = 16;
+/// Time after the faults within which routers are ready and serve again; `recovery-s` of the users'
+/// deployments.
+const RECOVERY: Duration = Duration::from_secs(12);
 /// Events of each stream.
 const EVENTS: u64 = 5;
+/// Time that callers give each request, in milliseconds.
+const DEADLINE_MS: u64 = 4_000;
+/// Time after which callers close the connection of a request without an answer.
+const PATIENCE: Duration = Duration::from_millis(4_500);
+/// Time from a request to the end of its connection within which the request may have crossed the
+/// router's close; `loss-slack-ms` of the users' deployments.
+const LOSS_SLACK: Duration = Duration::from_millis(200);
+/// Violations of a run that are shown, and log lines of each.
+const MAX_SHOWN: usize = 10;
+const MAX_LINES: usize = 12;
 
-/// What a caller saw.
-struct Seen {
-    request: String,
-    route: &'static str,
-    /// `None` if the router was gone.
-    answer: Option<Answer>,
+/// What is wrong in a run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Kind {
+    /// Everything.
+    Any,
+    /// Routers are stopped and started, settings and configurations change.
+    Planned,
+    /// Targets fall silent and go on, configurations change.
+    Pauses,
+}
+
+/// Runs one at a time, since each has several processes.
+static TURN: Mutex<()> = Mutex::new(());
+
+#[test]
+fn faults_any_order() {
+    soak(Kind::Any);
+}
+
+#[test]
+fn planned_work_loses_no_request() {
+    soak(Kind::Planned);
+}
+
+#[test]
+fn target_pauses_lose_no_request() {
+    soak(Kind::Pauses);
 }
 
 fn number(name: &str, default: u64) -> u64 {
@@ -50,211 +88,607 @@
     text.map_or(default, |text| text.parse().unwrap())
 }
 
-#[test]
-fn faults_any_order() {
+fn soak(kind: Kind) {
+    let turn = TURN.lock();
     let first = number("SOAK_SEED", SEED);
-    let seconds = number("SOAK_SECONDS", 6);
+    let length = Duration::from_secs(number("SOAK_SECONDS", 8));
+    let regressions = REGRESSIONS.into_iter().filter(|(of, _)| *of == kind);
     let fresh = first..first + number("SOAK_SEEDS", 1);
-    for seed in REGRESSIONS.into_iter().chain(fresh) {
-        println!("soak seed {seed}, {seconds} s");
-        run(seed, Duration::from_secs(seconds));
+    let mut failed = Vec::new();
+    for seed in regressions.map(|(_, seed)| seed).chain(fresh) {
+        println!("soak {kind:?} seed {seed}, {length:?}");
+        let violations = run(kind, seed, length);
+        if !violations.is_empty() {
+            println!("soak {kind:?} seed {seed}: {} violations", violations.len());
+            let shown = violations.iter().take(MAX_SHOWN);
+            shown.for_each(|violation| println!("{violation}"));
+            failed.push(seed);
+        }
     }
+    drop(turn);
+    assert!(failed.is_empty(), "{kind:?} failed with seeds {failed:?}");
 }
 
-fn run(seed: u64, length: Duration) {
-    let world = World::open(3, 3);
-    let start = |index: usize| Router::spawn(&world.store, &format!("r{index}"));
-    let routers: Vec<Mutex<Router>> = (0..ROUTERS).map(|i| Mutex::new(start(i))).collect();
-    let all_ready = || {
-        let ready = |router: &Mutex<Router>| router.lock().unwrap().is_ready();
-        wait_for("all routers are ready", || routers.iter().all(ready));
+/// What a caller saw.
+struct Seen {
+    request: String,
+    route: &'static str,
+    router: usize,
+    reply: Reply,
+}
+
+/// Requests of all callers.
+#[derive(Default)]
+struct Ledger {
+    next: AtomicU64,
+    seen: Mutex<Vec<Seen>>,
+}
+
+/// Runs a seed and returns what was wrong.
+fn run(kind: Kind, seed: u64, length: Duration) -> Vec<String> {
+    let routers = if seed.is_multiple_of(5) {
+        ROUTERS.1
+    } else {
+        ROUTERS.0
+    };
+    let fleet = Fleet::open(routers);
+    let (ledger, stop) = (Ledger::default(), AtomicBool::new(false));
+    let version = AtomicU64::new(1);
+    let violations = Mutex::new(Vec::new());
+    let random = |stream: u64| {
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        random.set_stream(stream);
+        random
     };
-    all_ready();
-    let stop = AtomicBool::new(false);
-    let next = AtomicU64::new(1);
-    let seen = Mutex::new(Vec::new());
     thread::scope(|scope| {
+        let _stop = Stop(&stop);
+        let (fleet, ledger, stop) = (&fleet, &ledger, &stop);
+        for index in 0..fleet.len() {
+            scope.spawn(move || fleet.balance(index, stop));
+        }
         for caller in 0..CALLERS {
-            let (routers, stop, next, seen) = (&routers, &stop, &next, &seen);
+            let random = random(1_000 + caller);
+            scope.spawn(move || call_until(fleet, ledger, stop, random));
+        }
+        let end = Instant::now() + length;
+        let trouble = |stream, router| Trouble {
+            fleet,
+            random: random(stream),
+            version: &version,
+            violations: &violations,
+            router,
+        };
+        let (restart, series) = series(kind);
+        let mut running = Vec::new();
+        for router in 0..fleet.len() {
+            running.push((restart, trouble(100 + router as u64, router)));
+        }
+        for (cause, stream) in series.into_iter().zip(0..) {
+            running.push((cause, trouble(stream, 0)));
+        }
+        let threads = running.into_iter().map(|(cause, mut trouble)| {
             scope.spawn(move || {
-                let mut random = ChaCha8Rng::seed_from_u64(seed ^ caller << 32);
-                while !stop.load(Ordering::Relaxed) {
-                    let router = random.next_u64() as usize % ROUTERS;
-                    let address = routers[router].lock().unwrap().listen;
-                    let name = format!("q{}", next.fetch_add(1, Ordering::Relaxed));
-                    let found = ask(address, random.next_u64(), name);
-                    seen.lock().unwrap().push(found);
+                while Instant::now() < end {
+                    cause(&mut trouble);
                 }
-            });
+            })
+        });
+        let threads: Vec<_> = threads.collect();
+        threads
+            .into_iter()
+            .for_each(|thread| thread.join().unwrap());
+        for router in 0..fleet.len() {
+            trouble(0, router).look();
         }
-        let mut faults = Faults {
-            world: &world,
-            routers: &routers,
-            random: ChaCha8Rng::seed_from_u64(seed),
-            version: 1,
-        };
-        let end = Instant::now() + length;
-        while Instant::now() < end {
-            faults.next();
+        heal(fleet);
+        if !within(RECOVERY, || fleet.is_ready()) {
+            let cause = format!("not all routers are ready {RECOVERY:?} after the faults");
+            violations.lock().unwrap().push(cause);
         }
-        faults.heal();
-        all_ready();
-        stop.store(true, Ordering::Relaxed);
     });
-    for seen in seen.into_inner().unwrap() {
-        check(seed, &world, &seen);
-    }
-    for (index, router) in routers.iter().enumerate() {
-        let address = router.lock().unwrap().listen;
-        for (route, count) in [("plan", 0), ("book", 1)] {
-            wait_for("requests are served after the faults", || {
-                let name = format!(
-                    "after-{index}-{route}-{}",
-                    next.fetch_add(1, Ordering::Relaxed)
-                );
-                ask(address, count, name)
-                    .answer
-                    .is_some_and(|answer| answer.status == 200 && answer.whole)
+    let mut violations = violations.into_inner().unwrap();
+    serve_again(&fleet, &ledger, &mut violations);
+    let logs = fleet.logs();
+    let seen = ledger.seen.into_inner().unwrap();
+    check_all(kind, &fleet, &seen, &logs, &mut violations);
+    println!("soak {kind:?} seed {seed}: {}", summary(&seen));
+    for (name, log) in &logs {
+        if let Some(line) = log.lines().find(|line| line.contains("panicked")) {
+            violations.push(format!("{name} panicked: {line}"));
+        }
+    }
+    if !violations.is_empty() {
+        keep(kind, seed, &logs, &violations);
+    }
+    violations
+}
+
+/// Tells all threads of a run to end when it is dropped, also by a panic.
+struct Stop<'s>(&'s AtomicBool);
+
+impl Drop for Stop<'_> {
+    fn drop(&mut self) {
+        self.0.store(true, Ordering::Relaxed);
+    }
+}
+
+/// Waits until a condition holds; returns whether it did within the limit.
+fn within(limit: Duration, mut holds: impl FnMut() -> bool) -> bool {
+    let end = Instant::now() + limit;
+    while !holds() {
+        if Instant::now() >= end {
+            return false;
+        }
+        thread::sleep(Duration::from_millis(10));
+    }
+    true
+}
+
+/// What a series of faults does again and again.
+type Series<'f> = fn(&mut Trouble<'f>);
+
+/// Returns the series of each router and those of which there is one.
+fn series<'f>(kind: Kind) -> (Series<'f>, Vec<Series<'f>>) {
+    match kind {
+        Kind::Any => (
+            Trouble::restart,
+            vec![
+                Trouble::signal,
+                Trouble::store,
+                Trouble::configuration,
+                Trouble::targets,
+                Trouble::fronts,
+                Trouble::store_links,
+                Trouble::target_links,
+            ],
+        ),
+        Kind::Planned => (
+            Trouble::stop,
+            vec![Trouble::hang_up, Trouble::configuration],
+        ),
+        Kind::Pauses => (Trouble::look, vec![Trouble::pauses, Trouble::configuration]),
+    }
+}
+
+/// Ends all faults.
+fn heal(fleet: &Fleet) {
+    let world = &fleet.world;
+    world.store.fail(Fault::None);
+    let links = [&fleet.fronts, &fleet.stores, &fleet.targets];
+    links
+        .into_iter()
+        .flatten()
+        .for_each(|link| link.harm(Harm::None));
+    for replica in world.engines.iter().chain(&world.apps) {
+        replica.behave(Mode::Good);
+        replica.register("ready");
+    }
+    for index in 0..fleet.len() {
+        fleet.signal(index, Signal::SIGCONT);
+    }
+}
+
+/// Checks that each router serves requests of each route.
+fn serve_again(fleet: &Fleet, ledger: &Ledger, violations: &mut Vec<String>) {
+    for index in 0..fleet.len() {
+        for route in ["plan", "book", "look", "sum"] {
+            let served = within(RECOVERY, || {
+                ask(fleet, ledger, &mut None, index, route) == Some(200)
             });
+            if !served {
+                violations.push(format!(
+                    "r{index} does not serve {route} {RECOVERY:?} after the faults"
+                ));
+            }
         }
     }
 }
 
-/// Sends one request.
-fn ask(address: SocketAddr, draw: u64, request: String) -> Seen {
-    let (route, caller) = match draw % 4 {
-        0 => ("plan", Caller::stream(address, "plan", &request)),
-        1 => ("book", Caller::new(address, "POST", "/book/x", &request)),
-        2 => ("look", Caller::new(address, "GET", "/look/x", &request)),
-        _ => ("sum", Caller::stream(address, "sum", &request)),
+/// Sends requests on connections that are kept open until they end.
+fn call_until(fleet: &Fleet, ledger: &Ledger, stop: &AtomicBool, mut random: ChaCha8Rng) {
+    let mut connection = None;
+    let mut router = 0;
+    while !stop.load(Ordering::Relaxed) {
+        if connection.is_none() {
+            router = fleet.choose(random.next_u64());
+        }
+        let route = ["plan", "book", "look", "sum"][random.next_u64() as usize % 4];
+        ask(fleet, ledger, &mut connection, router, route);
+        thread::sleep(Duration::from_millis(random.next_u64() % 30));
+    }
+}
+
+/// Sends one request on a connection, or on a new one; returns the status of a whole answer.
+fn ask(
+    fleet: &Fleet,
+    ledger: &Ledger,
+    connection: &mut Option<Connection>,
+    router: usize,
+    route: &'static str,
+) -> Option<u16> {
+    let address = fleet.fronts[router].address;
+    if connection.is_none() {
+        // A refused connection is no request.
+        *connection = Connection::open(address, PATIENCE).ok();
+    }
+    let open = connection.as_mut()?;
+    let request = format!("q{}", ledger.next.fetch_add(1, Ordering::Relaxed));
+    let caller = match route {
+        "book" => Caller::new(address, "POST", "/book/x", &request).body(request.as_bytes()),
+        "look" => Caller::new(address, "GET", "/look/x", &request),
+        _ => Caller::stream(address, route, &request),
     };
-    let caller = caller.with("x-marlrun-deadline-ms", "3000");
-    Seen {
+    let deadline = DEADLINE_MS.to_string();
+    let reply = open.call(&caller.with("x-marlrun-deadline-ms", &deadline));
+    if !reply.open {
+        *connection = None;
+    }
+    let answer = reply.answer.as_ref();
+    let status = answer
+        .filter(|answer| answer.whole)
+        .map(|answer| answer.status);
+    ledger.seen.lock().unwrap().push(Seen {
         request,
         route,
-        answer: caller.try_call().ok(),
+        router,
+        reply,
+    });
+    status
+}
+
+/// Checks what callers saw against what targets ran.
+fn check_all(
+    kind: Kind,
+    fleet: &Fleet,
+    seen: &[Seen],
+    logs: &[(Box<str>, String)],
+    violations: &mut Vec<String>,
+) {
+    let replicas = fleet.world.engines.iter().chain(&fleet.world.apps);
+    let mut runs: HashMap<String, Vec<Run>> = HashMap::new();
+    for run in replicas.flat_map(|replica| replica.runs()) {
+        runs.entry(run.request.clone()).or_default().push(run);
+    }
+    for seen in seen {
+        let ran = runs.remove(&seen.request).unwrap_or_default();
+        let common = find_wrong(seen, &ran);
+        let strict = || (kind != Kind::Any).then(|| find_lost(seen, &ran)).flatten();
+        if let Some(cause) = common.or_else(strict) {
+            let Seen {
+                request,
+                route,
+                router,
+                reply,
+            } = seen;
+            let mut violation = format!(
+                "request {request} on {route} by r{router}, {} runs: {cause}; {reply:?}",
+                ran.len()
+            );
+            for line in lines_of(logs, request) {
+                violation += "\n    ";
+                violation += &line;
+            }
+            violations.push(violation);
+        }
     }
+    for request in runs.keys() {
+        violations.push(format!("a target ran {request}, which no caller sent"));
+    }
+}
+
+/// Returns the log lines of a request, each after its router's name.
+fn lines_of(logs: &[(Box<str>, String)], request: &str) -> Vec<String> {
+    let named = format!("\"{request}\"");
+    let lines = logs.iter().flat_map(|(name, log)| {
+        let lines = log.lines().filter(|line| line.contains(&named));
+        lines.map(move |line| format!("{name} {line}"))
+    });
+    lines.take(MAX_LINES).collect()
 }
 
-/// Checks what a caller saw against what targets ran.
-fn check(seed: u64, world: &World, seen: &Seen) {
-    let Seen { request, route, .. } = seen;
-    let place = format!("seed {seed}, request {request} on {route}");
-    let runs = world.runs_of(request).len();
-    if matches!(*route, "book" | "sum") {
-        assert!(runs <= 1, "{place} ran {runs} times");
+/// Returns what is wrong with a request whatever the faults were.
+fn find_wrong(seen: &Seen, runs: &[Run]) -> Option<String> {
+    let Seen {
+        request,
+        route,
+        reply,
+        ..
+    } = seen;
+    let (attempts, path) = match *route {
+        "plan" => (3, "/plan/go"),
+        "look" => (2, "/look/x"),
+        "book" => (1, "/book/x"),
+        _ => (1, "/sum/go"),
+    };
+    if runs.len() > attempts {
+        return Some(format!("ran more than {attempts} times"));
     }
-    let Some(answer) = &seen.answer else {
-        return;
+    let body = if *route == "book" { &**request } else { "" };
+    let changed = |run: &&Run| {
+        let tenant = run.headers.get("x-marlrun-tenant");
+        run.path != path
+            || run.body != body.as_bytes()
+            || tenant.is_none_or(|tenant| tenant != "east-desk")
+            || run.headers.contains_key("authorization")
     };
-    if matches!(answer.status, 408 | 421 | 429 | 503) {
-        assert_eq!(runs, 0, "{place} ran and was answered {}", answer.status);
+    if let Some(run) = runs.iter().find(changed) {
+        return Some(format!("ran changed: {run:?}"));
     }
-    if answer.status != 200 {
-        return;
+    if !reply.extra.is_empty() {
+        return Some("bytes after the answer".into());
+    }
+    let answer = reply.answer.as_ref()?;
+    let named = answer.header("x-marlrun-request-id");
+    if named.is_some_and(|named| named != request) {
+        return Some("the answer names another request".into());
+    }
+    let signed = answer.header("x-marlrun-response-stamp").is_some();
+    match answer.status {
+        200 if !signed => return Some("a success without signature".into()),
+        200 => {}
+        408 | 421 | 429 | 503 => {
+            return (!runs.is_empty()).then(|| "was refused and ran".into());
+        }
+        500 | 502 | 504 => return None,
+        status => return Some(format!("answered {status}")),
     }
     let expected = match *route {
         "book" | "look" => format!("answer to {request}"),
         _ => (1..=EVENTS).map(event).collect(),
     };
-    if answer.whole {
-        assert_eq!(answer.body, expected, "{place}");
+    let right = if answer.whole {
+        answer.body == expected
     } else {
-        assert!(expected.starts_with(&answer.body), "{place}: {answer:?}");
+        expected.starts_with(&answer.body)
+    };
+    (!right).then(|| "a wrong body".into())
+}
+
+/// Returns how a request was lost in a run in which none may be.
+fn find_lost(seen: &Seen, runs: &[Run]) -> Option<String> {
+    let reply = &seen.reply;
+    match &reply.answer {
+        Some(answer) if !answer.whole => Some("the answer was cut".into()),
+        Some(answer) if !matches!(answer.status, 200 | 429 | 503) => {
+            Some(format!("answered {}", answer.status))
+        }
+        None if reply.abandoned => Some("no answer in time".into()),
+        None if !runs.is_empty() => Some("ran and got no answer".into()),
+        None if reply.after > LOSS_SLACK => Some("read and got no answer".into()),
+        _ => None,
     }
 }
 
-/// Faults in an order that a seed gives.
-struct Faults<'w> {
-    world: &'w World,
-    routers: &'w [Mutex<Router>],
+/// Returns how many requests ended in which way.
+fn summary(seen: &[Seen]) -> String {
+    let mut counts = [0; 5];
+    for seen in seen {
+        let index = match &seen.reply.answer {
+            Some(answer) if !answer.whole => 3,
+            Some(answer) if answer.status == 200 => 0,
+            Some(answer) if matches!(answer.status, 408 | 421 | 429 | 503) => 1,
+            Some(_) => 2,
+            None => 4,
+        };
+        counts[index] += 1;
+    }
+    let [answered, refused, failed, cut, none] = counts;
+    format!(
+        "{} requests, {answered} answered, {refused} refused, {failed} failed, {cut} cut, \
+         {none} without answer",
+        seen.len()
+    )
+}
+
+/// Writes the logs of a run that failed to the folder that `SOAK_LOGS` names.
+fn keep(kind: Kind, seed: u64, logs: &[(Box<str>, String)], violations: &[String]) {
+    let Ok(folder) = env::var("SOAK_LOGS") else {
+        return;
+    };
+    let folder = PathBuf::from(folder).join(format!("{kind:?}-{seed}").to_lowercase());
+    fs::create_dir_all(&folder).unwrap();
+    fs::write(folder.join("violations"), violations.join("\n")).unwrap();
+    for (name, log) in logs {
+        fs::write(folder.join(format!("{name}.log")), log).unwrap();
+    }
+}
+
+/// One series of faults, in an order that a seed gives.
+struct Trouble<'f> {
+    fleet: &'f Fleet,
     random: ChaCha8Rng,
-    version: u64,
+    version: &'f AtomicU64,
+    violations: &'f Mutex<Vec<String>>,
+    /// Router of series that concern a single one.
+    router: usize,
 }
 
-impl Faults<'_> {
+impl Trouble<'_> {
     fn draw(&mut self, below: u64) -> u64 {
         self.random.next_u64() % below
     }
 
-    /// Waits a little and does the next thing.
-    fn next(&mut self) {
-        let pause = 30 + self.draw(250);
+    fn sleep(&mut self, range_ms: std::ops::Range<u64>) {
+        let pause = range_ms.start + self.draw(range_ms.end - range_ms.start);
         thread::sleep(Duration::from_millis(pause));
-        let index = self.draw(ROUTERS as u64) as usize;
-        let router = &self.routers[index];
-        let again = || Router::spawn(&self.world.store, &format!("r{index}"));
-        match self.draw(12) {
-            0 => router.lock().unwrap().signal(Signal::SIGSTOP),
-            1 | 2 => router.lock().unwrap().signal(Signal::SIGCONT),
-            // Dropping the old process kills it.
-            3 => *router.lock().unwrap() = again(),
-            4 => router.lock().unwrap().signal(Signal::SIGHUP),
-            5 => {
-                let mut old = router.lock().unwrap();
-                old.signal(Signal::SIGCONT);
-                old.signal(Signal::SIGTERM);
-                let leaving = std::mem::replace(&mut *old, again());
-                drop(old);
-                thread::sleep(Duration::from_millis(300));
-                drop(leaving);
-            }
-            6 => {
-                let faults = [
-                    Fault::Busy,
-                    Fault::Silent,
-                    Fault::Reset,
-                    Fault::Lost,
-                    Fault::Slow(Duration::from_millis(300)),
-                ];
-                let fault = faults[self.draw(5) as usize];
-                self.world.store.fail(fault);
-            }
-            7 => self.world.store.fail(Fault::None),
-            8 => self.world.store.forget(),
-            9 => {
-                self.version += 1;
-                let configuration = world::configuration(self.version);
-                self.world.store.put("op", "config", &configuration);
-            }
-            10 => {
-                let target = self.draw(3) as usize;
-                let state = ["draining", "ready", "ready"][self.draw(3) as usize];
-                self.world.apps[target].register(state);
+    }
+
+    fn pick<T: Copy>(&mut self, choices: &[T]) -> T {
+        choices[self.draw(choices.len() as u64) as usize]
+    }
+
+    /// Freezes a router for a time, or tells it to read its settings again.
+    fn signal(&mut self) {
+        let index = self.draw(self.fleet.len() as u64) as usize;
+        if self.draw(3) == 0 {
+            self.fleet.reload(index);
+        } else {
+            self.fleet.signal(index, Signal::SIGSTOP);
+            self.sleep(20..1_500);
+            self.fleet.signal(index, Signal::SIGCONT);
+        }
+        self.sleep(20..500);
+    }
+
+    /// Tells a router to read its settings again.
+    fn hang_up(&mut self) {
+        let index = self.draw(self.fleet.len() as u64) as usize;
+        self.fleet.reload(index);
+        self.sleep(50..800);
+    }
+
+    /// Kills or stops this series' router after a while.
+    fn restart(&mut self) {
+        self.sleep(100..4_000);
+        self.look();
+        if self.draw(2) == 0 {
+            let pause = Duration::from_millis(self.draw(600));
+            self.fleet.kill(self.router, pause);
+        } else {
+            self.fleet.stop(self.router);
+        }
+    }
+
+    /// Stops this series' router after a while; it must end by itself in time.
+    fn stop(&mut self) {
+        self.sleep(100..4_000);
+        self.look();
+        let (took, code) = self.fleet.stop(self.router);
+        if code != Some(0) {
+            let (index, cause) = (self.router, "after SIGTERM, not 0");
+            self.report(format!("r{index} ended with {code:?} in {took:?} {cause}"));
+        }
+    }
+
+    /// Checks that this series' router has not ended by itself.
+    fn look(&mut self) {
+        thread::sleep(Duration::from_millis(10));
+        if let Some(code) = self.fleet.ended(self.router) {
+            self.report(format!("r{} ended by itself with {code}", self.router));
+        }
+    }
+
+    fn report(&self, violation: String) {
+        self.violations.lock().unwrap().push(violation);
+    }
+
+    /// Changes how the store fails.
+    fn store(&mut self) {
+        let store = &self.fleet.world.store;
+        let fault = self.pick(&[
+            Fault::Busy,
+            Fault::Silent,
+            Fault::Reset,
+            Fault::Lost,
+            Fault::Slow(Duration::from_millis(300)),
+        ]);
+        store.fail(fault);
+        self.sleep(50..1_500);
+        if self.draw(4) == 0 {
+            store.forget();
+        }
+        store.fail(Fault::None);
+        self.sleep(50..1_000);
+    }
+
+    /// Writes new versions of the configuration, some in quick succession.
+    fn configuration(&mut self) {
+        for _ in 0..self.pick(&[1, 1, 4, 12]) {
+            let version = self.version.fetch_add(1, Ordering::Relaxed) + 1;
+            let mut next = configuration(version);
+            let mut route = next["routes"][2].clone();
+            for changed in next["routes"].as_array_mut().unwrap() {
+                changed["priority"] = self.draw(3).into();
+                changed["slo-ms"] = self.pick(&[200, 300, 600]).into();
             }
-            _ => {
-                let modes = [
-                    Mode::Good,
-                    Mode::Full,
-                    Mode::Failing,
-                    Mode::Lost,
-                    Mode::Mute,
-                    Mode::CutAfter(2),
-                    Mode::StallAfter(1),
-                    Mode::Crossed,
-                    Mode::Unsigned,
-                ];
-                let mode = modes[self.draw(9) as usize];
-                let target = self.draw(3) as usize;
-                self.world.engines[target].behave(mode);
-                self.world.apps[target].behave(mode);
+            for added in 0..self.draw(4) {
+                route["name"] = format!("added-{added}").into();
+                route["prefix"] = format!("/added-{version}-{added}/").into();
+                next["routes"].as_array_mut().unwrap().push(route.clone());
             }
+            self.fleet.world.store.put("op", "config", &next);
+            self.sleep(5..80);
         }
+        self.sleep(50..900);
     }
 
-    /// Ends all faults.
-    fn heal(&mut self) {
-        self.world.store.fail(Fault::None);
-        for replica in self.world.engines.iter().chain(&self.world.apps) {
-            replica.behave(Mode::Good);
-            replica.register("ready");
+    /// Changes how a target behaves, and what its entry says.
+    fn targets(&mut self) {
+        let world = &self.fleet.world;
+        let index = self.draw(3) as usize;
+        let pause = Duration::from_millis(1_000 + self.draw(400));
+        let mode = self.pick(&[
+            Mode::Good,
+            Mode::Full,
+            Mode::Failing,
+            Mode::Lost,
+            Mode::Mute,
+            Mode::CutAfter(2),
+            Mode::StallAfter(1),
+            Mode::PauseBefore(pause),
+            Mode::PauseAfter(0, pause),
+            Mode::PauseAfter(3, pause),
+            Mode::Crossed,
+            Mode::Unsigned,
+        ]);
+        match self.draw(4) {
+            0 => world.engines[index].behave(mode),
+            1 => world.apps[index].behave(mode),
+            2 => world.apps[index].register(self.pick(&["draining", "ready"])),
+            _ => world.engines[index].register(self.pick(&["draining", "ready"])),
         }
-        for (index, router) in self.routers.iter().enumerate() {
-            let mut router = router.lock().unwrap();
-            router.signal(Signal::SIGCONT);
-            if router.ended().is_some() {
-                *router = Router::spawn(&self.world.store, &format!("r{index}"));
-            }
+        self.sleep(20..300);
+    }
+
+    /// Lets targets fall silent, each for a time, and go on.
+    fn pauses(&mut self) {
+        let world = &self.fleet.world;
+        for replica in world.engines.iter().chain(&world.apps) {
+            let pause = Duration::from_millis(1_000 + self.draw(400));
+            let after = self.draw(EVENTS);
+            let modes = [
+                Mode::Good,
+                Mode::PauseBefore(pause),
+                Mode::PauseAfter(after, pause),
+            ];
+            replica.behave(self.pick(&modes));
+        }
+        self.sleep(100..1_500);
+    }
+
+    fn fronts(&mut self) {
+        let fleet = self.fleet;
+        self.link(&fleet.fronts);
+    }
+
+    fn store_links(&mut self) {
+        let fleet = self.fleet;
+        self.link(&fleet.stores);
+    }
+
+    fn target_links(&mut self) {
+        let fleet = self.fleet;
+        self.link(&fleet.targets);
+    }
+
+    /// Harms one of some links for a time.
+    fn link(&mut self, links: &[Proxy]) {
+        let link = &links[self.draw(links.len() as u64) as usize];
+        let delay = Duration::from_millis(10 + self.draw(300));
+        let harm = self.pick(&[
+            Harm::None,
+            Harm::Delay(delay),
+            Harm::HoldRequests,
+            Harm::HoldAnswers,
+            Harm::Silence,
+            Harm::Refuse,
+        ]);
+        link.harm(harm);
+        if harm == Harm::None || self.draw(4) == 0 {
+            link.reset();
         }
+        self.sleep(100..1_400);
+        link.harm(Harm::None);
+        self.sleep(20..400);
     }
 }
--- a/tests/world/fleet.rs
+++ b/tests/world/fleet.rs
@@ -86,6 +86,14 @@
         }
     }
 
+    /// Tells a router to read its settings again, if it has begun to listen.
+    pub(crate) fn reload(&self, index: usize) {
+        let mut router = self.router(index);
+        if router.ended().is_none() && router.listens() {
+            router.signal(Signal::SIGHUP);
+        }
+    }
+
     /// Returns the exit code of a router that has ended.
     pub(crate) fn ended(&self, index: usize) -> Option<i32> {
         self.router(index).ended()
@@ -101,6 +109,10 @@
     /// Stops a router as the platform does, and starts it again. Returns the time it took to end,
     /// and its exit code, or `None` if it had to be killed.
     pub(crate) fn stop(&self, index: usize) -> (Duration, Option<i32>) {
+        wait_for("the router listens", || {
+            let mut router = self.router(index);
+            router.listens() || router.ended().is_some()
+        });
         self.signal(index, Signal::SIGTERM);
         let start = Instant::now();
         let mut code = None;
--- a/tests/world/router.rs
+++ b/tests/world/router.rs
@@ -90,6 +90,11 @@
         page(health, "/readyz").is_some_and(|page| page.starts_with("HTTP/1.1 200"))
     }
 
+    /// Reports whether the process has begun to listen; signals end it before.
+    pub(crate) fn listens(&self) -> bool {
+        TcpStream::connect(self.peer).is_ok()
+    }
+
     /// Returns the answer of a page for operators.
     pub(crate) fn page(&self, path: &str) -> Option<String> {
         page(self.health, path)
