--- a/tests/world/replica.rs
+++ b/tests/world/replica.rs
@@ -36,6 +36,8 @@
     CutAfter(u64),
     /// Stops within a stream after this many events.
     StallAfter(u64),
+    /// Is silent for this long before it answers.
+    PauseBefore(Duration),
     /// Is silent within a stream for this long after this many events, then goes on.
     PauseAfter(u64, Duration),
     /// Answers with the identifier of another request.
@@ -71,6 +73,8 @@
     shared: Arc<Shared>,
     store: Arc<Store>,
     listener: Listener,
+    /// Address in the target's entry.
+    listed: Mutex<SocketAddr>,
 }
 
 struct Shared {
@@ -104,6 +108,7 @@
             name: name.into(),
             shared,
             store: store.clone(),
+            listed: Mutex::new(listener.address),
             listener,
         };
         replica.register("ready");
@@ -114,10 +119,16 @@
         self.listener.address
     }
 
+    /// Writes the target's entry with the address of a proxy before it.
+    pub(crate) fn list_at(&self, address: SocketAddr) {
+        *self.listed.lock().unwrap() = address;
+        self.register("ready");
+    }
+
     /// Writes the target's entry with a state.
     pub(crate) fn register(&self, state: &str) {
         let entry = json!({
-            "service": self.shared.service, "address": self.address().to_string(),
+            "service": self.shared.service, "address": self.listed.lock().unwrap().to_string(),
             "zone": "east", "version": "v1", "slots": 8, "state": state, "cold-left-ms": 0,
             "born": 1_700_000_000_000_u64, "seq": 1,
         });
@@ -218,6 +229,9 @@
             let mut hold = self.hold.subscribe();
             // The sender lives as long as the target.
             let _ = hold.wait_for(|held| !held).await;
+            if let Mode::PauseBefore(pause) = mode {
+                tokio::time::sleep(pause).await;
+            }
             match mode {
                 Mode::Failing => {
                     running.finish();
