Bound the silence of a target by the time that a request has left

What callers saw: a request at a target that is silent for good could stay there until after its deadline: a stream of a route with long objectives (patience 12 s) and a deadline of 8 s was moved after 9 s, an idempotent request with 10 s after 7.5 s. Cause: the timeout was three quarters of the time that callers wait without a byte, not bounded by the time left when the request was sent. Change: 1.5 s, or three quarters of the time left, whichever is shorter; the patience of routes is no longer needed. Test: dispatch::tick_silent_target_is_left_before_deadline.

--- a/benches/exchange.rs
+++ b/benches/exchange.rs
@@ -154,10 +154,7 @@
             number: self.next,
             workspace: Some(format!("w{workspace}").parse().unwrap()),
             service: "llm".parse().unwrap(),
-            kind: Kind::Stream {
-                patience: Span::from_millis(3_200),
-                resumable: true,
-            },
+            kind: Kind::Stream { resumable: true },
             priority: 1,
             arrived: now,
             due: now + Span::from_millis(400),
--- a/src/dispatch/dispatcher/selection.rs
+++ b/src/dispatch/dispatcher/selection.rs
@@ -3,7 +3,7 @@
 use super::{Attempt, Dispatcher, MIN_RETRY_DUE, Outcome, Pending, Queue, Request, Tokens};
 use crate::{
     dispatch::{
-        Action, Estimate, Policy,
+        Action, Estimate, Policy, silence_timeout,
         target::{Condition, Target},
     },
     id,
@@ -288,7 +288,8 @@
                 last_response = last_response.max(target.health.last_success().unwrap_or_default());
                 target.quiet |= now.since(last_response) >= overdue;
             }
-            let timeout = overdue.max(request.silence_timeout());
+            let remaining = request.deadline.since(attempt.sent);
+            let timeout = overdue.max(silence_timeout(remaining));
             let is_silent = now.since(last_response) >= timeout
                 || waited >= timeout.max(Span(overdue.0 * MAX_OVERDUE_FACTOR));
             let is_checked = attempt
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -46,7 +46,7 @@
     policy::Policy,
     prompt::{Part, Prompt},
     refusal::{Reason, Refusal},
-    request::Request,
+    request::{Request, silence_timeout},
     settings::Settings,
     view::View,
 };
--- a/src/dispatch/request.rs
+++ b/src/dispatch/request.rs
@@ -7,11 +7,18 @@
     unit::{Span, Time},
 };
 
-/// Percentage of the time for which a caller waits without a byte, after which its target counts as
-/// silent. Healthy targets may pause for about a second, and another target needs the rest for its
-/// first event.
+/// Longest silence of a target after which another one is tried. Healthy targets may be silent for
+/// about a second, and callers of streams disconnect after about two.
+const MAX_SILENCE: Span = Span::from_millis(1_500);
+/// The same as a percentage of the time to the deadline; another target needs the rest.
 const SILENCE_PERCENT: u64 = 75;
 
+/// Returns the silence of a target after which another one is tried for a request with that much
+/// time left.
+pub fn silence_timeout(remaining: Span) -> Span {
+    MAX_SILENCE.min(Span(remaining.0 * SILENCE_PERCENT / 100))
+}
+
 /// A request as the dispatcher sees it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Request {
@@ -36,14 +43,3 @@
     /// Prompt, if the request goes to a model engine.
     pub prompt: Option<Prompt>,
 }
-
-impl Request {
-    /// Returns the silence of a target after which another one is tried.
-    pub fn silence_timeout(&self) -> Span {
-        let patience = match self.kind {
-            Kind::Stream { patience, .. } => patience,
-            Kind::Once | Kind::Idempotent => self.deadline.since(self.arrived),
-        };
-        Span(patience.0 * SILENCE_PERCENT / 100)
-    }
-}
--- a/src/gateway/driver.rs
+++ b/src/gateway/driver.rs
@@ -55,14 +55,14 @@
         request: Request,
     ) -> (Submission, Decisions) {
         let (decisions, receiver) = mpsc::unbounded_channel();
-        let (number, silence_timeout) = (request.number, request.silence_timeout());
+        let number = request.number;
         let pending = Pending {
             request_id: request_id.into(),
             decisions,
         };
         self.lock().requests.insert(number, pending);
         self.step(Event::Arrived(request));
-        let submission = Submission::new(number, self.clone(), silence_timeout);
+        let submission = Submission::new(number, self.clone());
         (submission, Decisions::new(receiver))
     }
 
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -7,7 +7,7 @@
 };
 use crate::{
     clock,
-    dispatch::{Event, Outcome},
+    dispatch::{Event, Outcome, silence_timeout},
     front::Body,
     routing::Kind,
     unit::{Span, Time},
@@ -103,11 +103,10 @@
 
     /// Returns the silence after which a stream counts as stalled.
     fn stall_timeout(&self) -> Span {
+        let remaining = self.exchange.call.remaining(self.last_received);
         match self.exchange.call.route.kind {
-            Kind::Stream {
-                resumable: true, ..
-            } => self.exchange.submission.silence_timeout(),
-            _ => self.exchange.call.remaining(self.last_received),
+            Kind::Stream { resumable: true } => silence_timeout(remaining),
+            _ => remaining,
         }
     }
 
--- a/src/platform/configuration.rs
+++ b/src/platform/configuration.rs
@@ -58,8 +58,6 @@
     no_auth: bool,
     #[serde(default)]
     resumable: bool,
-    #[serde(rename = "gap-aim-ms")]
-    gap_aim_ms: Option<f64>,
 }
 
 #[derive(Deserialize)]
@@ -114,16 +112,6 @@
 const WEIGHT_SCALE: f64 = 1_000.0;
 /// Maximum number of connections to a target if its service sets none.
 const DEFAULT_CONNECTIONS: u32 = 100;
-/// Objective for the longest pause between two events of a stream if the route sets none.
-const DEFAULT_PAUSE_MS: f64 = 250.0;
-
-/// Minimum time without an event after which clients of a stream disconnect; they wait longer where
-/// the objectives are long. These three figures are the platform's.
-const MIN_PATIENCE: Span = Span::from_millis(2_000);
-/// The same as a multiple of the objective for pauses.
-const PATIENCE_PAUSES: u64 = 8;
-/// The same as a multiple of the latency objective.
-const PATIENCE_OBJECTIVES: u64 = 4;
 
 /// Decodes a configuration.
 ///
@@ -225,7 +213,6 @@
             "safe" => Ok(Kind::Idempotent),
             "unsafe" => Ok(Kind::Once),
             "stream" => Ok(Kind::Stream {
-                patience: self.patience(),
                 resumable: self.resumable,
             }),
             // Requests of an unknown kind are never repeated, which is always safe.
@@ -233,15 +220,6 @@
         }
     }
 
-    /// Returns the time without an event after which clients of a stream disconnect.
-    fn patience(&self) -> Span {
-        let pause = millis(self.gap_aim_ms.unwrap_or(DEFAULT_PAUSE_MS));
-        let objective = millis(self.slo_ms.unwrap_or_default());
-        MIN_PATIENCE
-            .max(Span(pause.0 * PATIENCE_PAUSES))
-            .max(Span(objective.0 * PATIENCE_OBJECTIVES))
-    }
-
     fn splits(&self) -> Result<Vec<Split>, Box<str>> {
         let split = |service: &str, weight: f64| {
             let name = service.parse::<id::Service>();
--- a/src/routing/kind.rs
+++ b/src/routing/kind.rs
@@ -1,6 +1,5 @@
 //! Kinds of requests.
 
-use crate::unit::Span;
 use std::fmt;
 
 /// Kind of the requests of a route: whether they may be retried, and the form of the response.
@@ -12,8 +11,6 @@
     Idempotent,
     /// The response is a stream of numbered events.
     Stream {
-        /// Time without an event after which callers disconnect.
-        patience: Span,
         /// Whether another target can continue after the last event that the caller received.
         resumable: bool,
     },
--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -18,10 +18,7 @@
     sync::Arc,
 };
 
-const STREAM: Kind = Kind::Stream {
-    patience: Span::from_millis(2_000),
-    resumable: true,
-};
+const STREAM: Kind = Kind::Stream { resumable: true };
 
 fn at(millis: u64) -> Time {
     Time(millis * 1_000)
@@ -535,6 +532,22 @@
     assert_eq!(dispatcher.running(), 1);
 }
 
+#[test]
+fn tick_silent_target_is_left_before_deadline() {
+    for (kind, length) in [(STREAM, 8_000), (Kind::Idempotent, 10_000), (STREAM, 1_200)] {
+        let mut dispatcher = ready("r1", &[target("a", "llm"), target("b", "llm")]);
+        let mut first = request(1, 0, "llm");
+        (first.kind, first.deadline) = (kind, at(length));
+        step(&mut dispatcher, 0, Event::Arrived(first));
+        let moved = (0..length).step_by(10).find(|millis| {
+            let actions = step(&mut dispatcher, *millis, Event::Tick);
+            sent_to(&actions) == Some((1, "b".into()))
+        });
+        let limit = 1_500.min(length * 3 / 4);
+        assert_eq!(moved, Some(limit), "{kind} with {length} ms");
+    }
+}
+
 #[test]
 fn stalled_stream_without_another_stays() {
     let mut dispatcher = ready("r1", &[target("a", "llm")]);
--- a/tests/engines/mod.rs
+++ b/tests/engines/mod.rs
@@ -233,10 +233,7 @@
             number,
             workspace: Some(format!("w{workspace}").parse().unwrap()),
             service: "llm".parse().unwrap(),
-            kind: Kind::Stream {
-                patience: Span::from_millis(2_000),
-                resumable: true,
-            },
+            kind: Kind::Stream { resumable: true },
             priority: 1,
             arrived,
             due: arrived + FIRST_EVENT_LIMIT,
--- a/tests/exchange.rs
+++ b/tests/exchange.rs
@@ -102,10 +102,7 @@
             number: self.next,
             workspace: Some("east-desk".parse().unwrap()),
             service: "llm".parse().unwrap(),
-            kind: Kind::Stream {
-                patience: Span::from_millis(2_000),
-                resumable: true,
-            },
+            kind: Kind::Stream { resumable: true },
             priority: 1,
             arrived: now,
             due: now + Span::from_secs(5),
