Don't take a pause of the router for silence of its targets

What callers saw: after a router stood still for 1.7 s, each of its streams ran a second time at another target, which used up the retry budget. Cause: the timers for silence expire before what the targets sent during the pause has been read. Change: a late tick, or a late check of a stream, postpones the decision by 200 ms. Tests: gateway::stream_runs_once_if_router_was_paused (two runs of each stream before), dispatch::tick_after_pause_of_the_router.

--- a/src/dispatch/dispatcher/mod.rs
+++ b/src/dispatch/dispatcher/mod.rs
@@ -47,6 +47,12 @@
 /// neither as attempts nor as retries.
 const MAX_UNSENT_PER_REQUEST: usize = 3;
 
+/// Time between two ticks from which this router counts as paused, far above the lateness of its
+/// timer under load.
+const LATE_TICK: Span = Span::from_millis(300);
+/// Time that a router needs after a pause to read what targets sent meanwhile.
+const READ_TIME: Span = Span::from_millis(200);
+
 /// Load balancer of one router, for the requests that it received.
 #[derive(Clone, Debug)]
 pub struct Dispatcher {
@@ -75,6 +81,9 @@
     /// Former recipients that are still to be informed that this router sends them nothing more.
     former_recipients: Vec<(Scope, Vec<id::Router>)>,
     sequence: u64,
+    last_tick: Time,
+    /// Time before which silence of targets may be a pause of this router.
+    silence_counts_from: Time,
     /// Time at which records of unknown targets and old announcements were last dropped.
     last_cleanup: Time,
     /// Tokens that each engine processed of prompt parts that no other request shares, as far as
@@ -106,6 +115,8 @@
             announced_prefills: HashMap::new(),
             former_recipients: Vec::new(),
             sequence: 0,
+            last_tick: Time::default(),
+            silence_counts_from: Time::default(),
             last_cleanup: Time::default(),
             unshared_tokens: 0.0,
             unshared_fraction: 0.0,
@@ -408,13 +419,20 @@
     }
 
     fn tick(&mut self, now: Time, out: &mut Vec<Action>) {
+        if now.since(self.last_tick) >= LATE_TICK {
+            // What targets sent meanwhile is not read yet.
+            self.silence_counts_from = now + READ_TIME;
+        }
+        self.last_tick = now;
         let (targets, typical) = (&self.targets, &self.typical);
         self.share
             .tick(now, || pressure(targets.values(), typical, now));
         self.displace_unshared();
         self.drop_silent_peers(now);
         self.tick_topology(now);
-        self.check_silent(now, out);
+        if now >= self.silence_counts_from {
+            self.check_silent(now, out);
+        }
         let services: Vec<id::Service> = self.queues.keys().cloned().collect();
         for service in services {
             self.send_queued(now, &service, out);
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -19,6 +19,9 @@
 
 /// Interval at which a stalled stream looks for another target.
 const STALL_CHECK_INTERVAL: Span = Span::from_millis(200);
+/// Lateness of that check from which the router itself was paused, so that what the target sent
+/// meanwhile is not read yet.
+const MAX_CHECK_LATENESS: Span = Span::from_millis(200);
 
 /// How received bytes are processed.
 enum Mode {
@@ -150,9 +153,12 @@
                 Received::End => (Outcome::Broken, "the stream ended within an event".into()),
                 Received::Failed(outcome, cause) => (outcome, cause),
                 Received::Stalled => {
-                    let number = self.exchange.call.number;
-                    self.exchange.submission.report(Event::Stalled { number });
-                    self.stalled_at = clock::now() + STALL_CHECK_INTERVAL;
+                    let now = clock::now();
+                    if now.since(self.stalled_at) < MAX_CHECK_LATENESS {
+                        let number = self.exchange.call.number;
+                        self.exchange.submission.report(Event::Stalled { number });
+                    }
+                    self.stalled_at = now + STALL_CHECK_INTERVAL;
                     continue;
                 }
                 Received::Moved(decision) => {
--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -548,6 +548,20 @@
     }
 }
 
+#[test]
+fn tick_after_pause_of_the_router() {
+    let mut dispatcher = ready("r1", &[target("a", "llm"), target("b", "llm")]);
+    ticks_after_send(&mut dispatcher, 500);
+    assert_eq!(step(&mut dispatcher, 2_500, Event::Tick), []);
+    assert_eq!(
+        step(&mut dispatcher, 2_600, Event::Tick),
+        [],
+        "responses are being read"
+    );
+    step(&mut dispatcher, 2_610, Event::ResponseStarted { number: 1 });
+    assert_eq!(step(&mut dispatcher, 2_800, Event::Tick), []);
+}
+
 #[test]
 fn stalled_stream_without_another_stays() {
     let mut dispatcher = ready("r1", &[target("a", "llm")]);
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -374,6 +374,29 @@
     stream_through_silence(2, 4, 0);
 }
 
+#[test]
+fn stream_runs_once_if_router_was_paused() {
+    let world = World::open(2, 0);
+    let router = Router::ready(&world.store, "r1");
+    for engine in &world.engines {
+        engine.pace(100, Duration::from_millis(30));
+    }
+    let listen = router.listen;
+    thread::scope(|scope| {
+        let stream = |number| move || Caller::stream(listen, "plan", &format!("q{number}")).call();
+        let running = (0..6).map(|number| scope.spawn(stream(number)));
+        let running: Vec<_> = running.collect();
+        thread::sleep(Duration::from_millis(500));
+        router.signal(Signal::SIGSTOP);
+        thread::sleep(Duration::from_millis(1_700));
+        router.signal(Signal::SIGCONT);
+        for (number, stream) in running.into_iter().enumerate() {
+            assert_eq!(stream.join().unwrap().body, events(100));
+            assert_eq!(world.runs_of(&format!("q{number}")).len(), 1);
+        }
+    });
+}
+
 #[test]
 fn stream_resumed_stays_while_events_arrive() {
     let world = World::open(3, 0);
