Keep a silent target until the next one has taken the request

What callers saw: a stream was moved from a silent target to one that refused the connection, and cut 0.85 s later, although the first target went on 0.3 s after it was left. The same before the first event (status 502). Cause: only the load moved in one step; the connection to the silent target was closed before the next target had responded. If that one refused, was full or unreachable, no target was left. Change: the silent target is kept until the next one responds, at most 300 ms, since two targets must not work on one request for longer. If it goes on, or if the next one fails, the request stays there (Event::Returned). The number of targets that may have run a request is counted, because two attempts overlap. Tests: gateway::stream_whole_if_next_target_unreachable, _unreachable_before_first_event and _full, dispatch::returned_stream_is_at_its_former_target; the property dispatch::step_any_order has stalled and returned requests.

--- a/src/dispatch/action.rs
+++ b/src/dispatch/action.rs
@@ -5,8 +5,8 @@
 /// Output of the dispatcher, carried out by the gateway.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Action {
-    /// Send a request to a target now. If the request is at another target, the attempt there has
-    /// ended as silent, and its connection is to be closed first.
+    /// Send a request to a target now. If the request is at another target, that one is silent, and
+    /// is left when the new one takes the request, see [`super::Event::Returned`].
     Send {
         /// Request.
         number: u64,
--- a/src/dispatch/attempt.rs
+++ b/src/dispatch/attempt.rs
@@ -8,6 +8,9 @@
 pub(super) struct Attempt {
     pub(super) request: Request,
     pub(super) estimate: Estimate,
+    /// The attempt at the silent target that the request was moved from. It may go back there until
+    /// the new target has taken it.
+    pub(super) previous: Option<Box<Attempt>>,
     pub(super) sent: Time,
     /// Targets that the request was sent to, the current one last.
     pub(super) tried: Vec<id::Target>,
--- a/src/dispatch/dispatcher/mod.rs
+++ b/src/dispatch/dispatcher/mod.rs
@@ -162,6 +162,7 @@
             Event::Arrived(request) => self.arrive(now, request, out),
             Event::ResponseStarted { number } => self.start_response(now, number, out),
             Event::Stalled { number } => self.move_stalled(now, number, out),
+            Event::Returned { number, outcome } => self.move_back(now, number, outcome, out),
             Event::Ended {
                 number,
                 outcome,
@@ -313,6 +314,29 @@
         }
     }
 
+    /// Puts a request that was moved back to its former target.
+    fn move_back(&mut self, now: Time, number: u64, outcome: Outcome, out: &mut Vec<Action>) {
+        let Some(mut attempt) = self.attempts.remove(&number) else {
+            return;
+        };
+        let Some(mut previous) = attempt.previous.take() else {
+            self.attempts.insert(number, attempt);
+            return;
+        };
+        self.release(now, &attempt, outcome, out);
+        if let Some(target) = self.targets.get_mut(&previous.estimate.target) {
+            (previous.memory, previous.ahead) = target.start(&previous.request, 0, now);
+            // Its prompt was counted at the first start.
+            previous.estimate.uncached_tokens = 0;
+        }
+        previous.unsent = attempt.unsent + usize::from(outcome == Outcome::Unsent);
+        previous.tried = attempt.tried;
+        previous.silent_at = Some(now);
+        let service = previous.request.service.clone();
+        self.attempts.insert(number, *previous);
+        self.send_queued(now, &service, out);
+    }
+
     fn end_attempt(
         &mut self,
         now: Time,
--- a/src/dispatch/dispatcher/selection.rs
+++ b/src/dispatch/dispatcher/selection.rs
@@ -181,6 +181,7 @@
             may_have_run,
             silent_at: None,
             estimate,
+            previous: None,
             request,
         };
         self.attempts.insert(attempt.request.number, attempt);
@@ -235,8 +236,8 @@
     }
 
     /// Moves a request from a silent target to another one, if one accepts it now and the retry
-    /// budget allows it; returns whether it was moved. The request leaves its target in the same
-    /// step in which another one takes it, so that it is never without a target.
+    /// budget allows it; returns whether it was moved. Its load moves in the same step, so that it is
+    /// never without a target.
     pub(super) fn try_move(&mut self, now: Time, number: u64, out: &mut Vec<Action>) -> bool {
         let Some(attempt) = self.attempts.get(&number) else {
             return false;
@@ -262,10 +263,15 @@
         if !self.budget(&pending.request.service).try_withdraw() {
             return false;
         }
-        if let Some(attempt) = self.attempts.remove(&number) {
-            self.release(now, &attempt, Outcome::Silent, out);
+        let previous = self.attempts.remove(&number);
+        if let Some(previous) = &previous {
+            self.release(now, previous, Outcome::Silent, out);
         }
         self.send(now, pending, estimate, out);
+        if let (Some(attempt), Some(mut previous)) = (self.attempts.get_mut(&number), previous) {
+            previous.previous = None;
+            attempt.previous = Some(Box::new(previous));
+        }
         true
     }
 
--- a/src/dispatch/event.rs
+++ b/src/dispatch/event.rs
@@ -19,6 +19,13 @@
         /// Request.
         number: u64,
     },
+    /// A request that was moved has not left its former target, and goes on there.
+    Returned {
+        /// Request.
+        number: u64,
+        /// Outcome of the attempt at the new target.
+        outcome: Outcome,
+    },
     /// An attempt ended.
     Ended {
         /// Request.
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -22,7 +22,13 @@
 use http::{Method, Request, Response, StatusCode, response};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicU32, Ordering},
+    },
+    time::Duration,
+};
 
 /// Maximum idle time of a connection reused for a request that may run at most once. A target may
 /// have closed an older connection unnoticed; sending on it would leave the outcome unknown.
@@ -32,6 +38,10 @@
 /// `Retry-After` of a request that was not run before its deadline.
 const DEADLINE_RETRY_AFTER: Span = Span::from_millis(1_000);
 
+/// Time for which a silent target is kept while the next one has not responded yet. Two targets must
+/// not work on one request for longer.
+pub(super) const HANDOVER: Span = Span::from_millis(300);
+
 /// Dependencies shared by all exchanges.
 pub(super) struct Context {
     pub(super) state: Arc<State>,
@@ -45,8 +55,8 @@
     pub(super) submission: Submission,
     pub(super) context: Arc<Context>,
     _permit: Permit,
-    /// Whether a target may have run the request.
-    may_have_run: bool,
+    /// Number of targets that may have run the request.
+    runs: AtomicU32,
     /// Whether the result was counted and logged; if not, the caller disconnected.
     finished: bool,
     first_byte: Option<Span>,
@@ -70,6 +80,14 @@
     Buffered((Transfer, Bytes, bool)),
 }
 
+/// How a request ends without a target's response.
+enum End {
+    /// The dispatcher refused it; the last target's own error response, if there is one, comes first.
+    Refused(Option<Response<Body>>, Refusal),
+    /// Its deadline passed.
+    Expired,
+}
+
 /// An attempt that gave no response for the caller.
 pub(super) struct Failure {
     pub(super) target: id::Target,
@@ -92,48 +110,95 @@
             submission,
             context,
             _permit: permit,
-            may_have_run: false,
+            runs: AtomicU32::new(0),
             finished: false,
             first_byte: None,
         }
     }
 
     /// Sends the request to targets until there is a response for the caller.
-    pub(super) async fn run(mut self, mut decisions: Decisions) -> Response<Body> {
+    pub(super) async fn run(self, mut decisions: Decisions) -> Response<Body> {
+        match self.obtain(&mut decisions).await {
+            Ok(Fetched::Stream(transfer)) => self.relay(transfer, decisions),
+            Ok(Fetched::Buffered(buffered)) => self.respond(buffered, decisions),
+            Err(End::Refused(error_response, refusal)) => {
+                self.respond_refused(error_response, &refusal)
+            }
+            Err(End::Expired) => self.respond_timeout(),
+        }
+    }
+
+    /// Follows the dispatcher's decisions until a target responds.
+    async fn obtain(&self, decisions: &mut Decisions) -> Result<Fetched, End> {
         let mut error_response = None;
-        let mut decision = self.decide(&mut decisions).await;
         loop {
-            let estimate = match decision {
+            let estimate = match self.decide(decisions).await {
                 Some(Decision::Send(estimate)) => estimate,
                 Some(Decision::Refuse(refusal)) => {
-                    return self.respond_refused(error_response, &refusal);
+                    return Err(End::Refused(error_response, refusal));
                 }
-                None => return self.respond_timeout(),
+                None => return Err(End::Expired),
             };
-            let sent = clock::now();
-            let remaining = Duration::from(self.call.remaining(sent));
-            let fetched = tokio::select! {
+            match self.fetch_or_move(estimate, decisions).await? {
+                Ok(fetched) => return Ok(fetched),
+                Err(failure) => error_response = self.end_attempt(failure, true),
+            }
+        }
+    }
+
+    /// Sends the request to a target, and to further ones if the dispatcher moves it. A silent
+    /// target is left when the next one responds, but at the latest after [`HANDOVER`].
+    async fn fetch_or_move(
+        &self,
+        mut estimate: Estimate,
+        decisions: &mut Decisions,
+    ) -> Result<Result<Fetched, Failure>, End> {
+        let mut sent = clock::now();
+        let mut current = Box::pin(self.fetch_in_time(estimate.clone()));
+        loop {
+            let decision = tokio::select! {
                 biased;
-                next = decisions.next() => {
+                decision = decisions.next() => decision,
+                fetched = &mut current => return fetched,
+            };
+            let next = match decision {
+                Decision::Send(next) => next,
+                Decision::Refuse(refusal) => return Err(End::Refused(None, refusal)),
+            };
+            let next_sent = clock::now();
+            let mut other = Box::pin(self.fetch_in_time(next.clone()));
+            tokio::select! {
+                biased;
+                fetched = &mut current => {
+                    let Ok(Err(failure)) = fetched else {
+                        self.report_return(Outcome::Cancelled);
+                        return fetched;
+                    };
+                    self.record_failure(&failure);
+                }
+                fetched = &mut other => {
+                    if let Ok(Err(failure)) = &fetched {
+                        self.record_failure(failure);
+                        self.report_return(failure.outcome);
+                        continue;
+                    }
                     self.record_failure(&Failure::moved(&estimate.target, sent));
-                    error_response = None;
-                    decision = Some(next);
-                    continue;
+                    return fetched;
                 }
-                fetched = tokio::time::timeout(remaining, self.fetch(&estimate)) => fetched,
-            };
-            match fetched {
-                Ok(Ok(Fetched::Stream(transfer))) => return self.relay(transfer, decisions),
-                Ok(Ok(Fetched::Buffered(buffered))) => return self.respond(buffered, decisions),
-                Ok(Err(failure)) => {
-                    error_response = self.end_attempt(failure, true);
-                    decision = self.decide(&mut decisions).await;
+                () = tokio::time::sleep(Duration::from(HANDOVER)) => {
+                    self.record_failure(&Failure::moved(&estimate.target, sent));
                 }
-                Err(_) => return self.respond_timeout(),
             }
+            (estimate, sent, current) = (next, next_sent, other);
         }
     }
 
+    /// Reports that a request that was moved goes on at its former target.
+    pub(super) fn report_return(&self, outcome: Outcome) {
+        let number = self.call.number;
+        self.submission.report(Event::Returned { number, outcome });
+    }
+
     /// Waits for the dispatcher's decision; returns `None` if the deadline passes.
     pub(super) async fn decide(&self, decisions: &mut Decisions) -> Option<Decision> {
         let remaining = Duration::from(self.call.remaining(clock::now()));
@@ -152,8 +217,15 @@
         failure.error_response
     }
 
+    /// Sends the request to a target until the deadline.
+    async fn fetch_in_time(&self, estimate: Estimate) -> Result<Result<Fetched, Failure>, End> {
+        let remaining = Duration::from(self.call.remaining(clock::now()));
+        let fetched = tokio::time::timeout(remaining, self.fetch(&estimate)).await;
+        fetched.map_err(|_| End::Expired)
+    }
+
     /// Sends the request to a target, and buffers a response that is not a stream.
-    async fn fetch(&mut self, estimate: &Estimate) -> Result<Fetched, Failure> {
+    async fn fetch(&self, estimate: &Estimate) -> Result<Fetched, Failure> {
         let transfer = self.attempt(estimate).await?;
         if self.call.route.kind.is_stream() {
             return Ok(Fetched::Stream(transfer));
@@ -162,7 +234,7 @@
     }
 
     /// Sends the request to a target and waits for the head of the response.
-    pub(super) async fn attempt(&mut self, estimate: &Estimate) -> Result<Transfer, Failure> {
+    pub(super) async fn attempt(&self, estimate: &Estimate) -> Result<Transfer, Failure> {
         let sent = clock::now();
         let failure = |outcome, cause: &dyn std::fmt::Display| Failure {
             target: estimate.target.clone(),
@@ -178,7 +250,6 @@
             Kind::Once => AT_MOST_ONCE_MAX_IDLE,
             _ => Span(u64::MAX),
         });
-        let may_have_run_before = self.may_have_run;
         let (response, lease) = loop {
             let leased = self
                 .context
@@ -189,7 +260,7 @@
             let reused = if lease.is_reused() { "yes" } else { "no" };
             metrics::counter!(metric::CONNECTIONS, "reused" => reused).increment(1);
             let request = self.target_request(&estimate.target);
-            self.may_have_run = true;
+            self.runs.fetch_add(1, Ordering::Relaxed);
             match lease.sender.try_send_request(request).await {
                 Ok(response) => break (response, lease),
                 Err(mut error) => {
@@ -198,7 +269,7 @@
                     if !unsent {
                         return Err(failure(Outcome::Broken, error.error()));
                     }
-                    self.may_have_run = may_have_run_before;
+                    self.runs.fetch_sub(1, Ordering::Relaxed);
                     if !lease.is_reused() {
                         return Err(failure(Outcome::Unsent, error.error()));
                     }
@@ -223,7 +294,7 @@
             ));
         }
         if reply.not_run {
-            self.may_have_run = may_have_run_before;
+            self.runs.fetch_sub(1, Ordering::Relaxed);
             let cause = format!("the target refused the request with status {}", head.status);
             if body.collect().await.is_ok() {
                 release(lease, &reply);
@@ -277,7 +348,7 @@
 
     /// Buffers a response that is not a stream, up to [`MAX_BUFFERED_BYTES`]; the flag tells
     /// whether it is complete.
-    async fn buffer(&mut self, mut transfer: Transfer) -> Result<(Transfer, Bytes, bool), Failure> {
+    async fn buffer(&self, mut transfer: Transfer) -> Result<(Transfer, Bytes, bool), Failure> {
         let mut buffered = BytesMut::new();
         while buffered.len() <= MAX_BUFFERED_BYTES {
             match transfer.body.frame().await {
@@ -415,6 +486,10 @@
         record.write(self.submission.driver().log());
     }
 
+    fn may_have_run(&self) -> bool {
+        self.runs.load(Ordering::Relaxed) > 0
+    }
+
     fn count_result(&self, result: &'static str) {
         let service = self.call.service.to_string();
         metrics::counter!(metric::RESULTS, "service" => service, "result" => result).increment(1);
@@ -431,7 +506,7 @@
         error_response: Option<Response<Body>>,
         refusal: &Refusal,
     ) -> Response<Body> {
-        let may_have_run = self.may_have_run || refusal.may_have_run;
+        let may_have_run = self.may_have_run() || refusal.may_have_run;
         if let Some(response) = error_response {
             let reason = refusal.reason.to_string();
             self.record_refusal(
@@ -456,7 +531,7 @@
 
     /// Responds to a request whose deadline passed.
     fn respond_timeout(mut self) -> Response<Body> {
-        let may_have_run = self.may_have_run;
+        let may_have_run = self.may_have_run();
         let reason = "the request deadline passed";
         self.reject(
             StatusCode::GATEWAY_TIMEOUT,
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -3,7 +3,7 @@
 use super::{
     Framer,
     decisions::{Decision, Decisions},
-    exchange::{Exchange, Failure, Transfer, release},
+    exchange::{Exchange, Failure, HANDOVER, Transfer, release},
 };
 use crate::{
     clock,
@@ -15,7 +15,7 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Frame;
-use std::{io, time::Duration};
+use std::{io, pin::pin, time::Duration};
 
 /// Interval at which a stalled stream looks for another target.
 const STALL_CHECK_INTERVAL: Span = Span::from_millis(200);
@@ -67,6 +67,16 @@
     Expired,
 }
 
+impl From<Option<Result<Frame<Bytes>, hyper::Error>>> for Received {
+    fn from(frame: Option<Result<Frame<Bytes>, hyper::Error>>) -> Self {
+        match frame {
+            Some(Ok(frame)) => Received::Bytes(frame.into_data().unwrap_or_default()),
+            Some(Err(error)) => Received::Failed(Outcome::Broken, error.to_string().into()),
+            None => Received::End,
+        }
+    }
+}
+
 impl Relay {
     /// Creates the relay of a stream of events.
     pub(super) fn events(exchange: Exchange, transfer: Transfer, decisions: Decisions) -> Self {
@@ -132,7 +142,18 @@
         }
         loop {
             self.transfer.as_ref()?;
-            let (outcome, cause) = match self.receive().await {
+            let received = match self.receive().await {
+                Received::Moved(decision) => {
+                    let moved = self.proceed(Some(decision), "the target was silent").await;
+                    match moved {
+                        Ok(Some(received)) => received,
+                        Ok(None) => continue,
+                        Err(cut) => return Some(Err(self.truncate(&cut))),
+                    }
+                }
+                received => received,
+            };
+            let (outcome, cause) = match received {
                 Received::Bytes(bytes) => {
                     self.record_received();
                     match self.process(bytes) {
@@ -161,12 +182,8 @@
                     self.stalled_at = now + STALL_CHECK_INTERVAL;
                     continue;
                 }
-                Received::Moved(decision) => {
-                    if let Err(cut) = self.move_to(decision).await {
-                        return Some(Err(self.truncate(&cut)));
-                    }
-                    continue;
-                }
+                // Followed above; the next iteration has the result.
+                Received::Moved(_) => continue,
                 Received::Expired => {
                     let cut = Cut {
                         cause: "the deadline passed".into(),
@@ -194,11 +211,7 @@
         tokio::select! {
             biased;
             decision = self.decisions.next(), if can_move => Received::Moved(decision),
-            frame = transfer.body.frame() => match frame {
-                Some(Ok(frame)) => Received::Bytes(frame.into_data().unwrap_or_default()),
-                Some(Err(error)) => Received::Failed(Outcome::Broken, error.to_string().into()),
-                None => Received::End,
-            },
+            frame = transfer.body.frame() => Received::from(frame),
             () = tokio::time::sleep(limit) => {
                 if remaining <= until_stalled {
                     Received::Expired
@@ -260,23 +273,17 @@
         let can_retry = matches!(self.mode, Mode::Events(_));
         self.exchange.end_attempt(failure, can_retry);
         let decision = self.exchange.decide(&mut self.decisions).await;
-        self.proceed(decision, &cause).await
-    }
-
-    /// Leaves a silent target for the one that the dispatcher decided on.
-    async fn move_to(&mut self, decision: Decision) -> Result<(), Cut> {
-        let cause = "the target was silent";
-        if let Some(transfer) = self.transfer.take() {
-            let failure = Failure::moved(&transfer.target, transfer.sent);
-            drop(transfer);
-            self.exchange.record_failure(&failure);
-        }
-        self.proceed(Some(decision), cause).await
+        self.proceed(decision, &cause).await.map(drop)
     }
 
     /// Follows decisions until a target continues the stream; `cause` is the failure that made it
-    /// necessary.
-    async fn proceed(&mut self, mut decision: Option<Decision>, cause: &str) -> Result<(), Cut> {
+    /// necessary. A silent target is left when the next one responds, but at the latest after
+    /// [`HANDOVER`]; returns what it sent if it goes on before.
+    async fn proceed(
+        &mut self,
+        mut decision: Option<Decision>,
+        cause: &str,
+    ) -> Result<Option<Received>, Cut> {
         let cut = |not_resumed: &str| Cut {
             cause: cause.into(),
             not_resumed: not_resumed.into(),
@@ -287,42 +294,85 @@
                 Some(Decision::Refuse(refusal)) => return Err(cut(&refusal.reason.to_string())),
                 None => return Err(cut("the deadline passed")),
             };
-            if let Mode::Events(framer) = &mut self.mode {
-                framer.discard_partial();
-                if let Some(last) = framer.last_id() {
-                    self.exchange.call.head.last_event_id = Some(last.to_string().into());
-                }
+            if let Mode::Events(framer) = &self.mode
+                && let Some(last) = framer.last_id()
+            {
+                self.exchange.call.head.last_event_id = Some(last.to_string().into());
             }
             let sent = clock::now();
             let remaining = Duration::from(self.exchange.call.remaining(sent));
-            let attempt = tokio::time::timeout(remaining, self.exchange.attempt(&estimate));
-            let attempt = tokio::select! {
-                biased;
-                next = self.decisions.next() => {
-                    let failure = Failure::moved(&estimate.target, sent);
-                    self.exchange.record_failure(&failure);
-                    decision = Some(next);
-                    continue;
+            let attempt = {
+                let attempt = self.exchange.attempt(&estimate);
+                let mut attempt = pin!(tokio::time::timeout(remaining, attempt));
+                let mut handover = pin!(tokio::time::sleep(Duration::from(HANDOVER)));
+                loop {
+                    tokio::select! {
+                        biased;
+                        next = self.decisions.next() => break Err(next),
+                        received = receive_from(&mut self.transfer), if self.transfer.is_some() => {
+                            if let Received::Failed(..) = received {
+                                leave(&self.exchange, self.transfer.take());
+                                continue;
+                            }
+                            self.exchange.report_return(Outcome::Cancelled);
+                            return Ok(Some(received));
+                        }
+                        attempt = &mut attempt => break Ok(attempt),
+                        () = &mut handover, if self.transfer.is_some() => {
+                            leave(&self.exchange, self.transfer.take());
+                        }
+                    }
                 }
-                attempt = attempt => attempt,
             };
             let failure = match attempt {
-                Ok(Ok(transfer)) if transfer.head.status.is_success() => {
+                Ok(Ok(Ok(transfer))) if transfer.head.status.is_success() => {
+                    leave(&self.exchange, self.transfer.take());
                     self.transfer = Some(transfer);
+                    if let Mode::Events(framer) = &mut self.mode {
+                        framer.discard_partial();
+                    }
                     self.started = false;
                     self.record_received();
-                    return Ok(());
+                    return Ok(None);
                 }
-                Ok(Ok(transfer)) => Failure::broken(
+                Ok(Ok(Ok(transfer))) => Failure::broken(
                     &transfer,
                     Outcome::Failed,
                     "the target did not resume the stream",
                 ),
-                Ok(Err(failure)) => failure,
-                Err(_) => return Err(cut("the deadline passed")),
+                Ok(Ok(Err(failure))) => failure,
+                Ok(Err(_)) => return Err(cut("the deadline passed")),
+                Err(next) => {
+                    leave(&self.exchange, self.transfer.take());
+                    let failure = Failure::moved(&estimate.target, sent);
+                    self.exchange.record_failure(&failure);
+                    decision = Some(next);
+                    continue;
+                }
             };
+            if self.transfer.is_some() {
+                self.exchange.record_failure(&failure);
+                self.exchange.report_return(failure.outcome);
+                self.stalled_at = clock::now() + STALL_CHECK_INTERVAL;
+                return Ok(None);
+            }
             self.exchange.end_attempt(failure, true);
             decision = self.exchange.decide(&mut self.decisions).await;
         }
     }
 }
+
+/// Waits for bytes of a response; the deadline is the caller's concern.
+async fn receive_from(transfer: &mut Option<Transfer>) -> Received {
+    match transfer {
+        Some(transfer) => Received::from(transfer.body.frame().await),
+        None => Received::End,
+    }
+}
+
+/// Closes the connection to a silent target, which ends the run there.
+fn leave(exchange: &Exchange, transfer: Option<Transfer>) {
+    if let Some(transfer) = transfer {
+        exchange.record_failure(&Failure::moved(&transfer.target, transfer.sent));
+    }
+}
--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -532,6 +532,28 @@
     assert_eq!(dispatcher.running(), 1);
 }
 
+#[test]
+fn returned_stream_is_at_its_former_target() {
+    let mut dispatcher = ready("r1", &[target("a", "llm"), target("b", "llm")]);
+    assert_eq!(sent_to(&stall(&mut dispatcher)), Some((1, "b".into())));
+    let returned = Event::Returned {
+        number: 1,
+        outcome: Outcome::Unsent,
+    };
+    assert_eq!(refused(&step(&mut dispatcher, 1_610, returned)), None);
+    let running = |name: &str| {
+        let (own, _) = dispatcher.views()[&name.parse::<id::Target>().unwrap()];
+        own.running
+    };
+    assert_eq!((running("a"), running("b")), (1, 0));
+    let stalled = step(&mut dispatcher, 1_900, Event::Stalled { number: 1 });
+    assert_eq!(
+        sent_to(&stalled),
+        None,
+        "no target is left that it was not sent to"
+    );
+}
+
 #[test]
 fn tick_silent_target_is_left_before_deadline() {
     for (kind, length) in [(STREAM, 8_000), (Kind::Idempotent, 10_000), (STREAM, 1_200)] {
@@ -759,8 +781,13 @@
     /// In any order of events, all load is released at the end, and a request that must not run
     /// twice is not sent again after it may have run.
     #[test]
-    fn step_any_order(choices in prop::collection::vec((0..8_u8, 0..12_u64, 0..200_u64), 1..200)) {
-        let list = [target("a", "app"), target("b", "app"), target("c", "llm")];
+    fn step_any_order(choices in prop::collection::vec((0..10_u8, 0..12_u64, 0..200_u64), 1..200)) {
+        let list = [
+            target("a", "app"),
+            target("b", "app"),
+            target("c", "llm"),
+            target("d", "llm"),
+        ];
         let mut dispatcher = ready("r1", &list);
         let mut now = 0;
         let mut next = 0;
@@ -787,6 +814,8 @@
                     running.remove(&number);
                     Event::Ended { number, outcome: Outcome::NotRun, can_retry: true }
                 }
+                (8, Some(number)) => Event::Stalled { number },
+                (9, Some(number)) => Event::Returned { number, outcome: Outcome::Unsent },
                 (6, Some(number)) => {
                     live.retain(|other| *other != number);
                     Event::Closed { number }
@@ -796,7 +825,7 @@
             for action in step(&mut dispatcher, now, event) {
                 if let Action::Send { number, estimate, .. } = action {
                     running.insert(number);
-                    let once = estimate.target.as_str() != "c";
+                    let once = !matches!(estimate.target.as_str(), "c" | "d");
                     prop_assert!(!(once && may_have_run.contains_key(&number)));
                 }
             }
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -374,6 +374,51 @@
     stream_through_silence(2, 4, 0);
 }
 
+/// Sends a stream to an engine that is silent for 1.8 s after some events, beside one that does not
+/// take the request, and checks that the stream is whole.
+fn stream_beside_unusable(world: &World, after: u64) {
+    let router = Router::ready(&world.store, "r1");
+    world.engines[0].pace(8, Duration::from_millis(5));
+    world.engines[0].behave(Mode::PauseAfter(after, Duration::from_millis(1_800)));
+    let answer = Caller::stream(router.listen, "plan", "q1").call();
+    assert_eq!((answer.status, answer.whole), (200, true), "{answer:?}");
+    assert_eq!(answer.body, events(8));
+    let runs = world.runs_of("q1");
+    assert_eq!(runs.len(), 1);
+    assert!(!runs[0].dropped);
+}
+
+/// Registers an engine whose address refuses connections.
+fn register_unreachable(world: &World) {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let entry = serde_json::json!({
+        "service": "llm", "address": listener.local_addr().unwrap().to_string(), "zone": "east",
+        "slots": 8, "state": "ready", "born": 1_700_000_000_000_u64, "seq": 1,
+    });
+    world.store.put("servers", "i-llm9", &entry);
+}
+
+#[test]
+fn stream_whole_if_next_target_unreachable() {
+    let world = World::open(1, 0);
+    register_unreachable(&world);
+    stream_beside_unusable(&world, 2);
+}
+
+#[test]
+fn stream_whole_if_next_target_unreachable_before_first_event() {
+    let world = World::open(1, 0);
+    register_unreachable(&world);
+    stream_beside_unusable(&world, 0);
+}
+
+#[test]
+fn stream_whole_if_next_target_full() {
+    let world = World::open(2, 0);
+    world.engines[1].behave(Mode::Full);
+    stream_beside_unusable(&world, 2);
+}
+
 #[test]
 fn stream_runs_once_if_router_was_paused() {
     let world = World::open(2, 0);
