Dispatch: send nothing to a target that announced in a response that it leaves

Cause: a target that leaves says so in all its responses, mostly before the list shows it and at times without ever being listed as leaving. The header was not read, so requests went on to be sent to it.

Change: the header is decoded in the adapter, from any response but 421, where another instance at the same address speaks of itself. The dispatcher remembers the run (name and start time) that announced it and sends nothing more there: new, queued, retried and resumed requests, and those that were still connecting. What runs there ends normally. A later start time brings the target back; the list's older entry, a response without the header, or removal and reappearance do not. The header is passed on to callers, since it is not hop-by-hop.

Failed on the code before: gateway::target_announces_leaving, target_announces_leaving_all (the second request was served), target_announces_leaving_in_stream (a third stream was served). With the event ignored also dispatch::leave_until_later_start, leave_of_unlisted_target ({"a": 10}), leave_refuses_queued_at_once and step_announcements ("a leaves").

--- a/src/dispatch/action.rs
+++ b/src/dispatch/action.rs
@@ -39,4 +39,11 @@
         /// Successes in the window that decided.
         answers: u32,
     },
+    /// A target announced that it leaves; it gets no further request.
+    TargetLeaving {
+        /// Request whose response had the announcement.
+        number: u64,
+        /// Target.
+        target: crate::id::Target,
+    },
 }
--- a/src/dispatch/dispatcher/fleet.rs
+++ b/src/dispatch/dispatcher/fleet.rs
@@ -33,13 +33,14 @@
             let known = old
                 .remove(&name)
                 .filter(|t| t.entry.started_at_ms == entry.started_at_ms);
-            let target = match known {
+            let mut target = match known {
                 Some(mut target) => {
                     target.entry = entry;
                     target
                 }
                 None => self.new_target(entry),
             };
+            target.announced_leaving = self.notices.is_leaving(&target.entry);
             self.targets.insert(name, target);
         }
         let targets = self.targets.iter();
@@ -47,6 +48,7 @@
         let services: Vec<id::Service> = self.queues.keys().cloned().collect();
         for service in services {
             self.send_queued(now, &service, out);
+            self.refuse_unservable(now, &service, out);
         }
     }
 
--- a/src/dispatch/dispatcher/mod.rs
+++ b/src/dispatch/dispatcher/mod.rs
@@ -1,6 +1,7 @@
 //! Dispatcher: handles requests from arrival to their end.
 
 mod fleet;
+mod notice;
 mod selection;
 mod summaries;
 
@@ -9,6 +10,7 @@
     account::Account,
     attempt::Attempt,
     baseline::Baseline,
+    notices::Notices,
     peer::Peer,
     queue::{Pending, Queue},
     share::Share,
@@ -55,6 +57,7 @@
     targets: BTreeMap<id::Target, Target>,
     /// Names of the targets by the hash of their name and start time.
     names: HashMap<u64, id::Target>,
+    notices: Notices,
     queues: BTreeMap<id::Service, Queue>,
     attempts: HashMap<u64, Attempt>,
     budgets: BTreeMap<id::Service, Budget>,
@@ -94,6 +97,7 @@
             routing: Arc::default(),
             targets: BTreeMap::new(),
             names: HashMap::new(),
+            notices: Notices::default(),
             queues: BTreeMap::new(),
             attempts: HashMap::new(),
             budgets: BTreeMap::new(),
@@ -155,6 +159,7 @@
                 outcome,
                 can_retry,
             } => self.end_attempt(now, number, outcome, can_retry, out),
+            Event::Leaving { number, run } => self.record_leaving(now, number, &run, out),
             Event::Closed { number } => self.close(now, number, out),
             Event::Targets(targets) => self.set_targets(now, targets, out),
             Event::Routing(table) => self.set_routing(now, table, out),
@@ -183,8 +188,8 @@
         if pending.request.deadline <= now {
             return self.refuse(now, &pending, Reason::Deadline, Span(0), out);
         }
-        if !self.has_target(&pending.request.service) {
-            return self.refuse(now, &pending, Reason::NoTarget, NO_TARGET_RETRY_AFTER, out);
+        if let Some((reason, retry_after)) = self.unservable(&pending) {
+            return self.refuse(now, &pending, reason, retry_after, out);
         }
         let ahead = excess.is_some() && self.exceeds_lead(&pending.request);
         // Queued requests go first: they are tried again at each event that frees capacity, so a
@@ -332,6 +337,11 @@
                 target.health.record_inconclusive();
                 false
             }
+            // The gateway sends nothing to a target that leaves.
+            Outcome::Unsent if target.is_leaving() => {
+                target.health.record_inconclusive();
+                false
+            }
             Outcome::Failed | Outcome::Unsent | Outcome::Broken | Outcome::Silent => {
                 target.health.record_failure(now)
             }
@@ -369,12 +379,12 @@
         if pending.unsent >= MAX_UNSENT_PER_REQUEST || reached >= max_attempts {
             return self.refuse(now, &pending, Reason::Attempts, OVERLOAD_RETRY_AFTER, out);
         }
+        if let Some((reason, retry_after)) = self.unservable(&pending) {
+            return self.refuse(now, &pending, reason, retry_after, out);
+        }
         if !unsent && !paid && !self.budget(&service).try_withdraw() {
             return self.refuse(now, &pending, Reason::Budget, OVERLOAD_RETRY_AFTER, out);
         }
-        if !self.has_target(&service) {
-            return self.refuse(now, &pending, Reason::NoTarget, NO_TARGET_RETRY_AFTER, out);
-        }
         match self.choose(now, &pending, None) {
             Some(estimate) => self.send(now, pending, estimate, out),
             None => self.queues.entry(service).or_default().push(pending),
@@ -442,7 +452,7 @@
 
 /// Returns the fraction of the engines in use where a typical generation could not be on time.
 fn pressure<'a>(targets: impl Iterator<Item = &'a Target>, typical: &Typical, now: Time) -> f64 {
-    let engines = targets.filter(|t| t.engine.is_some() && !t.entry.draining);
+    let engines = targets.filter(|t| t.engine.is_some() && !t.is_leaving());
     let (mut all, mut crowded) = (0_u32, 0_u32);
     for target in engines.filter(|target| target.health.is_usable(now)) {
         all += 1;
--- a/src/dispatch/dispatcher/selection.rs
+++ b/src/dispatch/dispatcher/selection.rs
@@ -58,7 +58,7 @@
         for trusted in [true, false] {
             for target in self.targets.values() {
                 if target.entry.service != request.service
-                    || target.entry.draining
+                    || target.is_leaving()
                     || pending.tried.contains(&target.entry.name)
                     || trusted != self.is_trusted(target, now)
                 {
@@ -107,7 +107,7 @@
     /// cached.
     fn least_uncached(&self, request: &Request) -> u64 {
         let targets = self.targets.values();
-        let targets = targets.filter(|t| t.entry.service == request.service && !t.entry.draining);
+        let targets = targets.filter(|t| t.entry.service == request.service && !t.is_leaving());
         let uncached = targets.map(|target| target.uncached_tokens(request));
         uncached.min().unwrap_or_default()
     }
@@ -126,11 +126,6 @@
         now.since(at) >= SUSPICION_TTL || target.health.last_success().is_some_and(|last| last > at)
     }
 
-    pub(super) fn has_target(&self, service: &id::Service) -> bool {
-        let mut targets = self.targets.values();
-        targets.any(|target| target.entry.service == *service && !target.entry.draining)
-    }
-
     /// Sends a request to a target.
     pub(super) fn send(
         &mut self,
--- a/src/dispatch/event.rs
+++ b/src/dispatch/event.rs
@@ -23,6 +23,13 @@
         /// Another target can still answer the request, or resume its stream.
         can_retry: bool,
     },
+    /// The response to a request says that its target leaves.
+    Leaving {
+        /// Request.
+        number: u64,
+        /// Run of the target that the request was sent to.
+        run: catalog::Run,
+    },
     /// A request was closed and needs no further decision; an attempt in flight counts as
     /// cancelled.
     Closed {
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -19,6 +19,7 @@
 mod estimate;
 mod event;
 mod health;
+mod notices;
 mod outcome;
 mod peer;
 mod policy;
--- a/src/dispatch/queue.rs
+++ b/src/dispatch/queue.rs
@@ -36,6 +36,10 @@
         self.pending.insert(index, pending);
     }
 
+    pub(super) fn iter(&self) -> impl Iterator<Item = &Pending> {
+        self.pending.iter()
+    }
+
     pub(super) fn get(&self, index: usize) -> Option<&Pending> {
         self.pending.get(index)
     }
--- a/src/dispatch/target.rs
+++ b/src/dispatch/target.rs
@@ -45,6 +45,8 @@
     parts_in_use: HashMap<u64, (u32, u32)>,
     /// Last time at which another router reported the target as failing.
     pub(super) suspected_at: Option<Time>,
+    /// It announced in a response that it leaves; the list may still have it as ready.
+    pub(super) announced_leaving: bool,
 }
 
 /// Condition that a target must meet to be sent a request.
@@ -77,9 +79,15 @@
             cache: Cache::default(),
             parts_in_use: HashMap::new(),
             suspected_at: None,
+            announced_leaving: false,
         }
     }
 
+    /// Reports whether the target leaves and takes no new requests.
+    pub(super) fn is_leaving(&self) -> bool {
+        self.entry.draining || self.announced_leaving
+    }
+
     fn memory(&self) -> u64 {
         self.engine.map_or(0, |engine| engine.memory_tokens)
     }
--- a/src/gateway/driver.rs
+++ b/src/gateway/driver.rs
@@ -5,7 +5,7 @@
     submission::{Decision, Submission},
 };
 use crate::{
-    clock,
+    catalog, clock,
     dispatch::{Action, Batch, Dispatcher, Event, Request, View},
     id, metric,
     unit::Version,
@@ -35,6 +35,14 @@
     decisions: mpsc::UnboundedSender<Decision>,
 }
 
+impl Inner {
+    /// Returns the identifier that the caller gave a request; `-` if the request has ended.
+    fn request_id(&self, number: u64) -> &str {
+        let pending = self.requests.get(&number);
+        pending.map_or("-", |pending| &pending.request_id)
+    }
+}
+
 impl Driver {
     /// Wraps a dispatcher.
     pub fn open(dispatcher: Dispatcher, log: slog::Logger) -> Self {
@@ -112,6 +120,14 @@
                 };
                 return record.write(&self.log);
             }
+            Action::TargetLeaving { number, target } => {
+                metrics::counter!(metric::LEAVING).increment(1);
+                let record = Record::TargetLeaving {
+                    request: inner.request_id(number),
+                    target: &target,
+                };
+                return record.write(&self.log);
+            }
         };
         if let Some(pending) = inner.requests.get(&number) {
             // The receiver is closed if the request has just ended; its `Closed` event follows.
@@ -119,6 +135,11 @@
         }
     }
 
+    /// Reports whether a run of a target still takes new requests.
+    pub(super) fn accepts(&self, run: &catalog::Run) -> bool {
+        self.lock().dispatcher.accepts(run)
+    }
+
     /// Returns the load summaries to be sent to other routers now, and updates the gauges of
     /// requests.
     pub fn summaries(&self, draining: bool) -> Vec<Batch> {
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -5,7 +5,7 @@
     submission::Submission,
 };
 use crate::{
-    clock,
+    catalog, clock,
     dispatch::{Estimate, Event, Outcome, Refusal},
     front::{Body, Problem, full_body, header},
     id, metric,
@@ -136,6 +136,7 @@
         let Some(target) = self.context.state.target(&estimate.target) else {
             return Err(failure(Outcome::Unsent, &"the target is no longer listed"));
         };
+        let run = catalog::Run::from(&target);
         let mut max_idle = Some(match self.call.route.kind {
             Kind::Once => AT_MOST_ONCE_MAX_IDLE,
             _ => Span(u64::MAX),
@@ -148,6 +149,10 @@
                 .lease_fresh(target.address, max_idle)
                 .await;
             let mut lease = leased.map_err(|error| failure(Outcome::Unsent, &error))?;
+            if !self.submission.driver().accepts(&run) {
+                let cause = "the target stopped taking requests while it was connected to";
+                return Err(failure(Outcome::Unsent, &cause));
+            }
             let reused = if lease.is_reused() { "yes" } else { "no" };
             metrics::counter!(metric::CONNECTIONS, "reused" => reused).increment(1);
             let request = self.target_request(&estimate.target);
@@ -179,6 +184,7 @@
             .context
             .protocol
             .parse_response(head.status, &head.headers);
+        self.report_notices(run, &reply);
         let matches = reply
             .request_id
             .as_ref()
@@ -219,6 +225,14 @@
         Ok(transfer)
     }
 
+    /// Reports what a target announced about itself in a response.
+    fn report_notices(&self, run: catalog::Run, reply: &Reply) {
+        if reply.leaving {
+            let number = self.call.number;
+            self.submission.report(Event::Leaving { number, run });
+        }
+    }
+
     /// Reads the body of a server error (5xx) and returns the failed attempt.
     async fn read_error_response(&self, transfer: Transfer) -> Failure {
         let (target, sent) = (transfer.target.clone(), transfer.sent);
--- a/src/gateway/record.rs
+++ b/src/gateway/record.rs
@@ -61,6 +61,11 @@
         failures: u32,
         answers: u32,
     },
+    /// A target announced in the response to a request that it leaves.
+    TargetLeaving {
+        request: &'a str,
+        target: &'a id::Target,
+    },
     /// A configuration came into force.
     Configuration {
         version: Version,
@@ -173,6 +178,9 @@
                 answers,
             } => slog::warn!(log, "target believed"; "target" => target.as_str(),
                 "suspect" => suspect, "failures" => failures, "answers" => answers),
+            Record::TargetLeaving { request, target } => {
+                slog::info!(log, "target leaving"; "request" => request, "target" => target.as_str());
+            }
             Record::Configuration {
                 version,
                 routes,
--- a/src/gateway/reply.rs
+++ b/src/gateway/reply.rs
@@ -15,6 +15,8 @@
     pub keep_alive: Option<Span>,
     /// Whether the target closes the connection after the response.
     pub closes: bool,
+    /// Whether the target announces that it leaves.
+    pub leaving: bool,
     /// Whether the body has a content encoding; targets use none, so such a response is rejected.
     pub encoded: bool,
 }
--- a/src/metric.rs
+++ b/src/metric.rs
@@ -34,6 +34,8 @@
 
 /// Failed attempts at targets, by how they ended.
 pub const RUN_FAILURES: &str = "marlrun_run_failures_total";
+/// Runs of targets that announced in a response that they leave.
+pub const LEAVING: &str = "marlrun_targets_leaving_total";
 /// Requests sent to targets, by whether the connection was reused.
 pub const CONNECTIONS: &str = "marlrun_connections_total";
 
--- a/src/platform/header.rs
+++ b/src/platform/header.rs
@@ -25,6 +25,8 @@
 const RESPONSE_SIGNATURE: HeaderName = HeaderName::from_static("x-marlrun-response-stamp");
 /// Present if the target did not run the request.
 const NOT_RUN: HeaderName = HeaderName::from_static("x-marlrun-not-run");
+/// `1` in all responses of a target that leaves.
+const LEAVING: HeaderName = HeaderName::from_static("server-leaving");
 /// Workspace of the client, which the platform calls a tenant.
 const TENANT: HeaderName = HeaderName::from_static("x-marlrun-tenant");
 /// Name of the target that is to run the request.
@@ -86,12 +88,16 @@
             let mut fields = value.split(',').map(str::trim);
             fields.find_map(|field| field.strip_prefix("timeout=")?.parse().ok())
         });
+        // An unexpected instance at the target's address speaks of itself only.
+        let is_expected = status != StatusCode::MISDIRECTED_REQUEST;
         Reply {
             request_id: text(headers, &REQUEST_ID).map(Into::into),
             signed: headers.contains_key(RESPONSE_SIGNATURE),
-            not_run: headers.contains_key(NOT_RUN) || status == StatusCode::MISDIRECTED_REQUEST,
+            not_run: headers.contains_key(NOT_RUN) || !is_expected,
             keep_alive: keep_alive.map(Span::from_secs),
             closes: options.any(|option| option.eq_ignore_ascii_case("close")),
+            leaving: is_expected
+                && text(headers, &LEAVING).is_some_and(|value| value.trim() == "1"),
             encoded: headers.contains_key(header::CONTENT_ENCODING),
         }
     }
--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -124,6 +124,52 @@
     })
 }
 
+/// Returns the numbers of the refused requests, with the reason and the delay of a retry.
+fn refusals(actions: &[Action]) -> Vec<(u64, Reason, Span)> {
+    let refusals = actions.iter().filter_map(|action| match action {
+        Action::Refuse { number, refusal } => Some((*number, refusal.reason, refusal.retry_after)),
+        _ => None,
+    });
+    refusals.collect()
+}
+
+fn run(target: &str) -> catalog::Run {
+    catalog::Run {
+        target: target.parse().unwrap(),
+        started_at_ms: 1,
+    }
+}
+
+/// The target says in the response to a request that it leaves.
+fn leaving(number: u64, target: &str) -> Event {
+    Event::Leaving {
+        number,
+        run: run(target),
+    }
+}
+
+/// Offers idempotent requests, each of which ends after a millisecond; returns how many of them each
+/// target got.
+fn offer(
+    dispatcher: &mut Dispatcher,
+    numbers: std::ops::Range<u64>,
+    millis: u64,
+) -> BTreeMap<String, usize> {
+    let mut counts = BTreeMap::new();
+    for number in numbers {
+        let actions = step(
+            dispatcher,
+            millis,
+            Event::Arrived(request(number, millis, "app")),
+        );
+        if let Some((_, target)) = sent_to(&actions) {
+            *counts.entry(target).or_default() += 1;
+        }
+        step(dispatcher, millis, Event::Closed { number });
+    }
+    counts
+}
+
 fn refused(actions: &[Action]) -> Option<(Reason, bool)> {
     actions.iter().find_map(|action| match action {
         Action::Refuse { refusal, .. } => Some((refusal.reason, refusal.may_have_run)),
@@ -373,6 +419,22 @@
     assert_eq!(refused(&actions), Some((Reason::Attempts, false)));
 }
 
+#[test]
+fn end_not_run_at_all_targets_is_refused_at_once() {
+    let mut dispatcher = ready("r1", &[target("a", "app"), target("b", "app")]);
+    let mut incoming = request(1, 0, "app");
+    incoming.max_attempts = 3;
+    step(&mut dispatcher, 0, Event::Arrived(incoming));
+    let ended = Event::Ended {
+        number: 1,
+        outcome: Outcome::NotRun,
+        can_retry: true,
+    };
+    step(&mut dispatcher, 5, ended.clone());
+    let actions = step(&mut dispatcher, 9, ended.clone());
+    assert_eq!(refused(&actions), Some((Reason::Attempts, false)));
+}
+
 #[test]
 fn end_unsent_is_refused_after_three_sends() {
     let mut dispatcher = ready("r1", &[target("a", "app"), target("b", "app")]);
@@ -525,6 +587,81 @@
     assert_eq!((own.running, own.backlog, own.memory), (0, 0, 0));
 }
 
+#[test]
+fn leave_until_later_start() {
+    let list = [target("a", "app"), target("b", "app")];
+    let mut dispatcher = ready("r1", &list);
+    step(&mut dispatcher, 0, Event::Arrived(request(1, 0, "app")));
+    let actions = step(&mut dispatcher, 5, leaving(1, "a"));
+    let expected = Action::TargetLeaving {
+        number: 1,
+        target: "a".parse().unwrap(),
+    };
+    assert_eq!(actions, [expected]);
+    assert_eq!(step(&mut dispatcher, 6, leaving(1, "a")), []);
+    let mut draining = target("a", "app");
+    draining.draining = true;
+    let lists = [
+        list.to_vec(),
+        vec![draining, target("b", "app")],
+        list.to_vec(),
+        vec![target("b", "app")],
+        list.to_vec(),
+    ];
+    for (index, list) in lists.iter().enumerate() {
+        step(&mut dispatcher, 10, targets(list));
+        let first = 10 * index as u64 + 10;
+        let counts = offer(&mut dispatcher, first..first + 10, 20);
+        assert_eq!(counts, BTreeMap::from([("b".into(), 10)]), "list {index}");
+        assert!(!dispatcher.accepts(&run("a")));
+    }
+    let mut later = target("a", "app");
+    later.started_at_ms = 2;
+    step(&mut dispatcher, 30, targets(&[later, target("b", "app")]));
+    let counts = offer(&mut dispatcher, 100..120, 40);
+    assert!(counts.contains_key("a"), "{counts:?}");
+    // A late response of the earlier run says nothing about the later one.
+    assert_eq!(step(&mut dispatcher, 50, leaving(1, "a")), []);
+    let counts = offer(&mut dispatcher, 120..140, 60);
+    assert!(counts.contains_key("a"), "{counts:?}");
+}
+
+#[test]
+fn leave_of_unlisted_target() {
+    let mut dispatcher = ready("r1", &[target("a", "app"), target("b", "app")]);
+    step(&mut dispatcher, 0, targets(&[target("b", "app")]));
+    step(&mut dispatcher, 5, leaving(1, "a"));
+    step(
+        &mut dispatcher,
+        10,
+        targets(&[target("a", "app"), target("b", "app")]),
+    );
+    let counts = offer(&mut dispatcher, 10..20, 20);
+    assert_eq!(counts, BTreeMap::from([("b".into(), 10)]));
+}
+
+#[test]
+fn leave_refuses_queued_at_once() {
+    let mut dispatcher = ready("r1", &[target("a", "app")]);
+    for number in 0..10 {
+        step(
+            &mut dispatcher,
+            0,
+            Event::Arrived(request(number, 0, "app")),
+        );
+    }
+    assert_eq!((dispatcher.running(), dispatcher.waiting()), (8, 2));
+    let refused = refusals(&step(&mut dispatcher, 5, leaving(1, "a")));
+    let expected = [8, 9].map(|number| (number, Reason::NoTarget, Span::from_secs(1)));
+    assert_eq!(refused, expected);
+    assert_eq!((dispatcher.running(), dispatcher.waiting()), (8, 0));
+    let late = step(&mut dispatcher, 6, Event::Arrived(request(20, 6, "app")));
+    assert_eq!(
+        refusals(&late),
+        [(20, Reason::NoTarget, Span::from_secs(1))]
+    );
+}
+
 /// Simulates a load on seven routers.
 fn simulate(load: Load) -> Simulation {
     simulate_fleet(7, load)
@@ -651,6 +788,95 @@
     );
 }
 
+/// What the targets of a random run announced, as they see it.
+#[derive(Default)]
+struct Announced {
+    started_at_ms: u64,
+    leaving: bool,
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(256))]
+
+    /// While targets leave, restart and disappear from the list in any order, none gets a
+    /// request after its announcement, and requests that none can serve don't wait.
+    #[test]
+    fn step_announcements(
+        choices in prop::collection::vec((0..10_u8, 0..12_u64, 0..300_u64), 1..300),
+    ) {
+        let names = ["a", "b", "c"];
+        let mut announced: BTreeMap<&str, Announced> =
+            names.iter().map(|name| (*name, Announced { started_at_ms: 1, ..Announced::default() })).collect();
+        let mut listed: Vec<catalog::Target> = names.map(|name| target(name, "app")).to_vec();
+        let mut dispatcher = ready("r1", &listed);
+        let (mut now, mut next) = (0, 0);
+        let mut running = BTreeMap::<u64, (&str, u64)>::new();
+        for (what, pick, pause) in choices {
+            now += pause;
+            let picked = running.iter().nth(pick as usize % running.len().max(1));
+            let picked = picked.map(|(number, sent)| (*number, *sent));
+            let name = names[pick as usize % names.len()];
+            let mut events = Vec::new();
+            match (what, picked) {
+                (0..=3, _) => {
+                    for _ in 0..=pick {
+                        next += 1;
+                        events.push(Event::Arrived(request(next, now, "app")));
+                    }
+                }
+                (4, Some((number, (name, started_at_ms)))) => {
+                    let run = catalog::Run { target: name.parse().unwrap(), started_at_ms };
+                    let state = announced.get_mut(name).unwrap();
+                    state.leaving |= state.started_at_ms == started_at_ms;
+                    events.push(Event::Leaving { number, run });
+                }
+                (6, Some((number, _))) => events.push(Event::Closed { number }),
+                (7, _) => {
+                    // The target restarts.
+                    let started_at_ms = announced[name].started_at_ms + 1;
+                    announced.insert(name, Announced { started_at_ms, ..Announced::default() });
+                    listed.retain(|target| target.name.as_str() != name);
+                    listed.push(catalog::Target { started_at_ms, ..target(name, "app") });
+                    events.push(targets(&listed));
+                }
+                (8, _) => {
+                    // The target disappears from the list, or reappears in it.
+                    let known = listed.len();
+                    listed.retain(|target| target.name.as_str() != name);
+                    if listed.len() == known {
+                        let started_at_ms = announced[name].started_at_ms;
+                        listed.push(catalog::Target { started_at_ms, ..target(name, "app") });
+                    }
+                    events.push(targets(&listed));
+                }
+                _ => events.push(Event::Tick),
+            }
+            for event in events {
+                match &event {
+                    Event::Closed { number } | Event::Ended { number, .. } => {
+                        running.remove(number);
+                    }
+                    _ => {}
+                }
+                for action in step(&mut dispatcher, now, event) {
+                    let Action::Send { number, estimate, .. } = action else {
+                        continue;
+                    };
+                    let name = names.into_iter().find(|n| *n == estimate.target.as_str()).unwrap();
+                    let state = &announced[name];
+                    prop_assert!(!state.leaving, "{} leaves", name);
+                    running.insert(number, (name, state.started_at_ms));
+                }
+            }
+            let is_useful = listed.iter().any(|target| {
+                let state = &announced[target.name.as_str()];
+                !state.leaving
+            });
+            prop_assert!(is_useful || dispatcher.waiting() == 0, "requests wait for nothing");
+        }
+    }
+}
+
 proptest! {
     #![proptest_config(ProptestConfig::with_cases(64))]
 
--- a/tests/engines/mod.rs
+++ b/tests/engines/mod.rs
@@ -296,7 +296,7 @@
                 };
                 self.step(router, ended);
             }
-            Action::HealthChanged { .. } => {}
+            Action::HealthChanged { .. } | Action::TargetLeaving { .. } => {}
         }
     }
 
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -5,7 +5,7 @@
 
 use nix::sys::signal::Signal;
 use std::{io::Read, thread, time::Duration};
-use world::{Answer, Caller, Fault, KEY, Mode, OTHER_KEY, Router, World, wait_for};
+use world::{Answer, Caller, FIRST_START_MS, Fault, KEY, Mode, OTHER_KEY, Router, World, wait_for};
 
 fn events(count: u64) -> String {
     (1..=count)
@@ -231,6 +231,90 @@
     assert!(world.runs_of("q9").is_empty());
 }
 
+#[test]
+fn target_announces_leaving() {
+    // The announcement counts whatever the response is.
+    for mode in [Mode::Good, Mode::Failing, Mode::Full] {
+        let world = World::open(0, 2);
+        let router = Router::ready(&world.store, "r1");
+        let call = |name: &str| Caller::new(router.listen, "GET", "/look/a", name).call();
+        let (leaver, other) = (&world.apps[0], &world.apps[1]);
+        let refused = || (0..6).for_each(|_| assert_eq!(call("q").status, 503, "{mode:?}"));
+        leaver.behave(mode);
+        leaver.announce_leaving(true);
+        wait_for("the announcement", || {
+            assert_eq!(call("q1").status, 200, "{mode:?}");
+            !leaver.arrivals().is_empty()
+        });
+        other.behave(Mode::Full);
+        refused();
+        leaver.register("draining");
+        thread::sleep(Duration::from_millis(200));
+        leaver.register("ready");
+        thread::sleep(Duration::from_millis(200));
+        refused();
+        leaver.unregister();
+        thread::sleep(Duration::from_millis(200));
+        leaver.register("ready");
+        thread::sleep(Duration::from_millis(200));
+        refused();
+        assert_eq!(leaver.arrivals().len(), 1, "{mode:?}");
+        assert_eq!(router.log().matches("target leaving").count(), 1);
+        leaver.behave(Mode::Good);
+        leaver.announce_leaving(false);
+        leaver.register_run("ready", FIRST_START_MS + 1);
+        wait_for("the later run is used", || call("q2").status == 200);
+    }
+}
+
+#[test]
+fn target_announces_leaving_all() {
+    let world = World::open(0, 1);
+    let router = Router::ready(&world.store, "r1");
+    world.apps[0].announce_leaving(true);
+    let call = || Caller::new(router.listen, "GET", "/look/a", "q").call();
+    let last = call();
+    assert_eq!(last.status, 200);
+    assert_eq!(last.header("server-leaving"), Some("1"), "{last:?}");
+    let refusal = call();
+    assert_eq!(refusal.status, 503);
+    assert!(refusal.header("retry-after").is_some());
+    assert_eq!(refusal.header("server-leaving"), None, "{refusal:?}");
+    assert!(refusal.after < Duration::from_secs(1), "{refusal:?}");
+    assert_eq!(world.apps[0].arrivals().len(), 1);
+}
+
+#[test]
+fn target_announces_leaving_in_stream() {
+    let world = World::open(2, 0);
+    let router = Router::ready(&world.store, "r1");
+    let listen = router.listen;
+    for engine in &world.engines {
+        engine.pace(40, Duration::from_millis(40));
+        engine.announce_leaving(true);
+    }
+    let streams: Vec<_> = (0..2)
+        .map(|number| {
+            let name = format!("q{number}");
+            let stream = thread::spawn(move || Caller::stream(listen, "plan", &name).call());
+            wait_for("the announcement", || {
+                router.log().matches("target leaving").count() == number + 1
+            });
+            stream
+        })
+        .collect();
+    let refusal = Caller::stream(listen, "plan", "q2").call();
+    assert_eq!(refusal.status, 503, "both engines leave: {refusal:?}");
+    for stream in streams {
+        let answer = stream.join().unwrap();
+        assert_eq!((answer.status, answer.whole), (200, true));
+        assert_eq!(answer.body, events(40), "what runs ends normally");
+    }
+    for engine in &world.engines {
+        assert_eq!(engine.arrivals().len(), 1);
+    }
+}
+
 #[test]
 fn target_answer_lost() {
     let world = World::open(0, 2);
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -14,7 +14,7 @@
 
 pub(crate) use self::{
     caller::{Answer, Caller},
-    replica::{Mode, Replica, Run, event},
+    replica::{FIRST_START_MS, Mode, Replica, Run, event},
     router::Router,
     store::{Fault, Store},
 };
--- a/tests/world/replica.rs
+++ b/tests/world/replica.rs
@@ -15,10 +15,13 @@
 use std::{
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard},
-    time::Duration,
+    time::{Duration, Instant},
 };
 use tokio::sync::watch;
 
+/// Start time of all targets at first, in Unix milliseconds.
+pub(crate) const FIRST_START_MS: u64 = 1_700_000_000_000;
+
 /// How a target behaves.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Mode {
@@ -57,6 +60,10 @@
 
 struct State {
     mode: Mode,
+    /// All responses say that the target leaves.
+    leaving: bool,
+    /// Times at which requests arrived, refused ones too.
+    arrivals: Vec<Instant>,
     runs: Vec<Run>,
     running: usize,
     most_running: usize,
@@ -88,6 +95,8 @@
             service: service.into(),
             state: Mutex::new(State {
                 mode: Mode::Good,
+                leaving: false,
+                arrivals: Vec::new(),
                 runs: Vec::new(),
                 running: 0,
                 most_running: 0,
@@ -114,10 +123,15 @@
 
     /// Writes the target's entry with a state.
     pub(crate) fn register(&self, state: &str) {
+        self.register_run(state, FIRST_START_MS);
+    }
+
+    /// Writes the target's entry with a state and the start time of its process.
+    pub(crate) fn register_run(&self, state: &str, started_at_ms: u64) {
         let entry = json!({
             "service": self.shared.service, "address": self.address().to_string(),
             "zone": "east", "version": "v1", "slots": 8, "state": state, "cold-left-ms": 0,
-            "born": 1_700_000_000_000_u64, "seq": 1,
+            "born": started_at_ms, "seq": 1,
         });
         self.store.put("servers", &self.name, &entry);
     }
@@ -131,6 +145,16 @@
         self.shared.state().mode = mode;
     }
 
+    /// Sets whether all responses say that the target leaves.
+    pub(crate) fn announce_leaving(&self, leaving: bool) {
+        self.shared.state().leaving = leaving;
+    }
+
+    /// Returns the times at which requests arrived, refused ones too.
+    pub(crate) fn arrivals(&self) -> Vec<Instant> {
+        self.shared.state().arrivals.clone()
+    }
+
     /// Sets the events of each stream and the time between two.
     pub(crate) fn pace(&self, events: u64, gap: Duration) {
         *self.shared.events.lock().unwrap() = (events, gap);
@@ -182,6 +206,21 @@
     }
 
     fn serve(self: Arc<Self>, request: Request<Incoming>) -> BoxFuture<'static, Answered> {
+        async move {
+            self.state().arrivals.push(Instant::now());
+            let mut answered = self.clone().respond(request).await;
+            if let Ok(response) = &mut answered
+                && self.state().leaving
+            {
+                let headers = response.headers_mut();
+                headers.insert("server-leaving", "1".parse().unwrap());
+            }
+            answered
+        }
+        .boxed()
+    }
+
+    fn respond(self: Arc<Self>, request: Request<Incoming>) -> BoxFuture<'static, Answered> {
         async move {
             let (head, body) = request.into_parts();
             let body = body.collect().await.map_err(std::io::Error::other)?;
