Dispatch: respect pauses that targets ask for, and let their load return in steps

Cause: a target that refuses with 503 and Retry-After wants nothing from this router for so long. The value was not read: each refused request was sent elsewhere, and the next ones to the same target again.

Change: the adapter reads the seconds of any 503 response. The target gets nothing until the pause is over by the local clock, at most 300 s; a later start time ends it, removal from the list and reappearance don't. A pause is no failure, and the estimate of the capacity leaves the target out. Afterwards one request is sent, then within each 50 ms twice as many as before, until 31 were sent. A request that would be late at the end of all pauses is refused at once, also if it is queued, with the earliest end as Retry-After (0.3 to 3 s). Zero, negative, infinite and unreadable values cause no pause; unreadable ones are logged.

Failed on the code before: gateway::target_pauses (a request was served in the pause), target_pauses_all (Retry-After 1 s), target_pauses_invalid (no log lines). With the event ignored: dispatch::pause_extreme_durations, pause_is_no_failure, pause_ends_connecting_without_failure, pause_of_all_is_refused_at_once, pause_outlasts_list_changes_until_restart, simulate_pause_leaves_callers_on_time (126 of 158 requests of a workspace on time), simulate_pause_ends_in_steps. Without the steps: simulate_pause_ends_in_steps (3, 10 and 15 requests at one engine within 50, 100 and 150 ms of a pause, 1, 3 and 7 allowed). step_announcements found that a second, shorter pause of a target that is not listed replaced the first one; fixed here, pause_of_unlisted_target keeps it.

--- a/src/dispatch/action.rs
+++ b/src/dispatch/action.rs
@@ -46,4 +46,15 @@
         /// Target.
         target: crate::id::Target,
     },
+    /// A target asked for a pause.
+    TargetPaused {
+        /// Request that the target refused.
+        number: u64,
+        /// Target.
+        target: crate::id::Target,
+        /// Duration that the target asked for.
+        asked: crate::unit::Span,
+        /// Duration for which it gets no request.
+        applied: crate::unit::Span,
+    },
 }
--- a/src/dispatch/dispatcher/fleet.rs
+++ b/src/dispatch/dispatcher/fleet.rs
@@ -43,6 +43,10 @@
             target.announced_leaving = self.notices.is_leaving(&target.entry);
             self.targets.insert(name, target);
         }
+        for target in old.into_values() {
+            self.notices
+                .keep_pause(now, (&target.entry).into(), target.pause);
+        }
         let targets = self.targets.iter();
         self.names = targets.map(|(name, t)| (t.key, name.clone())).collect();
         let services: Vec<id::Service> = self.queues.keys().cloned().collect();
@@ -52,7 +56,8 @@
         }
     }
 
-    fn new_target(&self, entry: catalog::Target) -> Target {
+    fn new_target(&mut self, entry: catalog::Target) -> Target {
+        let pause = self.notices.take_pause(&(&entry).into());
         let service = self.routing.services.get(&entry.service);
         let engine = service.and_then(|service| service.engine);
         let mut target = Target::new(
@@ -60,6 +65,7 @@
             engine,
             self.max_own_running(service.map(Arc::as_ref)),
         );
+        target.pause = pause;
         let loads = self.peers.values();
         let loads = loads.filter_map(|peer| peer.loads.get(&target.key));
         target.others = loads.fold(View::default(), |sum, load| sum.plus(load.into()));
--- a/src/dispatch/dispatcher/mod.rs
+++ b/src/dispatch/dispatcher/mod.rs
@@ -38,8 +38,9 @@
 /// Time after which a caller may retry when all targets are full: each target finishes several
 /// requests in this time.
 const OVERLOAD_RETRY_AFTER: Span = Span::from_millis(1_000);
-/// Range of the time after which a caller may retry when its workspace is beyond its share.
-const SHARE_RETRY_AFTER_RANGE: (Span, Span) = (Span::from_millis(300), Span::from_millis(3_000));
+/// Range of the time after which a caller may retry when its workspace is beyond its share, or all
+/// targets of its service asked for a pause.
+const RETRY_AFTER_RANGE: (Span, Span) = (Span::from_millis(300), Span::from_millis(3_000));
 /// Minimum time until a retried request is due.
 const MIN_RETRY_DUE: Span = Span::from_millis(200);
 /// A request is queued for at most the time to its deadline divided by this. The rest is left for
@@ -160,6 +161,9 @@
                 can_retry,
             } => self.end_attempt(now, number, outcome, can_retry, out),
             Event::Leaving { number, run } => self.record_leaving(now, number, &run, out),
+            Event::Paused { number, run, asked } => {
+                self.record_pause(now, number, &run, asked, out);
+            }
             Event::Closed { number } => self.close(now, number, out),
             Event::Targets(targets) => self.set_targets(now, targets, out),
             Event::Routing(table) => self.set_routing(now, table, out),
@@ -188,7 +192,7 @@
         if pending.request.deadline <= now {
             return self.refuse(now, &pending, Reason::Deadline, Span(0), out);
         }
-        if let Some((reason, retry_after)) = self.unservable(&pending) {
+        if let Some((reason, retry_after)) = self.unservable(now, &pending) {
             return self.refuse(now, &pending, reason, retry_after, out);
         }
         let ahead = excess.is_some() && self.exceeds_lead(&pending.request);
@@ -257,7 +261,7 @@
         let after = self
             .share
             .time_to_fit(hash(workspace.as_str()), prompt.cost());
-        after.clamp(SHARE_RETRY_AFTER_RANGE.0, SHARE_RETRY_AFTER_RANGE.1)
+        after.clamp(RETRY_AFTER_RANGE.0, RETRY_AFTER_RANGE.1)
     }
 
     fn queue_deadline(&self, now: Time, request: &Request) -> Time {
@@ -337,8 +341,8 @@
                 target.health.record_inconclusive();
                 false
             }
-            // The gateway sends nothing to a target that leaves.
-            Outcome::Unsent if target.is_leaving() => {
+            // The gateway sends nothing to a target that no longer takes requests.
+            Outcome::Unsent if !target.accepts(now) => {
                 target.health.record_inconclusive();
                 false
             }
@@ -377,9 +381,10 @@
             return self.refuse(now, &pending, Reason::Attempts, Span(0), out);
         }
         if pending.unsent >= MAX_UNSENT_PER_REQUEST || reached >= max_attempts {
-            return self.refuse(now, &pending, Reason::Attempts, OVERLOAD_RETRY_AFTER, out);
+            let retry_after = self.retry_after(now, &service);
+            return self.refuse(now, &pending, Reason::Attempts, retry_after, out);
         }
-        if let Some((reason, retry_after)) = self.unservable(&pending) {
+        if let Some((reason, retry_after)) = self.unservable(now, &pending) {
             return self.refuse(now, &pending, reason, retry_after, out);
         }
         if !unsent && !paid && !self.budget(&service).try_withdraw() {
@@ -452,7 +457,7 @@
 
 /// Returns the fraction of the engines in use where a typical generation could not be on time.
 fn pressure<'a>(targets: impl Iterator<Item = &'a Target>, typical: &Typical, now: Time) -> f64 {
-    let engines = targets.filter(|t| t.engine.is_some() && !t.is_leaving());
+    let engines = targets.filter(|t| t.engine.is_some() && t.accepts(now));
     let (mut all, mut crowded) = (0_u32, 0_u32);
     for target in engines.filter(|target| target.health.is_usable(now)) {
         all += 1;
--- a/src/dispatch/dispatcher/notice.rs
+++ b/src/dispatch/dispatcher/notice.rs
@@ -1,9 +1,9 @@
 //! Announcements of targets, and the requests that no target can serve because of them.
 
-use super::{Dispatcher, NO_TARGET_RETRY_AFTER, OVERLOAD_RETRY_AFTER, Pending};
+use super::{Dispatcher, NO_TARGET_RETRY_AFTER, OVERLOAD_RETRY_AFTER, Pending, RETRY_AFTER_RANGE};
 use crate::{
     catalog,
-    dispatch::{Action, Reason},
+    dispatch::{Action, Reason, target::Target},
     id,
     unit::{Span, Time},
 };
@@ -32,30 +32,87 @@
         }
     }
 
+    /// Records that a target refused a request and wants no further ones for a time.
+    pub(super) fn record_pause(
+        &mut self,
+        now: Time,
+        number: u64,
+        run: &catalog::Run,
+        asked: Span,
+        out: &mut Vec<Action>,
+    ) {
+        let applied = match self.targets.get_mut(&run.target) {
+            Some(target) if target.entry.started_at_ms != run.started_at_ms => return,
+            Some(target) => target.pause.begin(now, asked),
+            None => self.notices.begin_pause(now, run, asked),
+        };
+        if let Some(applied) = applied {
+            out.push(Action::TargetPaused {
+                number,
+                target: run.target.clone(),
+                asked,
+                applied,
+            });
+        }
+        let target = self.targets.get(&run.target);
+        if let Some(service) = target.map(|target| target.entry.service.clone()) {
+            self.refuse_unservable(now, &service, out);
+        }
+    }
+
     /// Reports whether a run of a target still takes new requests.
-    pub fn accepts(&self, run: &catalog::Run) -> bool {
+    pub fn accepts(&self, now: Time, run: &catalog::Run) -> bool {
         let target = self.targets.get(&run.target);
         target.is_some_and(|target| {
-            target.entry.started_at_ms == run.started_at_ms && !target.is_leaving()
+            target.entry.started_at_ms == run.started_at_ms && target.accepts(now)
         })
     }
 
-    /// Returns why no target can serve a request, if that is certain already, and the time after
-    /// which a retry may be served.
-    pub(super) fn unservable(&self, pending: &Pending) -> Option<(Reason, Span)> {
+    fn staying<'a>(&'a self, service: &'a id::Service) -> impl Iterator<Item = &'a Target> {
         let targets = self.targets.values();
-        let mut targets = targets
-            .filter(|target| target.entry.service == pending.request.service)
-            .filter(|target| !target.is_leaving())
-            .peekable();
-        if targets.peek().is_none() {
-            return Some((Reason::NoTarget, NO_TARGET_RETRY_AFTER));
+        targets.filter(move |target| target.entry.service == *service && !target.is_leaving())
+    }
+
+    /// Returns why no target can serve a request in time, if that is certain already, and the time
+    /// after which a retry may be served.
+    ///
+    /// A request waits for the end of a pause only while it could still be on time then.
+    pub(super) fn unservable(&self, now: Time, pending: &Pending) -> Option<(Reason, Span)> {
+        let service = &pending.request.service;
+        let limit = pending.expires.min(pending.request.due);
+        let mut reason = None;
+        for target in self.staying(service) {
+            if pending.tried.contains(&target.entry.name) {
+                reason = reason.or(Some(Reason::Attempts));
+                continue;
+            }
+            let remaining = target.pause.remaining(now);
+            if remaining.0 == 0 || now + remaining <= limit {
+                return None;
+            }
+            reason = Some(Reason::Pause);
         }
-        let are_tried = targets.all(|target| pending.tried.contains(&target.entry.name));
-        are_tried.then_some((Reason::Attempts, OVERLOAD_RETRY_AFTER))
+        let reason = reason.unwrap_or(Reason::NoTarget);
+        Some((reason, self.retry_after(now, service)))
+    }
+
+    /// Returns the time after which a target of a service may take a request that none takes now.
+    pub(super) fn retry_after(&self, now: Time, service: &id::Service) -> Span {
+        let ends = self.staying(service).map(|target| {
+            let remaining = target.pause.remaining(now);
+            let is_paused = remaining.0 > 0;
+            if is_paused {
+                remaining
+            } else {
+                OVERLOAD_RETRY_AFTER
+            }
+        });
+        ends.min().map_or(NO_TARGET_RETRY_AFTER, |after| {
+            after.clamp(RETRY_AFTER_RANGE.0, RETRY_AFTER_RANGE.1)
+        })
     }
 
-    /// Refuses the queued requests of a service that no target can serve.
+    /// Refuses the queued requests of a service that no target can serve in time.
     pub(super) fn refuse_unservable(
         &mut self,
         now: Time,
@@ -66,7 +123,7 @@
             return;
         };
         let unservable = queue.iter().filter_map(|pending| {
-            let cause = self.unservable(pending)?;
+            let cause = self.unservable(now, pending)?;
             Some((pending.request.number, cause))
         });
         for (number, (reason, retry_after)) in unservable.collect::<Vec<_>>() {
--- a/src/dispatch/dispatcher/selection.rs
+++ b/src/dispatch/dispatcher/selection.rs
@@ -58,7 +58,7 @@
         for trusted in [true, false] {
             for target in self.targets.values() {
                 if target.entry.service != request.service
-                    || target.is_leaving()
+                    || !target.allows_send(now)
                     || pending.tried.contains(&target.entry.name)
                     || trusted != self.is_trusted(target, now)
                 {
--- a/src/dispatch/event.rs
+++ b/src/dispatch/event.rs
@@ -1,7 +1,7 @@
 //! Inputs of the dispatcher.
 
 use super::{Outcome, Request};
-use crate::{catalog, gossip, id, routing};
+use crate::{catalog, gossip, id, routing, unit::Span};
 use std::{collections::BTreeMap, sync::Arc};
 
 /// Input of the dispatcher.
@@ -30,6 +30,15 @@
         /// Run of the target that the request was sent to.
         run: catalog::Run,
     },
+    /// A target refused a request and wants no further ones for a time.
+    Paused {
+        /// Request.
+        number: u64,
+        /// Run of the target that the request was sent to.
+        run: catalog::Run,
+        /// Duration that the target asked for.
+        asked: Span,
+    },
     /// A request was closed and needs no further decision; an attempt in flight counts as
     /// cancelled.
     Closed {
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -21,6 +21,7 @@
 mod health;
 mod notices;
 mod outcome;
+mod pause;
 mod peer;
 mod policy;
 mod prompt;
--- a/src/dispatch/notices.rs
+++ b/src/dispatch/notices.rs
@@ -1,6 +1,10 @@
 //! What targets announced about themselves, for as long as it binds this router.
 
-use crate::{catalog, id, unit::Time};
+use super::pause::Pause;
+use crate::{
+    catalog, id,
+    unit::{Span, Time},
+};
 use std::collections::HashMap;
 
 /// Maximum number of remembered announcements of leaving. The largest fleet has several hundred
@@ -12,6 +16,8 @@
 #[derive(Clone, Debug, Default)]
 pub(super) struct Notices {
     leaving: HashMap<id::Target, Leaving>,
+    /// Pauses of runs that are not listed now; each is dropped once it is over.
+    pauses: HashMap<catalog::Run, Pause>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -45,4 +51,29 @@
         let known = self.leaving.get(&entry.name);
         known.is_some_and(|known| known.started_at_ms >= entry.started_at_ms)
     }
+
+    /// Keeps the pause of a run that is not listed any more.
+    pub(super) fn keep_pause(&mut self, now: Time, run: catalog::Run, pause: Pause) {
+        self.pauses.insert(run, pause);
+        self.pauses.retain(|_, pause| pause.is_active(now));
+    }
+
+    /// Begins or extends a pause of a run that is not listed; returns the applied duration as
+    /// [`Pause::begin`] does.
+    pub(super) fn begin_pause(
+        &mut self,
+        now: Time,
+        run: &catalog::Run,
+        asked: Span,
+    ) -> Option<Span> {
+        let mut pause = self.pauses.remove(run).unwrap_or_default();
+        let applied = pause.begin(now, asked);
+        self.keep_pause(now, run.clone(), pause);
+        applied
+    }
+
+    /// Takes the pause of a run that is listed again.
+    pub(super) fn take_pause(&mut self, run: &catalog::Run) -> Pause {
+        self.pauses.remove(run).unwrap_or_default()
+    }
 }
--- a/src/dispatch/target.rs
+++ b/src/dispatch/target.rs
@@ -1,8 +1,8 @@
 //! A target with its load and the estimates about it.
 
 use super::{
-    Estimate, Request, View, attempt::Attempt, cache::Cache, health::Health, speed::Speed,
-    typical::Typical,
+    Estimate, Request, View, attempt::Attempt, cache::Cache, health::Health, pause::Pause,
+    speed::Speed, typical::Typical,
 };
 use crate::{
     catalog,
@@ -47,6 +47,7 @@
     pub(super) suspected_at: Option<Time>,
     /// It announced in a response that it leaves; the list may still have it as ready.
     pub(super) announced_leaving: bool,
+    pub(super) pause: Pause,
 }
 
 /// Condition that a target must meet to be sent a request.
@@ -80,6 +81,7 @@
             parts_in_use: HashMap::new(),
             suspected_at: None,
             announced_leaving: false,
+            pause: Pause::default(),
         }
     }
 
@@ -88,6 +90,16 @@
         self.entry.draining || self.announced_leaving
     }
 
+    /// Reports whether the target takes new requests.
+    pub(super) fn accepts(&self, now: Time) -> bool {
+        !self.is_leaving() && !self.pause.is_active(now)
+    }
+
+    /// Reports whether a further request may be sent, also if the target's pause ended just now.
+    pub(super) fn allows_send(&self, now: Time) -> bool {
+        !self.is_leaving() && self.pause.allows_send(now)
+    }
+
     fn memory(&self) -> u64 {
         self.engine.map_or(0, |engine| engine.memory_tokens)
     }
@@ -202,6 +214,7 @@
         now: Time,
     ) -> (u64, u64) {
         self.health.record_send(now);
+        self.pause.record_send(now);
         self.own.running += 1;
         let Some(prompt) = &request.prompt else {
             return (0, 0);
--- a/src/gateway/driver.rs
+++ b/src/gateway/driver.rs
@@ -128,6 +128,21 @@
                 };
                 return record.write(&self.log);
             }
+            Action::TargetPaused {
+                number,
+                target,
+                asked,
+                applied,
+            } => {
+                metrics::counter!(metric::PAUSES).increment(1);
+                let record = Record::TargetPaused {
+                    request: inner.request_id(number),
+                    target: &target,
+                    asked,
+                    applied,
+                };
+                return record.write(&self.log);
+            }
         };
         if let Some(pending) = inner.requests.get(&number) {
             // The receiver is closed if the request has just ended; its `Closed` event follows.
@@ -137,7 +152,7 @@
 
     /// Reports whether a run of a target still takes new requests.
     pub(super) fn accepts(&self, run: &catalog::Run) -> bool {
-        self.lock().dispatcher.accepts(run)
+        self.lock().dispatcher.accepts(clock::now(), run)
     }
 
     /// Returns the load summaries to be sent to other routers now, and updates the gauges of
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -227,8 +227,24 @@
 
     /// Reports what a target announced about itself in a response.
     fn report_notices(&self, run: catalog::Run, reply: &Reply) {
+        let number = self.call.number;
+        match &reply.pause {
+            Some(Ok(asked)) => self.submission.report(Event::Paused {
+                number,
+                run: run.clone(),
+                asked: *asked,
+            }),
+            Some(Err(value)) => {
+                let record = Record::InvalidPause {
+                    request: &self.call.head.request_id,
+                    target: &run.target,
+                    value,
+                };
+                record.write(self.submission.driver().log());
+            }
+            None => {}
+        }
         if reply.leaving {
-            let number = self.call.number;
             self.submission.report(Event::Leaving { number, run });
         }
     }
--- a/src/gateway/record.rs
+++ b/src/gateway/record.rs
@@ -66,6 +66,19 @@
         request: &'a str,
         target: &'a id::Target,
     },
+    /// A target refused a request and asked for a pause.
+    TargetPaused {
+        request: &'a str,
+        target: &'a id::Target,
+        asked: Span,
+        applied: Span,
+    },
+    /// A target refused a request and asked for a pause whose duration can't be read.
+    InvalidPause {
+        request: &'a str,
+        target: &'a id::Target,
+        value: &'a str,
+    },
     /// A configuration came into force.
     Configuration {
         version: Version,
@@ -181,6 +194,20 @@
             Record::TargetLeaving { request, target } => {
                 slog::info!(log, "target leaving"; "request" => request, "target" => target.as_str());
             }
+            Record::TargetPaused {
+                request,
+                target,
+                asked,
+                applied,
+            } => slog::warn!(log, "target paused"; "request" => request,
+                "target" => target.as_str(), "asked_ms" => millis(*asked),
+                "applied_ms" => millis(*applied)),
+            Record::InvalidPause {
+                request,
+                target,
+                value,
+            } => slog::warn!(log, "target pause unreadable"; "request" => request,
+                "target" => target.as_str(), "value" => value),
             Record::Configuration {
                 version,
                 routes,
--- a/src/gateway/reply.rs
+++ b/src/gateway/reply.rs
@@ -17,6 +17,9 @@
     pub closes: bool,
     /// Whether the target announces that it leaves.
     pub leaving: bool,
+    /// Time for which a target that refuses the request wants no further ones; an error has the
+    /// text that can't be read as a time.
+    pub pause: Option<Result<Span, Box<str>>>,
     /// Whether the body has a content encoding; targets use none, so such a response is rejected.
     pub encoded: bool,
 }
--- a/src/metric.rs
+++ b/src/metric.rs
@@ -36,6 +36,8 @@
 pub const RUN_FAILURES: &str = "marlrun_run_failures_total";
 /// Runs of targets that announced in a response that they leave.
 pub const LEAVING: &str = "marlrun_targets_leaving_total";
+/// Pauses that targets asked for.
+pub const PAUSES: &str = "marlrun_target_pauses_total";
 /// Requests sent to targets, by whether the connection was reused.
 pub const CONNECTIONS: &str = "marlrun_connections_total";
 
--- a/src/platform/header.rs
+++ b/src/platform/header.rs
@@ -49,6 +49,9 @@
 /// requests generate about half of their maximum.
 const OUTPUT_DIVISOR: u32 = 2;
 
+/// Maximum length of an unreadable header value in a log line.
+const MAX_LOGGED_CHARS: usize = 40;
+
 /// The platform's header protocol.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Header;
@@ -98,6 +101,7 @@
             closes: options.any(|option| option.eq_ignore_ascii_case("close")),
             leaving: is_expected
                 && text(headers, &LEAVING).is_some_and(|value| value.trim() == "1"),
+            pause: parse_pause(status, headers),
             encoded: headers.contains_key(header::CONTENT_ENCODING),
         }
     }
@@ -107,6 +111,25 @@
     headers.get(name)?.to_str().ok()
 }
 
+/// Parses the seconds, which may have a fraction, for which a target wants no requests.
+fn parse_pause(status: StatusCode, headers: &HeaderMap) -> Option<Result<Span, Box<str>>> {
+    if status != StatusCode::SERVICE_UNAVAILABLE {
+        return None;
+    }
+    let value = headers.get(header::RETRY_AFTER)?;
+    let seconds = value
+        .to_str()
+        .ok()
+        .and_then(|text| text.trim().parse().ok());
+    let seconds = seconds.filter(|seconds: &f64| seconds.is_finite() && *seconds >= 0.0);
+    let invalid = || {
+        let text = String::from_utf8_lossy(value.as_bytes());
+        text.chars().take(MAX_LOGGED_CHARS).collect()
+    };
+    let pause = seconds.map(|seconds| Span((seconds * 1e6) as u64));
+    Some(pause.ok_or_else(invalid))
+}
+
 fn set(headers: &mut HeaderMap, name: HeaderName, value: &str) {
     // Does not fail for names of targets and workspaces, which were validated when they were parsed.
     if let Ok(value) = HeaderValue::from_str(value) {
--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -148,6 +148,23 @@
     }
 }
 
+/// The target refuses a request and asks for a pause.
+fn paused(number: u64, target: &str, millis: u64) -> Event {
+    Event::Paused {
+        number,
+        run: run(target),
+        asked: Span::from_millis(millis),
+    }
+}
+
+fn not_run(number: u64) -> Event {
+    Event::Ended {
+        number,
+        outcome: Outcome::NotRun,
+        can_retry: true,
+    }
+}
+
 /// Offers idempotent requests, each of which ends after a millisecond; returns how many of them each
 /// target got.
 fn offer(
@@ -425,13 +442,8 @@
     let mut incoming = request(1, 0, "app");
     incoming.max_attempts = 3;
     step(&mut dispatcher, 0, Event::Arrived(incoming));
-    let ended = Event::Ended {
-        number: 1,
-        outcome: Outcome::NotRun,
-        can_retry: true,
-    };
-    step(&mut dispatcher, 5, ended.clone());
-    let actions = step(&mut dispatcher, 9, ended.clone());
+    step(&mut dispatcher, 5, not_run(1));
+    let actions = step(&mut dispatcher, 9, not_run(1));
     assert_eq!(refused(&actions), Some((Reason::Attempts, false)));
 }
 
@@ -613,7 +625,7 @@
         let first = 10 * index as u64 + 10;
         let counts = offer(&mut dispatcher, first..first + 10, 20);
         assert_eq!(counts, BTreeMap::from([("b".into(), 10)]), "list {index}");
-        assert!(!dispatcher.accepts(&run("a")));
+        assert!(!dispatcher.accepts(at(20), &run("a")));
     }
     let mut later = target("a", "app");
     later.started_at_ms = 2;
@@ -662,6 +674,233 @@
     );
 }
 
+#[test]
+fn pause_is_no_failure() {
+    let mut dispatcher = ready("r1", &[target("a", "app"), target("b", "app")]);
+    for number in 0..40 {
+        // Pauses that are over when the next request arrives.
+        let millis = 10_000 * number;
+        let mut actions = step(
+            &mut dispatcher,
+            millis,
+            Event::Arrived(request(number, millis, "app")),
+        );
+        if let Some((_, name)) = sent_to(&actions)
+            && name == "a"
+        {
+            actions = step(&mut dispatcher, millis + 1, paused(number, "a", 1_000));
+            let expected = Action::TargetPaused {
+                number,
+                target: "a".parse().unwrap(),
+                asked: Span::from_secs(1),
+                applied: Span::from_secs(1),
+            };
+            assert_eq!(actions, [expected]);
+            actions = step(&mut dispatcher, millis + 1, not_run(number));
+            assert_eq!(sent_to(&actions), Some((number, "b".into())));
+        }
+        let is_health_change = |action: &Action| matches!(action, Action::HealthChanged { .. });
+        assert!(!actions.iter().any(is_health_change), "{actions:?}");
+        // Requests that are sent, but not read because of a pause, are no failures either.
+        step(&mut dispatcher, millis + 2, Event::Closed { number });
+    }
+}
+
+#[test]
+fn pause_ends_connecting_without_failure() {
+    let mut dispatcher = ready("r1", &[target("a", "app")]);
+    for number in 0..8 {
+        step(
+            &mut dispatcher,
+            0,
+            Event::Arrived(request(number, 0, "app")),
+        );
+    }
+    step(&mut dispatcher, 5, paused(0, "a", 2_000));
+    assert!(!dispatcher.accepts(at(5), &run("a")));
+    for number in 0..8 {
+        let ended = Event::Ended {
+            number,
+            outcome: Outcome::Unsent,
+            can_retry: true,
+        };
+        let actions = step(&mut dispatcher, 6, ended);
+        assert!(
+            matches!(actions[..], [Action::Refuse { .. }]),
+            "{actions:?}"
+        );
+    }
+    assert!(dispatcher.accepts(at(2_005), &run("a")));
+    let back = step(
+        &mut dispatcher,
+        2_005,
+        Event::Arrived(request(9, 2_005, "app")),
+    );
+    assert_eq!(sent_to(&back), Some((9, "a".into())));
+}
+
+#[test]
+fn pause_of_all_is_refused_at_once() {
+    let mut dispatcher = ready("r1", &[target("a", "app"), target("b", "app")]);
+    for number in 0..20 {
+        step(
+            &mut dispatcher,
+            0,
+            Event::Arrived(request(number, 0, "app")),
+        );
+    }
+    assert_eq!((dispatcher.running(), dispatcher.waiting()), (16, 4));
+    let refused = refusals(&step(&mut dispatcher, 5, paused(1, "a", 2_000)));
+    assert_eq!(refused, [], "the other target takes them");
+    let refused = refusals(&step(&mut dispatcher, 10, paused(2, "b", 900)));
+    let expected = [16, 17, 18, 19].map(|n| (n, Reason::Pause, Span::from_millis(900)));
+    assert_eq!(refused, expected, "the earliest end of a pause");
+    let late = step(
+        &mut dispatcher,
+        500,
+        Event::Arrived(request(30, 500, "app")),
+    );
+    assert_eq!(
+        refusals(&late),
+        [(30, Reason::Pause, Span::from_millis(410))]
+    );
+    for number in 0..16 {
+        assert_eq!(step(&mut dispatcher, 600, Event::Closed { number }), []);
+    }
+    // This one can wait and still be on time.
+    let waits = step(
+        &mut dispatcher,
+        800,
+        Event::Arrived(request(31, 800, "app")),
+    );
+    assert_eq!(waits, []);
+    assert_eq!(step(&mut dispatcher, 900, Event::Tick), []);
+    let sent = step(&mut dispatcher, 910, Event::Tick);
+    assert!(sent_to(&sent).is_some_and(|(number, _)| number == 31));
+}
+
+#[test]
+fn pause_outlasts_list_changes_until_restart() {
+    let list = [target("a", "app"), target("b", "app")];
+    let mut dispatcher = ready("r1", &list);
+    step(&mut dispatcher, 0, Event::Arrived(request(1, 0, "app")));
+    step(&mut dispatcher, 5, paused(1, "a", 3_000));
+    step(&mut dispatcher, 10, targets(&[target("b", "app")]));
+    step(&mut dispatcher, 20, targets(&list));
+    let counts = offer(&mut dispatcher, 10..30, 1_000);
+    assert_eq!(counts, BTreeMap::from([("b".into(), 20)]));
+    let mut later = target("a", "app");
+    later.started_at_ms = 2;
+    step(
+        &mut dispatcher,
+        1_010,
+        targets(&[later, target("b", "app")]),
+    );
+    let counts = offer(&mut dispatcher, 30..50, 1_020);
+    assert!(counts.contains_key("a"), "{counts:?}");
+    step(&mut dispatcher, 1_030, paused(1, "a", 3_000));
+    let counts = offer(&mut dispatcher, 50..70, 1_040);
+    assert!(
+        counts.contains_key("a"),
+        "the earlier run asked: {counts:?}"
+    );
+}
+
+#[test]
+fn pause_of_unlisted_target() {
+    let list = [target("a", "app"), target("b", "app")];
+    let mut dispatcher = ready("r1", &list);
+    step(&mut dispatcher, 0, targets(&[target("b", "app")]));
+    step(&mut dispatcher, 5, paused(1, "a", 3_000));
+    step(&mut dispatcher, 6, paused(2, "a", 100));
+    step(&mut dispatcher, 10, targets(&list));
+    let counts = offer(&mut dispatcher, 10..30, 1_000);
+    assert_eq!(counts, BTreeMap::from([("b".into(), 20)]));
+}
+
+#[test]
+fn pause_extreme_durations() {
+    let mut dispatcher = ready("r1", &[target("a", "app")]);
+    assert_eq!(step(&mut dispatcher, 5, paused(1, "a", 0)), []);
+    assert!(dispatcher.accepts(at(5), &run("a")));
+    let asked = Span(u64::MAX);
+    let pause = Event::Paused {
+        number: 1,
+        run: run("a"),
+        asked,
+    };
+    let expected = Action::TargetPaused {
+        number: 1,
+        target: "a".parse().unwrap(),
+        asked,
+        applied: Span::from_secs(300),
+    };
+    assert_eq!(step(&mut dispatcher, 10, pause), [expected]);
+    // A shorter one does not end it.
+    step(&mut dispatcher, 20, paused(1, "a", 10));
+    assert!(!dispatcher.accepts(at(300_000), &run("a")));
+    assert!(dispatcher.accepts(at(300_010), &run("a")));
+}
+
+/// Simulates a load while half of the engines ask for a pause from the fourth to the eighth second.
+fn simulate_pause(routers: usize, requests_per_s: u64) -> Simulation {
+    let load = Load {
+        flood: 1,
+        requests_per_s,
+    };
+    let mut simulation = Simulation::open(routers, 6, table(Some(300_000)), load);
+    simulation.pause = 4_000..8_000;
+    simulation.run(Span::from_secs(12));
+    simulation
+}
+
+#[test]
+fn simulate_pause_leaves_callers_on_time() {
+    for routers in [1, 7] {
+        let simulation = simulate_pause(routers, 80);
+        for (workspace, stats) in simulation.stats() {
+            let share = stats.on_time * 100 / stats.requests.max(1);
+            assert!(share >= 95, "{routers} routers, {workspace}: {stats:?}");
+        }
+        for router in 0..routers {
+            for engine in 0..3 {
+                let sends = simulation.sends.iter();
+                let sends = sends.filter(|(_, r, e)| (*r, *e) == (router, engine));
+                let in_pause = sends.filter(|(ms, ..)| simulation.pause.contains(ms));
+                let in_pause: Vec<u64> = in_pause.map(|(ms, ..)| *ms).collect();
+                let first = in_pause.first().copied().unwrap_or_default();
+                assert!(
+                    in_pause.iter().all(|ms| *ms <= first + 1),
+                    "router {router}, engine {engine}: {in_pause:?}"
+                );
+            }
+        }
+    }
+}
+
+#[test]
+fn simulate_pause_ends_in_steps() {
+    let simulation = simulate_pause(1, 240);
+    let (end, mut returned) = (simulation.pause.end, 0);
+    for engine in 0..3 {
+        let sends = simulation.sends.iter();
+        let sends = sends.filter(|(ms, _, e)| *e == engine && *ms >= end);
+        let sends: Vec<u64> = sends.map(|(ms, ..)| *ms).collect();
+        let within = |millis| sends.iter().filter(|ms| **ms < sends[0] + millis).count();
+        let counts = [50, 100, 150].map(within);
+        let is_stepwise = counts.iter().zip([1, 3, 7]).all(|(n, most)| *n <= most);
+        assert!(is_stepwise, "engine {engine}: {counts:?}");
+        returned += within(1_000);
+    }
+    let others = simulation.sends.iter();
+    let others = others.filter(|(ms, _, e)| *e >= 3 && (end..end + 1_000).contains(ms));
+    let others = others.count();
+    assert!(
+        returned * 2 >= others,
+        "in a second {returned} requests returned to half of the engines, the others got {others}"
+    );
+}
+
 /// Simulates a load on seven routers.
 fn simulate(load: Load) -> Simulation {
     simulate_fleet(7, load)
@@ -793,16 +1032,17 @@
 struct Announced {
     started_at_ms: u64,
     leaving: bool,
+    paused_until: u64,
 }
 
 proptest! {
     #![proptest_config(ProptestConfig::with_cases(256))]
 
-    /// While targets leave, restart and disappear from the list in any order, none gets a
+    /// While targets leave, pause, restart and disappear from the list in any order, none gets a
     /// request after its announcement, and requests that none can serve don't wait.
     #[test]
     fn step_announcements(
-        choices in prop::collection::vec((0..10_u8, 0..12_u64, 0..300_u64), 1..300),
+        choices in prop::collection::vec((0..10_u8, 0..12_u64, 0..300_u64, 0..4_000_u64), 1..300),
     ) {
         let names = ["a", "b", "c"];
         let mut announced: BTreeMap<&str, Announced> =
@@ -811,7 +1051,7 @@
         let mut dispatcher = ready("r1", &listed);
         let (mut now, mut next) = (0, 0);
         let mut running = BTreeMap::<u64, (&str, u64)>::new();
-        for (what, pick, pause) in choices {
+        for (what, pick, pause, asked) in choices {
             now += pause;
             let picked = running.iter().nth(pick as usize % running.len().max(1));
             let picked = picked.map(|(number, sent)| (*number, *sent));
@@ -830,6 +1070,16 @@
                     state.leaving |= state.started_at_ms == started_at_ms;
                     events.push(Event::Leaving { number, run });
                 }
+                (5, Some((number, (name, started_at_ms)))) => {
+                    let run = catalog::Run { target: name.parse().unwrap(), started_at_ms };
+                    let state = announced.get_mut(name).unwrap();
+                    if state.started_at_ms == started_at_ms {
+                        state.paused_until = state.paused_until.max(now + asked);
+                    }
+                    let asked = Span::from_millis(asked);
+                    events.push(Event::Paused { number, run, asked });
+                    events.push(not_run(number));
+                }
                 (6, Some((number, _))) => events.push(Event::Closed { number }),
                 (7, _) => {
                     // The target restarts.
@@ -865,12 +1115,14 @@
                     let name = names.into_iter().find(|n| *n == estimate.target.as_str()).unwrap();
                     let state = &announced[name];
                     prop_assert!(!state.leaving, "{} leaves", name);
+                    prop_assert!(state.paused_until <= now, "{} is paused", name);
                     running.insert(number, (name, state.started_at_ms));
                 }
             }
+            // Requests wait at most until they would be late.
             let is_useful = listed.iter().any(|target| {
                 let state = &announced[target.name.as_str()];
-                !state.leaving
+                !state.leaving && state.paused_until <= now + 300
             });
             prop_assert!(is_useful || dispatcher.waiting() == 0, "requests wait for nothing");
         }
--- a/tests/engines/mod.rs
+++ b/tests/engines/mod.rs
@@ -68,6 +68,8 @@
     prefilling: VecDeque<(u64, u64)>,
     /// Future events: time, request, and whether it is the end rather than the first event.
     events: Vec<(u64, u64, bool)>,
+    /// Refusals on their way: time and request.
+    refusals: Vec<(u64, u64)>,
     cached: BTreeMap<u64, u64>,
     /// Slots in use, added up over milliseconds.
     used_slots_ms: u64,
@@ -81,6 +83,11 @@
     stats: Vec<Stats>,
     /// Time during which the engines process nothing, in milliseconds.
     pub(crate) outage: std::ops::Range<u64>,
+    /// Time during which the first half of the engines refuses requests and asks for a pause until
+    /// its end, in milliseconds.
+    pub(crate) pause: std::ops::Range<u64>,
+    /// All requests sent to engines: time in milliseconds, router and engine.
+    pub(crate) sends: Vec<(u64, usize, usize)>,
     load: Load,
     random: ChaCha8Rng,
     next: u64,
@@ -119,6 +126,8 @@
             jobs: BTreeMap::new(),
             stats: vec![Stats::default(); WORKSPACES as usize],
             outage: 0..0,
+            pause: 0..0,
+            sends: Vec::new(),
             load,
             random: ChaCha8Rng::seed_from_u64(7),
             next: 0,
@@ -133,6 +142,7 @@
         for now_ms in start..start + length.as_millis() {
             self.now_ms = now_ms;
             self.arrive();
+            self.deliver_refusals();
             if !self.outage.contains(&now_ms) {
                 self.advance_engines();
             }
@@ -262,6 +272,12 @@
                 number, estimate, ..
             } => {
                 let index: usize = estimate.target.as_str()[1..].parse().unwrap();
+                let router = self.jobs[&number].router;
+                self.sends.push((self.now_ms, router, index));
+                if index < self.engines.len() / 2 && self.pause.contains(&self.now_ms) {
+                    let at = self.now_ms + LATENCY_MS;
+                    return self.engines[index].refusals.push((at, number));
+                }
                 let engine = &mut self.engines[index];
                 let parts = self.jobs[&number].prompt.parts.iter();
                 let now_ms = self.now_ms;
@@ -296,7 +312,34 @@
                 };
                 self.step(router, ended);
             }
-            Action::HealthChanged { .. } | Action::TargetLeaving { .. } => {}
+            Action::HealthChanged { .. }
+            | Action::TargetLeaving { .. }
+            | Action::TargetPaused { .. } => {}
+        }
+    }
+
+    /// Passes on the refusals of engines that asked for a pause.
+    fn deliver_refusals(&mut self) {
+        for index in 0..self.engines.len() {
+            let now_ms = self.now_ms;
+            let refusals = std::mem::take(&mut self.engines[index].refusals);
+            let (due, later) = refusals.into_iter().partition(|(at, _)| *at <= now_ms);
+            self.engines[index].refusals = later;
+            for (_, number) in due {
+                let router = self.jobs[&number].router;
+                let run = catalog::Run {
+                    target: format!("e{index}").parse().unwrap(),
+                    started_at_ms: 1,
+                };
+                let asked = Span::from_millis(self.pause.end.saturating_sub(now_ms));
+                self.step(router, Event::Paused { number, run, asked });
+                let ended = Event::Ended {
+                    number,
+                    outcome: Outcome::NotRun,
+                    can_retry: true,
+                };
+                self.step(router, ended);
+            }
         }
     }
 
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -315,6 +315,96 @@
     }
 }
 
+#[test]
+fn target_pauses() {
+    let world = World::open(0, 2);
+    let router = Router::ready(&world.store, "r1");
+    let call = || Caller::new(router.listen, "POST", "/book/x", "q").call();
+    let (paused, other) = (&world.apps[0], &world.apps[1]);
+    paused.behave(Mode::Pausing("2.5"));
+    wait_for("the refusal", || {
+        assert_eq!(call().status, 200, "the other target runs it");
+        !paused.arrivals().is_empty()
+    });
+    paused.behave(Mode::Good);
+    other.behave(Mode::Full);
+    let refused = paused.arrivals()[0];
+    // Later requests may wait for the end of the pause.
+    while refused.elapsed() < Duration::from_millis(1_500) {
+        let refusal = call();
+        assert_eq!(refusal.status, 503, "{refusal:?}");
+        assert!(refusal.after < Duration::from_secs(1), "{refusal:?}");
+        thread::sleep(Duration::from_millis(30));
+    }
+    assert_eq!(paused.arrivals().len(), 1, "requests in the pause");
+    wait_for("it is used again", || call().status == 200);
+    let back = paused.arrivals()[1].duration_since(refused);
+    assert!(back >= Duration::from_millis(2_500), "{back:?}");
+    assert!(back < Duration::from_millis(4_500), "{back:?}");
+    assert_eq!(router.log().matches("target paused").count(), 1);
+}
+
+#[test]
+fn target_pauses_all() {
+    let world = World::open(0, 2);
+    let router = Router::ready(&world.store, "r1");
+    let call = |name: &str| Caller::new(router.listen, "POST", "/book/x", name).call();
+    for app in &world.apps {
+        app.behave(Mode::Pausing("2.9"));
+    }
+    assert_eq!(call("q1").status, 503);
+    let arrivals = world.apps.iter().flat_map(|app| app.arrivals());
+    let first = arrivals.min().unwrap();
+    let refusal = call("q2");
+    assert_eq!(refusal.status, 503);
+    assert!(refusal.after < Duration::from_secs(1), "{refusal:?}");
+    let after: f64 = refusal.header("retry-after").unwrap().parse().unwrap();
+    // The value is rounded down to milliseconds.
+    let least = 2.899 - first.elapsed().as_secs_f64();
+    assert!((least..=2.9).contains(&after), "{after} s");
+    let arrivals = world.apps.iter().map(|app| app.arrivals().len());
+    assert_eq!(arrivals.sum::<usize>(), 2, "one refusal of each target");
+    for app in &world.apps {
+        app.behave(Mode::Good);
+        app.register_run("ready", FIRST_START_MS + 1);
+    }
+    wait_for("later runs are used", || call("q3").status == 200);
+    assert!(first.elapsed() < Duration::from_millis(2_900));
+}
+
+#[test]
+fn target_pauses_invalid() {
+    let world = World::open(0, 1);
+    let router = Router::ready(&world.store, "r1");
+    let call = || Caller::new(router.listen, "POST", "/book/x", "q").call();
+    let values = [
+        "0",
+        "-3",
+        "NaN",
+        "inf",
+        "1e999",
+        "soon",
+        "",
+        "Fri, 04 Dec 2026",
+    ];
+    for value in values {
+        world.apps[0].behave(Mode::Pausing(value));
+        assert_eq!(call().status, 503, "{value:?}");
+        world.apps[0].behave(Mode::Good);
+        assert_eq!(call().status, 200, "no pause after {value:?}");
+    }
+    wait_for("log lines", || {
+        // All but the zero, which asks for no pause.
+        router.log().matches("pause unreadable").count() == values.len() - 1
+    });
+    world.apps[0].behave(Mode::Pausing("1e18"));
+    assert_eq!(call().status, 503);
+    wait_for("a log line", || {
+        let log = router.log();
+        log.contains("target paused") && log.contains("\"applied_ms\":300000")
+    });
+}
+
 #[test]
 fn target_answer_lost() {
     let world = World::open(0, 2);
--- a/tests/world/replica.rs
+++ b/tests/world/replica.rs
@@ -29,6 +29,8 @@
     Good,
     /// Refuses, and says that it did not run the request.
     Full,
+    /// The same with this value of `Retry-After`.
+    Pausing(&'static str),
     /// Runs the request and fails with 500.
     Failing,
     /// Runs the request and closes the connection without an answer.
@@ -233,12 +235,16 @@
                 return Ok(answer(421, ""));
             }
             let mode = self.state().mode;
-            if mode == Mode::Full {
+            if let Mode::Full | Mode::Pausing(_) = mode {
                 let mut refusal = answer(503, "");
                 sign(&mut refusal, &name);
                 refusal
                     .headers_mut()
                     .insert("x-marlrun-not-run", "1".parse().unwrap());
+                if let Mode::Pausing(time) = mode {
+                    let headers = refusal.headers_mut();
+                    headers.insert("retry-after", time.parse().unwrap());
+                }
                 return Ok(refusal);
             }
             let after = text("last-event-id").and_then(|last| last.parse().ok());
