--- a/src/dispatch/action.rs
+++ b/src/dispatch/action.rs
@@ -35,4 +35,22 @@
         /// Successes in the window that decided.
         answers: u32,
     },
+    /// A target announced that it leaves; it gets no further request.
+    TargetLeaving {
+        /// Request whose response had the announcement.
+        number: u64,
+        /// Target.
+        target: crate::id::Target,
+    },
+    /// A target asked for a pause.
+    TargetPaused {
+        /// Request that the target refused.
+        number: u64,
+        /// Target.
+        target: crate::id::Target,
+        /// Duration that the target asked for.
+        asked: crate::unit::Span,
+        /// Duration for which it gets no request.
+        applied: crate::unit::Span,
+    },
 }
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -5,7 +5,7 @@
 
 use nix::sys::signal::Signal;
 use std::{io::Read, thread, time::Duration};
-use world::{Answer, Caller, Fault, KEY, Mode, OTHER_KEY, Router, World, wait_for};
+use world::{Answer, Caller, FIRST_START_MS, Fault, KEY, Mode, OTHER_KEY, Router, World, wait_for};
 
 fn events(count: u64) -> String {
     (1..=count)
@@ -231,6 +231,180 @@
     assert!(world.runs_of("q9").is_empty());
 }
 
+#[test]
+fn target_announces_leaving() {
+    // The announcement counts whatever the response is.
+    for mode in [Mode::Good, Mode::Failing, Mode::Full] {
+        let world = World::open(0, 2);
+        let router = Router::ready(&world.store, "r1");
+        let call = |name: &str| Caller::new(router.listen, "GET", "/look/a", name).call();
+        let (leaver, other) = (&world.apps[0], &world.apps[1]);
+        let refused = || (0..6).for_each(|_| assert_eq!(call("q").status, 503, "{mode:?}"));
+        leaver.behave(mode);
+        leaver.announce_leaving(true);
+        wait_for("the announcement", || {
+            assert_eq!(call("q1").status, 200, "{mode:?}");
+            !leaver.arrivals().is_empty()
+        });
+        other.behave(Mode::Full);
+        refused();
+        leaver.register("draining");
+        thread::sleep(Duration::from_millis(200));
+        leaver.register("ready");
+        thread::sleep(Duration::from_millis(200));
+        refused();
+        leaver.unregister();
+        thread::sleep(Duration::from_millis(200));
+        leaver.register("ready");
+        thread::sleep(Duration::from_millis(200));
+        refused();
+        assert_eq!(leaver.arrivals().len(), 1, "{mode:?}");
+        assert_eq!(router.log().matches("target leaving").count(), 1);
+        leaver.behave(Mode::Good);
+        leaver.announce_leaving(false);
+        leaver.register_run("ready", FIRST_START_MS + 1);
+        wait_for("the later run is used", || call("q2").status == 200);
+    }
+}
+
+#[test]
+fn target_announces_leaving_all() {
+    let world = World::open(0, 1);
+    let router = Router::ready(&world.store, "r1");
+    world.apps[0].announce_leaving(true);
+    let call = || Caller::new(router.listen, "GET", "/look/a", "q").call();
+    let last = call();
+    assert_eq!(last.status, 200);
+    assert_eq!(last.header("server-leaving"), Some("1"), "{last:?}");
+    let refusal = call();
+    assert_eq!(refusal.status, 503);
+    assert!(refusal.header("retry-after").is_some());
+    assert_eq!(refusal.header("server-leaving"), None, "{refusal:?}");
+    assert!(refusal.after < Duration::from_secs(1), "{refusal:?}");
+    assert_eq!(world.apps[0].arrivals().len(), 1);
+}
+
+#[test]
+fn target_announces_leaving_in_stream() {
+    let world = World::open(2, 0);
+    let router = Router::ready(&world.store, "r1");
+    let listen = router.listen;
+    for engine in &world.engines {
+        engine.pace(40, Duration::from_millis(40));
+        engine.announce_leaving(true);
+    }
+    let streams: Vec<_> = (0..2)
+        .map(|number| {
+            let name = format!("q{number}");
+            let stream = thread::spawn(move || Caller::stream(listen, "plan", &name).call());
+            wait_for("the announcement", || {
+                router.log().matches("target leaving").count() == number + 1
+            });
+            stream
+        })
+        .collect();
+    let refusal = Caller::stream(listen, "plan", "q2").call();
+    assert_eq!(refusal.status, 503, "both engines leave: {refusal:?}");
+    for stream in streams {
+        let answer = stream.join().unwrap();
+        assert_eq!((answer.status, answer.whole), (200, true));
+        assert_eq!(answer.body, events(40), "what runs ends normally");
+    }
+    for engine in &world.engines {
+        assert_eq!(engine.arrivals().len(), 1);
+    }
+}
+
+#[test]
+fn target_pauses() {
+    let world = World::open(0, 2);
+    let router = Router::ready(&world.store, "r1");
+    let call = || Caller::new(router.listen, "POST", "/book/x", "q").call();
+    let (paused, other) = (&world.apps[0], &world.apps[1]);
+    paused.behave(Mode::Pausing("2.5"));
+    wait_for("the refusal", || {
+        assert_eq!(call().status, 200, "the other target runs it");
+        !paused.arrivals().is_empty()
+    });
+    paused.behave(Mode::Good);
+    other.behave(Mode::Full);
+    let refused = paused.arrivals()[0];
+    // Later requests may wait for the end of the pause.
+    while refused.elapsed() < Duration::from_millis(1_500) {
+        let refusal = call();
+        assert_eq!(refusal.status, 503, "{refusal:?}");
+        assert!(refusal.after < Duration::from_secs(1), "{refusal:?}");
+        thread::sleep(Duration::from_millis(30));
+    }
+    assert_eq!(paused.arrivals().len(), 1, "requests in the pause");
+    wait_for("it is used again", || call().status == 200);
+    let back = paused.arrivals()[1].duration_since(refused);
+    assert!(back >= Duration::from_millis(2_500), "{back:?}");
+    assert!(back < Duration::from_millis(4_500), "{back:?}");
+    assert_eq!(router.log().matches("target paused").count(), 1);
+}
+
+#[test]
+fn target_pauses_all() {
+    let world = World::open(0, 2);
+    let router = Router::ready(&world.store, "r1");
+    let call = |name: &str| Caller::new(router.listen, "POST", "/book/x", name).call();
+    for app in &world.apps {
+        app.behave(Mode::Pausing("2.9"));
+    }
+    assert_eq!(call("q1").status, 503);
+    let arrivals = world.apps.iter().flat_map(|app| app.arrivals());
+    let first = arrivals.min().unwrap();
+    let refusal = call("q2");
+    assert_eq!(refusal.status, 503);
+    assert!(refusal.after < Duration::from_secs(1), "{refusal:?}");
+    let after: f64 = refusal.header("retry-after").unwrap().parse().unwrap();
+    // The value is rounded down to milliseconds.
+    let least = 2.899 - first.elapsed().as_secs_f64();
+    assert!((least..=2.9).contains(&after), "{after} s");
+    let arrivals = world.apps.iter().map(|app| app.arrivals().len());
+    assert_eq!(arrivals.sum::<usize>(), 2, "one refusal of each target");
+    for app in &world.apps {
+        app.behave(Mode::Good);
+        app.register_run("ready", FIRST_START_MS + 1);
+    }
+    wait_for("later runs are used", || call("q3").status == 200);
+    assert!(first.elapsed() < Duration::from_millis(2_900));
+}
+
+#[test]
+fn target_pauses_invalid() {
+    let world = World::open(0, 1);
+    let router = Router::ready(&world.store, "r1");
+    let call = || Caller::new(router.listen, "POST", "/book/x", "q").call();
+    let values = [
+        "0",
+        "-3",
+        "NaN",
+        "inf",
+        "1e999",
+        "soon",
+        "",
+        "Fri, 04 Dec 2026",
+    ];
+    for value in values {
+        world.apps[0].behave(Mode::Pausing(value));
+        assert_eq!(call().status, 503, "{value:?}");
+        world.apps[0].behave(Mode::Good);
+        assert_eq!(call().status, 200, "no pause after {value:?}");
+    }
+    wait_for("log lines", || {
+        // All but the zero, which asks for no pause.
+        router.log().matches("pause unreadable").count() == values.len() - 1
+    });
+    world.apps[0].behave(Mode::Pausing("1e18"));
+    assert_eq!(call().status, 503);
+    wait_for("a log line", || {
+        let log = router.log();
+        log.contains("target paused") && log.contains("\"applied_ms\":300000")
+    });
+}
+
 #[test]
 fn target_answer_lost() {
     let world = World::open(0, 2);
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -20,7 +20,7 @@
     connection::{Connection, Reply},
     fleet::Fleet,
     proxy::{Harm, Proxy},
-    replica::{Mode, Replica, Run, event},
+    replica::{FIRST_START_MS, Mode, Replica, Run, event},
     router::Router,
     store::{Fault, Store},
 };
