Read requests that arrived before a stopping router closes, also after it was held up

Cause: when the drain notice was over, the router closed idle connections and its listener at once, whether or not the runtime had looked at their sockets since. After a time without the processor the timer and the sockets are due together, and the timer could win: requests that had arrived up to hundreds of milliseconds before the close were discarded unread, connections in the backlog reset.

Change: after the notice the runtime looks at the sockets once more, and a connection is polled before its timer; the backlog is emptied after that, too.

gateway::stop_requests_before_close stops the process from 0.4 s before the close until 0.3 s after it, while 16 kept and 16 new connections send requests.

--- a/src/front/server.rs
+++ b/src/front/server.rs
@@ -148,7 +148,9 @@
             Err(_) => tokio::time::sleep(ACCEPT_RETRY).await,
         }
     }
-    // Connections still in the backlog would be reset when the listener closes.
+    // Connections still in the backlog would be reset when the listener closes. The runtime may not
+    // have looked at the listener since they arrived.
+    tokio::task::yield_now().await;
     while let Some(Ok((stream, _))) = listener.accept().now_or_never() {
         serve(stream, &mut refused);
     }
@@ -226,13 +228,17 @@
         _ = stopped.wait_for(Option::is_some) => {}
     }
     // A request may be in transit on an idle connection; closing the connection now would reset it.
-    let next_request = tokio::time::timeout(
-        time_to_close(&stopped),
-        busy_receiver.wait_for(|busy| *busy),
-    );
+    let next_request = async {
+        let busy = busy_receiver.wait_for(|busy| *busy);
+        let _ = tokio::time::timeout(time_to_close(&stopped), busy).await;
+        // If this thread was held up, the time may be over before requests that have arrived are
+        // read: lets the runtime look at its sockets once more.
+        tokio::task::yield_now().await;
+    };
     tokio::select! {
+        biased;
         _ = connection.as_mut() => return,
-        _ = next_request => {}
+        () = next_request => {}
     }
     connection.as_mut().graceful_shutdown();
     // A partial request head must not delay the shutdown.
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -5,7 +5,7 @@
 
 use nix::sys::signal::Signal;
 use std::{io::Read, thread, time::Duration};
-use world::{Answer, Caller, Fault, KEY, Mode, OTHER_KEY, Router, World, wait_for};
+use world::{Answer, Caller, Connection, Fault, KEY, Mode, OTHER_KEY, Router, World, wait_for};
 
 fn events(count: u64) -> String {
     (1..=count)
@@ -504,6 +504,49 @@
     }
 }
 
+#[test]
+fn stop_requests_before_close() {
+    let world = World::open(0, 1);
+    let mut router = Router::ready(&world.store, "r1");
+    let limit = Duration::from_secs(5);
+    let listen = router.listen;
+    let mut kept: Vec<_> = (0..16)
+        .map(|_| Connection::open(listen, limit).unwrap())
+        .collect();
+    for connection in &mut kept {
+        let reply = connection.call(&Caller::new(listen, "GET", "/look/x", "before"));
+        assert_eq!(reply.answer.unwrap().status, 200);
+    }
+    router.signal(Signal::SIGTERM);
+    wait_for("not ready", || !router.is_ready());
+    // The process gets no processor time from shortly before it closes idle connections; requests
+    // arrive meanwhile, on these and on new ones.
+    thread::sleep(Duration::from_millis(2_000));
+    router.signal(Signal::SIGSTOP);
+    let fresh = (0..16).map(|_| Connection::open(listen, limit).unwrap());
+    let connections: Vec<_> = kept.into_iter().chain(fresh).collect();
+    let callers: Vec<_> = connections
+        .into_iter()
+        .enumerate()
+        .map(|(index, mut connection)| {
+            thread::spawn(move || {
+                let caller = Caller::new(listen, "POST", "/book/x", &format!("q{index}"));
+                connection.call(&caller)
+            })
+        })
+        .collect();
+    thread::sleep(Duration::from_millis(700));
+    router.signal(Signal::SIGCONT);
+    let replies = callers.into_iter().map(|caller| caller.join().unwrap());
+    let statuses: Vec<_> = replies
+        .map(|reply| reply.answer.filter(|a| a.whole).map(|a| a.status))
+        .collect();
+    // A router that was held up may refuse.
+    let answered = |status: &Option<u16>| matches!(status, Some(200 | 503));
+    assert!(statuses.iter().all(answered), "{statuses:?}");
+    wait_for("the router ends", || router.ended() == Some(0));
+}
+
 #[test]
 fn stop_late_request() {
     use std::io::Write;
--- a/tests/world/connection.rs
+++ b/tests/world/connection.rs
@@ -4,7 +4,7 @@
 use std::{
     io::{self, Read, Write},
     net::{SocketAddr, TcpStream},
-    time::{Duration, Instant},
+    time::{Duration, Instant, UNIX_EPOCH},
 };
 
 /// Size of the blocks that are read.
@@ -13,6 +13,8 @@
 /// An open connection.
 pub(crate) struct Connection {
     stream: TcpStream,
+    /// Requests that were sent on it.
+    requests: u32,
 }
 
 /// How a request on a connection ended.
@@ -20,6 +22,10 @@
 pub(crate) struct Reply {
     /// What came back; `None` if no head did.
     pub(crate) answer: Option<Answer>,
+    /// Requests that were sent on the connection before.
+    pub(crate) earlier: u32,
+    /// Time at which the last byte of the request was sent, in milliseconds, as in log lines.
+    pub(crate) sent_ms: u128,
     /// Time from the last byte of the request to the end of the answer or of the connection.
     pub(crate) after: Duration,
     /// Bytes that came after the answer.
@@ -36,7 +42,10 @@
         let stream = TcpStream::connect(address)?;
         stream.set_nodelay(true)?;
         stream.set_read_timeout(Some(limit))?;
-        Ok(Self { stream })
+        Ok(Self {
+            stream,
+            requests: 0,
+        })
     }
 
     /// Sends a request and reads until its answer is whole or the connection has ended.
@@ -46,6 +55,8 @@
         // A reset after the request is as good as one before the answer.
         let mut open = self.stream.write_all(&caller.message()).is_ok();
         let sent = Instant::now();
+        let sent_ms = UNIX_EPOCH.elapsed().unwrap().as_millis();
+        self.requests += 1;
         let mut end = None;
         while open && end.is_none() {
             let mut block = [0; BLOCK_BYTES];
@@ -69,6 +80,8 @@
         Reply {
             open: open && closing != Some("close"),
             answer,
+            earlier: self.requests - 1,
+            sent_ms,
             after,
             extra: String::from_utf8_lossy(extra).into(),
             abandoned,
