--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -17,11 +17,6 @@
 use hyper::body::Frame;
 use std::{io, time::Duration};
 
-/// Multiple of the route's objective for pauses between events after which a resumable stream
-/// counts as stalled, once its first event was relayed.
-const STALL_PAUSES: u64 = 3;
-/// Time added to that multiple.
-const STALL_MARGIN: Span = Span::from_millis(300);
 /// Interval at which a stalled stream looks for another target.
 const STALL_CHECK_INTERVAL: Span = Span::from_millis(200);
 
@@ -40,6 +35,8 @@
     /// Response being read; `None` once the relay has ended.
     transfer: Option<Transfer>,
     mode: Mode,
+    /// Whether the target sent an event.
+    started: bool,
     /// Time at which a target last sent something.
     last_received: Time,
     /// Time from which the stream counts as stalled, or at which it looks for another target again.
@@ -90,6 +87,7 @@
             decisions,
             transfer: Some(transfer),
             mode,
+            started: false,
             last_received: Time::default(),
             stalled_at: Time::default(),
         };
@@ -107,9 +105,8 @@
     fn stall_timeout(&self) -> Span {
         match self.exchange.call.route.kind {
             Kind::Stream {
-                pause,
-                resumable: true,
-            } => Span(pause.0 * STALL_PAUSES + STALL_MARGIN.0),
+                resumable: true, ..
+            } => self.exchange.submission.silence_timeout(),
             _ => self.exchange.call.remaining(self.last_received),
         }
     }
@@ -139,7 +136,9 @@
                     match self.process(bytes) {
                         Ok(bytes) if bytes.is_empty() => continue,
                         Ok(bytes) => {
-                            self.exchange.record_first_byte();
+                            if !std::mem::replace(&mut self.started, true) {
+                                self.exchange.record_start();
+                            }
                             return Some(Ok(bytes));
                         }
                         Err(cause) => (Outcome::Broken, cause),
@@ -305,6 +304,7 @@
             let failure = match attempt {
                 Ok(Ok(transfer)) if transfer.head.status.is_success() => {
                     self.transfer = Some(transfer);
+                    self.started = false;
                     self.record_received();
                     return Ok(());
                 }
