Stand-in store: restore from a copy, era in each answer

The platform's store may come back from a copy that is some seconds old: rows and versions go back, versions are given out again, a feed after a version that it doesn't have gets 410, and the era in all answers rises by one. The stand-in takes such copies, restores them, and can misstate the era of one answer. Targets of the stand-in count the writes of their entries.

--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -16,7 +16,7 @@
     caller::{Answer, Caller},
     replica::{Mode, Replica, Run, event},
     router::Router,
-    store::{Fault, Store},
+    store::{Era, Fault, Store},
 };
 
 use serde_json::{Value, json};
--- a/tests/world/replica.rs
+++ b/tests/world/replica.rs
@@ -14,7 +14,10 @@
 use serde_json::json;
 use std::{
     net::SocketAddr,
-    sync::{Arc, Mutex, MutexGuard},
+    sync::{
+        Arc, Mutex, MutexGuard,
+        atomic::{AtomicU64, Ordering},
+    },
     time::Duration,
 };
 use tokio::sync::watch;
@@ -78,6 +81,8 @@
     /// Events of each stream, and the time between two.
     events: Mutex<(u64, Duration)>,
     hold: watch::Sender<bool>,
+    /// Writes of the entry so far.
+    seq: AtomicU64,
 }
 
 impl Replica {
@@ -95,6 +100,7 @@
             }),
             events: Mutex::new((5, Duration::from_millis(5))),
             hold: watch::Sender::new(false),
+            seq: AtomicU64::new(0),
         });
         let served = shared.clone();
         let listener = Listener::bind(Arc::new(move |request| served.clone().serve(request)));
@@ -114,10 +120,11 @@
 
     /// Writes the target's entry with a state.
     pub(crate) fn register(&self, state: &str) {
+        let seq = self.shared.seq.fetch_add(1, Ordering::Relaxed) + 1;
         let entry = json!({
             "service": self.shared.service, "address": self.address().to_string(),
             "zone": "east", "version": "v1", "slots": 8, "state": state, "cold-left-ms": 0,
-            "born": 1_700_000_000_000_u64, "seq": 1,
+            "born": 1_700_000_000_000_u64, "seq": seq,
         });
         self.store.put("servers", &self.name, &entry);
     }
--- a/tests/world/store.rs
+++ b/tests/world/store.rs
@@ -33,17 +33,39 @@
     Slow(Duration),
 }
 
+/// What the `Store-Era` header of one answer says in place of the era.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Era {
+    /// There is no such header.
+    Absent,
+    /// An era.
+    Other(u64),
+}
+
+#[derive(Clone)]
 struct Row {
     value: Option<Vec<u8>>,
     version: u64,
 }
 
+/// What a restore brings back.
+#[derive(Clone)]
+struct Copy {
+    rows: BTreeMap<(String, String), Row>,
+    version: u64,
+}
+
 struct State {
     rows: BTreeMap<(String, String), Row>,
     version: u64,
     /// Changes up to this version are not kept.
     forgotten: u64,
     fault: Fault,
+    /// Rises by one with each restore.
+    era: u64,
+    /// What the next answer says of the era, if it is wrong.
+    misstated: Option<Era>,
+    copy: Option<Copy>,
 }
 
 /// The store; it ends when it is dropped.
@@ -66,6 +88,9 @@
                 version: 1,
                 forgotten: 0,
                 fault: Fault::None,
+                era: 1,
+                misstated: None,
+                copy: None,
             }),
             changed: Notify::new(),
             calls: AtomicU64::new(0),
@@ -114,6 +139,42 @@
         self.shared.changed.notify_waiters();
     }
 
+    /// Takes a copy; a later one replaces it.
+    pub(crate) fn copy(&self) {
+        let mut state = self.shared.state();
+        state.copy = Some(Copy {
+            rows: state.rows.clone(),
+            version: state.version,
+        });
+    }
+
+    /// Comes back from the copy: what was written since is gone, versions are given out again, and
+    /// the era rises by one. Operators and targets write again by themselves.
+    pub(crate) fn restore(&self) {
+        let mut state = self.shared.state();
+        let copy = state.copy.clone().unwrap();
+        state.rows = copy.rows;
+        state.version = copy.version;
+        state.forgotten = state.forgotten.min(copy.version);
+        state.era += 1;
+        drop(state);
+        self.shared.changed.notify_waiters();
+    }
+
+    pub(crate) fn era(&self) -> u64 {
+        self.shared.state().era
+    }
+
+    /// Makes the next answer misstate the era.
+    pub(crate) fn misstate(&self, era: Era) {
+        self.shared.state().misstated = Some(era);
+    }
+
+    /// Reports whether an answer with a misstated era is still to come.
+    pub(crate) fn misstates(&self) -> bool {
+        self.shared.state().misstated.is_some()
+    }
+
     /// Returns the number of calls so far.
     pub(crate) fn calls(&self) -> u64 {
         self.shared.calls.load(Ordering::Relaxed)
@@ -136,7 +197,28 @@
         version
     }
 
+    /// Adds the era to an answer.
+    fn stamp(&self, answered: Answered) -> Answered {
+        let mut answer = answered?;
+        let mut state = self.state();
+        let era = match state.misstated.take() {
+            None => state.era,
+            Some(Era::Other(era)) => era,
+            Some(Era::Absent) => return Ok(answer),
+        };
+        answer.headers_mut().insert("store-era", era.into());
+        Ok(answer)
+    }
+
     fn serve(self: Arc<Self>, request: Request<Incoming>) -> BoxFuture<'static, Answered> {
+        async move {
+            let answered = self.clone().answer(request).await;
+            self.stamp(answered)
+        }
+        .boxed()
+    }
+
+    fn answer(self: Arc<Self>, request: Request<Incoming>) -> BoxFuture<'static, Answered> {
         async move {
             self.calls.fetch_add(1, Ordering::Relaxed);
             let path = request.uri().path().to_owned();
@@ -191,7 +273,8 @@
                     Fault::Reset => return Err(std::io::ErrorKind::ConnectionReset.into()),
                     _ => {}
                 }
-                if after < state.forgotten {
+                // It neither keeps changes that are too old nor has versions that are still to come.
+                if after < state.forgotten || after > state.version {
                     return Ok((410, json!({})));
                 }
                 let rows = state.rows.iter();
