--- /dev/null
+++ b/src/catalog/entry.rs
@@ -0,0 +1,14 @@
+//! Entry of the list of targets.
+
+use super::Target;
+
+/// An entry of the list of targets.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Entry {
+    /// Name of the entry.
+    pub name: Box<str>,
+    /// Target; `None` if the entry was removed or describes no usable target.
+    pub target: Option<Target>,
+    /// Number of the writes of this entry by one run of the target; 0 if unknown.
+    pub sequence: u64,
+}
--- /dev/null
+++ b/src/catalog/event.rs
@@ -0,0 +1,20 @@
+//! Input of the catalog.
+
+use super::Entry;
+
+/// Input of the catalog.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Event {
+    /// The whole list was read; targets without an entry in it are removed.
+    Snapshot(Vec<Entry>),
+    /// Entries changed.
+    Update(Vec<Entry>),
+    /// The list cannot be read.
+    Unavailable,
+    /// The list can be read again.
+    Recovered,
+    /// The list came back from a copy; its first [`Event::Snapshot`] follows.
+    Restored,
+    /// Time has passed.
+    Tick,
+}
--- a/src/catalog/machine.rs
+++ b/src/catalog/machine.rs
@@ -1,6 +1,6 @@
 //! State machine that maintains the known targets through failures of their list.
 
-use super::Target;
+use super::{Entry, Event, Target, memory::Memory, write::Write};
 use crate::{
     id,
     unit::{Span, Time},
@@ -11,37 +11,18 @@
 /// platform promises about two seconds.
 const REGISTER_GRACE: Span = Span::from_millis(2_300);
 
-/// An entry of the list of targets.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Entry {
-    /// Name of the entry.
-    pub name: Box<str>,
-    /// Target; `None` if the entry was removed or describes no usable target.
-    pub target: Option<Target>,
-}
-
-/// Input of the catalog.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Event {
-    /// The whole list was read; targets without an entry in it are removed.
-    Snapshot(Vec<Entry>),
-    /// Entries changed.
-    Update(Vec<Entry>),
-    /// The list cannot be read.
-    Unavailable,
-    /// The list can be read again.
-    Recovered,
-    /// Time has passed.
-    Tick,
-}
-
 /// Targets to which requests may be sent.
 ///
 /// While the list cannot be read, and for a grace time after, no target is removed: entries also
-/// disappear when the platform fails, and the targets then register again.
+/// disappear when the platform fails, and the targets then register again. The same holds after the
+/// list came back from a copy. An entry that is older than what is known of its target, such as its
+/// departure, is then set aside until the target writes again.
 #[derive(Clone, Debug, Default)]
 pub struct Catalog {
     targets: BTreeMap<id::Target, Target>,
+    memory: Memory,
+    /// Entries of a restored list that are older than what is known of their target.
+    set_aside: BTreeMap<id::Target, Entry>,
     /// Targets whose entry disappeared while the list was unavailable or within the grace time,
     /// with the time at which they are removed.
     expiring: BTreeMap<id::Target, Time>,
@@ -55,6 +36,17 @@
         &self.targets
     }
 
+    /// Returns the number of targets whose entry is missing and may come back.
+    pub fn missing(&self) -> usize {
+        self.expiring.len()
+    }
+
+    /// Returns the number of entries that are set aside because they are older than what is known of
+    /// their target.
+    pub fn set_aside(&self) -> usize {
+        self.set_aside.len()
+    }
+
     /// Applies an event; returns whether the targets changed.
     pub fn step(&mut self, now: Time, event: Event) -> bool {
         match event {
@@ -69,16 +61,28 @@
             Event::Recovered => {
                 if self.unavailable {
                     self.unavailable = false;
-                    self.recovered_at = Some(now);
-                    let until = now + REGISTER_GRACE;
-                    self.expiring.values_mut().for_each(|at| *at = until);
+                    self.start_grace(now);
                 }
                 false
             }
-            Event::Tick => self.expire(now),
+            Event::Restored => {
+                self.memory.restore(now);
+                self.start_grace(now);
+                false
+            }
+            Event::Tick => {
+                let readmitted = self.readmit(now);
+                self.expire(now) | readmitted
+            }
         }
     }
 
+    fn start_grace(&mut self, now: Time) {
+        self.recovered_at = Some(now);
+        let until = now + REGISTER_GRACE;
+        self.expiring.values_mut().for_each(|at| *at = until);
+    }
+
     fn replace(&mut self, now: Time, entries: Vec<Entry>) -> bool {
         let names: Vec<id::Target> = self.targets.keys().cloned().collect();
         let missing = names
@@ -88,6 +92,7 @@
         for name in missing.collect::<Vec<_>>() {
             changed |= self.remove(now, &name);
         }
+        self.set_aside.clear();
         for entry in entries {
             changed |= self.apply(now, entry);
         }
@@ -97,18 +102,37 @@
     fn apply(&mut self, now: Time, entry: Entry) -> bool {
         let Some(target) = entry.target else {
             return match entry.name.parse::<id::Target>() {
-                Ok(name) => self.remove(now, &name),
+                Ok(name) => {
+                    self.set_aside.remove(&name);
+                    self.remove(now, &name)
+                }
                 // Entries with an invalid name were never in the catalog.
                 Err(_) => false,
             };
         };
-        self.expiring.remove(&target.name);
+        let write = Write::of(&target, entry.sequence);
         let old = self.targets.get(&target.name);
-        if old == Some(&target) || old.is_some_and(|old| target.started_at_ms < old.started_at_ms) {
+        if old != Some(&target) && self.memory.precedes(&target.name, write) {
+            self.expiring.remove(&target.name);
+            let name = target.name.clone();
+            let entry = Entry {
+                target: Some(target),
+                ..entry
+            };
+            self.set_aside.insert(name, entry);
             return false;
         }
-        self.targets.insert(target.name.clone(), target);
-        true
+        self.set_aside.remove(&target.name);
+        if old.is_some_and(|old| target.started_at_ms < old.started_at_ms) {
+            return false;
+        }
+        let changed = old != Some(&target);
+        self.expiring.remove(&target.name);
+        self.memory.add(now, &target.name, write, target.draining);
+        if changed {
+            self.targets.insert(target.name.clone(), target);
+        }
+        changed
     }
 
     fn remove(&mut self, now: Time, name: &id::Target) -> bool {
@@ -123,8 +147,28 @@
                 self.expiring.entry(name.clone()).or_insert(until);
                 false
             }
-            _ => self.targets.remove(name).is_some(),
+            _ => self.discard(now, name),
+        }
+    }
+
+    /// Removes a target at once; returns whether it was known.
+    fn discard(&mut self, now: Time, name: &id::Target) -> bool {
+        self.expiring.remove(name);
+        let known = self.targets.remove(name).is_some();
+        if known {
+            self.memory.depart(now, name);
         }
+        known
+    }
+
+    /// Applies the entries that have been set aside for long: the platform has kept them only
+    /// because their targets write them.
+    fn readmit(&mut self, now: Time) -> bool {
+        let forgotten = self.memory.expire(now);
+        forgotten.into_iter().fold(false, |changed, name| {
+            let entry = self.set_aside.remove(&name);
+            entry.is_some_and(|entry| self.apply(now, entry)) | changed
+        })
     }
 
     fn expire(&mut self, now: Time) -> bool {
@@ -134,8 +178,7 @@
         let due = self.expiring.iter().filter(|(_, until)| **until <= now);
         let due: Vec<id::Target> = due.map(|(name, _)| name.clone()).collect();
         for name in &due {
-            self.expiring.remove(name);
-            self.targets.remove(name);
+            self.discard(now, name);
         }
         !due.is_empty()
     }
--- a/src/catalog/mod.rs
+++ b/src/catalog/mod.rs
@@ -1,9 +1,10 @@
 //! Targets known to a router, maintained from a list that lags behind and is unavailable at times.
 
+mod entry;
+mod event;
 mod machine;
+mod memory;
 mod target;
+mod write;
 
-pub use self::{
-    machine::{Catalog, Entry, Event},
-    target::Target,
-};
+pub use self::{entry::Entry, event::Event, machine::Catalog, target::Target};
--- a/src/gateway/controller.rs
+++ b/src/gateway/controller.rs
@@ -2,9 +2,12 @@
 //! periodic work and sends load summaries to other routers.
 
 use super::{
-    Decoder, Driver, Settings, Sources, State,
+    Decoder, Driver, Incumbent, Settings, Sources, State,
     caches::{CONFIGURATION, Caches, ROUTERS, TARGETS},
+    presence::Presence,
     record::Record,
+    restoration::Restoration,
+    settings::Peer,
 };
 use crate::{
     catalog::{self, Catalog},
@@ -12,10 +15,10 @@
     dispatch::Event,
     gossip, id, metric, mirror,
     roster::Roster,
-    unit::{Span, Time},
+    unit::{Era, Span, Time},
     upstream, watch,
 };
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
 use tokio::{sync::mpsc, time::MissedTickBehavior};
 
 /// Interval of the dispatcher's checks of queued requests, silent targets and shares.
@@ -53,10 +56,20 @@
 const MAX_FALLBACK_ROUTERS: usize = 3;
 /// Initial and maximum backoff between failed reads of a list.
 const LIST_BACKOFF: (Span, Span) = (Span::from_millis(100), Span::from_millis(800));
+/// Interval of reading the list of targets again while entries are set aside: changes of nothing but
+/// the number of a write are not reported.
+const TARGET_REFRESH_INTERVAL: Span = Span::from_secs(2);
 /// Long-polling wait for the list of routers. Its age is not critical, because routers send
 /// summaries to the others as soon as they start.
 const ROUTERS_LONG_POLL_WAIT: Span = Span::from_secs(20);
 
+/// Watchers of the platform's lists.
+struct Watchers {
+    configuration: watch::Watcher,
+    targets: watch::Watcher,
+    routers: watch::Watcher,
+}
+
 /// Background task that applies changes of the platform's lists and exchanges load summaries.
 pub(super) struct Controller {
     pub(super) settings: Settings,
@@ -65,7 +78,14 @@
     pub(super) pool: upstream::Pool,
     pub(super) socket: Arc<gossip::Socket>,
     pub(super) catalog: Catalog,
-    pub(super) targets_version: u64,
+    /// Position of each list by its name.
+    pub(super) positions: BTreeMap<&'static str, watch::Position>,
+    /// Era in which the list of routers was last refreshed because another list was ahead.
+    pub(super) refreshed_era: Era,
+    /// Time at which the list of targets is read again if entries are set aside.
+    pub(super) next_target_refresh: Time,
+    pub(super) incumbent: Incumbent,
+    pub(super) presence: Arc<Presence>,
     pub(super) roster: Roster,
     pub(super) peers: Arc<mirror::Peers>,
     pub(super) caches: Caches,
@@ -107,16 +127,21 @@
             Arc::new(mirror::Source::new(name, platform, pool, peers, max_age))
         };
         let source = open(CONFIGURATION, sources.configuration, max_list_age);
-        let configuration_watcher =
+        let configuration =
             watch::Watcher::spawn(source, watch_settings(wait), configuration_sender);
         let source = open(TARGETS, sources.targets, max_list_age);
-        let _target_watcher = watch::Watcher::spawn(source, watch_settings(wait), targets_sender);
+        let targets = watch::Watcher::spawn(source, watch_settings(wait), targets_sender);
         let source = open(ROUTERS, sources.routers, ROUTERS_MAX_AGE);
         let router_settings = watch::Settings {
             batch_delay: ROUTERS_BATCH_DELAY,
             ..watch_settings(ROUTERS_LONG_POLL_WAIT)
         };
-        let _router_watcher = watch::Watcher::spawn(source, router_settings, routers_sender);
+        let routers = watch::Watcher::spawn(source, router_settings, routers_sender);
+        let watchers = Watchers {
+            configuration,
+            targets,
+            routers,
+        };
         let mut tick_timer = interval(TICK_INTERVAL);
         let mut summary_timer = interval(SUMMARY_INTERVAL);
         let mut sweep_timer = interval(SWEEP_INTERVAL);
@@ -132,7 +157,7 @@
                 Some(event) = target_events.recv() => self.apply_targets(event),
                 Some(event) = router_events.recv() => self.apply_routers(event),
                 Some(summary) = summaries.recv() => self.receive(summary),
-                _ = tick_timer.tick() => self.tick(&configuration_watcher),
+                _ = tick_timer.tick() => self.tick(&watchers),
                 _ = summary_timer.tick() => {
                     self.send_summaries().await;
                     summary_timer.reset_after(Duration::from(summary_interval(self.datagrams, self.roster.is_large())));
@@ -144,8 +169,27 @@
         listener.abort();
     }
 
-    fn apply_configuration(&mut self, event: watch::Event<watch::Row>) {
+    /// Notes the position of a list; returns the restore of the platform that it shows, if any.
+    fn observe_position(
+        &mut self,
+        list: &'static str,
+        event: &watch::Event<watch::Row>,
+    ) -> Option<Restoration> {
+        let position = event.position()?;
+        let previous = self.positions.insert(list, position)?;
+        (position.era > previous.era).then(|| Restoration::new(list, previous, position))
+    }
+
+    fn apply_configuration(&mut self, mut event: watch::Event<watch::Row>) {
+        let restoration = self.observe_position(CONFIGURATION, &event);
+        let replaced = self
+            .incumbent
+            .reconcile(&mut event, self.decoder.configuration);
         self.caches.configuration.apply(&event);
+        if let Some(mut restoration) = restoration {
+            restoration.set_aside = replaced;
+            restoration.report(&self.log);
+        }
         let entries = match watch::decode(event, self.decoder.configuration) {
             watch::Event::Full { entries, .. } | watch::Event::Changed { entries, .. } => entries,
             watch::Event::Unchanged { .. } => return,
@@ -181,21 +225,15 @@
     }
 
     fn apply_targets(&mut self, event: watch::Event<watch::Row>) {
+        let restoration = self.observe_position(TARGETS, &event);
         self.caches.targets.apply(&event);
+        if restoration.is_some() {
+            self.catalog.step(clock::now(), catalog::Event::Restored);
+        }
         let event = match watch::decode(event, self.decoder.target) {
             watch::Event::Unchanged { .. } => return,
-            watch::Event::Full {
-                entries, version, ..
-            } => {
-                self.targets_version = version;
-                catalog::Event::Snapshot(entries)
-            }
-            watch::Event::Changed {
-                entries, version, ..
-            } => {
-                self.targets_version = version;
-                catalog::Event::Update(entries)
-            }
+            watch::Event::Full { entries, .. } => catalog::Event::Snapshot(entries),
+            watch::Event::Changed { entries, .. } => catalog::Event::Update(entries),
             watch::Event::Unavailable { fault } => {
                 self.log_lost("targets", &fault);
                 catalog::Event::Unavailable
@@ -209,13 +247,18 @@
         if self.catalog.step(clock::now(), event) || whole {
             self.publish_targets();
         }
+        if let Some(mut restoration) = restoration {
+            restoration.missing = self.catalog.missing();
+            restoration.set_aside = self.catalog.set_aside();
+            restoration.report(&self.log);
+        }
     }
 
     /// Passes the targets in the catalog to the handlers and the dispatcher.
     fn publish_targets(&mut self) {
         let targets = self.catalog.targets().clone();
         let record = Record::Targets {
-            version: self.targets_version,
+            version: self.positions.get(TARGETS).map_or(0, |at| at.version),
             live: targets.len(),
             draining: targets.values().filter(|target| target.draining).count(),
         };
@@ -225,13 +268,18 @@
     }
 
     fn apply_routers(&mut self, event: watch::Event<watch::Row>) {
+        let restoration = self.observe_position(ROUTERS, &event);
         self.caches.routers.apply(&event);
+        let is_full = matches!(event, watch::Event::Full { .. });
         let entries = match watch::decode(event, self.decoder.router) {
             watch::Event::Full { entries, .. } | watch::Event::Changed { entries, .. } => entries,
             watch::Event::Unchanged { .. } => return,
             watch::Event::Unavailable { fault } => return self.log_lost("routers", &fault),
             watch::Event::Recovered { outage } => return self.log_recovered("routers", outage),
         };
+        if is_full {
+            self.check_presence(&entries, restoration);
+        }
         for (router, entry) in entries {
             let present = entry.is_some();
             let changed = match entry {
@@ -251,6 +299,31 @@
         });
     }
 
+    /// Writes this router's own entry again if the whole list lacks it, or removes it again if the
+    /// router shuts down: the platform's list may have come back from a copy. Other routers that are
+    /// missing stay in the roster; they do the same.
+    fn check_presence(&self, entries: &[Peer], restoration: Option<Restoration>) {
+        let own = self.roster.own();
+        let is_listed = |router| entries.iter().any(|(listed, _)| listed == router);
+        let listed = entries.iter().any(|(_, entry)| entry.as_ref() == Some(own));
+        let draining = self.state.is_draining();
+        let written_again = !draining && !listed && self.presence.was_written();
+        if written_again {
+            self.presence.announce();
+        }
+        if draining && listed {
+            let presence = self.presence.clone();
+            tokio::spawn(async move { presence.withdraw().await });
+        }
+        if let Some(mut restoration) = restoration {
+            let others = self.roster.others().map(|entry| &entry.router);
+            restoration.missing = others.filter(|router| !is_listed(*router)).count();
+            restoration.written_again = usize::from(written_again);
+            restoration.set_aside = usize::from(draining && listed);
+            restoration.report(&self.log);
+        }
+    }
+
     /// Sets which routers are asked for lists, before the platform and after it.
     fn update_list_sources(&self) {
         let before = self.roster.list_sources().into_iter();
@@ -271,8 +344,29 @@
         self.driver.step(Event::Summary(summary));
     }
 
-    fn tick(&mut self, configuration_watcher: &watch::Watcher) {
+    /// Reads the list of routers again if another list shows a later era, and the list of targets
+    /// while entries are set aside.
+    fn refresh_lists(&mut self, now: Time, watchers: &Watchers) {
+        let newest = self.positions.values().map(|position| position.era).max();
+        let newest = newest.unwrap_or_default();
+        let routers = self.positions.get(ROUTERS);
+        if routers.is_some_and(|at| at.era < newest) && self.refreshed_era < newest {
+            self.refreshed_era = newest;
+            watchers.routers.refresh();
+        }
+        if self.catalog.set_aside() == 0 {
+            self.next_target_refresh = now + TARGET_REFRESH_INTERVAL;
+        } else if now >= self.next_target_refresh {
+            self.next_target_refresh = now + TARGET_REFRESH_INTERVAL;
+            if self.roster.list_sources().is_empty() {
+                watchers.targets.refresh();
+            }
+        }
+    }
+
+    fn tick(&mut self, watchers: &Watchers) {
         let now = clock::now();
+        self.refresh_lists(now, watchers);
         self.observe_lateness(now);
         if self.catalog.step(now, catalog::Event::Tick) {
             self.publish_targets();
@@ -290,7 +384,7 @@
         let since = *self.behind_since.get_or_insert(now);
         if now.since(since) >= REREAD_DELAY {
             self.behind_since = Some(now);
-            configuration_watcher.resync();
+            watchers.configuration.resync();
         }
     }
 
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -10,12 +10,15 @@
 mod framer;
 mod handler;
 mod head;
+mod incumbent;
 mod limiter;
 mod outgoing;
+mod presence;
 mod protocol;
 mod record;
 mod relay;
 mod reply;
+mod restoration;
 mod router;
 mod settings;
 mod signals;
@@ -29,6 +32,7 @@
     framer::Framer,
     handler::Handler,
     head::Head,
+    incumbent::Incumbent,
     limiter::Limiter,
     outgoing::Outgoing,
     protocol::Protocol,
--- a/src/gateway/record.rs
+++ b/src/gateway/record.rs
@@ -1,5 +1,6 @@
 //! Log records of requests and of the router's state.
 
+use super::restoration::Restoration;
 use crate::{
     dispatch::{Estimate, Outcome, Refusal},
     id,
@@ -79,6 +80,8 @@
     ListLost { list: &'a str, cause: &'a str },
     /// A list of the platform can be read again.
     ListRecovered { list: &'a str, elapsed: Span },
+    /// A list of the platform came back from a copy.
+    ListRestored(&'a Restoration),
     /// The CPU is overloaded for the first time; from now on concurrent requests are limited.
     CpuOverload { lateness: Span, limit: u32 },
     /// Connections were refused before their request was read, since the last such record.
@@ -194,6 +197,12 @@
             Record::ListRecovered { list, elapsed } => {
                 slog::info!(log, "dependency regained"; "list" => list, "after_ms" => millis(*elapsed));
             }
+            Record::ListRestored(restoration) => slog::warn!(log, "store restored";
+                "list" => restoration.list, "era_before" => restoration.before.era.0,
+                "era" => restoration.after.era.0, "version_before" => restoration.before.version,
+                "version" => restoration.after.version, "missing" => restoration.missing,
+                "set_aside" => restoration.set_aside,
+                "written_again" => restoration.written_again),
             Record::CpuOverload { lateness, limit } => {
                 slog::warn!(log, "processor busy"; "late_ms" => millis(*lateness), "limit" => limit);
             }
--- a/src/gateway/router.rs
+++ b/src/gateway/router.rs
@@ -1,9 +1,10 @@
 //! Start and shutdown of a router that gets its lists from the platform.
 
 use super::{
-    Driver, Error, Handler, Settings, Sources, State,
+    Driver, Error, Handler, Incumbent, Settings, Sources, State,
     caches::Caches,
     controller::{Controller, ROUTERS_MAX_AGE, TICK_INTERVAL},
+    presence::{Presence, REMOVE_TIMEOUT},
     signals::{Action, Signals},
 };
 use crate::{
@@ -12,10 +13,10 @@
     dispatch::Dispatcher,
     front, gossip, health, metric, mirror, partition,
     roster::Roster,
-    unit::{Span, Time},
+    unit::{Era, Span, Time},
     upstream,
 };
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
 use tokio::{
     runtime::{Builder, Handle},
     sync::mpsc,
@@ -27,10 +28,6 @@
 const DRAIN_NOTICE: Span = Span::from_millis(2_400);
 /// Reserve between the end of the shutdown and the kill by the platform.
 const STOP_MARGIN: Span = Span::from_millis(250);
-/// Pause between attempts to write this router's entry.
-const REGISTER_RETRY_PAUSE: Span = Span::from_millis(500);
-/// Time limit for removing the entry at shutdown.
-const REMOVE_TIMEOUT: Span = Span::from_millis(500);
 /// Descriptors that the platform reserves for files, not available for connections.
 const RESERVED_DESCRIPTORS: u32 = 200;
 /// Share of the other descriptors for callers' connections, in percent; connections to targets get
@@ -43,7 +40,7 @@
 /// A running router.
 pub struct Router {
     settings: Settings,
-    registry: Arc<dyn super::Registry>,
+    presence: Arc<Presence>,
     driver: Arc<Driver>,
     state: Arc<State>,
     server: front::Server,
@@ -144,6 +141,8 @@
     slog::info!(log, "router started"; "listen" => %server.address(), "peer" => %peer,
         "domain" => %dispatch.domain, "placement" => %dispatch.policy,
         "release" => env!("CARGO_PKG_VERSION"));
+    let presence = Presence::open(sources.registry.clone(), state.clone(), log.clone());
+    presence.announce();
     let (stop_sender, stop) = mpsc::unbounded_channel();
     let controller = Controller {
         settings: settings.clone(),
@@ -152,7 +151,11 @@
         pool,
         socket,
         catalog: Catalog::default(),
-        targets_version: 0,
+        positions: BTreeMap::new(),
+        refreshed_era: Era::default(),
+        next_target_refresh: Time::default(),
+        incumbent: Incumbent::default(),
+        presence: presence.clone(),
         roster: Roster::new(settings.entry.clone()),
         peers: Arc::default(),
         caches,
@@ -166,12 +169,10 @@
         followed: None,
         log: log.clone(),
     };
-    let registry = sources.registry.clone();
-    tokio::spawn(register(registry.clone(), log.clone()));
     let task = tokio::spawn(controller.run(sources, stop));
     Ok(Router {
         settings,
-        registry,
+        presence,
         driver,
         state,
         server,
@@ -203,13 +204,7 @@
             .sum::<u32>();
         slog::info!(log, "shutting down"; "running" => running);
         self.state.drain();
-        let removal = self.registry.remove();
-        let removal = tokio::time::timeout(Duration::from(REMOVE_TIMEOUT), removal).await;
-        match removal {
-            Ok(Ok(())) => {}
-            Ok(Err(fault)) => slog::warn!(log, "router entry not removed"; "cause" => %fault),
-            Err(_) => slog::warn!(log, "router entry not removed"; "cause" => "timed out"),
-        }
+        self.presence.withdraw().await;
         let used = Span(REMOVE_TIMEOUT.0 + STOP_MARGIN.0);
         let limit = Duration::from(self.settings.stop_bound.saturating_sub(used));
         let drained = tokio::time::timeout(limit, self.server.drain()).await;
@@ -232,14 +227,3 @@
 fn start_error(part: &'static str) -> impl Fn(std::io::Error) -> Error {
     move |cause| Error::Start { part, cause }
 }
-
-/// Writes this router's entry to the list of routers, and retries until that succeeds.
-async fn register(registry: Arc<dyn super::Registry>, log: slog::Logger) {
-    loop {
-        match registry.register().await {
-            Ok(()) => return slog::info!(log, "router entry written"),
-            Err(fault) => slog::warn!(log, "router entry not written"; "cause" => %fault),
-        }
-        tokio::time::sleep(Duration::from(REGISTER_RETRY_PAUSE)).await;
-    }
-}
--- a/src/metric.rs
+++ b/src/metric.rs
@@ -32,6 +32,9 @@
 /// Calls to the platform's store, by call and result.
 pub const STORE_CALLS: &str = "marlrun_store_calls_total";
 
+/// Restores of the platform's store from a copy, by the list that showed them.
+pub const STORE_RESTORES: &str = "marlrun_store_restores_total";
+
 /// Failed attempts at targets, by how they ended.
 pub const RUN_FAILURES: &str = "marlrun_run_failures_total";
 /// Requests sent to targets, by whether the connection was reused.
--- a/src/mirror/cache.rs
+++ b/src/mirror/cache.rs
@@ -2,8 +2,8 @@
 
 use crate::{
     clock,
-    unit::{Span, Time},
-    watch::{Event, Page, Row},
+    unit::{Era, Span, Time},
+    watch::{Event, Page, Position, Row},
 };
 use std::{
     collections::BTreeMap,
@@ -15,7 +15,8 @@
 /// copy have to read the whole list again.
 const MAX_REMOVED: usize = 4_096;
 
-/// Cached copy of one list, with the version at which each entry last changed.
+/// Cached copy of one list, with the version at which each entry last changed. In a new era of the
+/// list its history begins anew: versions of entries are of one era.
 #[derive(Debug)]
 pub struct Cache {
     /// Maximum age of the copy; an older one is not served.
@@ -29,7 +30,7 @@
     /// Content of each entry, and the version at which it last changed. A removed entry has no
     /// content.
     rows: BTreeMap<Box<str>, (Option<Vec<u8>>, u64)>,
-    version: u64,
+    position: Position,
     /// Version up to which the change history is compacted; only later changes are known.
     compacted: u64,
     /// Time at which the platform last sent or confirmed the list.
@@ -49,45 +50,60 @@
     /// Applies an event of the watched list.
     pub fn apply(&self, event: &Event<Row>) {
         let mut state = self.state();
-        let (version, age) = match event {
+        if event
+            .position()
+            .is_some_and(|position| position.era < state.position.era)
+        {
+            return;
+        }
+        let age = match event {
             Event::Full {
                 entries,
-                version,
+                position,
                 age,
             } => {
-                state.replace(entries, *version);
-                (*version, *age)
+                state.advance(*position);
+                state.replace(entries);
+                *age
             }
             Event::Changed {
                 entries,
-                version,
+                position,
                 age,
             } => {
-                entries.iter().for_each(|row| state.put(row, *version));
-                (*version, *age)
+                state.advance(*position);
+                entries.iter().for_each(|row| state.put(row));
+                *age
+            }
+            Event::Unchanged { position, age } => {
+                state.advance(*position);
+                *age
             }
-            Event::Unchanged { version, age } => (*version, *age),
             Event::Unavailable { .. } | Event::Recovered { .. } => return,
         };
-        state.version = version;
         let confirmed_at = Time(clock::now().0.saturating_sub(age.0));
         state.confirmed_at = state.confirmed_at.max(Some(confirmed_at));
         drop(state);
         self.changed.notify_waiters();
     }
 
+    /// Returns the era of the copy.
+    pub fn era(&self) -> Era {
+        self.state().position.era
+    }
+
     /// Returns the whole list, or `None` if the copy is too old.
     pub fn snapshot(&self) -> Option<Page<Row>> {
         let state = self.state();
         state.is_fresh(self.max_age).then(|| state.changes_since(0))
     }
 
-    /// Waits until an entry changes after version `after`, `wait` has passed, or the copy is too
+    /// Waits until an entry changes after position `after`, `wait` has passed, or the copy is too
     /// old.
     ///
     /// Returns `None` if the copy is too old, and `Some(None)` if the changes since `after` are no
-    /// longer known.
-    pub async fn changes(&self, after: u64, wait: Span) -> Option<Option<Page<Row>>> {
+    /// longer known or `after` is of another era than the copy.
+    pub async fn changes(&self, after: Position, wait: Span) -> Option<Option<Page<Row>>> {
         let deadline = clock::now() + wait;
         loop {
             let stale_at;
@@ -97,10 +113,10 @@
                 if !state.is_fresh(self.max_age) {
                     return None;
                 }
-                if after < state.compacted {
+                if after.era != state.position.era || after.version < state.compacted {
                     return Some(None);
                 }
-                let page = state.changes_since(after);
+                let page = state.changes_since(after.version);
                 if !page.entries.is_empty() || clock::now() >= deadline {
                     return Some(Some(page));
                 }
@@ -119,20 +135,31 @@
 
 impl State {
     fn is_fresh(&self, max_age: Span) -> bool {
-        let confirmed_at = self.confirmed_at.filter(|_| self.version > 0);
+        let confirmed_at = self
+            .confirmed_at
+            .filter(|_| self.position != Position::default());
         confirmed_at.is_some_and(|at| clock::now().since(at) <= max_age)
     }
 
-    fn put(&mut self, row: &Row, version: u64) {
+    /// Moves on to a position. Within an era an endpoint that lags behind doesn't move it back.
+    fn advance(&mut self, position: Position) {
+        if self.position == Position::default() || position.era > self.position.era {
+            // Entries removed before the first read are unknown, and versions of another era have
+            // another meaning.
+            self.rows.clear();
+            self.compacted = position.version;
+            self.position = position;
+        }
+        self.position = self.position.max(position);
+    }
+
+    fn put(&mut self, row: &Row) {
+        let version = self.position.version;
         self.rows
             .insert(row.key.clone(), (row.value.clone(), version));
     }
 
-    fn replace(&mut self, rows: &[Row], version: u64) {
-        if self.version == 0 {
-            // Entries removed before the first read are unknown.
-            self.compacted = version;
-        }
+    fn replace(&mut self, rows: &[Row]) {
         let removed: Vec<Box<str>> = self
             .rows
             .iter()
@@ -140,15 +167,14 @@
             .map(|(key, _)| key.clone())
             .collect();
         for key in removed {
-            self.rows.insert(key, (None, version));
+            self.rows.insert(key, (None, self.position.version));
         }
         for row in rows {
             let cached = self.rows.get(&row.key).map(|(value, _)| value);
             if cached != Some(&row.value) {
-                self.put(row, version);
+                self.put(row);
             }
         }
-        self.version = version;
         self.trim_removed();
     }
 
@@ -157,7 +183,7 @@
         let removed = self.rows.values().filter(|(value, _)| value.is_none());
         if removed.count() > MAX_REMOVED {
             self.rows.retain(|_, (value, _)| value.is_some());
-            self.compacted = self.version;
+            self.compacted = self.position.version;
         }
     }
 
@@ -173,7 +199,10 @@
                     value: value.clone(),
                 })
                 .collect(),
-            version: self.version.max(after),
+            position: Position {
+                era: self.position.era,
+                version: self.position.version.max(after),
+            },
             age: clock::now().since(self.confirmed_at.unwrap_or_default()),
         }
     }
--- a/src/mirror/handler.rs
+++ b/src/mirror/handler.rs
@@ -3,7 +3,8 @@
 use super::{Cache, page::Wire};
 use crate::{
     front::{Body, Limits, Problem, Responder, full_body},
-    unit::Span,
+    unit::{Era, Span},
+    watch::Position,
 };
 use futures::{FutureExt, future::BoxFuture};
 use http::{Request, Response, StatusCode, Uri};
@@ -18,10 +19,10 @@
 const IDLE_TIMEOUT: Span = Span::from_secs(40);
 
 /// Serves cached lists to other routers: `GET /lists/NAME` returns a whole list, with
-/// `?after=VERSION&wait-ms=TIME` its changes since a version.
+/// `?after=VERSION&era=ERA&wait-ms=TIME` its changes since a version.
 ///
 /// Answers 503 while the cached list is too old, and 410 if the changes since that version are no
-/// longer known.
+/// longer known or it is of another era than the list.
 pub struct Handler {
     /// Cached lists by name.
     pub caches: BTreeMap<&'static str, Arc<Cache>>,
@@ -37,7 +38,10 @@
         let query = uri.query().unwrap_or_default();
         let page = match parameter(query, "after") {
             None => cache.snapshot().map(Some),
-            Some(after) => {
+            Some(version) => {
+                // Routers of earlier releases don't know eras.
+                let era = parameter(query, "era").map_or_else(|| cache.era(), Era);
+                let after = Position { era, version };
                 let wait = parameter(query, "wait-ms").map_or(Span(0), Span::from_millis);
                 cache.changes(after, wait.min(MAX_WAIT)).await
             }
--- a/src/mirror/page.rs
+++ b/src/mirror/page.rs
@@ -1,8 +1,8 @@
 //! Wire format of a page of a list.
 
 use crate::{
-    unit::Span,
-    watch::{Page, Row},
+    unit::{Era, Span},
+    watch::{Page, Position, Row},
 };
 use base64::{Engine as _, prelude::BASE64_STANDARD};
 use serde::{Deserialize, Serialize};
@@ -10,6 +10,9 @@
 /// JSON form of a page of a list, as sent between routers.
 #[derive(Debug, Serialize, Deserialize)]
 pub(super) struct Wire {
+    /// Era of the platform's store; routers of earlier releases leave it out.
+    #[serde(default)]
+    era: Era,
     version: u64,
     /// Time since the platform sent this version of the list, in milliseconds.
     age_ms: u64,
@@ -31,7 +34,8 @@
             value: row.value.map(|v| BASE64_STANDARD.encode(v).into()),
         });
         Self {
-            version: page.version,
+            era: page.position.era,
+            version: page.position.version,
             age_ms: page.age.as_millis(),
             rows: rows.collect(),
         }
@@ -51,7 +55,10 @@
         });
         Ok(Page {
             entries: rows.collect::<Result<_, _>>()?,
-            version: wire.version,
+            position: Position {
+                era: wire.era,
+                version: wire.version,
+            },
             age: Span::from_millis(wire.age_ms),
         })
     }
--- a/src/mirror/source.rs
+++ b/src/mirror/source.rs
@@ -3,9 +3,9 @@
 use super::page::Wire;
 use crate::{
     clock, metric,
-    unit::{Span, Time},
+    unit::{Era, Span, Time},
     upstream,
-    watch::{self, Fault, Page, Row},
+    watch::{self, Fault, Page, Position, Row},
 };
 use bytes::Bytes;
 use futures::{FutureExt, future::BoxFuture};
@@ -13,7 +13,10 @@
 use http_body_util::Full;
 use std::{
     net::SocketAddr,
-    sync::{Arc, Mutex, PoisonError, RwLock},
+    sync::{
+        Arc, Mutex, PoisonError, RwLock,
+        atomic::{AtomicU64, Ordering},
+    },
     time::Duration,
 };
 
@@ -71,6 +74,8 @@
     /// Maximum age of another router's copy; an older one is rejected.
     max_age: Span,
     cursor: Mutex<Cursor>,
+    /// Newest era of any page.
+    newest_era: AtomicU64,
 }
 
 /// Endpoint that is asked first, as an index into the order of preference.
@@ -97,6 +102,7 @@
             peers,
             max_age,
             cursor: Mutex::default(),
+            newest_era: AtomicU64::new(0),
         }
     }
 
@@ -112,6 +118,17 @@
         endpoints
     }
 
+    fn newest_era(&self) -> Era {
+        Era(self.newest_era.load(Ordering::Relaxed))
+    }
+
+    /// Notes the era of a page.
+    fn observe(&self, page: Page<Row>) -> Page<Row> {
+        let era = page.position.era.0;
+        self.newest_era.fetch_max(era, Ordering::Relaxed);
+        page
+    }
+
     async fn fetch(&self, peer: SocketAddr, query: &str, wait: Span) -> Result<Page<Row>, Fault> {
         let endpoint = || Box::from(format!("list {} of router {peer}", self.name));
         let malformed = |cause: &dyn std::fmt::Display| Fault::Malformed {
@@ -125,7 +142,7 @@
         let answered = self.pool.fetch(peer, request, MAX_PAGE_BYTES);
         let answered = tokio::time::timeout(Duration::from(limit), answered).await;
         metrics::counter!(metric::CONTROL_SENDS, "way" => "list").increment(1);
-        let (status, body) = match answered {
+        let response = match answered {
             Ok(Ok(answer)) => answer,
             Ok(Err(cause)) => {
                 return Err(Fault::Unreachable {
@@ -140,9 +157,10 @@
                 });
             }
         };
-        match status {
+        match response.status() {
             StatusCode::OK => {
-                let wire: Wire = serde_json::from_slice(&body).map_err(|e| malformed(&e))?;
+                let wire: Wire =
+                    serde_json::from_slice(response.body()).map_err(|e| malformed(&e))?;
                 let page: Page<Row> = wire.try_into().map_err(|e| malformed(&e))?;
                 if page.age > self.max_age {
                     return Err(malformed(&format!(
@@ -150,6 +168,14 @@
                         page.age
                     )));
                 }
+                let (era, newest) = (page.position.era, self.newest_era());
+                if era < newest {
+                    return Err(Fault::Outdated {
+                        endpoint: endpoint(),
+                        era,
+                        newest,
+                    });
+                }
                 Ok(page)
             }
             StatusCode::GONE => Err(Fault::Compacted {
@@ -173,7 +199,7 @@
                     None => self.platform.read().await,
                 };
                 match page {
-                    Ok(page) => return Ok(page),
+                    Ok(page) => return Ok(self.observe(page)),
                     Err(fault) => {
                         self.report_failure();
                         // The platform's error says more than that of a router that cannot
@@ -192,14 +218,20 @@
         .boxed()
     }
 
-    fn changes(&self, after: u64, wait: Span) -> BoxFuture<'_, Result<Page<Row>, Fault>> {
-        let Some(Some(peer)) = self.endpoints().first().copied() else {
-            return self.platform.changes(after, wait);
-        };
-        let wait = wait.min(PEER_WAIT);
+    fn changes(&self, after: Position, wait: Span) -> BoxFuture<'_, Result<Page<Row>, Fault>> {
+        let endpoint = self.endpoints().first().copied().flatten();
         async move {
-            let query = format!("?after={after}&wait-ms={}", wait.as_millis());
-            self.fetch(peer, &query, wait).await
+            let page = match endpoint {
+                Some(peer) => {
+                    let wait = wait.min(PEER_WAIT);
+                    let Position { era, version } = after;
+                    let wait_ms = wait.as_millis();
+                    let query = format!("?after={version}&era={era}&wait-ms={wait_ms}");
+                    self.fetch(peer, &query, wait).await
+                }
+                None => self.platform.changes(after, wait).await,
+            };
+            page.map(|page| self.observe(page))
         }
         .boxed()
     }
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -3,28 +3,46 @@
 use super::row::Rows;
 use crate::{
     metric,
-    unit::Span,
+    unit::{Era, Span},
     upstream,
-    watch::{Fault, Row},
+    watch::{Fault, Page, Position, Row},
 };
 use base64::{Engine as _, prelude::BASE64_STANDARD};
 use bytes::Bytes;
-use http::{Method, Request, StatusCode, header};
+use http::{HeaderMap, Method, Request, StatusCode, header};
 use http_body_util::Full;
-use std::{net::SocketAddr, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
 
 /// Maximum size of a response body: the store sends at most 1 MB of rows per page, in base64.
 const MAX_RESPONSE_BYTES: usize = 4 << 20;
 /// Maximum number of pages of one read; further rows are ignored. The platform's tables are shorter.
 const MAX_PAGES: usize = 200;
 
-/// Client of the platform's store.
+/// Header of each response that counts the restores of the store from a copy.
+const ERA_HEADER: &str = "store-era";
+
+/// Client of the platform's store; clones share the newest known era.
 #[derive(Clone)]
 pub struct Store {
     address: SocketAddr,
     pool: upstream::Pool,
     /// Timeout of calls other than long polls.
     timeout: Span,
+    /// Newest era of any response; 0 while no response told one.
+    newest_era: Arc<AtomicU64>,
+}
+
+/// Body of a successful response, and the era that it is of.
+struct Answer {
+    body: Bytes,
+    era: Era,
 }
 
 impl Store {
@@ -34,57 +52,75 @@
             address,
             pool: upstream::Pool::default(),
             timeout,
+            newest_era: Arc::default(),
         }
     }
 
-    /// Reads a whole table page by page; returns its rows and the store's version at the first page,
+    /// Reads a whole table page by page; returns its rows and the store's position at the first page,
     /// so that changes made between two pages are read again as changes.
     ///
     /// # Errors
     ///
-    /// Fails if the store cannot be reached or rejects the call.
-    pub async fn read_table(&self, table: &str) -> Result<(Vec<Row>, u64), Fault> {
+    /// Fails if the store cannot be reached, rejects the call, or is restored between two pages.
+    pub async fn read_table(&self, table: &str) -> Result<Page<Row>, Fault> {
         let mut all = Vec::new();
-        let mut first_version = None;
+        let mut first = None;
         for _ in 0..MAX_PAGES {
             let mut path = format!("/api/rows-get?table={table}&part=");
             if let Some(last) = all.last().map(|row: &Row| row.key.clone()) {
                 // `from` is inclusive: the last key with a zero byte appended is the next possible key.
                 path += &format!("&from={}%00", percent_encode(&last));
             }
-            let body = self.call(Method::GET, &path, Bytes::new()).await?;
-            let page: Rows = self.parse(&path, &body)?;
-            first_version.get_or_insert(page.ver);
+            let answer = self.call(Method::GET, &path, Bytes::new()).await?;
+            let page: Rows = self.parse(&path, &answer.body)?;
+            let position = *first.get_or_insert(Position {
+                era: answer.era,
+                version: page.ver,
+            });
+            if answer.era != position.era {
+                return Err(Fault::Outdated {
+                    endpoint: self.endpoint(&path),
+                    era: position.era,
+                    newest: answer.era,
+                });
+            }
             let has_more = page.has_more;
             all.extend(page.into_rows());
             if !has_more {
                 break;
             }
         }
-        Ok((all, first_version.unwrap_or_default()))
+        Ok(Page {
+            entries: all,
+            position: first.unwrap_or_default(),
+            age: Span(0),
+        })
     }
 
-    /// Waits (long poll) for rows of a table that changed after a version, at most for `wait`.
+    /// Waits (long poll) for rows of a table that changed after a version, at most for `wait`. The
+    /// caller has to compare the era of the result with that of the version.
     ///
     /// # Errors
     ///
     /// Fails if the store cannot be reached or rejects the call, or with [`Fault::Compacted`] if it
     /// no longer keeps the changes since that version.
-    pub async fn changes(
-        &self,
-        table: &str,
-        after: u64,
-        wait: Span,
-    ) -> Result<(Vec<Row>, u64), Fault> {
+    pub async fn changes(&self, table: &str, after: u64, wait: Span) -> Result<Page<Row>, Fault> {
         let wait_ms = wait.as_millis();
         let path = format!("/api/rows-feed?table={table}&after={after}&wait-ms={wait_ms}");
         let limit = Span(wait.0 + self.timeout.0);
-        let body = self
+        let answer = self
             .call_within(limit, Method::GET, &path, Bytes::new())
             .await?;
-        let page: Rows = self.parse(&path, &body)?;
-        let version = page.ver;
-        Ok((page.into_rows(), version))
+        let page: Rows = self.parse(&path, &answer.body)?;
+        let position = Position {
+            era: answer.era,
+            version: page.ver,
+        };
+        Ok(Page {
+            entries: page.into_rows(),
+            position,
+            age: Span(0),
+        })
     }
 
     /// Writes a row unconditionally. A write that times out may still have taken effect.
@@ -117,7 +153,7 @@
         response.map(drop)
     }
 
-    async fn call(&self, method: Method, path: &str, body: Bytes) -> Result<Bytes, Fault> {
+    async fn call(&self, method: Method, path: &str, body: Bytes) -> Result<Answer, Fault> {
         self.call_within(self.timeout, method, path, body).await
     }
 
@@ -127,7 +163,7 @@
         method: Method,
         path: &str,
         body: Bytes,
-    ) -> Result<Bytes, Fault> {
+    ) -> Result<Answer, Fault> {
         let call = path.split('?').next().unwrap_or(path).to_owned();
         let result =
             tokio::time::timeout(Duration::from(limit), self.send_request(method, path, body));
@@ -141,13 +177,14 @@
             Err(Fault::Unreachable { .. }) => "unreachable",
             Err(Fault::Refused { .. }) => "refused",
             Err(Fault::Compacted { .. }) => "forgotten",
+            Err(Fault::Outdated { .. }) => "outdated",
             Err(Fault::Malformed { .. }) => "malformed",
         };
         metrics::counter!(metric::STORE_CALLS, "call" => call, "result" => label).increment(1);
         result
     }
 
-    async fn send_request(&self, method: Method, path: &str, body: Bytes) -> Result<Bytes, Fault> {
+    async fn send_request(&self, method: Method, path: &str, body: Bytes) -> Result<Answer, Fault> {
         let mut request = Request::new(Full::new(body));
         *request.method_mut() = method;
         *request.uri_mut() = path.parse().map_err(|e| self.malformed(path, &e))?;
@@ -157,12 +194,16 @@
             .pool
             .fetch(self.address, request, MAX_RESPONSE_BYTES)
             .await;
-        let (status, body) = result.map_err(|cause| Fault::Unreachable {
+        let response = result.map_err(|cause| Fault::Unreachable {
             endpoint: self.endpoint(path),
             cause: cause.to_string().into(),
         })?;
-        match status {
-            StatusCode::OK => Ok(body),
+        let era = self.era_of(path, response.headers())?;
+        match response.status() {
+            StatusCode::OK => Ok(Answer {
+                body: response.into_body(),
+                era,
+            }),
             StatusCode::GONE => Err(Fault::Compacted {
                 endpoint: self.endpoint(path),
             }),
@@ -173,6 +214,28 @@
         }
     }
 
+    /// Returns the era of a response. One that tells none, as those of older stores, counts as of
+    /// the newest known era; one of an earlier era was delayed on its way.
+    fn era_of(&self, path: &str, headers: &HeaderMap) -> Result<Era, Fault> {
+        let newest = Era(self.newest_era.load(Ordering::Relaxed));
+        let Some(value) = headers.get(ERA_HEADER) else {
+            return Ok(newest);
+        };
+        let text = value.to_str().map_err(|e| self.malformed(path, &e))?;
+        let era: Era = text.parse().map_err(|cause| {
+            self.malformed(path, &format!("header {ERA_HEADER}: {text:?}: {cause}"))
+        })?;
+        if era < newest {
+            return Err(Fault::Outdated {
+                endpoint: self.endpoint(path),
+                era,
+                newest,
+            });
+        }
+        self.newest_era.fetch_max(era.0, Ordering::Relaxed);
+        Ok(era)
+    }
+
     fn parse<T: serde::de::DeserializeOwned>(&self, path: &str, body: &[u8]) -> Result<T, Fault> {
         serde_json::from_slice(body).map_err(|error| self.malformed(path, &error))
     }
--- a/src/platform/table.rs
+++ b/src/platform/table.rs
@@ -3,7 +3,7 @@
 use super::Store;
 use crate::{
     unit::Span,
-    watch::{Fault, Page, Row, Source},
+    watch::{Fault, Page, Position, Row, Source},
 };
 use futures::{FutureExt, future::BoxFuture};
 
@@ -20,24 +20,12 @@
     }
 }
 
-fn page((entries, version): (Vec<Row>, u64)) -> Page<Row> {
-    Page {
-        entries,
-        version,
-        age: Span(0),
-    }
-}
-
 impl Source for Table {
     fn read(&self) -> BoxFuture<'_, Result<Page<Row>, Fault>> {
-        self.store
-            .read_table(self.name)
-            .map(|rows| rows.map(page))
-            .boxed()
+        self.store.read_table(self.name).boxed()
     }
 
-    fn changes(&self, after: u64, wait: Span) -> BoxFuture<'_, Result<Page<Row>, Fault>> {
-        let changes = self.store.changes(self.name, after, wait);
-        changes.map(|rows| rows.map(page)).boxed()
+    fn changes(&self, after: Position, wait: Span) -> BoxFuture<'_, Result<Page<Row>, Fault>> {
+        self.store.changes(self.name, after.version, wait).boxed()
     }
 }
--- a/src/platform/target.rs
+++ b/src/platform/target.rs
@@ -22,6 +22,9 @@
     /// Start time in Unix milliseconds; distinguishes two processes that had the same name.
     #[serde(default)]
     born: u64,
+    /// Number of the process's writes of its row.
+    #[serde(default)]
+    seq: u64,
 }
 
 #[derive(Deserialize, PartialEq, Eq)]
@@ -34,20 +37,22 @@
 /// Decodes a row of the list of targets. The entry has no target if the row was removed or is not
 /// a valid target, as rows of other writers may be.
 pub fn decode(row: Row) -> Option<Entry> {
-    let target = row.value.and_then(|value| decode_target(&row.key, &value));
+    let decoded = row.value.and_then(|value| decode_target(&row.key, &value));
+    let (target, sequence) = decoded.unzip();
     Some(Entry {
         name: row.key,
         target,
+        sequence: sequence.unwrap_or_default(),
     })
 }
 
-fn decode_target(name: &str, value: &[u8]) -> Option<Target> {
+fn decode_target(name: &str, value: &[u8]) -> Option<(Target, u64)> {
     let wire: Wire = serde_json::from_slice(value).ok()?;
     let name: id::Target = name.parse().ok()?;
     let service: id::Service = wire.service.parse().ok()?;
     let address: SocketAddr = wire.address.parse().ok()?;
     let domain: id::Domain = wire.zone.parse().ok()?;
-    Some(Target {
+    let target = Target {
         name,
         started_at_ms: wire.born,
         service,
@@ -56,5 +61,6 @@
         slots: wire.slots,
         draining: wire.state == State::Draining,
         warm_up: Span((wire.cold_left_ms.max(0.0) * 1e3) as u64),
-    })
+    };
+    Some((target, wire.seq))
 }
--- a/src/unit/mod.rs
+++ b/src/unit/mod.rs
@@ -1,12 +1,13 @@
 //! Quantities with their units.
 
 mod cost;
+mod era;
 mod span;
 mod time;
 mod version;
 mod weight;
 
-pub use self::{cost::Cost, span::Span, time::Time, version::Version, weight::Weight};
+pub use self::{cost::Cost, era::Era, span::Span, time::Time, version::Version, weight::Weight};
 
 /// Error of a text that is not a quantity.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
--- a/src/upstream/pool.rs
+++ b/src/upstream/pool.rs
@@ -5,7 +5,7 @@
     unit::{Span, Time},
 };
 use bytes::Bytes;
-use http::{Request, StatusCode, header};
+use http::{Request, Response, header};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
@@ -101,8 +101,8 @@
         })
     }
 
-    /// Sends a request that may run twice and returns the status and the body, which may have at
-    /// most `max_bytes`.
+    /// Sends a request that may run twice and returns the response, whose body may have at most
+    /// `max_bytes`.
     ///
     /// # Errors
     ///
@@ -112,7 +112,7 @@
         address: SocketAddr,
         mut request: Request<Full<Bytes>>,
         max_bytes: usize,
-    ) -> io::Result<(StatusCode, Bytes)> {
+    ) -> io::Result<Response<Bytes>> {
         let host = header::HeaderValue::from_str(&address.to_string());
         request
             .headers_mut()
@@ -123,7 +123,7 @@
         let body = Limited::new(body, max_bytes).collect().await;
         let body = body.map_err(io::Error::other)?.to_bytes();
         lease.release();
-        Ok((head.status, body))
+        Ok(Response::from_parts(head, body))
     }
 
     /// Closes the idle connections to an address.
--- a/src/watch/decode.rs
+++ b/src/watch/decode.rs
@@ -8,23 +8,23 @@
     match event {
         Event::Full {
             entries,
-            version,
+            position,
             age,
         } => Event::Full {
             entries: all(entries),
-            version,
+            position,
             age,
         },
         Event::Changed {
             entries,
-            version,
+            position,
             age,
         } => Event::Changed {
             entries: all(entries),
-            version,
+            position,
             age,
         },
-        Event::Unchanged { version, age } => Event::Unchanged { version, age },
+        Event::Unchanged { position, age } => Event::Unchanged { position, age },
         Event::Unavailable { fault } => Event::Unavailable { fault },
         Event::Recovered { outage } => Event::Recovered { outage },
     }
--- a/src/watch/event.rs
+++ b/src/watch/event.rs
@@ -1,6 +1,6 @@
 //! Events of a watched list.
 
-use super::Fault;
+use super::{Fault, Position};
 use crate::unit::Span;
 
 /// Event of a watched list.
@@ -10,8 +10,8 @@
     Full {
         /// Entries.
         entries: Vec<T>,
-        /// Version of the list.
-        version: u64,
+        /// Position of the list.
+        position: Position,
         /// Time since the platform sent it.
         age: Span,
     },
@@ -19,15 +19,15 @@
     Changed {
         /// Changed entries in their order.
         entries: Vec<T>,
-        /// Version of the list.
-        version: u64,
+        /// Position of the list.
+        position: Position,
         /// Time since the platform sent it.
         age: Span,
     },
     /// Nothing changed.
     Unchanged {
-        /// Version of the list.
-        version: u64,
+        /// Position of the list.
+        position: Position,
         /// Time since the platform sent it.
         age: Span,
     },
@@ -42,3 +42,15 @@
         outage: Span,
     },
 }
+
+impl<T> Event<T> {
+    /// Returns the position of the list; `None` if the event tells none.
+    pub fn position(&self) -> Option<Position> {
+        match self {
+            Event::Full { position, .. }
+            | Event::Changed { position, .. }
+            | Event::Unchanged { position, .. } => Some(*position),
+            Event::Unavailable { .. } | Event::Recovered { .. } => None,
+        }
+    }
+}
--- a/src/watch/fault.rs
+++ b/src/watch/fault.rs
@@ -1,6 +1,6 @@
 //! Errors of reading a list.
 
-use crate::unit::Span;
+use crate::unit::{Era, Span};
 
 /// Error of a call that reads a list.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
@@ -35,6 +35,16 @@
         /// Address and call that failed.
         endpoint: Box<str>,
     },
+    /// The answer is of an earlier era than is known.
+    #[error("{endpoint} answered for era {era}, but era {newest} is known")]
+    Outdated {
+        /// Address and call that failed.
+        endpoint: Box<str>,
+        /// Era of the answer.
+        era: Era,
+        /// Newest known era.
+        newest: Era,
+    },
     /// The answer is invalid.
     #[error("invalid answer from {endpoint}: {cause}")]
     Malformed {
--- a/src/watch/source.rs
+++ b/src/watch/source.rs
@@ -1,6 +1,6 @@
 //! Source of a watched list.
 
-use super::{Fault, Page, Row};
+use super::{Fault, Page, Position, Row};
 use crate::unit::Span;
 use futures::future::BoxFuture;
 
@@ -13,6 +13,7 @@
     /// another endpoint.
     fn report_failure(&self) {}
 
-    /// Waits for changes after a version, at most for `wait`.
-    fn changes(&self, after: u64, wait: Span) -> BoxFuture<'_, Result<Page<Row>, Fault>>;
+    /// Waits for changes after a position, at most for `wait`. A page of another era than that of
+    /// `after` has no meaning but that the whole list has to be read.
+    fn changes(&self, after: Position, wait: Span) -> BoxFuture<'_, Result<Page<Row>, Fault>>;
 }
--- a/src/watch/watcher.rs
+++ b/src/watch/watcher.rs
@@ -1,6 +1,6 @@
 //! Task that watches one list.
 
-use super::{Event, Fault, Page, Row, Source};
+use super::{Event, Fault, Page, Position, Row, Source};
 use crate::{
     clock,
     unit::{Span, Time},
@@ -29,7 +29,8 @@
 /// Handle of a task that watches a list; dropping it ends the task.
 #[derive(Debug)]
 pub struct Watcher {
-    wake: Arc<Notify>,
+    resync: Arc<Notify>,
+    refresh: Arc<Notify>,
     task: JoinHandle<()>,
 }
 
@@ -40,24 +41,35 @@
         settings: Settings,
         sink: mpsc::UnboundedSender<Event<Row>>,
     ) -> Self {
-        let wake = Arc::<Notify>::default();
+        let (resync, refresh) = (Arc::<Notify>::default(), Arc::<Notify>::default());
         let state = Task {
             source,
             settings,
             sink,
-            wake: wake.clone(),
-            version: None,
-            latest: 0,
+            resync: resync.clone(),
+            refresh: refresh.clone(),
+            position: None,
+            latest: Position::default(),
             unavailable_since: None,
             backoff: settings.min_backoff,
         };
         let task = tokio::spawn(state.run());
-        Self { wake, task }
+        Self {
+            resync,
+            refresh,
+            task,
+        }
     }
 
-    /// Makes the task read the whole list at once, from another endpoint than before.
+    /// Makes the task read the whole list at once, from another endpoint than before; that endpoint
+    /// may lag behind this one within an era.
     pub fn resync(&self) {
-        self.wake.notify_one();
+        self.resync.notify_one();
+    }
+
+    /// Makes the task read the whole list at once.
+    pub fn refresh(&self) {
+        self.refresh.notify_one();
     }
 }
 
@@ -72,12 +84,13 @@
     source: Arc<dyn Source>,
     settings: Settings,
     sink: mpsc::UnboundedSender<Event<Row>>,
-    wake: Arc<Notify>,
-    /// Version since which changes are requested; `None` if the whole list has to be read: at the
-    /// start and after a failure or a gap.
-    version: Option<u64>,
-    /// Latest version seen.
-    latest: u64,
+    resync: Arc<Notify>,
+    refresh: Arc<Notify>,
+    /// Position since which changes are requested; `None` if the whole list has to be read: at the
+    /// start, after a failure or a gap, and in a new era.
+    position: Option<Position>,
+    /// Latest position seen.
+    latest: Position,
     unavailable_since: Option<Time>,
     backoff: Span,
 }
@@ -85,8 +98,8 @@
 impl Task {
     async fn run(mut self) {
         while !self.sink.is_closed() {
-            match self.version {
-                Some(version) => self.await_changes(version).await,
+            match self.position {
+                Some(position) => self.await_changes(position).await,
                 None => self.read().await,
             }
         }
@@ -94,8 +107,8 @@
 
     async fn read(&mut self) {
         match self.source.read().await {
-            // The source lags behind a version that was already seen.
-            Ok(page) if page.version < self.latest => {
+            // The source lags behind a position that was already seen.
+            Ok(page) if page.position < self.latest => {
                 self.source.report_failure();
                 self.back_off().await;
             }
@@ -119,19 +132,26 @@
 
     /// Waits for changes. After a failure the whole list is read, because the changes made in the
     /// meantime may no longer be kept.
-    async fn await_changes(&mut self, version: u64) {
+    async fn await_changes(&mut self, position: Position) {
         let limit = Duration::from(Span(self.settings.wait.0 + self.settings.margin.0));
-        let call = self.source.changes(version, self.settings.wait);
+        let call = self.source.changes(position, self.settings.wait);
         let found = tokio::select! {
             found = tokio::time::timeout(limit, call) => found,
-            () = self.wake.notified() => {
+            () = self.resync.notified() => {
                 self.source.report_failure();
-                self.version = None;
+                self.latest.version = 0;
+                self.position = None;
+                return;
+            }
+            () = self.refresh.notified() => {
+                self.position = None;
                 return;
             }
         };
         match found {
-            Ok(Ok(page)) if page.version >= self.latest => {
+            // The changes are those since a position of an era that is over.
+            Ok(Ok(page)) if page.position.era > position.era => self.position = None,
+            Ok(Ok(page)) if page.position >= self.latest => {
                 let changed = !page.entries.is_empty();
                 self.publish(page, false);
                 if changed {
@@ -139,10 +159,10 @@
                     tokio::time::sleep(Duration::from(self.settings.batch_delay)).await;
                 }
             }
-            Ok(Err(Fault::Compacted { .. })) => self.version = None,
+            Ok(Err(Fault::Compacted { .. })) => self.position = None,
             Ok(Ok(_) | Err(_)) | Err(_) => {
                 self.source.report_failure();
-                self.version = None;
+                self.position = None;
             }
         }
     }
@@ -150,21 +170,21 @@
     fn publish(&mut self, page: Page<Row>, full: bool) {
         let Page {
             entries,
-            version,
+            position,
             age,
         } = page;
-        self.version = Some(version);
-        self.latest = version;
+        self.position = Some(position);
+        self.latest = position;
         self.send(match (full, entries.is_empty()) {
             (true, _) => Event::Full {
                 entries,
-                version,
+                position,
                 age,
             },
-            (false, true) => Event::Unchanged { version, age },
+            (false, true) => Event::Unchanged { position, age },
             (false, false) => Event::Changed {
                 entries,
-                version,
+                position,
                 age,
             },
         });
--- a/tests/catalog.rs
+++ b/tests/catalog.rs
@@ -4,6 +4,8 @@
     catalog::{Catalog, Entry, Event, Target},
     unit::{Span, Time},
 };
+use proptest::prelude::*;
+use std::collections::BTreeMap;
 
 fn at(millis: u64) -> Time {
     Time(millis * 1_000)
@@ -12,6 +14,7 @@
 fn entry(name: &str, started_at_ms: u64) -> Entry {
     Entry {
         name: name.into(),
+        sequence: 1,
         target: Some(Target {
             name: name.parse().unwrap(),
             started_at_ms,
@@ -28,6 +31,7 @@
 fn removed(name: &str) -> Entry {
     Entry {
         name: name.into(),
+        sequence: 0,
         target: None,
     }
 }
@@ -95,3 +99,173 @@
     catalog.step(at(20_000), Event::Tick);
     assert_eq!(names(&catalog), ["a", "b"]);
 }
+
+fn written(name: &str, sequence: u64, draining: bool) -> Entry {
+    let mut entry = entry(name, 1);
+    entry.sequence = sequence;
+    entry.target.as_mut().unwrap().draining = draining;
+    entry
+}
+
+fn usable(catalog: &Catalog) -> Vec<&str> {
+    let targets = catalog.targets().values();
+    let usable = targets.filter(|target| !target.draining);
+    usable.map(|target| target.name.as_str()).collect()
+}
+
+#[test]
+fn restored_list_without_entry() {
+    let mut catalog = open();
+    catalog.step(at(5_000), Event::Restored);
+    catalog.step(at(5_000), Event::Snapshot(vec![entry("b", 1)]));
+    assert_eq!(catalog.missing(), 1);
+    catalog.step(at(7_200), Event::Tick);
+    assert_eq!(names(&catalog), ["a", "b"], "it may register again");
+    catalog.step(at(7_400), Event::Tick);
+    assert_eq!(names(&catalog), ["b"]);
+}
+
+#[test]
+fn restored_list_with_drained_target() {
+    let mut catalog = open();
+    catalog.step(at(10), Event::Update(vec![written("a", 7, true)]));
+    catalog.step(at(20), Event::Update(vec![removed("b")]));
+    catalog.step(at(1_000), Event::Restored);
+    let copy = vec![written("a", 6, false), written("b", 1, false)];
+    catalog.step(at(1_000), Event::Snapshot(copy.clone()));
+    assert_eq!(usable(&catalog), [""; 0]);
+    assert_eq!(catalog.set_aside(), 2);
+    // Reading the same list again changes nothing.
+    catalog.step(at(4_000), Event::Snapshot(copy));
+    catalog.step(at(9_000), Event::Tick);
+    assert_eq!(usable(&catalog), [""; 0]);
+    catalog.step(at(9_500), Event::Update(vec![written("a", 8, false)]));
+    assert_eq!(usable(&catalog), ["a"], "it wrote again");
+    catalog.step(at(9_600), Event::Update(vec![entry("b", 2)]));
+    assert_eq!(usable(&catalog), ["a", "b"], "another run wrote");
+    assert_eq!(catalog.set_aside(), 0);
+}
+
+#[test]
+fn restored_list_with_old_entry_kept() {
+    let mut catalog = open();
+    catalog.step(at(10), Event::Update(vec![removed("b")]));
+    catalog.step(at(1_000), Event::Restored);
+    let copy = vec![entry("a", 1), entry("b", 1)];
+    catalog.step(at(1_000), Event::Snapshot(copy));
+    catalog.step(at(60_900), Event::Tick);
+    assert_eq!(names(&catalog), ["a"]);
+    catalog.step(at(61_100), Event::Tick);
+    assert_eq!(names(&catalog), ["a", "b"], "the platform keeps its entry");
+}
+
+/// What a target does in one second of a day.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Act {
+    Write { draining: bool },
+    Leave,
+}
+
+/// Targets and the platform's list of them, as the platform acknowledged it.
+#[derive(Clone, Debug, Default)]
+struct Day {
+    /// Last act and number of writes of each target.
+    targets: BTreeMap<&'static str, (Option<Act>, u64)>,
+    list: BTreeMap<&'static str, Entry>,
+}
+
+impl Day {
+    /// Performs an act and returns the change of the list.
+    fn act(&mut self, name: &'static str, act: Act) -> Entry {
+        let (last, writes) = self.targets.entry(name).or_default();
+        *last = Some(act);
+        let Act::Write { draining } = act else {
+            self.list.remove(name);
+            return removed(name);
+        };
+        *writes += 1;
+        let entry = written(name, *writes, draining);
+        self.list.insert(name, entry.clone());
+        entry
+    }
+
+    fn usable(&self) -> Vec<&str> {
+        let ready = Some(Act::Write { draining: false });
+        let targets = self.targets.iter().filter(|(_, (last, _))| *last == ready);
+        targets.map(|(name, _)| *name).collect()
+    }
+
+    /// Plays a day in which the list comes back at one moment from an older copy.
+    fn play(acts: &[(&'static str, Act)], restore: usize, age: usize) {
+        let (mut day, mut catalog) = (Day::default(), Catalog::default());
+        catalog.step(at(0), Event::Snapshot(Vec::new()));
+        let (mut copies, mut millis) = (Vec::new(), 0);
+        for (moment, (name, act)) in acts.iter().enumerate() {
+            copies.push(day.list.clone());
+            if moment == restore {
+                day.list = copies[moment.saturating_sub(age)].clone();
+                millis = day.live_on(millis, &mut catalog);
+            }
+            millis += 1_000;
+            let change = day.act(name, *act);
+            catalog.step(at(millis), Event::Update(vec![change]));
+            catalog.step(at(millis), Event::Tick);
+            assert_eq!(usable(&catalog), day.usable(), "after second {moment}");
+        }
+    }
+
+    /// Plays the seconds after a restore: targets that run write again after a second, and the
+    /// platform removes the entries of those that don't.
+    fn live_on(&mut self, start: u64, catalog: &mut Catalog) -> u64 {
+        let list = |day: &Day| day.list.values().cloned().collect::<Vec<_>>();
+        catalog.step(at(start), Event::Restored);
+        catalog.step(at(start), Event::Snapshot(list(self)));
+        for millis in (start..start + 4_000).step_by(250) {
+            if millis == start + 1_000 {
+                for (name, (last, _)) in self.targets.clone() {
+                    let Some(act @ Act::Write { .. }) = last else {
+                        continue;
+                    };
+                    let change = self.act(name, act);
+                    catalog.step(at(millis), Event::Update(vec![change]));
+                }
+            }
+            if millis == start + 2_000 {
+                catalog.step(at(millis), Event::Snapshot(list(self)));
+            }
+            if millis == start + 3_000 {
+                let gone = self.targets.iter();
+                let gone = gone.filter(|(_, (last, _))| *last == Some(Act::Leave));
+                for name in gone.map(|(name, _)| *name).collect::<Vec<_>>() {
+                    self.list.remove(name);
+                    catalog.step(at(millis), Event::Update(vec![removed(name)]));
+                }
+            }
+            catalog.step(at(millis), Event::Tick);
+            assert_eq!(usable(catalog), self.usable(), "{} ms on", millis - start);
+        }
+        let known: Vec<&str> = self.list.keys().copied().collect();
+        assert_eq!(names(catalog), known);
+        start + 4_000
+    }
+}
+
+fn any_act() -> impl Strategy<Value = (&'static str, Act)> {
+    let act = prop_oneof![
+        3 => Just(Act::Write { draining: false }),
+        2 => Just(Act::Write { draining: true }),
+        2 => Just(Act::Leave),
+    ];
+    (prop::sample::select(vec!["a", "b", "c"]), act)
+}
+
+proptest! {
+    #[test]
+    fn restored_list_at_any_moment(acts in prop::collection::vec(any_act(), 1..12)) {
+        for restore in 0..acts.len() {
+            for age in 0..4 {
+                Day::play(&acts, restore, age);
+            }
+        }
+    }
+}
--- a/tests/mirror.rs
+++ b/tests/mirror.rs
@@ -1,11 +1,24 @@
 //! Cached lists that routers serve to each other.
 
+use futures::{FutureExt, future::BoxFuture};
 use marlrun::{
-    mirror::Cache,
-    unit::Span,
-    watch::{Event, Row},
+    front,
+    mirror::{self, Cache, Handler, Peers},
+    unit::{Era, Span},
+    upstream,
+    watch::{self, Event, Fault, Page, Position, Row, Source as _},
 };
-use std::time::Duration;
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpListener,
+    runtime::Handle,
+};
+
+fn at(version: u64) -> Position {
+    let era = Era(1);
+    Position { era, version }
+}
 
 fn full(version: u64, age: Span) -> Event<Row> {
     let row = Row {
@@ -14,7 +27,7 @@
     };
     Event::Full {
         entries: vec![row],
-        version,
+        position: at(version),
         age,
     }
 }
@@ -23,7 +36,7 @@
 async fn changes_end_when_copy_too_old() {
     let cache = Cache::new(Span::from_millis(60));
     cache.apply(&full(3, Span(0)));
-    let asked = cache.changes(3, Span::from_secs(3_600));
+    let asked = cache.changes(at(3), Span::from_secs(3_600));
     let answer = tokio::time::timeout(Duration::from_secs(60), asked).await;
     assert!(matches!(answer, Ok(None)), "{answer:?}");
 }
@@ -32,7 +45,176 @@
 async fn changes_of_unread_copy() {
     let cache = Cache::new(Span::from_secs(10));
     assert!(cache.snapshot().is_none());
-    assert!(cache.changes(0, Span(0)).await.is_none());
+    assert!(cache.changes(Position::default(), Span(0)).await.is_none());
     cache.apply(&full(3, Span(0)));
-    assert_eq!(cache.snapshot().unwrap().version, 3);
+    assert_eq!(cache.snapshot().unwrap().position, at(3));
+}
+
+fn rows(entries: &[(&str, &str)], position: Position) -> Event<Row> {
+    let entries = entries.iter().map(|(key, value)| Row {
+        key: (*key).into(),
+        value: Some(value.as_bytes().to_vec()),
+    });
+    Event::Full {
+        entries: entries.collect(),
+        position,
+        age: Span(0),
+    }
+}
+
+fn later(version: u64) -> Position {
+    let era = Era(2);
+    Position { era, version }
+}
+
+#[tokio::test]
+async fn changes_after_position_of_other_era() {
+    let cache = Cache::new(Span::from_secs(10));
+    cache.apply(&rows(&[("a", "1"), ("b", "1")], at(30)));
+    let known = cache.changes(at(30), Span(0)).await;
+    assert_eq!(known.flatten().unwrap().position, at(30));
+    cache.apply(&rows(&[("a", "0")], later(20)));
+    for after in [at(10), at(20), at(30), at(40)] {
+        let page = cache.changes(after, Span(0)).await;
+        assert_eq!(page, Some(None), "after {after}");
+    }
+    let whole = cache.snapshot().unwrap();
+    assert_eq!(whole.position, later(20));
+    assert_eq!(whole.entries.len(), 1, "the entry that the copy lacks");
+    let page = cache.changes(later(20), Span(0)).await.flatten().unwrap();
+    assert_eq!((page.position, page.entries), (later(20), Vec::new()));
+}
+
+#[tokio::test]
+async fn changes_waiting_when_list_restored() {
+    let cache = Cache::new(Span::from_secs(10));
+    cache.apply(&full(30, Span(0)));
+    let waiting = cache.changes(at(30), Span::from_secs(3_600));
+    let restore = async { cache.apply(&rows(&[("a", "0")], later(40))) };
+    let both = async { tokio::join!(waiting, restore) };
+    let (page, ()) = tokio::time::timeout(Duration::from_secs(60), both)
+        .await
+        .unwrap();
+    assert_eq!(page, Some(None));
+}
+
+#[tokio::test]
+async fn snapshot_keeps_newest_era() {
+    let cache = Cache::new(Span::from_secs(10));
+    cache.apply(&rows(&[("a", "new")], later(3)));
+    cache.apply(&rows(&[("a", "old"), ("b", "old")], at(90)));
+    let whole = cache.snapshot().unwrap();
+    assert_eq!((whole.position, whole.entries.len()), (later(3), 1));
+}
+
+/// A platform that can't be reached.
+struct Unreachable;
+
+impl watch::Source for Unreachable {
+    fn read(&self) -> BoxFuture<'_, Result<Page<Row>, Fault>> {
+        async { Err(fault()) }.boxed()
+    }
+
+    fn changes(&self, _: Position, _: Span) -> BoxFuture<'_, Result<Page<Row>, Fault>> {
+        async { Err(fault()) }.boxed()
+    }
+}
+
+fn fault() -> Fault {
+    Fault::Unreachable {
+        endpoint: "the platform".into(),
+        cause: "it is cut off".into(),
+    }
+}
+
+/// Serves a cached list to other routers.
+fn serve(cache: &Arc<Cache>) -> front::Server {
+    let settings = front::Settings {
+        address: "127.0.0.1:0".parse().unwrap(),
+        handler: Arc::new(Handler {
+            caches: BTreeMap::from([("targets", cache.clone())]),
+        }),
+    };
+    front::Server::bind(settings, &Handle::current()).unwrap()
+}
+
+fn follow(routers: Vec<SocketAddr>) -> mirror::Source {
+    let peers = Arc::<Peers>::default();
+    peers.set(routers, Vec::new());
+    let pool = upstream::Pool::default();
+    let max_age = Span::from_secs(10);
+    mirror::Source::new("targets", Arc::new(Unreachable), pool, peers, max_age)
+}
+
+#[tokio::test]
+async fn pages_carry_era() {
+    let cache = Arc::new(Cache::new(Span::from_secs(10)));
+    cache.apply(&rows(&[("a", "1")], at(30)));
+    let server = serve(&cache);
+    let source = follow(vec![server.address()]);
+    assert_eq!(source.read().await.unwrap().position, at(30));
+    cache.apply(&rows(&[("a", "0")], later(20)));
+    let changes = source.changes(at(10), Span(0)).await;
+    assert!(
+        matches!(changes, Err(Fault::Compacted { .. })),
+        "{changes:?}"
+    );
+    assert_eq!(source.read().await.unwrap().position, later(20));
+}
+
+#[tokio::test]
+async fn page_of_earlier_era_refused() {
+    let (ahead, behind) = (
+        Arc::new(Cache::new(Span::from_secs(10))),
+        Arc::new(Cache::new(Span::from_secs(10))),
+    );
+    ahead.apply(&rows(&[("a", "new")], later(3)));
+    behind.apply(&rows(&[("a", "old")], at(90)));
+    let (ahead, behind) = (serve(&ahead), serve(&behind));
+    let source = follow(vec![ahead.address(), behind.address()]);
+    assert_eq!(source.read().await.unwrap().position, later(3));
+    source.report_failure();
+    let page = source.read().await.unwrap();
+    assert_eq!(page.position, later(3), "the other router is passed over");
+    let alone = follow(vec![behind.address()]);
+    assert_eq!(alone.read().await.unwrap().position, at(90));
+}
+
+#[tokio::test]
+async fn page_without_era() {
+    let page = r#"{"version":7,"age_ms":0,"rows":[{"key":"a","value":"MQ=="}]}"#;
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let earlier = tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        stream.read_u8().await.unwrap();
+        let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n", page.len());
+        stream.write_all(head.as_bytes()).await.unwrap();
+        stream.write_all(page.as_bytes()).await.unwrap();
+        stream
+    });
+    let page = follow(vec![address]).read().await.unwrap();
+    let era = Era(0);
+    assert_eq!(page.position, Position { era, version: 7 });
+    assert_eq!(page.entries.len(), 1);
+    drop(earlier.await.unwrap());
+}
+
+#[tokio::test]
+async fn changes_for_earlier_release() {
+    let cache = Arc::new(Cache::new(Span::from_secs(10)));
+    cache.apply(&rows(&[("a", "1")], later(20)));
+    let server = serve(&cache);
+    let fetch = async |path: &str| {
+        let mut request = http::Request::new(http_body_util::Full::default());
+        *request.uri_mut() = path.parse().unwrap();
+        let pool = upstream::Pool::default();
+        let response = pool.fetch(server.address(), request, 1 << 20).await;
+        response.unwrap()
+    };
+    // It doesn't know eras and sends none.
+    let page = fetch("/lists/targets?after=20&wait-ms=0").await;
+    assert_eq!(page.status(), 200);
+    let page = fetch("/lists/targets?after=20&era=1&wait-ms=0").await;
+    assert_eq!(page.status(), 410);
 }
