--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -22,7 +22,7 @@
     proxy::{Harm, Proxy},
     replica::{FIRST_START_MS, Mode, Replica, Run, event},
     router::Router,
-    store::{Fault, Store},
+    store::{Era, Fault, Store},
 };
 
 use serde_json::{Value, json};
