Take a raised timeout over to connections that are open

Cause: a connection read its timeouts once, when it was accepted. After a configuration raised the idle limit, the router closed connections that callers still might reuse, and their next request got neither a response nor a refusal.

Change: a timeout asks for the limit in force when it starts and again when it has passed, and goes on for the rest if the newest limit is longer (front::timer). A lowered limit applies from the next wait on.

Measured: idle_limit_raised_on_fresh_connection and idle_limit_raised_ends_connection_later failed before (no response; closed at the old limit) and pass now.

--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -14,6 +14,7 @@
 mod responder;
 mod seconds;
 mod server;
+mod timer;
 mod transport;
 
 pub use self::{
--- a/src/front/responder.rs
+++ b/src/front/responder.rs
@@ -11,7 +11,8 @@
     /// Responds to one request. The future is dropped early if the caller disconnects.
     fn respond(&self, request: Request<Incoming>) -> BoxFuture<'_, Response<Body>>;
 
-    /// Returns the limits for a new connection.
+    /// Returns the limits in force. Open connections ask for them, too, when a timeout starts or has
+    /// passed.
     fn limits(&self) -> Limits;
 
     /// Returns the refusal to send on a new connection without reading its request, if no request
--- a/src/front/server.rs
+++ b/src/front/server.rs
@@ -3,7 +3,7 @@
 use super::{
     Responder,
     refused::Refused,
-    transport::{Guard, Progress, Timeouts, Transport},
+    transport::{Guard, Progress, Transport},
 };
 use crate::{
     clock,
@@ -188,11 +188,7 @@
     let (busy, mut busy_receiver) = watch::channel(false);
     let progress = Arc::<Progress>::default();
     let request_progress = progress.clone();
-    let timeouts = Timeouts {
-        head: Duration::from(limits.head_timeout),
-        idle: Duration::from(limits.idle_timeout),
-    };
-    let transport = Transport::new(stream, timeouts, progress.clone());
+    let transport = Transport::new(stream, handler.clone(), progress.clone());
     let service = service_fn(move |request| {
         let (handler, busy, headroom) = (handler.clone(), busy.clone(), headroom.clone());
         let guard = Guard::begin(&request_progress);
--- a/src/front/transport.rs
+++ b/src/front/transport.rs
@@ -1,7 +1,7 @@
 //! Byte stream of a caller's connection: enforces timeouts, and replaces the empty responses that
 //! hyper sends for an invalid request head by problem details.
 
-use super::Problem;
+use super::{Problem, Responder, timer::Timer};
 use crate::metric;
 use bytes::{Buf, Bytes};
 use http::StatusCode;
@@ -45,15 +45,6 @@
     }
 }
 
-/// Timeouts of a caller's connection.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct Timeouts {
-    /// From the first byte of a request head to its last.
-    pub(super) head: Duration,
-    /// Until the next request head begins, and for writes on which the caller makes no progress.
-    pub(super) idle: Duration,
-}
-
 /// Marks a request as in progress until it is dropped.
 pub(super) struct Guard(Arc<Progress>);
 
@@ -74,7 +65,8 @@
 /// Byte stream of a caller's connection.
 pub(super) struct Transport {
     stream: TcpStream,
-    timeouts: Timeouts,
+    /// Tells the timeouts in force.
+    responder: Arc<dyn Responder>,
     progress: Arc<Progress>,
     /// Value of `Progress::requests` at the last check.
     requests: u64,
@@ -85,18 +77,22 @@
     /// Unsent rest of a response that the transport generated.
     generated: Bytes,
     /// Timeout of the wait for a request head.
-    head_timer: Option<Pin<Box<Sleep>>>,
+    head_timer: Option<Timer>,
     /// Timeout of a blocked write.
-    write_timer: Option<Pin<Box<Sleep>>>,
+    write_timer: Option<Timer>,
     /// Timeout of the wait for the caller to close.
     linger_timer: Option<Pin<Box<Sleep>>>,
 }
 
 impl Transport {
-    pub(super) fn new(stream: TcpStream, timeouts: Timeouts, progress: Arc<Progress>) -> Self {
+    pub(super) fn new(
+        stream: TcpStream,
+        responder: Arc<dyn Responder>,
+        progress: Arc<Progress>,
+    ) -> Self {
         Self {
             stream,
-            timeouts,
+            responder,
             progress,
             requests: 0,
             head_started: false,
@@ -126,15 +122,17 @@
     /// Ends the connection if the head timeout has passed: with a 408 response if a part of the
     /// head was received, silently if not.
     fn poll_head_timeout(&mut self, cx: &mut Context<'_>) -> Poll<()> {
-        let limit = if self.head_started {
-            self.timeouts.head
-        } else {
-            self.timeouts.idle
+        let responder = &self.responder;
+        let limit = || {
+            let limits = responder.limits();
+            Duration::from(if self.head_started {
+                limits.head_timeout
+            } else {
+                limits.idle_timeout
+            })
         };
-        let timer = self
-            .head_timer
-            .get_or_insert_with(|| Box::pin(tokio::time::sleep(limit)));
-        ready!(timer.as_mut().poll(cx));
+        let timer = self.head_timer.get_or_insert_with(|| Timer::open(limit()));
+        let limit = ready!(timer.poll(cx, limit));
         let reason = if self.head_started { "head" } else { "idle" };
         count_closed(reason);
         if self.head_started {
@@ -168,11 +166,10 @@
             self.write_timer = None;
             return written;
         }
-        let idle = self.timeouts.idle;
-        let timer = self
-            .write_timer
-            .get_or_insert_with(|| Box::pin(tokio::time::sleep(idle)));
-        ready!(timer.as_mut().poll(cx));
+        let responder = &self.responder;
+        let limit = || Duration::from(responder.limits().idle_timeout);
+        let timer = self.write_timer.get_or_insert_with(|| Timer::open(limit()));
+        ready!(timer.poll(cx, limit));
         count_closed("write");
         Poll::Ready(Err(io::ErrorKind::TimedOut.into()))
     }
--- a/tests/front.rs
+++ b/tests/front.rs
@@ -2,17 +2,27 @@
 
 mod common;
 
+use bytes::Bytes;
 use common::{Answer, Caller};
-use marlrun::daemon;
+use futures::{FutureExt, future::BoxFuture};
+use http::{Request, Response};
+use http_body_util::{BodyExt, Full, combinators::UnsyncBoxBody};
+use hyper::body::Incoming;
+use marlrun::{
+    daemon,
+    front::{Limits, Responder, Server, Settings},
+    unit::Span,
+};
 use sha2::{Digest, Sha256};
 use std::{
-    fs,
+    fs, io,
     io::{Read, Write},
     net::{SocketAddr, TcpListener, TcpStream},
     sync::{Arc, Mutex},
     thread,
     time::Duration,
 };
+use tokio::runtime::Runtime;
 
 /// Target that responds to its n-th request with the n-th script, verbatim, and closes the
 /// connection.
@@ -213,3 +223,92 @@
     }
     assert_eq!(answered, CALLERS);
 }
+
+/// Responder with limits that can change and a response of its own.
+struct Stub {
+    limits: Mutex<Limits>,
+    body: Bytes,
+}
+
+impl Stub {
+    fn new(limits: Limits) -> Self {
+        Self {
+            limits: Mutex::new(limits),
+            body: Bytes::from_static(b"response"),
+        }
+    }
+}
+
+impl Responder for Stub {
+    fn respond(
+        &self,
+        _: Request<Incoming>,
+    ) -> BoxFuture<'_, Response<UnsyncBoxBody<Bytes, io::Error>>> {
+        let body = Full::new(self.body.clone());
+        let response = Response::new(body.map_err(|never| match never {}).boxed_unsync());
+        async { response }.boxed()
+    }
+
+    fn limits(&self) -> Limits {
+        self.limits.lock().unwrap().clone()
+    }
+}
+
+fn serve(responder: &Arc<Stub>) -> (Runtime, Server) {
+    let runtime = Runtime::new().unwrap();
+    let settings = Settings {
+        address: "127.0.0.1:0".parse().unwrap(),
+        handler: responder.clone(),
+    };
+    let server = Server::bind(settings, runtime.handle()).unwrap();
+    (runtime, server)
+}
+
+/// Sends a request on an open connection and returns what the first read returns.
+fn request_on(stream: &mut TcpStream) -> String {
+    // A connection that was closed is noticed by the read.
+    let _ = stream.write_all(b"GET / HTTP/1.1\r\nhost: a\r\n\r\n");
+    let mut bytes = [0; 4096];
+    let count = stream.read(&mut bytes).unwrap_or_default();
+    String::from_utf8_lossy(&bytes[..count]).into_owned()
+}
+
+fn idle_limit(millis: u64) -> Limits {
+    Limits {
+        idle_timeout: Span::from_millis(millis),
+        ..Limits::default()
+    }
+}
+
+#[test]
+fn idle_limit_raised_on_fresh_connection() {
+    let responder = Arc::new(Stub::new(idle_limit(500)));
+    let (_runtime, server) = serve(&responder);
+    let mut stream = TcpStream::connect(server.address()).unwrap();
+    thread::sleep(Duration::from_millis(100));
+    *responder.limits.lock().unwrap() = idle_limit(3_000);
+    thread::sleep(Duration::from_millis(1_200));
+    let answer = request_on(&mut stream);
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer:?}");
+}
+
+#[test]
+fn idle_limit_raised_ends_connection_later() {
+    let responder = Arc::new(Stub::new(idle_limit(500)));
+    let (_runtime, server) = serve(&responder);
+    let mut stream = TcpStream::connect(server.address()).unwrap();
+    thread::sleep(Duration::from_millis(100));
+    *responder.limits.lock().unwrap() = idle_limit(1_000);
+    let mut byte = [0];
+    stream
+        .set_read_timeout(Some(Duration::from_millis(600)))
+        .unwrap();
+    assert!(
+        stream.read(&mut byte).is_err(),
+        "closed before the new limit"
+    );
+    stream
+        .set_read_timeout(Some(Duration::from_secs(5)))
+        .unwrap();
+    assert_eq!(stream.read(&mut byte).unwrap(), 0);
+}
