Read nothing after the close of an idle connection

Cause: after the idle limit had passed, the router closed its side and went on reading for up to a second, as after a response that must arrive. A request that crossed the close was taken and discarded.

Change: the connection closes at once, since there is no response to protect.

Measured: request_crossing_idle_close_is_unread failed before (bytes accepted 200 ms after the close) and passes now.

--- a/src/front/transport.rs
+++ b/src/front/transport.rs
@@ -293,6 +293,10 @@
         if this.linger_timer.is_none() {
             ready!(Pin::new(&mut this.stream).poll_shutdown(cx))?;
         }
+        if this.timed_out && !this.head_started {
+            // No response needs protection, and a request that crosses the close stays unread.
+            return Poll::Ready(Ok(()));
+        }
         ready!(this.poll_linger(cx));
         Poll::Ready(Ok(()))
     }
--- a/tests/front.rs
+++ b/tests/front.rs
@@ -312,3 +312,17 @@
         .unwrap();
     assert_eq!(stream.read(&mut byte).unwrap(), 0);
 }
+
+#[test]
+fn request_crossing_idle_close_is_unread() {
+    let responder = Arc::new(Stub::new(idle_limit(300)));
+    let (_runtime, server) = serve(&responder);
+    let mut stream = TcpStream::connect(server.address()).unwrap();
+    assert_eq!(stream.read(&mut [0]).unwrap(), 0);
+    // Time for the router to close its side entirely, far below the time it lingers elsewhere.
+    thread::sleep(Duration::from_millis(100));
+    let _ = stream.write_all(b"GET / HTTP/1.1\r\n");
+    thread::sleep(Duration::from_millis(100));
+    let written = stream.write_all(b"host: a\r\n\r\n");
+    assert!(written.is_err(), "the router took bytes after its close");
+}
