Send a response that its caller reads slowly while the router drains

Cause: a request counts as in progress until its response body is taken, not until it is sent. When a router drained, it dropped connections whose responses were waiting in the write buffer, and the callers lost the rest.

Change: the transport records whether something written is not yet flushed, and the drain waits while it is.

--- a/src/front/server.rs
+++ b/src/front/server.rs
@@ -237,7 +237,7 @@
             _ = connection.as_mut() => return,
             () = tokio::time::sleep(Duration::from(HEAD_GRACE)) => {}
         }
-        if !progress.is_active() {
+        if !progress.is_active() && !progress.is_unsent() {
             return;
         }
     }
--- a/src/front/transport.rs
+++ b/src/front/transport.rs
@@ -34,8 +34,11 @@
 pub(super) struct Progress {
     /// Number of requests whose head was received.
     requests: AtomicU64,
-    /// A request is in progress: received, and its response is not sent completely.
+    /// A request is in progress: received, and its response is not written completely.
     active: AtomicBool,
+    /// A part of a response that was written is not sent. The response may still be waiting then
+    /// after its request has ended.
+    unsent: AtomicBool,
 }
 
 impl Progress {
@@ -43,6 +46,15 @@
     pub(super) fn is_active(&self) -> bool {
         self.active.load(Ordering::Relaxed)
     }
+
+    /// Reports whether a part of a response is not sent.
+    pub(super) fn is_unsent(&self) -> bool {
+        self.unsent.load(Ordering::Relaxed)
+    }
+
+    fn set_unsent(&self, unsent: bool) {
+        self.unsent.store(unsent, Ordering::Relaxed);
+    }
 }
 
 /// Marks a request as in progress until it is dropped.
@@ -255,6 +267,7 @@
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
         let this = &mut *self;
+        this.progress.set_unsent(true);
         ready!(this.poll_generated(cx))?;
         if let Some(generated) = this.replace_generated(bytes) {
             this.generated = generated;
@@ -273,6 +286,7 @@
             return self.poll_write(cx, bytes);
         }
         let this = &mut *self;
+        this.progress.set_unsent(true);
         ready!(this.poll_generated(cx))?;
         let written = Pin::new(&mut this.stream).poll_write_vectored(cx, slices);
         this.check_stall(cx, written)
@@ -284,7 +298,9 @@
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         ready!(self.poll_generated(cx))?;
-        Pin::new(&mut self.stream).poll_flush(cx)
+        let flushed = ready!(Pin::new(&mut self.stream).poll_flush(cx));
+        self.progress.set_unsent(false);
+        Poll::Ready(flushed)
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/tests/front.rs
+++ b/tests/front.rs
@@ -326,3 +326,43 @@
     let written = stream.write_all(b"host: a\r\n\r\n");
     assert!(written.is_err(), "the router took bytes after its close");
 }
+
+/// The router has nothing left to ask of the target, but the caller has not taken the response.
+#[test]
+fn drain_sends_whole_response_to_slow_caller() {
+    const LARGE: usize = 8_000_000;
+
+    let limits = Limits {
+        drain_notice: Span::from_millis(100),
+        ..Limits::default()
+    };
+    let mut stub = Stub::new(limits);
+    stub.body = vec![b'a'; LARGE].into();
+    let (runtime, server) = serve(&Arc::new(stub));
+    let address = server.address();
+    let mut stream = runtime.block_on(async {
+        let socket = tokio::net::TcpSocket::new_v4().unwrap();
+        // A small buffer, so that the response stays at the router.
+        socket.set_recv_buffer_size(2_304).unwrap();
+        let stream = socket.connect(address).await.unwrap();
+        stream.into_std().unwrap()
+    });
+    stream.set_nonblocking(false).unwrap();
+    stream
+        .write_all(b"GET / HTTP/1.1\r\nhost: a\r\n\r\n")
+        .unwrap();
+    thread::sleep(Duration::from_millis(200));
+    let drained = runtime.spawn(server.drain());
+    thread::sleep(Duration::from_millis(1_200));
+    assert!(
+        !drained.is_finished(),
+        "drained before the response was sent"
+    );
+    let mut answer = Vec::new();
+    // A connection that was cut is noticed by the length below.
+    let _ = stream.read_to_end(&mut answer);
+    let head = answer.windows(4).position(|bytes| bytes == b"\r\n\r\n");
+    let body = answer.len() - head.unwrap() - 4;
+    assert_eq!(body, LARGE);
+    runtime.block_on(drained).unwrap();
+}
