--- a/src/front/transport.rs
+++ b/src/front/transport.rs
@@ -1,7 +1,7 @@
 //! Byte stream of a caller's connection: enforces timeouts, and replaces the empty responses that
 //! hyper sends for an invalid request head by problem details.
 
-use super::Problem;
+use super::{Problem, Responder, timer::Timer};
 use crate::metric;
 use bytes::{Buf, Bytes};
 use http::StatusCode;
@@ -34,8 +34,11 @@
 pub(super) struct Progress {
     /// Number of requests whose head was received.
     requests: AtomicU64,
-    /// A request is in progress: received, and its response is not sent completely.
+    /// A request is in progress: received, and its response is not written completely.
     active: AtomicBool,
+    /// A part of a response that was written is not sent. The response may still be waiting then
+    /// after its request has ended.
+    unsent: AtomicBool,
 }
 
 impl Progress {
@@ -43,15 +46,15 @@
     pub(super) fn is_active(&self) -> bool {
         self.active.load(Ordering::Relaxed)
     }
-}
 
-/// Timeouts of a caller's connection.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct Timeouts {
-    /// From the first byte of a request head to its last.
-    pub(super) head: Duration,
-    /// Until the next request head begins, and for writes on which the caller makes no progress.
-    pub(super) idle: Duration,
+    /// Reports whether a part of a response is not sent.
+    pub(super) fn is_unsent(&self) -> bool {
+        self.unsent.load(Ordering::Relaxed)
+    }
+
+    fn set_unsent(&self, unsent: bool) {
+        self.unsent.store(unsent, Ordering::Relaxed);
+    }
 }
 
 /// Marks a request as in progress until it is dropped.
@@ -74,7 +77,8 @@
 /// Byte stream of a caller's connection.
 pub(super) struct Transport {
     stream: TcpStream,
-    timeouts: Timeouts,
+    /// Tells the timeouts in force.
+    responder: Arc<dyn Responder>,
     progress: Arc<Progress>,
     /// Value of `Progress::requests` at the last check.
     requests: u64,
@@ -85,18 +89,22 @@
     /// Unsent rest of a response that the transport generated.
     generated: Bytes,
     /// Timeout of the wait for a request head.
-    head_timer: Option<Pin<Box<Sleep>>>,
+    head_timer: Option<Timer>,
     /// Timeout of a blocked write.
-    write_timer: Option<Pin<Box<Sleep>>>,
+    write_timer: Option<Timer>,
     /// Timeout of the wait for the caller to close.
     linger_timer: Option<Pin<Box<Sleep>>>,
 }
 
 impl Transport {
-    pub(super) fn new(stream: TcpStream, timeouts: Timeouts, progress: Arc<Progress>) -> Self {
+    pub(super) fn new(
+        stream: TcpStream,
+        responder: Arc<dyn Responder>,
+        progress: Arc<Progress>,
+    ) -> Self {
         Self {
             stream,
-            timeouts,
+            responder,
             progress,
             requests: 0,
             head_started: false,
@@ -126,15 +134,17 @@
     /// Ends the connection if the head timeout has passed: with a 408 response if a part of the
     /// head was received, silently if not.
     fn poll_head_timeout(&mut self, cx: &mut Context<'_>) -> Poll<()> {
-        let limit = if self.head_started {
-            self.timeouts.head
-        } else {
-            self.timeouts.idle
+        let responder = &self.responder;
+        let limit = || {
+            let limits = responder.limits();
+            Duration::from(if self.head_started {
+                limits.head_timeout
+            } else {
+                limits.idle_timeout
+            })
         };
-        let timer = self
-            .head_timer
-            .get_or_insert_with(|| Box::pin(tokio::time::sleep(limit)));
-        ready!(timer.as_mut().poll(cx));
+        let timer = self.head_timer.get_or_insert_with(|| Timer::open(limit()));
+        let limit = ready!(timer.poll(cx, limit));
         let reason = if self.head_started { "head" } else { "idle" };
         count_closed(reason);
         if self.head_started {
@@ -168,11 +178,10 @@
             self.write_timer = None;
             return written;
         }
-        let idle = self.timeouts.idle;
-        let timer = self
-            .write_timer
-            .get_or_insert_with(|| Box::pin(tokio::time::sleep(idle)));
-        ready!(timer.as_mut().poll(cx));
+        let responder = &self.responder;
+        let limit = || Duration::from(responder.limits().idle_timeout);
+        let timer = self.write_timer.get_or_insert_with(|| Timer::open(limit()));
+        ready!(timer.poll(cx, limit));
         count_closed("write");
         Poll::Ready(Err(io::ErrorKind::TimedOut.into()))
     }
@@ -258,6 +267,7 @@
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
         let this = &mut *self;
+        this.progress.set_unsent(true);
         ready!(this.poll_generated(cx))?;
         if let Some(generated) = this.replace_generated(bytes) {
             this.generated = generated;
@@ -276,6 +286,7 @@
             return self.poll_write(cx, bytes);
         }
         let this = &mut *self;
+        this.progress.set_unsent(true);
         ready!(this.poll_generated(cx))?;
         let written = Pin::new(&mut this.stream).poll_write_vectored(cx, slices);
         this.check_stall(cx, written)
@@ -287,7 +298,9 @@
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         ready!(self.poll_generated(cx))?;
-        Pin::new(&mut self.stream).poll_flush(cx)
+        let flushed = ready!(Pin::new(&mut self.stream).poll_flush(cx));
+        self.progress.set_unsent(false);
+        Poll::Ready(flushed)
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -296,6 +309,10 @@
         if this.linger_timer.is_none() {
             ready!(Pin::new(&mut this.stream).poll_shutdown(cx))?;
         }
+        if this.timed_out && !this.head_started {
+            // No response needs protection, and a request that crosses the close stays unread.
+            return Poll::Ready(Ok(()));
+        }
         ready!(this.poll_linger(cx));
         Poll::Ready(Ok(()))
     }
--- a/tests/front.rs
+++ b/tests/front.rs
@@ -2,17 +2,27 @@
 
 mod common;
 
+use bytes::Bytes;
 use common::{Answer, Caller};
-use marlrun::daemon;
+use futures::{FutureExt, future::BoxFuture};
+use http::{Request, Response};
+use http_body_util::{BodyExt, Full, combinators::UnsyncBoxBody};
+use hyper::body::Incoming;
+use marlrun::{
+    daemon,
+    front::{Limits, Responder, Server, Settings},
+    unit::Span,
+};
 use sha2::{Digest, Sha256};
 use std::{
-    fs,
+    fs, io,
     io::{Read, Write},
     net::{SocketAddr, TcpListener, TcpStream},
     sync::{Arc, Mutex},
     thread,
     time::Duration,
 };
+use tokio::runtime::Runtime;
 
 /// Target that responds to its n-th request with the n-th script, verbatim, and closes the
 /// connection.
@@ -213,3 +223,146 @@
     }
     assert_eq!(answered, CALLERS);
 }
+
+/// Responder with limits that can change and a response of its own.
+struct Stub {
+    limits: Mutex<Limits>,
+    body: Bytes,
+}
+
+impl Stub {
+    fn new(limits: Limits) -> Self {
+        Self {
+            limits: Mutex::new(limits),
+            body: Bytes::from_static(b"response"),
+        }
+    }
+}
+
+impl Responder for Stub {
+    fn respond(
+        &self,
+        _: Request<Incoming>,
+    ) -> BoxFuture<'_, Response<UnsyncBoxBody<Bytes, io::Error>>> {
+        let body = Full::new(self.body.clone());
+        let response = Response::new(body.map_err(|never| match never {}).boxed_unsync());
+        async { response }.boxed()
+    }
+
+    fn limits(&self) -> Limits {
+        self.limits.lock().unwrap().clone()
+    }
+}
+
+fn serve(responder: &Arc<Stub>) -> (Runtime, Server) {
+    let runtime = Runtime::new().unwrap();
+    let settings = Settings {
+        address: "127.0.0.1:0".parse().unwrap(),
+        handler: responder.clone(),
+    };
+    let server = Server::bind(settings, runtime.handle()).unwrap();
+    (runtime, server)
+}
+
+/// Sends a request on an open connection and returns what the first read returns.
+fn request_on(stream: &mut TcpStream) -> String {
+    // A connection that was closed is noticed by the read.
+    let _ = stream.write_all(b"GET / HTTP/1.1\r\nhost: a\r\n\r\n");
+    let mut bytes = [0; 4096];
+    let count = stream.read(&mut bytes).unwrap_or_default();
+    String::from_utf8_lossy(&bytes[..count]).into_owned()
+}
+
+fn idle_limit(millis: u64) -> Limits {
+    Limits {
+        idle_timeout: Span::from_millis(millis),
+        ..Limits::default()
+    }
+}
+
+#[test]
+fn idle_limit_raised_on_fresh_connection() {
+    let responder = Arc::new(Stub::new(idle_limit(500)));
+    let (_runtime, server) = serve(&responder);
+    let mut stream = TcpStream::connect(server.address()).unwrap();
+    thread::sleep(Duration::from_millis(100));
+    *responder.limits.lock().unwrap() = idle_limit(3_000);
+    thread::sleep(Duration::from_millis(1_200));
+    let answer = request_on(&mut stream);
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer:?}");
+}
+
+#[test]
+fn idle_limit_raised_ends_connection_later() {
+    let responder = Arc::new(Stub::new(idle_limit(500)));
+    let (_runtime, server) = serve(&responder);
+    let mut stream = TcpStream::connect(server.address()).unwrap();
+    thread::sleep(Duration::from_millis(100));
+    *responder.limits.lock().unwrap() = idle_limit(1_000);
+    let mut byte = [0];
+    stream
+        .set_read_timeout(Some(Duration::from_millis(600)))
+        .unwrap();
+    assert!(
+        stream.read(&mut byte).is_err(),
+        "closed before the new limit"
+    );
+    stream
+        .set_read_timeout(Some(Duration::from_secs(5)))
+        .unwrap();
+    assert_eq!(stream.read(&mut byte).unwrap(), 0);
+}
+
+#[test]
+fn request_crossing_idle_close_is_unread() {
+    let responder = Arc::new(Stub::new(idle_limit(300)));
+    let (_runtime, server) = serve(&responder);
+    let mut stream = TcpStream::connect(server.address()).unwrap();
+    assert_eq!(stream.read(&mut [0]).unwrap(), 0);
+    // Time for the router to close its side entirely, far below the time it lingers elsewhere.
+    thread::sleep(Duration::from_millis(100));
+    let _ = stream.write_all(b"GET / HTTP/1.1\r\n");
+    thread::sleep(Duration::from_millis(100));
+    let written = stream.write_all(b"host: a\r\n\r\n");
+    assert!(written.is_err(), "the router took bytes after its close");
+}
+
+/// The router has nothing left to ask of the target, but the caller has not taken the response.
+#[test]
+fn drain_sends_whole_response_to_slow_caller() {
+    const LARGE: usize = 8_000_000;
+
+    let limits = Limits {
+        drain_notice: Span::from_millis(100),
+        ..Limits::default()
+    };
+    let mut stub = Stub::new(limits);
+    stub.body = vec![b'a'; LARGE].into();
+    let (runtime, server) = serve(&Arc::new(stub));
+    let address = server.address();
+    let mut stream = runtime.block_on(async {
+        let socket = tokio::net::TcpSocket::new_v4().unwrap();
+        // A small buffer, so that the response stays at the router.
+        socket.set_recv_buffer_size(2_304).unwrap();
+        let stream = socket.connect(address).await.unwrap();
+        stream.into_std().unwrap()
+    });
+    stream.set_nonblocking(false).unwrap();
+    stream
+        .write_all(b"GET / HTTP/1.1\r\nhost: a\r\n\r\n")
+        .unwrap();
+    thread::sleep(Duration::from_millis(200));
+    let drained = runtime.spawn(server.drain());
+    thread::sleep(Duration::from_millis(1_200));
+    assert!(
+        !drained.is_finished(),
+        "drained before the response was sent"
+    );
+    let mut answer = Vec::new();
+    // A connection that was cut is noticed by the length below.
+    let _ = stream.read_to_end(&mut answer);
+    let head = answer.windows(4).position(|bytes| bytes == b"\r\n\r\n");
+    let body = answer.len() - head.unwrap() - 4;
+    assert_eq!(body, LARGE);
+    runtime.block_on(drained).unwrap();
+}
