End a kept connection after its response if the limit of request heads has changed

Cause: the parser of a connection keeps the limit that was in force when it was opened. After a configuration raised it, kept connections refused heads with 431 that new connections accepted.

Change: the next response on such a connection says that it closes, so that the caller opens a new one. The idle and head timeouts need no new connection.

Measured: head_limit_raised_ends_kept_connection failed before (the connection stayed) and passes now; head_limit_raised_sends_whole_response_to_slow_caller guards the response before the close (before, it passed after 30 s, when the idle limit ended the connection). A long head that is the first request after the change is still refused.

--- a/src/front/server.rs
+++ b/src/front/server.rs
@@ -189,13 +189,16 @@
     let progress = Arc::<Progress>::default();
     let request_progress = progress.clone();
     let transport = Transport::new(stream, handler.clone(), progress.clone());
+    let head_bytes = limits.head_bytes;
     let service = service_fn(move |request| {
         let (handler, busy, headroom) = (handler.clone(), busy.clone(), headroom.clone());
         let guard = Guard::begin(&request_progress);
         async move {
             busy.send_replace(true);
             let mut response = handler.respond(request).await;
-            if headroom.is_low() {
+            // hyper keeps the limit that the connection began with; the caller opens a new one.
+            let is_outdated = handler.limits().head_bytes != head_bytes;
+            if is_outdated || headroom.is_low() {
                 let close = header::HeaderValue::from_static("close");
                 response.headers_mut().insert(header::CONNECTION, close);
             }
--- a/tests/front.rs
+++ b/tests/front.rs
@@ -327,6 +327,26 @@
     assert!(written.is_err(), "the router took bytes after its close");
 }
 
+/// Connects with a small receive buffer, so that a large response stays at the router.
+fn connect_with_small_buffer(runtime: &Runtime, address: SocketAddr) -> TcpStream {
+    let stream = runtime.block_on(async {
+        let socket = tokio::net::TcpSocket::new_v4().unwrap();
+        socket.set_recv_buffer_size(2_304).unwrap();
+        socket.connect(address).await.unwrap().into_std().unwrap()
+    });
+    stream.set_nonblocking(false).unwrap();
+    stream
+}
+
+/// Reads until the connection ends and returns the number of bytes after the head.
+fn read_body(stream: &mut TcpStream) -> usize {
+    let mut answer = Vec::new();
+    // A connection that was cut is noticed by the number of bytes.
+    let _ = stream.read_to_end(&mut answer);
+    let head = answer.windows(4).position(|bytes| bytes == b"\r\n\r\n");
+    answer.len() - head.unwrap() - 4
+}
+
 /// The router has nothing left to ask of the target, but the caller has not taken the response.
 #[test]
 fn drain_sends_whole_response_to_slow_caller() {
@@ -340,14 +360,7 @@
     stub.body = vec![b'a'; LARGE].into();
     let (runtime, server) = serve(&Arc::new(stub));
     let address = server.address();
-    let mut stream = runtime.block_on(async {
-        let socket = tokio::net::TcpSocket::new_v4().unwrap();
-        // A small buffer, so that the response stays at the router.
-        socket.set_recv_buffer_size(2_304).unwrap();
-        let stream = socket.connect(address).await.unwrap();
-        stream.into_std().unwrap()
-    });
-    stream.set_nonblocking(false).unwrap();
+    let mut stream = connect_with_small_buffer(&runtime, address);
     stream
         .write_all(b"GET / HTTP/1.1\r\nhost: a\r\n\r\n")
         .unwrap();
@@ -358,11 +371,49 @@
         !drained.is_finished(),
         "drained before the response was sent"
     );
-    let mut answer = Vec::new();
-    // A connection that was cut is noticed by the length below.
-    let _ = stream.read_to_end(&mut answer);
-    let head = answer.windows(4).position(|bytes| bytes == b"\r\n\r\n");
-    let body = answer.len() - head.unwrap() - 4;
-    assert_eq!(body, LARGE);
+    assert_eq!(read_body(&mut stream), LARGE);
     runtime.block_on(drained).unwrap();
 }
+
+fn head_limit(bytes: usize) -> Limits {
+    Limits {
+        head_bytes: bytes,
+        ..Limits::default()
+    }
+}
+
+#[test]
+fn head_limit_raised_ends_kept_connection() {
+    let responder = Arc::new(Stub::new(head_limit(10_000)));
+    let (_runtime, server) = serve(&responder);
+    let mut stream = TcpStream::connect(server.address()).unwrap();
+    let kept = request_on(&mut stream);
+    assert!(!kept.contains("connection: close"), "{kept:?}");
+    *responder.limits.lock().unwrap() = head_limit(40_000);
+    let last = request_on(&mut stream);
+    assert!(last.starts_with("HTTP/1.1 200"), "{last:?}");
+    assert!(last.contains("connection: close"), "{last:?}");
+    assert_eq!(stream.read(&mut [0]).unwrap(), 0);
+
+    let mut stream = TcpStream::connect(server.address()).unwrap();
+    let kept = request_on(&mut stream);
+    assert!(!kept.contains("connection: close"), "{kept:?}");
+}
+
+#[test]
+fn head_limit_raised_sends_whole_response_to_slow_caller() {
+    const LARGE: usize = 8_000_000;
+
+    let mut stub = Stub::new(head_limit(10_000));
+    stub.body = vec![b'a'; LARGE].into();
+    let responder = Arc::new(stub);
+    let (runtime, server) = serve(&responder);
+    let mut stream = connect_with_small_buffer(&runtime, server.address());
+    thread::sleep(Duration::from_millis(100));
+    *responder.limits.lock().unwrap() = head_limit(40_000);
+    stream
+        .write_all(b"GET / HTTP/1.1\r\nhost: a\r\n\r\n")
+        .unwrap();
+    thread::sleep(Duration::from_millis(1_500));
+    assert_eq!(read_body(&mut stream), LARGE);
+}
