Let each of many routers save up a retry

Cause: the retry budget was divided among the routers in whole retries. With more routers than extra retries, each part was 0, and a bucket of size 0 drops what requests earn: no retry at all.

Change: parts are kept in thousandths. A part below one retry saves up earned fractions to one retry. For the sum of all routers to stay within the budget of any window, such a part earns half per request, and what it saved expires once in each window: what was saved in the window before and what is earned in the window itself are each at most half of what the busier of both windows allows. Parts of one retry or more work as before.

--- a/src/dispatch/dispatcher/fleet.rs
+++ b/src/dispatch/dispatcher/fleet.rs
@@ -98,8 +98,9 @@
         }
         self.targets = targets;
         let router_count = self.router_count();
-        let burst = self.settings.retry_extra / router_count;
-        self.budgets.values_mut().for_each(|b| b.set_burst(burst));
+        let extra = self.settings.retry_extra;
+        let budgets = self.budgets.values_mut();
+        budgets.for_each(|budget| budget.divide(extra, router_count));
     }
 
     /// Sets the routers that this one may follow, the other leading routers, and those of its
--- a/src/dispatch/dispatcher/mod.rs
+++ b/src/dispatch/dispatcher/mod.rs
@@ -58,6 +58,8 @@
     queues: BTreeMap<id::Service, Queue>,
     attempts: HashMap<u64, Attempt>,
     budgets: BTreeMap<id::Service, Budget>,
+    /// Time at which saved retries expire next.
+    retries_expire: Time,
     share: Share,
     typical: Typical,
     accounts: HashMap<u64, Account>,
@@ -97,6 +99,7 @@
             queues: BTreeMap::new(),
             attempts: HashMap::new(),
             budgets: BTreeMap::new(),
+            retries_expire: Time::default(),
             accounts: HashMap::new(),
             last_demand: None,
             topology: Topology::open(),
@@ -147,6 +150,7 @@
 
     /// Handles an event and appends the resulting actions.
     pub fn step(&mut self, now: Time, event: Event, out: &mut Vec<Action>) {
+        self.expire_retries(now);
         match event {
             Event::Arrived(request) => self.arrive(now, request, out),
             Event::ResponseStarted { number } => self.start_response(now, number, out),
@@ -266,10 +270,18 @@
         let router_count = self.router_count();
         let settings = &self.settings;
         self.budgets.entry(service.clone()).or_insert_with(|| {
-            Budget::new(settings.retry_permille, settings.retry_extra / router_count)
+            Budget::part(settings.retry_permille, settings.retry_extra, router_count)
         })
     }
 
+    /// Drops retries that were saved up in the retry window before.
+    fn expire_retries(&mut self, now: Time) {
+        if now >= self.retries_expire {
+            self.retries_expire = now + self.settings.retry_window;
+            self.budgets.values_mut().for_each(Budget::expire);
+        }
+    }
+
     fn start_response(&mut self, now: Time, number: u64, out: &mut Vec<Action>) {
         let Some(attempt) = self.attempts.get_mut(&number) else {
             return;
--- a/src/dispatch/settings.rs
+++ b/src/dispatch/settings.rs
@@ -20,6 +20,8 @@
     pub retry_permille: u32,
     /// Retries that the fleet may send to a service in addition.
     pub retry_extra: u32,
+    /// Window over which retries are compared with requests.
+    pub retry_window: Span,
     /// Maximum time that a request waits in the queue.
     pub max_queue_time: Span,
 }
@@ -37,6 +39,8 @@
             // One retry for five requests, as the platform allows; `retry_extra` covers bursts.
             retry_permille: 200,
             retry_extra: 50,
+            // The platform measures retries over ten seconds.
+            retry_window: Span::from_secs(10),
             // Requests that wait longer mostly end late; a caller that is refused earlier can retry
             // in time.
             max_queue_time: Span::from_millis(1_500),
--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -783,3 +783,112 @@
         }
     }
 }
+
+/// Informs a dispatcher that a number of other routers run.
+fn announce_routers(dispatcher: &mut Dispatcher, millis: u64, count: u32) {
+    let summary = gossip::Summary {
+        router: "r9".parse().unwrap(),
+        incarnation: id::Incarnation(1),
+        sequence: millis + 1,
+        version: Version(1),
+        leaving: false,
+        scope: gossip::Scope::Group,
+        router_count: count,
+        age: Span(0),
+        loads: Vec::new(),
+        usages: Vec::new(),
+        prefills: Vec::new(),
+    };
+    step(dispatcher, millis, Event::Summary(summary));
+}
+
+/// One of a number of routers, with twenty engines.
+fn one_of(routers: u32) -> Dispatcher {
+    let engines: Vec<_> = (0..20).map(|n| target(&format!("e{n}"), "llm")).collect();
+    let mut dispatcher = ready("r1", &engines);
+    if routers > 1 {
+        announce_routers(&mut dispatcher, 0, routers - 1);
+    }
+    dispatcher
+}
+
+/// Runs a request that ends with an outcome and returns whether it was sent again.
+fn run_once(dispatcher: &mut Dispatcher, millis: u64, number: u64, outcome: Outcome) -> bool {
+    let arrived = Event::Arrived(request(number, millis, "llm"));
+    let sent = step(dispatcher, millis, arrived);
+    assert!(sent_to(&sent).is_some(), "request {number} was not sent");
+    step(dispatcher, millis, Event::ResponseStarted { number });
+    let can_retry = true;
+    let ended = Event::Ended {
+        number,
+        outcome,
+        can_retry,
+    };
+    let again = sent_to(&step(dispatcher, millis, ended)).is_some();
+    step(dispatcher, millis, Event::Closed { number });
+    again
+}
+
+#[test]
+fn retry_earned_in_any_fleet() {
+    let without: Vec<u32> = [1, 6, 50, 51, 100, 300]
+        .into_iter()
+        .filter(|routers| {
+            let mut dispatcher = one_of(*routers);
+            for number in 1..100 {
+                run_once(&mut dispatcher, 10, number, Outcome::Answered);
+            }
+            !run_once(&mut dispatcher, 10, 100, Outcome::Broken)
+        })
+        .collect();
+    assert!(without.is_empty(), "no retry with {without:?} routers");
+}
+
+#[test]
+fn retry_earned_long_ago_in_large_fleet_expires() {
+    let mut dispatcher = one_of(100);
+    for number in 1..100 {
+        run_once(&mut dispatcher, 10, number, Outcome::Answered);
+    }
+    for millis in (1_000..25_000).step_by(1_000) {
+        announce_routers(&mut dispatcher, millis, 99);
+        step(&mut dispatcher, millis, Event::Tick);
+    }
+    assert!(!run_once(&mut dispatcher, 24_500, 100, Outcome::Broken));
+}
+
+/// In any ten seconds, each of more routers than there are extra retries sends at most its part of
+/// them and one retry for five requests, so that all routers together stay within the budget.
+#[test]
+fn retries_of_large_fleet_within_budget() {
+    const ROUTERS: u32 = 100;
+
+    for pause in [100, 400, 1_000] {
+        let mut dispatcher = one_of(ROUTERS);
+        let mut retries = Vec::new();
+        for (number, millis) in (0..40_000).step_by(pause).enumerate() {
+            announce_routers(&mut dispatcher, millis, ROUTERS - 1);
+            let outcome = if millis < 15_000 {
+                Outcome::Answered
+            } else {
+                Outcome::Broken
+            };
+            if run_once(&mut dispatcher, millis, number as u64, outcome) {
+                retries.push(millis);
+            }
+        }
+        assert!(
+            !retries.is_empty(),
+            "no retry with a request each {pause} ms"
+        );
+        let allowed = 10_000 / pause as u64 * 200 + 50_000 / u64::from(ROUTERS);
+        for start in &retries {
+            let window = *start..*start + 10_000;
+            let count = retries.iter().filter(|at| window.contains(at)).count() as u64;
+            assert!(
+                count * 1_000 <= allowed,
+                "{count} retries from {start} ms, with a request each {pause} ms"
+            );
+        }
+    }
+}
