--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -244,6 +244,8 @@
                 Trouble::store,
                 Trouble::configuration,
                 Trouble::targets,
+                Trouble::restore,
+                Trouble::departures,
                 Trouble::fronts,
                 Trouble::store_links,
                 Trouble::target_links,
@@ -268,7 +270,7 @@
         .for_each(|link| link.harm(Harm::None));
     for replica in world.engines.iter().chain(&world.apps) {
         replica.behave(Mode::Good);
-        replica.register("ready");
+        replica.restart();
     }
     for index in 0..fleet.len() {
         fleet.signal(index, Signal::SIGCONT);
@@ -619,6 +621,33 @@
         self.sleep(50..900);
     }
 
+    /// Brings the store back from a copy; operators and targets write again after a while.
+    fn restore(&mut self) {
+        let world = &self.fleet.world;
+        self.sleep(100..3_000);
+        world.store.copy();
+        self.sleep(100..2_500);
+        world.store.restore();
+        self.sleep(20..1_200);
+        let version = self.version.fetch_add(1, Ordering::Relaxed) + 1;
+        world.store.put("op", "config", &configuration(version));
+        for replica in world.engines.iter().chain(&world.apps) {
+            replica.register("ready");
+            self.sleep(1..200);
+        }
+    }
+
+    /// Lets a target announce in its responses that it leaves, and start again after a while.
+    fn departures(&mut self) {
+        let world = &self.fleet.world;
+        let index = self.draw(3) as usize;
+        let replica = self.pick(&[&world.engines[index], &world.apps[index]]);
+        replica.announce_leaving(true);
+        self.sleep(200..2_000);
+        replica.restart();
+        self.sleep(200..2_000);
+    }
+
     /// Changes how a target behaves, and what its entry says.
     fn targets(&mut self) {
         let world = &self.fleet.world;
@@ -627,6 +656,7 @@
         let mode = self.pick(&[
             Mode::Good,
             Mode::Full,
+            Mode::Pausing("0.7"),
             Mode::Failing,
             Mode::Lost,
             Mode::Mute,
--- a/tests/world/replica.rs
+++ b/tests/world/replica.rs
@@ -96,6 +96,8 @@
     /// Events of each stream, and the time between two.
     events: Mutex<(u64, Duration)>,
     hold: watch::Sender<bool>,
+    /// Start time of its process, in Unix milliseconds.
+    started_at_ms: AtomicU64,
     /// Writes of the entry so far.
     seq: AtomicU64,
 }
@@ -117,6 +119,7 @@
             }),
             events: Mutex::new((5, Duration::from_millis(5))),
             hold: watch::Sender::new(false),
+            started_at_ms: AtomicU64::new(FIRST_START_MS),
             seq: AtomicU64::new(0),
         });
         let served = shared.clone();
@@ -144,7 +147,15 @@
 
     /// Writes the target's entry with a state.
     pub(crate) fn register(&self, state: &str) {
-        self.register_run(state, FIRST_START_MS);
+        let started_at_ms = self.shared.started_at_ms.load(Ordering::Relaxed);
+        self.register_run(state, started_at_ms);
+    }
+
+    /// Starts again under the same name, and registers.
+    pub(crate) fn restart(&self) {
+        let started_at_ms = self.shared.started_at_ms.fetch_add(1, Ordering::Relaxed) + 1;
+        self.announce_leaving(false);
+        self.register_run("ready", started_at_ms);
     }
 
     /// Writes the target's entry with a state and the start time of its process.
