--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -531,7 +531,8 @@
             let answer = stream.join().unwrap();
             assert_eq!((answer.status, answer.whole), (200, true), "{answer:?}");
             assert_eq!(answer.body, events(8));
-            assert_eq!(world.runs_of(&format!("q{number}")).len(), 1);
+            let runs = world.runs_of(&format!("q{number}")).len();
+            assert_eq!(runs, 1, "q{number}: {}", router.log());
         }
     });
 }
