Log the builds of targets, and what callers resume

'sent' now names the build, and 'resumed by caller' the request that began the stream. No decision changes.

--- a/benches/exchange.rs
+++ b/benches/exchange.rs
@@ -91,6 +91,7 @@
         name: format!("e{index}").parse().unwrap(),
         started_at_ms: 1,
         service: "llm".parse().unwrap(),
+        build: id::Build::default(),
         address: "127.0.0.1:9".parse().unwrap(),
         domain: fleet::domain(index),
         slots: 48,
--- a/src/catalog/target.rs
+++ b/src/catalog/target.rs
@@ -13,6 +13,8 @@
     pub started_at_ms: u64,
     /// Service that it belongs to.
     pub service: id::Service,
+    /// Software version.
+    pub build: id::Build,
     /// Address.
     pub address: SocketAddr,
     /// Failure domain.
--- a/src/dispatch/estimate.rs
+++ b/src/dispatch/estimate.rs
@@ -8,6 +8,8 @@
 pub struct Estimate {
     /// Target.
     pub target: id::Target,
+    /// Software version of the target.
+    pub build: id::Build,
     /// Load of the target that the estimate is based on.
     pub view: View,
     /// Age of the oldest report of another router in that load.
--- a/src/dispatch/target.rs
+++ b/src/dispatch/target.rs
@@ -125,6 +125,7 @@
         }
         let mut estimate = Estimate {
             target: self.entry.name.clone(),
+            build: self.entry.build.clone(),
             view,
             view_age,
             uncached_tokens: 0,
--- a/src/gateway/handler.rs
+++ b/src/gateway/handler.rs
@@ -5,6 +5,7 @@
     Driver, Head, Protocol, State,
     call::Call,
     exchange::{Context, Exchange},
+    record::Record,
 };
 use crate::{
     clock,
@@ -104,12 +105,26 @@
             arrived,
             deadline: arrived + timeout,
         };
+        self.log_resumption(&call);
         let dispatch_request = dispatch_request(&call, &table);
         let (submission, decisions) = self.driver.submit(&call.head.request_id, dispatch_request);
         let exchange = Exchange::new(call, submission, self.context.clone(), permit);
         Ok(exchange.run(decisions).await)
     }
 
+    fn log_resumption(&self, call: &Call) {
+        let head = &call.head;
+        if head.origin.is_none() && head.last_event_id.is_none() {
+            return;
+        }
+        let record = Record::ResumedByCaller {
+            request: &head.request_id,
+            origin: head.origin.as_deref(),
+            last_event_id: head.last_event_id.as_deref(),
+        };
+        record.write(self.driver.log());
+    }
+
     async fn read_body(&self, body: Incoming, table: &Table) -> Result<Bytes, Problem> {
         let limits = table.limits;
         let limited = Limited::new(body, limits.body_bytes);
--- a/src/gateway/head.rs
+++ b/src/gateway/head.rs
@@ -15,4 +15,6 @@
     pub prompt: Option<Prompt>,
     /// ID of the last event that the caller received of an earlier response.
     pub last_event_id: Option<Box<str>>,
+    /// ID of the request whose response brought the first event of the stream that the caller resumes.
+    pub origin: Option<Box<str>>,
 }
--- a/src/gateway/record.rs
+++ b/src/gateway/record.rs
@@ -16,6 +16,13 @@
         earlier: u32,
         waited: Span,
     },
+    /// A caller resumes a stream that it received in part.
+    ResumedByCaller {
+        request: &'a str,
+        /// Request that began the stream; `None` if the caller names none.
+        origin: Option<&'a str>,
+        last_event_id: Option<&'a str>,
+    },
     /// An attempt at a target failed.
     Failed {
         request: &'a str,
@@ -144,11 +151,17 @@
                 earlier,
                 waited,
             } => slog::info!(log, "sent"; "request" => request,
-                "target" => estimate.target.as_str(), "earlier" => earlier,
+                "target" => estimate.target.as_str(), "build" => %estimate.build, "earlier" => earlier,
                 "waited_ms" => millis(*waited), "running" => estimate.view.running,
                 "backlog_tokens" => estimate.view.backlog, "memory_tokens" => estimate.view.memory,
                 "unread_tokens" => estimate.uncached_tokens, "expected_ms" => millis(estimate.first_event),
                 "view_age_ms" => millis(estimate.view_age)),
+            Record::ResumedByCaller {
+                request,
+                origin,
+                last_event_id,
+            } => slog::info!(log, "resumed by caller"; "request" => request, "origin" => origin,
+                "after_event" => last_event_id),
             Record::Failed {
                 request,
                 target,
--- a/src/id/mod.rs
+++ b/src/id/mod.rs
@@ -1,6 +1,7 @@
 //! Identifiers of the things that a fleet is made of.
 
 mod attempt;
+mod build;
 mod domain;
 mod incarnation;
 mod router;
@@ -10,8 +11,8 @@
 mod workspace;
 
 pub use self::{
-    attempt::Attempt, domain::Domain, incarnation::Incarnation, router::Router, service::Service,
-    site::Site, target::Target, workspace::Workspace,
+    attempt::Attempt, build::Build, domain::Domain, incarnation::Incarnation, router::Router,
+    service::Service, site::Site, target::Target, workspace::Workspace,
 };
 
 /// Longest identifier accepted, in bytes.
--- a/src/platform/header.rs
+++ b/src/platform/header.rs
@@ -21,6 +21,8 @@
 const LENGTH_HINT: HeaderName = HeaderName::from_static("x-marlrun-length-hint");
 /// ID of the last event of the stream that the client received.
 const LAST_EVENT_ID: HeaderName = HeaderName::from_static("last-event-id");
+/// ID of the client's request that began the stream which it resumes.
+const RESUMES: HeaderName = HeaderName::from_static("resumes");
 /// Signature of the target that sent the response.
 const RESPONSE_SIGNATURE: HeaderName = HeaderName::from_static("x-marlrun-response-stamp");
 /// Present if the target did not run the request.
@@ -66,6 +68,7 @@
             api_key: key.map(|key| key.trim().into()),
             prompt: parse_prompt(headers)?,
             last_event_id: text(headers, &LAST_EVENT_ID).map(Into::into),
+            origin: text(headers, &RESUMES).map(Into::into),
         })
     }
 
--- a/src/platform/target.rs
+++ b/src/platform/target.rs
@@ -7,6 +7,7 @@
     watch::Row,
 };
 use serde::Deserialize;
+use serde_json::Value;
 use std::net::SocketAddr;
 
 #[derive(Deserialize)]
@@ -14,6 +15,9 @@
     service: Box<str>,
     address: Box<str>,
     zone: Box<str>,
+    /// Version of its software; usually a text.
+    #[serde(default)]
+    version: Value,
     slots: u32,
     state: State,
     /// Remaining warm-up time in milliseconds, during which the target is slow after its start.
@@ -56,6 +60,7 @@
         name,
         started_at_ms: wire.born,
         service,
+        build: decode_build(&wire.version),
         address,
         domain,
         slots: wire.slots,
@@ -64,3 +69,12 @@
     };
     Some((target, wire.seq))
 }
+
+/// Decodes a software version. One that is not a text is named by its JSON.
+fn decode_build(version: &Value) -> id::Build {
+    match version {
+        Value::Null => id::Build::default(),
+        Value::String(name) => name.as_str().into(),
+        other => other.to_string().as_str().into(),
+    }
+}
--- a/tests/catalog.rs
+++ b/tests/catalog.rs
@@ -2,6 +2,7 @@
 
 use marlrun::{
     catalog::{Catalog, Entry, Event, Target},
+    id,
     unit::{Span, Time},
 };
 use proptest::prelude::*;
@@ -19,6 +20,7 @@
             name: name.parse().unwrap(),
             started_at_ms,
             service: "app".parse().unwrap(),
+            build: id::Build::default(),
             address: "127.0.0.1:9".parse().unwrap(),
             domain: "east".parse().unwrap(),
             slots: 4,
--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -60,6 +60,7 @@
         name: name.parse().unwrap(),
         started_at_ms: 1,
         service: service.parse().unwrap(),
+        build: id::Build::default(),
         address: "127.0.0.1:9".parse().unwrap(),
         domain: "east".parse().unwrap(),
         slots: 4,
--- a/tests/engines/mod.rs
+++ b/tests/engines/mod.rs
@@ -100,6 +100,7 @@
             name: format!("e{index}").parse().unwrap(),
             started_at_ms: 1,
             service: "llm".parse().unwrap(),
+            build: id::Build::default(),
             address: "127.0.0.1:9".parse().unwrap(),
             domain: "east".parse().unwrap(),
             slots: SLOTS as u32,
--- a/tests/exchange.rs
+++ b/tests/exchange.rs
@@ -229,6 +229,7 @@
         name: format!("e{index}").parse().unwrap(),
         started_at_ms: 1,
         service: "llm".parse().unwrap(),
+        build: id::Build::default(),
         address: "127.0.0.1:9".parse().unwrap(),
         domain: "d0".parse().unwrap(),
         slots: 4,
