--- /dev/null
+++ b/tests/builds.rs
@@ -0,0 +1,240 @@
+//! End-to-end tests of streams while targets of several software versions (builds) serve side by side.
+
+mod world;
+
+use nix::sys::signal::Signal;
+use std::{io::Read, net::TcpStream, ops::RangeInclusive, time::Duration};
+use world::{Answer, Caller, FIRST_BUILD, Mode, Router, World, event_of, wait_for};
+
+/// Events of each stream.
+const EVENTS: u64 = 30;
+/// Time between two events.
+const GAP: Duration = Duration::from_millis(30);
+/// Events after which a target breaks off or falls silent: later than the other targets are listed.
+const LAST_EVENT: u64 = 15;
+const NEXT_BUILD: &str = "v2";
+/// Engines of the next build. Their names come first, so that they are preferred to others that
+/// would cost the same.
+const NEXT: [usize; 2] = [0, 1];
+/// Engine of the first build at which all streams begin.
+const ORIGIN: usize = 2;
+/// The other engine of the first build.
+const SIBLING: usize = 3;
+const STREAMS: usize = 6;
+
+/// Returns a world with engines of two builds, of which only the one at which streams begin is listed.
+fn open() -> World {
+    let world = World::open(4, 0);
+    for (index, engine) in world.engines.iter().enumerate() {
+        engine.pace(EVENTS, GAP);
+        if NEXT.contains(&index) {
+            engine.upgrade(NEXT_BUILD);
+        }
+        if index != ORIGIN {
+            engine.unregister();
+        }
+    }
+    world
+}
+
+/// Lists further engines, and waits until routers know of them.
+fn list(world: &World, engines: &[usize], routers: &[&Router]) {
+    for index in engines {
+        world.engines[*index].register("ready");
+    }
+    for router in routers {
+        let live = format!("\"live\":{},", engines.len() + 1);
+        wait_for("the targets are listed", || router.log().contains(&live));
+    }
+}
+
+/// Has the engine at which streams began leave, and waits until a router knows.
+fn leave(world: &World, router: &Router) {
+    world.engines[ORIGIN].register("draining");
+    wait_for("the target leaves", || {
+        router.log().contains("\"leaving\":1,")
+    });
+}
+
+fn names() -> Vec<String> {
+    (0..STREAMS).map(|number| format!("q{number}")).collect()
+}
+
+fn events(range: RangeInclusive<u64>) -> String {
+    range.map(|number| event_of(FIRST_BUILD, number)).collect()
+}
+
+/// A stream of which some events were received.
+struct Begun {
+    stream: TcpStream,
+    bytes: Vec<u8>,
+}
+
+impl Begun {
+    /// Returns the whole events that were received.
+    fn received(&self) -> String {
+        let body = Answer::parse(&self.bytes, Duration::ZERO).body;
+        let end = body.rfind("\n\n").map_or(0, |end| end + 2);
+        body[..end].into()
+    }
+
+    fn finish(mut self) -> Answer {
+        // A reset ends the answer, too.
+        let _ = self.stream.read_to_end(&mut self.bytes);
+        Answer::parse(&self.bytes, Duration::ZERO)
+    }
+}
+
+/// Opens a stream and reads its first events.
+fn begin(caller: &Caller) -> Begun {
+    let mut begun = Begun {
+        stream: caller.clone().with("connection", "close").open(),
+        bytes: Vec::new(),
+    };
+    while begun.received().matches("id: ").count() < 2 {
+        let mut block = [0; 512];
+        let length = begun.stream.read(&mut block).unwrap();
+        assert!(length > 0, "{}", String::from_utf8_lossy(&begun.bytes));
+        begun.bytes.extend_from_slice(&block[..length]);
+    }
+    begun
+}
+
+/// Returns the request that takes up a stream of which a caller has some events.
+fn resume(router: &Router, request: &str, origin: &str, received: &str) -> Caller {
+    let last = received.matches("id: ").count().to_string();
+    Caller::stream(router.listen, "plan", request)
+        .with("resumes", origin)
+        .with("last-event-id", &last)
+}
+
+/// Resumes a stream at a router, and checks that it goes on at its build and is whole.
+fn check_resumed(router: &Router, name: &str, begun: &Begun) {
+    let received = begun.received();
+    let answer = resume(router, &format!("again-{name}"), name, &received).call();
+    assert_eq!((answer.status, answer.whole), (200, true), "{answer:?}");
+    assert_eq!(received + &answer.body, events(1..=EVENTS), "{name}");
+}
+
+/// Begins streams at an engine that misbehaves later, lists other engines meanwhile, and returns what
+/// the caller of each received.
+fn continued(mode: Mode, others: &[usize]) -> Vec<Answer> {
+    let world = open();
+    let router = Router::ready(&world.store, "r1");
+    world.engines[ORIGIN].behave(mode);
+    let names = names();
+    let begun = names
+        .iter()
+        .map(|name| begin(&Caller::stream(router.listen, "plan", name)));
+    let begun: Vec<Begun> = begun.collect();
+    list(&world, others, &[&router]);
+    begun.into_iter().map(Begun::finish).collect()
+}
+
+#[test]
+fn stream_keeps_build_after_target_broke_off() {
+    for answer in continued(Mode::CutAfter(LAST_EVENT), &[0, 1, SIBLING]) {
+        assert_eq!((answer.status, answer.whole), (200, true), "{answer:?}");
+        assert_eq!(answer.body, events(1..=EVENTS));
+    }
+}
+
+#[test]
+fn stream_keeps_build_after_target_fell_silent() {
+    for answer in continued(Mode::StallAfter(LAST_EVENT), &[0, 1, SIBLING]) {
+        assert!(answer.whole, "{answer:?}");
+        assert_eq!(answer.body, events(1..=EVENTS));
+    }
+}
+
+#[test]
+fn stream_ends_if_no_target_of_its_build_is_left() {
+    for answer in continued(Mode::CutAfter(LAST_EVENT), &NEXT) {
+        assert!(!answer.whole, "a truncated stream must not look complete");
+        assert_eq!(answer.body, events(1..=LAST_EVENT));
+    }
+}
+
+#[test]
+fn stream_keeps_build_if_resumed_at_other_router() {
+    let world = open();
+    let first = Router::ready(&world.store, "r1");
+    let second = Router::ready(&world.store, "r2");
+    let names = names();
+    let begun = names
+        .iter()
+        .map(|name| begin(&Caller::stream(first.listen, "plan", name)));
+    let begun: Vec<Begun> = begun.collect();
+    list(&world, &[0, 1, SIBLING], &[&second]);
+    leave(&world, &second);
+    for (name, begun) in names.iter().zip(&begun) {
+        check_resumed(&second, name, begun);
+    }
+}
+
+#[test]
+fn stream_keeps_build_if_its_router_was_killed() {
+    let world = open();
+    let first = Router::ready(&world.store, "r1");
+    let second = Router::ready(&world.store, "r2");
+    let names = names();
+    let begun = names
+        .iter()
+        .map(|name| begin(&Caller::stream(first.listen, "plan", name)));
+    let begun: Vec<Begun> = begun.collect();
+    first.signal(Signal::SIGKILL);
+    list(&world, &[0, 1, SIBLING], &[&second]);
+    leave(&world, &second);
+    for (name, begun) in names.iter().zip(&begun) {
+        check_resumed(&second, name, begun);
+    }
+}
+
+#[test]
+fn stream_keeps_build_if_resumed_at_router_that_started_later() {
+    let world = open();
+    let first = Router::ready(&world.store, "r1");
+    let names = names();
+    let begun = names
+        .iter()
+        .map(|name| begin(&Caller::stream(first.listen, "plan", name)));
+    let begun: Vec<Begun> = begun.collect();
+    list(&world, &[0, 1, SIBLING], &[&first]);
+    leave(&world, &first);
+    let second = Router::ready(&world.store, "r2");
+    for (name, begun) in names.iter().zip(&begun) {
+        check_resumed(&second, name, begun);
+    }
+}
+
+#[test]
+fn stream_keeps_build_if_resumed_twice() {
+    let world = open();
+    let routers = ["r1", "r2", "r3"].map(|name| Router::ready(&world.store, name));
+    let begun = begin(&Caller::stream(routers[0].listen, "plan", "q1"));
+    list(&world, &[0, 1, SIBLING], &[&routers[1], &routers[2]]);
+    leave(&world, &routers[1]);
+    leave(&world, &routers[2]);
+    let mut received = begun.received();
+    received += &begin(&resume(&routers[1], "q2", "q1", &received)).received();
+    let answer = resume(&routers[2], "q3", "q1", &received).call();
+    assert_eq!((answer.status, answer.whole), (200, true), "{answer:?}");
+    assert_eq!(received + &answer.body, events(1..=EVENTS));
+}
+
+#[test]
+fn stream_of_unknown_origin_refused_while_builds_mix() {
+    let world = open();
+    let router = Router::ready(&world.store, "r1");
+    list(&world, &[0, 1, SIBLING], &[&router]);
+    let origins = [Some("never-sent"), Some(""), None];
+    for (number, origin) in origins.into_iter().enumerate() {
+        let name = format!("q{number}");
+        let caller = Caller::stream(router.listen, "plan", &name).with("last-event-id", "3");
+        let caller = origin.map_or(caller.clone(), |origin| caller.with("resumes", origin));
+        let answer = caller.call();
+        assert_eq!(answer.status, 503, "{origin:?} {answer:?}");
+        assert!(answer.header("retry-after").is_some());
+        assert!(world.runs_of(&name).is_empty());
+    }
+}
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -20,7 +20,7 @@
     connection::{Connection, Reply},
     fleet::Fleet,
     proxy::{Harm, Proxy},
-    replica::{FIRST_START_MS, Mode, Replica, Run, event},
+    replica::{FIRST_BUILD, FIRST_START_MS, Mode, Replica, Run, event, event_of},
     router::Router,
     store::{Era, Fault, Store},
 };
--- a/tests/world/replica.rs
+++ b/tests/world/replica.rs
@@ -25,6 +25,9 @@
 /// Start time of all targets at first, in Unix milliseconds.
 pub(crate) const FIRST_START_MS: u64 = 1_700_000_000_000;
 
+/// Software version of all targets at first.
+pub(crate) const FIRST_BUILD: &str = "v1";
+
 /// How a target behaves.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Mode {
@@ -100,6 +103,8 @@
     started_at_ms: AtomicU64,
     /// Writes of the entry so far.
     seq: AtomicU64,
+    /// Software version; the events of a stream name it.
+    build: Mutex<String>,
 }
 
 impl Replica {
@@ -121,6 +126,7 @@
             hold: watch::Sender::new(false),
             started_at_ms: AtomicU64::new(FIRST_START_MS),
             seq: AtomicU64::new(0),
+            build: Mutex::new(FIRST_BUILD.into()),
         });
         let served = shared.clone();
         let listener = Listener::bind(Arc::new(move |request| served.clone().serve(request)));
@@ -163,12 +169,18 @@
         let seq = self.shared.seq.fetch_add(1, Ordering::Relaxed) + 1;
         let entry = json!({
             "service": self.shared.service, "address": self.listed.lock().unwrap().to_string(),
-            "zone": "east", "version": "v1", "slots": 8, "state": state, "cold-left-ms": 0,
+            "zone": "east", "version": *self.shared.build.lock().unwrap(), "slots": 8, "state": state, "cold-left-ms": 0,
             "born": started_at_ms, "seq": seq,
         });
         self.store.put("servers", &self.name, &entry);
     }
 
+    /// Starts again with another software version, and registers.
+    pub(crate) fn upgrade(&self, build: &str) {
+        *self.shared.build.lock().unwrap() = build.into();
+        self.restart();
+    }
+
     /// Removes the entry; the target goes on to serve.
     pub(crate) fn unregister(&self) {
         self.store.remove("servers", &self.name);
@@ -342,9 +354,10 @@
 
     fn stream(self: &Arc<Self>, mode: Mode, after: u64, running: Running) -> Body {
         let (count, gap) = *self.events.lock().unwrap();
-        let items = stream::unfold(
-            (after + 1, running),
-            move |(number, mut running)| async move {
+        let build = self.build.lock().unwrap().clone();
+        let items = stream::unfold((after + 1, running), move |(number, mut running)| {
+            let build = build.clone();
+            async move {
                 if number > count {
                     running.finish();
                     return None;
@@ -362,18 +375,27 @@
                         Err(std::io::ErrorKind::ConnectionReset.into())
                     }
                     Mode::StallAfter(last) if number > last => std::future::pending().await,
-                    _ => Ok(Bytes::from(event(number))),
+                    _ => Ok(Bytes::from(event_of(&build, number))),
                 };
                 Some((item, (number + 1, running)))
-            },
-        );
+            }
+        });
         StreamBody::new(items.map(|item| item.map(Frame::data))).boxed_unsync()
     }
 }
 
-/// Returns an event of a stream; all targets generate the same ones.
+/// Returns an event of a stream as all targets of the first software version generate it.
 pub(crate) fn event(number: u64) -> String {
-    format!("id: {number}\ndata: piece {number}\n\n")
+    event_of(FIRST_BUILD, number)
+}
+
+/// Returns an event of a stream as all targets of a software version generate it.
+pub(crate) fn event_of(build: &str, number: u64) -> String {
+    if build == FIRST_BUILD {
+        format!("id: {number}\ndata: piece {number}\n\n")
+    } else {
+        format!("id: {number}\ndata: piece {number} of {build}\n\n")
+    }
 }
 
 fn sign(response: &mut Response<Body>, name: &str) {
