Continue a stream only at targets of the build that began it

Callers saw streams with events of two software versions of a service. A request is now bound to the build whose first event its caller gets. Choice of targets, moves, retries and what counts as servable look only at targets of that build; without any, the stream ends at once, which says so. The check is repeated where the request is sent, since the target's entry, or the bind, may be newer than the decision.

Resumption by callers is still open.

--- a/benches/exchange.rs
+++ b/benches/exchange.rs
@@ -161,6 +161,7 @@
             due: now + Span::from_millis(400),
             deadline: now + Span::from_secs(8),
             max_attempts: 2,
+            build: None,
             prompt: Some(Prompt {
                 parts: parts.map(|(id, tokens)| Part { id, tokens }).into(),
                 tokens: 2_500,
--- a/src/dispatch/dispatcher/mod.rs
+++ b/src/dispatch/dispatcher/mod.rs
@@ -170,6 +170,7 @@
         match event {
             Event::Arrived(request) => self.arrive(now, request, out),
             Event::ResponseStarted { number } => self.start_response(now, number, out),
+            Event::StreamBegun { number, build } => self.begin_stream(number, &build),
             Event::Stalled { number } => self.move_stalled(now, number, out),
             Event::Returned { number, outcome } => self.move_back(now, number, outcome, out),
             Event::Ended {
@@ -327,6 +328,18 @@
         self.send_queued(now, &service, out);
     }
 
+    /// Binds a request to the build that wrote the first event of its stream.
+    fn begin_stream(&mut self, number: u64, build: &id::Build) {
+        let Some(attempt) = self.attempts.get_mut(&number) else {
+            return;
+        };
+        attempt.request.build.get_or_insert_with(|| build.clone());
+        // The event may come from the former target of a move that the gateway has not carried out.
+        if let Some(previous) = &mut attempt.previous {
+            previous.request.build = attempt.request.build.clone();
+        }
+    }
+
     /// Moves a stream that had started and then fell silent, if another target can continue it now.
     fn move_stalled(&mut self, now: Time, number: u64, out: &mut Vec<Action>) {
         let started = |attempt: &Attempt| attempt.response_started;
@@ -443,7 +456,7 @@
             return self.refuse(now, &pending, Reason::Attempts, Span(0), out);
         }
         if pending.unsent >= MAX_UNSENT_PER_REQUEST || reached >= max_attempts {
-            let retry_after = self.retry_after(now, &service);
+            let retry_after = self.retry_after(now, &pending.request);
             return self.refuse(now, &pending, Reason::Attempts, retry_after, out);
         }
         if let Some((reason, retry_after)) = self.unservable(now, &pending) {
--- a/src/dispatch/dispatcher/notice.rs
+++ b/src/dispatch/dispatcher/notice.rs
@@ -3,7 +3,7 @@
 use super::{Dispatcher, NO_TARGET_RETRY_AFTER, OVERLOAD_RETRY_AFTER, Pending, RETRY_AFTER_RANGE};
 use crate::{
     catalog,
-    dispatch::{Action, Reason, target::Target},
+    dispatch::{Action, Reason, Request, target::Target},
     id,
     unit::{Span, Time},
 };
@@ -68,9 +68,9 @@
         })
     }
 
-    fn staying<'a>(&'a self, service: &'a id::Service) -> impl Iterator<Item = &'a Target> {
+    fn staying<'a>(&'a self, request: &'a Request) -> impl Iterator<Item = &'a Target> {
         let targets = self.targets.values();
-        targets.filter(move |target| target.entry.service == *service && !target.is_leaving())
+        targets.filter(move |target| target.matches(request) && !target.is_leaving())
     }
 
     /// Returns why no target can serve a request in time, if that is certain already, and the time
@@ -78,10 +78,10 @@
     ///
     /// A request waits for the end of a pause only while it could still be on time then.
     pub(super) fn unservable(&self, now: Time, pending: &Pending) -> Option<(Reason, Span)> {
-        let service = &pending.request.service;
-        let limit = pending.expires.min(pending.request.due);
+        let request = &pending.request;
+        let limit = pending.expires.min(request.due);
         let mut reason = None;
-        for target in self.staying(service) {
+        for target in self.staying(request) {
             if pending.tried.contains(&target.entry.name) {
                 reason = reason.or(Some(Reason::Attempts));
                 continue;
@@ -92,13 +92,16 @@
             }
             reason = Some(Reason::Pause);
         }
-        let reason = reason.unwrap_or(Reason::NoTarget);
-        Some((reason, self.retry_after(now, service)))
+        let reason = reason.unwrap_or(match request.build {
+            Some(_) => Reason::NoBuild,
+            None => Reason::NoTarget,
+        });
+        Some((reason, self.retry_after(now, request)))
     }
 
-    /// Returns the time after which a target of a service may take a request that none takes now.
-    pub(super) fn retry_after(&self, now: Time, service: &id::Service) -> Span {
-        let ends = self.staying(service).map(|target| {
+    /// Returns the time after which a target may take a request that none takes now.
+    pub(super) fn retry_after(&self, now: Time, request: &Request) -> Span {
+        let ends = self.staying(request).map(|target| {
             let remaining = target.pause.remaining(now);
             let is_paused = remaining.0 > 0;
             if is_paused {
--- a/src/dispatch/dispatcher/selection.rs
+++ b/src/dispatch/dispatcher/selection.rs
@@ -57,7 +57,7 @@
         let mut estimates = Vec::new();
         for trusted in [true, false] {
             for target in self.targets.values() {
-                if target.entry.service != request.service
+                if !target.matches(request)
                     || !target.allows_send(now)
                     || pending.tried.contains(&target.entry.name)
                     || trusted != self.is_trusted(target, now)
@@ -107,7 +107,7 @@
     /// cached.
     fn least_uncached(&self, request: &Request) -> u64 {
         let targets = self.targets.values();
-        let targets = targets.filter(|t| t.entry.service == request.service && !t.is_leaving());
+        let targets = targets.filter(|t| t.matches(request) && !t.is_leaving());
         let uncached = targets.map(|target| target.uncached_tokens(request));
         uncached.min().unwrap_or_default()
     }
--- a/src/dispatch/event.rs
+++ b/src/dispatch/event.rs
@@ -14,6 +14,13 @@
         /// Request.
         number: u64,
     },
+    /// The caller gets the first event of a stream.
+    StreamBegun {
+        /// Request.
+        number: u64,
+        /// Build of the target that wrote the event.
+        build: id::Build,
+    },
     /// A streamed response that had started is silent for too long.
     Stalled {
         /// Request.
--- a/src/dispatch/refusal.rs
+++ b/src/dispatch/refusal.rs
@@ -13,6 +13,8 @@
     Overload,
     /// The service has no target that accepts requests.
     NoTarget,
+    /// No target of the build that began the stream accepts requests.
+    NoBuild,
     /// All targets that could take the request asked for a pause that ends too late for it.
     Pause,
     /// The deadline passed before the request was sent.
@@ -44,6 +46,7 @@
             Reason::Share => "the workspace has used its share of the capacity",
             Reason::Overload => "no target can start the request in time",
             Reason::NoTarget => "the service has no target that accepts requests",
+            Reason::NoBuild => "no target of the build that began the stream accepts requests",
             Reason::Pause => "the targets asked for a pause that ends too late for the request",
             Reason::Deadline => "the deadline passed before a target was available",
             Reason::Attempts => "the request has no attempts left",
--- a/src/dispatch/request.rs
+++ b/src/dispatch/request.rs
@@ -42,4 +42,7 @@
     pub max_attempts: u32,
     /// Prompt, if the request goes to a model engine.
     pub prompt: Option<Prompt>,
+    /// Build that must run the request, if its stream has begun; the events of two builds don't fit
+    /// together.
+    pub build: Option<id::Build>,
 }
--- a/src/dispatch/target.rs
+++ b/src/dispatch/target.rs
@@ -88,6 +88,12 @@
         }
     }
 
+    /// Reports whether the target belongs to the service of a request, and can continue its stream.
+    pub(super) fn matches(&self, request: &Request) -> bool {
+        let build = request.build.as_ref();
+        self.entry.service == request.service && build.is_none_or(|b| *b == self.entry.build)
+    }
+
     /// Reports whether the target leaves and takes no new requests.
     pub(super) fn is_leaving(&self) -> bool {
         self.entry.draining || self.announced_leaving
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -23,6 +23,8 @@
     pub(super) route: Arc<Route>,
     pub(super) service: id::Service,
     pub(super) workspace: Option<id::Workspace>,
+    /// Build that began the stream, from the first event that the caller got on.
+    pub(super) build: Option<id::Build>,
     pub(super) arrived: Time,
     /// Latest time for the final response.
     pub(super) deadline: Time,
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -65,6 +65,7 @@
 /// A target's response whose head was received and whose body is still to be read.
 pub(super) struct Transfer {
     pub(super) target: id::Target,
+    pub(super) build: id::Build,
     pub(super) sent: Time,
     pub(super) head: response::Parts,
     pub(super) reply: Reply,
@@ -246,6 +247,15 @@
         let Some(target) = self.context.state.target(&estimate.target) else {
             return Err(failure(Outcome::Unsent, &"the target is no longer listed"));
         };
+        // Its entry may have changed since the decision.
+        let begun = self.call.build.as_ref().unwrap_or(&estimate.build);
+        if target.build != *begun || target.build != estimate.build {
+            let cause = format!(
+                "the target runs build {}, the stream needs {begun}",
+                target.build
+            );
+            return Err(failure(Outcome::NotRun, &cause));
+        }
         let run = catalog::Run::from(&target);
         let mut max_idle = Some(match self.call.route.kind {
             Kind::Once => AT_MOST_ONCE_MAX_IDLE,
@@ -316,6 +326,7 @@
         }
         let transfer = Transfer {
             target: estimate.target.clone(),
+            build: target.build,
             sent,
             head,
             reply,
@@ -458,6 +469,18 @@
             .record(first_byte.as_secs_f64());
     }
 
+    /// Binds the stream to the build of the target whose first event the caller gets.
+    pub(super) fn record_stream(&mut self, build: &id::Build) {
+        if self.call.build.is_some() {
+            return;
+        }
+        self.call.build = Some(build.clone());
+        self.submission.report(Event::StreamBegun {
+            number: self.call.number,
+            build: build.clone(),
+        });
+    }
+
     /// Records that a target's response was received completely.
     pub(super) fn record_completion(&mut self, target: &id::Target, status: StatusCode) {
         self.finished = true;
@@ -508,6 +531,7 @@
             cause,
             not_resumed,
             events,
+            build: self.call.build.as_ref(),
             silent,
             elapsed: self.elapsed(),
             remaining: self.call.remaining(clock::now()),
--- a/src/gateway/handler.rs
+++ b/src/gateway/handler.rs
@@ -102,6 +102,7 @@
             route,
             service,
             workspace,
+            build: None,
             arrived,
             deadline: arrived + timeout,
         };
@@ -238,5 +239,6 @@
         deadline: call.deadline,
         max_attempts: call.route.max_attempts,
         prompt: call.head.prompt.clone(),
+        build: None,
     }
 }
--- a/src/gateway/record.rs
+++ b/src/gateway/record.rs
@@ -60,6 +60,8 @@
         /// Why no other target continued the response.
         not_resumed: &'a str,
         events: u64,
+        /// Build that began the stream.
+        build: Option<&'a id::Build>,
         /// Time since a target last sent something.
         silent: Span,
         elapsed: Span,
@@ -203,12 +205,14 @@
                 cause,
                 not_resumed,
                 events,
+                build,
                 silent,
                 elapsed,
                 remaining,
                 version,
             } => slog::warn!(log, "answer cut"; "request" => request, "cause" => cause,
-                "not_resumed" => not_resumed, "events" => events, "silent_ms" => millis(*silent),
+                "not_resumed" => not_resumed, "events" => events,
+                "build" => build.map(id::Build::to_string), "silent_ms" => millis(*silent),
                 "after_ms" => millis(*elapsed), "left_ms" => millis(*remaining),
                 "version" => version.0),
             Record::Disconnected { request, elapsed } => {
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -161,6 +161,7 @@
                         Ok(bytes) => {
                             if !std::mem::replace(&mut self.started, true) {
                                 self.exchange.record_start();
+                                self.record_stream();
                             }
                             return Some(Ok(bytes));
                         }
@@ -198,6 +199,12 @@
         }
     }
 
+    fn record_stream(&mut self) {
+        if let (Mode::Events(_), Some(transfer)) = (&self.mode, &self.transfer) {
+            self.exchange.record_stream(&transfer.build);
+        }
+    }
+
     /// Waits for bytes from the target.
     async fn receive(&mut self) -> Received {
         let now = clock::now();
--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -109,6 +109,7 @@
         due: at(millis + 300),
         deadline: at(millis + 10_000),
         max_attempts: 2,
+        build: None,
         prompt: (service == "llm").then(|| prompt(&[(1, 500), (1_000 + number, 500)])),
     }
 }
@@ -1427,3 +1428,99 @@
         }
     }
 }
+
+fn target_of(name: &str, build: &str) -> catalog::Target {
+    catalog::Target {
+        build: build.into(),
+        ..target(name, "llm")
+    }
+}
+
+/// Begins a stream at target `a` of build `v1`.
+fn begin_stream(dispatcher: &mut Dispatcher) {
+    let actions = step(dispatcher, 0, Event::Arrived(request(1, 0, "llm")));
+    assert_eq!(sent_to(&actions), Some((1, "a".into())));
+    step(dispatcher, 100, Event::ResponseStarted { number: 1 });
+    let begun = Event::StreamBegun {
+        number: 1,
+        build: "v1".into(),
+    };
+    step(dispatcher, 100, begun);
+}
+
+fn broken() -> Event {
+    Event::Ended {
+        number: 1,
+        outcome: Outcome::Broken,
+        can_retry: true,
+    }
+}
+
+#[test]
+fn begun_stream_goes_on_at_its_build() {
+    let list = [
+        target_of("a", "v1"),
+        target_of("b", "v2"),
+        target_of("c", "v1"),
+    ];
+    let mut dispatcher = ready("r1", &list);
+    begin_stream(&mut dispatcher);
+    let actions = step(&mut dispatcher, 200, broken());
+    assert_eq!(sent_to(&actions), Some((1, "c".into())));
+}
+
+#[test]
+fn begun_stream_refused_at_once_without_its_build() {
+    let mut dispatcher = ready("r1", &[target_of("a", "v1"), target_of("b", "v2")]);
+    begin_stream(&mut dispatcher);
+    let list = [target_of("b", "v2")];
+    step(&mut dispatcher, 150, targets(&list));
+    let actions = step(&mut dispatcher, 200, broken());
+    assert_eq!(refused(&actions), Some((Reason::NoBuild, true)));
+}
+
+#[test]
+fn begun_stream_stalled_keeps_its_build() {
+    let mut dispatcher = ready("r1", &[target_of("a", "v1"), target_of("b", "v2")]);
+    begin_stream(&mut dispatcher);
+    let actions = step(&mut dispatcher, 1_600, Event::Stalled { number: 1 });
+    assert_eq!((sent_to(&actions), refused(&actions)), (None, None));
+}
+
+#[test]
+fn moved_stream_begun_meanwhile_keeps_the_build_of_its_first_event() {
+    let list = [
+        target_of("a", "v1"),
+        target_of("b", "v2"),
+        target_of("c", "v1"),
+    ];
+    let mut dispatcher = ready("r1", &list);
+    let arrived = Request {
+        max_attempts: 3,
+        ..request(1, 0, "llm")
+    };
+    step(&mut dispatcher, 0, Event::Arrived(arrived));
+    step(&mut dispatcher, 100, Event::ResponseStarted { number: 1 });
+    let moved = step(&mut dispatcher, 1_600, Event::Stalled { number: 1 });
+    assert_eq!(sent_to(&moved), Some((1, "b".into())));
+    let begun = Event::StreamBegun {
+        number: 1,
+        build: "v1".into(),
+    };
+    step(&mut dispatcher, 1_610, begun);
+    let returned = Event::Returned {
+        number: 1,
+        outcome: Outcome::NotRun,
+    };
+    step(&mut dispatcher, 1_620, returned);
+    let actions = step(&mut dispatcher, 1_700, broken());
+    assert_eq!(sent_to(&actions), Some((1, "c".into())));
+}
+
+#[test]
+fn request_before_its_first_event_may_change_builds() {
+    let mut dispatcher = ready("r1", &[target_of("a", "v1"), target_of("b", "v2")]);
+    step(&mut dispatcher, 0, Event::Arrived(request(1, 0, "llm")));
+    let actions = step(&mut dispatcher, 200, broken());
+    assert_eq!(sent_to(&actions), Some((1, "b".into())));
+}
--- a/tests/engines/mod.rs
+++ b/tests/engines/mod.rs
@@ -250,6 +250,7 @@
             due: arrived + FIRST_EVENT_LIMIT,
             deadline: arrived + Span::from_secs(10),
             max_attempts: 2,
+            build: None,
             prompt: Some(prompt),
         };
         self.step(router, Event::Arrived(request));
--- a/tests/exchange.rs
+++ b/tests/exchange.rs
@@ -108,6 +108,7 @@
             due: now + Span::from_secs(5),
             deadline: now + Span::from_secs(60),
             max_attempts: 2,
+            build: None,
             prompt: Some(Prompt {
                 parts: Box::new([Part { id: 1, tokens: 50 }]),
                 tokens: 100,
@@ -134,6 +135,7 @@
             due: now,
             deadline: now,
             max_attempts: 2,
+            build: None,
             prompt: None,
         };
         let actions = self.step(index, Event::Arrived(late));
