Answer routers that are not listed yet at the address they send from

A router that has just started sends its summaries at once, but the others read the list of routers only every second and dropped what they had for it meanwhile: for up to a second it knew nothing of their loads, nor of where streams began (builds::stream_keeps_build_if_resumed_twice, third router). The sender's address is used until its entry is listed.

--- a/src/gateway/controller.rs
+++ b/src/gateway/controller.rs
@@ -156,7 +156,7 @@
                 Some(event) = configuration_events.recv() => self.apply_configuration(event),
                 Some(event) = target_events.recv() => self.apply_targets(event),
                 Some(event) = router_events.recv() => self.apply_routers(event),
-                Some(summary) = summaries.recv() => self.receive(summary),
+                Some((summary, from)) = summaries.recv() => self.receive(summary, from),
                 _ = tick_timer.tick() => self.tick(&watchers),
                 _ = summary_timer.tick() => {
                     self.send_summaries().await;
@@ -340,7 +340,8 @@
         self.peers.set(before, after);
     }
 
-    fn receive(&mut self, summary: gossip::Summary) {
+    fn receive(&mut self, summary: gossip::Summary, from: SocketAddr) {
+        self.roster.record_sender(&summary.router, from);
         self.driver.step(Event::Summary(summary));
     }
 
@@ -500,7 +501,7 @@
 /// Receives summaries of other routers and passes them on.
 async fn receive_summaries(
     socket: Arc<gossip::Socket>,
-    received: mpsc::UnboundedSender<gossip::Summary>,
+    received: mpsc::UnboundedSender<(gossip::Summary, SocketAddr)>,
     log: slog::Logger,
 ) {
     /// Pause after a socket error, such as an ICMP report that nobody listens at a destination.
--- a/src/gossip/socket.rs
+++ b/src/gossip/socket.rs
@@ -53,17 +53,17 @@
         }
     }
 
-    /// Waits for the next datagram.
+    /// Waits for the next datagram; returns its summary and the sender's address.
     ///
     /// # Errors
     ///
     /// Fails if the socket fails. A datagram that is not a summary gives an error inside `Ok`.
-    pub async fn receive(&self) -> io::Result<Result<Summary, Error>> {
+    pub async fn receive(&self) -> io::Result<Result<(Summary, SocketAddr), Error>> {
         let mut space = [0; MAX_DATAGRAM_BYTES];
         loop {
             let (count, from) = self.socket.recv_from(&mut space).await?;
             if !self.partitions.blocks_inbound(from) {
-                return Ok(decode(&space[..count]));
+                return Ok(decode(&space[..count]).map(|summary| (summary, from)));
             }
         }
     }
--- a/src/roster/routers.rs
+++ b/src/roster/routers.rs
@@ -20,12 +20,17 @@
 /// Leaders of other failure domains that a router may follow after those of its own. Two, because
 /// one of them may have stopped as well.
 const DISTANT_CANDIDATES: usize = 2;
+/// Maximum number of routers whose address is remembered before they are listed; more than the
+/// largest fleet starts at a time.
+const MAX_SENDERS: usize = 1_024;
 
 /// The known routers. Routers that know the same ones agree on the leaders.
 #[derive(Clone, Debug)]
 pub struct Roster {
     own: Entry,
     others: BTreeMap<id::Router, Entry>,
+    /// Addresses of routers that sent something before they were listed.
+    senders: BTreeMap<id::Router, SocketAddr>,
 }
 
 impl Roster {
@@ -34,6 +39,7 @@
         Self {
             own,
             others: BTreeMap::new(),
+            senders: BTreeMap::new(),
         }
     }
 
@@ -68,17 +74,31 @@
             return false;
         }
         let router = entry.router.clone();
+        self.senders.remove(&router);
         self.others.insert(router, entry.clone()) != Some(entry)
     }
 
     /// Removes a router; returns whether it was known.
     pub fn remove(&mut self, router: &id::Router) -> bool {
+        self.senders.remove(router);
         self.others.remove(router).is_some()
     }
 
+    /// Records the address that a router sent from, which has started so recently that it may not be
+    /// listed yet.
+    pub fn record_sender(&mut self, router: &id::Router, address: SocketAddr) {
+        if self.others.contains_key(router) || self.own.router == *router {
+            return;
+        }
+        if self.senders.len() < MAX_SENDERS || self.senders.contains_key(router) {
+            self.senders.insert(router.clone(), address);
+        }
+    }
+
     /// Returns the address of another router.
     pub fn address(&self, router: &id::Router) -> Option<SocketAddr> {
-        self.others.get(router).map(|entry| entry.peer)
+        let listed = self.others.get(router).map(|entry| entry.peer);
+        listed.or_else(|| self.senders.get(router).copied())
     }
 
     /// Returns the leaders of this router's failure domain in order of rank.
--- a/tests/roster.rs
+++ b/tests/roster.rs
@@ -61,3 +61,15 @@
         "not every leader has followers: {followers:?}"
     );
 }
+
+#[test]
+fn address_of_sender_that_is_not_listed_yet() {
+    let mut roster = fleet::roster(0, 1);
+    let started = fleet::name(1);
+    assert_eq!(roster.address(&started), None);
+    let sender = "127.0.0.1:7".parse().unwrap();
+    roster.record_sender(&started, sender);
+    assert_eq!(roster.address(&started), Some(sender));
+    roster.remove(&started);
+    assert_eq!(roster.address(&started), None);
+}
