--- a/benches/exchange.rs
+++ b/benches/exchange.rs
@@ -162,6 +162,8 @@
             deadline: now + Span::from_secs(8),
             max_attempts: 2,
             build: None,
+            stream: None,
+            resumption: None,
             prompt: Some(Prompt {
                 parts: parts.map(|(id, tokens)| Part { id, tokens }).into(),
                 tokens: 2_500,
--- a/schema/marlrun.capnp
+++ b/schema/marlrun.capnp
@@ -215,6 +215,15 @@
   tokens @2 :UInt32;
 }
 
+# Streams that began at targets of one build of a service. Service and build are identified by hashes of their names,
+# streams by a hash of the workspace and the request that began them.
+struct StreamOrigins {
+  service @0 :UInt64;
+  build @1 :UInt64;
+  streams @2 :List(UInt64);
+  repeated @3 :Bool; # routers that have not just started know these already
+}
+
 # Routers whose load a summary contains.
 enum Scope {
   group @0; # the sender and its followers
@@ -236,4 +245,5 @@
   scope @8 :Scope;
   routers @9 :UInt32; # number of routers whose load it contains
   ageMicros @10 :UInt64; # age of the oldest report that it contains, in microseconds
+  origins @11 :List(StreamOrigins);
 }
--- a/src/dispatch/dispatcher/fleet.rs
+++ b/src/dispatch/dispatcher/fleet.rs
@@ -47,6 +47,7 @@
             self.notices
                 .keep_pause(now, (&target.entry).into(), target.pause);
         }
+        self.refresh_builds(now);
         let targets = self.targets.iter();
         self.names = targets.map(|(name, t)| (t.key, name.clone())).collect();
         let services: Vec<id::Service> = self.queues.keys().cloned().collect();
@@ -171,7 +172,12 @@
     }
 
     pub(super) fn receive(&mut self, now: Time, summary: &gossip::Summary, out: &mut Vec<Action>) {
-        if summary.router == self.settings.router || !self.is_relevant(summary) {
+        if summary.router == self.settings.router {
+            return;
+        }
+        // Where streams began holds whatever the sender's role, and also if it leaves.
+        self.record_origins(now, summary, out);
+        if !self.is_relevant(summary) {
             return;
         }
         let known = self.peers.get(&summary.router);
@@ -196,7 +202,12 @@
             } else {
                 self.drop_peers_named(std::slice::from_ref(&summary.router));
             }
-            let peer = Peer::new(summary, now);
+            let mut peer = Peer::new(summary, now);
+            if peer.is_follower() {
+                peer.untold = self.origins.all(&self.builds);
+            } else {
+                self.origins.announce_again(&self.builds);
+            }
             self.peers.insert(summary.router.clone(), peer);
             self.divide_limits();
         }
--- a/src/dispatch/dispatcher/mod.rs
+++ b/src/dispatch/dispatcher/mod.rs
@@ -2,6 +2,7 @@
 
 mod fleet;
 mod notice;
+mod resumption;
 mod selection;
 mod summaries;
 
@@ -10,7 +11,9 @@
     account::Account,
     attempt::Attempt,
     baseline::Baseline,
+    builds::Builds,
     notices::Notices,
+    origins::Origins,
     peer::Peer,
     queue::{Pending, Queue},
     share::Share,
@@ -66,6 +69,10 @@
     names: HashMap<u64, id::Target>,
     notices: Notices,
     queues: BTreeMap<id::Service, Queue>,
+    builds: Builds,
+    origins: Origins,
+    /// Requests that resume streams of which other routers may still report where they began.
+    awaiting: Vec<resumption::Awaiting>,
     attempts: HashMap<u64, Attempt>,
     budgets: BTreeMap<id::Service, Budget>,
     /// Time at which saved retries expire next.
@@ -111,6 +118,9 @@
             names: HashMap::new(),
             notices: Notices::default(),
             queues: BTreeMap::new(),
+            builds: Builds::default(),
+            origins: Origins::default(),
+            awaiting: Vec::new(),
             attempts: HashMap::new(),
             budgets: BTreeMap::new(),
             retries_expire: Time::default(),
@@ -133,7 +143,7 @@
 
     /// Returns the number of queued requests.
     pub fn waiting(&self) -> usize {
-        self.queues.values().map(Queue::len).sum()
+        self.awaiting.len() + self.queues.values().map(Queue::len).sum::<usize>()
     }
 
     /// Returns the number of requests in flight.
@@ -170,7 +180,7 @@
         match event {
             Event::Arrived(request) => self.arrive(now, request, out),
             Event::ResponseStarted { number } => self.start_response(now, number, out),
-            Event::StreamBegun { number, build } => self.begin_stream(number, &build),
+            Event::StreamBegun { number, build } => self.begin_stream(now, number, &build),
             Event::Stalled { number } => self.move_stalled(now, number, out),
             Event::Returned { number, outcome } => self.move_back(now, number, outcome, out),
             Event::Ended {
@@ -210,6 +220,11 @@
         if pending.request.deadline <= now {
             return self.refuse(now, &pending, Reason::Deadline, Span(0), out);
         }
+        self.bind(now, pending, excess, out);
+    }
+
+    /// Sends, queues or refuses a request whose build is known, if it needs one.
+    fn place(&mut self, now: Time, pending: Pending, excess: Option<f64>, out: &mut Vec<Action>) {
         if let Some((reason, retry_after)) = self.unservable(now, &pending) {
             return self.refuse(now, &pending, reason, retry_after, out);
         }
@@ -328,18 +343,6 @@
         self.send_queued(now, &service, out);
     }
 
-    /// Binds a request to the build that wrote the first event of its stream.
-    fn begin_stream(&mut self, number: u64, build: &id::Build) {
-        let Some(attempt) = self.attempts.get_mut(&number) else {
-            return;
-        };
-        attempt.request.build.get_or_insert_with(|| build.clone());
-        // The event may come from the former target of a move that the gateway has not carried out.
-        if let Some(previous) = &mut attempt.previous {
-            previous.request.build = attempt.request.build.clone();
-        }
-    }
-
     /// Moves a stream that had started and then fell silent, if another target can continue it now.
     fn move_stalled(&mut self, now: Time, number: u64, out: &mut Vec<Action>) {
         let started = |attempt: &Attempt| attempt.response_started;
@@ -472,6 +475,8 @@
     }
 
     fn close(&mut self, now: Time, number: u64, out: &mut Vec<Action>) {
+        self.awaiting
+            .retain(|awaiting| awaiting.pending.request.number != number);
         for queue in self.queues.values_mut() {
             if queue.remove(number).is_some() {
                 return;
@@ -497,6 +502,7 @@
         if now >= self.silence_counts_from {
             self.check_silent(now, out);
         }
+        self.expire_awaiting(now, out);
         let services: Vec<id::Service> = self.queues.keys().cloned().collect();
         for service in services {
             self.send_queued(now, &service, out);
--- /dev/null
+++ b/src/dispatch/dispatcher/resumption.rs
@@ -0,0 +1,171 @@
+//! Streams that callers resume: at which build they began, as this router and others recorded it.
+
+use super::{Dispatcher, Pending, Reason, Request};
+use crate::{
+    dispatch::{Action, origins::Origin},
+    gossip, id,
+    placement::hash,
+    unit::{Span, Time},
+};
+
+/// Time for which a resumed stream waits for other routers to report where it began: they may have
+/// begun it just before. Reports pass up to three routers, every 30 to 100 ms.
+const REPORT_TIME: Span = Span::from_millis(200);
+/// Time after which a caller may try again if that is still unknown; another router may know.
+const UNKNOWN_RETRY_AFTER: Span = Span::from_millis(300);
+
+/// A request that resumes a stream of which other routers may still report where it began.
+#[derive(Clone, Debug)]
+pub(super) struct Awaiting {
+    pub(super) pending: Pending,
+    /// By how much its workspace exceeds its share.
+    excess: Option<f64>,
+    until: Time,
+}
+
+/// What a request needs of the build of its target.
+#[derive(Clone, Debug, PartialEq, Eq)]
+enum Need {
+    /// Nothing: it begins a stream, or its service has had a single build.
+    Any,
+    Build(id::Build),
+    /// Another service began the stream.
+    OtherService,
+    /// That is not known yet; other routers may report it.
+    NotReported,
+    /// That can't be known.
+    Unknown,
+}
+
+impl Dispatcher {
+    /// Returns the hash of the name of the service at which a stream began; `None` if that is unknown.
+    pub fn origin_service(&self, stream: id::Stream) -> Option<u64> {
+        match self.origins.get(stream) {
+            Some(Origin::Build { service, .. }) => Some(*service),
+            Some(Origin::Conflicting) | None => None,
+        }
+    }
+
+    fn need(&self, request: &Request) -> Need {
+        let Some(resumption) = request.resumption else {
+            return Need::Any;
+        };
+        let own_service = hash(request.service.as_str());
+        let origin = resumption.stream.map(|stream| self.origins.get(stream));
+        match origin {
+            Some(Some(Origin::Build { service, build })) if *service == own_service => {
+                Need::Build(build.clone())
+            }
+            Some(Some(Origin::Build { .. })) => Need::OtherService,
+            _ if !resumption.has_events || !self.builds.are_mixed(own_service) => Need::Any,
+            Some(None) => Need::NotReported,
+            Some(Some(Origin::Conflicting)) | None => Need::Unknown,
+        }
+    }
+
+    /// Binds a request that resumes a stream to the build that began it, and places it.
+    pub(super) fn bind(
+        &mut self,
+        now: Time,
+        mut pending: Pending,
+        excess: Option<f64>,
+        out: &mut Vec<Action>,
+    ) {
+        match self.need(&pending.request) {
+            Need::Any => self.place(now, pending, excess, out),
+            Need::Build(build) => {
+                pending.request.build = Some(build);
+                self.place(now, pending, excess, out);
+            }
+            Need::OtherService => {
+                let retry_after = self.retry_after(now, &pending.request);
+                self.refuse(now, &pending, Reason::NoBuild, retry_after, out);
+            }
+            Need::NotReported => self.awaiting.push(Awaiting {
+                until: pending.request.deadline.min(now + REPORT_TIME),
+                pending,
+                excess,
+            }),
+            Need::Unknown => {
+                self.refuse(now, &pending, Reason::Origin, UNKNOWN_RETRY_AFTER, out);
+            }
+        }
+    }
+
+    /// Refuses the requests whose streams no router has reported in time.
+    pub(super) fn expire_awaiting(&mut self, now: Time, out: &mut Vec<Action>) {
+        let expired = self
+            .awaiting
+            .extract_if(.., |awaiting| awaiting.until <= now);
+        for awaiting in expired.collect::<Vec<_>>() {
+            let pending = awaiting.pending;
+            self.refuse(now, &pending, Reason::Origin, UNKNOWN_RETRY_AFTER, out);
+        }
+    }
+
+    /// Binds a request to the build whose first event its caller gets, and records it for
+    /// resumptions.
+    pub(super) fn begin_stream(&mut self, now: Time, number: u64, build: &id::Build) {
+        let Some(attempt) = self.attempts.get_mut(&number) else {
+            return;
+        };
+        let request = &mut attempt.request;
+        request.build.get_or_insert_with(|| build.clone());
+        let service = hash(request.service.as_str());
+        let resumed = request.resumption.and_then(|resumption| resumption.stream);
+        let streams = [request.stream, resumed];
+        // The event may come from the former target of a move that the gateway has not carried out.
+        if let Some(previous) = &mut attempt.previous {
+            previous.request.build = attempt.request.build.clone();
+        }
+        self.builds.record(now, service, build);
+        for stream in streams.into_iter().flatten() {
+            let origin = gossip::Origin {
+                service,
+                build: build.key(),
+                repeated: false,
+                stream,
+            };
+            self.origins.record_own(now, origin, &self.builds);
+        }
+    }
+
+    /// Records where streams began that another router reported, and places the requests that waited
+    /// for it.
+    pub(super) fn record_origins(
+        &mut self,
+        now: Time,
+        summary: &gossip::Summary,
+        out: &mut Vec<Action>,
+    ) {
+        if summary.origins.is_empty() {
+            return;
+        }
+        let from_group = summary.scope == gossip::Scope::Follower;
+        for origin in &summary.origins {
+            let build = id::Build::from_key(origin.build);
+            self.builds.record(now, origin.service, &build);
+            self.origins
+                .record_reported(now, &summary.router, from_group, *origin);
+        }
+        let awaiting = std::mem::take(&mut self.awaiting);
+        let (waiting, reported) = awaiting
+            .into_iter()
+            .partition(|awaiting| self.need(&awaiting.pending.request) == Need::NotReported);
+        self.awaiting = waiting;
+        for awaiting in reported {
+            self.bind(now, awaiting.pending, awaiting.excess, out);
+        }
+    }
+
+    /// Records the builds of the listed targets, and forgets what is too long ago.
+    pub(super) fn refresh_builds(&mut self, now: Time) {
+        for target in self.targets.values() {
+            let service = hash(target.entry.service.as_str());
+            self.builds.record(now, service, &target.entry.build);
+        }
+        self.builds.announce_all = !self.is_large_fleet();
+        self.builds.expire(now);
+        self.origins.expire(now);
+    }
+}
--- a/src/dispatch/dispatcher/summaries.rs
+++ b/src/dispatch/dispatcher/summaries.rs
@@ -2,7 +2,10 @@
 
 use super::{Dispatcher, Peer};
 use crate::{
-    dispatch::{Batch, Prompt, View, account::Account, baseline::Baseline, tokens::Tokens},
+    dispatch::{
+        Batch, Prompt, View, account::Account, baseline::Baseline, origins::Announcement,
+        tokens::Tokens,
+    },
     gossip::{self, Scope},
     id,
     unit::{Span, Time, Version},
@@ -29,6 +32,12 @@
 const ROUND_DATAGRAMS: usize = 100;
 /// Maximum number of datagrams of loads and prefills for one recipient in a round.
 const MAX_RECIPIENT_DATAGRAMS: usize = 8;
+/// Maximum number of streams in a round that were not announced before, for each recipient.
+const MAX_NEW_ORIGINS: usize = 448;
+/// Streams that take as much room in a summary as one item of another kind.
+const ORIGINS_PER_ITEM: usize = 2;
+/// Maximum number of pairs of service and build in a summary; each takes the room of several streams.
+const MAX_ORIGIN_GROUPS: usize = 4;
 /// Weight of one request in the moving average of the fraction of tokens that are not shared.
 const UNSHARED_ALPHA: f64 = 0.02;
 
@@ -41,6 +50,7 @@
     loads: Vec<gossip::Load>,
     usages: Vec<gossip::Usage>,
     prefills: Vec<gossip::Prefill>,
+    origins: Vec<gossip::Origin>,
 }
 
 /// Load of a target, added up over routers.
@@ -65,6 +75,7 @@
     /// Maximum number of loads and prefills for a recipient.
     max_items: usize,
     prefills: Vec<(Option<id::Router>, gossip::Prefill)>,
+    origins: Vec<Announcement>,
     /// Loads of all targets, added up over this router and all others.
     totals: HashMap<u64, Total>,
 }
@@ -76,6 +87,7 @@
             self.last_cleanup = now;
             self.announced_prefills
                 .retain(|_, at| now.since(*at) < ANNOUNCE_INTERVAL);
+            self.refresh_builds(now);
             let names = &self.names;
             self.baseline.retain(|target| names.contains_key(&target));
             for peer in self.peers.values_mut() {
@@ -91,6 +103,9 @@
             leaving,
             max_items,
             prefills: self.take_prefills(now, max_items / 4),
+            origins: self
+                .origins
+                .take_announcements(&self.builds, MAX_NEW_ORIGINS),
             totals: if followers.is_empty() {
                 HashMap::new()
             } else {
@@ -148,7 +163,7 @@
     }
 
     /// Reports whether loads are exchanged through leading routers.
-    fn is_large_fleet(&self) -> bool {
+    pub(super) fn is_large_fleet(&self) -> bool {
         self.topology.followed().is_some() || self.peers.values().any(Peer::is_follower)
     }
 
@@ -199,6 +214,10 @@
         prefills
     }
 
+    fn is_follower(&self, router: &id::Router) -> bool {
+        self.peers.get(router).is_some_and(Peer::is_follower)
+    }
+
     /// Returns the routers that follow this one.
     pub(super) fn followers(&self) -> Vec<id::Router> {
         let followers = self.peers.iter().filter(|(_, peer)| peer.is_follower());
@@ -226,6 +245,7 @@
                 loads: Vec::new(),
                 usages: Vec::new(),
                 prefills: Vec::new(),
+                origins: Vec::new(),
             };
             Batch {
                 recipients,
@@ -252,8 +272,11 @@
         }
         let mut baseline = std::mem::take(&mut self.baseline);
         let usages = self.usages(now, &mut baseline, scope, |account| account.group);
-        let prefills = select_prefills(&round.prefills, |from| {
-            from.is_none_or(|router| self.peers.get(router).is_some_and(Peer::is_follower))
+        let prefills = select(&round.prefills, |from| {
+            from.is_none_or(|router| self.is_follower(router))
+        });
+        let origins = select(&round.origins, |from| {
+            from.is_none_or(|router| self.is_follower(router))
         });
         let targets = self.targets.values();
         let loads = targets.map(|target| {
@@ -270,6 +293,7 @@
             loads: baseline.select(now, loads, max_loads),
             usages,
             prefills,
+            origins,
         };
         let summaries = self.split_due(round, &mut baseline, content);
         self.baseline = baseline;
@@ -301,7 +325,10 @@
         let usages = self.usages(now, &mut baseline, scope, |account| {
             account.except(follower)
         });
-        let prefills = select_prefills(&round.prefills, |from| from != Some(follower));
+        let prefills = select(&round.prefills, |from| from != Some(follower));
+        let mut origins = select(&round.origins, |from| from != Some(follower));
+        let caught_up = peer.untold.len().saturating_sub(MAX_NEW_ORIGINS);
+        origins.extend(peer.untold.drain(caught_up..));
         let max_loads = round.max_loads(usages.len() + prefills.len());
         let loads = round.totals.iter().map(|(target, total)| {
             let part = peer.loads.get(target).copied().unwrap_or_default();
@@ -324,6 +351,7 @@
             loads,
             usages,
             prefills,
+            origins,
         };
         let summaries = self.split_due(round, &mut baseline, content);
         peer.baseline = baseline;
@@ -387,14 +415,17 @@
 
     /// Splits contents into summaries that fit in a datagram each. Returns none for empty contents,
     /// unless `always` is set.
-    fn split(&mut self, leaving: bool, always: bool, content: Content) -> Vec<gossip::Summary> {
+    fn split(&mut self, leaving: bool, always: bool, mut content: Content) -> Vec<gossip::Summary> {
+        content.origins.sort_unstable();
         let mut loads = &content.loads[..];
         let mut usages = &content.usages[..];
         let mut prefills = &content.prefills[..];
+        let mut origins = &content.origins[..];
         let mut summaries = Vec::new();
         while !loads.is_empty()
             || !usages.is_empty()
             || !prefills.is_empty()
+            || !origins.is_empty()
             || (summaries.is_empty() && always)
         {
             self.sequence += 1;
@@ -411,6 +442,7 @@
                 loads: take_front(&mut loads, &mut room),
                 usages: take_front(&mut usages, &mut room),
                 prefills: take_front(&mut prefills, &mut room),
+                origins: take_origins(&mut origins, room),
             });
         }
         summaries
@@ -435,15 +467,13 @@
     }
 }
 
-/// Returns the prefills whose origin is selected; `None` is this router.
-fn select_prefills(
-    prefills: &[(Option<id::Router>, gossip::Prefill)],
+/// Returns the items whose sender is selected; `None` is this router.
+fn select<T: Copy>(
+    items: &[(Option<id::Router>, T)],
     is_selected: impl Fn(Option<&id::Router>) -> bool,
-) -> Vec<gossip::Prefill> {
-    let selected = prefills
-        .iter()
-        .filter(|(from, _)| is_selected(from.as_ref()));
-    selected.map(|(_, prefill)| *prefill).collect()
+) -> Vec<T> {
+    let selected = items.iter().filter(|(from, _)| is_selected(from.as_ref()));
+    selected.map(|(_, item)| *item).collect()
 }
 
 /// Removes items from the front of a list up to the capacity that is left.
@@ -454,3 +484,19 @@
     *room -= count;
     taken.to_vec()
 }
+
+/// Removes sorted streams from the front that fit in the room that is left for items.
+fn take_origins(origins: &mut &[gossip::Origin], room: usize) -> Vec<gossip::Origin> {
+    let mut rest = room * ORIGINS_PER_ITEM;
+    let mut taken = Vec::new();
+    for group in origins
+        .chunk_by(gossip::is_same_group)
+        .take(MAX_ORIGIN_GROUPS)
+    {
+        let count = group.len().min(rest);
+        taken.extend_from_slice(&group[..count]);
+        rest -= count;
+    }
+    *origins = &origins[taken.len()..];
+    taken
+}
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -13,6 +13,7 @@
 mod attempt;
 mod baseline;
 mod batch;
+mod builds;
 mod cache;
 mod capacity;
 mod dispatcher;
@@ -20,6 +21,7 @@
 mod event;
 mod health;
 mod notices;
+mod origins;
 mod outcome;
 mod pause;
 mod peer;
@@ -48,7 +50,7 @@
     policy::Policy,
     prompt::{Part, Prompt},
     refusal::{Reason, Refusal},
-    request::{Request, silence_timeout},
+    request::{Request, Resumption, silence_timeout},
     settings::Settings,
     view::View,
 };
--- /dev/null
+++ b/src/dispatch/origins.rs
@@ -0,0 +1,203 @@
+//! Builds at which recent streams began, at this router and at others.
+
+use super::builds::{Builds, RETENTION};
+use crate::{gossip, id, unit::Time};
+use std::collections::{HashMap, VecDeque};
+
+/// Maximum number of streams that are remembered: those that the largest fleet begins in
+/// [`RETENTION`]. The oldest are forgotten first.
+const MAX_STREAMS: usize = 1 << 18;
+/// Maximum number of streams that wait to be announced; the oldest are dropped first.
+const MAX_WAITING: usize = 1 << 14;
+
+/// Where a stream began.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) enum Origin {
+    /// At a target of this build.
+    Build {
+        /// Hash of the service's name.
+        service: u64,
+        build: id::Build,
+    },
+    /// Streams with the same identifier began at several builds, since a caller used it again.
+    Conflicting,
+}
+
+/// Builds at which recent streams began, at this router and at others, and those that are to be
+/// announced to other routers.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Origins {
+    known: HashMap<id::Stream, Known>,
+    /// Streams by the time at which they were recorded, oldest first. Those that were recorded again
+    /// have several entries.
+    recorded: VecDeque<(Time, id::Stream)>,
+    /// Streams that are to be announced, with the router that reported them, `None` for this one.
+    announced: VecDeque<Announcement>,
+    /// Announcements of the last round, which are sent once more because datagrams may be lost.
+    repeated: Vec<Announcement>,
+    /// Streams of this router that were not announced, since their service has a single build.
+    withheld: VecDeque<(Time, gossip::Origin)>,
+}
+
+/// A stream that is to be announced, with the router that reported it, `None` for this one.
+pub(super) type Announcement = (Option<id::Router>, gossip::Origin);
+
+#[derive(Clone, Debug)]
+struct Known {
+    origin: Origin,
+    at: Time,
+    /// Whether it began at this router or one that follows it.
+    from_group: bool,
+}
+
+impl Origins {
+    /// Returns where a stream began.
+    pub(super) fn get(&self, stream: id::Stream) -> Option<&Origin> {
+        self.known.get(&stream).map(|known| &known.origin)
+    }
+
+    /// Records a stream that began at this router, and announces it if streams of its
+    /// service are.
+    pub(super) fn record_own(&mut self, now: Time, origin: gossip::Origin, builds: &Builds) {
+        if !self.record(now, &origin, true) {
+            return;
+        }
+        if builds.are_announced(origin.service) {
+            self.announce((None, origin));
+        } else {
+            self.withheld.push_back((now, origin));
+        }
+    }
+
+    /// Records a stream that another router reported, and passes it on if it is new. `from_group`
+    /// tells whether that router follows this one.
+    pub(super) fn record_reported(
+        &mut self,
+        now: Time,
+        from: &id::Router,
+        from_group: bool,
+        origin: gossip::Origin,
+    ) {
+        if self.record(now, &origin, from_group) && !origin.repeated {
+            self.announce((Some(from.clone()), origin));
+        }
+    }
+
+    /// Records a stream; returns whether that is new.
+    fn record(&mut self, now: Time, origin: &gossip::Origin, from_group: bool) -> bool {
+        let reported = Origin::Build {
+            service: origin.service,
+            build: id::Build::from_key(origin.build),
+        };
+        let earlier = self.known.get(&origin.stream);
+        let is_new = earlier
+            .is_none_or(|known| known.origin != reported && known.origin != Origin::Conflicting);
+        let known = Known {
+            origin: match earlier {
+                Some(known) if known.origin != reported => Origin::Conflicting,
+                _ => reported,
+            },
+            at: now,
+            from_group: from_group || earlier.is_some_and(|known| known.from_group),
+        };
+        self.known.insert(origin.stream, known);
+        self.recorded.push_back((now, origin.stream));
+        while self.recorded.len() > MAX_STREAMS {
+            self.forget_oldest();
+        }
+        is_new
+    }
+
+    fn announce(&mut self, announcement: Announcement) {
+        self.announced.push_back(announcement);
+        if self.announced.len() > MAX_WAITING {
+            self.announced.pop_front();
+        }
+    }
+
+    /// Forgets the streams that began too long ago to be resumed.
+    pub(super) fn expire(&mut self, now: Time) {
+        while let Some((at, _)) = self.recorded.front()
+            && now.since(*at) >= RETENTION
+        {
+            self.forget_oldest();
+        }
+        while let Some((at, _)) = self.withheld.front()
+            && now.since(*at) >= RETENTION
+        {
+            self.withheld.pop_front();
+        }
+    }
+
+    fn forget_oldest(&mut self) {
+        let Some((at, stream)) = self.recorded.pop_front() else {
+            return;
+        };
+        if self.known.get(&stream).is_some_and(|known| known.at <= at) {
+            self.known.remove(&stream);
+        }
+    }
+
+    /// Takes the streams to be announced in a round, at most `limit` that were not announced before.
+    pub(super) fn take_announcements(
+        &mut self,
+        builds: &Builds,
+        limit: usize,
+    ) -> Vec<Announcement> {
+        if !self.withheld.is_empty() && builds.any_announced() {
+            let (announced, withheld): (VecDeque<_>, VecDeque<_>) =
+                std::mem::take(&mut self.withheld)
+                    .into_iter()
+                    .partition(|(_, origin)| builds.are_announced(origin.service));
+            self.withheld = withheld;
+            for (_, origin) in announced {
+                self.announce((None, origin));
+            }
+        }
+        let count = self.announced.len().min(limit);
+        let new: Vec<Announcement> = self.announced.drain(..count).collect();
+        let mut all = std::mem::replace(&mut self.repeated, new.clone());
+        all.extend(new);
+        all
+    }
+
+    /// Announces the streams of this router and its followers again, for a router that has just
+    /// started.
+    pub(super) fn announce_again(&mut self, builds: &Builds) {
+        let streams = self.catch_up(builds, |known| known.from_group);
+        for origin in streams.into_iter().rev() {
+            self.announce((None, origin));
+        }
+    }
+
+    /// Returns all streams for a follower that has just started, the oldest first.
+    pub(super) fn all(&self, builds: &Builds) -> Vec<gossip::Origin> {
+        self.catch_up(builds, |_| true)
+    }
+
+    fn catch_up(
+        &self,
+        builds: &Builds,
+        is_selected: impl Fn(&Known) -> bool,
+    ) -> Vec<gossip::Origin> {
+        if !builds.any_announced() {
+            return Vec::new();
+        }
+        let streams = self.recorded.iter().filter_map(|(at, stream)| {
+            let known = self.known.get(stream)?;
+            let is_last = known.at == *at;
+            match &known.origin {
+                Origin::Build { service, build } if is_last && is_selected(known) => {
+                    builds.are_announced(*service).then_some(gossip::Origin {
+                        service: *service,
+                        build: build.key(),
+                        repeated: true,
+                        stream: *stream,
+                    })
+                }
+                _ => None,
+            }
+        });
+        streams.collect()
+    }
+}
--- a/src/dispatch/peer.rs
+++ b/src/dispatch/peer.rs
@@ -31,6 +31,9 @@
     usages: HashMap<u64, gossip::Usage>,
     /// Loads last sent to it, if it follows this router.
     pub(super) baseline: Baseline,
+    /// Streams that it has not been told of since it started, the latest last, if it follows this
+    /// router.
+    pub(super) untold: Vec<gossip::Origin>,
 }
 
 impl Peer {
@@ -47,6 +50,7 @@
             loads: HashMap::new(),
             usages: HashMap::new(),
             baseline: Baseline::default(),
+            untold: Vec::new(),
         }
     }
 
--- a/src/dispatch/refusal.rs
+++ b/src/dispatch/refusal.rs
@@ -15,6 +15,8 @@
     NoTarget,
     /// No target of the build that began the stream accepts requests.
     NoBuild,
+    /// The caller resumes a stream that began at a build that no router has reported.
+    Origin,
     /// All targets that could take the request asked for a pause that ends too late for it.
     Pause,
     /// The deadline passed before the request was sent.
@@ -47,6 +49,7 @@
             Reason::Overload => "no target can start the request in time",
             Reason::NoTarget => "the service has no target that accepts requests",
             Reason::NoBuild => "no target of the build that began the stream accepts requests",
+            Reason::Origin => "the build that began the stream is unknown",
             Reason::Pause => "the targets asked for a pause that ends too late for the request",
             Reason::Deadline => "the deadline passed before a target was available",
             Reason::Attempts => "the request has no attempts left",
--- a/src/dispatch/request.rs
+++ b/src/dispatch/request.rs
@@ -19,6 +19,15 @@
     MAX_SILENCE.min(Span(remaining.0 * SILENCE_PERCENT / 100))
 }
 
+/// What a caller says of the stream that it resumes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Resumption {
+    /// Stream; `None` if the caller doesn't name it.
+    pub stream: Option<id::Stream>,
+    /// Whether the caller has events of it, after which the stream goes on.
+    pub has_events: bool,
+}
+
 /// A request as the dispatcher sees it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Request {
@@ -42,6 +51,10 @@
     pub max_attempts: u32,
     /// Prompt, if the request goes to a model engine.
     pub prompt: Option<Prompt>,
+    /// Identifies the stream that the request begins; `None` if callers can't resume it.
+    pub stream: Option<id::Stream>,
+    /// The caller resumes a stream.
+    pub resumption: Option<Resumption>,
     /// Build that must run the request, if its stream has begun; the events of two builds don't fit
     /// together.
     pub build: Option<id::Build>,
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -2,6 +2,7 @@
 
 use super::Head;
 use crate::{
+    dispatch::Resumption,
     id,
     routing::Route,
     unit::{Span, Time},
@@ -31,6 +32,15 @@
 }
 
 impl Call {
+    /// Returns what the caller says of the stream that it resumes, if it does.
+    pub(super) fn resumption(&self) -> Option<Resumption> {
+        let last_event_id = self.head.last_event_id.as_deref().unwrap_or_default();
+        let has_events = !last_event_id.trim().is_empty();
+        let origin = self.head.origin.as_deref().unwrap_or_default();
+        let stream = id::Stream::of(self.workspace.as_ref(), origin);
+        (has_events || stream.is_some()).then_some(Resumption { stream, has_events })
+    }
+
     /// Returns the time left until the deadline.
     pub(super) fn remaining(&self, now: Time) -> Span {
         self.deadline.since(now)
--- a/src/gateway/handler.rs
+++ b/src/gateway/handler.rs
@@ -224,6 +224,8 @@
 }
 
 fn dispatch_request(call: &Call, table: &Table) -> DispatchRequest {
+    let (head, workspace) = (&call.head, call.workspace.as_ref());
+    let is_stream = call.route.kind.is_stream();
     let priority = call
         .workspace
         .as_ref()
@@ -239,6 +241,10 @@
         deadline: call.deadline,
         max_attempts: call.route.max_attempts,
         prompt: call.head.prompt.clone(),
+        stream: is_stream
+            .then(|| id::Stream::of(workspace, &head.request_id))
+            .flatten(),
+        resumption: is_stream.then(|| call.resumption()).flatten(),
         build: None,
     }
 }
--- a/src/gossip/codec.rs
+++ b/src/gossip/codec.rs
@@ -1,6 +1,6 @@
 //! Encoding of summaries: packed Cap'n Proto, decoded with limits on every size.
 
-use super::{Load, Prefill, Scope, Summary, Usage};
+use super::{Load, Origin, Prefill, Scope, Summary, Usage};
 use crate::{
     id,
     unit::{Span, Version},
@@ -72,6 +72,18 @@
         to.set_asked(usage.requested);
         to.set_granted(usage.granted);
     }
+    let groups: Vec<&[Origin]> = from.origins.chunk_by(is_same_group).collect();
+    let mut origins = to.reborrow().init_origins(groups.len() as u32);
+    for (index, group) in groups.iter().enumerate() {
+        let mut to = origins.reborrow().get(index as u32);
+        to.set_service(group[0].service);
+        to.set_build(group[0].build);
+        to.set_repeated(group[0].repeated);
+        let mut streams = to.init_streams(group.len() as u32);
+        for (index, origin) in group.iter().enumerate() {
+            streams.set(index as u32, origin.stream.0);
+        }
+    }
     let mut prefills = to.init_reads(from.prefills.len() as u32);
     for (index, prefill) in from.prefills.iter().enumerate() {
         let mut to = prefills.reborrow().get(index as u32);
@@ -81,6 +93,11 @@
     }
 }
 
+/// Reports whether two streams that follow each other are encoded in one group.
+pub fn is_same_group(one: &Origin, other: &Origin) -> bool {
+    (one.service, one.build, one.repeated) == (other.service, other.build, other.repeated)
+}
+
 /// Decodes a summary.
 ///
 /// # Errors
@@ -102,6 +119,15 @@
         part: prefill.get_part(),
         tokens: prefill.get_tokens(),
     });
+    let mut origins = Vec::new();
+    for group in from.get_origins()? {
+        origins.extend(group.get_streams()?.iter().map(|stream| Origin {
+            service: group.get_service(),
+            build: group.get_build(),
+            repeated: group.get_repeated(),
+            stream: id::Stream(stream),
+        }));
+    }
     Ok(Summary {
         router: from.get_router()?.to_str()?.parse()?,
         incarnation: id::Incarnation(from.get_incarnation()),
@@ -118,6 +144,7 @@
         loads: from.get_loads()?.iter().map(read_load).collect(),
         usages: usages.collect(),
         prefills: prefills.collect(),
+        origins,
     })
 }
 
--- a/src/gossip/mod.rs
+++ b/src/gossip/mod.rs
@@ -3,6 +3,7 @@
 
 mod codec;
 mod load;
+mod origin;
 mod prefill;
 mod scope;
 mod socket;
@@ -10,8 +11,9 @@
 mod usage;
 
 pub use self::{
-    codec::{Error, MAX_DATAGRAM_BYTES, decode, encode},
+    codec::{Error, MAX_DATAGRAM_BYTES, decode, encode, is_same_group},
     load::Load,
+    origin::Origin,
     prefill::Prefill,
     scope::Scope,
     socket::Socket,
--- a/src/gossip/summary.rs
+++ b/src/gossip/summary.rs
@@ -1,6 +1,6 @@
 //! Summary of load that a router sends to others.
 
-use super::{Load, Prefill, Scope, Usage};
+use super::{Load, Origin, Prefill, Scope, Usage};
 use crate::{
     id,
     unit::{Span, Version},
@@ -33,4 +33,6 @@
     pub usages: Vec<Usage>,
     /// Prompt parts sent to targets since the previous summary.
     pub prefills: Vec<Prefill>,
+    /// Streams that began, sorted; only while their services have targets of several builds.
+    pub origins: Vec<Origin>,
 }
--- a/src/id/mod.rs
+++ b/src/id/mod.rs
@@ -7,12 +7,13 @@
 mod router;
 mod service;
 mod site;
+mod stream;
 mod target;
 mod workspace;
 
 pub use self::{
     attempt::Attempt, build::Build, domain::Domain, incarnation::Incarnation, router::Router,
-    service::Service, site::Site, target::Target, workspace::Workspace,
+    service::Service, site::Site, stream::Stream, target::Target, workspace::Workspace,
 };
 
 /// Longest identifier accepted, in bytes.
--- a/src/wire/marlrun_capnp.rs
+++ b/src/wire/marlrun_capnp.rs
@@ -10338,6 +10338,303 @@
     }
 }
 
+pub mod stream_origins {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> Reader<'a,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_service(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn get_build(self) -> u64 {
+            self.reader.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn get_streams(self) -> ::capnp::Result<::capnp::primitive_list::Reader<'a,u64>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_streams(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
+        pub fn get_repeated(self) -> bool {
+            self.reader.get_bool_field(128)
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 1 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_service(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn set_service(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(0, value);
+        }
+        #[inline]
+        pub fn get_build(self) -> u64 {
+            self.builder.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn set_build(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(1, value);
+        }
+        #[inline]
+        pub fn get_streams(self) -> ::capnp::Result<::capnp::primitive_list::Builder<'a,u64>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_streams(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::primitive_list::Owned<u64>>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
+        }
+        #[inline]
+        pub fn init_streams(self, size: u32) -> ::capnp::primitive_list::Builder<'a,u64> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), size)
+        }
+        #[inline]
+        pub fn has_streams(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn get_repeated(self) -> bool {
+            self.builder.get_bool_field(128)
+        }
+        #[inline]
+        pub fn set_repeated(&mut self, value: bool)  {
+            self.builder.set_bool_field(128, value);
+        }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 83] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(110, 194, 91, 19, 126, 184, 253, 162),
+            ::capnp::word(14, 0, 0, 0, 1, 0, 3, 0),
+            ::capnp::word(38, 126, 1, 23, 67, 249, 194, 213),
+            ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 226, 0, 0, 0),
+            ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 231, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(109, 97, 114, 108, 114, 117, 110, 46),
+            ::capnp::word(99, 97, 112, 110, 112, 58, 83, 116),
+            ::capnp::word(114, 101, 97, 109, 79, 114, 105, 103),
+            ::capnp::word(105, 110, 115, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(101, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(105, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(128, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 128, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(125, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(124, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(136, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(115, 101, 114, 118, 105, 99, 101, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(98, 117, 105, 108, 100, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 116, 114, 101, 97, 109, 115, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 101, 112, 101, 97, 116, 101, 100),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                2 => <::capnp::primitive_list::Owned<u64> as ::capnp::introspect::Introspect>::introspect(),
+                3 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,3,0,2];
+        pub(crate) const TYPE_ID: u64 = 0xa2fd_b87e_135b_c26e;
+    }
+}
+
 #[repr(u16)]
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Scope {
@@ -10530,11 +10827,19 @@
         pub fn get_age_micros(self) -> u64 {
             self.reader.get_data_field::<u64>(4)
         }
+        #[inline]
+        pub fn get_origins(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::wire::marlrun_capnp::stream_origins::Owned>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(4), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_origins(&self) -> bool {
+            !self.reader.get_pointer_field(4).is_null()
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 5, pointers: 4 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 5, pointers: 5 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -10704,6 +11009,22 @@
         pub fn set_age_micros(&mut self, value: u64)  {
             self.builder.set_data_field::<u64>(4, value);
         }
+        #[inline]
+        pub fn get_origins(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::wire::marlrun_capnp::stream_origins::Owned>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(4), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_origins(&mut self, value: ::capnp::struct_list::Reader<'_,crate::wire::marlrun_capnp::stream_origins::Owned>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(4), value, false)
+        }
+        #[inline]
+        pub fn init_origins(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::wire::marlrun_capnp::stream_origins::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(4), size)
+        }
+        #[inline]
+        pub fn has_origins(&self) -> bool {
+            !self.builder.is_pointer_field_null(4)
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -10715,101 +11036,108 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 197] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 216] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(184, 219, 41, 190, 56, 25, 149, 148),
             ::capnp::word(14, 0, 0, 0, 1, 0, 5, 0),
             ::capnp::word(38, 126, 1, 23, 67, 249, 194, 213),
-            ::capnp::word(4, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(5, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 178, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 111, 2, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 167, 2, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(109, 97, 114, 108, 114, 117, 110, 46),
             ::capnp::word(99, 97, 112, 110, 112, 58, 83, 117),
             ::capnp::word(109, 109, 97, 114, 121, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(44, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(48, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(37, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(65, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(32, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(44, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(60, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(72, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(41, 1, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(69, 1, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(40, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(52, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(68, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(80, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(49, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(77, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(48, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(60, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(76, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(88, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(57, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(85, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(52, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(64, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(80, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(92, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 192, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(61, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(89, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(56, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(68, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(84, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(96, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(65, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(93, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(60, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(88, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(88, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(116, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(85, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(113, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(80, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(108, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(108, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(136, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(105, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(133, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(100, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(128, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(128, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(156, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 13, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(125, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(153, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(120, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(132, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(148, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(160, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(129, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(157, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(124, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(136, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(152, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(164, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(10, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(133, 1, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(161, 1, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(132, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(144, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(160, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(172, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(11, 0, 0, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(169, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(164, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(192, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(114, 111, 117, 116, 101, 114, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -10913,6 +11241,18 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(111, 114, 105, 103, 105, 110, 115, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(110, 194, 91, 19, 126, 184, 253, 162),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -10927,6 +11267,7 @@
                 8 => <crate::wire::marlrun_capnp::Scope as ::capnp::introspect::Introspect>::introspect(),
                 9 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 10 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                11 => <::capnp::struct_list::Owned<crate::wire::marlrun_capnp::stream_origins::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -10940,9 +11281,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[10,1,4,5,7,0,9,8,2,6,3];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[10,1,4,5,11,7,0,9,8,2,6,3];
         pub(crate) const TYPE_ID: u64 = 0x9495_1938_be29_dbb8;
     }
 }
--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -7,14 +7,16 @@
 use engines::{Load, Simulation};
 use marlrun::{
     catalog,
-    dispatch::{Action, Dispatcher, Event, Outcome, Part, Prompt, Reason, Request, Settings},
+    dispatch::{
+        Action, Dispatcher, Event, Outcome, Part, Prompt, Reason, Request, Resumption, Settings,
+    },
     gossip, id,
     routing::{Engine, Kind, Limits, Service, Table},
     unit::{Span, Time, Version},
 };
 use proptest::prelude::*;
 use std::{
-    collections::{BTreeMap, BTreeSet},
+    collections::{BTreeMap, BTreeSet, VecDeque},
     sync::Arc,
 };
 
@@ -110,6 +112,8 @@
         deadline: at(millis + 10_000),
         max_attempts: 2,
         build: None,
+        stream: None,
+        resumption: None,
         prompt: (service == "llm").then(|| prompt(&[(1, 500), (1_000 + number, 500)])),
     }
 }
@@ -281,6 +285,7 @@
         loads: Vec::new(),
         usages: vec![usage],
         prefills: Vec::new(),
+        origins: Vec::new(),
     })
 }
 
@@ -1334,6 +1339,7 @@
         loads: Vec::new(),
         usages: Vec::new(),
         prefills: Vec::new(),
+        origins: Vec::new(),
     };
     step(dispatcher, millis, Event::Summary(summary));
 }
@@ -1524,3 +1530,267 @@
     let actions = step(&mut dispatcher, 200, broken());
     assert_eq!(sent_to(&actions), Some((1, "b".into())));
 }
+
+/// Returns the request of a caller that resumes the stream of an earlier request.
+fn resumption(number: u64, millis: u64, origin: Option<&str>) -> Request {
+    Request {
+        resumption: Some(Resumption {
+            stream: origin.and_then(|origin| id::Stream::of(None, origin)),
+            has_events: true,
+        }),
+        ..request(number, millis, "llm")
+    }
+}
+
+/// Begins the stream of a named request at a build.
+fn begin(dispatcher: &mut Dispatcher, number: u64, millis: u64, name: &str, build: &str) {
+    let arrived = Request {
+        stream: id::Stream::of(None, name),
+        ..request(number, millis, "llm")
+    };
+    step(dispatcher, millis, Event::Arrived(arrived));
+    step(dispatcher, millis, Event::ResponseStarted { number });
+    let build = build.into();
+    step(dispatcher, millis, Event::StreamBegun { number, build });
+}
+
+/// Passes the summaries of one dispatcher to another, as datagrams would; returns what the other did.
+fn exchange(from: &mut Dispatcher, to: &mut Dispatcher, millis: u64) -> Vec<Action> {
+    let batches = from.summarize(at(millis), false);
+    let summaries = batches.into_iter().flat_map(|batch| batch.summaries);
+    let actions = summaries.flat_map(|summary| {
+        let bytes = gossip::encode(&summary);
+        assert!(bytes.len() <= gossip::MAX_DATAGRAM_BYTES, "{}", bytes.len());
+        step(to, millis, Event::Summary(gossip::decode(&bytes).unwrap()))
+    });
+    actions.collect()
+}
+
+const MIXED: [(&str, &str); 3] = [("a", "v2"), ("b", "v1"), ("c", "v2")];
+
+fn mixed() -> Vec<catalog::Target> {
+    MIXED
+        .iter()
+        .map(|(name, build)| target_of(name, build))
+        .collect()
+}
+
+#[test]
+fn resumed_stream_goes_to_its_build_at_another_router() {
+    let (mut one, mut two) = (ready("r1", &mixed()), ready("r2", &mixed()));
+    begin(&mut one, 1, 0, "q1", "v1");
+    exchange(&mut one, &mut two, 10);
+    let actions = step(&mut two, 20, Event::Arrived(resumption(2, 20, Some("q1"))));
+    assert_eq!(sent_to(&actions), Some((2, "b".into())));
+}
+
+#[test]
+fn resumed_stream_waits_for_the_report_of_its_build() {
+    let (mut one, mut two) = (ready("r1", &mixed()), ready("r2", &mixed()));
+    begin(&mut one, 1, 0, "q1", "v1");
+    let actions = step(&mut two, 5, Event::Arrived(resumption(2, 5, Some("q1"))));
+    assert_eq!((sent_to(&actions), refused(&actions)), (None, None));
+    assert_eq!(two.waiting(), 1);
+    let actions = exchange(&mut one, &mut two, 30);
+    assert_eq!(sent_to(&actions), Some((2, "b".into())));
+}
+
+#[test]
+fn resumed_stream_unknown_refused_while_builds_mix() {
+    let mut dispatcher = ready("r1", &mixed());
+    step(
+        &mut dispatcher,
+        0,
+        Event::Arrived(resumption(1, 0, Some("q0"))),
+    );
+    step(&mut dispatcher, 190, Event::Tick);
+    assert_eq!(dispatcher.waiting(), 1);
+    let actions = step(&mut dispatcher, 200, Event::Tick);
+    assert_eq!(refused(&actions), Some((Reason::Origin, false)));
+    let actions = step(
+        &mut dispatcher,
+        300,
+        Event::Arrived(resumption(2, 300, None)),
+    );
+    assert_eq!(
+        refused(&actions),
+        Some((Reason::Origin, false)),
+        "not named"
+    );
+}
+
+#[test]
+fn resumed_stream_unknown_goes_on_with_a_single_build() {
+    let list = [target_of("a", "v1"), target_of("b", "v1")];
+    let mut dispatcher = ready("r1", &list);
+    for (number, origin) in [(1, Some("q0")), (2, None)] {
+        let actions = step(
+            &mut dispatcher,
+            0,
+            Event::Arrived(resumption(number, 0, origin)),
+        );
+        assert!(sent_to(&actions).is_some(), "{origin:?}");
+    }
+}
+
+#[test]
+fn resumed_stream_unknown_refused_after_the_other_build_left() {
+    let mut dispatcher = ready("r1", &mixed());
+    step(&mut dispatcher, 100, targets(&[target_of("a", "v2")]));
+    let actions = step(
+        &mut dispatcher,
+        5_000,
+        Event::Arrived(resumption(1, 5_000, None)),
+    );
+    assert_eq!(refused(&actions), Some((Reason::Origin, false)));
+    dispatcher.summarize(at(61_000), false);
+    let actions = step(
+        &mut dispatcher,
+        61_000,
+        Event::Arrived(resumption(2, 61_000, None)),
+    );
+    assert!(
+        sent_to(&actions).is_some(),
+        "no caller resumes so old a stream"
+    );
+}
+
+#[test]
+fn resumed_stream_of_reused_name_refused_while_builds_mix() {
+    let mut dispatcher = ready("r1", &mixed());
+    begin(&mut dispatcher, 1, 0, "q1", "v1");
+    begin(&mut dispatcher, 2, 10, "q1", "v2");
+    let arrived = Event::Arrived(resumption(3, 20, Some("q1")));
+    let actions = step(&mut dispatcher, 20, arrived);
+    assert_eq!(refused(&actions), Some((Reason::Origin, false)));
+}
+
+#[test]
+fn resumed_stream_of_a_build_that_left_is_refused_at_once() {
+    let mut dispatcher = ready("r1", &mixed());
+    begin(&mut dispatcher, 1, 0, "q1", "v1");
+    step(&mut dispatcher, 100, targets(&[target_of("a", "v2")]));
+    let arrived = Event::Arrived(resumption(2, 200, Some("q1")));
+    let actions = step(&mut dispatcher, 200, arrived);
+    assert_eq!(refused(&actions), Some((Reason::NoBuild, false)));
+}
+
+#[test]
+fn resumed_stream_of_another_service_is_refused() {
+    let mut list = mixed();
+    list.push(target("x", "app"));
+    let mut dispatcher = ready("r1", &list);
+    begin(&mut dispatcher, 1, 0, "q1", "v1");
+    let arrived = Request {
+        service: "app".parse().unwrap(),
+        prompt: None,
+        ..resumption(2, 10, Some("q1"))
+    };
+    let actions = step(&mut dispatcher, 10, Event::Arrived(arrived));
+    assert_eq!(refused(&actions), Some((Reason::NoBuild, false)));
+}
+
+#[test]
+fn builds_of_a_router_with_an_old_list_are_mixed_once_reported() {
+    let (mut one, mut two) = (ready("r1", &mixed()), ready("r2", &[target_of("a", "v2")]));
+    begin(&mut one, 1, 0, "q1", "v1");
+    exchange(&mut one, &mut two, 10);
+    let actions = step(&mut two, 20, Event::Arrived(resumption(2, 20, None)));
+    assert_eq!(refused(&actions), Some((Reason::Origin, false)));
+}
+
+#[test]
+fn origins_are_sent_again_to_a_router_that_has_started() {
+    let mut one = ready("r1", &mixed());
+    for number in 0..200 {
+        begin(&mut one, number, 0, &format!("q{number}"), "v1");
+    }
+    one.summarize(at(10), false);
+    one.summarize(at(20), false);
+    let mut two = ready("r2", &mixed());
+    exchange(&mut two, &mut one, 100);
+    exchange(&mut one, &mut two, 110);
+    for number in 0..200 {
+        let arrived = Request {
+            workspace: None,
+            ..resumption(1_000 + number, 120, Some(&format!("q{number}")))
+        };
+        let actions = step(&mut two, 120, Event::Arrived(arrived));
+        assert!(sent_to(&actions).is_none_or(|(_, target)| target == "b"));
+        assert!(refused(&actions).is_none_or(|(reason, _)| reason != Reason::Origin));
+    }
+    assert_eq!(two.waiting(), 200 - two.running(), "queued for their build");
+}
+
+proptest! {
+    /// Streams begin, are resumed and are reported in any order at three routers while builds come
+    /// and go: no stream is sent to two builds.
+    #[test]
+    fn streams_of_two_builds_never(
+        steps in prop::collection::vec((0..8_u8, 0..3_usize, 0..6_u64, 0..4_usize), 1..120),
+    ) {
+        let all: Vec<catalog::Target> =
+            (0..4).map(|i| target_of(["a", "b", "c", "d"][i], ["v1", "v2", "v1", "v3"][i])).collect();
+        let build = |name: &str| all.iter().find(|t| t.name.as_str() == name).unwrap().build.clone();
+        let mut routers: Vec<Dispatcher> =
+            ["r1", "r2", "r3"].iter().map(|name| ready(name, &all)).collect();
+        let mut bound: BTreeMap<u64, id::Build> = BTreeMap::new();
+        let mut arrived: BTreeSet<u64> = BTreeSet::new();
+        let mut number = 0;
+        for (index, (kind, router, stream, other)) in steps.into_iter().enumerate() {
+            let now = index as u64 * 15;
+            let name = format!("s{stream}");
+            let actions = match kind {
+                0..=2 => {
+                    number += 1;
+                    let resumed = bound.contains_key(&stream);
+                    if !arrived.insert(stream) && !resumed {
+                        continue;
+                    }
+                    let arrived = Request {
+                        stream: id::Stream::of(None, &if resumed { format!("n{number}") } else { name.clone() }),
+                        resumption: resumed.then(|| Resumption {
+                            stream: id::Stream::of(None, &name),
+                            has_events: true,
+                        }),
+                        workspace: None,
+                        ..request(number * 10 + stream, now, "llm")
+                    };
+                    step(&mut routers[router], now, Event::Arrived(arrived))
+                }
+                3 => {
+                    let listed: Vec<_> = all.iter().enumerate()
+                        .filter(|(i, _)| *i != other).map(|(_, t)| t.clone()).collect();
+                    step(&mut routers[router], now, targets(&listed))
+                }
+                4 => step(&mut routers[router], now, targets(&all)),
+                5 => step(&mut routers[router], now, Event::Tick),
+                _ => {
+                    let to = (router + 1 + other % 2) % 3;
+                    let batches = routers[router].summarize(at(now), false);
+                    let summaries = batches.into_iter().flat_map(|batch| batch.summaries);
+                    summaries
+                        .flat_map(|summary| step(&mut routers[to], now, Event::Summary(summary)))
+                        .collect()
+                }
+            };
+            let target = if kind >= 6 { (router + 1 + other % 2) % 3 } else { router };
+            let mut actions = VecDeque::from(actions);
+            while let Some(action) = actions.pop_front() {
+                let Action::Send { number, estimate, .. } = action else { continue };
+                let stream = number % 10;
+                let of = build(estimate.target.as_str());
+                let first = bound.entry(stream).or_insert_with(|| of.clone());
+                prop_assert_eq!(&*first, &of, "stream {}", stream);
+                let started = [
+                    Event::ResponseStarted { number },
+                    Event::StreamBegun { number, build: of },
+                    Event::Ended { number, outcome: Outcome::Answered, can_retry: false },
+                ];
+                for event in started {
+                    actions.extend(step(&mut routers[target], now, event));
+                }
+            }
+        }
+    }
+}
--- a/tests/engines/mod.rs
+++ b/tests/engines/mod.rs
@@ -251,6 +251,8 @@
             deadline: arrived + Span::from_secs(10),
             max_attempts: 2,
             build: None,
+            stream: None,
+            resumption: None,
             prompt: Some(prompt),
         };
         self.step(router, Event::Arrived(request));
--- a/tests/exchange.rs
+++ b/tests/exchange.rs
@@ -109,6 +109,8 @@
             deadline: now + Span::from_secs(60),
             max_attempts: 2,
             build: None,
+            stream: None,
+            resumption: None,
             prompt: Some(Prompt {
                 parts: Box::new([Part { id: 1, tokens: 50 }]),
                 tokens: 100,
@@ -136,6 +138,8 @@
             deadline: now,
             max_attempts: 2,
             build: None,
+            stream: None,
+            resumption: None,
             prompt: None,
         };
         let actions = self.step(index, Event::Arrived(late));
