Resume streams on split routes at the service that began them

Before: builds::stream_keeps_service_if_resumed_on_split_route failed (503, the build of the other service); it was added here.

--- a/src/gateway/driver.rs
+++ b/src/gateway/driver.rs
@@ -160,6 +160,11 @@
         self.lock().dispatcher.accepts(clock::now(), run)
     }
 
+    /// Returns the hash of the name of the service at which a stream began, if that is known.
+    pub(super) fn origin_service(&self, stream: id::Stream) -> Option<u64> {
+        self.lock().dispatcher.origin_service(stream)
+    }
+
     /// Returns the load summaries to be sent to other routers now, and updates the gauges of
     /// requests.
     pub fn summaries(&self, draining: bool) -> Vec<Batch> {
--- a/src/gateway/handler.rs
+++ b/src/gateway/handler.rs
@@ -84,7 +84,7 @@
         let head = head.map_err(|cause| Problem::invalid(StatusCode::BAD_REQUEST, cause))?;
         let route = find_route(&table, &parts.uri, &parts.headers)?;
         let workspace = authenticate(&table, &route, &head)?;
-        let service = route.pick(hash(&head.request_id)).cloned();
+        let service = self.pick_service(&route, workspace.as_ref(), &head);
         let service = service.ok_or_else(|| {
             let detail = format!("the route {:?} has no service", route.name);
             Problem::not_run(detail, State::UNREADY_RETRY_AFTER)
@@ -113,6 +113,25 @@
         Ok(exchange.run(decisions).await)
     }
 
+    /// Returns the service of a request: for a resumed stream the one that began it, as far as the route
+    /// still leads there.
+    fn pick_service(
+        &self,
+        route: &Route,
+        workspace: Option<&id::Workspace>,
+        head: &Head,
+    ) -> Option<id::Service> {
+        let origin = head.origin.as_deref().filter(|origin| !origin.is_empty());
+        let stream = origin.and_then(|origin| id::Stream::of(workspace, origin));
+        let began = stream.and_then(|stream| self.driver.origin_service(stream));
+        let splits = route.splits.iter().filter(|split| split.weight > 0);
+        let services = splits.map(|split| &split.service);
+        let mut began = services.filter(|service| Some(hash(service.as_str())) == began);
+        // The request that began the stream was assigned by the hash of its name, too.
+        let assigned = || route.pick(hash(origin.unwrap_or(&head.request_id)));
+        began.next().or_else(assigned).cloned()
+    }
+
     fn log_resumption(&self, call: &Call) {
         let head = &call.head;
         if head.origin.is_none() && head.last_event_id.is_none() {
--- a/tests/builds.rs
+++ b/tests/builds.rs
@@ -3,8 +3,9 @@
 mod world;
 
 use nix::sys::signal::Signal;
-use std::{io::Read, net::TcpStream, ops::RangeInclusive, time::Duration};
-use world::{Answer, Caller, FIRST_BUILD, Mode, Router, World, event_of, wait_for};
+use serde_json::{Value, json};
+use std::{collections::BTreeSet, io::Read, net::TcpStream, ops::RangeInclusive, time::Duration};
+use world::{Answer, Caller, FIRST_BUILD, Mode, Replica, Router, World, event_of, wait_for};
 
 /// Events of each stream.
 const EVENTS: u64 = 30;
@@ -238,3 +239,52 @@
         assert!(world.runs_of(&name).is_empty());
     }
 }
+
+/// Puts a configuration in force in which the streams are split between two services.
+fn split(world: &World, version: u64, weights: [f64; 2]) {
+    let mut configuration = world::configuration(version);
+    let [first, second] = weights;
+    configuration["routes"][0]["service"] = Value::Null;
+    configuration["routes"][0]["backends"] = json!([
+        { "service": "llm", "weight": first }, { "service": "other", "weight": second },
+    ]);
+    let mut other = configuration["services"][0].clone();
+    other["name"] = "other".into();
+    configuration["services"]
+        .as_array_mut()
+        .unwrap()
+        .push(other);
+    world.store.put("op", "config", &configuration);
+}
+
+#[test]
+fn stream_keeps_service_if_resumed_on_split_route() {
+    let world = World::open(1, 0);
+    let other = Replica::bind(&world.store, "other", "i-other");
+    other.upgrade(NEXT_BUILD);
+    other.pace(EVENTS, GAP);
+    world.engines[0].pace(EVENTS, GAP);
+    split(&world, 2, [0.5, 0.5]);
+    let first = Router::ready(&world.store, "r1");
+    let second = Router::ready(&world.store, "r2");
+    let names = names();
+    let begun = names
+        .iter()
+        .map(|name| begin(&Caller::stream(first.listen, "plan", name)));
+    let begun: Vec<Begun> = begun.collect();
+    // Both services still have the route, but most of it has moved.
+    split(&world, 3, [0.99, 0.01]);
+    wait_for("the new weights are in force", || {
+        second.log().contains("\"version\":3")
+    });
+    let mut builds = BTreeSet::new();
+    for (name, begun) in names.iter().zip(&begun) {
+        let received = begun.received();
+        let answer = resume(&second, &format!("again-{name}"), name, &received).call();
+        assert_eq!((answer.status, answer.whole), (200, true), "{answer:?}");
+        let began_at_other = received.contains(NEXT_BUILD);
+        builds.insert(began_at_other);
+        assert_eq!(answer.body.contains(NEXT_BUILD), began_at_other, "{name}");
+    }
+    assert_eq!(builds.len(), 2, "streams began at both services");
+}
