Bound what targets may send in place of a response

A target may send bytes without end. A failure's and a refusal's body were collected whole: four requests to a target that sends 16 MB/s each made the router grow by 137 MB in 2 s, until the deadline; on a VM with 260 MB that ends the process. A refused request also waited for the end of the body before it went to another target. Informational responses in a row and a plain response without length lasted until the deadline, and the target didn't count as faulty.

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -20,7 +20,7 @@
 };
 use bytes::{Bytes, BytesMut};
 use http::{Method, Request, Response, StatusCode, response};
-use http_body_util::{BodyExt, Full};
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use std::{
     sync::{
@@ -29,12 +29,20 @@
     },
     time::Duration,
 };
+use tokio::sync::Notify;
 
 /// Maximum idle time of a connection reused for a request that may run at most once. A target may
 /// have closed an older connection unnoticed; sending on it would leave the outcome unknown.
 const AT_MOST_ONCE_MAX_IDLE: Span = Span::from_millis(1_000);
 /// Maximum size of a response that is buffered completely before the caller gets any of it.
 const MAX_BUFFERED_BYTES: usize = 256 << 10;
+/// Maximum size of the body of a refusal, and the time for which it is awaited so that the connection can
+/// be reused; the next target needn't wait for it.
+const MAX_REFUSAL_BYTES: usize = 16 << 10;
+const REFUSAL_TIMEOUT: Span = Span::from_millis(50);
+/// Maximum number of informational responses (1xx) before a response; targets have no use for more than
+/// one or two.
+const MAX_INFORMATIONAL: u32 = 16;
 /// `Retry-After` of a request that was not run before its deadline.
 const DEADLINE_RETRY_AFTER: Span = Span::from_millis(1_000);
 
@@ -274,9 +282,19 @@
             }
             let reused = if lease.is_reused() { "yes" } else { "no" };
             metrics::counter!(metric::CONNECTIONS, "reused" => reused).increment(1);
-            let request = self.target_request(&estimate.target);
+            let mut request = self.target_request(&estimate.target);
+            let informational = limit_informational(&mut request);
             self.runs.fetch_add(1, Ordering::Relaxed);
-            match lease.sender.try_send_request(request).await {
+            let sending = lease.sender.try_send_request(request);
+            let sent = tokio::select! {
+                biased;
+                () = informational.notified() => {
+                    let cause = format!("more than {MAX_INFORMATIONAL} informational responses");
+                    return Err(failure(Outcome::Broken, &cause));
+                }
+                sent = sending => sent,
+            };
+            match sent {
                 Ok(response) => break (response, lease),
                 Err(mut error) => {
                     // hyper hands the request back if no byte of it was sent.
@@ -312,7 +330,9 @@
         if reply.not_run {
             self.runs.fetch_sub(1, Ordering::Relaxed);
             let cause = format!("the target refused the request with status {}", head.status);
-            if body.collect().await.is_ok() {
+            let body = Limited::new(body, MAX_REFUSAL_BYTES).collect();
+            let body = tokio::time::timeout(Duration::from(REFUSAL_TIMEOUT), body).await;
+            if let Ok(Ok(_)) = body {
                 release(lease, &reply);
             }
             return Err(failure(Outcome::NotRun, &cause));
@@ -374,7 +394,8 @@
             cause: cause.into(),
             error_response,
         };
-        match transfer.body.collect().await {
+        let body = Limited::new(transfer.body, MAX_BUFFERED_BYTES);
+        match body.collect().await {
             Ok(body) => {
                 release(transfer.lease, &transfer.reply);
                 let mut response = Response::new(full_body(body.to_bytes()));
@@ -679,6 +700,18 @@
     }
 }
 
+/// Returns what is notified if the response to a request is preceded by too many informational ones.
+fn limit_informational(request: &mut Request<Full<Bytes>>) -> Arc<Notify> {
+    let exceeded = Arc::new(Notify::new());
+    let (count, notified) = (AtomicU32::new(0), exceeded.clone());
+    hyper::ext::on_informational(request, move |_| {
+        if count.fetch_add(1, Ordering::Relaxed) >= MAX_INFORMATIONAL {
+            notified.notify_one();
+        }
+    });
+    exceeded
+}
+
 /// Returns a connection to the pool after its response was read completely.
 pub(super) fn release(lease: upstream::Lease, reply: &Reply) {
     match reply.keep_alive {
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -190,6 +190,7 @@
                         cause: "the deadline passed".into(),
                         not_resumed: "the deadline passed".into(),
                     };
+                    self.record_endless();
                     return Some(Err(self.truncate(&cut)));
                 }
             };
@@ -205,6 +206,15 @@
         }
     }
 
+    /// Records that the target's response, which is not a stream, didn't end before the deadline.
+    fn record_endless(&mut self) {
+        if let (Mode::Bytes(_), Some(transfer)) = (&self.mode, &self.transfer) {
+            let cause = "the response did not end before the deadline";
+            let failure = Failure::broken(transfer, Outcome::Silent, cause);
+            self.exchange.end_attempt(failure, false);
+        }
+    }
+
     /// Waits for bytes from the target.
     async fn receive(&mut self) -> Received {
         let now = clock::now();
--- a/src/upstream/pool.rs
+++ b/src/upstream/pool.rs
@@ -29,6 +29,10 @@
 /// and below the initial retransmission timeout of a SYN (usually 1 s).
 const CONNECT_TIMEOUT: Span = Span::from_millis(900);
 
+/// Maximum number of bytes that are read ahead from a connection, and thus the size of the head of a
+/// response. A target may send a head without end on each of its connections.
+const MAX_READ_BYTES: usize = 64 << 10;
+
 type Sender = http1::SendRequest<Full<Bytes>>;
 
 /// Pool of idle connections, by target address; clones share it.
@@ -200,7 +204,9 @@
     let connected = tokio::time::timeout(limit, TcpStream::connect(address)).await;
     let stream = connected.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
     stream.set_nodelay(true)?;
-    let handshake = http1::handshake(TokioIo::new(stream)).await;
+    let mut builder = http1::Builder::new();
+    builder.max_buf_size(MAX_READ_BYTES);
+    let handshake = builder.handshake(TokioIo::new(stream)).await;
     let (sender, connection) = handshake.map_err(io::Error::other)?;
     let task = tokio::spawn(connection);
     Ok((sender, Connection(task.abort_handle())))
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -6,6 +6,7 @@
 mod caller;
 mod connection;
 mod fleet;
+mod flood;
 mod listener;
 #[allow(unreachable_pub)]
 #[path = "../common/process.rs"]
@@ -19,6 +20,7 @@
     caller::{Answer, Caller},
     connection::{Connection, Reply},
     fleet::Fleet,
+    flood::{Endless, Flood},
     proxy::{Harm, Proxy},
     replica::{FIRST_BUILD, FIRST_START_MS, Mode, Replica, Run, event, event_of},
     router::Router,
--- a/tests/world/replica.rs
+++ b/tests/world/replica.rs
@@ -47,6 +47,10 @@
     CutAfter(u64),
     /// Stops within a stream after this many events.
     StallAfter(u64),
+    /// Sends nothing but comments within a stream after this many events, ten a second.
+    CommentsAfter(u64),
+    /// Sends the next event of a stream after this many events byte by byte, two a second.
+    DripAfter(u64),
     /// Is silent for this long before it answers.
     PauseBefore(Duration),
     /// Is silent within a stream for this long after this many events, then goes on.
@@ -375,6 +379,14 @@
                         Err(std::io::ErrorKind::ConnectionReset.into())
                     }
                     Mode::StallAfter(last) if number > last => std::future::pending().await,
+                    Mode::CommentsAfter(last) if number > last => {
+                        tokio::time::sleep(Duration::from_millis(100)).await;
+                        return Some((Ok(Bytes::from(": nothing yet\n\n")), (number, running)));
+                    }
+                    Mode::DripAfter(last) if number > last => {
+                        tokio::time::sleep(Duration::from_millis(500)).await;
+                        return Some((Ok(Bytes::from("i")), (number, running)));
+                    }
                     _ => Ok(Bytes::from(event_of(&build, number))),
                 };
                 Some((item, (number + 1, running)))
--- a/tests/world/router.rs
+++ b/tests/world/router.rs
@@ -113,6 +113,14 @@
         signal::kill(pid, signal).unwrap();
     }
 
+    /// Returns the most memory that the process has had so far, in bytes.
+    pub(crate) fn peak_memory(&self) -> usize {
+        let status = fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
+        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let kilobytes = line.and_then(|line| line.trim().strip_suffix(" kB"));
+        kilobytes.unwrap().parse::<usize>().unwrap() << 10
+    }
+
     /// Returns the exit code if the process has ended.
     pub(crate) fn ended(&mut self) -> Option<i32> {
         let status = self.child.try_wait().unwrap()?;
