Count only events as progress of a stream

Callers saw streams that never went on: a target that sent comments, or a byte of an event now and then, counted as alive with each of them. The stream stayed there until its deadline although other targets could continue it, comments before the first event counted as its start, and comments without end were passed on until the deadline.

A stream now progresses with whole lines of events only. Without one it counts as silent, and is moved as such if another target accepts it; after 256 KiB without one the response counts as broken.

--- a/src/gateway/framer.rs
+++ b/src/gateway/framer.rs
@@ -2,14 +2,15 @@
 
 use bytes::{Bytes, BytesMut};
 
-/// Maximum size of a buffered incomplete event; typical events have a few hundred bytes.
-const MAX_EVENT_BYTES: usize = 1 << 20;
+/// Maximum number of bytes from one event to the end of the next one, comments included; typical events
+/// have a few hundred.
+const MAX_EVENT_BYTES: usize = 256 << 10;
 
 /// Why received bytes of a stream are rejected.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum Fault {
-    /// An event exceeds [`MAX_EVENT_BYTES`].
-    #[error("an event exceeds {MAX_EVENT_BYTES} bytes")]
+    /// There is no event within [`MAX_EVENT_BYTES`].
+    #[error("no event ends within {MAX_EVENT_BYTES} bytes")]
     Oversized,
     /// Events are missing, repeated or reordered.
     #[error("received event {got} after event {last}")]
@@ -27,6 +28,10 @@
     partial: BytesMut,
     last_id: Option<u64>,
     count: u64,
+    /// Number of lines that belong to events, unlike comments.
+    contents: u64,
+    /// Bytes received since the last such line was complete.
+    idle_bytes: usize,
 }
 
 impl Framer {
@@ -48,13 +53,17 @@
     pub fn feed(&mut self, bytes: &[u8]) -> Result<Bytes, Fault> {
         let scanned = self.partial.len();
         self.partial.extend_from_slice(bytes);
-        let Some(end) = last_boundary(&self.partial, scanned) else {
-            if self.partial.len() > MAX_EVENT_BYTES {
-                return Err(Fault::Oversized);
-            }
-            return Ok(Bytes::new());
-        };
+        self.idle_bytes += bytes.len();
+        let end = last_boundary(&self.partial, scanned).unwrap_or(0);
         let complete = self.partial.split_to(end).freeze();
+        let lines = complete.split(|byte| *byte == b'\n');
+        let contents = lines.filter(|line| is_content(line)).count() as u64;
+        if contents > 0 {
+            self.contents += contents;
+            self.idle_bytes = self.partial.len();
+        } else if self.idle_bytes > MAX_EVENT_BYTES {
+            return Err(Fault::Oversized);
+        }
         for number in complete.split(|byte| *byte == b'\n').filter_map(event_id) {
             if self.last_id.is_some_and(|last| number != last + 1) {
                 let last = self.last_id.unwrap_or_default();
@@ -81,6 +90,12 @@
         self.last_id
     }
 
+    /// Returns a number that grows whenever an event was passed on, with or without an ID, but not for
+    /// comments.
+    pub fn progress(&self) -> u64 {
+        self.contents
+    }
+
     /// Returns how many events with an ID were passed on.
     pub fn count(&self) -> u64 {
         self.count
@@ -99,6 +114,11 @@
     (from + 1..=bytes.len()).rev().find(is_boundary)
 }
 
+/// Reports whether a line belongs to an event that brings something.
+fn is_content(line: &[u8]) -> bool {
+    line.starts_with(b"data") || event_id(line).is_some()
+}
+
 /// Returns the event ID if the line has the form `id: NUMBER`.
 fn event_id(line: &[u8]) -> Option<u64> {
     let value = line.strip_prefix(b"id:")?;
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -40,6 +40,8 @@
     mode: Mode,
     /// Whether the target sent an event.
     started: bool,
+    /// Bytes received from all targets.
+    received_bytes: u64,
     /// Time at which a target last sent something.
     last_received: Time,
     /// Time from which the stream counts as stalled, or at which it looks for another target again.
@@ -101,6 +103,7 @@
             transfer: Some(transfer),
             mode,
             started: false,
+            received_bytes: 0,
             last_received: Time::default(),
             stalled_at: Time::default(),
         };
@@ -155,13 +158,15 @@
             };
             let (outcome, cause) = match received {
                 Received::Bytes(bytes) => {
-                    self.record_received();
+                    let before = self.progress();
                     match self.process(bytes) {
-                        Ok(bytes) if bytes.is_empty() => continue,
                         Ok(bytes) => {
-                            if !std::mem::replace(&mut self.started, true) {
-                                self.exchange.record_start();
-                                self.record_stream();
+                            if self.progress() != before {
+                                self.record_received();
+                                self.record_progress();
+                            }
+                            if bytes.is_empty() {
+                                continue;
                             }
                             return Some(Ok(bytes));
                         }
@@ -200,7 +205,20 @@
         }
     }
 
-    fn record_stream(&mut self) {
+    /// Returns a number that changes whenever a target sends something of use: a byte now and then, or
+    /// comments, are as good as silence.
+    fn progress(&self) -> u64 {
+        match &self.mode {
+            Mode::Events(framer) => framer.progress(),
+            Mode::Bytes(_) => self.received_bytes,
+        }
+    }
+
+    fn record_progress(&mut self) {
+        if std::mem::replace(&mut self.started, true) {
+            return;
+        }
+        self.exchange.record_start();
         if let (Mode::Events(_), Some(transfer)) = (&self.mode, &self.transfer) {
             self.exchange.record_stream(&transfer.build);
         }
@@ -240,6 +258,7 @@
     }
 
     fn process(&mut self, bytes: Bytes) -> Result<Bytes, Box<str>> {
+        self.received_bytes += bytes.len() as u64;
         match &mut self.mode {
             Mode::Events(framer) => framer.feed(&bytes).map_err(|f| f.to_string().into()),
             Mode::Bytes(_) => Ok(bytes),
--- a/tests/endless.rs
+++ b/tests/endless.rs
@@ -128,3 +128,57 @@
         router.log().contains("\"suspect\":true")
     });
 }
+
+#[test]
+fn endless_event() {
+    let (answers, router) = flood(Endless::Event);
+    assert!(answers.iter().all(|answer| !answer.body.contains("data")));
+    wait_for("a log line", || router.log().contains("answer cut"));
+}
+
+#[test]
+fn endless_comments() {
+    let (answers, router) = flood(Endless::Comments);
+    for answer in answers {
+        assert!(!answer.whole, "a truncated response must not look complete");
+        assert!(
+            answer.after < DEADLINE,
+            "not at the deadline: {:?}",
+            answer.after
+        );
+    }
+    wait_for("a log line", || router.log().contains("answer cut"));
+}
+
+/// A stream whose target sends something now and then that is no event goes on at another target.
+fn stream_leaves(mode: Mode) {
+    let world = World::open(2, 0);
+    let router = Router::ready(&world.store, "r1");
+    world.engines[0].behave(mode);
+    let answer = Caller::stream(router.listen, "plan", "q1").call();
+    let events: String = (1..=5).map(event).collect();
+    let lines = answer.body.lines().filter(|line| !line.starts_with(':'));
+    let received: Vec<&str> = lines.filter(|line| !line.is_empty()).collect();
+    let expected: Vec<&str> = events.lines().filter(|line| !line.is_empty()).collect();
+    assert_eq!((answer.whole, received), (true, expected), "{answer:?}");
+    assert!(
+        answer.after < Duration::from_millis(2_500),
+        "{:?}",
+        answer.after
+    );
+}
+
+#[test]
+fn stream_leaves_target_that_sends_only_comments() {
+    stream_leaves(Mode::CommentsAfter(2));
+}
+
+#[test]
+fn stream_leaves_target_that_sends_only_comments_from_the_start() {
+    stream_leaves(Mode::CommentsAfter(0));
+}
+
+#[test]
+fn stream_leaves_target_that_sends_a_byte_now_and_then() {
+    stream_leaves(Mode::DripAfter(2));
+}
