Keep a stream from returning to a target that sends only comments

While a stream moves away from a target that counts as silent, any byte from that target made it stay, so that comments every 100 ms kept it there. Only progress brings a stream back now; the new case has a next target that responds after 250 ms.

--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -31,6 +31,31 @@
     Bytes(Option<Bytes>),
 }
 
+/// Received bytes after they were processed.
+struct Processed {
+    /// Bytes to be passed on.
+    bytes: Bytes,
+    /// Whether the target sent something of use: comments, or a byte of an event now and then, are as
+    /// good as silence.
+    is_progress: bool,
+}
+
+impl Mode {
+    fn process(&mut self, bytes: Bytes) -> Result<Processed, Box<str>> {
+        let framer = match self {
+            Mode::Events(framer) => framer,
+            Mode::Bytes(_) => {
+                let is_progress = !bytes.is_empty();
+                return Ok(Processed { bytes, is_progress });
+            }
+        };
+        let before = framer.progress();
+        let bytes = framer.feed(&bytes).map_err(|fault| fault.to_string())?;
+        let is_progress = framer.progress() != before;
+        Ok(Processed { bytes, is_progress })
+    }
+}
+
 /// Relay of a response body, which continues a stream at another target after a failure.
 pub(super) struct Relay {
     exchange: Exchange,
@@ -40,8 +65,7 @@
     mode: Mode,
     /// Whether the target sent an event.
     started: bool,
-    /// Bytes received from all targets.
-    received_bytes: u64,
+
     /// Time at which a target last sent something.
     last_received: Time,
     /// Time from which the stream counts as stalled, or at which it looks for another target again.
@@ -59,6 +83,8 @@
 /// Result of waiting for bytes of a target.
 enum Received {
     Bytes(Bytes),
+    /// The same, processed already.
+    Processed(Processed),
     End,
     Failed(Outcome, Box<str>),
     /// Nothing for so long that the stream counts as stalled.
@@ -103,7 +129,6 @@
             transfer: Some(transfer),
             mode,
             started: false,
-            received_bytes: 0,
             last_received: Time::default(),
             stalled_at: Time::default(),
         };
@@ -157,22 +182,17 @@
                 received => received,
             };
             let (outcome, cause) = match received {
-                Received::Bytes(bytes) => {
-                    let before = self.progress();
-                    match self.process(bytes) {
-                        Ok(bytes) => {
-                            if self.progress() != before {
-                                self.record_received();
-                                self.record_progress();
-                            }
-                            if bytes.is_empty() {
-                                continue;
-                            }
-                            return Some(Ok(bytes));
-                        }
-                        Err(cause) => (Outcome::Broken, cause),
-                    }
-                }
+                Received::Bytes(bytes) => match self.mode.process(bytes) {
+                    Ok(processed) => match self.pass_on(processed) {
+                        Some(bytes) => return Some(Ok(bytes)),
+                        None => continue,
+                    },
+                    Err(cause) => (Outcome::Broken, cause),
+                },
+                Received::Processed(processed) => match self.pass_on(processed) {
+                    Some(bytes) => return Some(Ok(bytes)),
+                    None => continue,
+                },
                 Received::End if self.is_complete() => {
                     self.complete();
                     return None;
@@ -205,13 +225,13 @@
         }
     }
 
-    /// Returns a number that changes whenever a target sends something of use: a byte now and then, or
-    /// comments, are as good as silence.
-    fn progress(&self) -> u64 {
-        match &self.mode {
-            Mode::Events(framer) => framer.progress(),
-            Mode::Bytes(_) => self.received_bytes,
+    /// Records what a target sent, and returns the bytes for the caller, if there are any.
+    fn pass_on(&mut self, processed: Processed) -> Option<Bytes> {
+        if processed.is_progress {
+            self.record_received();
+            self.record_progress();
         }
+        (!processed.bytes.is_empty()).then_some(processed.bytes)
     }
 
     fn record_progress(&mut self) {
@@ -257,14 +277,6 @@
         }
     }
 
-    fn process(&mut self, bytes: Bytes) -> Result<Bytes, Box<str>> {
-        self.received_bytes += bytes.len() as u64;
-        match &mut self.mode {
-            Mode::Events(framer) => framer.feed(&bytes).map_err(|f| f.to_string().into()),
-            Mode::Bytes(_) => Ok(bytes),
-        }
-    }
-
     fn is_complete(&self) -> bool {
         match &self.mode {
             Mode::Events(framer) => framer.is_at_boundary(),
@@ -346,6 +358,14 @@
                         biased;
                         next = self.decisions.next() => break Err(next),
                         received = receive_from(&mut self.transfer), if self.transfer.is_some() => {
+                            let received = match received {
+                                Received::Bytes(bytes) => match self.mode.process(bytes) {
+                                    Ok(processed) if !processed.is_progress => continue,
+                                    Ok(processed) => Received::Processed(processed),
+                                    Err(cause) => Received::Failed(Outcome::Broken, cause),
+                                },
+                                received => received,
+                            };
                             if let Received::Failed(..) = received {
                                 leave(&self.exchange, self.transfer.take());
                                 continue;
--- a/tests/endless.rs
+++ b/tests/endless.rs
@@ -182,3 +182,18 @@
 fn stream_leaves_target_that_sends_a_byte_now_and_then() {
     stream_leaves(Mode::DripAfter(2));
 }
+
+#[test]
+fn stream_leaves_target_that_sends_comments_while_it_moves() {
+    let world = World::open(2, 0);
+    let router = Router::ready(&world.store, "r1");
+    world.engines[0].behave(Mode::CommentsAfter(2));
+    world.engines[1].behave(Mode::PauseBefore(Duration::from_millis(250)));
+    let answer = Caller::stream(router.listen, "plan", "q1").call();
+    assert!(answer.whole, "{answer:?}");
+    assert!(
+        answer.after < Duration::from_millis(2_500),
+        "{:?}",
+        answer.after
+    );
+}
