Reject summaries with numbers beyond any fleet's

One malformed datagram could take a router down: numbers of a summary were added up unchecked. A sum of routers that wraps to zero divides the connections to a target by zero.

--- a/src/gossip/codec.rs
+++ b/src/gossip/codec.rs
@@ -4,7 +4,7 @@
 use crate::{
     id,
     unit::{Span, Version},
-    wire::marlrun_capnp::{self, summary, target_load},
+    wire::marlrun_capnp::{self, summary, target_load, workspace_usage},
 };
 use capnp::{message, serialize_packed};
 
@@ -15,6 +15,14 @@
 /// Maximum depth of nesting; leaves room for additions to the schema.
 const MAX_NESTING: i32 = 8;
 
+/// Maximum values of a summary, far above those of the largest fleet, so that sums over many routers don't
+/// overflow.
+const MAX_ROUTERS: u64 = 1 << 16;
+const MAX_AGE_MICROS: u64 = 3_600_000_000;
+const MAX_RUNNING: u64 = 1 << 20;
+const MAX_TARGET_TOKENS: u64 = 1 << 40;
+const MAX_USAGE_TOKENS: u64 = 1 << 48;
+
 /// Error for bytes that are not a summary.
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
@@ -27,6 +35,16 @@
     /// The scope is not in the schema.
     #[error("malformed summary: {0}")]
     Scope(#[from] capnp::NotInSchema),
+    /// A number is too large.
+    #[error("malformed summary: {field} is {value}, the maximum is {max}")]
+    TooLarge {
+        /// Name of the field.
+        field: &'static str,
+        /// Number in the summary.
+        value: u64,
+        /// Maximum number.
+        max: u64,
+    },
     /// The router's name is not a valid identifier.
     #[error(transparent)]
     Name(#[from] id::Invalid),
@@ -109,11 +127,7 @@
     options.nesting_limit(MAX_NESTING);
     let reader = serialize_packed::read_message(&mut bytes, options)?;
     let from = reader.get_root::<summary::Reader<'_>>()?;
-    let usages = from.get_usages()?.iter().map(|usage| Usage {
-        workspace: usage.get_workspace(),
-        requested: usage.get_asked(),
-        granted: usage.get_granted(),
-    });
+    let usages = from.get_usages()?.iter().map(read_usage);
     let prefills = from.get_reads()?.iter().map(|prefill| Prefill {
         target: prefill.get_target(),
         part: prefill.get_part(),
@@ -139,21 +153,40 @@
             marlrun_capnp::Scope::Follower => Scope::Follower,
             marlrun_capnp::Scope::Rest => Scope::Rest,
         },
-        router_count: from.get_routers(),
-        age: Span(from.get_age_micros()),
-        loads: from.get_loads()?.iter().map(read_load).collect(),
-        usages: usages.collect(),
+        router_count: limit("routers", from.get_routers().into(), MAX_ROUTERS)? as u32,
+        age: Span(limit("age", from.get_age_micros(), MAX_AGE_MICROS)?),
+        loads: from
+            .get_loads()?
+            .iter()
+            .map(read_load)
+            .collect::<Result<_, _>>()?,
+        usages: usages.collect::<Result<_, _>>()?,
         prefills: prefills.collect(),
         origins,
     })
 }
 
-fn read_load(load: target_load::Reader<'_>) -> Load {
-    Load {
+fn read_load(load: target_load::Reader<'_>) -> Result<Load, Error> {
+    Ok(Load {
         target: load.get_target(),
-        running: load.get_running(),
-        backlog: load.get_backlog(),
-        memory: load.get_memory(),
+        running: limit("running", load.get_running().into(), MAX_RUNNING)? as u32,
+        backlog: limit("backlog", load.get_backlog(), MAX_TARGET_TOKENS)?,
+        memory: limit("memory", load.get_memory(), MAX_TARGET_TOKENS)?,
         suspect: load.get_suspect(),
+    })
+}
+
+fn read_usage(usage: workspace_usage::Reader<'_>) -> Result<Usage, Error> {
+    Ok(Usage {
+        workspace: usage.get_workspace(),
+        requested: limit("asked", usage.get_asked(), MAX_USAGE_TOKENS)?,
+        granted: limit("granted", usage.get_granted(), MAX_USAGE_TOKENS)?,
+    })
+}
+
+fn limit(field: &'static str, value: u64, max: u64) -> Result<u64, Error> {
+    if value > max {
+        return Err(Error::TooLarge { field, value, max });
     }
+    Ok(value)
 }
