Accept no response without a name on a reused connection

A caller could get another caller's response: a target that sends a second copy of a response, late, on a connection that is in use again was only found out if the copy named its request. Without the name, gateway::response_repeated_without_name got 'answer to q0' for q1, and a copied refusal made a request that had run look as if it had not (refusal_repeated_without_name: 503). Targets name the request in each response, so one without it counts as broken on a reused connection; on a new one there is none to be confused with.

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -316,16 +316,18 @@
             .protocol
             .parse_response(head.status, &head.headers);
         self.report_notices(run, &reply);
-        let matches = reply
-            .request_id
-            .as_ref()
-            .is_none_or(|id| *id == self.call.head.request_id);
-        if !matches {
+        let own_id = &self.call.head.request_id;
+        let crossed = match &reply.request_id {
+            Some(id) if id != own_id => Some("the response belongs to another request"),
+            // It may be a late copy of the response before.
+            None if lease.is_reused() && !own_id.is_empty() => {
+                Some("the response on a reused connection names no request")
+            }
+            Some(_) | None => None,
+        };
+        if let Some(cause) = crossed {
             metrics::counter!(metric::CROSSED).increment(1);
-            return Err(failure(
-                Outcome::Broken,
-                &"the response belongs to another request",
-            ));
+            return Err(failure(Outcome::Broken, &cause));
         }
         if reply.not_run {
             self.runs.fetch_sub(1, Ordering::Relaxed);
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -6,8 +6,8 @@
 use nix::sys::signal::Signal;
 use std::{io::Read, thread, time::Duration};
 use world::{
-    Answer, Caller, Connection, FIRST_START_MS, Fault, KEY, Mode, OTHER_KEY, Router, World,
-    wait_for,
+    Answer, Caller, Connection, Copy, FIRST_START_MS, Fault, KEY, Mode, OTHER_KEY, Repeater,
+    Router, World, wait_for,
 };
 
 fn events(count: u64) -> String {
@@ -832,3 +832,45 @@
     wait_for("the router ends", || router.ended() == Some(0));
     assert!(world.runs_of("late").is_empty());
 }
+
+/// Sends requests one after the other to a target that repeats each response on a connection that is in
+/// use again, and checks that no caller gets another one's response.
+fn response_repeated(copy: Copy) {
+    let world = World::open(0, 0);
+    let router = Router::ready(&world.store, "r1");
+    let repeater = Repeater::bind(copy);
+    let entry = serde_json::json!({
+        "service": "app", "address": repeater.address.to_string(), "zone": "east", "slots": 8,
+        "state": "ready", "born": 1_700_000_000_000_u64, "seq": 1,
+    });
+    world.store.put("servers", "i-repeater", &entry);
+    wait_for("the target is listed", || {
+        router.log().contains("\"live\":1,")
+    });
+    let mut statuses = Vec::new();
+    for number in 0..4 {
+        let name = format!("q{number}");
+        let answer = Caller::new(router.listen, "POST", "/book/x", &name).call();
+        if answer.status == 200 {
+            assert_eq!(answer.body, format!("answer to {name}"), "{copy:?}");
+        }
+        statuses.push(answer.status);
+    }
+    // The second request came on the first one's connection: it ran, but its response is lost.
+    assert_eq!(statuses, [200, 502, 200, 502], "{copy:?}");
+}
+
+#[test]
+fn response_repeated_with_its_name() {
+    response_repeated(Copy::Named);
+}
+
+#[test]
+fn response_repeated_without_name() {
+    response_repeated(Copy::Unnamed);
+}
+
+#[test]
+fn refusal_repeated_without_name() {
+    response_repeated(Copy::UnnamedRefusal);
+}
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -12,6 +12,7 @@
 #[path = "../common/process.rs"]
 mod process;
 mod proxy;
+mod repeater;
 mod replica;
 mod router;
 mod store;
@@ -22,6 +23,7 @@
     fleet::Fleet,
     flood::{Endless, Flood},
     proxy::{Harm, Proxy},
+    repeater::{Copy, Repeater},
     replica::{FIRST_BUILD, FIRST_START_MS, Mode, Replica, Run, event, event_of},
     router::Router,
     store::{Era, Fault, Store},
