Try queued requests of each build

Engines of one build could stay idle while requests waited: of queued requests the first twelve are tried when a target has room. If those need a build whose targets are full, requests behind them were not tried until the first ones expired. The limit now counts for each build.

Before: dispatch::queued_streams_of_a_full_build_hold_up_no_other_requests failed (no request was sent). Without bound requests, the order is unchanged.

--- a/src/dispatch/queue.rs
+++ b/src/dispatch/queue.rs
@@ -2,6 +2,7 @@
 
 use super::Request;
 use crate::{id, unit::Time};
+use std::collections::HashMap;
 
 /// A queued request.
 #[derive(Clone, Debug)]
@@ -21,6 +22,8 @@
 #[derive(Clone, Debug, Default)]
 pub(super) struct Queue {
     pending: Vec<Pending>,
+    /// Number of those that need a certain build.
+    bound: usize,
 }
 
 impl Queue {
@@ -33,6 +36,7 @@
         let index = self
             .pending
             .partition_point(|other| key(other) <= key(&pending));
+        self.bound += usize::from(pending.request.build.is_some());
         self.pending.insert(index, pending);
     }
 
@@ -48,7 +52,9 @@
     pub(super) fn remove(&mut self, number: u64) -> Option<Pending> {
         let is_wanted = |pending: &Pending| pending.request.number == number;
         let index = self.pending.iter().position(is_wanted)?;
-        Some(self.pending.remove(index))
+        let removed = self.pending.remove(index);
+        self.bound -= usize::from(removed.request.build.is_some());
+        Some(removed)
     }
 
     /// Removes all requests whose queueing time is over.
@@ -57,15 +63,37 @@
             .into_iter()
             .partition(|pending| pending.expires <= now);
         self.pending = kept;
+        let bound = self.pending.iter().filter(|p| p.request.build.is_some());
+        self.bound = bound.count();
         due
     }
 
     /// Returns the indices of the requests to try, in order: up to `limit` that can still be on
-    /// time, then up to `limit` that are late.
+    /// time, then up to `limit` that are late. The limits are those of each build that requests need,
+    /// so that ones that wait for a full build don't hold up others.
     pub(super) fn order(&self, now: Time, limit: usize) -> Vec<usize> {
         let late = |index: &usize| self.pending[*index].request.due <= now;
         let all = 0..self.pending.len();
-        let on_time = all.clone().filter(|index| !late(index)).take(limit);
-        on_time.chain(all.filter(late).take(limit)).collect()
+        let on_time = self.first_of_each_build(all.clone().filter(|index| !late(index)), limit);
+        let late = self.first_of_each_build(all.filter(late), limit);
+        [on_time, late].concat()
+    }
+
+    fn first_of_each_build(
+        &self,
+        indices: impl Iterator<Item = usize>,
+        limit: usize,
+    ) -> Vec<usize> {
+        if self.bound == 0 {
+            return indices.take(limit).collect();
+        }
+        let mut counts: HashMap<Option<&id::Build>, usize> = HashMap::new();
+        let is_first = |index: &usize| {
+            let build = self.pending[*index].request.build.as_ref();
+            let count = counts.entry(build).or_default();
+            *count += 1;
+            *count <= limit
+        };
+        indices.filter(is_first).collect()
     }
 }
--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -1820,3 +1820,50 @@
     assert_eq!(is_known("q1"), None);
     assert_eq!(is_known("q2"), Some(key("llm")));
 }
+
+#[test]
+fn queued_streams_of_a_full_build_hold_up_no_other_requests() {
+    let list = [target_of("a", "v1"), target_of("b", "v2")];
+    let mut dispatcher = ready("r1", &list);
+    // Both engines are full.
+    let fill = (1..200).map(|number| {
+        step(
+            &mut dispatcher,
+            0,
+            Event::Arrived(request(number, 0, "llm")),
+        )
+    });
+    let sent: Vec<(u64, String)> = fill.filter_map(|actions| sent_to(&actions)).collect();
+    let at_v2 = sent.iter().find(|(_, target)| target == "b").unwrap().0;
+    let mut other = ready("r2", &list);
+    for number in 1_000..1_030 {
+        begin(&mut other, number, 0, &format!("q{number}"), "v1");
+    }
+    exchange(&mut other, &mut dispatcher, 5);
+    exchange(&mut other, &mut dispatcher, 10);
+    for number in 1_000..1_030 {
+        let arrived = Request {
+            workspace: None,
+            priority: 0,
+            ..resumption(number, 20, Some(&format!("q{number}")))
+        };
+        step(&mut dispatcher, 20, Event::Arrived(arrived));
+    }
+    let waiting = Request {
+        workspace: None,
+        priority: 1,
+        ..request(2_000, 20, "llm")
+    };
+    let actions = step(&mut dispatcher, 20, Event::Arrived(waiting));
+    assert_eq!(sent_to(&actions), None, "no target has room");
+    let ended = Event::Ended {
+        number: at_v2,
+        outcome: Outcome::Answered,
+        can_retry: false,
+    };
+    let actions = step(&mut dispatcher, 30, ended);
+    assert_eq!(
+        sent_to(&actions).map(|(_, target)| target),
+        Some("b".into())
+    );
+}
