Soak stand-in: a run keeps the build under which it accepted the request

Traced: the router kept to v1 in all its sends; the stand-in had accepted the request as i-llm1 with v1, was silent for 1.05 s, was replaced meanwhile, and wrote the events with the build of its next run. On the platform a run has one build.

--- a/tests/world/replica.rs
+++ b/tests/world/replica.rs
@@ -286,6 +286,8 @@
     fn respond(self: Arc<Self>, request: Request<Incoming>) -> BoxFuture<'static, Answered> {
         async move {
             let (head, body) = request.into_parts();
+            // Before the name: a run that accepts the request writes all its events.
+            let build = self.build.lock().unwrap().clone();
             let body = body.collect().await.map_err(std::io::Error::other)?;
             let text = |name: &str| {
                 let value = head.headers.get(name);
@@ -337,7 +339,7 @@
                 Mode::Mute => std::future::pending().await,
                 _ if head.headers.contains_key("x-marlrun-token-count") => {
                     let mut response =
-                        Response::new(self.stream(mode, after.unwrap_or(0), running));
+                        Response::new(self.stream(build, mode, after.unwrap_or(0), running));
                     sign(&mut response, &name);
                     Ok(response)
                 }
@@ -371,9 +373,8 @@
         }
     }
 
-    fn stream(self: &Arc<Self>, mode: Mode, after: u64, running: Running) -> Body {
+    fn stream(self: &Arc<Self>, build: String, mode: Mode, after: u64, running: Running) -> Body {
         let (count, gap) = *self.events.lock().unwrap();
-        let build = self.build.lock().unwrap().clone();
         let items = stream::unfold((after + 1, running), move |(number, mut running)| {
             let build = build.clone();
             async move {
