--- a/src/dispatch/dispatcher/resumption.rs
+++ b/src/dispatch/dispatcher/resumption.rs
@@ -2,7 +2,7 @@
 
 use super::{Dispatcher, Pending, Reason, Request};
 use crate::{
-    dispatch::{Action, origins::Origin},
+    dispatch::{Action, origins::Entry},
     gossip, id,
     placement::hash,
     unit::{Span, Time},
@@ -41,8 +41,8 @@
     /// Returns the hash of the name of the service at which a stream began; `None` if that is unknown.
     pub fn origin_service(&self, stream: id::Stream) -> Option<u64> {
         match self.origins.get(stream) {
-            Some(Origin::Build { service, .. }) => Some(*service),
-            Some(Origin::Conflicting) | None => None,
+            Some(Entry::Build { service, .. }) => Some(*service),
+            Some(Entry::Conflicting) | None => None,
         }
     }
 
@@ -53,13 +53,13 @@
         let own_service = hash(request.service.as_str());
         let origin = resumption.stream.map(|stream| self.origins.get(stream));
         match origin {
-            Some(Some(Origin::Build { service, build })) if *service == own_service => {
+            Some(Some(Entry::Build { service, build })) if *service == own_service => {
                 Need::Build(build.clone())
             }
-            Some(Some(Origin::Build { .. })) => Need::OtherService,
+            Some(Some(Entry::Build { .. })) => Need::OtherService,
             _ if !resumption.has_events || !self.builds.are_mixed(own_service) => Need::Any,
             Some(None) => Need::NotReported,
-            Some(Some(Origin::Conflicting)) | None => Need::Unknown,
+            Some(Some(Entry::Conflicting)) | None => Need::Unknown,
         }
     }
 
--- a/src/dispatch/origins.rs
+++ b/src/dispatch/origins.rs
@@ -12,7 +12,7 @@
 
 /// Where a stream began.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub(super) enum Origin {
+pub(super) enum Entry {
     /// At a target of this build.
     Build {
         /// Hash of the service's name.
@@ -31,10 +31,9 @@
     /// Streams by the time at which they were recorded, oldest first. Those that were recorded again
     /// have several entries.
     recorded: VecDeque<(Time, id::Stream)>,
-    /// Streams that are to be announced, with the router that reported them, `None` for this one.
-    announced: VecDeque<Announcement>,
+    to_announce: VecDeque<Announcement>,
     /// Announcements of the last round, which are sent once more because datagrams may be lost.
-    repeated: Vec<Announcement>,
+    to_repeat: Vec<Announcement>,
     /// Streams of this router that were not announced, since their service has a single build.
     withheld: VecDeque<(Time, gossip::Origin)>,
 }
@@ -44,7 +43,7 @@
 
 #[derive(Clone, Debug)]
 struct Known {
-    origin: Origin,
+    entry: Entry,
     at: Time,
     /// Whether it began at this router or one that follows it.
     from_group: bool,
@@ -52,8 +51,8 @@
 
 impl Origins {
     /// Returns where a stream began.
-    pub(super) fn get(&self, stream: id::Stream) -> Option<&Origin> {
-        self.known.get(&stream).map(|known| &known.origin)
+    pub(super) fn get(&self, stream: id::Stream) -> Option<&Entry> {
+        self.known.get(&stream).map(|known| &known.entry)
     }
 
     /// Records a stream that began at this router, and announces it if streams of its
@@ -85,16 +84,16 @@
 
     /// Records a stream; returns whether that is new.
     fn record(&mut self, now: Time, origin: &gossip::Origin, from_group: bool) -> bool {
-        let reported = Origin::Build {
+        let reported = Entry::Build {
             service: origin.service,
             build: id::Build::from_key(origin.build),
         };
         let earlier = self.known.get(&origin.stream);
         let is_new = earlier
-            .is_none_or(|known| known.origin != reported && known.origin != Origin::Conflicting);
+            .is_none_or(|known| known.entry != reported && known.entry != Entry::Conflicting);
         let known = Known {
-            origin: match earlier {
-                Some(known) if known.origin != reported => Origin::Conflicting,
+            entry: match earlier {
+                Some(known) if known.entry != reported => Entry::Conflicting,
                 _ => reported,
             },
             at: now,
@@ -109,9 +108,9 @@
     }
 
     fn announce(&mut self, announcement: Announcement) {
-        self.announced.push_back(announcement);
-        if self.announced.len() > MAX_WAITING {
-            self.announced.pop_front();
+        self.to_announce.push_back(announcement);
+        if self.to_announce.len() > MAX_WAITING {
+            self.to_announce.pop_front();
         }
     }
 
@@ -154,9 +153,9 @@
                 self.announce((None, origin));
             }
         }
-        let count = self.announced.len().min(limit);
-        let new: Vec<Announcement> = self.announced.drain(..count).collect();
-        let mut all = std::mem::replace(&mut self.repeated, new.clone());
+        let count = self.to_announce.len().min(limit);
+        let new: Vec<Announcement> = self.to_announce.drain(..count).collect();
+        let mut all = std::mem::replace(&mut self.to_repeat, new.clone());
         all.extend(new);
         all
     }
@@ -186,8 +185,8 @@
         let streams = self.recorded.iter().filter_map(|(at, stream)| {
             let known = self.known.get(stream)?;
             let is_last = known.at == *at;
-            match &known.origin {
-                Origin::Build { service, build } if is_last && is_selected(*stream, known) => {
+            match &known.entry {
+                Entry::Build { service, build } if is_last && is_selected(*stream, known) => {
                     builds.are_announced(*service).then_some(gossip::Origin {
                         service: *service,
                         build: build.key(),
--- a/tests/builds.rs
+++ b/tests/builds.rs
@@ -57,10 +57,7 @@
     });
 }
 
-fn names() -> Vec<String> {
-    (0..STREAMS).map(|number| format!("q{number}")).collect()
-}
-
+/// Returns events of the first build.
 fn events(range: RangeInclusive<u64>) -> String {
     range.map(|number| event_of(FIRST_BUILD, number)).collect()
 }
@@ -101,6 +98,16 @@
     begun
 }
 
+/// Begins streams at a router; returns each with the request that began it.
+fn begin_all(router: &Router) -> Vec<(String, Begun)> {
+    let names = (0..STREAMS).map(|number| format!("q{number}"));
+    let begun = names.map(|name| {
+        let begun = begin(&Caller::stream(router.listen, "plan", &name));
+        (name, begun)
+    });
+    begun.collect()
+}
+
 /// Returns the request that takes up a stream of which a caller has some events.
 fn resume(router: &Router, request: &str, origin: &str, received: &str) -> Caller {
     let last = received.matches("id: ").count().to_string();
@@ -109,12 +116,14 @@
         .with("last-event-id", &last)
 }
 
-/// Resumes a stream at a router, and checks that it goes on at its build and is whole.
-fn check_resumed(router: &Router, name: &str, begun: &Begun) {
-    let received = begun.received();
-    let answer = resume(router, &format!("again-{name}"), name, &received).call();
-    assert_eq!((answer.status, answer.whole), (200, true), "{answer:?}");
-    assert_eq!(received + &answer.body, events(1..=EVENTS), "{name}");
+/// Resumes streams at a router, and checks that they go on at their build and are whole.
+fn check_resumed(router: &Router, streams: &[(String, Begun)]) {
+    for (name, begun) in streams {
+        let received = begun.received();
+        let answer = resume(router, &format!("again-{name}"), name, &received).call();
+        assert_eq!((answer.status, answer.whole), (200, true), "{answer:?}");
+        assert_eq!(received + &answer.body, events(1..=EVENTS), "{name}");
+    }
 }
 
 /// Begins streams at an engine that misbehaves later, lists other engines meanwhile, and returns what
@@ -123,13 +132,9 @@
     let world = open();
     let router = Router::ready(&world.store, "r1");
     world.engines[ORIGIN].behave(mode);
-    let names = names();
-    let begun = names
-        .iter()
-        .map(|name| begin(&Caller::stream(router.listen, "plan", name)));
-    let begun: Vec<Begun> = begun.collect();
+    let begun = begin_all(&router);
     list(&world, others, &[&router]);
-    begun.into_iter().map(Begun::finish).collect()
+    begun.into_iter().map(|(_, begun)| begun.finish()).collect()
 }
 
 #[test]
@@ -161,16 +166,10 @@
     let world = open();
     let first = Router::ready(&world.store, "r1");
     let second = Router::ready(&world.store, "r2");
-    let names = names();
-    let begun = names
-        .iter()
-        .map(|name| begin(&Caller::stream(first.listen, "plan", name)));
-    let begun: Vec<Begun> = begun.collect();
+    let begun = begin_all(&first);
     list(&world, &[0, 1, SIBLING], &[&second]);
     leave(&world, &second);
-    for (name, begun) in names.iter().zip(&begun) {
-        check_resumed(&second, name, begun);
-    }
+    check_resumed(&second, &begun);
 }
 
 #[test]
@@ -178,34 +177,22 @@
     let world = open();
     let first = Router::ready(&world.store, "r1");
     let second = Router::ready(&world.store, "r2");
-    let names = names();
-    let begun = names
-        .iter()
-        .map(|name| begin(&Caller::stream(first.listen, "plan", name)));
-    let begun: Vec<Begun> = begun.collect();
+    let begun = begin_all(&first);
     first.signal(Signal::SIGKILL);
     list(&world, &[0, 1, SIBLING], &[&second]);
     leave(&world, &second);
-    for (name, begun) in names.iter().zip(&begun) {
-        check_resumed(&second, name, begun);
-    }
+    check_resumed(&second, &begun);
 }
 
 #[test]
 fn stream_keeps_build_if_resumed_at_router_that_started_later() {
     let world = open();
     let first = Router::ready(&world.store, "r1");
-    let names = names();
-    let begun = names
-        .iter()
-        .map(|name| begin(&Caller::stream(first.listen, "plan", name)));
-    let begun: Vec<Begun> = begun.collect();
+    let begun = begin_all(&first);
     list(&world, &[0, 1, SIBLING], &[&first]);
     leave(&world, &first);
     let second = Router::ready(&world.store, "r2");
-    for (name, begun) in names.iter().zip(&begun) {
-        check_resumed(&second, name, begun);
-    }
+    check_resumed(&second, &begun);
 }
 
 #[test]
@@ -267,18 +254,14 @@
     split(&world, 2, [0.5, 0.5]);
     let first = Router::ready(&world.store, "r1");
     let second = Router::ready(&world.store, "r2");
-    let names = names();
-    let begun = names
-        .iter()
-        .map(|name| begin(&Caller::stream(first.listen, "plan", name)));
-    let begun: Vec<Begun> = begun.collect();
+    let begun = begin_all(&first);
     // Both services still have the route, but most of it has moved.
     split(&world, 3, [0.99, 0.01]);
     wait_for("the new weights are in force", || {
         second.log().contains("\"version\":3")
     });
     let mut builds = BTreeSet::new();
-    for (name, begun) in names.iter().zip(&begun) {
+    for (name, begun) in &begun {
         let received = begun.received();
         let answer = resume(&second, &format!("again-{name}"), name, &received).call();
         assert_eq!((answer.status, answer.whole), (200, true), "{answer:?}");
