Limit the streams that a router which starts is told of

With several builds in the largest fleet, a leader kept up to 131,072 streams, 5 MB, for each router that had just started; fifty that start together after an outage of their failure domain are 250 MB. The latest 32,768 are kept, about fifteen seconds; earlier streams are unknown there. Computed, not run; no change while all targets of a service have one build in a large fleet, or with up to 12 routers at today's rates.

--- a/src/dispatch/origins.rs
+++ b/src/dispatch/origins.rs
@@ -10,6 +10,10 @@
 /// Maximum number of streams that wait to be announced; the oldest are dropped first.
 const MAX_WAITING: usize = 1 << 14;
 
+/// Maximum number of streams that one router that has just started is told of, the latest ones: those of
+/// about fifteen seconds in the largest fleet, 1.3 MB. Many routers may start at the same time.
+const MAX_CATCH_UP: usize = 1 << 15;
+
 /// Where a stream began.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(super) enum Entry {
@@ -197,6 +201,8 @@
                 _ => None,
             }
         });
-        streams.collect()
+        let mut streams: Vec<gossip::Origin> = streams.collect();
+        let earliest = streams.len().saturating_sub(MAX_CATCH_UP);
+        streams.split_off(earliest)
     }
 }
