Bind a resumed stream to the build of a service that has a single one

Callers got events of two builds after they resumed a stream of unknown origin while the router knew a single build: the request was not bound to it, and a retry after the next build had been listed went there. The request is now bound to the single build from the start.

Before: dispatch::resumed_stream_unknown_keeps_the_single_build_when_another_appears failed (sent to b of v2).

--- a/src/dispatch/builds.rs
+++ b/src/dispatch/builds.rs
@@ -34,6 +34,12 @@
             .is_some_and(|builds| builds.len() > 1)
     }
 
+    /// Returns the build of a service that has a single one.
+    pub(super) fn single(&self, service: u64) -> Option<&id::Build> {
+        let builds = self.seen.get(&service)?;
+        builds.keys().next().filter(|_| builds.len() == 1)
+    }
+
     /// Reports whether the streams of a service are announced to other routers.
     pub(super) fn are_announced(&self, service: u64) -> bool {
         self.announce_all || self.are_mixed(service)
--- a/src/dispatch/dispatcher/resumption.rs
+++ b/src/dispatch/dispatcher/resumption.rs
@@ -26,7 +26,7 @@
 /// What a request needs of the build of its target.
 #[derive(Clone, Debug, PartialEq, Eq)]
 enum Need {
-    /// Nothing: it begins a stream, or its service has had a single build.
+    /// Nothing: it begins a stream.
     Any,
     Build(id::Build),
     /// Another service began the stream.
@@ -57,7 +57,12 @@
                 Need::Build(build.clone())
             }
             Some(Some(Entry::Build { .. })) => Need::OtherService,
-            _ if !resumption.has_events || !self.builds.are_mixed(own_service) => Need::Any,
+            _ if !resumption.has_events => Need::Any,
+            // Bound all the same, since another build may appear before the stream ends.
+            _ if !self.builds.are_mixed(own_service) => self
+                .builds
+                .single(own_service)
+                .map_or(Need::Any, |build| Need::Build(build.clone())),
             Some(None) => Need::NotReported,
             Some(Some(Entry::Conflicting)) | None => Need::Unknown,
         }
--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -1867,3 +1867,28 @@
         Some("b".into())
     );
 }
+
+#[test]
+fn resumed_stream_unknown_keeps_the_single_build_when_another_appears() {
+    let mut dispatcher = ready("r1", &[target_of("a", "v1")]);
+    let arrived = Event::Arrived(resumption(1, 0, Some("q0")));
+    let actions = step(&mut dispatcher, 0, arrived);
+    assert_eq!(sent_to(&actions), Some((1, "a".into())));
+    let list = [
+        target_of("a", "v1"),
+        target_of("b", "v2"),
+        target_of("c", "v1"),
+    ];
+    step(&mut dispatcher, 10, targets(&list));
+    let unsent = Event::Ended {
+        number: 1,
+        outcome: Outcome::Unsent,
+        can_retry: true,
+    };
+    let actions = step(&mut dispatcher, 20, unsent);
+    assert_eq!(
+        sent_to(&actions),
+        Some((1, "c".into())),
+        "of the same build"
+    );
+}
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -33,13 +33,16 @@
 /// Seed of the run in CI.
 const SEED: u64 = 20_261_203;
 /// Seeds that ever failed, with the run they belong to and the cause.
-const REGRESSIONS: [(Kind, u64); 3] = [
+const REGRESSIONS: [(Kind, u64); 5] = [
     // A SIGHUP ended a router that had not opened its signal handlers.
     (Kind::Planned, 2_004),
     // Requests that arrived before a router closed were discarded, after it was held up.
     (Kind::Planned, 2_008),
     // A stalled stream was left though no other target could continue it.
     (Kind::Pauses, 20),
+    // A stream was resumed while its service had one build, and moved to the next one.
+    (Kind::Any, 6_019),
+    (Kind::Any, 6_050),
 ];
 /// Routers of a run, and of every fifth one: there most of them follow leaders.
 const ROUTERS: (usize, usize) = (3, 16);
