Log the parts and the progress of requests whose connection ended

It now has the shared parts of the prompt and the time since the head; what isn't a response has an outcome of its own, `malformed`. Decisions are unchanged.

--- a/src/dispatch/dispatcher/mod.rs
+++ b/src/dispatch/dispatcher/mod.rs
@@ -425,9 +425,11 @@
                 target.health.record_inconclusive();
                 false
             }
-            Outcome::Failed | Outcome::Unsent | Outcome::Broken | Outcome::Silent => {
-                target.health.record_failure(now)
-            }
+            Outcome::Failed
+            | Outcome::Unsent
+            | Outcome::Broken
+            | Outcome::Malformed
+            | Outcome::Silent => target.health.record_failure(now),
         };
         if changed {
             out.push(health_change(target));
--- a/src/dispatch/outcome.rs
+++ b/src/dispatch/outcome.rs
@@ -13,8 +13,10 @@
     NotRun,
     /// No byte of the request was sent.
     Unsent,
-    /// The response is missing or incomplete; the request may have run.
+    /// The connection ended before the response did; the request may have run.
     Broken,
+    /// The target sent something that isn't the response; the request may have run.
+    Malformed,
     /// The target did not respond in time; the request may have run.
     Silent,
     /// The caller disconnected, or the deadline passed.
@@ -29,6 +31,7 @@
             Outcome::NotRun => "not-run",
             Outcome::Unsent => "unsent",
             Outcome::Broken => "broken",
+            Outcome::Malformed => "malformed",
             Outcome::Silent => "silent",
             Outcome::Cancelled => "cancelled",
         })
--- a/src/dispatch/prompt.rs
+++ b/src/dispatch/prompt.rs
@@ -21,6 +21,11 @@
 }
 
 impl Prompt {
+    /// Returns the parts that other requests may share: all but the last.
+    pub fn shared_parts(&self) -> &[Part] {
+        self.parts.split_last().map_or(&[], |(_, shared)| shared)
+    }
+
     /// Returns the tokens charged to the workspace: one for each prompt token and two for each
     /// expected output token.
     pub fn cost(&self) -> u64 {
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -11,7 +11,7 @@
 };
 use crate::{
     catalog, clock,
-    dispatch::{Estimate, Event, Outcome, Refusal},
+    dispatch::{Estimate, Event, Outcome, Prompt, Refusal},
     front::{Body, Problem, full_body, header},
     id, metric,
     routing::Kind,
@@ -23,6 +23,7 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use std::{
+    io,
     sync::{
         Arc,
         atomic::{AtomicU32, Ordering},
@@ -75,6 +76,8 @@
     pub(super) target: id::Target,
     pub(super) build: id::Build,
     pub(super) sent: Time,
+    /// Time at which the head was received.
+    pub(super) head_received: Time,
     pub(super) head: response::Parts,
     pub(super) reply: Reply,
     pub(super) body: Incoming,
@@ -101,6 +104,8 @@
 pub(super) struct Failure {
     pub(super) target: id::Target,
     pub(super) sent: Time,
+    /// Time at which the head of the response was received.
+    pub(super) head_received: Option<Time>,
     pub(super) outcome: Outcome,
     pub(super) cause: Box<str>,
     /// The target's own error response, which the caller gets if there is no further attempt.
@@ -248,6 +253,7 @@
         let failure = |outcome, cause: &dyn std::fmt::Display| Failure {
             target: estimate.target.clone(),
             sent,
+            head_received: None,
             outcome,
             cause: cause.to_string().into(),
             error_response: None,
@@ -290,7 +296,7 @@
                 biased;
                 () = informational.notified() => {
                     let cause = format!("more than {MAX_INFORMATIONAL} informational responses");
-                    return Err(failure(Outcome::Broken, &cause));
+                    return Err(failure(Outcome::Malformed, &cause));
                 }
                 sent = sending => sent,
             };
@@ -300,7 +306,7 @@
                     // hyper hands the request back if no byte of it was sent.
                     let unsent = error.take_message().is_some();
                     if !unsent {
-                        return Err(failure(Outcome::Broken, error.error()));
+                        return Err(failure(outcome_of(error.error()), error.error()));
                     }
                     self.runs.fetch_sub(1, Ordering::Relaxed);
                     if !lease.is_reused() {
@@ -327,7 +333,7 @@
         };
         if let Some(cause) = crossed {
             metrics::counter!(metric::CROSSED).increment(1);
-            return Err(failure(Outcome::Broken, &cause));
+            return Err(failure(Outcome::Malformed, &cause));
         }
         if reply.not_run {
             self.runs.fetch_sub(1, Ordering::Relaxed);
@@ -344,12 +350,13 @@
                 "the response with status {} is unsigned or has a content encoding",
                 head.status
             );
-            return Err(failure(Outcome::Broken, &cause));
+            return Err(failure(Outcome::Malformed, &cause));
         }
         let transfer = Transfer {
             target: estimate.target.clone(),
             build: target.build,
             sent,
+            head_received: clock::now(),
             head,
             reply,
             body,
@@ -388,10 +395,12 @@
     /// Reads the body of a server error (5xx) and returns the failed attempt.
     async fn read_error_response(&self, transfer: Transfer) -> Failure {
         let (target, sent) = (transfer.target.clone(), transfer.sent);
+        let head_received = Some(transfer.head_received);
         let status = transfer.head.status;
         let failure = |outcome, cause: String, error_response| Failure {
             target,
             sent,
+            head_received,
             outcome,
             cause: cause.into(),
             error_response,
@@ -406,7 +415,7 @@
                 let cause = format!("the target failed with status {status}");
                 failure(Outcome::Failed, cause, Some(response))
             }
-            Err(error) => failure(Outcome::Broken, error.to_string(), None),
+            Err(error) => failure(outcome_of_body(&*error), error.to_string(), None),
         }
     }
 
@@ -420,13 +429,8 @@
                     buffered.extend_from_slice(frame.data_ref().unwrap_or(&Bytes::new()));
                 }
                 Some(Err(error)) => {
-                    return Err(Failure {
-                        target: transfer.target,
-                        sent: transfer.sent,
-                        outcome: Outcome::Broken,
-                        cause: error.to_string().into(),
-                        error_response: None,
-                    });
+                    let outcome = outcome_of(&error);
+                    return Err(Failure::broken(&transfer, outcome, &error.to_string()));
                 }
                 None => return Ok((transfer, buffered.freeze(), true)),
             }
@@ -527,12 +531,19 @@
 
     /// Records how an attempt failed.
     pub(super) fn record_failure(&self, failure: &Failure) {
+        let now = clock::now();
+        let prompt = self.call.head.prompt.as_ref();
         let record = Record::Failed {
             request: &self.call.head.request_id,
             target: &failure.target,
             outcome: failure.outcome,
             cause: &failure.cause,
-            elapsed: clock::now().since(failure.sent),
+            elapsed: now.since(failure.sent),
+            since_head: failure.head_received.map(|at| now.since(at)),
+            // A connection that ended may be a crash, and a part of the prompt its cause.
+            parts: prompt
+                .filter(|_| failure.outcome == Outcome::Broken)
+                .map_or(&[], Prompt::shared_parts),
         };
         record.write(self.submission.driver().log());
         let outcome = failure.outcome.to_string();
@@ -714,6 +725,28 @@
     exceeded
 }
 
+/// Returns whether a connection ended early or its target sent something that isn't a response.
+pub(super) fn outcome_of(error: &hyper::Error) -> Outcome {
+    let cause = std::error::Error::source(error);
+    let cause = cause.and_then(|cause| cause.downcast_ref::<io::Error>());
+    let kind = cause.map(io::Error::kind);
+    let is_malformed = matches!(
+        kind,
+        Some(io::ErrorKind::InvalidInput | io::ErrorKind::InvalidData)
+    );
+    if error.is_parse() || is_malformed {
+        Outcome::Malformed
+    } else {
+        Outcome::Broken
+    }
+}
+
+/// The same for a body that was read up to a limit.
+fn outcome_of_body(error: &(dyn std::error::Error + Send + Sync + 'static)) -> Outcome {
+    let cause = error.downcast_ref::<hyper::Error>();
+    cause.map_or(Outcome::Malformed, outcome_of)
+}
+
 /// Returns a connection to the pool after its response was read completely.
 pub(super) fn release(lease: upstream::Lease, reply: &Reply) {
     match reply.keep_alive {
@@ -729,6 +762,7 @@
         Self {
             target: transfer.target.clone(),
             sent: transfer.sent,
+            head_received: Some(transfer.head_received),
             outcome,
             cause: cause.into(),
             error_response: None,
@@ -740,6 +774,7 @@
         Self {
             target: target.clone(),
             sent,
+            head_received: None,
             outcome: Outcome::Silent,
             cause: "silent; another target takes the request".into(),
             error_response: None,
--- a/src/gateway/record.rs
+++ b/src/gateway/record.rs
@@ -2,11 +2,14 @@
 
 use super::restoration::Restoration;
 use crate::{
-    dispatch::{Estimate, Outcome, Refusal},
+    dispatch::{Estimate, Outcome, Part, Refusal},
     id,
     unit::{Span, Version},
 };
 
+/// Maximum number of parts of a prompt in a log line; usual prompts have three.
+const MAX_LOGGED_PARTS: usize = 16;
+
 /// A log record about a request, or about a change of the router's state.
 pub(super) enum Record<'a> {
     /// A request was sent to a target.
@@ -30,6 +33,10 @@
         outcome: Outcome,
         cause: &'a str,
         elapsed: Span,
+        /// Time since the head of the response; `None` if there was none.
+        since_head: Option<Span>,
+        /// Parts that the prompt may share with others, if the connection ended.
+        parts: &'a [Part],
     },
     /// The router refused a request, or returned the failure of its last target.
     Refused {
@@ -170,8 +177,11 @@
                 outcome,
                 cause,
                 elapsed,
+                since_head,
+                parts,
             } => slog::warn!(log, "run ended"; "request" => request, "target" => target.as_str(),
-                "end" => %outcome, "cause" => cause, "after_ms" => millis(*elapsed)),
+                "end" => %outcome, "cause" => cause, "after_ms" => millis(*elapsed),
+                "since_head_ms" => since_head.map(millis), "parts" => hexadecimal(parts)),
             Record::Refused {
                 request,
                 workspace,
@@ -298,6 +308,13 @@
     }
 }
 
+/// Returns the identifiers of parts as callers write them, separated by commas; `None` for no parts.
+fn hexadecimal(parts: &[Part]) -> Option<String> {
+    let parts = parts.iter().take(MAX_LOGGED_PARTS);
+    let names: Vec<String> = parts.map(|part| format!("{:x}", part.id)).collect();
+    (!names.is_empty()).then(|| names.join(","))
+}
+
 fn millis(span: Span) -> f64 {
     span.0 as f64 / 1e3
 }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -3,7 +3,7 @@
 use super::{
     Framer,
     decisions::{Decision, Decisions},
-    exchange::{Exchange, Failure, HANDOVER, Transfer, release},
+    exchange::{Exchange, Failure, HANDOVER, Transfer, outcome_of, release},
 };
 use crate::{
     clock,
@@ -99,7 +99,7 @@
     fn from(frame: Option<Result<Frame<Bytes>, hyper::Error>>) -> Self {
         match frame {
             Some(Ok(frame)) => Received::Bytes(frame.into_data().unwrap_or_default()),
-            Some(Err(error)) => Received::Failed(Outcome::Broken, error.to_string().into()),
+            Some(Err(error)) => Received::Failed(outcome_of(&error), error.to_string().into()),
             None => Received::End,
         }
     }
@@ -187,7 +187,7 @@
                         Some(bytes) => return Some(Ok(bytes)),
                         None => continue,
                     },
-                    Err(cause) => (Outcome::Broken, cause),
+                    Err(cause) => (Outcome::Malformed, cause),
                 },
                 Received::Processed(processed) => match self.pass_on(processed) {
                     Some(bytes) => return Some(Ok(bytes)),
@@ -362,7 +362,7 @@
                                 Received::Bytes(bytes) => match self.mode.process(bytes) {
                                     Ok(processed) if !processed.is_progress => continue,
                                     Ok(processed) => Received::Processed(processed),
-                                    Err(cause) => Received::Failed(Outcome::Broken, cause),
+                                    Err(cause) => Received::Failed(Outcome::Malformed, cause),
                                 },
                                 received => received,
                             };
