Failing test: a part of prompts that crashes targets isn't held back

Five routers, ten engines that crash 0.1 s after they begin an answer to a prompt with the part and are back after 1.5 s under the same name with a later start, 24 callers with sound prompts, two with the part.

--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -24,7 +24,7 @@
     flood::{Endless, Flood},
     proxy::{Harm, Proxy},
     repeater::{Copy, Repeater},
-    replica::{FIRST_BUILD, FIRST_START_MS, Mode, Replica, Run, event, event_of},
+    replica::{FIRST_BUILD, FIRST_START_MS, Mode, Replica, Run, Stage, event, event_of},
     router::Router,
     store::{Era, Fault, Store},
 };
--- a/tests/world/replica.rs
+++ b/tests/world/replica.rs
@@ -2,7 +2,8 @@
 
 use super::{
     Store,
-    listener::{Answered, Body, Listener, answer, whole},
+    listener::{Answered, Body, Crash, Listener, answer, whole},
+    process::free_address,
 };
 use bytes::Bytes;
 use futures::{FutureExt, StreamExt, future::BoxFuture, stream};
@@ -15,12 +16,12 @@
 use std::{
     net::SocketAddr,
     sync::{
-        Arc, Mutex, MutexGuard,
+        Arc, Mutex, MutexGuard, OnceLock,
         atomic::{AtomicU64, Ordering},
     },
     time::{Duration, Instant},
 };
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 
 /// Start time of all targets at first, in Unix milliseconds.
 pub(crate) const FIRST_START_MS: u64 = 1_700_000_000_000;
@@ -61,9 +62,23 @@
     Unsigned,
 }
 
+/// How far an answer has come when its target crashes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Stage {
+    BeforeHead,
+    AfterHead,
+    WithinEvent,
+}
+
+/// Time from the beginning of an answer to the crash that it causes.
+const CRASH_AFTER: Duration = Duration::from_millis(100);
+/// Time for which a crashed target is gone.
+const DOWN: Duration = Duration::from_millis(1_500);
+
 /// A request that a target ran.
 #[derive(Clone, Debug)]
 pub(crate) struct Run {
+    pub(crate) at: Instant,
     pub(crate) request: String,
     pub(crate) target: String,
     pub(crate) method: String,
@@ -81,6 +96,9 @@
     /// Times at which requests arrived, refused ones too.
     arrivals: Vec<Instant>,
     runs: Vec<Run>,
+    /// Parts of prompts that crash the target, and how far an answer has come then.
+    fatal: (Vec<String>, Option<Stage>),
+    crashes: Vec<Instant>,
     running: usize,
     most_running: usize,
     connections: usize,
@@ -90,15 +108,16 @@
 pub(crate) struct Replica {
     pub(crate) name: String,
     shared: Arc<Shared>,
-    store: Arc<Store>,
     listener: Listener,
-    /// Address in the target's entry.
-    listed: Mutex<SocketAddr>,
 }
 
 struct Shared {
     name: String,
     service: String,
+    store: Arc<Store>,
+    /// Address in the target's entry.
+    listed: Mutex<SocketAddr>,
+    crash: OnceLock<Arc<Crash>>,
     state: Mutex<State>,
     /// Events of each stream, and the time between two.
     events: Mutex<(u64, Duration)>,
@@ -116,14 +135,20 @@
 impl Replica {
     /// Starts a target and registers it.
     pub(crate) fn bind(store: &Arc<Store>, service: &str, name: &str) -> Self {
+        let address = free_address();
         let shared = Arc::new(Shared {
             name: name.into(),
             service: service.into(),
+            store: store.clone(),
+            listed: Mutex::new(address),
+            crash: OnceLock::new(),
             state: Mutex::new(State {
                 mode: Mode::Good,
                 leaving: false,
                 arrivals: Vec::new(),
                 runs: Vec::new(),
+                fatal: (Vec::new(), None),
+                crashes: Vec::new(),
                 running: 0,
                 most_running: 0,
                 connections: 0,
@@ -135,26 +160,51 @@
             build: Mutex::new(FIRST_BUILD.into()),
             listed_name: Mutex::new(name.into()),
         });
-        let served = shared.clone();
-        let listener = Listener::bind(Arc::new(move |request| served.clone().serve(request)));
+        let (served, restarted) = (shared.clone(), Arc::downgrade(&shared));
+        let crash = Arc::new(Crash {
+            now: Notify::new(),
+            down: DOWN,
+            restarted: Box::new(move || {
+                if let Some(shared) = restarted.upgrade() {
+                    shared.restart();
+                }
+            }),
+        });
+        shared.crash.get_or_init(|| crash.clone());
+        let answerer = Arc::new(move |request| served.clone().serve(request));
+        let listener = Listener::bind_crashing(address, answerer, crash);
         let replica = Self {
             name: name.into(),
             shared,
-            store: store.clone(),
-            listed: Mutex::new(listener.address),
             listener,
         };
         replica.register("ready");
         replica
     }
 
+    /// Sets the parts of prompts that crash the target, and how far an answer has come then.
+    pub(crate) fn crash_on(&self, parts: &[&str], stage: Stage) {
+        let parts = parts.iter().map(|part| (*part).to_owned());
+        self.shared.state().fatal = (parts.collect(), Some(stage));
+    }
+
+    /// Crashes.
+    pub(crate) fn crash(&self) {
+        self.shared.crash();
+    }
+
+    /// Returns the times of its crashes.
+    pub(crate) fn crashes(&self) -> Vec<Instant> {
+        self.shared.state().crashes.clone()
+    }
+
     pub(crate) fn address(&self) -> SocketAddr {
         self.listener.address
     }
 
     /// Writes the target's entry with the address of a proxy before it.
     pub(crate) fn list_at(&self, address: SocketAddr) {
-        *self.listed.lock().unwrap() = address;
+        *self.shared.listed.lock().unwrap() = address;
         self.register("ready");
     }
 
@@ -166,21 +216,12 @@
 
     /// Starts again under the same name, and registers.
     pub(crate) fn restart(&self) {
-        let started_at_ms = self.shared.started_at_ms.fetch_add(1, Ordering::Relaxed) + 1;
-        self.announce_leaving(false);
-        self.register_run("ready", started_at_ms);
+        self.shared.restart();
     }
 
     /// Writes the target's entry with a state and the start time of its process.
     pub(crate) fn register_run(&self, state: &str, started_at_ms: u64) {
-        let seq = self.shared.seq.fetch_add(1, Ordering::Relaxed) + 1;
-        let entry = json!({
-            "service": self.shared.service, "address": self.listed.lock().unwrap().to_string(),
-            "zone": "east", "version": *self.shared.build.lock().unwrap(), "slots": 8, "state": state, "cold-left-ms": 0,
-            "born": started_at_ms, "seq": seq,
-        });
-        let name = self.shared.listed_name.lock().unwrap().clone();
-        self.store.put("servers", &name, &entry);
+        self.shared.register_run(state, started_at_ms);
     }
 
     /// Starts again with another software version, and registers.
@@ -201,7 +242,7 @@
     /// Removes the entry; the target goes on to serve.
     pub(crate) fn unregister(&self) {
         let name = self.shared.listed_name.lock().unwrap().clone();
-        self.store.remove("servers", &name);
+        self.shared.store.remove("servers", &name);
     }
 
     pub(crate) fn behave(&self, mode: Mode) {
@@ -268,6 +309,48 @@
         self.state.lock().unwrap()
     }
 
+    /// Starts again under the same name, and registers.
+    fn restart(&self) {
+        let started_at_ms = self.started_at_ms.fetch_add(1, Ordering::Relaxed) + 1;
+        self.state().leaving = false;
+        self.register_run("ready", started_at_ms);
+    }
+
+    fn register_run(&self, state: &str, started_at_ms: u64) {
+        let seq = self.seq.fetch_add(1, Ordering::Relaxed) + 1;
+        let entry = json!({
+            "service": self.service, "address": self.listed.lock().unwrap().to_string(),
+            "zone": "east", "version": *self.build.lock().unwrap(), "slots": 8, "state": state, "cold-left-ms": 0,
+            "born": started_at_ms, "seq": seq,
+        });
+        let name = self.listed_name.lock().unwrap().clone();
+        self.store.put("servers", &name, &entry);
+    }
+
+    fn crash(&self) {
+        let now = Instant::now();
+        let mut state = self.state();
+        let is_down = state.crashes.last().is_some_and(|last| now - *last < DOWN);
+        if is_down {
+            return;
+        }
+        state.crashes.push(now);
+        drop(state);
+        if let Some(crash) = self.crash.get() {
+            crash.now.notify_one();
+        }
+    }
+
+    /// Returns how far the answer to a prompt comes before it crashes the target.
+    fn fatal_stage(&self, headers: &HeaderMap) -> Option<Stage> {
+        let parts = headers.get("x-marlrun-prompt-prefix")?.to_str().unwrap();
+        let (fatal, stage) = self.state().fatal.clone();
+        let mut names = parts.split(',').map(|part| part.split(':').next().unwrap());
+        names
+            .any(|name| fatal.iter().any(|part| part == name))
+            .then_some(stage)?
+    }
+
     fn serve(self: Arc<Self>, request: Request<Incoming>) -> BoxFuture<'static, Answered> {
         async move {
             self.state().arrivals.push(Instant::now());
@@ -312,7 +395,9 @@
                 return Ok(refusal);
             }
             let after = text("last-event-id").and_then(|last| last.parse().ok());
+            let fatal = self.fatal_stage(&head.headers);
             let run = Run {
+                at: Instant::now(),
                 request: name.clone(),
                 target: self.name.clone(),
                 method: head.method.to_string(),
@@ -328,6 +413,9 @@
             if let Mode::PauseBefore(pause) = mode {
                 tokio::time::sleep(pause).await;
             }
+            if let Some(stage) = fatal {
+                return self.clone().answer_fatally(stage, &name, running).await;
+            }
             match mode {
                 Mode::Failing => {
                     running.finish();
@@ -361,6 +449,35 @@
         .boxed()
     }
 
+    /// Begins an answer, and crashes.
+    async fn answer_fatally(
+        self: Arc<Self>,
+        stage: Stage,
+        name: &str,
+        running: Running,
+    ) -> Answered {
+        if stage == Stage::BeforeHead {
+            tokio::time::sleep(CRASH_AFTER).await;
+            self.crash();
+            return std::future::pending().await;
+        }
+        let first = if stage == Stage::WithinEvent {
+            "id: 1\nda"
+        } else {
+            ""
+        };
+        let first = stream::iter([Ok(Frame::data(Bytes::from(first)))]);
+        let crash = stream::once(async move {
+            let _running = running;
+            tokio::time::sleep(CRASH_AFTER).await;
+            self.crash();
+            std::future::pending().await
+        });
+        let mut response = Response::new(StreamBody::new(first.chain(crash)).boxed_unsync());
+        sign(&mut response, name);
+        Ok(response)
+    }
+
     fn begin(self: &Arc<Self>, run: Run) -> Running {
         let mut state = self.state();
         state.running += 1;
