--- a/src/dispatch/dispatcher/hazard.rs
+++ b/src/dispatch/dispatcher/hazard.rs
@@ -18,7 +18,7 @@
 
 /// Time from the beginning of an answer within which a part that crashes targets has done so; usually a
 /// tenth of a second. An answer that went on for longer isn't the cause.
-const FATAL_TIME: Span = Span::from_millis(500);
+const FATAL_TIME: Span = Span::from_millis(250);
 /// Time after which a target has answered a request without a crash: [`FATAL_TIME`], and time for other
 /// routers to report one.
 const PASS_AFTER: Span = Span::from_millis(1_000);
--- a/src/dispatch/hazards/hazard.rs
+++ b/src/dispatch/hazards/hazard.rs
@@ -5,9 +5,11 @@
 
 /// Crashes from which a part is suspected: a request under which a target crashed is not sent again.
 const SUSPECTED_CRASHES: usize = 2;
-/// Crashes from which a part is held back. One or two coincide with a rare part now and then, since each
-/// crash breaks some twenty requests that had just begun.
+/// Crashes from which a part is held back, if there are no others meanwhile, and however many there are.
+/// Each crash breaks some ten requests that had just begun, so that one or two coincide with a rare part
+/// now and then, and more while targets crash for other reasons.
 const HELD_CRASHES: usize = 3;
+const MAX_HELD_CRASHES: usize = 5;
 /// Lateness of another router's reports. Requests that were sent by so much before a crash count as
 /// sent after it.
 const REPORT_LATENESS: Span = Span::from_millis(50);
@@ -40,12 +42,14 @@
     crashes: Vec<Crash>,
     /// Number of crashes that followed each other.
     count: usize,
+    is_held: bool,
     trial: Option<Trial>,
 }
 
 impl Hazard {
-    /// Adds a crash, or what another router reported of a known one; returns whether it is new.
-    pub(super) fn add(&mut self, crash: Crash) -> bool {
+    /// Adds a crash, or what another router reported of a known one; returns whether it is new. `all` are
+    /// the recent crashes under any part.
+    pub(super) fn add(&mut self, crash: Crash, all: &[Crash]) -> bool {
         let known = self.crashes.iter_mut().find(|known| known.is_same(&crash));
         let is_new = known.is_none();
         match known {
@@ -59,6 +63,12 @@
         let excess = self.crashes.len().saturating_sub(MAX_CRASHES);
         self.crashes.drain(..excess);
         self.recount();
+        let first = self.crashes.first().map_or(Time(0), |crash| crash.at);
+        let others = all.iter().filter(|other| {
+            other.at >= first && !self.crashes.iter().any(|crash| crash.is_same(other))
+        });
+        let needed = (HELD_CRASHES + others.count()).min(MAX_HELD_CRASHES);
+        self.is_held |= self.count >= needed;
         is_new
     }
 
@@ -68,6 +78,7 @@
         self.crashes
             .retain(|crash| crash.software != software || crash.at > until);
         self.recount();
+        self.is_held &= self.count >= HELD_CRASHES;
         self.crashes.len() < before
     }
 
@@ -98,7 +109,7 @@
 
     /// Reports whether requests with the part are held back.
     pub(super) fn is_held(&self) -> bool {
-        self.count >= HELD_CRASHES
+        self.is_held
     }
 
     pub(super) fn last_crash(&self) -> Time {
--- a/src/dispatch/hazards/mod.rs
+++ b/src/dispatch/hazards/mod.rs
@@ -32,6 +32,10 @@
 const FULL_INTERVAL: Span = Span::from_millis(1_000);
 /// Interval at which old records are dropped.
 const EXPIRY_INTERVAL: Span = Span::from_millis(500);
+/// Time for which crashes count as others, when crashes under a part are weighed.
+const CRASH_RETENTION: Span = Span::from_secs(60);
+/// Maximum number of these; the oldest are forgotten first.
+const MAX_CRASHES: usize = 256;
 /// Age up to which crashes under parts that are not held back are announced again.
 const MAX_REPEATED_AGE: Span = Span::from_secs(60);
 
@@ -74,6 +78,8 @@
 pub(super) struct Hazards {
     parts: HashMap<u64, Hazard>,
     passes: Passes,
+    /// Recent crashes under any part, each once.
+    crashes: Vec<Crash>,
     to_announce: VecDeque<(Option<id::Router>, Time, Finding)>,
     /// Findings of the last round, which are sent once more because datagrams may be lost.
     to_repeat: Vec<(Option<id::Router>, Time, Finding)>,
@@ -138,6 +144,11 @@
             sent: before(at, lasted),
             at,
         };
+        if !self.crashes.iter().any(|known| known.is_same(&crash)) {
+            self.crashes.push(crash);
+            let excess = self.crashes.len().saturating_sub(MAX_CRASHES);
+            self.crashes.drain(..excess);
+        }
         if let Some(passed) = self.passes.last(part, software)
             && passed + PASS_COUNTS >= at
         {
@@ -148,7 +159,7 @@
         }
         let hazard = self.parts.entry(part).or_default();
         let was_held = hazard.is_held();
-        let is_new = hazard.add(crash);
+        let is_new = hazard.add(crash, &self.crashes);
         let (is_held, crashes) = (hazard.is_held(), hazard.count());
         if is_new {
             let evidence = Evidence::Crash {
@@ -292,6 +303,8 @@
         }
         self.next_expiry = now + EXPIRY_INTERVAL;
         self.passes.expire(now);
+        self.crashes
+            .retain(|crash| now.since(crash.at) < CRASH_RETENTION);
         let expired = self.parts.extract_if(|_, hazard| hazard.is_expired(now));
         let mut forgotten: Vec<(u64, Hazard)> = expired.collect();
         let excess = self.parts.len().saturating_sub(MAX_HAZARDS);
