Streams without an event that end with their connection are not whole

Responses of targets may have neither a length nor chunks and end with their connection. If it ended right after the head, callers got a complete, empty stream, and no other target continued a resumable one: an end without a partial event counted as the end of the stream. An unframed response without an event is now broken off.

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -84,6 +84,16 @@
     pub(super) lease: upstream::Lease,
 }
 
+impl Transfer {
+    /// Reports whether the end of the response is marked, by a length or by chunks. It ends with its
+    /// connection otherwise.
+    pub(super) fn is_framed(&self) -> bool {
+        let headers = &self.head.headers;
+        headers.contains_key(http::header::CONTENT_LENGTH)
+            || headers.contains_key(http::header::TRANSFER_ENCODING)
+    }
+}
+
 /// Successful start of a response.
 enum Fetched {
     /// A stream of events, of which nothing was read.
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -197,6 +197,10 @@
                     self.complete();
                     return None;
                 }
+                Received::End if self.is_at_boundary() => {
+                    let cause = "the connection ended before the first event";
+                    (Outcome::Broken, cause.into())
+                }
                 Received::End => (Outcome::Broken, "the stream ended within an event".into()),
                 Received::Failed(outcome, cause) => (outcome, cause),
                 Received::Stalled => {
@@ -277,7 +281,16 @@
         }
     }
 
+    /// Reports whether the end of the target's response is that of the stream. A response that ends with its
+    /// connection, without an event, is as good as none.
     fn is_complete(&self) -> bool {
+        let transfer = self.transfer.as_ref();
+        let is_framed = transfer.is_some_and(Transfer::is_framed);
+        let is_stream = matches!(self.mode, Mode::Events(_));
+        self.is_at_boundary() && (self.started || is_framed || !is_stream)
+    }
+
+    fn is_at_boundary(&self) -> bool {
         match &self.mode {
             Mode::Events(framer) => framer.is_at_boundary(),
             Mode::Bytes(_) => true,
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -16,6 +16,7 @@
 mod replica;
 mod router;
 mod store;
+mod unframed;
 
 pub(crate) use self::{
     caller::{Answer, Caller},
@@ -27,6 +28,7 @@
     replica::{FIRST_BUILD, FIRST_START_MS, Mode, Replica, Run, Stage, event, event_of},
     router::Router,
     store::{Era, Fault, Store},
+    unframed::{Ending, Unframed},
 };
 
 use serde_json::{Value, json};
