Reset the connection of an HTTP/1.0 caller whose response is broken off

HTTP/1.0 knows no chunks: a response without a length ends with its connection, so that a stream that a target broke off looked complete to such a caller (tests/unframed.rs, stream_that_ends_early_does_not_look_whole_to_http_1_0, failed before). The connection is now closed by a reset.

--- a/src/front/server.rs
+++ b/src/front/server.rs
@@ -10,7 +10,7 @@
     unit::{Span, Time},
 };
 use futures::FutureExt;
-use http::header;
+use http::{Version, header};
 use http_body_util::BodyExt;
 use hyper::{server::conn::http1, service::service_fn};
 use hyper_util::rt::TokioIo;
@@ -195,6 +195,9 @@
     let service = service_fn(move |request| {
         let (handler, busy, headroom) = (handler.clone(), busy.clone(), headroom.clone());
         let guard = Guard::begin(&request_progress);
+        let progress = request_progress.clone();
+        // It knows no chunks.
+        let ends_with_connection = request.version() == Version::HTTP_10;
         async move {
             busy.send_replace(true);
             let mut response = handler.respond(request).await;
@@ -209,6 +212,9 @@
             let response = response.map(|body| {
                 body.map_err(move |error| {
                     let _guard = &guard;
+                    if ends_with_connection {
+                        progress.record_truncation();
+                    }
                     error
                 })
             });
--- a/src/front/transport.rs
+++ b/src/front/transport.rs
@@ -39,6 +39,8 @@
     /// A part of a response that was written is not sent. The response may still be waiting then
     /// after its request has ended.
     unsent: AtomicBool,
+    /// A response was broken off whose end is marked by that of the connection alone.
+    truncated: AtomicBool,
 }
 
 impl Progress {
@@ -52,6 +54,12 @@
         self.unsent.load(Ordering::Relaxed)
     }
 
+    /// Records that a response was broken off whose end is marked by that of the connection alone. The
+    /// connection is then reset, so that the response doesn't look complete.
+    pub(super) fn record_truncation(&self) {
+        self.truncated.store(true, Ordering::Relaxed);
+    }
+
     fn set_unsent(&self, unsent: bool) {
         self.unsent.store(unsent, Ordering::Relaxed);
     }
@@ -229,6 +237,15 @@
     }
 }
 
+impl Drop for Transport {
+    fn drop(&mut self) {
+        if self.progress.truncated.load(Ordering::Relaxed) {
+            // If this fails, the caller is gone.
+            let _ = self.stream.set_zero_linger();
+        }
+    }
+}
+
 fn count_closed(reason: &'static str) {
     metrics::counter!(metric::CALLERS_CLOSED, "reason" => reason).increment(1);
 }
--- a/tests/unframed.rs
+++ b/tests/unframed.rs
@@ -3,7 +3,12 @@
 
 mod world;
 
-use std::{ops::RangeInclusive, time::Duration};
+use std::{
+    io::{ErrorKind, Read, Write},
+    net::TcpStream,
+    ops::RangeInclusive,
+    time::Duration,
+};
 use world::{Answer, Caller, Ending, Router, Unframed, World, event};
 
 fn events(range: RangeInclusive<u64>) -> String {
@@ -62,6 +67,23 @@
     answer
 }
 
+/// Sends a request for a stream that can't be resumed by HTTP/1.0; returns the bytes, and how they end.
+fn once_by_http_1_0(ending: Ending) -> (String, Result<(), ErrorKind>) {
+    let setup = Setup::open("llm", ending);
+    let message = Caller::stream(setup.router.listen, "sum", "q1").message();
+    let message = String::from_utf8(message).unwrap();
+    let message = message.replacen("HTTP/1.1", "HTTP/1.0", 1);
+    let mut stream = TcpStream::connect(setup.router.listen).unwrap();
+    stream
+        .set_read_timeout(Some(Duration::from_secs(5)))
+        .unwrap();
+    stream.write_all(message.as_bytes()).unwrap();
+    let mut bytes = Vec::new();
+    let end = stream.read_to_end(&mut bytes);
+    let text = String::from_utf8(bytes).unwrap();
+    (text, end.map(drop).map_err(|error| error.kind()))
+}
+
 #[test]
 fn whole_stream_is_whole() {
     for answer in [resumable(Ending::Whole), once(Ending::Whole)] {
@@ -111,6 +133,26 @@
     assert_eq!((answer.status, answer.whole), (502, true), "{answer:?}");
 }
 
+#[test]
+fn whole_stream_is_whole_to_http_1_0() {
+    let (text, end) = once_by_http_1_0(Ending::Whole);
+    assert!(text.ends_with(&events(1..=5)), "{text}");
+    assert_eq!(end, Ok(()));
+}
+
+#[test]
+fn stream_that_ends_early_does_not_look_whole_to_http_1_0() {
+    for ending in [Ending::WithinEvent, Ending::Reset] {
+        let (text, end) = once_by_http_1_0(ending);
+        assert!(text.ends_with(&events(1..=2)), "{ending:?}: {text}");
+        assert_eq!(end, Err(ErrorKind::ConnectionReset), "{ending:?}: {text}");
+    }
+    // The reset may come before the head.
+    let (text, end) = once_by_http_1_0(Ending::AfterNothing);
+    assert!(!text.contains("data"), "{text}");
+    assert_eq!(end, Err(ErrorKind::ConnectionReset), "{text}");
+}
+
 /// Responses without a body are whole at the end of their head, whatever that says of a length.
 #[test]
 fn response_that_has_no_body_does_not_wait_for_its_connection() {
