--- a/src/dispatch/dispatcher/hazard.rs
+++ b/src/dispatch/dispatcher/hazard.rs
@@ -22,8 +22,6 @@
 /// Time after which a target has answered a request without a crash: [`FATAL_TIME`], and time for other
 /// routers to report one.
 const PASS_AFTER: Span = Span::from_millis(1_000);
-/// Time after connections ended within which responses may still be read that were sent before.
-const READ_TIME: Span = Span::from_millis(50);
 /// Time without a response after which a target counts as crashed: if several connections ended or one was
 /// refused, and if just one ended.
 const CONFIRM_AFTER: Span = Span::from_millis(60);
@@ -65,10 +63,16 @@
 
 impl Dispatcher {
     /// Records that a target began to answer a request.
-    pub(super) fn record_beginning(&mut self, now: Time, attempt: &Attempt) {
+    pub(super) fn record_beginning(&mut self, now: Time, number: u64) {
+        let Some(attempt) = self.attempts.get(&number) else {
+            return;
+        };
+        let Some(target) = self.targets.get_mut(&attempt.estimate.target) else {
+            return;
+        };
+        target.record_life(now);
         let parts = parts(&attempt.request);
-        let target = self.targets.get(&attempt.estimate.target);
-        if let (Some(target), false) = (target, parts.is_empty()) {
+        if !parts.is_empty() {
             self.beginnings.push_back(Beginning {
                 at: now,
                 sent: attempt.sent,
@@ -92,7 +96,7 @@
                 }
                 return;
             }
-            Outcome::Answered => return self.record_life(now, &attempt.estimate.target),
+            Outcome::Answered => return target.record_life(now),
             _ => return,
         }
         let key = target.key;
@@ -111,17 +115,6 @@
         breakage.suspects.extend(begun);
     }
 
-    /// Records that a target sent something.
-    pub(super) fn record_life(&mut self, now: Time, target: &id::Target) {
-        let target = self.targets.get_mut(target);
-        if let Some(target) = target
-            && let Some(breakage) = &target.breakage
-            && now.since(breakage.at) >= READ_TIME
-        {
-            target.breakage = None;
-        }
-    }
-
     /// Finds out which targets have crashed, and which parts of prompts they have answered.
     pub(super) fn tick_hazards(&mut self, now: Time, out: &mut Vec<Action>) {
         let broken = self.targets.iter();
--- a/src/dispatch/dispatcher/mod.rs
+++ b/src/dispatch/dispatcher/mod.rs
@@ -357,10 +357,7 @@
                 out.push(health_change(target));
             }
         }
-        if let Some(attempt) = self.attempts.get(&number).cloned() {
-            self.record_life(now, &attempt.estimate.target);
-            self.record_beginning(now, &attempt);
-        }
+        self.record_beginning(now, number);
         self.send_queued(now, &service, out);
     }
 
--- a/src/dispatch/target.rs
+++ b/src/dispatch/target.rs
@@ -26,6 +26,9 @@
 /// Penalty for a target in another failure domain: two more hops, and traffic between domains.
 const CROSS_DOMAIN_PENALTY: Span = Span(500);
 
+/// Time after connections ended within which responses may still be read that were sent before.
+const READ_TIME: Span = Span::from_millis(50);
+
 /// A target with its load and the estimates about it.
 #[derive(Clone, Debug)]
 pub(super) struct Target {
@@ -223,6 +226,12 @@
         u64::from(prompt.tokens).saturating_sub(used) + u64::from(prompt.expected_output)
     }
 
+    /// Records a response: the target has not crashed.
+    pub(super) fn record_life(&mut self, now: Time) {
+        self.breakage
+            .take_if(|breakage| now.since(breakage.at) >= READ_TIME);
+    }
+
     /// Adds a request; returns the memory that it adds, and the prompt tokens that the target has
     /// to process before its first event.
     pub(super) fn start(
