--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -27,7 +27,7 @@
     time::{Duration, Instant},
 };
 use world::{
-    Caller, Connection, Fault, Fleet, Harm, Mode, Proxy, Reply, Run, configuration, event_of,
+    Caller, Connection, Fault, Fleet, Harm, Mode, Proxy, Reply, Run, Stage, configuration, event_of,
 };
 
 /// Seed of the run in CI.
@@ -53,6 +53,9 @@
 const RECOVERY: Duration = Duration::from_secs(12);
 /// Events of each stream.
 const EVENTS: u64 = 5;
+/// Part of prompts that crashes engines, and how many requests there are for each with it.
+const FATAL_PART: &str = "f1";
+const FATAL_EVERY: u64 = 60;
 /// Software versions of targets.
 const BUILDS: [&str; 3] = ["v1", "v2", "v3"];
 /// Requests with which a caller resumes one stream at most.
@@ -137,6 +140,8 @@
 #[derive(Default)]
 struct Ledger {
     next: AtomicU64,
+    /// Some prompts crash engines.
+    fatal: bool,
     seen: Mutex<Vec<Seen>>,
 }
 
@@ -148,7 +153,14 @@
         ROUTERS.0
     };
     let fleet = Fleet::open(routers);
-    let (ledger, stop) = (Ledger::default(), AtomicBool::new(false));
+    let stop = AtomicBool::new(false);
+    let ledger = Ledger {
+        fatal: kind == Kind::Any,
+        ..Ledger::default()
+    };
+    for engine in &fleet.world.engines {
+        engine.crash_on(&[FATAL_PART], Stage::WithinEvent);
+    }
     let version = AtomicU64::new(1);
     let violations = Mutex::new(Vec::new());
     let random = |stream: u64| {
@@ -280,6 +292,7 @@
         .for_each(|link| link.harm(Harm::None));
     for replica in world.engines.iter().chain(&world.apps) {
         replica.behave(Mode::Good);
+        replica.crash_on(&[], Stage::WithinEvent);
         replica.restart();
     }
     for index in 0..fleet.len() {
@@ -370,7 +383,8 @@
         *connection = Connection::open(address, PATIENCE).ok();
     }
     let open = connection.as_mut()?;
-    let request = format!("q{}", ledger.next.fetch_add(1, Ordering::Relaxed));
+    let number = ledger.next.fetch_add(1, Ordering::Relaxed);
+    let request = format!("q{number}");
     let mut caller = match route {
         "book" => Caller::new(address, "POST", "/book/x", &request).body(request.as_bytes()),
         "look" => Caller::new(address, "GET", "/look/x", &request),
@@ -380,6 +394,10 @@
         let last = received.matches("id: ").count().to_string();
         caller = caller.with("resumes", origin).with("last-event-id", &last);
     }
+    if ledger.fatal && number % FATAL_EVERY == FATAL_EVERY - 1 && ["plan", "sum"].contains(&route) {
+        let parts = format!("a1:600,{FATAL_PART}:200,{number:x}:200");
+        caller = caller.with("x-marlrun-prompt-prefix", &parts);
+    }
     let deadline = DEADLINE_MS.to_string();
     let reply = open.call(&caller.with("x-marlrun-deadline-ms", &deadline));
     if !reply.open {
