A request whose caller leaves is no pass, and trials without a result count

- The beginning of an answer counted as a pass after a second also if the request had ended without an answer meanwhile.
Such beginnings are dropped.
- A trial that ended without a crash and without a pass was repeated every three seconds.
Each trial now makes the time to the next one four times as long; routers that start are told of the last one.

--- a/src/dispatch/beginning.rs
+++ b/src/dispatch/beginning.rs
@@ -6,6 +6,8 @@
 #[derive(Clone, Debug)]
 pub(super) struct Beginning {
     pub(super) at: Time,
+    /// Request.
+    pub(super) number: u64,
     /// Time at which the request was sent to the target.
     pub(super) sent: Time,
     pub(super) target: id::Target,
--- a/src/dispatch/dispatcher/hazard.rs
+++ b/src/dispatch/dispatcher/hazard.rs
@@ -75,6 +75,7 @@
         if !parts.is_empty() {
             self.beginnings.push_back(Beginning {
                 at: now,
+                number,
                 sent: attempt.sent,
                 target: target.entry.name.clone(),
                 key: target.key,
@@ -97,7 +98,13 @@
                 return;
             }
             Outcome::Answered => return target.record_life(now),
-            _ => return,
+            _ => {
+                // The target may have ended its run, so that it didn't come to a crash.
+                let number = attempt.request.number;
+                return self.beginnings.retain(|beginning| {
+                    beginning.number != number || now.since(beginning.at) >= FATAL_TIME
+                });
+            }
         }
         let key = target.key;
         let breakage = target.breakage.get_or_insert_with(|| Breakage::new(now));
--- a/src/dispatch/hazards/hazard.rs
+++ b/src/dispatch/hazards/hazard.rs
@@ -17,7 +17,7 @@
 const MAX_CRASHES: usize = 16;
 /// Time from the crash that holds a part back to its first trial.
 const FIRST_TRIAL_AFTER: Span = Span::from_millis(2_000);
-/// Factor by which the time to the next trial grows with each further crash, and its maximum.
+/// Factor by which the time to the next trial grows with each further crash or trial, and its maximum.
 const TRIAL_BACKOFF: u64 = 4;
 const MAX_TRIAL_AFTER: Span = Span::from_secs(3_600);
 /// Time for which an announced trial keeps other routers from one. The outcome of a trial is known by
@@ -43,7 +43,9 @@
     /// Number of crashes that followed each other.
     count: usize,
     is_held: bool,
+    /// Last announced trial, and the number of trials so far.
     trial: Option<Trial>,
+    trials: u32,
 }
 
 impl Hazard {
@@ -119,11 +121,11 @@
     /// Returns the time of the next trial.
     pub(super) fn next_trial(&self) -> Time {
         let further = self.count.saturating_sub(HELD_CRASHES);
-        let factor = TRIAL_BACKOFF.saturating_pow(u32::try_from(further).unwrap_or(u32::MAX));
+        let further = u32::try_from(further).unwrap_or(u32::MAX);
+        let factor = TRIAL_BACKOFF.saturating_pow(further.max(self.trials));
         let after = Span(FIRST_TRIAL_AFTER.0.saturating_mul(factor));
-        let due = self.last_crash() + after.min(MAX_TRIAL_AFTER);
-        let announced = self.trial.map_or(Time(0), |trial| trial.at + TRIAL_TIME);
-        due.max(announced)
+        let tried = self.trial.map_or(Time(0), |trial| trial.at);
+        self.last_crash().max(tried) + after.min(MAX_TRIAL_AFTER)
     }
 
     /// Returns the announced trial.
@@ -134,13 +136,17 @@
     /// Records that a router announced a trial; returns whether it is its turn. Of two routers that
     /// announce one at the same time, that with the lower hash has it.
     pub(super) fn announce(&mut self, trial: Trial) -> bool {
-        let is_free = self.trial.is_none_or(|other| {
-            trial.at.since(other.at) >= TRIAL_TIME || trial.router < other.router
+        let is_later = self
+            .trial
+            .is_none_or(|other| trial.at.since(other.at) >= TRIAL_TIME);
+        let is_first = self.trial.is_some_and(|other| {
+            other.at.since(trial.at) < TRIAL_TIME && trial.router < other.router
         });
-        if is_free {
+        if is_later || is_first {
             self.trial = Some(trial);
+            self.trials += u32::from(is_later);
         }
-        is_free
+        is_later || is_first
     }
 
     /// Reports whether it is too old to be remembered.
--- a/src/dispatch/hazards/mod.rs
+++ b/src/dispatch/hazards/mod.rs
@@ -268,6 +268,14 @@
         let mut findings: Vec<(bool, Time, Finding)> = Vec::new();
         for (part, hazard) in &self.parts {
             let is_held = hazard.is_held();
+            if let Some(Trial { at, router }) = hazard.trial() {
+                let finding = Finding {
+                    part: *part,
+                    age: now.since(at),
+                    evidence: Evidence::Trial { router },
+                };
+                findings.push((is_held, at, finding));
+            }
             for crash in hazard.crashes() {
                 let age = now.since(crash.at);
                 if !is_held && age >= MAX_REPEATED_AGE {
--- a/tests/crashes.rs
+++ b/tests/crashes.rs
@@ -52,6 +52,8 @@
     attempts: u32,
     /// Targets crash before the first event.
     early: bool,
+    /// Callers of requests with a fatal part leave before they crash a target, one in so many; 0 for none.
+    leave_every: u64,
     /// Mean time between two crashes without a cause; 0 for none.
     plain_gap_ms: u64,
     /// Mean time between two kills of a router; 0 for none.
@@ -72,6 +74,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Step {
     First,
+    Leave,
     Crash,
     End,
     Refuse,
@@ -271,6 +274,13 @@
                     self.steps
                         .insert((first, number, Step::First), (index, attempt));
                 }
+                let leave_every = self.trouble.leave_every;
+                if leave_every > 0 && self.below(leave_every) == 0 {
+                    let leave = first + CRASH_AFTER_MS / 2;
+                    self.steps
+                        .insert((leave, number, Step::Leave), (index, attempt));
+                    return;
+                }
                 let crash = first + CRASH_AFTER_MS;
                 self.steps
                     .insert((crash, number, Step::Crash), (index, attempt));
@@ -315,6 +325,10 @@
                     }
                     self.step(router, Event::ResponseStarted { number });
                 }
+                Step::Leave => {
+                    self.jobs.remove(&number);
+                    self.step(router, Event::Closed { number });
+                }
                 Step::Crash => {
                     let part = fatal.unwrap();
                     self.fatal_crashes
@@ -475,6 +489,7 @@
     gap_ms: 0,
     attempts: 2,
     early: false,
+    leave_every: 0,
     plain_gap_ms: 0,
     kill_gap_ms: 0,
 };
@@ -518,6 +533,19 @@
     assert!(simulation.held.contains(&FATAL));
 }
 
+/// A target that drops a request whose caller leaves does not crash, but has not answered it either.
+#[test]
+fn fatal_part_is_held_back_although_callers_leave() {
+    let simulation = play(Trouble {
+        gap_ms: 300,
+        attempts: 1,
+        leave_every: 2,
+        ..NONE
+    });
+    simulation.check();
+    assert!(simulation.held.contains(&FATAL));
+}
+
 #[test]
 fn plain_crashes_hold_nothing_back() {
     for seed in 0..8 {
@@ -550,10 +578,11 @@
         gap_ms in 100_u64..3_000,
         attempts in 1_u32..=3,
         early in any::<bool>(),
+        leave_every in prop_oneof![Just(0_u64), 2_u64..5],
         plain_gap_ms in prop_oneof![Just(0_u64), 2_000_u64..6_000],
         kill_gap_ms in prop_oneof![Just(0_u64), 2_000_u64..6_000],
     ) {
-        let trouble = Trouble { routers, seed, parts, gap_ms, attempts, early, plain_gap_ms, kill_gap_ms };
+        let trouble = Trouble { routers, seed, parts, gap_ms, attempts, early, leave_every, plain_gap_ms, kill_gap_ms };
         play(trouble).check();
     }
 }
