Release common parts after an outage of their targets

Crashes at software that was gone held the first part of all prompts back; the trials became rare; and the answer of a trial at an otherwise idle engine never counted as a pass, since no later response showed that the engine lived.

- A whole answer counts as a pass two seconds after its beginning, unless its target crashed.
- A pass speaks for the part at that software for a minute (3 s before), so that the first second of an answer can be suspected.
- Routers tell those that find crashes under a part which software has answered it.
- Trials become rarer with trials, not with crashes, and not at all while half of the requests have the part.

--- a/schema/marlrun.capnp
+++ b/schema/marlrun.capnp
@@ -241,6 +241,7 @@
   software @3 :UInt64;
   ageMillis @4 :UInt32;
   lastedMillis @5 :UInt32; # time for which the request had been at the target that crashed
+  number @6 :UInt32; # number of the trial
 }
 
 # Routers whose load a summary contains.
--- a/src/dispatch/beginning.rs
+++ b/src/dispatch/beginning.rs
@@ -15,4 +15,6 @@
     pub(super) key: u64,
     /// Parts of the prompt that other requests may share.
     pub(super) parts: Box<[u64]>,
+    /// The answer was whole.
+    pub(super) answered: bool,
 }
--- a/src/dispatch/dispatcher/hazard.rs
+++ b/src/dispatch/dispatcher/hazard.rs
@@ -7,7 +7,7 @@
         attempt::Attempt,
         beginning::Beginning,
         breakage::Breakage,
-        hazards::{Change, Observation, Verdict},
+        hazards::{Change, Observation, Trial, Verdict},
     },
     gossip::{self, Evidence},
     id,
@@ -18,10 +18,12 @@
 
 /// Time from the beginning of an answer within which a part that crashes targets has done so; usually a
 /// tenth of a second. An answer that went on for longer isn't the cause.
-const FATAL_TIME: Span = Span::from_millis(250);
+const FATAL_TIME: Span = Span::from_millis(1_000);
 /// Time after which a target has answered a request without a crash: [`FATAL_TIME`], and time for other
 /// routers to report one.
-const PASS_AFTER: Span = Span::from_millis(1_000);
+const PASS_AFTER: Span = Span::from_millis(2_000);
+/// Time after which the beginning of an answer is forgotten if its target has been silent since.
+const MAX_SILENCE: Span = Span::from_secs(10);
 /// Time without a response after which a target counts as crashed: if several connections ended or one was
 /// refused, and if just one ended.
 const CONFIRM_AFTER: Span = Span::from_millis(60);
@@ -80,6 +82,7 @@
                 target: target.entry.name.clone(),
                 key: target.key,
                 parts: parts.iter().map(|part| part.id).collect(),
+                answered: false,
             });
         }
     }
@@ -97,7 +100,15 @@
                 }
                 return;
             }
-            Outcome::Answered => return target.record_life(now),
+            Outcome::Answered => {
+                target.record_life(now);
+                let number = attempt.request.number;
+                let mut beginnings = self.beginnings.iter_mut();
+                if let Some(beginning) = beginnings.find(|other| other.number == number) {
+                    beginning.answered = true;
+                }
+                return;
+            }
             _ => {
                 // The target may have ended its run, so that it didn't come to a crash.
                 let number = attempt.request.number;
@@ -132,13 +143,7 @@
         for name in broken.collect::<Vec<_>>() {
             self.check_breakage(now, &name, out);
         }
-        while let Some(beginning) = self.beginnings.front()
-            && now.since(beginning.at) >= PASS_AFTER
-        {
-            if let Some(beginning) = self.beginnings.pop_front() {
-                self.record_passes(now, &beginning, out);
-            }
-        }
+        self.check_beginnings(now, out);
         let expired = self.hazards.expire(now);
         self.apply_changes(now, expired, out);
         let due = self.trying.extract_if(.., |trying| trying.until <= now);
@@ -202,15 +207,34 @@
         self.apply_changes(now, changes, out);
     }
 
-    fn record_passes(&mut self, now: Time, beginning: &Beginning, out: &mut Vec<Action>) {
-        let target = self.targets.get(&beginning.target);
-        let Some(target) = target.filter(|t| t.key == beginning.key && t.breakage.is_none()) else {
-            return;
-        };
-        let software = target.software();
-        let parts = beginning.parts.iter();
-        let changes = parts.filter_map(|part| self.hazards.record_pass(now, None, *part, software));
-        let changes = changes.collect();
+    /// Records passes of answers that were whole, or whose targets have responded since to another request.
+    /// A target that is silent may have crashed without ending its connections.
+    fn check_beginnings(&mut self, now: Time, out: &mut Vec<Action>) {
+        let mut passed = Vec::new();
+        let targets = &self.targets;
+        self.beginnings.retain_mut(|beginning| {
+            let age = now.since(beginning.at);
+            if age < PASS_AFTER {
+                return true;
+            }
+            let target = targets.get(&beginning.target);
+            let Some(target) = target.filter(|target| target.key == beginning.key) else {
+                return false;
+            };
+            let last_response = target.health.last_success().unwrap_or_default();
+            let is_alive = beginning.answered || last_response >= beginning.at + FATAL_TIME;
+            if target.breakage.is_some() || !is_alive {
+                return age < MAX_SILENCE;
+            }
+            passed.push((std::mem::take(&mut beginning.parts), target.software()));
+            false
+        });
+        let mut changes = Vec::new();
+        for (parts, software) in passed {
+            for part in parts {
+                changes.extend(self.hazards.record_pass(now, None, part, software));
+            }
+        }
         self.apply_changes(now, changes, out);
     }
 
@@ -244,7 +268,10 @@
                 Evidence::Pass { software } => {
                     changes.extend(self.hazards.record_pass(at, from, part, software));
                 }
-                Evidence::Trial { router } => self.hazards.record_trial(at, from, part, router),
+                Evidence::Trial { router, number } => {
+                    let trial = Trial { at, router, number };
+                    self.hazards.record_trial(from, part, trial);
+                }
             }
         }
         self.apply_changes(now, changes, out);
@@ -284,6 +311,13 @@
         }
     }
 
+    /// Counts a request for the share of those that have each hazardous part.
+    pub(super) fn record_arrival(&mut self, request: &Request) {
+        if request.prompt.is_some() {
+            self.hazards.record_arrival(parts(request));
+        }
+    }
+
     /// Returns until when a request is held back; `None` if a target may get it.
     pub(super) fn held_until(&self, pending: &Pending) -> Option<Time> {
         let parts = parts(&pending.request);
--- a/src/dispatch/dispatcher/mod.rs
+++ b/src/dispatch/dispatcher/mod.rs
@@ -221,6 +221,7 @@
 
     fn arrive(&mut self, now: Time, request: Request, out: &mut Vec<Action>) {
         self.budget(&request.service).deposit();
+        self.record_arrival(&request);
         let excess = self.record_demand(now, &request);
         let expires = self.queue_deadline(now, &request);
         let pending = Pending {
--- a/src/dispatch/hazards/hazard.rs
+++ b/src/dispatch/hazards/hazard.rs
@@ -1,6 +1,6 @@
 //! A part of prompts under which targets crashed.
 
-use super::crash::Crash;
+use super::{crash::Crash, trial::Trial};
 use crate::unit::{Span, Time};
 
 /// Crashes from which a part is suspected: a request under which a target crashed is not sent again.
@@ -17,9 +17,12 @@
 const MAX_CRASHES: usize = 16;
 /// Time from the crash that holds a part back to its first trial.
 const FIRST_TRIAL_AFTER: Span = Span::from_millis(2_000);
-/// Factor by which the time to the next trial grows with each further crash or trial, and its maximum.
-const TRIAL_BACKOFF: u64 = 4;
+/// Factor by which the time to the next trial grows with each trial, and its maximum.
+const TRIAL_BACKOFF: u64 = 6;
 const MAX_TRIAL_AFTER: Span = Span::from_secs(3_600);
+/// Percentage of the requests from which a part is common, and the number of requests that tells.
+const COMMON_PERCENT: u64 = 50;
+const MIN_ARRIVALS: u64 = 20;
 /// Time for which an announced trial keeps other routers from one. The outcome of a trial is known by
 /// then.
 const TRIAL_TIME: Span = Span::from_millis(3_000);
@@ -27,14 +30,6 @@
 const HELD_RETENTION: Span = Span::from_secs(7_200);
 const RETENTION: Span = Span::from_secs(600);
 
-/// Announced trial of a part that is held back.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct Trial {
-    pub(super) at: Time,
-    /// Hash of the name of the router that announced it.
-    pub(super) router: u64,
-}
-
 /// A part of prompts under which targets crashed, and that no target has answered since.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Hazard {
@@ -43,12 +38,33 @@
     /// Number of crashes that followed each other.
     count: usize,
     is_held: bool,
-    /// Last announced trial, and the number of trials so far.
+    /// Last announced trial.
     trial: Option<Trial>,
-    trials: u32,
+    /// Requests that arrived with the part since the first crash, and all that had arrived before.
+    arrived: u64,
+    arrivals_before: u64,
 }
 
 impl Hazard {
+    /// Returns a part without crashes; `arrivals` requests have arrived so far.
+    pub(super) fn new(arrivals: u64) -> Self {
+        Self {
+            arrivals_before: arrivals,
+            ..Self::default()
+        }
+    }
+
+    /// Counts a request with the part.
+    pub(super) fn record_arrival(&mut self) {
+        self.arrived += 1;
+    }
+
+    /// Reports whether most of the requests have the part; `arrivals` have arrived so far.
+    fn is_common(&self, arrivals: u64) -> bool {
+        let all = arrivals.saturating_sub(self.arrivals_before);
+        all >= MIN_ARRIVALS && self.arrived * 100 >= all * COMMON_PERCENT
+    }
+
     /// Adds a crash, or what another router reported of a known one; returns whether it is new. `all` are
     /// the recent crashes under any part.
     pub(super) fn add(&mut self, crash: Crash, all: &[Crash]) -> bool {
@@ -118,11 +134,14 @@
         self.crashes.last().map_or(Time(0), |crash| crash.at)
     }
 
-    /// Returns the time of the next trial.
-    pub(super) fn next_trial(&self) -> Time {
-        let further = self.count.saturating_sub(HELD_CRASHES);
-        let further = u32::try_from(further).unwrap_or(u32::MAX);
-        let factor = TRIAL_BACKOFF.saturating_pow(further.max(self.trials));
+    /// Returns the time of the next trial; `arrivals` requests have arrived so far. While most of them have
+    /// the part, the trials don't become more seldom: holding it back costs as much as the crashes.
+    pub(super) fn next_trial(&self, arrivals: u64) -> Time {
+        let factor = if self.is_common(arrivals) {
+            1
+        } else {
+            TRIAL_BACKOFF.saturating_pow(self.trials())
+        };
         let after = Span(FIRST_TRIAL_AFTER.0.saturating_mul(factor));
         let tried = self.trial.map_or(Time(0), |trial| trial.at);
         self.last_crash().max(tried) + after.min(MAX_TRIAL_AFTER)
@@ -133,6 +152,11 @@
         self.trial
     }
 
+    /// Returns the number of trials so far.
+    pub(super) fn trials(&self) -> u32 {
+        self.trial.map_or(0, |trial| trial.number)
+    }
+
     /// Records that a router announced a trial; returns whether it is its turn. Of two routers that
     /// announce one at the same time, that with the lower hash has it.
     pub(super) fn announce(&mut self, trial: Trial) -> bool {
@@ -143,8 +167,8 @@
             other.at.since(trial.at) < TRIAL_TIME && trial.router < other.router
         });
         if is_later || is_first {
-            self.trial = Some(trial);
-            self.trials += u32::from(is_later);
+            let number = trial.number.max(self.trials());
+            self.trial = Some(Trial { number, ..trial });
         }
         is_later || is_first
     }
--- a/src/dispatch/hazards/mod.rs
+++ b/src/dispatch/hazards/mod.rs
@@ -6,11 +6,14 @@
 mod crash;
 mod hazard;
 mod passes;
+mod trial;
+
+pub(super) use self::trial::Trial;
 
 use self::{
     crash::Crash,
-    hazard::{Hazard, Trial},
-    passes::Passes,
+    hazard::Hazard,
+    passes::{Passes, RETENTION},
 };
 use super::Part;
 use crate::{
@@ -20,9 +23,9 @@
 };
 use std::collections::{HashMap, VecDeque};
 
-/// Time for which a part that a target answered isn't found to crash targets of that software: a part
-/// that many requests share is in flight at every crash.
-const PASS_COUNTS: Span = Span::from_millis(3_000);
+/// Minimum time between two reports of the passes of a part in response to crashes that another router
+/// found.
+const PASS_REPORT_INTERVAL: Span = Span::from_millis(500);
 /// Maximum number of parts under which targets crashed that are remembered. Those with the fewest and
 /// oldest crashes are forgotten first.
 const MAX_HAZARDS: usize = 4_096;
@@ -78,6 +81,10 @@
 pub(super) struct Hazards {
     parts: HashMap<u64, Hazard>,
     passes: Passes,
+    /// Number of requests with prompts that arrived at this router.
+    arrivals: u64,
+    /// Time at which the passes of a part were last reported.
+    passes_reported: HashMap<u64, Time>,
     /// Recent crashes under any part, each once.
     crashes: Vec<Crash>,
     to_announce: VecDeque<(Option<id::Router>, Time, Finding)>,
@@ -91,10 +98,24 @@
 impl Hazards {
     /// Returns what is done with a request whose prompt has parts, at targets of any software.
     pub(super) fn verdict(&self, parts: &[Part]) -> Verdict {
-        let trials = self.held(parts).map(|(_, hazard)| hazard.next_trial());
+        let held = self.held(parts);
+        let trials = held.map(|(_, hazard)| hazard.next_trial(self.arrivals));
         trials.max().map_or(Verdict::Free, Verdict::HeldUntil)
     }
 
+    /// Counts a request that arrived.
+    pub(super) fn record_arrival(&mut self, parts: &[Part]) {
+        self.arrivals += 1;
+        if self.parts.is_empty() {
+            return;
+        }
+        for part in parts {
+            if let Some(hazard) = self.parts.get_mut(&part.id) {
+                hazard.record_arrival();
+            }
+        }
+    }
+
     /// Reports whether a target of a software may get a request whose prompt has parts: none of them is
     /// held back, or the crashes were of other software, and that one answers them.
     pub(super) fn admits(&self, parts: &[Part], software: u64) -> bool {
@@ -149,15 +170,18 @@
             let excess = self.crashes.len().saturating_sub(MAX_CRASHES);
             self.crashes.drain(..excess);
         }
+        if from.is_some() {
+            self.report_passes(now, part);
+        }
+        // A part that many requests share is in flight at every crash.
         if let Some(passed) = self.passes.last(part, software)
-            && passed + PASS_COUNTS >= at
+            && passed + RETENTION >= at
         {
-            if from.is_some() {
-                self.announce(None, passed, part, Evidence::Pass { software });
-            }
             return None;
         }
-        let hazard = self.parts.entry(part).or_default();
+        let arrivals = self.arrivals;
+        let new = || Hazard::new(arrivals);
+        let hazard = self.parts.entry(part).or_insert_with(new);
         let was_held = hazard.is_held();
         let is_new = hazard.add(crash, &self.crashes);
         let (is_held, crashes) = (hazard.is_held(), hazard.count());
@@ -184,7 +208,7 @@
         self.passes.record(at, part, software);
         let hazard = self.parts.get_mut(&part)?;
         let was_held = hazard.is_held();
-        if !hazard.clear(software, at + PASS_COUNTS) {
+        if !hazard.clear(software, at + RETENTION) {
             return None;
         }
         let is_held = hazard.is_held();
@@ -198,25 +222,25 @@
     /// Announces that this router is about to try a request whose prompt has parts. The trial may begin
     /// if [`Hazards::has_trial`] still holds when other routers could have announced one, too.
     pub(super) fn announce_trial(&mut self, now: Time, router: u64, parts: &[Part]) {
-        let held: Vec<u64> = self.held(parts).map(|(part, _)| part).collect();
-        for part in held {
-            self.record_trial(now, None, part, router);
+        let held = self.held(parts);
+        let held = held.map(|(part, hazard)| (part, hazard.trials() + 1));
+        for (part, number) in held.collect::<Vec<_>>() {
+            let trial = Trial {
+                at: now,
+                router,
+                number,
+            };
+            self.record_trial(None, part, trial);
         }
     }
 
     /// Records that a router announced a trial.
-    pub(super) fn record_trial(
-        &mut self,
-        at: Time,
-        from: Option<&id::Router>,
-        part: u64,
-        router: u64,
-    ) {
+    pub(super) fn record_trial(&mut self, from: Option<&id::Router>, part: u64, trial: Trial) {
         let Some(hazard) = self.parts.get_mut(&part) else {
             return;
         };
-        if hazard.announce(Trial { at, router }) {
-            self.announce(from, at, part, Evidence::Trial { router });
+        if hazard.announce(trial) {
+            self.announce(from, trial.at, part, trial.evidence());
         }
     }
 
@@ -226,6 +250,19 @@
         held.all(|(_, hazard)| hazard.trial().is_some_and(|trial| trial.router == router))
     }
 
+    /// Tells the routers that find crashes under a part which targets have answered it.
+    fn report_passes(&mut self, now: Time, part: u64) {
+        let passes = self.passes.all(part).to_vec();
+        let reported = self.passes_reported.get(&part);
+        if passes.is_empty() || reported.is_some_and(|at| now.since(*at) < PASS_REPORT_INTERVAL) {
+            return;
+        }
+        self.passes_reported.insert(part, now);
+        for (software, at) in passes {
+            self.announce(None, at, part, Evidence::Pass { software });
+        }
+    }
+
     fn announce(&mut self, from: Option<&id::Router>, at: Time, part: u64, evidence: Evidence) {
         let finding = Finding {
             part,
@@ -268,13 +305,13 @@
         let mut findings: Vec<(bool, Time, Finding)> = Vec::new();
         for (part, hazard) in &self.parts {
             let is_held = hazard.is_held();
-            if let Some(Trial { at, router }) = hazard.trial() {
+            if let Some(trial) = hazard.trial() {
                 let finding = Finding {
                     part: *part,
-                    age: now.since(at),
-                    evidence: Evidence::Trial { router },
+                    age: now.since(trial.at),
+                    evidence: trial.evidence(),
                 };
-                findings.push((is_held, at, finding));
+                findings.push((is_held, trial.at, finding));
             }
             for crash in hazard.crashes() {
                 let age = now.since(crash.at);
@@ -311,6 +348,8 @@
         }
         self.next_expiry = now + EXPIRY_INTERVAL;
         self.passes.expire(now);
+        self.passes_reported
+            .retain(|_, at| now.since(*at) < PASS_REPORT_INTERVAL);
         self.crashes
             .retain(|crash| now.since(crash.at) < CRASH_RETENTION);
         let expired = self.parts.extract_if(|_, hazard| hazard.is_expired(now));
--- a/src/dispatch/hazards/passes.rs
+++ b/src/dispatch/hazards/passes.rs
@@ -4,28 +4,29 @@
 use std::collections::{HashMap, VecDeque};
 
 /// Time for which passes are remembered.
-const RETENTION: Span = Span::from_secs(60);
+pub(super) const RETENTION: Span = Span::from_secs(60);
 /// Maximum number of passes that are remembered: two a request, of a minute of the largest fleet's
 /// busiest router. The oldest are forgotten first.
 const MAX_PASSES: usize = 1 << 16;
 
-/// Last time at which a target of a software answered a request with a part, by both.
+/// Last times at which targets answered requests with each part.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Passes {
-    last: HashMap<(u64, u64), Time>,
-    /// Oldest first; pairs that passed again have several entries.
-    recorded: VecDeque<(Time, (u64, u64))>,
+    /// Software of the targets and time, by part.
+    last: HashMap<u64, Vec<(u64, Time)>>,
+    /// Parts by the time of a pass, oldest first; those that passed again have several entries.
+    recorded: VecDeque<(Time, u64)>,
 }
 
 impl Passes {
     /// Records that a target of a software answered a request with a part.
     pub(super) fn record(&mut self, at: Time, part: u64, software: u64) {
-        let pair = (part, software);
-        if self.last.get(&pair).is_some_and(|last| *last >= at) {
-            return;
+        let known = self.last.entry(part).or_default();
+        match known.iter_mut().find(|(other, _)| *other == software) {
+            Some((_, last)) => *last = at.max(*last),
+            None => known.push((software, at)),
         }
-        self.last.insert(pair, at);
-        self.recorded.push_back((at, pair));
+        self.recorded.push_back((at, part));
         if self.recorded.len() > MAX_PASSES {
             self.forget_oldest();
         }
@@ -33,7 +34,14 @@
 
     /// Returns the last time at which a target of a software answered a request with a part.
     pub(super) fn last(&self, part: u64, software: u64) -> Option<Time> {
-        self.last.get(&(part, software)).copied()
+        let mut known = self.all(part).iter();
+        let known = known.find(|(other, _)| *other == software);
+        known.map(|(_, last)| *last)
+    }
+
+    /// Returns the last time at which targets of each software answered a request with a part.
+    pub(super) fn all(&self, part: u64) -> &[(u64, Time)] {
+        self.last.get(&part).map_or(&[], Vec::as_slice)
     }
 
     /// Forgets what is too long ago.
@@ -46,11 +54,14 @@
     }
 
     fn forget_oldest(&mut self) {
-        let Some((at, pair)) = self.recorded.pop_front() else {
+        let Some((at, part)) = self.recorded.pop_front() else {
             return;
         };
-        if self.last.get(&pair).is_some_and(|last| *last <= at) {
-            self.last.remove(&pair);
+        if let Some(known) = self.last.get_mut(&part) {
+            known.retain(|(_, last)| *last > at);
+            if known.is_empty() {
+                self.last.remove(&part);
+            }
         }
     }
 }
--- /dev/null
+++ b/src/dispatch/hazards/trial.rs
@@ -0,0 +1,23 @@
+//! Trial of a part that is held back.
+
+use crate::{gossip::Evidence, unit::Time};
+
+/// Announced trial of a part that is held back.
+#[derive(Clone, Copy, Debug)]
+pub(in crate::dispatch) struct Trial {
+    pub(in crate::dispatch) at: Time,
+    /// Hash of the name of the router that announced it.
+    pub(in crate::dispatch) router: u64,
+    /// Number of the trial, from 1 on.
+    pub(in crate::dispatch) number: u32,
+}
+
+impl Trial {
+    /// Returns what other routers are told of it.
+    pub(super) fn evidence(&self) -> Evidence {
+        Evidence::Trial {
+            router: self.router,
+            number: self.number,
+        }
+    }
+}
--- a/src/gossip/codec.rs
+++ b/src/gossip/codec.rs
@@ -133,9 +133,10 @@
             to.set_kind(FindingKind::Pass);
             to.set_software(software);
         }
-        Evidence::Trial { router } => {
+        Evidence::Trial { router, number } => {
             to.set_kind(FindingKind::Trial);
             to.set_subject(router);
+            to.set_number(number);
         }
     }
 }
@@ -159,6 +160,7 @@
             FindingKind::Pass => Evidence::Pass { software },
             FindingKind::Trial => Evidence::Trial {
                 router: from.get_subject(),
+                number: from.get_number(),
             },
         },
     })
--- a/src/gossip/evidence.rs
+++ b/src/gossip/evidence.rs
@@ -25,5 +25,7 @@
     Trial {
         /// Hash of the name of the router.
         router: u64,
+        /// Number of the trial, from 1 on.
+        number: u32,
     },
 }
--- a/src/wire/marlrun_capnp.rs
+++ b/src/wire/marlrun_capnp.rs
@@ -10791,6 +10791,10 @@
         pub fn get_lasted_millis(self) -> u32 {
             self.reader.get_data_field::<u32>(8)
         }
+        #[inline]
+        pub fn get_number(self) -> u32 {
+            self.reader.get_data_field::<u32>(9)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
@@ -10893,6 +10897,14 @@
         pub fn set_lasted_millis(&mut self, value: u32)  {
             self.builder.set_data_field::<u32>(8, value);
         }
+        #[inline]
+        pub fn get_number(self) -> u32 {
+            self.builder.get_data_field::<u32>(9)
+        }
+        #[inline]
+        pub fn set_number(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(9, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -10904,7 +10916,7 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 111] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 126] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(147, 114, 237, 226, 59, 6, 235, 255),
             ::capnp::word(14, 0, 0, 0, 1, 0, 5, 0),
@@ -10914,7 +10926,7 @@
             ::capnp::word(21, 0, 0, 0, 210, 0, 0, 0),
             ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(29, 0, 0, 0, 87, 1, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 143, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(109, 97, 114, 108, 114, 117, 110, 46),
@@ -10922,49 +10934,56 @@
             ::capnp::word(114, 116, 70, 105, 110, 100, 105, 110),
             ::capnp::word(103, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(28, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(153, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(181, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(176, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(188, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(157, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(185, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(164, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(180, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(192, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(161, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(189, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(156, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(168, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(184, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(196, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(165, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(193, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(164, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(176, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(192, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(204, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(173, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(201, 0, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(172, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(184, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(200, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(212, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(181, 0, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(209, 0, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(180, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(192, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(208, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(220, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(6, 0, 0, 0, 9, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(217, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(212, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(224, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(112, 97, 114, 116, 0, 0, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -11016,6 +11035,14 @@
             ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(110, 117, 109, 98, 101, 114, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -11025,6 +11052,7 @@
                 3 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 4 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 5 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                6 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -11038,9 +11066,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[4,1,5,0,3,2];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[4,1,5,6,0,3,2];
         pub(crate) const TYPE_ID: u64 = 0xffeb_063b_e2ed_7293;
     }
 }
