A single lost answer is no crash; crashes keep their duration

From 17 s to 21 s, four in ten answers of engines were reset, and a router without another request at that engine took each for a crash. Repeated reports moved the time of sending later each second, so that crashes that overlapped counted as ones that followed each other.

- The end of a single connection counts as a crash only if the target refuses a connection, restarts or leaves the list within 6 s; a later end or any response shows that it was alive.
- Reports carry how long a request had been at the target, and the shortest of them is kept.

crashes::lost_answers_hold_nothing_back (a third of the answers lost, 7 and 80 routers) failed before with dozens of parts held back.

--- a/src/dispatch/dispatcher/hazard.rs
+++ b/src/dispatch/dispatcher/hazard.rs
@@ -24,10 +24,14 @@
 const PASS_AFTER: Span = Span::from_millis(2_000);
 /// Time after which the beginning of an answer is forgotten if its target has been silent since.
 const MAX_SILENCE: Span = Span::from_secs(10);
-/// Time without a response after which a target counts as crashed: if several connections ended or one was
-/// refused, and if just one ended.
+/// Time without a response after which a target counts as crashed, if several connections ended in the same
+/// moment or one was refused since.
 const CONFIRM_AFTER: Span = Span::from_millis(60);
-const CONFIRM_SINGLE_AFTER: Span = Span::from_millis(150);
+/// Maximum time between the ends of connections of one crash.
+const SAME_MOMENT: Span = Span::from_millis(50);
+/// Time for which the end of a single connection is remembered. If the target crashed, it refuses a
+/// connection or is removed from the list by then.
+const MAX_SINGLE_DOUBT: Span = Span::from_secs(6);
 /// Time after which requests that are still running at the target show that it has not crashed.
 const MAX_DOUBT: Span = Span::from_millis(1_000);
 /// Time for which a trial waits for other routers to announce one, too. Reports pass up to three routers
@@ -118,6 +122,10 @@
             }
         }
         let key = target.key;
+        // A target that ends another connection later was alive until then.
+        target
+            .breakage
+            .take_if(|breakage| now.since(breakage.at) >= SAME_MOMENT);
         let breakage = target.breakage.get_or_insert_with(|| Breakage::new(now));
         breakage.broken += 1;
         if !attempt.response_started {
@@ -161,17 +169,17 @@
         };
         let is_clear = breakage.refused || breakage.broken > 1;
         let age = now.since(breakage.at);
-        if !is_clear && age < CONFIRM_SINGLE_AFTER {
+        if !is_clear && age < MAX_SINGLE_DOUBT {
             return;
         }
         let mut attempts = self.attempts.values();
         let is_running = attempts.any(|a| a.estimate.target == *name && a.sent < breakage.at);
-        if is_running && age < MAX_DOUBT {
+        if is_clear && is_running && age < MAX_DOUBT {
             return;
         }
         let breakage = target.breakage.take();
         let (key, software) = (target.key, target.software());
-        if let (Some(breakage), false) = (breakage, is_running) {
+        if let (Some(breakage), true, false) = (breakage, is_clear, is_running) {
             self.confirm_crash(now, name, (key, software), breakage, out);
         }
     }
--- a/src/dispatch/hazards/crash.rs
+++ b/src/dispatch/hazards/crash.rs
@@ -13,12 +13,17 @@
     pub(super) target: u64,
     /// Hash of the target's service and build.
     pub(super) software: u64,
-    /// Time at which the request was sent to the target.
-    pub(super) sent: Time,
+    /// Time for which the request had been at the target.
+    pub(super) lasted: Span,
     pub(super) at: Time,
 }
 
 impl Crash {
+    /// Returns the time at which the request was sent to the target.
+    pub(super) fn sent(&self) -> Time {
+        Time(self.at.0.saturating_sub(self.lasted.0))
+    }
+
     /// Reports whether both are reports of one crash.
     pub(super) fn is_same(&self, other: &Self) -> bool {
         let apart = self.at.since(other.at).max(other.at.since(self.at));
--- a/src/dispatch/hazards/hazard.rs
+++ b/src/dispatch/hazards/hazard.rs
@@ -73,7 +73,8 @@
         match known {
             Some(known) => {
                 known.at = known.at.min(crash.at);
-                known.sent = known.sent.max(crash.sent);
+                // Unlike the time of sending, the same in all reports of one observation.
+                known.lasted = known.lasted.min(crash.lasted);
             }
             None => self.crashes.push(crash),
         }
@@ -106,7 +107,7 @@
         self.count = 0;
         let mut previous: Option<Time> = None;
         for crash in &self.crashes {
-            if previous.is_none_or(|at| crash.sent + REPORT_LATENESS >= at) {
+            if previous.is_none_or(|at| crash.sent() + REPORT_LATENESS >= at) {
                 self.count += 1;
                 previous = Some(crash.at);
             }
--- a/src/dispatch/hazards/mod.rs
+++ b/src/dispatch/hazards/mod.rs
@@ -162,7 +162,7 @@
         let crash = Crash {
             target,
             software,
-            sent: before(at, lasted),
+            lasted,
             at,
         };
         if !self.crashes.iter().any(|known| known.is_same(&crash)) {
@@ -321,7 +321,7 @@
                 let evidence = Evidence::Crash {
                     target: crash.target,
                     software: crash.software,
-                    lasted: crash.at.since(crash.sent),
+                    lasted: crash.lasted,
                 };
                 let finding = Finding {
                     part: *part,
--- a/tests/crashes.rs
+++ b/tests/crashes.rs
@@ -56,6 +56,8 @@
     leave_every: u64,
     /// Mean time between two crashes without a cause; 0 for none.
     plain_gap_ms: u64,
+    /// Mean time between two lost answers, whose targets live on; 0 for none.
+    lost_gap_ms: u64,
     /// Mean time between two kills of a router; 0 for none.
     kill_gap_ms: u64,
 }
@@ -169,6 +171,9 @@
                 let target = self.below(TARGETS as u64) as usize;
                 self.crash(target);
             }
+            if self.happens(self.trouble.lost_gap_ms) {
+                self.lose_answer();
+            }
             if self.happens(self.trouble.kill_gap_ms) {
                 let index = self.below(self.routers.len() as u64) as usize;
                 self.start(index);
@@ -361,6 +366,29 @@
         }
     }
 
+    /// Ends the connection of one request.
+    fn lose_answer(&mut self) {
+        let running = self.jobs.iter().filter(|(_, job)| job.target.is_some());
+        let mut running: Vec<u64> = running.map(|(number, _)| *number).collect();
+        running.sort_unstable();
+        if running.is_empty() {
+            return;
+        }
+        let index = self.below(running.len() as u64) as usize;
+        let number = running[index];
+        let job = self.jobs.get_mut(&number).unwrap();
+        job.target = None;
+        let (router, outcome, can_retry) = (job.router, Outcome::Broken, true);
+        self.step(
+            router,
+            Event::Ended {
+                number,
+                outcome,
+                can_retry,
+            },
+        );
+    }
+
     /// Crashes a target: all its requests break in the same moment.
     fn crash(&mut self, target: usize) {
         if self.now_ms < self.down[target] {
@@ -491,6 +519,7 @@
     early: false,
     leave_every: 0,
     plain_gap_ms: 0,
+    lost_gap_ms: 0,
     kill_gap_ms: 0,
 };
 
@@ -564,6 +593,19 @@
     }
 }
 
+/// A third of the answers are lost.
+#[test]
+fn lost_answers_hold_nothing_back() {
+    for routers in [7, 80] {
+        let simulation = play(Trouble {
+            routers,
+            lost_gap_ms: 12,
+            ..NONE
+        });
+        assert!(simulation.held.is_empty(), "{:?}", simulation.held);
+    }
+}
+
 proptest! {
     #![proptest_config(ProptestConfig {
         failure_persistence: None,
@@ -580,9 +622,10 @@
         early in any::<bool>(),
         leave_every in prop_oneof![Just(0_u64), 2_u64..5],
         plain_gap_ms in prop_oneof![Just(0_u64), 2_000_u64..6_000],
+        lost_gap_ms in prop_oneof![3 => Just(0_u64), 1 => 20_u64..200],
         kill_gap_ms in prop_oneof![Just(0_u64), 2_000_u64..6_000],
     ) {
-        let trouble = Trouble { routers, seed, parts, gap_ms, attempts, early, leave_every, plain_gap_ms, kill_gap_ms };
+        let trouble = Trouble { routers, seed, parts, gap_ms, attempts, early, leave_every, plain_gap_ms, lost_gap_ms, kill_gap_ms };
         play(trouble).check();
     }
 }
