Crashes from before a router's start keep their age

A router's clock begins at its start, so that a crash of 23 s before was recorded as one at its start, and told to the others as a new one. Findings are now kept on a clock that is four hours ahead, longer than anything is remembered.

The routers of the simulation have clocks of their own now.

--- a/src/dispatch/dispatcher/hazard.rs
+++ b/src/dispatch/dispatcher/hazard.rs
@@ -7,7 +7,7 @@
         attempt::Attempt,
         beginning::Beginning,
         breakage::Breakage,
-        hazards::{Change, Observation, Trial, Verdict},
+        hazards::{Change, Observation, Verdict},
     },
     gossip::{self, Evidence},
     id,
@@ -240,7 +240,7 @@
         let mut changes = Vec::new();
         for (parts, software) in passed {
             for part in parts {
-                changes.extend(self.hazards.record_pass(now, None, part, software));
+                changes.extend(self.hazards.record_pass(now, None, part, software, Span(0)));
             }
         }
         self.apply_changes(now, changes, out);
@@ -257,7 +257,7 @@
         let mut changes = Vec::new();
         for finding in &summary.findings {
             let part = finding.part;
-            let at = Time(now.0.saturating_sub(finding.age.0));
+            let age = finding.age;
             match finding.evidence {
                 Evidence::Crash {
                     target,
@@ -268,17 +268,21 @@
                         target,
                         software,
                         lasted,
-                        age: finding.age,
+                        age,
                     };
                     changes.extend(self.hazards.record_crash(now, from, part, observation));
-                    changes.extend(self.record_unseen(now, at, target, software));
+                    if age < MAX_SILENCE {
+                        let at = Time(now.0.saturating_sub(age.0));
+                        changes.extend(self.record_unseen(now, at, target, software));
+                    }
                 }
                 Evidence::Pass { software } => {
-                    changes.extend(self.hazards.record_pass(at, from, part, software));
+                    let hazards = &mut self.hazards;
+                    changes.extend(hazards.record_pass(now, from, part, software, age));
                 }
                 Evidence::Trial { router, number } => {
-                    let trial = Trial { at, router, number };
-                    self.hazards.record_trial(from, part, trial);
+                    let named = (router, number);
+                    self.hazards.record_trial(now, from, part, named, age);
                 }
             }
         }
--- a/src/dispatch/hazards/mod.rs
+++ b/src/dispatch/hazards/mod.rs
@@ -8,12 +8,11 @@
 mod passes;
 mod trial;
 
-pub(super) use self::trial::Trial;
-
 use self::{
     crash::Crash,
     hazard::Hazard,
     passes::{Passes, RETENTION},
+    trial::Trial,
 };
 use super::Part;
 use crate::{
@@ -23,6 +22,9 @@
 };
 use std::collections::{HashMap, VecDeque};
 
+/// Time that is added to the router's clock, which begins at its start: what other routers found may be
+/// older. Longer than anything is remembered.
+const CLOCK_OFFSET: Span = Span::from_secs(4 * 3_600);
 /// Minimum time between two reports of the passes of a part in response to crashes that another router
 /// found.
 const PASS_REPORT_INTERVAL: Span = Span::from_millis(500);
@@ -100,7 +102,9 @@
     pub(super) fn verdict(&self, parts: &[Part]) -> Verdict {
         let held = self.held(parts);
         let trials = held.map(|(_, hazard)| hazard.next_trial(self.arrivals));
-        trials.max().map_or(Verdict::Free, Verdict::HeldUntil)
+        trials.max().map_or(Verdict::Free, |until| {
+            Verdict::HeldUntil(before(until, CLOCK_OFFSET))
+        })
     }
 
     /// Counts a request that arrived.
@@ -152,6 +156,7 @@
         part: u64,
         observed: Observation,
     ) -> Option<Change> {
+        let now = now + CLOCK_OFFSET;
         let Observation {
             target,
             software,
@@ -200,11 +205,13 @@
     /// saw it.
     pub(super) fn record_pass(
         &mut self,
-        at: Time,
+        now: Time,
         from: Option<&id::Router>,
         part: u64,
         software: u64,
+        age: Span,
     ) -> Option<Change> {
+        let at = before(now + CLOCK_OFFSET, age);
         self.passes.record(at, part, software);
         let hazard = self.parts.get_mut(&part)?;
         let was_held = hazard.is_held();
@@ -225,17 +232,24 @@
         let held = self.held(parts);
         let held = held.map(|(part, hazard)| (part, hazard.trials() + 1));
         for (part, number) in held.collect::<Vec<_>>() {
-            let trial = Trial {
-                at: now,
-                router,
-                number,
-            };
-            self.record_trial(None, part, trial);
+            self.record_trial(now, None, part, (router, number), Span(0));
         }
     }
 
-    /// Records that a router announced a trial.
-    pub(super) fn record_trial(&mut self, from: Option<&id::Router>, part: u64, trial: Trial) {
+    /// Records that a router, named by its hash, announced a trial with a number.
+    pub(super) fn record_trial(
+        &mut self,
+        now: Time,
+        from: Option<&id::Router>,
+        part: u64,
+        (router, number): (u64, u32),
+        age: Span,
+    ) {
+        let trial = Trial {
+            at: before(now + CLOCK_OFFSET, age),
+            router,
+            number,
+        };
         let Some(hazard) = self.parts.get_mut(&part) else {
             return;
         };
@@ -282,6 +296,7 @@
 
     /// Takes the findings to be announced in a round, at most `limit` that were not announced before.
     pub(super) fn take_announcements(&mut self, now: Time, limit: usize) -> Vec<Announcement> {
+        let now = now + CLOCK_OFFSET;
         let count = self.to_announce.len().min(limit);
         let new: Vec<_> = self.to_announce.drain(..count).collect();
         let mut all = std::mem::replace(&mut self.to_repeat, new.clone());
@@ -343,6 +358,7 @@
     /// Forgets what is too long ago, and what is too much; returns the parts that are no longer held
     /// back.
     pub(super) fn expire(&mut self, now: Time) -> Vec<Change> {
+        let now = now + CLOCK_OFFSET;
         if now < self.next_expiry {
             return Vec::new();
         }
--- a/src/dispatch/hazards/trial.rs
+++ b/src/dispatch/hazards/trial.rs
@@ -4,12 +4,12 @@
 
 /// Announced trial of a part that is held back.
 #[derive(Clone, Copy, Debug)]
-pub(in crate::dispatch) struct Trial {
-    pub(in crate::dispatch) at: Time,
+pub(super) struct Trial {
+    pub(super) at: Time,
     /// Hash of the name of the router that announced it.
-    pub(in crate::dispatch) router: u64,
+    pub(super) router: u64,
     /// Number of the trial, from 1 on.
-    pub(in crate::dispatch) number: u32,
+    pub(super) number: u32,
 }
 
 impl Trial {
--- a/tests/crashes.rs
+++ b/tests/crashes.rs
@@ -86,6 +86,8 @@
     trouble: Trouble,
     routers: Vec<Option<Dispatcher>>,
     runs: Vec<u64>,
+    /// Time at which each router's clock began.
+    clocks_ms: Vec<u64>,
     next_summary: Vec<u64>,
     batches: Vec<(usize, Batch)>,
     starts: Vec<u64>,
@@ -111,6 +113,7 @@
         let mut simulation = Self {
             routers: (0..count).map(|_| None).collect(),
             runs: vec![0; count],
+            clocks_ms: vec![0; count],
             next_summary: (0..count as u64).map(|index| 1 + index % 20).collect(),
             batches: Vec::new(),
             starts: vec![1; TARGETS],
@@ -133,6 +136,7 @@
 
     fn start(&mut self, index: usize) {
         self.runs[index] += 1;
+        self.clocks_ms[index] = self.now_ms;
         let incarnation = id::Incarnation(self.runs[index]);
         let settings = Settings::new(fleet::name(index), incarnation, fleet::domain(index));
         self.routers[index] = Some(Dispatcher::open(settings));
@@ -142,6 +146,11 @@
         self.step(index, fleet::event(&roster));
     }
 
+    /// Returns the time by a router's clock, which begins at its start.
+    fn time(&self, router: usize) -> Time {
+        Time((self.now_ms - self.clocks_ms[router]) * 1_000)
+    }
+
     fn list_targets(&mut self, router: usize) {
         let targets = (0..TARGETS).map(|index| target(index, self.starts[index]));
         let targets = targets.map(|target| (target.name.clone(), target));
@@ -199,7 +208,7 @@
         }
         ids.push((1 << 32) + number);
         let parts = ids.iter().map(|&id| Part { id, tokens: 100 });
-        let now = Time(self.now_ms * 1_000);
+        let now = self.time(router);
         let is_resumable = self.below(2) == 0;
         let request = Request {
             number,
@@ -238,7 +247,7 @@
 
     fn step(&mut self, router: usize, event: Event) {
         let mut out = Vec::new();
-        let now = Time(self.now_ms * 1_000);
+        let now = self.time(router);
         if let Some(dispatcher) = &mut self.routers[router] {
             dispatcher.step(now, event, &mut out);
         }
@@ -418,7 +427,6 @@
     }
 
     fn exchange(&mut self) {
-        let now = Time(self.now_ms * 1_000);
         for (from, batch) in std::mem::take(&mut self.batches) {
             for to in fleet::recipients(from, self.routers.len(), &batch.recipients) {
                 for summary in &batch.summaries {
@@ -431,6 +439,7 @@
         }
         for index in 0..self.routers.len() {
             if self.now_ms >= self.next_summary[index] {
+                let now = self.time(index);
                 let router = self.routers[index].as_mut();
                 let batches = router.map(|router| router.summarize(now, false));
                 let batches = batches.unwrap_or_default();
@@ -593,6 +602,24 @@
     }
 }
 
+/// Crashes that are older than a router that learns of them stay as old.
+#[test]
+fn crashes_before_the_start_of_routers_hold_nothing_back() {
+    for seed in 0..4 {
+        let simulation = play(Trouble {
+            seed,
+            plain_gap_ms: 4_000,
+            kill_gap_ms: 700,
+            ..NONE
+        });
+        assert!(
+            simulation.held.is_empty(),
+            "seed {seed}: {:?}",
+            simulation.held
+        );
+    }
+}
+
 /// A third of the answers are lost.
 #[test]
 fn lost_answers_hold_nothing_back() {
