--- a/tests/crashes.rs
+++ b/tests/crashes.rs
@@ -548,7 +548,7 @@
     assert!(simulation.held.contains(&FATAL));
 }
 
-/// One request each four seconds, a different router each time, and never a second attempt.
+/// One request in three seconds on average, at any router, and never a second attempt.
 #[test]
 fn fatal_part_is_held_back_if_requests_are_rare() {
     let simulation = play(Trouble {
