Log what each workspace asked for, was granted and lost, by second and reason

Each router keeps a ledger of its generations and writes it each second, with what shares were computed from.

Requests at the limit are now refused after route and key are known, so that their workspace is. ledger_asked_is_sent_lost_or_waiting checks that nothing is missing in the sums.

--- a/src/dispatch/allocation.rs
+++ b/src/dispatch/allocation.rs
@@ -5,6 +5,8 @@
 pub struct Allocation {
     /// Tokens of its fair share; `None` while all demand is met.
     pub share: Option<u64>,
+    /// Tokens that it requested, at all routers.
+    pub requested: u64,
     /// Tokens that it was granted, at all routers.
     pub granted: u64,
 }
--- a/src/dispatch/dispatcher/mod.rs
+++ b/src/dispatch/dispatcher/mod.rs
@@ -15,11 +15,13 @@
     beginning::Beginning,
     builds::Builds,
     hazards::Hazards,
+    ledger::{Entry, Ledger, Loss},
     notices::Notices,
     origins::Origins,
     peer::Peer,
     queue::{Pending, Queue},
     share::Share,
+    standing::Standing,
     target::Target,
     tokens::Tokens,
     topology::Topology,
@@ -86,6 +88,7 @@
     /// Time at which saved retries expire next.
     retries_expire: Time,
     share: Share,
+    ledger: Ledger,
     typical: Typical,
     accounts: HashMap<u64, Account>,
     /// Workspace and cost of the last generation that arrived.
@@ -120,6 +123,7 @@
         Self {
             share: Share::new(settings.share_window),
             settings,
+            ledger: Ledger::default(),
             typical: Typical::default(),
             routing: Arc::default(),
             targets: BTreeMap::new(),
@@ -175,6 +179,29 @@
         self.share.capacity().estimated()
     }
 
+    /// Returns what each workspace asked for, was granted and lost at this router since the last call,
+    /// with its part in the fleet.
+    pub fn take_ledger(&mut self) -> Vec<(id::Workspace, Entry, Allocation)> {
+        let entries = self.ledger.take().into_iter();
+        let entries = entries.map(|(workspace, entry)| {
+            let allocation = self.share.allocation(hash(workspace.as_str()));
+            (workspace, entry, allocation)
+        });
+        entries.collect()
+    }
+
+    /// Returns what shares are computed from.
+    pub fn standing(&self, now: Time) -> Standing {
+        Standing {
+            capacity: self.capacity(),
+            share: self.share.fair_share(),
+            least_granted: self.share.least_granted(),
+            pressure: pressure(self.targets.values(), &self.typical, now),
+            view_age: self.view_age(now),
+            routers: self.router_count(),
+        }
+    }
+
     /// Returns the router from which this one gets the loads of all others; `None` if it adds them
     /// up itself.
     pub fn followed(&self) -> Option<&id::Router> {
@@ -215,6 +242,7 @@
                 neighbors,
             } => self.set_roster(now, candidates, leaders, neighbors),
             Event::Shed { count } => self.record_shed(now, count),
+            Event::Busy { workspace, tokens } => self.ledger.record_busy(&workspace, tokens),
             Event::Tick => self.tick(now, out),
         }
     }
@@ -222,6 +250,7 @@
     fn arrive(&mut self, now: Time, request: Request, out: &mut Vec<Action>) {
         self.budget(&request.service).deposit();
         self.record_arrival(&request);
+        self.ledger.record_asked(&request);
         let excess = self.record_demand(now, &request);
         let expires = self.queue_deadline(now, &request);
         let pending = Pending {
@@ -345,6 +374,9 @@
             return;
         }
         attempt.response_started = true;
+        if !attempt.may_have_run {
+            self.ledger.record_begun(&attempt.request);
+        }
         let service = attempt.request.service.clone();
         if let Some(target) = self.targets.get_mut(&attempt.estimate.target) {
             target.finish_prefill(attempt);
@@ -507,11 +539,15 @@
         self.trying
             .retain(|trying| trying.pending.request.number != number);
         for queue in self.queues.values_mut() {
-            if queue.remove(number).is_some() {
+            if let Some(pending) = queue.remove(number) {
+                self.ledger.record_lost(&pending.request, Loss::Left);
                 return;
             }
         }
-        if self.attempts.contains_key(&number) {
+        if let Some(attempt) = self.attempts.get(&number) {
+            if !attempt.response_started && !attempt.may_have_run {
+                self.ledger.record_lost(&attempt.request, Loss::Left);
+            }
             self.end_attempt(now, number, Outcome::Cancelled, false, out);
         }
     }
@@ -552,13 +588,15 @@
     }
 
     fn refuse(
-        &self,
+        &mut self,
         now: Time,
         pending: &Pending,
         reason: Reason,
         retry_after: Span,
         out: &mut Vec<Action>,
     ) {
+        let request = &pending.request;
+        self.ledger.record_lost(request, Loss::Refused(reason));
         let workspace = pending.request.workspace.as_ref();
         out.push(Action::Refuse {
             number: pending.request.number,
--- a/src/dispatch/dispatcher/selection.rs
+++ b/src/dispatch/dispatcher/selection.rs
@@ -152,6 +152,7 @@
             self.typical.record(&request, &estimate);
             self.announce(target_key, prompt);
             if let Some(workspace) = request.workspace.as_ref().filter(|_| tried.is_empty()) {
+                self.ledger.record_sent(&request);
                 let key = hash(workspace.as_str());
                 let tokens = Tokens {
                     requested: 0,
--- a/src/dispatch/event.rs
+++ b/src/dispatch/event.rs
@@ -75,6 +75,13 @@
         /// Number of requests.
         count: u64,
     },
+    /// A generation was refused because the router had reached its limit of requests.
+    Busy {
+        /// Workspace of the caller.
+        workspace: id::Workspace,
+        /// Tokens charged for the generation.
+        tokens: u64,
+    },
     /// The known routers changed.
     Roster {
         /// Routers that this one may follow, in order of preference; none if it leads.
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -23,6 +23,7 @@
 mod event;
 mod hazards;
 mod health;
+mod ledger;
 mod notices;
 mod origins;
 mod outcome;
@@ -36,6 +37,7 @@
 mod settings;
 mod share;
 mod speed;
+mod standing;
 mod target;
 mod tokens;
 mod topology;
@@ -49,11 +51,13 @@
     dispatcher::Dispatcher,
     estimate::Estimate,
     event::Event,
+    ledger::{Amount, Entry, Loss},
     outcome::Outcome,
     policy::Policy,
     prompt::{Part, Prompt},
     refusal::{Reason, Refusal},
     request::{Request, Resumption, silence_timeout},
     settings::Settings,
+    standing::Standing,
     view::View,
 };
--- a/src/dispatch/refusal.rs
+++ b/src/dispatch/refusal.rs
@@ -5,7 +5,7 @@
 use std::fmt;
 
 /// Reason why a request is not sent to a target, or not retried.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Reason {
     /// The workspace has used its share of the fleet's capacity, and no target has spare capacity.
     Share,
--- a/src/dispatch/share.rs
+++ b/src/dispatch/share.rs
@@ -65,6 +65,16 @@
         &self.capacity
     }
 
+    /// Returns the fair share of a workspace in a window; `None` while all demand is met.
+    pub(super) fn fair_share(&self) -> Option<u64> {
+        self.fair_share
+    }
+
+    /// Returns the fewest tokens granted to a workspace that was refused some.
+    pub(super) fn least_granted(&self) -> Option<u64> {
+        self.least_granted
+    }
+
     /// Adds tokens that a workspace requested and was granted, at any router.
     pub(super) fn add(&mut self, workspace: u64, requested: u64, granted: u64) {
         let at = (self.bucket % BUCKETS as u64) as usize;
@@ -132,6 +142,7 @@
         let window = self.workspaces.get(&workspace);
         Allocation {
             share: self.fair_share,
+            requested: window.map_or(0, Window::requested),
             granted: window.map_or(0, Window::granted),
         }
     }
--- a/src/gateway/controller.rs
+++ b/src/gateway/controller.rs
@@ -47,6 +47,8 @@
 /// takes two seconds to notice, and sends the same callers back as soon as the router is ready
 /// again.
 const OVERLOAD_HOLD: Span = Span::from_secs(10);
+/// Interval of log lines on what workspaces asked for, were granted and lost.
+const LEDGER_INTERVAL: Span = Span::from_secs(1);
 /// Time allowed for a long-polling call beyond its requested wait.
 const LONG_POLL_MARGIN: Span = Span::from_millis(600);
 /// Batching delay for the list of routers; longer because many routers start at the same time.
@@ -145,6 +147,7 @@
         let mut tick_timer = interval(TICK_INTERVAL);
         let mut summary_timer = interval(SUMMARY_INTERVAL);
         let mut sweep_timer = interval(SWEEP_INTERVAL);
+        let mut ledger_timer = interval(LEDGER_INTERVAL);
         let (received, mut summaries) = mpsc::unbounded_channel();
         let listener = tokio::spawn(receive_summaries(
             self.socket.clone(),
@@ -163,6 +166,7 @@
                     summary_timer.reset_after(Duration::from(summary_interval(self.datagrams, self.roster.is_large())));
                 }
                 _ = sweep_timer.tick() => self.sweep(),
+                _ = ledger_timer.tick() => self.log_ledger(),
                 _ = stop.recv() => break,
             }
         }
@@ -392,13 +396,15 @@
     fn sweep(&mut self) {
         self.pool.sweep();
         let connections = std::mem::take(&mut self.refused_connections);
+        let requests = self.state.take_refused_requests();
         let in_progress = self.state.in_progress();
         self.update_readiness(connections);
         self.log_changes();
-        if connections > 0 {
+        if connections > 0 || requests > 0 {
             let limit = self.state.limit();
             Record::ConnectionsRefused {
                 connections,
+                requests,
                 in_progress,
                 limit,
             }
@@ -406,6 +412,31 @@
         }
     }
 
+    /// Logs what each workspace asked for, was granted and lost at this router, and the shares.
+    fn log_ledger(&self) {
+        let (entries, standing) = self.driver.take_ledger();
+        if entries.is_empty() {
+            return;
+        }
+        Record::Shares(&standing).write(&self.log);
+        for (workspace, entry, allocation) in &entries {
+            Record::Usage {
+                workspace,
+                entry,
+                allocation,
+            }
+            .write(&self.log);
+            for (loss, amount) in &entry.lost {
+                Record::Loss {
+                    workspace,
+                    loss: *loss,
+                    amount: *amount,
+                }
+                .write(&self.log);
+            }
+        }
+    }
+
     /// Logs changes of what the dispatcher decides by itself.
     fn log_changes(&mut self) {
         let estimated = self.driver.estimated_capacity();
--- a/src/gateway/driver.rs
+++ b/src/gateway/driver.rs
@@ -7,7 +7,7 @@
 };
 use crate::{
     catalog, clock,
-    dispatch::{Action, Batch, Dispatcher, Event, Request, View},
+    dispatch::{Action, Allocation, Batch, Dispatcher, Entry, Event, Request, Standing, View},
     id, metric,
     unit::Version,
 };
@@ -203,6 +203,14 @@
         self.lock().dispatcher.estimated_capacity()
     }
 
+    /// Returns what each workspace asked for, was granted and lost at this router since the last call,
+    /// with its part in the fleet, and what shares are computed from.
+    pub fn take_ledger(&self) -> (Vec<(id::Workspace, Entry, Allocation)>, Standing) {
+        let mut inner = self.lock();
+        let standing = inner.dispatcher.standing(clock::now());
+        (inner.dispatcher.take_ledger(), standing)
+    }
+
     /// Returns the router from which this one gets the loads of all others.
     pub fn followed(&self) -> Option<id::Router> {
         self.lock().dispatcher.followed().cloned()
--- a/src/gateway/handler.rs
+++ b/src/gateway/handler.rs
@@ -9,7 +9,7 @@
 };
 use crate::{
     clock,
-    dispatch::Request as DispatchRequest,
+    dispatch::{Event, Request as DispatchRequest},
     front::{Body, Limits, Problem, Responder},
     id, metric,
     placement::hash,
@@ -75,15 +75,15 @@
             let detail = "no configuration is in force yet";
             return Err(Problem::not_run(detail, State::UNREADY_RETRY_AFTER));
         }
-        let Some(permit) = self.context.state.admit() else {
-            metrics::counter!(metric::BUSY).increment(1);
-            return Err(overloaded());
-        };
+        let permit = self.context.state.admit();
         let (parts, body) = request.into_parts();
         let head = self.context.protocol.parse_request(&parts.headers);
         let head = head.map_err(|cause| Problem::invalid(StatusCode::BAD_REQUEST, cause))?;
         let route = find_route(&table, &parts.uri, &parts.headers)?;
         let workspace = authenticate(&table, &route, &head)?;
+        let Some(permit) = permit else {
+            return Err(self.refuse_busy(workspace, &head));
+        };
         let service = self.pick_service(&route, workspace.as_ref(), &head);
         let service = service.ok_or_else(|| {
             let detail = format!("the route {:?} has no service", route.name);
@@ -113,6 +113,17 @@
         Ok(exchange.run(decisions).await)
     }
 
+    /// Counts a request that arrived while the limit of requests was reached, and returns its refusal.
+    fn refuse_busy(&self, workspace: Option<id::Workspace>, head: &Head) -> Problem {
+        metrics::counter!(metric::BUSY).increment(1);
+        self.context.state.count_refused_request();
+        if let (Some(workspace), Some(prompt)) = (workspace, &head.prompt) {
+            let tokens = prompt.cost();
+            self.driver.step(Event::Busy { workspace, tokens });
+        }
+        overloaded()
+    }
+
     /// Returns the service of a request: for a resumed stream the one that began it, as far as the route
     /// still leads there.
     fn pick_service(
--- a/src/gateway/record.rs
+++ b/src/gateway/record.rs
@@ -2,7 +2,7 @@
 
 use super::restoration::Restoration;
 use crate::{
-    dispatch::{Estimate, Outcome, Part, Refusal},
+    dispatch::{Allocation, Amount, Entry, Estimate, Loss, Outcome, Part, Refusal, Standing},
     id,
     unit::{Span, Version},
 };
@@ -138,9 +138,26 @@
     ListRestored(&'a Restoration),
     /// The CPU is overloaded for the first time; from now on concurrent requests are limited.
     CpuOverload { lateness: Span, limit: u32 },
-    /// Connections were refused before their request was read, since the last such record.
+    /// What shares were computed from, when the ledger was taken.
+    Shares(&'a Standing),
+    /// What a workspace asked for and was granted at this router since the last such record.
+    Usage {
+        workspace: &'a id::Workspace,
+        entry: &'a Entry,
+        /// Its part in the fleet.
+        allocation: &'a Allocation,
+    },
+    /// What a workspace lost at this router for one reason since the last such record.
+    Loss {
+        workspace: &'a id::Workspace,
+        loss: Loss,
+        amount: Amount,
+    },
+    /// Connections were refused before their request was read, or requests after, because the limit of
+    /// requests was reached, since the last such record.
     ConnectionsRefused {
         connections: u64,
+        requests: u64,
         in_progress: u32,
         limit: u32,
     },
@@ -305,10 +322,31 @@
             }
             Record::ConnectionsRefused {
                 connections,
+                requests,
                 in_progress,
                 limit,
             } => slog::warn!(log, "connections refused unread"; "connections" => connections,
-                "carried" => in_progress, "limit" => limit),
+                "requests" => requests,                 "carried" => in_progress, "limit" => limit),
+            Record::Shares(standing) => slog::info!(log, "shares";
+                "capacity_tokens_per_s" => standing.capacity, "share_tokens" => standing.share,
+                "least_granted_tokens" => standing.least_granted, "pressure" => standing.pressure,
+                "view_age_ms" => millis(standing.view_age), "routers" => standing.routers),
+            Record::Usage {
+                workspace,
+                entry,
+                allocation,
+            } => slog::info!(log, "workspace usage"; "workspace" => workspace.as_str(),
+                "asked" => entry.asked.requests, "asked_tokens" => entry.asked.tokens,
+                "sent" => entry.sent.requests, "sent_tokens" => entry.sent.tokens,
+                "begun" => entry.begun.requests, "begun_tokens" => entry.begun.tokens,
+                "share_tokens" => allocation.share, "requested_tokens" => allocation.requested,
+                "granted_tokens" => allocation.granted),
+            Record::Loss {
+                workspace,
+                loss,
+                amount,
+            } => slog::info!(log, "workspace loss"; "workspace" => workspace.as_str(),
+                "reason" => %loss, "requests" => amount.requests, "tokens" => amount.tokens),
             Record::Readiness {
                 overloaded,
                 refused,
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -29,6 +29,8 @@
     overloaded: AtomicBool,
     /// Connections refused before their request was read, since the last report to the dispatcher.
     refused_connections: AtomicU64,
+    /// Requests refused at the limit after they were read, since they were last logged.
+    refused_requests: AtomicU64,
 }
 
 /// Permit of a request in progress, released when dropped.
@@ -105,6 +107,16 @@
         self.refused_connections.swap(0, Ordering::Relaxed)
     }
 
+    /// Counts a request that was refused at the limit after it was read.
+    pub(super) fn count_refused_request(&self) {
+        self.refused_requests.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Returns the number of requests refused at the limit since the last call.
+    pub(super) fn take_refused_requests(&self) -> u64 {
+        self.refused_requests.swap(0, Ordering::Relaxed)
+    }
+
     /// Returns the number of requests in progress.
     pub(super) fn in_progress(&self) -> u32 {
         self.in_progress.load(Ordering::Relaxed)
--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -8,7 +8,8 @@
 use marlrun::{
     catalog,
     dispatch::{
-        Action, Dispatcher, Event, Outcome, Part, Prompt, Reason, Request, Resumption, Settings,
+        Action, Dispatcher, Event, Loss, Outcome, Part, Prompt, Reason, Request, Resumption,
+        Settings,
     },
     gossip, id,
     routing::{Engine, Kind, Limits, Service, Table},
@@ -1034,6 +1035,48 @@
 }
 
 /// Simulates a load on seven routers.
+#[test]
+fn ledger_asked_is_sent_lost_or_waiting() {
+    let mut dispatcher = ready("r1", &[target("a", "llm")]);
+    for number in 1..=400 {
+        let mut incoming = request(number, 0, "llm");
+        let desk = if number % 4 == 0 { "east" } else { "west" };
+        incoming.workspace = Some(desk.parse().unwrap());
+        let actions = step(&mut dispatcher, 0, Event::Arrived(incoming));
+        if number % 5 == 0 {
+            step(&mut dispatcher, 0, Event::ResponseStarted { number });
+        }
+        if number % 7 == 0 && sent_to(&actions).is_none() {
+            step(&mut dispatcher, 0, Event::Closed { number });
+        }
+    }
+    step(&mut dispatcher, 3_000, Event::Tick);
+    let busy = Event::Busy {
+        workspace: "east".parse().unwrap(),
+        tokens: 70,
+    };
+    step(&mut dispatcher, 3_000, busy);
+    let ledger = dispatcher.take_ledger();
+    let asked: Vec<u64> = ledger
+        .iter()
+        .map(|(_, entry, _)| entry.asked.requests)
+        .collect();
+    assert_eq!(asked, [101, 300]);
+    let (mut sent, mut lost, mut begun) = (0, 0, 0);
+    for (workspace, entry, allocation) in &ledger {
+        let losses = entry.lost.values();
+        sent += entry.sent.requests;
+        lost += losses.map(|amount| amount.requests).sum::<u64>();
+        begun += entry.begun.requests;
+        assert!(entry.begun.tokens <= entry.sent.tokens, "{workspace}");
+        assert_eq!(allocation.granted, entry.sent.tokens, "{workspace}");
+    }
+    assert!(begun > 0 && lost > 0, "{ledger:?}");
+    assert_eq!(sent + lost, 401, "{ledger:?}");
+    assert_eq!(ledger[0].1.lost[&Loss::Busy].tokens, 70);
+    assert!(dispatcher.take_ledger().is_empty());
+}
+
 fn simulate(load: Load) -> Simulation {
     simulate_fleet(7, load)
 }
