Pace workspaces beyond their share by a rate, from one capacity for all routers

Cause: routers admitted against one sum of the last 4 s that is a tenth of a second old. Below its limit a workspace got all that it asked for, above it nothing until the sum slid on. The share was computed from the configured rate, although engines serve 1.2 to 1.6 times that, and from estimates that each router integrated by itself, so the rest went to whoever came first up to a bound that followed the others by a window.

Change: demand and grants are exponentially decaying rates. Beyond its share a workspace is admitted by a token bucket at each router, filled at the router's part of the workspace's demand; no router needs to know what others admit at this moment. The capacity follows what is granted and how many engines are crowded, as the leading routers report it on average (Summary.crowdedPermille), without integrating. Capacity beyond the configured rate is shared out only while nobody lags; beside one that lags nobody gets more than the configured share or 1.5 times what that one gets.

--- a/schema/marlrun.capnp
+++ b/schema/marlrun.capnp
@@ -267,4 +267,5 @@
   ageMicros @10 :UInt64; # age of the oldest report that it contains, in microseconds
   origins @11 :List(StreamOrigins);
   findings @12 :List(PartFinding);
+  crowdedPermille @13 :UInt16 = 65535; # thousandths of the engines that are crowded; above 1000: unknown
 }
--- a/src/dispatch/dispatcher/fleet.rs
+++ b/src/dispatch/dispatcher/fleet.rs
@@ -242,6 +242,7 @@
         peer.last_heard = now;
         peer.reported_age = summary.age;
         peer.version = peer.version.max(summary.version);
+        peer.crowded_permille = summary.crowded_permille;
         let changed = peer.router_count != summary.router_count;
         peer.router_count = summary.router_count;
         for load in &summary.loads {
--- a/src/dispatch/dispatcher/hazard.rs
+++ b/src/dispatch/dispatcher/hazard.rs
@@ -1,6 +1,6 @@
 //! Crashes of targets, and what is done with requests whose prompts have a part that crashes them.
 
-use super::{Dispatcher, Pending, Reason};
+use super::{Dispatcher, Grade, Pending, Reason};
 use crate::{
     dispatch::{
         Action, Outcome, Part, Request,
@@ -45,8 +45,8 @@
 #[derive(Clone, Debug)]
 pub(super) struct Trying {
     pub(super) pending: Pending,
-    /// By how much its workspace exceeds its share.
-    excess: Option<f64>,
+    /// Its standing in the share of its workspace.
+    grade: Grade,
     until: Time,
 }
 
@@ -368,7 +368,7 @@
         &mut self,
         now: Time,
         pending: Pending,
-        excess: Option<f64>,
+        grade: Grade,
         until: Time,
         out: &mut Vec<Action>,
     ) {
@@ -387,16 +387,14 @@
         self.trying.push(Trying {
             until: pending.request.deadline.min(now + wait),
             pending,
-            excess,
+            grade,
         });
     }
 
     /// Sends a request whose trial was announced, unless another router has announced one.
     fn try_held(&mut self, now: Time, trying: Trying, out: &mut Vec<Action>) {
         let Trying {
-            mut pending,
-            excess,
-            ..
+            mut pending, grade, ..
         } = trying;
         let parts = parts(&pending.request);
         let router = hash(self.settings.router.as_str());
@@ -412,7 +410,7 @@
         if let Some((reason, retry_after)) = self.unservable(now, &pending) {
             return self.refuse(now, &pending, reason, retry_after, out);
         }
-        let Some(estimate) = self.choose(now, &pending, excess) else {
+        let Some(estimate) = self.choose(now, &pending, grade) else {
             let retry_after = super::OVERLOAD_RETRY_AFTER;
             return self.refuse(now, &pending, Reason::Overload, retry_after, out);
         };
--- a/src/dispatch/dispatcher/mod.rs
+++ b/src/dispatch/dispatcher/mod.rs
@@ -14,6 +14,7 @@
     baseline::Baseline,
     beginning::Beginning,
     builds::Builds,
+    grade::Grade,
     hazards::Hazards,
     ledger::{Entry, Ledger, Loss},
     notices::Notices,
@@ -190,13 +191,20 @@
         entries.collect()
     }
 
+    /// Returns the tokens that a workspace was granted at all routers, as far as these have reported them
+    /// since this router started.
+    pub fn granted(&self, workspace: &id::Workspace) -> u64 {
+        let account = self.accounts.get(&hash(workspace.as_str()));
+        account.map_or(0, |account| account.all.granted)
+    }
+
     /// Returns what shares are computed from.
     pub fn standing(&self, now: Time) -> Standing {
         Standing {
             capacity: self.capacity(),
             share: self.share.fair_share(),
             least_granted: self.share.least_granted(),
-            pressure: pressure(self.targets.values(), &self.typical, now),
+            pressure: self.fleet_pressure(now),
             view_age: self.view_age(now),
             routers: self.router_count(),
         }
@@ -216,6 +224,7 @@
 
     /// Handles an event and appends the resulting actions.
     pub fn step(&mut self, now: Time, event: Event, out: &mut Vec<Action>) {
+        self.share.advance(now);
         self.expire_retries(now);
         match event {
             Event::Arrived(request) => self.arrive(now, request, out),
@@ -251,7 +260,7 @@
         self.budget(&request.service).deposit();
         self.record_arrival(&request);
         self.ledger.record_asked(&request);
-        let excess = self.record_demand(now, &request);
+        let grade = self.record_demand(now, &request);
         let expires = self.queue_deadline(now, &request);
         let pending = Pending {
             request,
@@ -264,24 +273,28 @@
         if pending.request.deadline <= now {
             return self.refuse(now, &pending, Reason::Deadline, Span(0), out);
         }
-        self.bind(now, pending, excess, out);
+        self.bind(now, pending, grade, out);
     }
 
     /// Sends, queues or refuses a request whose build is known, if it needs one.
-    fn place(&mut self, now: Time, pending: Pending, excess: Option<f64>, out: &mut Vec<Action>) {
-        if let Some(until) = self.held_until(&pending) {
-            return self.hold(now, pending, excess, until, out);
+    fn place(&mut self, now: Time, pending: Pending, grade: Grade, out: &mut Vec<Action>) {
+        if grade != Grade::Beyond
+            && let Some(until) = self.held_until(&pending)
+        {
+            return self.hold(now, pending, grade, until, out);
         }
         if let Some((reason, retry_after)) = self.unservable(now, &pending) {
             return self.refuse(now, &pending, reason, retry_after, out);
         }
-        let ahead = excess.is_some() && self.exceeds_lead(&pending.request);
         // Queued requests go first: they are tried again at each event that frees capacity, so a
         // target that has room now is one that they cannot use.
-        if !ahead && let Some(estimate) = self.choose(now, &pending, excess) {
+        if grade != Grade::Beyond
+            && let Some(estimate) = self.choose(now, &pending, grade)
+        {
             return self.send(now, pending, estimate, out);
         }
-        if excess.is_some() {
+        if grade != Grade::Within {
+            self.return_spare(grade, &pending.request);
             let retry_after = self.share_retry_after(&pending.request);
             return self.refuse(now, &pending, Reason::Share, retry_after, out);
         }
@@ -289,20 +302,19 @@
         self.queues.entry(service).or_default().push(pending);
     }
 
-    /// Adds a request to the demand of its workspace; returns by how much the workspace exceeds its
-    /// share.
-    fn record_demand(&mut self, now: Time, request: &Request) -> Option<f64> {
+    /// Adds a request to the demand of its workspace; returns its standing in the workspace's share.
+    fn record_demand(&mut self, now: Time, request: &Request) -> Grade {
         let (Some(workspace), Some(prompt)) = (&request.workspace, &request.prompt) else {
-            return None;
+            return Grade::Within;
         };
         let key = hash(workspace.as_str());
         let cost = prompt.cost();
         self.last_demand = Some((key, cost));
         self.add_demand(now, key, cost);
         if self.settings.policy.uses_peer_reports() {
-            self.share.excess(key, cost)
+            self.share.admit(key, cost)
         } else {
-            None
+            Grade::Within
         }
     }
 
@@ -313,7 +325,7 @@
         };
         let account = self.accounts.entry(workspace).or_default();
         account.add_own(now, tokens);
-        self.share.add(workspace, requested, 0);
+        self.share.add_own(workspace, requested);
     }
 
     /// Attributes requests that were shed before they were parsed to the workspace and cost of the
@@ -325,22 +337,21 @@
         }
     }
 
-    /// Reports whether a request would put its workspace too far ahead of others.
-    fn exceeds_lead(&self, request: &Request) -> bool {
-        let (Some(workspace), Some(prompt)) = (&request.workspace, &request.prompt) else {
-            return false;
-        };
-        self.share
-            .exceeds_lead(hash(workspace.as_str()), prompt.cost())
+    /// Takes back the admission of a request that found no spare capacity.
+    fn return_spare(&mut self, grade: Grade, request: &Request) {
+        if let (Grade::Spare(_), Some(workspace), Some(prompt)) =
+            (grade, &request.workspace, &request.prompt)
+        {
+            let key = hash(workspace.as_str());
+            self.share.return_spare(key, prompt.cost());
+        }
     }
 
     fn share_retry_after(&self, request: &Request) -> Span {
-        let (Some(workspace), Some(prompt)) = (&request.workspace, &request.prompt) else {
+        let Some(workspace) = &request.workspace else {
             return OVERLOAD_RETRY_AFTER;
         };
-        let after = self
-            .share
-            .time_to_fit(hash(workspace.as_str()), prompt.cost());
+        let after = self.share.time_to_credit(hash(workspace.as_str()));
         after.clamp(RETRY_AFTER_RANGE.0, RETRY_AFTER_RANGE.1)
     }
 
@@ -527,7 +538,7 @@
         if !unsent && !self.budget(&service).try_withdraw() {
             return self.refuse(now, &pending, Reason::Budget, OVERLOAD_RETRY_AFTER, out);
         }
-        match self.choose(now, &pending, None) {
+        match self.choose(now, &pending, Grade::Within) {
             Some(estimate) => self.send(now, pending, estimate, out),
             None => self.queues.entry(service).or_default().push(pending),
         }
@@ -560,9 +571,11 @@
             self.beginnings.clear();
         }
         self.last_tick = now;
-        let (targets, typical) = (&self.targets, &self.typical);
-        self.share
-            .tick(now, || pressure(targets.values(), typical, now));
+        if self.share.is_observation_due(now) {
+            let pressure = self.fleet_pressure(now);
+            self.share.observe(now, pressure);
+        }
+        self.share.tick(now);
         self.displace_unshared();
         self.drop_silent_peers(now);
         self.tick_topology(now);
@@ -587,6 +600,36 @@
         self.queues.retain(|_, queue| queue.len() > 0);
     }
 
+    /// Returns the fraction of the engines in use where a typical generation could not be on time, as
+    /// this router estimates it.
+    fn pressure(&self, now: Time) -> f64 {
+        let engines = self.targets.values();
+        let engines = engines.filter(|t| t.engine.is_some() && t.accepts(now));
+        let (mut all, mut crowded) = (0_u32, 0_u32);
+        for target in engines.filter(|target| target.health.is_usable(now)) {
+            all += 1;
+            crowded += u32::from(target.is_crowded(&self.typical));
+        }
+        f64::from(crowded) / f64::from(all.max(1))
+    }
+
+    /// Returns the same as the leading routers estimate it on average: shares must not differ between
+    /// routers.
+    fn fleet_pressure(&self, now: Time) -> f64 {
+        let reported = |peer: &Peer| Some(f64::from(peer.crowded_permille?) / 1e3);
+        if let Some(followed) = self.topology.followed() {
+            let followed = self.peers.get(followed).and_then(reported);
+            return followed.unwrap_or_else(|| self.pressure(now));
+        }
+        let others = self.peers.values();
+        let others = others.filter(|peer| peer.scope == Scope::Group);
+        let others = others.filter_map(reported);
+        let (count, sum) = others.fold((1.0, self.pressure(now)), |(count, sum), pressure| {
+            (count + 1.0, sum + pressure)
+        });
+        sum / count
+    }
+
     fn refuse(
         &mut self,
         now: Time,
@@ -613,17 +656,6 @@
     }
 }
 
-/// Returns the fraction of the engines in use where a typical generation could not be on time.
-fn pressure<'a>(targets: impl Iterator<Item = &'a Target>, typical: &Typical, now: Time) -> f64 {
-    let engines = targets.filter(|t| t.engine.is_some() && t.accepts(now));
-    let (mut all, mut crowded) = (0_u32, 0_u32);
-    for target in engines.filter(|target| target.health.is_usable(now)) {
-        all += 1;
-        crowded += u32::from(target.is_crowded(typical));
-    }
-    f64::from(crowded) / f64::from(all.max(1))
-}
-
 fn health_change(target: &Target) -> Action {
     let (failures, answers) = target.health.counts();
     Action::HealthChanged {
--- a/src/dispatch/dispatcher/resumption.rs
+++ b/src/dispatch/dispatcher/resumption.rs
@@ -1,6 +1,6 @@
 //! Streams that callers resume: at which build they began, as this router and others recorded it.
 
-use super::{Dispatcher, Pending, Reason, Request};
+use super::{Dispatcher, Grade, Pending, Reason, Request};
 use crate::{
     dispatch::{Action, origins::Entry},
     gossip, id,
@@ -18,8 +18,8 @@
 #[derive(Clone, Debug)]
 pub(super) struct Awaiting {
     pub(super) pending: Pending,
-    /// By how much its workspace exceeds its share.
-    excess: Option<f64>,
+    /// Its standing in the share of its workspace.
+    grade: Grade,
     until: Time,
 }
 
@@ -73,14 +73,14 @@
         &mut self,
         now: Time,
         mut pending: Pending,
-        excess: Option<f64>,
+        grade: Grade,
         out: &mut Vec<Action>,
     ) {
         match self.need(&pending.request) {
-            Need::Any => self.place(now, pending, excess, out),
+            Need::Any => self.place(now, pending, grade, out),
             Need::Build(build) => {
                 pending.request.build = Some(build);
-                self.place(now, pending, excess, out);
+                self.place(now, pending, grade, out);
             }
             Need::OtherService => {
                 let retry_after = self.retry_after(now, &pending.request);
@@ -89,7 +89,7 @@
             Need::NotReported => self.awaiting.push(Awaiting {
                 until: pending.request.deadline.min(now + REPORT_TIME),
                 pending,
-                excess,
+                grade,
             }),
             Need::Unknown => {
                 self.refuse(now, &pending, Reason::Origin, UNKNOWN_RETRY_AFTER, out);
@@ -159,7 +159,7 @@
             .partition(|awaiting| self.need(&awaiting.pending.request) == Need::NotReported);
         self.awaiting = waiting;
         for awaiting in reported {
-            self.bind(now, awaiting.pending, awaiting.excess, out);
+            self.bind(now, awaiting.pending, awaiting.grade, out);
         }
     }
 
--- a/src/dispatch/dispatcher/selection.rs
+++ b/src/dispatch/dispatcher/selection.rs
@@ -3,7 +3,9 @@
 use super::{Attempt, Dispatcher, MIN_RETRY_DUE, Outcome, Pending, Queue, Request, Tokens};
 use crate::{
     dispatch::{
-        Action, Estimate, Policy, silence_timeout,
+        Action, Estimate, Policy,
+        grade::Grade,
+        silence_timeout,
         target::{Condition, Target},
     },
     id,
@@ -42,12 +44,7 @@
 
 impl Dispatcher {
     /// Returns the estimate of the best target that accepts a request.
-    pub(super) fn choose(
-        &self,
-        now: Time,
-        pending: &Pending,
-        excess: Option<f64>,
-    ) -> Option<Estimate> {
+    pub(super) fn choose(&self, now: Time, pending: &Pending, grade: Grade) -> Option<Estimate> {
         let request = &pending.request;
         let policy = self.settings.policy;
         let view_age = self.view_age(now);
@@ -81,18 +78,18 @@
             }
         }
         let is_late = now + fastest + RETURN_TIME > request.due;
-        let condition = match (excess, is_late) {
-            (Some(excess), false) => {
+        let condition = match (grade, is_late) {
+            (Grade::Spare(excess), false) => {
                 Condition::OnTimeWithMargin(EXCESS_MARGIN + EXCESS_MARGIN_PER_SHARE * excess)
             }
-            (Some(_), true) => Condition::MaxWait(MAX_EXCESS_WAIT),
-            (None, true) => Condition::MaxWait(MAX_LATE_WAIT),
-            (None, false) => Condition::OnTime,
+            (Grade::Spare(_), true) => Condition::MaxWait(MAX_EXCESS_WAIT),
+            (_, true) => Condition::MaxWait(MAX_LATE_WAIT),
+            (_, false) => Condition::OnTime,
         };
         let meets = |(target, estimate): &(&Target, Estimate)| {
             policy != Policy::Shared || target.meets(estimate, request, condition, now)
         };
-        if excess.is_some() {
+        if matches!(grade, Grade::Spare(_)) {
             // A request beyond a share must not cost others anything: only the cheapest target may
             // take it, and only if no other target has more of the prompt cached.
             let uncached = self.least_uncached(request);
@@ -202,7 +199,7 @@
             let Some(pending) = queue.remove(number) else {
                 continue;
             };
-            match self.choose(now, &pending, None) {
+            match self.choose(now, &pending, Grade::Within) {
                 Some(estimate) => self.send(now, pending, estimate, out),
                 None => self.requeue(service, pending),
             }
@@ -256,7 +253,7 @@
             is_trial: false,
             expires: now,
         };
-        let Some(estimate) = self.choose(now, &pending, None) else {
+        let Some(estimate) = self.choose(now, &pending, Grade::Within) else {
             return false;
         };
         if !self.budget(&pending.request.service).try_withdraw() {
--- a/src/dispatch/dispatcher/summaries.rs
+++ b/src/dispatch/dispatcher/summaries.rs
@@ -51,6 +51,7 @@
     version: Version,
     router_count: u32,
     age: Span,
+    crowded_permille: Option<u16>,
     loads: Vec<gossip::Load>,
     usages: Vec<gossip::Usage>,
     prefills: Vec<gossip::Prefill>,
@@ -250,6 +251,7 @@
                 version: self.routing.version,
                 router_count: 1,
                 age: Span(0),
+                crowded_permille: None,
                 loads: Vec::new(),
                 usages: Vec::new(),
                 prefills: Vec::new(),
@@ -319,6 +321,7 @@
             version: versions.fold(self.routing.version, Version::max),
             router_count: 1 + followers.map(|peer| peer.router_count).sum::<u32>(),
             age: ages.max().unwrap_or_default(),
+            crowded_permille: (scope == Scope::Group).then(|| permille(self.pressure(now))),
             loads: Vec::new(),
             usages: Vec::new(),
             prefills: Vec::new(),
@@ -393,6 +396,7 @@
             version: self.routing.version.max(version.unwrap_or_default()),
             router_count: 1 + others.map(|other| other.router_count).sum::<u32>(),
             age: age.unwrap_or_default(),
+            crowded_permille: Some(permille(self.fleet_pressure(now))),
             loads,
             usages,
             prefills,
@@ -490,6 +494,7 @@
                 scope: content.scope,
                 router_count: content.router_count,
                 age: content.age,
+                crowded_permille: content.crowded_permille,
                 loads: take_front(&mut loads, &mut room),
                 usages: take_front(&mut usages, &mut room),
                 prefills: take_front(&mut prefills, &mut room),
@@ -519,6 +524,10 @@
     }
 }
 
+fn permille(fraction: f64) -> u16 {
+    (fraction * 1e3) as u16
+}
+
 /// Returns the items whose sender is selected; `None` is this router.
 fn select<T: Copy>(
     items: &[(Option<id::Router>, T)],
--- a/src/dispatch/peer.rs
+++ b/src/dispatch/peer.rs
@@ -27,6 +27,8 @@
     pub(super) router_count: u32,
     /// Age of the oldest report in its last summary, when that was sent.
     pub(super) reported_age: Span,
+    /// Thousandths of the engines that are crowded, as it reported.
+    pub(super) crowded_permille: Option<u16>,
     pub(super) loads: HashMap<u64, gossip::Load>,
     usages: HashMap<u64, gossip::Usage>,
     /// Loads last sent to it, if it follows this router.
@@ -46,6 +48,7 @@
             version: summary.version,
             router_count: summary.router_count,
             reported_age: summary.age,
+            crowded_permille: None,
             loads: HashMap::new(),
             usages: HashMap::new(),
             baseline: Baseline::default(),
--- a/src/dispatch/share.rs
+++ b/src/dispatch/share.rs
@@ -1,46 +1,78 @@
-//! Fair shares of the fleet's capacity: max-min fairness over a sliding window.
+//! Fair shares of the fleet's capacity: max-min fairness of the rates that workspaces are granted.
 //!
-//! Limits a workspace that floods the fleet, so that its demand beyond its share does not displace
-//! others.
+//! Limits workspaces that flood the fleet, so that their demand beyond their share doesn't displace
+//! others, and so that none of several floods gets ahead of another.
 
 use super::{
     Allocation,
     capacity::{Capacity, Observation},
+    grade::Grade,
+    meter::{Meter, seconds},
+    pacer::{Pacer, Rates},
 };
 use crate::unit::{Span, Time};
 use std::collections::HashMap;
 
-/// Buckets of the sliding window; tokens leave it in steps of a sixteenth.
-const BUCKETS: usize = 16;
+/// Time over which the demand of a workspace is averaged, and thus the time for which one that was idle
+/// gets more than its share: half of the window that the platform measures.
+const DEMAND_SPAN: Span = Span::from_millis(2_000);
+/// Time over which the part of a workspace's demand that arrives at this router is averaged; short, because
+/// callers move to other routers at once.
+const PART_SPAN: Span = Span::from_millis(150);
+/// Time over which the demand and the grants of all workspaces are averaged for the capacity.
+const CAPACITY_SPAN: Span = Span::from_millis(1_000);
+/// Interval of estimating the capacity.
+const OBSERVE_INTERVAL: Span = Span::from_millis(250);
+/// Most that a workspace may be granted beyond its share of the configured capacity, as a multiple of what
+/// the least-served refused workspace gets. Callers should see a ratio of at most two between
+/// workspaces.
+const MAX_LEAD: f64 = 1.5;
+/// Fraction of the level that the least-served refused workspace gets, up to which none of the capacity above
+/// the configured one is shared out, and from which all of it is.
+const SERVED_RANGE: (f64, f64) = (0.4, 0.6);
+/// Spare capacity that a workspace may take beside others that are refused, as a fraction of its rate.
+const SPARE: f64 = 0.25;
+/// Ratio of a workspace's demand to its grants above which it counts as refused.
+const MIN_UNMET_RATIO: f64 = 1.1;
 
-/// Most recent buckets that the capacity is measured over: a second of a window of four.
-const OBSERVED_BUCKETS: u64 = 4;
-/// Most that a workspace may be granted, in percent of its share or of what the least-served
-/// refused workspace got, whichever is larger. Callers should see a ratio of at most two between
-/// workspaces; the difference of this value from 200 is a margin for uneven demand.
-const MAX_LEAD_PERCENT: u64 = 150;
-/// Percentage by which a workspace's demand must exceed its grants for it to count as refused.
-const MIN_UNMET_PERCENT: u64 = 10;
-
-/// Tokens of one workspace at all routers, by bucket of the window.
+/// Tokens of one workspace.
 #[derive(Clone, Debug, Default)]
-struct Window {
-    requested: [u64; BUCKETS],
-    granted: [u64; BUCKETS],
+struct Workspace {
+    /// Tokens that it requested at this router a moment ago.
+    own: Meter,
+    /// Tokens that it requested at all routers a moment ago.
+    all: Meter,
+    /// Tokens that it requested at all routers.
+    requested: Meter,
+    /// Tokens that it was granted at all routers.
+    granted: Meter,
+    /// It was refused requests at the last tick.
+    is_refused: bool,
+    /// Its pace at this router while its demand is beyond its share.
+    pacer: Option<Pacer>,
 }
 
 /// Fair shares of the fleet's capacity.
 #[derive(Clone, Debug)]
 pub(super) struct Share {
+    /// Window that shares are reported for.
     window: Span,
     capacity: Capacity,
-    workspaces: HashMap<u64, Window>,
-    /// Number of the current bucket, counted from the start of the clock.
-    bucket: u64,
-    /// Fair share of a workspace in a window; `None` while all demand is met.
-    fair_share: Option<u64>,
-    /// Fewest tokens granted to a workspace that was refused some; `None` if there is none.
-    least_granted: Option<u64>,
+    workspaces: HashMap<u64, Workspace>,
+    /// Tokens that all workspaces requested and were granted.
+    requested: Meter,
+    granted: Meter,
+    now: Time,
+    /// Time at which the capacity is estimated next.
+    observe_at: Time,
+    /// Fair rate of a workspace in tokens per second; `None` while all demand is met.
+    level: Option<f64>,
+    /// The same for the configured capacity, if the estimate is above it.
+    floor: Option<f64>,
+    /// Lowest rate granted to a workspace that is refused requests; `None` if there is none.
+    least_granted: Option<f64>,
+    /// Number of workspaces that are refused requests.
+    refused: usize,
 }
 
 impl Share {
@@ -49,9 +81,14 @@
             window,
             capacity: Capacity::default(),
             workspaces: HashMap::new(),
-            bucket: 0,
-            fair_share: None,
+            requested: Meter::default(),
+            granted: Meter::default(),
+            now: Time::default(),
+            observe_at: Time::default(),
+            level: None,
+            floor: None,
             least_granted: None,
+            refused: 0,
         }
     }
 
@@ -67,139 +104,186 @@
 
     /// Returns the fair share of a workspace in a window; `None` while all demand is met.
     pub(super) fn fair_share(&self) -> Option<u64> {
-        self.fair_share
+        self.level.map(|rate| self.in_window(rate))
     }
 
-    /// Returns the fewest tokens granted to a workspace that was refused some.
+    /// Returns the fewest tokens in a window granted to a workspace that is refused some.
     pub(super) fn least_granted(&self) -> Option<u64> {
-        self.least_granted
+        self.least_granted.map(|rate| self.in_window(rate))
+    }
+
+    /// Sets the time of what is added and admitted from now on.
+    pub(super) fn advance(&mut self, now: Time) {
+        self.now = self.now.max(now);
+    }
+
+    /// Adds tokens that a workspace requested at this router.
+    pub(super) fn add_own(&mut self, workspace: u64, requested: u64) {
+        let now = self.now;
+        let own = &mut self.workspaces.entry(workspace).or_default().own;
+        own.add(now, PART_SPAN, requested);
+        self.add(workspace, requested, 0);
     }
 
     /// Adds tokens that a workspace requested and was granted, at any router.
     pub(super) fn add(&mut self, workspace: u64, requested: u64, granted: u64) {
-        let at = (self.bucket % BUCKETS as u64) as usize;
-        let window = self.workspaces.entry(workspace).or_default();
-        window.requested[at] += requested;
-        window.granted[at] += granted;
-    }
-
-    /// Advances the window and recomputes the fair share. `pressure` returns the fraction of the
-    /// engines that are crowded.
-    pub(super) fn tick(&mut self, now: Time, pressure: impl FnOnce() -> f64) {
-        let bucket = now.0 * BUCKETS as u64 / self.window.0.max(1);
-        let elapsed = bucket.saturating_sub(self.bucket);
-        if elapsed > 0 {
-            self.observe_capacity(pressure());
-        }
-        for step in 1..=elapsed.min(BUCKETS as u64) {
-            let at = ((self.bucket + step) % BUCKETS as u64) as usize;
-            for window in self.workspaces.values_mut() {
-                window.requested[at] = 0;
-                window.granted[at] = 0;
-            }
-        }
-        self.bucket = self.bucket.max(bucket);
-        if elapsed > 0 {
-            self.workspaces
-                .retain(|_, window| window.requested.iter().any(|tokens| *tokens > 0));
-        }
-        let capacity = self.capacity.tokens_per_s();
-        let capacity = capacity.map(|rate| rate * self.window.0 / 1_000_000);
-        self.fair_share = capacity.and_then(|capacity| {
-            let requested = self.workspaces.values().map(Window::requested);
-            water_level(requested.collect(), capacity)
-        });
-        let refused = self.workspaces.values().filter(|w| w.is_refused());
-        self.least_granted = refused.map(Window::granted).min();
+        let now = self.now;
+        let known = self.workspaces.entry(workspace).or_default();
+        known.all.add(now, PART_SPAN, requested);
+        known.requested.add(now, DEMAND_SPAN, requested);
+        known.granted.add(now, DEMAND_SPAN, granted);
+        self.requested.add(now, CAPACITY_SPAN, requested);
+        self.granted.add(now, CAPACITY_SPAN, granted);
     }
 
-    /// Updates the capacity with the tokens of the most recent buckets, of which the current one is
-    /// complete.
-    fn observe_capacity(&mut self, pressure: f64) {
-        // At the start, the older buckets have no tokens.
-        if self.bucket < OBSERVED_BUCKETS {
-            return;
-        }
-        let (mut requested, mut granted) = (0, 0);
-        for bucket in self.bucket + 1 - OBSERVED_BUCKETS..=self.bucket {
-            let at = (bucket % BUCKETS as u64) as usize;
-            for window in self.workspaces.values() {
-                requested += window.requested[at];
-                granted += window.granted[at];
-            }
-        }
-        let span = self.window.0 * OBSERVED_BUCKETS / BUCKETS as u64;
-        let per_s = |tokens: u64| tokens * 1_000_000 / span.max(1);
+    /// Reports whether the capacity is to be estimated again.
+    pub(super) fn is_observation_due(&self, now: Time) -> bool {
+        now >= self.observe_at
+    }
+
+    /// Estimates the capacity from the fraction of the engines that are crowded.
+    pub(super) fn observe(&mut self, now: Time, pressure: f64) {
+        self.advance(now);
+        self.observe_at = now + OBSERVE_INTERVAL;
+        let rate = |meter: &Meter| meter.rate(now, CAPACITY_SPAN);
         self.capacity.observe(Observation {
-            requested_per_s: per_s(requested),
-            granted_per_s: per_s(granted),
+            requested_per_s: rate(&self.requested),
+            granted_per_s: rate(&self.granted),
             pressure,
+            shared: self.shared(),
         });
+        self.workspaces
+            .retain(|_, known| known.requested.rate(now, DEMAND_SPAN) >= 1.0);
+    }
+
+    /// Returns the fraction of the capacity above the configured one that is shared out. Of a single
+    /// workspace beyond its share, requests go only where they cost others nothing. One that gets
+    /// little of its share can't use it, and would fall back further.
+    fn shared(&self) -> f64 {
+        let (Some(least), Some(level), 2..) = (self.least_granted, self.level, self.refused) else {
+            return 0.0;
+        };
+        let (none, all) = SERVED_RANGE;
+        ((least / level - none) / (all - none)).clamp(0.0, 1.0)
+    }
+
+    /// Recomputes the fair rates.
+    pub(super) fn tick(&mut self, now: Time) {
+        self.advance(now);
+        let known = self.workspaces.values();
+        let mut demands: Vec<f64> = known.map(|known| known.rates(now).0).collect();
+        demands.sort_unstable_by(f64::total_cmp);
+        let capacity = self.capacity.tokens_per_s();
+        self.level = capacity.and_then(|capacity| water_level(&demands, capacity as f64));
+        let floor = self.capacity.guaranteed();
+        self.floor = floor.and_then(|capacity| water_level(&demands, capacity as f64));
+        let limit = self.floor.or(self.level).unwrap_or(f64::INFINITY);
+        (self.refused, self.least_granted) = (0, None);
+        for known in self.workspaces.values_mut() {
+            let (requested, granted) = known.rates(now);
+            known.is_refused = requested > limit.max(granted * MIN_UNMET_RATIO);
+            if known.is_refused {
+                self.refused += 1;
+                let least = self.least_granted.unwrap_or(granted);
+                self.least_granted = Some(least.min(granted));
+            }
+        }
     }
 
     /// Returns the share and usage of a workspace.
     pub(super) fn allocation(&self, workspace: u64) -> Allocation {
-        let window = self.workspaces.get(&workspace);
+        let known = self.workspaces.get(&workspace);
+        let (requested, granted) = known.map_or((0.0, 0.0), |known| known.rates(self.now));
         Allocation {
-            share: self.fair_share,
-            requested: window.map_or(0, Window::requested),
-            granted: window.map_or(0, Window::granted),
+            share: self.fair_share(),
+            requested: self.in_window(requested),
+            granted: self.in_window(granted),
         }
     }
 
-    /// Returns by how much a workspace would exceed its share with `cost` more tokens, as a
-    /// fraction of the share; `None` if it would not.
-    pub(super) fn excess(&self, workspace: u64, cost: u64) -> Option<f64> {
-        let allocation = self.allocation(workspace);
-        let share = allocation.share?;
-        let excess = (allocation.granted + cost).checked_sub(share)?;
-        Some(excess as f64 / share.max(1) as f64)
+    /// Admits a request that was added to the demand, as far as the shares are concerned.
+    pub(super) fn admit(&mut self, workspace: u64, cost: u64) -> Grade {
+        let (now, refused) = (self.now, self.refused);
+        let Some(level) = self.level else {
+            return Grade::Within;
+        };
+        let bound = self.bound();
+        let target = level.min(bound);
+        let Some(known) = self.workspaces.get_mut(&workspace) else {
+            return Grade::Within;
+        };
+        let (requested, granted) = known.rates(now);
+        if requested <= level {
+            known.pacer = None;
+            return Grade::Within;
+        }
+        let rates = Rates {
+            target,
+            spare: (target * SPARE).min(bound - target),
+            own: known.own.rate(now, PART_SPAN),
+            all: known.all.rate(now, PART_SPAN),
+            granted,
+        };
+        let pacer = known.pacer.get_or_insert_with(|| Pacer::open(now, &rates));
+        pacer.fill(now, PART_SPAN, &rates);
+        if pacer.admit(cost) {
+            return Grade::Within;
+        }
+        let others = refused - usize::from(known.is_refused);
+        if others == 0 || pacer.admit_spare(cost) {
+            return Grade::Spare((granted / level - 1.0).max(0.0));
+        }
+        Grade::Beyond
     }
 
-    /// Reports whether `cost` more tokens would put a workspace too far ahead of one that is
-    /// refused requests. Spare capacity is then left to that one.
-    pub(super) fn exceeds_lead(&self, workspace: u64, cost: u64) -> bool {
-        let allocation = self.allocation(workspace);
-        let (Some(share), Some(least_granted)) = (allocation.share, self.least_granted) else {
-            return false;
-        };
-        (allocation.granted + cost) * 100 > least_granted.max(share) * MAX_LEAD_PERCENT
+    /// Takes back the admission of a request that found no spare capacity.
+    pub(super) fn return_spare(&mut self, workspace: u64, cost: u64) {
+        let known = self.workspaces.get_mut(&workspace);
+        if let Some(pacer) = known.and_then(|known| known.pacer.as_mut()) {
+            pacer.return_spare(cost);
+        }
     }
 
-    /// Returns the time until enough of the workspace's grants have left the window.
-    pub(super) fn time_to_fit(&self, workspace: u64, cost: u64) -> Span {
-        let allocation = self.allocation(workspace);
-        let Some(share) = allocation.share else {
-            return Span(0);
-        };
-        let excess = (allocation.granted + cost).saturating_sub(share);
-        Span((excess.saturating_mul(self.window.0) / share.max(1)).min(self.window.0))
+    /// Returns the most that a workspace beyond its share is to get, in tokens per second.
+    fn bound(&self) -> f64 {
+        let floor = self.floor.or(self.level).unwrap_or(f64::INFINITY);
+        let least = self.least_granted.unwrap_or(f64::INFINITY);
+        floor.max(MAX_LEAD * least)
     }
-}
 
-impl Window {
-    fn requested(&self) -> u64 {
-        self.requested.iter().sum()
+    /// Returns the time until a workspace has credit for a request at this router.
+    pub(super) fn time_to_credit(&self, workspace: u64) -> Span {
+        let known = self.workspaces.get(&workspace);
+        let Some((known, pacer)) = known.and_then(|known| Some((known, known.pacer?))) else {
+            return Span(0);
+        };
+        let own = known.own.rate(self.now, PART_SPAN);
+        let part = (own / known.all.rate(self.now, PART_SPAN).max(1.0)).min(1.0);
+        let target = self.level.unwrap_or(f64::INFINITY).min(self.bound());
+        pacer.time_to_credit(target * part)
     }
 
-    fn is_refused(&self) -> bool {
-        self.requested() * 100 > self.granted() * (100 + MIN_UNMET_PERCENT)
+    fn in_window(&self, rate: f64) -> u64 {
+        (rate * seconds(self.window)) as u64
     }
+}
 
-    fn granted(&self) -> u64 {
-        self.granted.iter().sum()
+impl Workspace {
+    /// Returns the tokens per second that it requests and is granted.
+    fn rates(&self, now: Time) -> (f64, f64) {
+        let rate = |meter: &Meter| meter.rate(now, DEMAND_SPAN);
+        (rate(&self.requested), rate(&self.granted))
     }
 }
 
-/// Returns the max-min fair level: each demand is met up to it. `None` if the capacity meets all
-/// demands.
-fn water_level(mut demands: Vec<u64>, capacity: u64) -> Option<u64> {
-    demands.sort_unstable();
+/// Returns the max-min fair level of sorted demands: each is met up to it. `None` if the capacity meets
+/// all demands.
+fn water_level(demands: &[f64], capacity: f64) -> Option<f64> {
     let mut remaining = capacity;
-    let mut unserved = demands.len() as u64;
+    let mut unserved = demands.len();
     for demand in demands {
-        let equal_share = remaining / unserved;
-        if demand > equal_share {
+        let equal_share = remaining / unserved as f64;
+        if *demand > equal_share {
             return Some(equal_share);
         }
         remaining -= demand;
--- a/src/gossip/codec.rs
+++ b/src/gossip/codec.rs
@@ -19,6 +19,7 @@
 /// overflow.
 const MAX_ROUTERS: u64 = 1 << 16;
 const MAX_AGE_MICROS: u64 = 3_600_000_000;
+const MAX_PERMILLE: u16 = 1_000;
 const MAX_RUNNING: u64 = 1 << 20;
 const MAX_TARGET_TOKENS: u64 = 1 << 40;
 const MAX_USAGE_TOKENS: u64 = 1 << 48;
@@ -74,6 +75,7 @@
     });
     to.set_routers(from.router_count);
     to.set_age_micros(from.age.0);
+    to.set_crowded_permille(from.crowded_permille.unwrap_or(u16::MAX));
     let mut loads = to.reborrow().init_loads(from.loads.len() as u32);
     for (index, load) in from.loads.iter().enumerate() {
         let mut to = loads.reborrow().get(index as u32);
@@ -210,6 +212,8 @@
         },
         router_count: limit("routers", from.get_routers().into(), MAX_ROUTERS)? as u32,
         age: Span(limit("age", from.get_age_micros(), MAX_AGE_MICROS)?),
+        crowded_permille: Some(from.get_crowded_permille())
+            .filter(|permille| *permille <= MAX_PERMILLE),
         loads: from
             .get_loads()?
             .iter()
--- a/src/gossip/summary.rs
+++ b/src/gossip/summary.rs
@@ -27,6 +27,8 @@
     pub router_count: u32,
     /// Age of the oldest report that it contains, at the time of sending.
     pub age: Span,
+    /// Thousandths of the engines that are crowded, as far as the sender knows.
+    pub crowded_permille: Option<u16>,
     /// Loads of targets.
     pub loads: Vec<Load>,
     /// Usage of workspaces.
--- a/src/wire/marlrun_capnp.rs
+++ b/src/wire/marlrun_capnp.rs
@@ -11281,11 +11281,15 @@
         pub fn has_findings(&self) -> bool {
             !self.reader.get_pointer_field(5).is_null()
         }
+        #[inline]
+        pub fn get_crowded_permille(self) -> u16 {
+            self.reader.get_data_field_mask::<u16>(20, 65535)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 5, pointers: 6 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 6, pointers: 6 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -11487,6 +11491,14 @@
         pub fn has_findings(&self) -> bool {
             !self.builder.is_pointer_field_null(5)
         }
+        #[inline]
+        pub fn get_crowded_permille(self) -> u16 {
+            self.builder.get_data_field_mask::<u16>(20, 65535)
+        }
+        #[inline]
+        pub fn set_crowded_permille(&mut self, value: u16)  {
+            self.builder.set_data_field_mask::<u16>(20, value, 65535);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -11498,115 +11510,122 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 236] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 252] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(184, 219, 41, 190, 56, 25, 149, 148),
-            ::capnp::word(14, 0, 0, 0, 1, 0, 5, 0),
+            ::capnp::word(14, 0, 0, 0, 1, 0, 6, 0),
             ::capnp::word(38, 126, 1, 23, 67, 249, 194, 213),
             ::capnp::word(6, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 178, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 223, 2, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 23, 3, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(109, 97, 114, 108, 114, 117, 110, 46),
             ::capnp::word(99, 97, 112, 110, 112, 58, 83, 117),
             ::capnp::word(109, 109, 97, 114, 121, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(52, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(56, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(93, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(121, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(88, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(100, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(116, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(128, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(97, 1, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(125, 1, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(96, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(108, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(124, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(136, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(105, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(133, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(104, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(116, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(132, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(144, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(113, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(141, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(108, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(120, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(136, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(148, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 192, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(117, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(145, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(112, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(124, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(140, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(152, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(121, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(149, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(116, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(144, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(144, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(172, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(141, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(169, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(136, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(164, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(164, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(192, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(161, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(189, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(156, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(184, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(184, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(212, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 13, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(181, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(209, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(176, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(188, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(204, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(216, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(185, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(213, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(180, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(192, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(208, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(220, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(10, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(189, 1, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(217, 1, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(188, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(200, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(216, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(228, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(11, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(197, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(225, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(192, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(220, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(220, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(248, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(12, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 12, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(217, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(245, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(216, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(244, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(244, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(13, 0, 0, 0, 20, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 13, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(13, 2, 0, 0, 130, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(24, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(114, 111, 117, 116, 101, 114, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -11735,6 +11754,15 @@
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(99, 114, 111, 119, 100, 101, 100, 80),
+            ::capnp::word(101, 114, 109, 105, 108, 108, 101, 0),
+            ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(7, 0, 255, 255, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -11751,6 +11779,7 @@
                 10 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 11 => <::capnp::struct_list::Owned<crate::wire::marlrun_capnp::stream_origins::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 12 => <::capnp::struct_list::Owned<crate::wire::marlrun_capnp::part_finding::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                13 => <u16 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -11764,9 +11793,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12,13];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[10,12,1,4,5,11,7,0,9,8,2,6,3];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[10,13,12,1,4,5,11,7,0,9,8,2,6,3];
         pub(crate) const TYPE_ID: u64 = 0x9495_1938_be29_dbb8;
     }
 }
--- a/tests/summary.rs
+++ b/tests/summary.rs
@@ -69,6 +69,7 @@
             scope,
             router_count: router_count as u32,
             age: Span(age),
+            crowded_permille: None,
             loads,
             usages,
             prefills,
