Book requests refused at a router's limit with the workspaces that sent them

Requests that were read now count for their workspace, unread ones at the mean cost, for all workspaces in proportion to what they send to this router.

busy_requests_missing_in_demand and shed_requests_booked_to_the_last_workspace fail without it.

--- a/src/dispatch/dispatcher/mod.rs
+++ b/src/dispatch/dispatcher/mod.rs
@@ -59,6 +59,8 @@
 /// neither as attempts nor as retries.
 const MAX_UNSENT_PER_REQUEST: usize = 3;
 
+/// Weight of a generation in the moving average of their cost.
+const MEAN_COST_WEIGHT: f64 = 0.02;
 /// Time between two ticks from which this router counts as paused, far above the lateness of its
 /// timer under load.
 const LATE_TICK: Span = Span::from_millis(300);
@@ -92,8 +94,8 @@
     ledger: Ledger,
     typical: Typical,
     accounts: HashMap<u64, Account>,
-    /// Workspace and cost of the last generation that arrived.
-    last_demand: Option<(u64, u64)>,
+    /// Moving average of the cost of the generations that arrived.
+    mean_cost: f64,
     topology: Topology,
     peers: BTreeMap<id::Router, Peer>,
     /// Loads last sent to the leading routers, or to the followed one.
@@ -141,7 +143,7 @@
             budgets: BTreeMap::new(),
             retries_expire: Time::default(),
             accounts: HashMap::new(),
-            last_demand: None,
+            mean_cost: 0.0,
             topology: Topology::open(),
             peers: BTreeMap::new(),
             baseline: Baseline::default(),
@@ -251,7 +253,10 @@
                 neighbors,
             } => self.set_roster(now, candidates, leaders, neighbors),
             Event::Shed { count } => self.record_shed(now, count),
-            Event::Busy { workspace, tokens } => self.ledger.record_busy(&workspace, tokens),
+            Event::Busy { workspace, tokens } => {
+                self.ledger.record_busy(&workspace, tokens);
+                self.add_demand(now, hash(workspace.as_str()), tokens);
+            }
             Event::Tick => self.tick(now, out),
         }
     }
@@ -309,7 +314,12 @@
         };
         let key = hash(workspace.as_str());
         let cost = prompt.cost();
-        self.last_demand = Some((key, cost));
+        let weight = if self.mean_cost > 0.0 {
+            MEAN_COST_WEIGHT
+        } else {
+            1.0
+        };
+        self.mean_cost += weight * (cost as f64 - self.mean_cost);
         self.add_demand(now, key, cost);
         if self.settings.policy.uses_peer_reports() {
             self.share.admit(key, cost)
@@ -328,12 +338,12 @@
         self.share.add_own(workspace, requested);
     }
 
-    /// Attributes requests that were shed before they were parsed to the workspace and cost of the
-    /// last generation that was. Their workspace is unknown, but the one that sends most is shed
-    /// most.
+    /// Attributes requests that were shed before they were parsed to the workspaces that send requests
+    /// here, in proportion to these: the one that sends most is shed most.
     fn record_shed(&mut self, now: Time, count: u64) {
-        if let Some((workspace, cost)) = self.last_demand {
-            self.add_demand(now, workspace, cost * count);
+        let tokens = count * self.mean_cost as u64;
+        for (workspace, tokens) in self.share.own_parts(tokens) {
+            self.add_demand(now, workspace, tokens);
         }
     }
 
--- a/src/dispatch/share.rs
+++ b/src/dispatch/share.rs
@@ -136,6 +136,19 @@
         self.granted.add(now, CAPACITY_SPAN, granted);
     }
 
+    /// Divides tokens of requests at this router among the workspaces, in proportion to what they request
+    /// here.
+    pub(super) fn own_parts(&self, tokens: u64) -> Vec<(u64, u64)> {
+        let now = self.now;
+        let own = self.workspaces.iter();
+        let own = own.map(|(key, known)| (*key, known.own.rate(now, PART_SPAN)));
+        let own: Vec<(u64, f64)> = own.filter(|(_, rate)| *rate > 0.0).collect();
+        let total: f64 = own.iter().map(|(_, rate)| rate).sum();
+        let parts = own.into_iter();
+        let parts = parts.map(|(key, rate)| (key, (tokens as f64 * rate / total) as u64));
+        parts.filter(|(_, tokens)| *tokens > 0).collect()
+    }
+
     /// Reports whether the capacity is to be estimated again.
     pub(super) fn is_observation_due(&self, now: Time) -> bool {
         now >= self.observe_at
--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -393,6 +393,64 @@
     assert!(taken <= 302_000, "{taken} tokens");
 }
 
+/// Returns the tokens that a router reports as requested by workspaces in `names`, all but each tenth of whose
+/// requests it refuses by `refuse`.
+fn reported(names: &[&str], refuse: impl Fn(&mut Dispatcher, u64, &Request)) -> Vec<u64> {
+    let mut busy = ready("r9", &[target("a", "llm")]);
+    for number in 0..600 {
+        let millis = 1_000 + number;
+        let mut incoming = request(number, millis, "llm");
+        let name = names[number as usize % names.len()];
+        incoming.workspace = Some(name.parse().unwrap());
+        if number / 10 % 10 == 0 {
+            step(&mut busy, millis, Event::Arrived(incoming));
+            step(&mut busy, millis, Event::Closed { number });
+        } else {
+            refuse(&mut busy, millis, &incoming);
+        }
+        step(&mut busy, millis, Event::Tick);
+    }
+    let mut reported = BTreeMap::new();
+    for batch in busy.summarize(at(2_000), false) {
+        let usages = batch.summaries.iter().flat_map(|summary| &summary.usages);
+        reported.extend(usages.map(|usage| (usage.workspace, usage.requested)));
+    }
+    names
+        .iter()
+        .collect::<BTreeSet<_>>()
+        .into_iter()
+        .map(|name| reported.get(&key(name)).copied().unwrap_or_default())
+        .collect()
+}
+
+#[test]
+fn busy_requests_missing_in_demand() {
+    let cost = request(1, 0, "llm").prompt.unwrap().cost();
+    let reported = reported(&["west-desk"], |busy, millis, refused| {
+        let workspace = refused.workspace.clone().unwrap();
+        let tokens = cost;
+        step(busy, millis, Event::Busy { workspace, tokens });
+    });
+    assert_eq!(reported, [600 * cost]);
+}
+
+#[test]
+fn shed_requests_booked_to_the_last_workspace() {
+    let cost = request(1, 0, "llm").prompt.unwrap().cost();
+    // Three in four requests are of west-desk, but not the last one of each ten that is read.
+    let names = ["west-desk", "west-desk", "west-desk", "east-desk"];
+    let reported = reported(&names, |busy, millis, _| {
+        step(busy, millis, Event::Shed { count: 1 });
+    });
+    let (east, west) = (reported[0], reported[1]);
+    let all = 600 * cost;
+    assert!(
+        (east + west).abs_diff(all) <= all / 20,
+        "{reported:?} of {all}"
+    );
+    assert!(east.abs_diff(all / 4) <= all / 10, "{reported:?} of {all}");
+}
+
 #[test]
 fn arrive_flood_takes_all_that_nobody_else_asks_for() {
     let cost = request(1, 0, "llm").prompt.unwrap().cost();
