Refuse connections without registering them with the runtime

Callers of a workspace that sit behind a small router got few answers, as refusing the others took most of its processor: each refused connection was registered with the runtime, configured for small writes, deregistered, and its refusal encoded anew.

Connections that wait behind a refused one are now accepted from a plain handle of the listener, at most 128 before the requests in progress have their turn; only those that are served are registered. The refusal is encoded once.

--- a/src/front/refused.rs
+++ b/src/front/refused.rs
@@ -5,6 +5,7 @@
     clock, metric,
     unit::{Span, Time},
 };
+use bytes::Bytes;
 use std::{
     collections::VecDeque,
     io::{self, Write},
@@ -25,15 +26,18 @@
 #[derive(Default)]
 pub(super) struct Refused {
     connections: VecDeque<(Time, TcpStream)>,
+    /// Last problem that was sent, and its encoding.
+    encoded: Option<(Problem, Bytes)>,
 }
 
 impl Refused {
     /// Sends a refusal on a connection without reading the request.
-    pub(super) fn refuse(&mut self, stream: tokio::net::TcpStream, problem: &Problem) {
-        let written = stream
-            .into_std()
-            .and_then(|stream| write_refusal(stream, problem));
-        let result = match written {
+    pub(super) fn refuse(&mut self, stream: TcpStream, problem: &Problem) {
+        let known = self.encoded.take().filter(|(known, _)| known == problem);
+        let (_, message) = self
+            .encoded
+            .insert(known.unwrap_or_else(|| (problem.clone(), problem.message())));
+        let result = match write_refusal(stream, message) {
             Ok(stream) => {
                 if self.connections.len() >= MAX_OPEN {
                     self.connections.pop_front();
@@ -68,8 +72,8 @@
 }
 
 /// Writes the refusal, which fits in the send buffer of a new connection, and shuts down that side.
-fn write_refusal(mut stream: TcpStream, problem: &Problem) -> io::Result<TcpStream> {
-    stream.write_all(&problem.message())?;
+fn write_refusal(mut stream: TcpStream, message: &[u8]) -> io::Result<TcpStream> {
+    stream.write_all(message)?;
     stream.shutdown(Shutdown::Write)?;
     Ok(stream)
 }
--- a/src/front/server.rs
+++ b/src/front/server.rs
@@ -9,12 +9,18 @@
     clock,
     unit::{Span, Time},
 };
-use futures::FutureExt;
 use http::{Version, header};
 use http_body_util::BodyExt;
 use hyper::{server::conn::http1, service::service_fn};
 use hyper_util::rt::TokioIo;
-use std::{convert::Infallible, io, net::SocketAddr, pin::pin, sync::Arc, time::Duration};
+use std::{
+    convert::Infallible,
+    io,
+    net::{self, SocketAddr},
+    pin::pin,
+    sync::Arc,
+    time::Duration,
+};
 use tokio::{
     net::{TcpListener, TcpSocket, TcpStream},
     runtime::Handle,
@@ -51,12 +57,14 @@
         let handler = settings.handler;
         let notice = handler.limits().drain_notice;
         let connections = Arc::new(Semaphore::new(handler.limits().connections));
-        let listener = {
+        let (listener, waiting) = {
             let _entered = runtime.enter();
-            listen(settings.address)?
+            let listener = listen(settings.address)?.into_std()?;
+            let waiting = listener.try_clone()?;
+            (TcpListener::from_std(listener)?, waiting)
         };
         let address = listener.local_addr()?;
-        let task = runtime.spawn(accept(listener, handler, connections, stopped));
+        let task = runtime.spawn(accept(listener, waiting, handler, connections, stopped));
         Ok(Self {
             address,
             stop,
@@ -94,8 +102,11 @@
     socket.listen(BACKLOG)
 }
 
+/// Accepts connections until the server closes. `waiting` is another handle of the listener, from which
+/// connections are accepted without registering them with the runtime.
 async fn accept(
     listener: TcpListener,
+    waiting: net::TcpListener,
     handler: Arc<dyn Responder>,
     connections: Arc<Semaphore>,
     stopped: watch::Receiver<Option<Time>>,
@@ -106,17 +117,20 @@
     let tracker = TaskTracker::new();
     let limit = connections.available_permits();
     let mut refused = Refused::default();
-    let serve = |stream: TcpStream, refused: &mut Refused| {
-        // If this fails, small writes may be delayed, but the connection works.
-        let _ = stream.set_nodelay(true);
+    let serve = |stream: net::TcpStream, refused: &mut Refused| -> io::Result<bool> {
         let permit = connections.clone().try_acquire_owned();
         if let Some(problem) = handler.refusal(permit.is_err()) {
-            return refused.refuse(stream, &problem);
+            refused.refuse(stream, &problem);
+            return Ok(true);
         }
         // A connection without a permit was refused above.
         let Ok(permit) = permit else {
-            return;
+            return Ok(true);
         };
+        stream.set_nonblocking(true)?;
+        // If this fails, small writes may be delayed, but the connection works.
+        let _ = stream.set_nodelay(true);
+        let stream = TcpStream::from_std(stream)?;
         let headroom = Headroom {
             connections: connections.clone(),
             min_free: limit / MIN_FREE_DIVISOR,
@@ -126,6 +140,7 @@
             connection.await;
             drop(permit);
         });
+        Ok(false)
     };
     let mut stop = stopped.clone();
     let mut close_timer = pin!(async {
@@ -143,22 +158,40 @@
             }
             () = &mut close_timer => break,
         };
-        match accepted {
-            Ok((stream, _)) => serve(stream, &mut refused),
+        let served = accepted.and_then(|(stream, _)| serve(stream.into_std()?, &mut refused));
+        match served {
+            Ok(false) => {}
+            Ok(true) => {
+                // Refused connections come in numbers, and each registration takes system calls.
+                for _ in 1..REFUSE_BATCH {
+                    let Ok((stream, _)) = waiting.accept() else {
+                        break;
+                    };
+                    if !matches!(serve(stream, &mut refused), Ok(true)) {
+                        break;
+                    }
+                }
+                tokio::task::yield_now().await;
+            }
             Err(_) => tokio::time::sleep(ACCEPT_RETRY).await,
         }
     }
     // Connections still in the backlog would be reset when the listener closes. The runtime may not
     // have looked at the listener since they arrived.
     tokio::task::yield_now().await;
-    while let Some(Ok((stream, _))) = listener.accept().now_or_never() {
-        serve(stream, &mut refused);
+    while let Ok((stream, _)) = waiting.accept() {
+        if serve(stream, &mut refused).is_err() {
+            break;
+        }
     }
-    drop(listener);
+    drop((listener, waiting));
     tracker.close();
     tracker.wait().await;
 }
 
+/// Maximum number of connections that are refused before the requests in progress have their turn.
+const REFUSE_BATCH: usize = 128;
+
 /// Free part of the connection limit; keep-alive is disabled while it is low.
 #[derive(Clone)]
 struct Headroom {
