--- a/src/dispatch/share.rs
+++ b/src/dispatch/share.rs
@@ -67,7 +67,7 @@
     observe_at: Time,
     /// Fair rate of a workspace in tokens per second; `None` while all demand is met.
     level: Option<f64>,
-    /// The same for the configured capacity, if the estimate is above it.
+    /// The same for the configured capacity, or the estimate if that is lower.
     floor: Option<f64>,
     /// Lowest rate granted to a workspace that is refused requests; `None` if there is none.
     least_granted: Option<f64>,
