Stand-ins refuse connections from the answer that asks for it

The stand-in answered the call that sets the faults before it closed its listener, so that a next connection could be accepted, and then closed unread (aborted), reset from the listener's queue, or answered. The test allowed for the reset only.

The call is now answered once the listener is closed, and the test expects the first connection to be refused.

--- a/src/standin/platform.rs
+++ b/src/standin/platform.rs
@@ -3,7 +3,7 @@
 use super::{
     Error, Handle,
     reply::{self, Dropped, Malformed, Reply},
-    server::{self, App},
+    server::{self, App, Pause},
 };
 use crate::{
     clock,
@@ -65,7 +65,7 @@
     memory: Arc<Memory>,
     list_lag: Span,
     /// Keeps the server's channel open; a platform that is down closes connections instead.
-    _pauses: mpsc::UnboundedSender<Span>,
+    _pauses: mpsc::UnboundedSender<Pause>,
 }
 
 impl App for Platform {
--- a/src/standin/server.rs
+++ b/src/standin/server.rs
@@ -19,7 +19,7 @@
     net::{TcpListener, TcpStream},
     runtime::{Builder, Runtime},
     select,
-    sync::mpsc,
+    sync::{mpsc, oneshot},
     time::sleep,
 };
 use tokio_util::sync::CancellationToken;
@@ -37,8 +37,16 @@
     ) -> BoxFuture<'static, Result<Reply, Dropped>>;
 }
 
-/// Lengths of time for which a stand-in is to refuse connections.
-pub(super) type Pauses = mpsc::UnboundedReceiver<Span>;
+/// Time for which a stand-in is to refuse connections.
+#[derive(Debug)]
+pub(super) struct Pause {
+    pub(super) length: Span,
+    /// Told when the first connection would be refused.
+    pub(super) begun: oneshot::Sender<()>,
+}
+
+/// Pauses that a stand-in is asked for.
+pub(super) type Pauses = mpsc::UnboundedReceiver<Pause>;
 
 /// Binds the address and serves `app` on threads of its own.
 pub(super) fn bind(listen: SocketAddr, app: Arc<dyn App>, pauses: Pauses) -> Result<Handle, Error> {
@@ -103,13 +111,15 @@
             let pause = self.accept(&listener, &drain).await;
             drop(listener);
             drain.cancel();
-            sleep(pause.into()).await;
+            // Whoever asked for the pause may have left.
+            let _ = pause.begun.send(());
+            sleep(pause.length.into()).await;
             listener = self.listen_again().await;
         }
     }
 
-    /// Accepts connections until a pause begins; returns its length.
-    async fn accept(&mut self, listener: &TcpListener, drain: &CancellationToken) -> Span {
+    /// Accepts connections until a pause is asked for.
+    async fn accept(&mut self, listener: &TcpListener, drain: &CancellationToken) -> Pause {
         loop {
             select! {
                 Some(pause) = self.pauses.recv() => return pause,
--- a/src/standin/target.rs
+++ b/src/standin/target.rs
@@ -6,7 +6,7 @@
     ledger::Ledger,
     reply::{self, Body, Dropped, Reply},
     run::Run,
-    server::Pauses,
+    server::{Pause, Pauses},
     slots::Slots,
 };
 use crate::unit::Span;
@@ -19,7 +19,10 @@
     Arc, Mutex, PoisonError,
     atomic::{AtomicBool, Ordering},
 };
-use tokio::{sync::mpsc, time::sleep};
+use tokio::{
+    sync::{mpsc, oneshot},
+    time::sleep,
+};
 
 /// Header that says whether a refused request was run.
 const OUTCOME: HeaderName = HeaderName::from_static("marlrun-outcome");
@@ -37,7 +40,7 @@
     ledger: Arc<Ledger>,
     script: Mutex<Script>,
     leaving: AtomicBool,
-    pauses: mpsc::UnboundedSender<Span>,
+    pauses: mpsc::UnboundedSender<Pause>,
 }
 
 impl Target {
@@ -65,7 +68,7 @@
                 reply::done()
             }
             (&Method::POST, "/faults") => match reply::parse(body) {
-                Ok(script) => self.set_script(script),
+                Ok(script) => self.set_script(script).await,
                 Err(malformed) => malformed.into(),
             },
             _ => return None,
@@ -87,12 +90,16 @@
         self.ledger.admit(Labels::of(headers, content), leaving)
     }
 
-    fn set_script(&self, script: Script) -> Reply {
-        if script.refuse_for > Span(0) {
+    /// Puts faults in force; connections are refused from the reply on, if they are to be.
+    async fn set_script(&self, script: Script) -> Reply {
+        let length = script.refuse_for;
+        *self.script.lock().unwrap_or_else(PoisonError::into_inner) = script;
+        if length > Span(0) {
+            let (begun, has_begun) = oneshot::channel();
             // The server ends only together with the target.
-            let _ = self.pauses.send(script.refuse_for);
+            let _ = self.pauses.send(Pause { length, begun });
+            let _ = has_begun.await;
         }
-        *self.script.lock().unwrap_or_else(PoisonError::into_inner) = script;
         reply::done()
     }
 
--- a/tests/standin.rs
+++ b/tests/standin.rs
@@ -345,11 +345,7 @@
         },
     );
     let ping = || call(&plain, Method::GET, "/x", &[], Vec::new());
-    // A connection that the system took just before the listener closed is reset; only later ones
-    // are refused.
-    let mut errors = (0..MAX_TRIES).filter_map(|_| ping().err());
-    let refused = errors.find(|error| error.kind() != io::ErrorKind::ConnectionReset);
-    let refused = refused.unwrap();
+    let refused = ping().unwrap_err();
     assert_eq!(refused.kind(), io::ErrorKind::ConnectionRefused);
     let back = (0..MAX_TRIES).any(|_| {
         thread::sleep(Duration::from_millis(10));
