--- a/src/gateway/controller.rs
+++ b/src/gateway/controller.rs
@@ -4,6 +4,7 @@
 use super::{
     Decoder, Driver, Incumbent, Settings, Sources, State,
     caches::{CONFIGURATION, Caches, ROUTERS, TARGETS},
+    overload::{Load, Overload},
     presence::Presence,
     record::Record,
     restoration::Restoration,
@@ -41,12 +42,6 @@
 const REREAD_DELAY: Span = Span::from_millis(150);
 /// Interval of closing expired idle connections to targets and of updating readiness.
 const SWEEP_INTERVAL: Span = Span::from_millis(500);
-/// Connections refused between two sweeps from which the router counts as overloaded.
-const OVERLOAD_REFUSALS: u64 = 40;
-/// Time for which an overloaded router reports that it is not ready. The platform's load balancer
-/// takes two seconds to notice, and sends the same callers back as soon as the router is ready
-/// again.
-const OVERLOAD_HOLD: Span = Span::from_secs(10);
 /// Interval of log lines on what workspaces asked for, were granted and lost.
 const LEDGER_INTERVAL: Span = Span::from_secs(1);
 /// Time allowed for a long-polling call beyond its requested wait.
@@ -92,8 +87,7 @@
     pub(super) peers: Arc<mirror::Peers>,
     pub(super) caches: Caches,
     pub(super) decoder: Decoder,
-    /// Time until which the router reports that it is not ready because of overload.
-    pub(super) unready_until: Time,
+    pub(super) overload: Overload,
     /// Connections refused before their request was read, since the last sweep.
     pub(super) refused_connections: u64,
     /// Datagrams sent in the last round of summaries.
@@ -459,14 +453,9 @@
         }
     }
 
-    /// Reports the router as not ready while many connections are refused, and for
-    /// [`OVERLOAD_HOLD`] after.
+    /// Reports the router as not ready while it is overloaded.
     fn update_readiness(&mut self, refused: u64) {
-        let now = clock::now();
-        if refused >= OVERLOAD_REFUSALS {
-            self.unready_until = now + OVERLOAD_HOLD;
-        }
-        let overloaded = now < self.unready_until;
+        let overloaded = self.overload.observe(clock::now(), &Load { refused });
         if self.state.set_overloaded(overloaded) {
             Record::Readiness {
                 overloaded,
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -14,6 +14,7 @@
 mod incumbent;
 mod limiter;
 mod outgoing;
+mod overload;
 mod presence;
 mod protocol;
 mod record;
@@ -36,6 +37,7 @@
     incumbent::Incumbent,
     limiter::Limiter,
     outgoing::Outgoing,
+    overload::{Load, Overload},
     protocol::Protocol,
     reply::Reply,
     router::{Reload, Router, run, spawn},
--- a/src/gateway/router.rs
+++ b/src/gateway/router.rs
@@ -4,6 +4,7 @@
     Driver, Error, Handler, Incumbent, Settings, Sources, State,
     caches::Caches,
     controller::{Controller, ROUTERS_MAX_AGE, TICK_INTERVAL},
+    overload::Overload,
     presence::{Presence, REMOVE_TIMEOUT},
     signals::{Action, Signals},
 };
@@ -161,7 +162,7 @@
         peers: Arc::default(),
         caches,
         decoder: sources.decoder,
-        unready_until: Time::default(),
+        overload: Overload::default(),
         refused_connections: 0,
         datagrams: 0,
         next_tick: clock::now() + TICK_INTERVAL,
