Keep small routers out of rotation while a flood lasts that they can't bear

Callers of a workspace that floods were refused unread, nine of ten of their attempts, at one small router after the other. A router that is overloaded reported for 10 s that it isn't ready; its callers moved to the next one by the balancer's hash, and back to the first once that one was ready again.

Readiness and the balancer form an oscillator. The router now remembers which workspace it was overloaded by, and stays out of rotation while this one's demand in the fleet is still a quarter of what it was here, if a router of its failure domain has more processor. A router that gets connections although it isn't ready counts again: the balancer uses all once most of a domain is out.

--- a/src/dispatch/dispatcher/mod.rs
+++ b/src/dispatch/dispatcher/mod.rs
@@ -8,7 +8,7 @@
 mod summaries;
 
 use super::{
-    Action, Allocation, Event, Outcome, Reason, Refusal, Request, Settings,
+    Action, Allocation, Demand, Event, Outcome, Reason, Refusal, Request, Settings,
     account::Account,
     attempt::Attempt,
     baseline::Baseline,
@@ -200,6 +200,17 @@
         account.map_or(0, |account| account.all.granted)
     }
 
+    /// Returns the demand at this router of the workspace that most of the demand here is of.
+    pub fn dominant_demand(&self) -> Option<Demand> {
+        self.share.dominant()
+    }
+
+    /// Returns the tokens per second that a workspace, given by the hash of its name, requests at all
+    /// routers.
+    pub fn total_demand(&self, workspace: u64) -> u64 {
+        self.share.requested_per_s(workspace)
+    }
+
     /// Returns what shares are computed from.
     pub fn standing(&self, now: Time) -> Standing {
         Standing {
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -18,6 +18,7 @@
 mod builds;
 mod cache;
 mod capacity;
+mod demand;
 mod dispatcher;
 mod estimate;
 mod event;
@@ -51,6 +52,7 @@
     action::Action,
     allocation::Allocation,
     batch::Batch,
+    demand::Demand,
     dispatcher::Dispatcher,
     estimate::Estimate,
     event::Event,
--- a/src/dispatch/share.rs
+++ b/src/dispatch/share.rs
@@ -4,7 +4,7 @@
 //! others, and so that none of several floods gets ahead of another.
 
 use super::{
-    Allocation,
+    Allocation, Demand,
     capacity::{Capacity, Observation},
     grade::Grade,
     meter::{Meter, seconds},
@@ -149,6 +149,26 @@
         parts.filter(|(_, tokens)| *tokens > 0).collect()
     }
 
+    /// Returns the demand at this router of the workspace that most of the demand here is of.
+    pub(super) fn dominant(&self) -> Option<Demand> {
+        let now = self.now;
+        let own = self.workspaces.iter();
+        let own = own.map(|(key, known)| (*key, known.own.rate(now, PART_SPAN)));
+        let (total, most) = own.fold((0.0, (0, 0.0)), |(total, most): (f64, (u64, f64)), own| {
+            (total + own.1, if own.1 > most.1 { own } else { most })
+        });
+        (most.1 > total / 2.0).then_some(Demand {
+            workspace: most.0,
+            tokens_per_s: most.1 as u64,
+        })
+    }
+
+    /// Returns the tokens per second that a workspace requests at all routers.
+    pub(super) fn requested_per_s(&self, workspace: u64) -> u64 {
+        let known = self.workspaces.get(&workspace);
+        known.map_or(0, |known| known.rates(self.now).0 as u64)
+    }
+
     /// Reports whether the capacity is to be estimated again.
     pub(super) fn is_observation_due(&self, now: Time) -> bool {
         now >= self.observe_at
--- a/src/gateway/controller.rs
+++ b/src/gateway/controller.rs
@@ -455,7 +455,13 @@
 
     /// Reports the router as not ready while it is overloaded.
     fn update_readiness(&mut self, refused: u64) {
-        let overloaded = self.overload.observe(clock::now(), &Load { refused });
+        let load = Load {
+            connections: self.state.take_connections(),
+            refused,
+            is_outranked: self.roster.is_outranked(),
+        };
+        let driver: &Driver = &self.driver;
+        let overloaded = self.overload.observe(clock::now(), &load, driver);
         if self.state.set_overloaded(overloaded) {
             Record::Readiness {
                 overloaded,
--- a/src/gateway/driver.rs
+++ b/src/gateway/driver.rs
@@ -1,13 +1,16 @@
 //! Driver of the dispatcher: feeds it events and delivers its actions.
 
 use super::{
+    Demands,
     decisions::{Decision, Decisions},
     record::Record,
     submission::Submission,
 };
 use crate::{
     catalog, clock,
-    dispatch::{Action, Allocation, Batch, Dispatcher, Entry, Event, Request, Standing, View},
+    dispatch::{
+        Action, Allocation, Batch, Demand, Dispatcher, Entry, Event, Request, Standing, View,
+    },
     id, metric,
     unit::Version,
 };
@@ -235,3 +238,13 @@
         self.inner.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+impl Demands for Driver {
+    fn dominant(&self) -> Option<Demand> {
+        self.lock().dispatcher.dominant_demand()
+    }
+
+    fn total(&self, workspace: u64) -> u64 {
+        self.lock().dispatcher.total_demand(workspace)
+    }
+}
--- a/src/gateway/handler.rs
+++ b/src/gateway/handler.rs
@@ -202,6 +202,7 @@
     }
 
     fn refusal(&self, full: bool) -> Option<Problem> {
+        self.context.state.count_connection();
         let refused = full || self.context.state.is_at_limit();
         refused.then(|| {
             metrics::counter!(metric::BUSY).increment(1);
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -37,7 +37,7 @@
     incumbent::Incumbent,
     limiter::Limiter,
     outgoing::Outgoing,
-    overload::{Load, Overload},
+    overload::{Demands, Load, Overload},
     protocol::Protocol,
     reply::Reply,
     router::{Reload, Router, run, spawn},
--- a/src/gateway/overload.rs
+++ b/src/gateway/overload.rs
@@ -1,36 +1,79 @@
 //! Readiness of a router that is short of processor.
 
-use crate::unit::{Span, Time};
+use crate::{
+    dispatch::Demand,
+    unit::{Span, Time},
+};
 
 /// Connections refused between two observations from which the router counts as overloaded.
 const MIN_REFUSED: u64 = 40;
-/// Time for which an overloaded router reports that it is not ready. The platform's load balancer
-/// takes two seconds to notice, and sends the same callers back as soon as the router is ready
-/// again.
+/// Time for which an overloaded router reports at least that it is not ready: the platform's load balancer
+/// takes two seconds to notice.
 const HOLD: Span = Span::from_secs(10);
+/// Part of a flood's demand at this router, as a divisor, from which it counts as lasting: far above what
+/// the workspace asks for when the flood is over.
+const LASTING_DIVISOR: u64 = 4;
 
-/// What a router sees of its load.
+/// What a router sees of its connections.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Load {
+    /// Connections that arrived since the last observation.
+    pub connections: u64,
     /// Connections refused unread since the last observation.
     pub refused: u64,
+    /// Another router of the failure domain has more processor.
+    pub is_outranked: bool,
+}
+
+/// Demands of workspaces, as a router knows them.
+pub trait Demands {
+    /// Returns the demand at this router of the workspace that most of the demand here is of.
+    fn dominant(&self) -> Option<Demand>;
+
+    /// Returns the tokens per second that a workspace requests at all routers.
+    fn total(&self, workspace: u64) -> u64;
 }
 
 /// Decides while a router reports that it is not ready because it is overloaded.
 ///
 /// For loads of which a router with little processor gets several times its part, because the balancer
-/// assigns callers by a hash.
+/// assigns callers by a hash. Callers of a workspace that floods move from router to router, until one
+/// has the processor for them. If the first ones are ready again before the flood is over, the balancer
+/// sends all callers back, and the flood goes round for as long as it lasts.
 #[derive(Clone, Debug, Default)]
 pub struct Overload {
     until: Time,
+    /// Highest demand at this router of the workspace that overloaded it.
+    flood: Option<Demand>,
 }
 
 impl Overload {
     /// Records the load since the last call; returns whether the router is to report that it is not ready.
-    pub fn observe(&mut self, now: Time, load: &Load) -> bool {
+    pub fn observe(&mut self, now: Time, load: &Load, demands: &dyn Demands) -> bool {
         if load.refused >= MIN_REFUSED {
             self.until = now + HOLD;
+            self.record_flood(demands);
+            return true;
         }
-        now < self.until
+        if now < self.until {
+            return true;
+        }
+        // The balancer uses routers that aren't ready once most of a failure domain isn't.
+        let is_used = load.connections > 0;
+        self.flood = self.flood.filter(|flood| {
+            let total = demands.total(flood.workspace);
+            !is_used && load.is_outranked && total >= flood.tokens_per_s / LASTING_DIVISOR
+        });
+        self.flood.is_some()
+    }
+
+    fn record_flood(&mut self, demands: &dyn Demands) {
+        let Some(dominant) = demands.dominant() else {
+            return;
+        };
+        let highest = self.flood.filter(|flood| {
+            flood.workspace == dominant.workspace && flood.tokens_per_s > dominant.tokens_per_s
+        });
+        self.flood = Some(highest.unwrap_or(dominant));
     }
 }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -27,6 +27,8 @@
     /// Callers send more than the router can serve; the platform's load balancer is to send them
     /// elsewhere.
     overloaded: AtomicBool,
+    /// Connections that arrived since readiness was last updated.
+    connections: AtomicU64,
     /// Connections refused before their request was read, since the last report to the dispatcher.
     refused_connections: AtomicU64,
     /// Requests refused at the limit after they were read, since they were last logged.
@@ -97,6 +99,16 @@
         limiter.limit()
     }
 
+    /// Counts a connection that arrived.
+    pub(super) fn count_connection(&self) {
+        self.connections.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Returns the number of connections that arrived since the last call.
+    pub(super) fn take_connections(&self) -> u64 {
+        self.connections.swap(0, Ordering::Relaxed)
+    }
+
     /// Counts a connection that was refused before its request was read.
     pub(super) fn count_refused_connection(&self) {
         self.refused_connections.fetch_add(1, Ordering::Relaxed);
--- a/src/roster/routers.rs
+++ b/src/roster/routers.rs
@@ -117,6 +117,13 @@
         routers
     }
 
+    /// Reports whether another router of this router's failure domain has more CPU.
+    pub fn is_outranked(&self) -> bool {
+        let first = self.ranked(&self.own.domain);
+        let first = first.first();
+        first.is_some_and(|first| first.millicores > self.own.millicores)
+    }
+
     /// Reports whether the fleet is so large that its routers exchange their loads through leaders.
     pub fn is_large(&self) -> bool {
         self.others.len() >= FULL_MESH_SIZE
