Beyond the configured share, requests go where their parts are cached

The pacer keeps two credits, for the share of the configured capacity and for the rest. A request on the rest goes only to a target that has most of its prompt cached, as spare capacity always did, but without the margin: with it, or as spare capacity, the capacity grows too slowly (floods::flood_ahead_of_another fails with a lead of 1.33).

dispatch::arrive_flood_beyond_its_share_reads_parts_again failed before: 192,030 tokens in a second at an engine without the part, 75,000 allowed.

--- a/src/dispatch/dispatcher/mod.rs
+++ b/src/dispatch/dispatcher/mod.rs
@@ -310,7 +310,7 @@
             return self.send(now, pending, estimate, out);
         }
         if grade != Grade::Within {
-            self.return_spare(grade, &pending.request);
+            self.take_back(grade, &pending.request);
             let retry_after = self.share_retry_after(&pending.request);
             return self.refuse(now, &pending, Reason::Share, retry_after, out);
         }
@@ -358,13 +358,11 @@
         }
     }
 
-    /// Takes back the admission of a request that found no spare capacity.
-    fn return_spare(&mut self, grade: Grade, request: &Request) {
-        if let (Grade::Spare(_), Some(workspace), Some(prompt)) =
-            (grade, &request.workspace, &request.prompt)
-        {
+    /// Takes back the admission of a request that found no target.
+    fn take_back(&mut self, grade: Grade, request: &Request) {
+        if let (Some(workspace), Some(prompt)) = (&request.workspace, &request.prompt) {
             let key = hash(workspace.as_str());
-            self.share.return_spare(key, prompt.cost());
+            self.share.take_back(key, prompt.cost(), grade);
         }
     }
 
--- a/src/dispatch/dispatcher/selection.rs
+++ b/src/dispatch/dispatcher/selection.rs
@@ -82,15 +82,15 @@
             (Grade::Spare(excess), false) => {
                 Condition::OnTimeWithMargin(EXCESS_MARGIN + EXCESS_MARGIN_PER_SHARE * excess)
             }
-            (Grade::Spare(_), true) => Condition::MaxWait(MAX_EXCESS_WAIT),
+            (Grade::Surplus | Grade::Spare(_), true) => Condition::MaxWait(MAX_EXCESS_WAIT),
             (_, true) => Condition::MaxWait(MAX_LATE_WAIT),
             (_, false) => Condition::OnTime,
         };
         let meets = |(target, estimate): &(&Target, Estimate)| {
             policy != Policy::Shared || target.meets(estimate, request, condition, now)
         };
-        if matches!(grade, Grade::Spare(_)) {
-            // A request beyond a share must not cost others anything: only the cheapest target may
+        if matches!(grade, Grade::Surplus | Grade::Spare(_)) {
+            // A request beyond the share of the configured capacity must not cost others anything: only the cheapest target may
             // take it, and only if no other target has more of the prompt cached.
             let uncached = self.least_uncached(request);
             estimates.retain(|(_, estimate)| estimate.uncached_tokens <= uncached);
--- a/src/dispatch/pacer.rs
+++ b/src/dispatch/pacer.rs
@@ -16,6 +16,8 @@
 pub(super) struct Rates {
     /// Rate that it is to get.
     pub(super) target: f64,
+    /// Part of that rate that is beyond its share of the configured capacity.
+    pub(super) surplus: f64,
     /// Rate of spare capacity that it may take in addition.
     pub(super) spare: f64,
     /// Tokens that it requests at this router.
@@ -44,8 +46,10 @@
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Pacer {
     at: Time,
-    /// Tokens.
+    /// Tokens within the share of the configured capacity.
     credit: f64,
+    /// Tokens beyond it.
+    surplus: f64,
     /// Tokens of spare capacity.
     spare: f64,
     /// Tokens per second that it requested here at the last update.
@@ -57,6 +61,7 @@
         Self {
             at: now,
             credit: 0.0,
+            surplus: 0.0,
             spare: 0.0,
             own: rates.own,
         }
@@ -77,13 +82,15 @@
             let filled = credit + rate * part * boost * seconds(elapsed);
             filled.min(rate * part * seconds(BURST))
         };
-        self.credit = fill(self.credit, rates.target, rates.boost());
+        self.credit = fill(self.credit, rates.target - rates.surplus, rates.boost());
+        self.surplus = fill(self.surplus, rates.surplus, rates.boost());
         self.spare = fill(self.spare, rates.spare, 1.0);
         self.at = now;
         self.own = rates.own;
     }
 
-    /// Admits a request within the rate; returns whether there is credit for it.
+    /// Admits a request within the share of the configured capacity; returns whether there is credit for
+    /// it.
     pub(super) fn admit(&mut self, cost: u64) -> bool {
         let admitted = self.credit >= 0.0;
         if admitted {
@@ -92,6 +99,20 @@
         admitted
     }
 
+    /// Admits a request beyond that share; returns whether there is credit for it.
+    pub(super) fn admit_surplus(&mut self, cost: u64) -> bool {
+        let admitted = self.surplus >= 0.0;
+        if admitted {
+            self.surplus -= cost as f64;
+        }
+        admitted
+    }
+
+    /// Gives back the credit of a request that found no target.
+    pub(super) fn return_surplus(&mut self, cost: u64) {
+        self.surplus += cost as f64;
+    }
+
     /// Admits a request to spare capacity; returns whether there is credit for it.
     pub(super) fn admit_spare(&mut self, cost: u64) -> bool {
         let admitted = self.spare >= 0.0;
--- a/src/dispatch/share.rs
+++ b/src/dispatch/share.rs
@@ -242,6 +242,7 @@
         };
         let bound = self.bound();
         let target = level.min(bound);
+        let surplus = target - target.min(self.floor.unwrap_or(level));
         let Some(known) = self.workspaces.get_mut(&workspace) else {
             return Grade::Within;
         };
@@ -252,6 +253,7 @@
         }
         let rates = Rates {
             target,
+            surplus,
             spare: (target * SPARE).min(bound - target),
             own: known.own.rate(now, PART_SPAN),
             all: known.all.rate(now, PART_SPAN),
@@ -262,6 +264,9 @@
         if pacer.admit(cost) {
             return Grade::Within;
         }
+        if surplus > 0.0 && pacer.admit_surplus(cost) {
+            return Grade::Surplus;
+        }
         let others = refused - usize::from(known.is_refused);
         if others == 0 || pacer.admit_spare(cost) {
             return Grade::Spare((granted / level - 1.0).max(0.0));
@@ -269,11 +274,16 @@
         Grade::Beyond
     }
 
-    /// Takes back the admission of a request that found no spare capacity.
-    pub(super) fn return_spare(&mut self, workspace: u64, cost: u64) {
+    /// Takes back the admission of a request that found no target.
+    pub(super) fn take_back(&mut self, workspace: u64, cost: u64, grade: Grade) {
         let known = self.workspaces.get_mut(&workspace);
-        if let Some(pacer) = known.and_then(|known| known.pacer.as_mut()) {
-            pacer.return_spare(cost);
+        let Some(pacer) = known.and_then(|known| known.pacer.as_mut()) else {
+            return;
+        };
+        match grade {
+            Grade::Surplus => pacer.return_surplus(cost),
+            Grade::Spare(_) => pacer.return_spare(cost),
+            Grade::Within | Grade::Beyond => {}
         }
     }
 
--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -355,6 +355,42 @@
     assert!(taken[4..].iter().all(even), "{taken:?} tokens");
 }
 
+#[test]
+fn arrive_flood_beyond_its_share_reads_parts_again() {
+    // The share of the configured capacity is 50,000 tokens per second; engines serve several times that.
+    let list = [target("e0", "llm"), target("e1", "llm")];
+    let mut dispatcher = ready("r1", &list[..1]);
+    let mut read = std::collections::BTreeSet::new();
+    let mut read_again = 0;
+    for millis in 0..6_000 {
+        if millis % 50 == 0 {
+            let usage = usage(1 + millis / 50, "west-desk", 500 * millis, 150 * millis);
+            step(&mut dispatcher, millis, usage);
+        }
+        step(&mut dispatcher, millis, Event::Tick);
+        let number = 1 + millis;
+        let part = 1 + millis % 200;
+        let mut incoming = request(number, millis, "llm");
+        incoming.prompt = Some(prompt(&[(part, 900), (10_000 + number, 10)]));
+        let cost = incoming.prompt.as_ref().unwrap().cost();
+        let sent = sent_to(&step(&mut dispatcher, millis, Event::Arrived(incoming)));
+        if sent.is_some_and(|(_, target)| target == "e1") && read.insert(part) {
+            read_again += cost;
+        }
+        if millis == 5_000 {
+            // All parts are cached at the first engine, which takes nothing for a second.
+            step(&mut dispatcher, millis, targets(&list));
+            step(&mut dispatcher, millis, paused(number, "e0", 1_000));
+        }
+        step(&mut dispatcher, millis, Event::ResponseStarted { number });
+        step(&mut dispatcher, millis, Event::Closed { number });
+    }
+    assert!(
+        (1..=75_000).contains(&read_again),
+        "{read_again} tokens were sent to an engine without the part"
+    );
+}
+
 #[test]
 fn shed_workspace_counts_as_refused() {
     let list: Vec<_> = (0..20).map(|i| target(&format!("e{i}"), "llm")).collect();
--- a/tests/engines/mod.rs
+++ b/tests/engines/mod.rs
@@ -27,6 +27,8 @@
 const PREFILL_TOKENS_PER_MS: u64 = 100;
 /// Requests that an engine runs at once.
 const SLOTS: usize = 32;
+/// Time for which an engine keeps a part since its last use.
+const CACHED_MS: u64 = 5_000;
 /// Time from the end of prefill to the first event.
 const FIRST_MS: u64 = 50;
 /// Time from the first event of a request to its end.
@@ -96,6 +98,8 @@
     pub(crate) pause: std::ops::Range<u64>,
     /// All requests sent to engines: time in milliseconds, router and engine.
     pub(crate) sends: Vec<(u64, usize, usize)>,
+    /// Tokens of parts that an engine read although another one had them.
+    pub(crate) read_again: u64,
     load: Load,
     /// Requests of the callers in place of `load`, if there are any.
     pub(crate) flows: Vec<Flow>,
@@ -144,6 +148,7 @@
             outage: 0..0,
             pause: 0..0,
             sends: Vec::new(),
+            read_again: 0,
             load,
             flows: Vec::new(),
             summary_interval_ms: SUMMARY_INTERVAL_MS,
@@ -347,10 +352,20 @@
                 let now_ms = self.now_ms;
                 let uncached = parts.filter(|part| {
                     let used = engine.cached.insert(part.id, now_ms);
-                    used.is_none_or(|used| now_ms - used > 5_000)
+                    used.is_none_or(|used| now_ms - used > CACHED_MS)
                 });
-                let uncached: u64 = uncached.map(|part| u64::from(part.tokens)).sum();
-                engine.prefilling.push_back((number, uncached));
+                let uncached: Vec<Part> = uncached.copied().collect();
+                let tokens = uncached.iter().map(|part| u64::from(part.tokens)).sum();
+                engine.prefilling.push_back((number, tokens));
+                let is_known = |part: &Part| {
+                    let mut engines = self.engines.iter().enumerate();
+                    engines.any(|(other, engine)| {
+                        let used = engine.cached.get(&part.id);
+                        other != index && used.is_some_and(|used| now_ms - used <= CACHED_MS)
+                    })
+                };
+                let again = uncached.iter().filter(|part| is_known(part));
+                self.read_again += again.map(|part| u64::from(part.tokens)).sum::<u64>();
             }
             Action::Refuse { number, .. } => {
                 let Some(job) = self.jobs.remove(&number) else {
