Log at most 100 refusals a second one by one

The ledger has the sums by workspace and reason; a line says how many refusals have no line of their own.

--- a/src/gateway/driver.rs
+++ b/src/gateway/driver.rs
@@ -31,8 +31,14 @@
 struct Inner {
     dispatcher: Dispatcher,
     requests: HashMap<u64, Pending>,
+    /// Refusals since the ledger was last taken.
+    refusals: u64,
 }
 
+/// Refusals that are logged one by one between two takes of the ledger, which has the sums: a router that
+/// refuses a flood of a thousand requests a second needs its processor for others.
+const MAX_REFUSAL_LINES: u64 = 100;
+
 struct Pending {
     /// Request ID chosen by the caller, for the log.
     request_id: Box<str>,
@@ -54,6 +60,7 @@
             inner: Mutex::new(Inner {
                 dispatcher,
                 requests: HashMap::new(),
+                refusals: 0,
             }),
             log,
         }
@@ -211,7 +218,21 @@
     pub fn take_ledger(&self) -> (Vec<(id::Workspace, Entry, Allocation)>, Standing) {
         let mut inner = self.lock();
         let standing = inner.dispatcher.standing(clock::now());
-        (inner.dispatcher.take_ledger(), standing)
+        let refusals = std::mem::take(&mut inner.refusals);
+        let entries = inner.dispatcher.take_ledger();
+        drop(inner);
+        let omitted = refusals.saturating_sub(MAX_REFUSAL_LINES);
+        if omitted > 0 {
+            Record::RefusalsOmitted { omitted }.write(&self.log);
+        }
+        (entries, standing)
+    }
+
+    /// Counts a refusal; returns whether it is to be logged by itself.
+    pub(super) fn count_refusal(&self) -> bool {
+        let mut inner = self.lock();
+        inner.refusals += 1;
+        inner.refusals <= MAX_REFUSAL_LINES
     }
 
     /// Returns the router from which this one gets the loads of all others.
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -677,6 +677,9 @@
     ) {
         self.finished = true;
         self.count_result(if may_have_run { "unknown" } else { "not-run" });
+        if !self.submission.driver().count_refusal() {
+            return;
+        }
         let record = Record::Refused {
             request: &self.call.head.request_id,
             workspace: self.call.workspace.as_ref(),
--- a/src/gateway/record.rs
+++ b/src/gateway/record.rs
@@ -163,6 +163,8 @@
     },
     /// The router became not ready because of overload, or recovered from it.
     Readiness { overloaded: bool, refused: u64 },
+    /// Refusals that have no line of their own; the ledger has them by workspace and reason.
+    RefusalsOmitted { omitted: u64 },
     /// Another router was listed, or removed from the list.
     Peer {
         router: &'a id::Router,
@@ -326,7 +328,7 @@
                 in_progress,
                 limit,
             } => slog::warn!(log, "connections refused unread"; "connections" => connections,
-                "requests" => requests,                 "carried" => in_progress, "limit" => limit),
+                "requests" => requests, "carried" => in_progress, "limit" => limit),
             Record::Shares(standing) => slog::info!(log, "shares";
                 "capacity_tokens_per_s" => standing.capacity, "share_tokens" => standing.share,
                 "least_granted_tokens" => standing.least_granted, "pressure" => standing.pressure,
@@ -353,6 +355,9 @@
             } => {
                 slog::warn!(log, "readiness"; "crowded" => overloaded, "refused" => refused);
             }
+            Record::RefusalsOmitted { omitted } => {
+                slog::warn!(log, "refusals not logged one by one"; "requests" => omitted);
+            }
             Record::Capacity {
                 configured,
                 estimated,
