Write log lines also to an output that is full for a moment

At a busy router most lines were missing from the output, without the line that counts dropped ones: a pipe that doesn't block takes a part of a batch and then fails with WouldBlock, and the rest was dropped with the error. The log's thread now waits 20 ms and goes on; what arrives meanwhile stays in the buffer, whose drops are counted.

log::lines_lost_at_a_full_output failed before (lines missing after 10 s).

--- a/src/log.rs
+++ b/src/log.rs
@@ -18,6 +18,8 @@
 const MAX_BUFFERED_INFO_BYTES: usize = MAX_BUFFERED_BYTES / 2;
 /// Interval between writes; lines are batched to save wake-ups and system calls.
 const WRITE_INTERVAL: Duration = Duration::from_millis(100);
+/// Pause while the output is full; long against a wake-up, short against [`WRITE_INTERVAL`].
+const FULL_PAUSE: Duration = Duration::from_millis(20);
 /// Maximum time to wait for buffered lines to be written when the log is dropped.
 const FLUSH_TIMEOUT: Duration = Duration::from_millis(300);
 
@@ -48,7 +50,12 @@
 /// Opens the log on standard output. A dedicated thread writes the lines, so logging never blocks on
 /// the output.
 pub fn open(level: Level) -> Logger {
-    let buffer = Buffer::spawn(io::stdout());
+    open_to(level, io::stdout())
+}
+
+/// Opens a log on an output, like [`open`].
+pub fn open_to(level: Level, out: impl Write + Send + 'static) -> Logger {
+    let buffer = Buffer::spawn(out);
     let drain = formatter(buffer);
     Logger::root(drain.filter_level(level.filter()).fuse(), o!())
 }
@@ -94,6 +101,20 @@
     }
 }
 
+/// Writes all bytes, also to an output that doesn't block.
+fn write(out: &mut impl Write, mut bytes: &[u8]) -> io::Result<()> {
+    while !bytes.is_empty() {
+        match out.write(bytes) {
+            Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
+            Ok(count) => bytes = &bytes[count..],
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => thread::sleep(FULL_PAUSE),
+            Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+            Err(error) => return Err(error),
+        }
+    }
+    out.flush()
+}
+
 /// Buffer of lines to be written.
 struct Buffer {
     state: Mutex<State>,
@@ -142,7 +163,7 @@
                 bytes.extend_from_slice(line.as_bytes());
             }
             // The reader of the log is gone, so the error cannot be reported.
-            drop(out.write_all(&bytes).and_then(|()| out.flush()));
+            drop(write(&mut out, &bytes));
             self.state().writing = false;
             self.written.notify_all();
         }
