--- a/tests/log.rs
+++ b/tests/log.rs
@@ -1,17 +1,17 @@
 //! The log, on outputs that take a part of what is written.
 
-use marlrun::log;
+use marlrun::{clock, log, unit::Span};
 use std::{
     io::{self, Write},
     sync::{Arc, Mutex},
     thread,
-    time::{Duration, Instant},
+    time::Duration,
 };
 
 /// Bytes that the output takes at a time.
 const CAPACITY: usize = 1_000;
 /// Time within which lines are written.
-const LIMIT: Duration = Duration::from_secs(10);
+const LIMIT: Span = Span::from_secs(10);
 
 /// Output that is full after each write, like a pipe that doesn't block.
 #[derive(Clone, Default)]
@@ -46,13 +46,13 @@
     for number in 0..200 {
         slog::info!(log, "line"; "number" => number);
     }
-    let begun = Instant::now();
+    let begun = clock::now();
     let whole = || {
         let text = String::from_utf8(pipe.written.lock().unwrap().clone()).unwrap();
         (0..200).all(|number| text.contains(&format!("\"number\":{number}}}\n")))
     };
     while !whole() {
-        assert!(begun.elapsed() < LIMIT, "lines are missing");
+        assert!(clock::now().since(begun) < LIMIT, "lines are missing");
         thread::sleep(Duration::from_millis(10));
     }
 }
