A single connection doesn't end a router's absence from the rotation

A router that is out of rotation while a flood lasts counted as used by the balancer after one connection: of a caller that was on its way, or that checks each router by itself.

It now takes connections in four observations (2 s) in a row. overload::flood_called_back_by_a_single_connection failed before: 25,200 of 54,000 attempts refused unread from 15 s on; none now.

--- a/src/gateway/overload.rs
+++ b/src/gateway/overload.rs
@@ -14,6 +14,10 @@
 /// the workspace asks for when the flood is over.
 const LASTING_DIVISOR: u64 = 4;
 
+/// Observations in a row with connections, from which the balancer counts as using this router. Callers that
+/// were on their way, or check this router by itself, come one at a time.
+const MIN_USED: u32 = 4;
+
 /// What a router sees of its connections.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Load {
@@ -45,11 +49,18 @@
     until: Time,
     /// Highest demand at this router of the workspace that overloaded it.
     flood: Option<Demand>,
+    /// Observations in a row with connections.
+    used: u32,
 }
 
 impl Overload {
     /// Records the load since the last call; returns whether the router is to report that it is not ready.
     pub fn observe(&mut self, now: Time, load: &Load, demands: &dyn Demands) -> bool {
+        self.used = if load.connections > 0 {
+            self.used.saturating_add(1)
+        } else {
+            0
+        };
         if load.refused >= MIN_REFUSED {
             self.until = now + HOLD;
             self.record_flood(demands);
@@ -59,7 +70,7 @@
             return true;
         }
         // The balancer uses routers that aren't ready once most of a failure domain isn't.
-        let is_used = load.connections > 0;
+        let is_used = self.used >= MIN_USED;
         self.flood = self.flood.filter(|flood| {
             let total = demands.total(flood.workspace);
             !is_used && load.is_outranked && total >= flood.tokens_per_s / LASTING_DIVISOR
--- a/tests/overload.rs
+++ b/tests/overload.rs
@@ -34,6 +34,8 @@
     /// Attempts a second of the workspace while it floods, and otherwise.
     attempts: (u64, u64),
     during: Range<u64>,
+    /// Interval in seconds at which somebody connects to each router by itself.
+    checked_each: u64,
     /// Attempts refused unread in each second.
     refused: Vec<u64>,
     /// Routers that weren't ready, by second.
@@ -72,6 +74,7 @@
             routers: routers.collect(),
             attempts: (attempts, 20),
             during,
+            checked_each: u64::MAX,
             refused: Vec::new(),
             unready: Vec::new(),
         }
@@ -122,12 +125,13 @@
         let most = self.routers.iter().map(|router| router.millicores).max();
         let mut refused = 0;
         for (index, router) in self.routers.iter_mut().enumerate() {
+            let is_checked = now.0 % (self.checked_each.saturating_mul(1_000_000)) == 0;
             let own = if index == used[0] { attempts } else { 0 };
             let others = if used.contains(&index) { OTHERS } else { 0 };
             let borne = router.millicores * ATTEMPTS_PER_MILLICORE;
             let in_step = |per_s: u64| per_s * STEP.as_millis() / 1_000;
             let load = Load {
-                connections: in_step(own + others),
+                connections: in_step(own + others) + u64::from(is_checked),
                 refused: in_step(own.saturating_sub(borne)),
                 is_outranked: most > Some(router.millicores),
             };
@@ -142,13 +146,14 @@
     }
 }
 
-#[test]
-fn flood_goes_round_among_small_routers() {
+/// Checks that a flood stays at the first router that bears it until it is over.
+fn assert_settles(checked_each: u64) {
     let mut domain = Domain::new(
         &[120, 120, 120, 120, 120, 500, 120, 120, 120, 120, 120, 500],
         1_200,
         0..60,
     );
+    domain.checked_each = checked_each;
     domain.run(75);
     let refused: u64 = domain.refused[15..60].iter().sum();
     assert!(
@@ -163,6 +168,16 @@
     );
 }
 
+#[test]
+fn flood_goes_round_among_small_routers() {
+    assert_settles(u64::MAX);
+}
+
+#[test]
+fn flood_called_back_by_a_single_connection() {
+    assert_settles(3);
+}
+
 #[test]
 fn flood_beyond_all_routers_keeps_none_out() {
     let mut domain = Domain::new(&[250, 250], 5_000, 0..60);
