Configuration test: what routers received counts as known to the fleet

Traced: with the platform down, a router that starts is sent the configuration by another, and installs it a second later, once the platform can't be read. If all that have installed it restart meanwhile, the test took the fleet's newest version for 0, though three routers hold version 1, and spread it. Nothing is wrong with that.

--- a/tests/config_replica.rs
+++ b/tests/config_replica.rs
@@ -79,6 +79,9 @@
     /// Deltas sent so far: receiver, sender and body.
     sent: Vec<(usize, id::Router, Vec<u8>)>,
     installed: Vec<Option<Arc<Fleet>>>,
+    /// Newest version that each router got from others since it started and can install: it does so only
+    /// once the platform can't be read for a while.
+    held: Vec<u64>,
     /// Partition that each router is in.
     partitions: Vec<usize>,
     head: u64,
@@ -97,6 +100,7 @@
             queue: VecDeque::new(),
             sent: Vec::new(),
             installed: vec![None; ROUTERS],
+            held: vec![0; ROUTERS],
             partitions: vec![0; ROUTERS],
             head: 1,
             platform_up: true,
@@ -108,6 +112,7 @@
     fn restart(&mut self, at: usize) {
         self.replicas[at] = Replica::new("a".parse().unwrap());
         self.installed[at] = None;
+        self.held[at] = 0;
     }
 
     fn version(&self, at: usize) -> u64 {
@@ -118,6 +123,9 @@
     fn event(&mut self, at: usize, event: Event) {
         self.queue.push_back((at, event));
         while let Some((at, event)) = self.queue.pop_front() {
+            if let Event::Delta { body, .. } = &event {
+                self.hold(at, body);
+            }
             let mut out = Vec::new();
             self.replicas[at].step(self.now, event, &mut out);
             for action in out {
@@ -126,6 +134,14 @@
         }
     }
 
+    fn hold(&mut self, at: usize, body: &[u8]) {
+        let steps = Update::decode(body).unwrap().steps;
+        let (first, last) = (&steps[0], &steps[steps.len() - 1]);
+        if first.from.0 <= self.version(at).max(self.held[at]) {
+            self.held[at] = self.held[at].max(last.to.0);
+        }
+    }
+
     fn perform(&mut self, at: usize, action: Action) {
         match action {
             Action::Install(fleet) => {
@@ -230,6 +246,20 @@
     assert_eq!(cluster.versions(), [2; ROUTERS]);
 }
 
+#[test]
+fn restart_of_all_with_platform_down_keeps_what_was_sent() {
+    let mut cluster = Cluster::new();
+    cluster.rounds(1);
+    cluster.platform_up = false;
+    [2, 4, 0].map(|at| cluster.restart(at));
+    cluster.rounds(1);
+    [3, 1].map(|at| cluster.restart(at));
+    assert_eq!(cluster.versions(), [0; ROUTERS]);
+    assert_eq!(cluster.held, [1, 0, 1, 0, 1]);
+    cluster.rounds(ROUNDS_ALLOWED);
+    assert_eq!(cluster.versions(), [1; ROUTERS]);
+}
+
 #[test]
 fn restart_with_platform_down_asks_peers() {
     let mut cluster = Cluster::new();
@@ -498,7 +528,8 @@
         cluster.drop_messages = false;
         cluster.lag = 0;
         cluster.platform_up = up;
-        let newest = cluster.versions().into_iter().max().unwrap();
+        let known = cluster.versions().into_iter().chain(cluster.held.clone());
+        let newest = known.max().unwrap();
         cluster.rounds(ROUNDS_ALLOWED);
         let expected = if up { cluster.head } else { newest };
         prop_assert_eq!(cluster.versions(), vec![expected; ROUTERS]);
