--- a/tests/config_replica.rs
+++ b/tests/config_replica.rs
@@ -251,9 +251,9 @@
     let mut cluster = Cluster::new();
     cluster.rounds(1);
     cluster.platform_up = false;
-    [2, 4, 0].map(|at| cluster.restart(at));
+    [2, 4, 0].iter().for_each(|at| cluster.restart(*at));
     cluster.rounds(1);
-    [3, 1].map(|at| cluster.restart(at));
+    [3, 1].iter().for_each(|at| cluster.restart(*at));
     assert_eq!(cluster.versions(), [0; ROUTERS]);
     assert_eq!(cluster.held, [1, 0, 1, 0, 1]);
     cluster.rounds(ROUNDS_ALLOWED);
