--- a/src/dispatch/dispatcher/selection.rs
+++ b/src/dispatch/dispatcher/selection.rs
@@ -90,8 +90,9 @@
             policy != Policy::Shared || target.meets(estimate, request, condition, now)
         };
         if matches!(grade, Grade::Surplus | Grade::Spare(_)) {
-            // A request beyond the share of the configured capacity must not cost others anything: only the cheapest target may
-            // take it, and only if no other target has more of the prompt cached.
+            // A request beyond the share of the configured capacity must not cost others anything: only
+            // the cheapest target may take it, and only if no other target has more of the prompt
+            // cached.
             let uncached = self.least_uncached(request);
             estimates.retain(|(_, estimate)| estimate.uncached_tokens <= uncached);
             estimates.sort_by_key(|(_, estimate)| estimate.score);
--- a/tests/overload.rs
+++ b/tests/overload.rs
@@ -125,7 +125,9 @@
         let most = self.routers.iter().map(|router| router.millicores).max();
         let mut refused = 0;
         for (index, router) in self.routers.iter_mut().enumerate() {
-            let is_checked = now.0 % (self.checked_each.saturating_mul(1_000_000)) == 0;
+            let is_checked = now
+                .0
+                .is_multiple_of(self.checked_each.saturating_mul(1_000_000));
             let own = if index == used[0] { attempts } else { 0 };
             let others = if used.contains(&index) { OTHERS } else { 0 };
             let borne = router.millicores * ATTEMPTS_PER_MILLICORE;
