--- a/src/front/responder.rs
+++ b/src/front/responder.rs
@@ -17,7 +17,7 @@
 
     /// Returns the refusal to send on a new connection without reading its request, if no request
     /// can be accepted now: an overloaded router cannot afford to read the request and respond as
-    /// usual. `full` tells that the connection limit is reached.
+    /// usual. `full` tells that the connection limit is reached. Called once for each connection.
     fn refusal(&self, full: bool) -> Option<Problem> {
         let detail = "the router has reached its connection limit";
         full.then(|| Problem::not_run(detail, Span::from_secs(1)))
--- a/src/gateway/controller.rs
+++ b/src/gateway/controller.rs
@@ -2,9 +2,9 @@
 //! periodic work and sends load summaries to other routers.
 
 use super::{
-    Decoder, Driver, Incumbent, Settings, Sources, State,
+    Decoder, Driver, Incumbent, Load, Settings, Sources, State,
     caches::{CONFIGURATION, Caches, ROUTERS, TARGETS},
-    overload::{Load, Overload},
+    overload::Overload,
     presence::Presence,
     record::Record,
     restoration::Restoration,
--- a/src/gateway/driver.rs
+++ b/src/gateway/driver.rs
@@ -20,6 +20,10 @@
 };
 use tokio::sync::mpsc;
 
+/// Refusals that are logged one by one between two takes of the ledger, which has the sums: a router that
+/// refuses a flood of a thousand requests a second needs its processor for others.
+const MAX_REFUSAL_LINES: u64 = 100;
+
 /// Feeds events to the dispatcher and delivers its actions to the requests that wait for them.
 ///
 /// All tasks run on one thread, so the lock is never contended; it only makes the type `Sync`.
@@ -35,10 +39,6 @@
     refusals: u64,
 }
 
-/// Refusals that are logged one by one between two takes of the ledger, which has the sums: a router that
-/// refuses a flood of a thousand requests a second needs its processor for others.
-const MAX_REFUSAL_LINES: u64 = 100;
-
 struct Pending {
     /// Request ID chosen by the caller, for the log.
     request_id: Box<str>,
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -5,6 +5,7 @@
 mod call;
 mod controller;
 mod decisions;
+mod demands;
 mod driver;
 mod error;
 mod exchange;
@@ -13,6 +14,7 @@
 mod head;
 mod incumbent;
 mod limiter;
+mod load;
 mod outgoing;
 mod overload;
 mod presence;
@@ -29,6 +31,7 @@
 
 pub use self::{
     controller::summary_interval,
+    demands::Demands,
     driver::Driver,
     error::Error,
     framer::Framer,
@@ -36,8 +39,9 @@
     head::Head,
     incumbent::Incumbent,
     limiter::Limiter,
+    load::Load,
     outgoing::Outgoing,
-    overload::{Demands, Load, Overload},
+    overload::Overload,
     protocol::Protocol,
     reply::Reply,
     router::{Reload, Router, run, spawn},
--- a/src/gateway/overload.rs
+++ b/src/gateway/overload.rs
@@ -1,5 +1,6 @@
 //! Readiness of a router that is short of processor.
 
+use super::{Demands, Load};
 use crate::{
     dispatch::Demand,
     unit::{Span, Time},
@@ -13,31 +14,10 @@
 /// Part of a flood's demand at this router, as a divisor, from which it counts as lasting: far above what
 /// the workspace asks for when the flood is over.
 const LASTING_DIVISOR: u64 = 4;
-
 /// Observations in a row with connections, from which the balancer counts as using this router. Callers that
 /// were on their way, or check this router by itself, come one at a time.
 const MIN_USED: u32 = 4;
 
-/// What a router sees of its connections.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct Load {
-    /// Connections that arrived since the last observation.
-    pub connections: u64,
-    /// Connections refused unread since the last observation.
-    pub refused: u64,
-    /// Another router of the failure domain has more processor.
-    pub is_outranked: bool,
-}
-
-/// Demands of workspaces, as a router knows them.
-pub trait Demands {
-    /// Returns the demand at this router of the workspace that most of the demand here is of.
-    fn dominant(&self) -> Option<Demand>;
-
-    /// Returns the tokens per second that a workspace requests at all routers.
-    fn total(&self, workspace: u64) -> u64;
-}
-
 /// Decides while a router reports that it is not ready because it is overloaded.
 ///
 /// For loads of which a router with little processor gets several times its part, because the balancer
