Reproduce a spread flood far ahead of one at a single router, in a fleet of 290

The simulation of floods gets flows that a router accepts only up to its limit of requests, and a fleet of 290 routers whose views are 150 to 280 ms old.

--- a/tests/engines/flow.rs
+++ b/tests/engines/flow.rs
@@ -13,6 +13,8 @@
     pub(crate) routers: Vec<usize>,
     /// Prompt tokens that no other request shares.
     pub(crate) own_tokens: Range<u64>,
+    /// Requests per second that the router which they reach accepts before its limit; all if `None`.
+    pub(crate) accepted_per_s: Option<u64>,
 }
 
 impl Flow {
@@ -28,6 +30,7 @@
             during: 0..u64::MAX,
             routers: Vec::new(),
             own_tokens: 300..1_800,
+            accepted_per_s: None,
         }
     }
 
--- a/tests/engines/mod.rs
+++ b/tests/engines/mod.rs
@@ -259,7 +259,12 @@
                 let size = self.random_below(1_000).pow(2) / 1_000;
                 let own = min + (max - min) * size / 1_000;
                 let shared = self.random_below(SHARED_PARTS);
-                self.send_to(flow.workspace, router, shared, own as u32);
+                let accepted = flow.accepted_per_s;
+                if accepted.is_some_and(|most| self.random_below(flow.requests_per_s) >= most) {
+                    self.refuse_at_limit(flow.workspace, router, own);
+                } else {
+                    self.send_to(flow.workspace, router, shared, own as u32);
+                }
             }
         }
     }
@@ -277,6 +282,17 @@
         self.send_to(workspace, router, shared, own);
     }
 
+    /// Refuses a request that reaches a router at its limit of requests.
+    fn refuse_at_limit(&mut self, workspace: usize, router: usize, own: u64) {
+        let tokens = 1_500 + own;
+        let second = self.tally.at(workspace, self.now_ms);
+        second.asked += tokens;
+        second.requests += 1;
+        second.unmet += 1;
+        let workspace = format!("w{workspace}").parse().unwrap();
+        self.step(router, Event::Busy { workspace, tokens });
+    }
+
     /// Sends a request with a shared part and a number of tokens that no other request shares.
     fn send_to(&mut self, workspace: usize, router: usize, shared: u64, own: u32) {
         self.next += 1;
--- a/tests/floods.rs
+++ b/tests/floods.rs
@@ -159,3 +159,88 @@
     let unfair = simulation.tally.unfair(0..15);
     assert!(unfair.is_empty(), "{unfair:#?}");
 }
+
+/// Routers of the largest simulated fleet; a flood's share there is a request each five seconds a router.
+const LARGE_FLEET: usize = 290;
+/// Interval of the routers' summaries there; it makes views 150 to 280 ms old.
+const LARGE_FLEET_INTERVAL_MS: u64 = 100;
+
+/// Simulates flows in the largest fleet.
+fn simulate_large(seconds: u64, flows: Vec<Flow>) -> Simulation {
+    let load = Load {
+        flood: 1,
+        requests_per_s: 0,
+    };
+    let mut simulation = Simulation::open(LARGE_FLEET, ENGINES, table(), load);
+    simulation.flows = flows;
+    simulation.summary_interval_ms = LARGE_FLEET_INTERVAL_MS;
+    simulation.run(Span::from_secs(seconds));
+    simulation
+}
+
+/// Requests of a flood, several times the size of the usual ones.
+fn large_flood(workspace: usize) -> Flow {
+    Flow {
+        own_tokens: 600..20_000,
+        ..Flow::spread(workspace, 300)
+    }
+}
+
+/// Checks that over any six seconds none of some floods gets more than six tenths ahead of another.
+fn assert_abreast_over_six_seconds(
+    simulation: &Simulation,
+    workspaces: &[usize],
+    seconds: std::ops::Range<u64>,
+) {
+    let begun = |workspace: &usize| simulation.tally.begun(*workspace, seconds.clone());
+    let begun: Vec<Vec<u64>> = workspaces.iter().map(begun).collect();
+    for start in 0..begun[0].len() - 5 {
+        let sums = begun
+            .iter()
+            .map(|begun| begun[start..start + 6].iter().sum());
+        let sums: Vec<u64> = sums.collect();
+        let (least, most) = (sums.iter().min().unwrap(), sums.iter().max().unwrap());
+        assert!(
+            lead(*most, *least) <= 1.6,
+            "{sums:?} tokens in six seconds, by second {begun:#?}"
+        );
+    }
+}
+
+#[test]
+fn flood_ahead_of_others_while_it_begins_in_a_large_fleet() {
+    let late = Flow {
+        during: 6_000..u64::MAX,
+        ..large_flood(2)
+    };
+    let flows = vec![large_flood(0), large_flood(1), late];
+    let simulation = simulate_large(16, flows);
+    assert_abreast_over_six_seconds(&simulation, &[0, 1, 2], 6..16);
+}
+
+/// A flood spread over the largest fleet, and one whose callers reach a single router, which accepts a
+/// number of requests per second before its limit.
+fn flood_beside_a_limited_one(accepted_per_s: u64) -> Simulation {
+    let limited = Flow {
+        routers: vec![3],
+        accepted_per_s: Some(accepted_per_s),
+        ..large_flood(1)
+    };
+    let late = Flow {
+        during: 2_000..u64::MAX,
+        ..large_flood(0)
+    };
+    simulate_large(16, vec![late, limited])
+}
+
+#[test]
+fn flood_admitted_once_by_each_router_of_a_large_fleet() {
+    let simulation = flood_beside_a_limited_one(45);
+    assert_abreast_over_six_seconds(&simulation, &[0, 1], 3..16);
+}
+
+#[test]
+fn flood_ahead_of_another_at_a_router_at_its_limit() {
+    let simulation = flood_beside_a_limited_one(25);
+    assert_abreast_over_six_seconds(&simulation, &[0, 1], 3..16);
+}
