Bound floods by what the least-served one gets, down to half their share

Cause: the bound of 1.5 times the least served never went below the share of the configured rate, so that nothing closed the gap to a workspace that can't use its share.

Change: it goes down to half of that share. Below that it stays, since one workspace that can't be served at all must not stop all others.

Evidence: floods::flood_ahead_of_another_at_a_router_at_its_limit failed before (6.34 M tokens in six seconds beside 1.45 M; 2.62 M beside 1.39 M since the pace counts requests) and passes now (lead at most 1.6).

--- a/src/dispatch/share.rs
+++ b/src/dispatch/share.rs
@@ -27,10 +27,12 @@
 const CAPACITY_SPAN: Span = Span::from_millis(1_000);
 /// Interval of estimating the capacity.
 const OBSERVE_INTERVAL: Span = Span::from_millis(250);
-/// Most that a workspace may be granted beyond its share of the configured capacity, as a multiple of what
-/// the least-served refused workspace gets. Callers should see a ratio of at most two between
-/// workspaces.
+/// Most that a workspace beyond its share may be granted, as a multiple of what the least-served refused
+/// workspace gets. Callers should see a ratio of at most two between workspaces.
 const MAX_LEAD: f64 = 1.5;
+/// Part of its share of the configured capacity that a workspace gets at least, however little another one
+/// gets: one that can't be served must not stop all others.
+const MIN_SHARE_PART: f64 = 0.5;
 /// Ratio of its share to its demand up to which a workspace may make up for what it did not use: one whose
 /// demand varies around its share gets the whole of it, one that was idle gets nothing for that time.
 const MAX_UNUSED: f64 = 2.0;
@@ -326,7 +328,7 @@
     fn bound(&self) -> f64 {
         let floor = self.floor.or(self.level).unwrap_or(f64::INFINITY);
         let least = self.least_granted.unwrap_or(f64::INFINITY);
-        floor.max(MAX_LEAD * least)
+        (floor * MIN_SHARE_PART).max(MAX_LEAD * least)
     }
 
     /// Returns the time until a workspace has credit for a request at this router, at which requests of a
