Reject list entries with values out of range, and name them in the log

Reported by other operators: one odd entry among those of the targets ended the processes that read the list.

Change: addresses that no connection can be made to, slots, warm-up and versions out of range are rejected where the row is decoded, for targets and for routers. A rejected entry is logged with its list, name and cause, once until it changes, and at most 1,000 are remembered.

--- a/src/gateway/controller.rs
+++ b/src/gateway/controller.rs
@@ -56,6 +56,9 @@
 /// Interval of reading the list of targets again while entries are set aside: changes of nothing but
 /// the number of a write are not reported.
 const TARGET_REFRESH_INTERVAL: Span = Span::from_secs(2);
+/// Entries passed over that are logged and remembered, so that a faulty writer fills neither log nor
+/// memory.
+const MAX_REJECTED: usize = 1_000;
 /// Long-polling wait for the list of routers. Its age is not critical, because routers send
 /// summaries to the others as soon as they start.
 const ROUTERS_LONG_POLL_WAIT: Span = Span::from_secs(20);
@@ -81,6 +84,8 @@
     pub(super) refreshed_era: Era,
     /// Time at which the list of targets is read again if entries are set aside.
     pub(super) next_target_refresh: Time,
+    /// Entries that were passed over, by list and name, and why.
+    pub(super) rejected: BTreeMap<(&'static str, Box<str>), Box<str>>,
     pub(super) incumbent: Incumbent,
     pub(super) presence: Arc<Presence>,
     pub(super) roster: Roster,
@@ -230,8 +235,14 @@
         }
         let event = match watch::decode(event, self.decoder.target) {
             watch::Event::Unchanged { .. } => return,
-            watch::Event::Full { entries, .. } => catalog::Event::Snapshot(entries),
-            watch::Event::Changed { entries, .. } => catalog::Event::Update(entries),
+            watch::Event::Full { entries, .. } => {
+                self.note_rejected_targets(&entries);
+                catalog::Event::Snapshot(entries)
+            }
+            watch::Event::Changed { entries, .. } => {
+                self.note_rejected_targets(&entries);
+                catalog::Event::Update(entries)
+            }
             watch::Event::Unavailable { fault } => {
                 self.log_lost("targets", &fault);
                 catalog::Event::Unavailable
@@ -252,6 +263,30 @@
         }
     }
 
+    fn note_rejected_targets(&mut self, entries: &[catalog::Entry]) {
+        for entry in entries {
+            self.note_rejected(TARGETS, &entry.name, entry.rejected.clone());
+        }
+    }
+
+    /// Logs an entry of a list that is passed over, unless that was logged when the list was read before.
+    fn note_rejected(&mut self, list: &'static str, entry: &str, cause: Option<Box<str>>) {
+        let Some(cause) = cause else {
+            self.rejected.remove(&(list, entry.into()));
+            return;
+        };
+        let known = self.rejected.get(&(list, entry.into()));
+        if known != Some(&cause) && self.rejected.len() < MAX_REJECTED {
+            Record::EntryRejected {
+                list,
+                entry,
+                cause: &cause,
+            }
+            .write(&self.log);
+            self.rejected.insert((list, entry.into()), cause);
+        }
+    }
+
     /// Passes the targets in the catalog to the handlers and the dispatcher.
     fn publish_targets(&mut self) {
         let targets = self.catalog.targets().clone();
@@ -279,6 +314,9 @@
             self.check_presence(&entries, restoration);
         }
         for (router, entry) in entries {
+            let rejected = entry.as_ref().err().cloned();
+            self.note_rejected(ROUTERS, router.as_str(), rejected);
+            let entry = entry.unwrap_or_default();
             let present = entry.is_some();
             let changed = match entry {
                 Some(entry) => self.roster.add(entry),
@@ -303,7 +341,9 @@
     fn check_presence(&self, entries: &[Peer], restoration: Option<Restoration>) {
         let own = self.roster.own();
         let is_listed = |router| entries.iter().any(|(listed, _)| listed == router);
-        let listed = entries.iter().any(|(_, entry)| entry.as_ref() == Some(own));
+        let listed = entries
+            .iter()
+            .any(|(_, entry)| matches!(entry, Ok(Some(entry)) if entry == own));
         let draining = self.state.is_draining();
         let written_again = !draining && !listed && self.presence.was_written();
         if written_again {
--- a/src/gateway/record.rs
+++ b/src/gateway/record.rs
@@ -165,6 +165,12 @@
     Readiness { overloaded: bool, refused: u64 },
     /// Refusals that have no line of their own; the ledger has them by workspace and reason.
     RefusalsOmitted { omitted: u64 },
+    /// An entry of one of the platform's lists is passed over.
+    EntryRejected {
+        list: &'a str,
+        entry: &'a str,
+        cause: &'a str,
+    },
     /// Another router was listed, or removed from the list.
     Peer {
         router: &'a id::Router,
@@ -365,6 +371,9 @@
                 "estimated_tokens_per_s" => estimated),
             Record::Followed { router } => slog::info!(log, "loads received from";
                 "peer" => router.map(id::Router::as_str)),
+            Record::EntryRejected { list, entry, cause } => {
+                slog::warn!(log, "list entry rejected"; "list" => list, "entry" => entry, "cause" => cause);
+            }
             Record::Peer { router, present } => {
                 slog::info!(log, "router listed"; "peer" => router.as_str(), "present" => present);
             }
--- a/src/gateway/router.rs
+++ b/src/gateway/router.rs
@@ -155,6 +155,7 @@
         catalog: Catalog::default(),
         positions: BTreeMap::new(),
         refreshed_era: Era::default(),
+        rejected: BTreeMap::new(),
         next_target_refresh: Time::default(),
         incumbent: Incumbent::default(),
         presence: presence.clone(),
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -29,7 +29,7 @@
 }
 
 /// Name and entry of another router; the entry is `None` if it was removed from the list.
-pub type Peer = (id::Router, Option<roster::Entry>);
+pub type Peer = (id::Router, Result<Option<roster::Entry>, Box<str>>);
 
 /// A decoded configuration, or why it is invalid.
 pub type Configuration = Result<Arc<routing::Table>, Box<str>>;
--- a/src/platform/registration.rs
+++ b/src/platform/registration.rs
@@ -1,12 +1,11 @@
 //! Registration of routers in the platform's store, by which they discover each other.
 
-use super::Store;
+use super::{Store, target::decode_address};
 use crate::{
     id, roster,
     watch::{Fault, Row},
 };
 use serde::{Deserialize, Serialize};
-use std::net::SocketAddr;
 
 /// Name of the table of routers.
 pub(super) const TABLE: &str = "routers";
@@ -16,15 +15,15 @@
 pub struct Registration {
     /// Router.
     pub router: id::Router,
-    /// The router's registration; `None` if it was removed or its content is invalid.
-    pub entry: Option<roster::Entry>,
+    /// The router's registration, `None` if it was removed, or why its content is invalid.
+    pub entry: Result<Option<roster::Entry>, Box<str>>,
 }
 
 /// JSON value of a row.
 #[derive(Serialize, Deserialize)]
 struct Value {
     domain: id::Domain,
-    peer: SocketAddr,
+    peer: Box<str>,
     millicores: u32,
 }
 
@@ -40,7 +39,7 @@
     pub async fn write(store: &Store, entry: &roster::Entry) -> Result<(), Fault> {
         let value = Value {
             domain: entry.domain.clone(),
-            peer: entry.peer,
+            peer: entry.peer.to_string().into(),
             millicores: entry.millicores,
         };
         let value = serde_json::to_vec(&value).map_err(|cause| Fault::Malformed {
@@ -60,17 +59,29 @@
     }
 }
 
+/// Maximum processor of a router in millicores, far above that of any VM.
+const MAX_MILLICORES: u32 = 1_000_000;
+
 /// Decodes a row of the table of routers; returns `None` if its key is not a router's name.
 pub fn decode(row: Row) -> Option<Registration> {
     let router: id::Router = row.key.parse().ok()?;
-    let value: Option<Value> = row
-        .value
-        .and_then(|value| serde_json::from_slice(&value).ok());
-    let entry = value.map(|value| roster::Entry {
+    let decoded = row.value.map(|value| decode_entry(&router, &value));
+    Some(Registration {
+        entry: decoded.transpose(),
+        router,
+    })
+}
+
+fn decode_entry(router: &id::Router, value: &[u8]) -> Result<roster::Entry, Box<str>> {
+    let value: Value = serde_json::from_slice(value).map_err(|e| e.to_string())?;
+    if value.millicores > MAX_MILLICORES {
+        let millicores = value.millicores;
+        return Err(format!("millicores: {millicores} is above {MAX_MILLICORES}").into());
+    }
+    Ok(roster::Entry {
         router: router.clone(),
         domain: value.domain,
-        peer: value.peer,
+        peer: decode_address(&value.peer)?,
         millicores: value.millicores,
-    });
-    Some(Registration { router, entry })
+    })
 }
--- a/tests/catalog.rs
+++ b/tests/catalog.rs
@@ -16,6 +16,7 @@
     Entry {
         name: name.into(),
         sequence: 1,
+        rejected: None,
         target: Some(Target {
             name: name.parse().unwrap(),
             started_at_ms,
@@ -34,6 +35,7 @@
     Entry {
         name: name.into(),
         sequence: 0,
+        rejected: None,
         target: None,
     }
 }
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -196,6 +196,105 @@
     }
 }
 
+/// Returns an entry of a target of which one field is replaced.
+fn target_entry(field: &str, value: &str) -> String {
+    let fields = [
+        ("service", "\"app\""),
+        ("address", "\"127.0.0.1:9\""),
+        ("zone", "\"east\""),
+        ("version", "\"v1\""),
+        ("slots", "6"),
+        ("state", "\"ready\""),
+        ("cold-left-ms", "0"),
+        ("born", "1"),
+        ("seq", "1"),
+    ];
+    let fields = fields.map(|(name, usual)| {
+        let value = if name == field { value } else { usual };
+        format!("\"{name}\":{value}")
+    });
+    format!("{{{}}}", fields.join(","))
+}
+
+#[test]
+fn target_entry_out_of_range_counts_as_target() {
+    let nested = "[".repeat(100_000) + &"]".repeat(100_000);
+    let flat = "[".repeat(100) + &"]".repeat(100);
+    let digits = "9".repeat(5_000);
+    let long = format!("\"{}\"", "v".repeat(10_000));
+    let entries = [
+        ("address", "\"127.0.0.1:0\""),
+        ("address", "\"127.0.0.1:65536\""),
+        ("address", "\"0.0.0.0:80\""),
+        ("address", "\"999.0.0.1:80\""),
+        ("address", "\"239.1.1.1:80\""),
+        ("slots", "0"),
+        ("slots", "4294967295"),
+        ("slots", "-1"),
+        ("slots", &digits),
+        ("cold-left-ms", "1e308"),
+        ("cold-left-ms", "1e999"),
+        ("born", &digits),
+        ("seq", "1e400"),
+        ("version", &nested),
+        ("version", &flat),
+        ("version", &long),
+        ("zone", &nested),
+    ];
+    let world = World::open(0, 1);
+    let mut router = Router::ready(&world.store, "r1");
+    for (number, (field, value)) in entries.iter().enumerate() {
+        let entry = target_entry(field, value).into_bytes();
+        world
+            .store
+            .put_bytes("servers", &format!("i-odd{number}"), entry);
+    }
+    for number in 0..entries.len() {
+        let named = format!("\"entry\":\"i-odd{number}\"");
+        wait_for("the entry is rejected", || {
+            let log = router.log();
+            let mut lines = log.lines();
+            lines.any(|line| line.contains("list entry rejected") && line.contains(&named))
+        });
+    }
+    let log = router.log();
+    let live = log.lines().filter(|line| line.contains("targets changed"));
+    let expected = ["\"live\":0,", "\"live\":1,"];
+    for line in live {
+        assert!(expected.iter().any(|live| line.contains(live)), "{line}");
+    }
+    let answer = Caller::new(router.listen, "POST", "/book/x", "q1").call();
+    assert_eq!(answer.status, 200);
+    assert_eq!(router.ended(), None);
+}
+
+#[test]
+fn router_entry_out_of_range_is_listed() {
+    let world = World::open(0, 1);
+    let entries = [
+        r#"{"domain":"east","peer":"10.0.0.1:0","millicores":250}"#,
+        r#"{"domain":"east","peer":"0.0.0.0:7400","millicores":250}"#,
+        r#"{"domain":"east","peer":"10.0.0.1:74000","millicores":250}"#,
+        r#"{"domain":"east","peer":"10.0.0.1:7400","millicores":4294967295}"#,
+    ];
+    for (number, entry) in entries.iter().enumerate() {
+        let name = format!("odd{number}");
+        world
+            .store
+            .put_bytes("routers", &name, entry.as_bytes().into());
+    }
+    let router = Router::ready(&world.store, "r1");
+    for number in 0..entries.len() {
+        let named = format!("\"entry\":\"odd{number}\"");
+        wait_for("the entry is rejected", || {
+            let log = router.log();
+            let mut lines = log.lines();
+            lines.any(|line| line.contains("list entry rejected") && line.contains(&named))
+        });
+    }
+    assert!(!router.log().contains("\"peer\":\"odd"), "{}", router.log());
+}
+
 #[test]
 fn target_leaving() {
     let world = World::open(0, 2);
