--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -959,6 +959,61 @@
     assert_eq!(statuses, [200, 502, 200, 502], "{copy:?}");
 }
 
+/// Sends requests that run at most once and may be tried at four targets, by several callers, to targets
+/// that repeat each refusal on the connection that carried it.
+fn refusal_repeated(targets: usize) {
+    let world = World::open(0, 0);
+    let mut configuration = world::configuration(2);
+    configuration["routes"][2]["attempts"] = 4.into();
+    world.store.put("op", "config", &configuration);
+    let router = Router::ready(&world.store, "r1");
+    let repeaters: Vec<Repeater> = (0..targets)
+        .map(|_| Repeater::bind(Copy::Refusal))
+        .collect();
+    for (number, repeater) in repeaters.iter().enumerate() {
+        let entry = serde_json::json!({
+            "service": "app", "address": repeater.address.to_string(), "zone": "east", "slots": 8,
+            "state": "ready", "born": 1_700_000_000_000_u64, "seq": 1,
+        });
+        let name = format!("i-repeater{number}");
+        world.store.put("servers", &name, &entry);
+    }
+    let live = format!("\"live\":{targets},");
+    wait_for("the targets are listed", || router.log().contains(&live));
+    let statuses = thread::scope(|scope| {
+        let callers = (0..4).map(|caller| {
+            let listen = router.listen;
+            scope.spawn(move || {
+                let names = (0..30).map(|number| format!("q{caller}-{number}"));
+                let calls = names.map(|name| {
+                    let answer = Caller::new(listen, "POST", "/book/x", &name).call();
+                    (name, answer.status)
+                });
+                calls.collect::<Vec<_>>()
+            })
+        });
+        let callers: Vec<_> = callers.collect();
+        let joined = callers.into_iter().map(|caller| caller.join().unwrap());
+        joined.flatten().collect::<Vec<_>>()
+    });
+    let mut ran = 0;
+    for (name, status) in statuses {
+        let runs: u32 = repeaters.iter().map(|r| r.runs_of(&name)).sum();
+        assert!(runs <= 1, "{name} ran {runs} times");
+        let is_refused = [408, 421, 429, 503].contains(&status);
+        assert!(!is_refused || runs == 0, "{name} ran and got {status}");
+        ran += runs;
+    }
+    assert!(ran > 0, "no request ran");
+}
+
+#[test]
+fn refusal_repeated_on_its_connection() {
+    for targets in [1, 2, 4] {
+        refusal_repeated(targets);
+    }
+}
+
 #[test]
 fn response_repeated_with_its_name() {
     response_repeated(Copy::Named);
--- a/tests/world/repeater.rs
+++ b/tests/world/repeater.rs
@@ -1,11 +1,16 @@
 //! A target that sends a second copy of a response on a connection that is in use again.
 
 use std::{
+    collections::BTreeMap,
     io::{BufRead, BufReader, Read, Write},
     net::{SocketAddr, TcpListener, TcpStream},
+    sync::{Arc, Mutex},
     thread,
 };
 
+/// Number of times that each request ran, by its name.
+type Runs = Arc<Mutex<BTreeMap<String, u32>>>;
+
 /// What the second copy looks like.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Copy {
@@ -15,38 +20,57 @@
     Unnamed,
     /// It names none, and says that the request was not run.
     UnnamedRefusal,
+    /// It is a refusal, and names its request: every other request on a connection is refused.
+    Refusal,
 }
 
 /// A target that answers each request on a connection but the first with a copy of the response before,
 /// and then with its own.
 pub(crate) struct Repeater {
     pub(crate) address: SocketAddr,
+    runs: Runs,
 }
 
 impl Repeater {
     pub(crate) fn bind(copy: Copy) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let address = listener.local_addr().unwrap();
+        let runs = Runs::default();
+        let counted = runs.clone();
         thread::spawn(move || {
             for stream in listener.incoming().map_while(Result::ok) {
                 // Ends when the router closes the connection.
-                thread::spawn(move || drop(serve(&stream, copy)));
+                let counted = counted.clone();
+                thread::spawn(move || drop(serve(&stream, copy, &counted)));
             }
         });
-        Self { address }
+        Self { address, runs }
+    }
+
+    /// Returns how often a request ran.
+    pub(crate) fn runs_of(&self, request: &str) -> u32 {
+        let runs = self.runs.lock().unwrap();
+        runs.get(request).copied().unwrap_or_default()
     }
 }
 
-fn serve(mut stream: &TcpStream, copy: Copy) -> std::io::Result<()> {
+fn serve(mut stream: &TcpStream, copy: Copy, runs: &Runs) -> std::io::Result<()> {
     let mut reader = BufReader::new(stream);
     let mut before = None;
     loop {
         let request = read_request(&mut reader)?;
-        if let Some(before) = before {
-            stream.write_all(&response(copy, before).into_bytes())?;
+        match before.take() {
+            Some(before) => stream.write_all(&response(copy, before).into_bytes())?,
+            None if copy == Copy::Refusal => {
+                stream.write_all(&response(copy, request.clone()).into_bytes())?;
+                before = Some(request);
+                continue;
+            }
+            None => {}
         }
+        *runs.lock().unwrap().entry(request.clone()).or_default() += 1;
         stream.write_all(&response(Copy::Named, request.clone()).into_bytes())?;
-        before = Some(request);
+        before = (copy != Copy::Refusal).then_some(request);
     }
 }
 
@@ -77,11 +101,13 @@
 fn response(copy: Copy, request: String) -> String {
     let body = format!("answer to {request}");
     let name = match copy {
-        Copy::Named => format!("x-marlrun-request-id: {request}\r\n"),
+        Copy::Named | Copy::Refusal => format!("x-marlrun-request-id: {request}\r\n"),
         Copy::Unnamed | Copy::UnnamedRefusal => String::new(),
     };
     let (status, not_run) = match copy {
-        Copy::UnnamedRefusal => ("503 Service Unavailable", "x-marlrun-not-run: 1\r\n"),
+        Copy::Refusal | Copy::UnnamedRefusal => {
+            ("503 Service Unavailable", "x-marlrun-not-run: 1\r\n")
+        }
         Copy::Named | Copy::Unnamed => ("200 OK", ""),
     };
     format!(
