Keep the credit of requests that were refused unread, for a quarter of a second

Cause: a router that is short of processor learns of the connections that it refused in groups. Their credit went beyond the one request that was saved up and was lost, so that those which it accepted were refused.

--- a/src/dispatch/credit.rs
+++ b/src/dispatch/credit.rs
@@ -1,7 +1,7 @@
 //! Credit that one router has for a workspace, in requests.
 
-/// Most credit that is saved up: callers come in groups, and some routers can't use their part.
-const MAX_SAVED: f64 = 1.0;
+/// Credit that is saved up at least, whatever the rate.
+const MIN_SAVED: f64 = 2.0;
 
 /// Credit that one router has for a workspace, in requests.
 ///
@@ -28,9 +28,10 @@
         }
     }
 
-    /// Adds credit.
-    pub(super) fn add(&mut self, requests: f64) {
-        self.saved = (self.saved + requests).min(1.0 + MAX_SAVED);
+    /// Adds credit; saves up at most `most`.
+    pub(super) fn add(&mut self, requests: f64, most: f64) {
+        let most = most.max(MIN_SAVED).max(self.saved);
+        self.saved = (self.saved + requests).min(most);
     }
 
     /// Admits a request; returns whether there is credit for it.
@@ -46,7 +47,7 @@
 
     /// Gives back the credit of a request that was admitted and found no target.
     pub(super) fn give_back(&mut self) {
-        self.add(1.0);
+        self.saved += 1.0;
     }
 
     /// Returns the credit that is missing for the next request.
--- a/src/dispatch/pacer.rs
+++ b/src/dispatch/pacer.rs
@@ -1,6 +1,7 @@
 //! Pace at which one router admits the requests of a workspace beyond its share.
 
 use super::credit::Credit;
+use crate::unit::Span;
 
 /// Exponent of the ratio of what the workspace was to get to what it was granted, in the boost. Both
 /// are averaged over seconds, which is long against the delay of reports, so that this doesn't oscillate.
@@ -54,6 +55,10 @@
 }
 
 impl Pacer {
+    /// Time for which credit is saved up: a router that is short of processor learns of the requests that it
+    /// refused unread in groups.
+    pub(super) const SAVED_SPAN: Span = Span::from_millis(250);
+
     /// Opens the pace of a workspace at one router; `seed` differs between routers and workspaces.
     pub(super) fn open(seed: u64) -> Self {
         Self {
@@ -63,13 +68,16 @@
         }
     }
 
-    /// Adds the credit of a number of requests.
-    pub(super) fn add(&mut self, requests: f64, rates: &Rates) {
+    /// Adds the credit of a number of requests, where `usual` requests arrive at this router in
+    /// [`Pacer::SAVED_SPAN`].
+    pub(super) fn add(&mut self, requests: f64, usual: f64, rates: &Rates) {
         let boost = rates.boost();
-        let within = rates.target - rates.surplus;
-        self.within.add(requests * rates.fraction(within * boost));
-        self.surplus
-            .add(requests * rates.fraction(rates.surplus * boost));
-        self.spare.add(requests * rates.fraction(rates.spare));
+        let add = |credit: &mut Credit, rate: f64| {
+            let fraction = rates.fraction(rate);
+            credit.add(requests * fraction, usual * fraction);
+        };
+        add(&mut self.within, (rates.target - rates.surplus) * boost);
+        add(&mut self.surplus, rates.surplus * boost);
+        add(&mut self.spare, rates.spare);
     }
 }
--- a/src/dispatch/share.rs
+++ b/src/dispatch/share.rs
@@ -146,7 +146,9 @@
         {
             let seed = self.seed ^ workspace;
             let pacer = known.pacer.get_or_insert_with(|| Pacer::open(seed));
-            pacer.add(requests, &rates);
+            let own_per_s = known.own.rate(now, PART_SPAN) * requests / requested.max(1) as f64;
+            let usual = own_per_s * seconds(Pacer::SAVED_SPAN);
+            pacer.add(requests, usual, &rates);
         }
     }
 
--- a/tests/engines/flow.rs
+++ b/tests/engines/flow.rs
@@ -15,6 +15,8 @@
     pub(crate) own_tokens: Range<u64>,
     /// Requests per second that the router which they reach accepts before its limit; all if `None`.
     pub(crate) accepted_per_s: Option<u64>,
+    /// The others are refused unread, in groups.
+    pub(crate) refused_unread: bool,
 }
 
 impl Flow {
@@ -31,6 +33,7 @@
             routers: Vec::new(),
             own_tokens: 300..1_800,
             accepted_per_s: None,
+            refused_unread: false,
         }
     }
 
--- a/tests/engines/mod.rs
+++ b/tests/engines/mod.rs
@@ -35,6 +35,8 @@
 const STREAM_MS: u64 = 700;
 /// Interval at which routers send each other their loads.
 const SUMMARY_INTERVAL_MS: u64 = 20;
+/// Interval at which a router that is short of processor learns of connections that it refused unread.
+const UNREAD_INTERVAL_MS: u64 = 200;
 /// Latency of a message between routers.
 const LATENCY_MS: u64 = 1;
 /// Number of workspaces; the first one floods.
@@ -108,6 +110,8 @@
     /// Time in which engines process prompts at half their speed, in milliseconds.
     pub(crate) slow: std::ops::Range<u64>,
     pub(crate) tally: Tally,
+    /// Requests that routers refused unread since their last report.
+    unread: BTreeMap<usize, u64>,
     random: ChaCha8Rng,
     next: u64,
     now_ms: u64,
@@ -154,6 +158,7 @@
             summary_interval_ms: SUMMARY_INTERVAL_MS,
             slow: 0..0,
             tally: Tally::default(),
+            unread: BTreeMap::new(),
             random: ChaCha8Rng::seed_from_u64(7),
             next: 0,
             now_ms: 0,
@@ -167,6 +172,9 @@
         for now_ms in start..start + length.as_millis() {
             self.now_ms = now_ms;
             self.arrive();
+            if now_ms % UNREAD_INTERVAL_MS == 0 {
+                self.report_unread();
+            }
             self.deliver_refusals();
             if !self.outage.contains(&now_ms) {
                 self.advance_engines();
@@ -261,7 +269,7 @@
                 let shared = self.random_below(SHARED_PARTS);
                 let accepted = flow.accepted_per_s;
                 if accepted.is_some_and(|most| self.random_below(flow.requests_per_s) >= most) {
-                    self.refuse_at_limit(flow.workspace, router, own);
+                    self.refuse_at_limit(&flow, router, own);
                 } else {
                     self.send_to(flow.workspace, router, shared, own as u32);
                 }
@@ -283,16 +291,27 @@
     }
 
     /// Refuses a request that reaches a router at its limit of requests.
-    fn refuse_at_limit(&mut self, workspace: usize, router: usize, own: u64) {
+    fn refuse_at_limit(&mut self, flow: &Flow, router: usize, own: u64) {
         let tokens = 1_500 + own;
-        let second = self.tally.at(workspace, self.now_ms);
+        let second = self.tally.at(flow.workspace, self.now_ms);
         second.asked += tokens;
         second.requests += 1;
         second.unmet += 1;
-        let workspace = format!("w{workspace}").parse().unwrap();
+        if flow.refused_unread {
+            *self.unread.entry(router).or_default() += 1;
+            return;
+        }
+        let workspace = format!("w{}", flow.workspace).parse().unwrap();
         self.step(router, Event::Busy { workspace, tokens });
     }
 
+    /// Reports the requests that were refused unread since the last report.
+    fn report_unread(&mut self) {
+        for (router, count) in std::mem::take(&mut self.unread) {
+            self.step(router, Event::Shed { count });
+        }
+    }
+
     /// Sends a request with a shared part and a number of tokens that no other request shares.
     fn send_to(&mut self, workspace: usize, router: usize, shared: u64, own: u32) {
         self.next += 1;
--- a/tests/engines/tally.rs
+++ b/tests/engines/tally.rs
@@ -35,6 +35,13 @@
         second.copied().unwrap_or_default()
     }
 
+    /// Returns the mean tokens of a request.
+    pub(crate) fn mean_cost(&self) -> u64 {
+        let seconds = self.seconds.values();
+        let asked = seconds.clone().map(|second| second.asked).sum::<u64>();
+        asked / seconds.map(|second| second.requests).sum::<u64>().max(1)
+    }
+
     /// Returns the tokens that a workspace got in each of some seconds.
     pub(crate) fn begun(&self, workspace: usize, seconds: std::ops::Range<u64>) -> Vec<u64> {
         seconds.map(|at| self.get(workspace, at).begun).collect()
--- a/tests/floods.rs
+++ b/tests/floods.rs
@@ -235,6 +235,26 @@
     simulate_large(16, vec![late, limited])
 }
 
+#[test]
+fn flood_refused_for_its_share_after_others_were_refused_unread() {
+    let limited = Flow {
+        routers: vec![3],
+        accepted_per_s: Some(30),
+        refused_unread: true,
+        requests_per_s: 900,
+        ..large_flood(1)
+    };
+    let simulation = simulate_large(12, vec![large_flood(0), limited]);
+    let accepted = 30 * simulation.tally.mean_cost();
+    for (second, begun) in simulation.tally.begun(1, 4..12).iter().enumerate() {
+        assert!(
+            10 * begun >= 6 * accepted,
+            "{begun} tokens of {accepted} accepted in second {}",
+            4 + second
+        );
+    }
+}
+
 #[test]
 fn flood_admitted_once_by_each_router_of_a_large_fleet() {
     let simulation = flood_beside_a_limited_one(45);
