Let streams that are known go on although their workspace is beyond its share, and keep recalled ones in the history

Change: streams that were read count as the router's own and stay in its row. A stream that is known to have begun was granted then, and goes on within the share.

Evidence: dispatch::history_overwritten_by_a_router_that_has_just_started and resumed_stream_refused_for_its_share.

--- a/src/dispatch/dispatcher/mod.rs
+++ b/src/dispatch/dispatcher/mod.rs
@@ -280,7 +280,12 @@
         self.budget(&request.service).deposit();
         self.record_arrival(&request);
         self.ledger.record_asked(&request);
-        let grade = self.record_demand(now, &request);
+        let mut grade = self.record_demand(now, &request);
+        // Its workspace was granted it when it began.
+        if grade != Grade::Within && self.continues_known(&request) {
+            self.take_back(grade, &request);
+            grade = Grade::Within;
+        }
         let expires = self.queue_deadline(now, &request);
         let pending = Pending {
             request,
--- a/src/dispatch/dispatcher/resumption.rs
+++ b/src/dispatch/dispatcher/resumption.rs
@@ -46,6 +46,16 @@
         }
     }
 
+    /// Reports whether a request resumes a stream that is known to have begun.
+    pub(super) fn continues_known(&self, request: &Request) -> bool {
+        let known = request
+            .resumption
+            .filter(|resumption| resumption.has_events)
+            .and_then(|resumption| resumption.stream)
+            .and_then(|stream| self.origins.get(stream));
+        matches!(known, Some(Entry::Build { .. }))
+    }
+
     fn need(&self, request: &Request) -> Need {
         let Some(resumption) = request.resumption else {
             return Need::Any;
@@ -114,7 +124,8 @@
         let streams = remembered.iter().flat_map(|history| &history.streams);
         for origin in streams {
             let from = self.settings.router.clone();
-            self.origins.record_reported(now, &from, false, *origin);
+            // As of this router: it overwrites what it wrote before, which others may not have read yet.
+            self.origins.record_reported(now, &from, true, *origin);
         }
         let builds = remembered.iter().flat_map(|history| &history.builds);
         for (service, build) in builds {
--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -1804,6 +1804,50 @@
     }
 }
 
+#[test]
+fn resumed_stream_refused_for_its_share() {
+    let list: Vec<_> = (0..20).map(|i| target(&format!("e{i}"), "llm")).collect();
+    let mut dispatcher = ready("r1", &list);
+    let mut refusals = 0;
+    for millis in 0..4_000 {
+        if millis % 100 == 0 {
+            let usage = usage(1 + millis / 100, "west-desk", 500 * millis, 75 * millis / 2);
+            step(&mut dispatcher, millis, usage);
+        }
+        step(&mut dispatcher, millis, Event::Tick);
+        let number = 1 + millis;
+        if millis < 10 {
+            begin(&mut dispatcher, number, millis, &format!("q{millis}"), "");
+        } else {
+            let flooding = Event::Arrived(request(number, millis, "llm"));
+            let actions = step(&mut dispatcher, millis, flooding);
+            refusals += u64::from(refused(&actions).is_some());
+        }
+        step(&mut dispatcher, millis, Event::ResponseStarted { number });
+        step(&mut dispatcher, millis, Event::Closed { number });
+    }
+    assert!(refusals > 2_000, "{refusals} requests of the flood refused");
+    for number in 0..10 {
+        let name = format!("q{number}");
+        let resumed = resumption(10_000 + number, 4_000, Some(&name));
+        let actions = step(&mut dispatcher, 4_000, Event::Arrived(resumed));
+        assert!(sent_to(&actions).is_some(), "{name}: {actions:?}");
+    }
+}
+
+#[test]
+fn history_overwritten_by_a_router_that_has_just_started() {
+    let mut before = ready("r1", &mixed());
+    begin(&mut before, 1, 0, "q1", "v1");
+    before.summarize(at(500), false);
+    let history = before.history(at(500)).unwrap();
+    assert_eq!(history.streams.len(), 1);
+    let mut after = ready("r1", &mixed());
+    step(&mut after, 600, Event::Recalled(vec![history.clone()]));
+    after.summarize(at(600), false);
+    assert_eq!(after.history(at(600)), Some(history));
+}
+
 #[test]
 fn resumed_stream_unknown_refused_after_the_other_build_left() {
     let mut dispatcher = ready("r1", &mixed());
