Bound floods by the least-served one only if it is behind by more than chance

Cause: a share there is a large request a second, so that the least served of a dozen workspaces always is far behind by chance. Since the bound goes down to half of the share, it held all others at that.

Change: the bound goes below the share only if the least served one is behind it by three standard deviations of what it is granted, from the sizes of the requests that arrive.

--- a/src/dispatch/share.rs
+++ b/src/dispatch/share.rs
@@ -30,6 +30,11 @@
 /// Most that a workspace beyond its share may be granted, as a multiple of what the least-served refused
 /// workspace gets. Callers should see a ratio of at most two between workspaces.
 const MAX_LEAD: f64 = 1.5;
+/// Standard deviations of what a workspace is granted by which one must be behind, so that the others are
+/// bounded by it: the least served of many always is a little behind, the more the larger its requests are.
+const MIN_DEVIATIONS: f64 = 3.0;
+/// Weight of a request in the moving averages of costs.
+const COST_WEIGHT: f64 = 0.02;
 /// Part of its share of the configured capacity that a workspace gets at least, however little another one
 /// gets: one that can't be served must not stop all others.
 const MIN_SHARE_PART: f64 = 0.5;
@@ -89,6 +94,9 @@
     least_granted: Option<f64>,
     /// Number of workspaces that are refused requests.
     refused: usize,
+    /// Moving averages of the cost of a request at this router, and of its square.
+    cost: f64,
+    square_cost: f64,
 }
 
 impl Share {
@@ -107,6 +115,8 @@
             floor: None,
             least_granted: None,
             refused: 0,
+            cost: 0.0,
+            square_cost: 0.0,
         }
     }
 
@@ -140,6 +150,11 @@
         let now = self.now;
         let own = &mut self.workspaces.entry(workspace).or_default().own;
         own.add(now, PART_SPAN, requested);
+        if requests > 0.0 {
+            let cost = requested as f64 / requests;
+            self.cost += COST_WEIGHT * (cost - self.cost);
+            self.square_cost += COST_WEIGHT * (cost * cost - self.square_cost);
+        }
         self.add(workspace, requested, 0);
         if let (Some(rates), Some(known)) =
             (self.paced(workspace), self.workspaces.get_mut(&workspace))
@@ -330,7 +345,18 @@
     fn bound(&self) -> f64 {
         let floor = self.floor.or(self.level).unwrap_or(f64::INFINITY);
         let least = self.least_granted.unwrap_or(f64::INFINITY);
-        (floor * MIN_SHARE_PART).max(MAX_LEAD * least)
+        if least + MIN_DEVIATIONS * self.deviation(floor) < floor {
+            (floor * MIN_SHARE_PART).max(MAX_LEAD * least)
+        } else {
+            floor.max(MAX_LEAD * least)
+        }
+    }
+
+    /// Returns the standard deviation of the average of what a workspace is granted at a rate, where its
+    /// requests are admitted independently of one another.
+    fn deviation(&self, rate: f64) -> f64 {
+        let size = self.square_cost / self.cost.max(1.0);
+        (rate * size / (2.0 * seconds(DEMAND_SPAN))).sqrt()
     }
 
     /// Returns the time until a workspace has credit for a request at this router, at which requests of a
