--- a/src/dispatch/credit.rs
+++ b/src/dispatch/credit.rs
@@ -1,6 +1,6 @@
 //! Credit that one router has for a workspace, in requests.
 
-/// Credit that is saved up at least, whatever the rate.
+/// Credit in requests that is saved up at least: requests come in pairs.
 const MIN_SAVED: f64 = 2.0;
 
 /// Credit that one router has for a workspace, in requests.
--- a/src/dispatch/share.rs
+++ b/src/dispatch/share.rs
@@ -94,8 +94,9 @@
     least_granted: Option<f64>,
     /// Number of workspaces that are refused requests.
     refused: usize,
-    /// Moving averages of the cost of a request at this router, and of its square.
+    /// Moving average of the tokens of a request at this router.
     cost: f64,
+    /// Moving average of their square.
     square_cost: f64,
 }
 
