Read the limits that targets name, and log them with what is sent there

Each change of a limit gets a line at the router that read it, and each second each target with a limit that was sent requests. Responses that overtake each other are ordered by when their request was sent. Values that are no number of requests count as none, with at most five lines a second. Nothing is decided by it yet.

--- a/src/dispatch/action.rs
+++ b/src/dispatch/action.rs
@@ -78,4 +78,13 @@
         /// Duration for which it gets no request.
         applied: crate::unit::Span,
     },
+    /// The limit of a target changed.
+    TargetLimited {
+        /// Request whose response said so.
+        number: u64,
+        /// Target.
+        target: crate::id::Target,
+        /// Requests that the target takes of all routers together; `None` if it names no limit any more.
+        limit: Option<crate::unit::Rate>,
+    },
 }
--- a/src/dispatch/dispatcher/mod.rs
+++ b/src/dispatch/dispatcher/mod.rs
@@ -2,6 +2,7 @@
 
 mod fleet;
 mod hazard;
+mod limit;
 mod notice;
 mod resumption;
 mod selection;
@@ -17,6 +18,7 @@
     grade::Grade,
     hazards::Hazards,
     ledger::{Entry, Ledger, Loss},
+    limits::Limits,
     notices::Notices,
     origins::Origins,
     peer::Peer,
@@ -76,6 +78,7 @@
     /// Names of the targets by the hash of their name and start time.
     names: HashMap<u64, id::Target>,
     notices: Notices,
+    limits: Limits,
     queues: BTreeMap<id::Service, Queue>,
     builds: Builds,
     origins: Origins,
@@ -135,6 +138,7 @@
             targets: BTreeMap::new(),
             names: HashMap::new(),
             notices: Notices::default(),
+            limits: Limits::default(),
             queues: BTreeMap::new(),
             builds: Builds::default(),
             origins: Origins::default(),
@@ -257,6 +261,12 @@
             Event::Paused { number, run, asked } => {
                 self.record_pause(now, number, &run, asked, out);
             }
+            Event::LimitRead {
+                number,
+                run,
+                sent,
+                limit,
+            } => self.record_limit(now, number, &run, (sent, limit), out),
             Event::Closed { number } => self.close(now, number, out),
             Event::Targets(targets) => self.set_targets(now, targets, out),
             Event::Routing(table) => self.set_routing(now, table, out),
--- a/src/dispatch/dispatcher/selection.rs
+++ b/src/dispatch/dispatcher/selection.rs
@@ -146,6 +146,7 @@
         };
         let (memory, ahead) = target.start(&request, estimate.uncached_tokens, now);
         let target_key = target.key;
+        self.limits.count_send(target_key);
         if let Some(prompt) = &request.prompt {
             self.typical.record(&request, &estimate);
             self.announce(target_key, prompt);
--- a/src/dispatch/dispatcher/summaries.rs
+++ b/src/dispatch/dispatcher/summaries.rs
@@ -95,6 +95,7 @@
             self.announced_prefills
                 .retain(|_, at| now.since(*at) < ANNOUNCE_INTERVAL);
             self.refresh_builds(now);
+            self.limits.expire(now);
             let names = &self.names;
             self.baseline.retain(|target| names.contains_key(&target));
             for peer in self.peers.values_mut() {
--- a/src/dispatch/event.rs
+++ b/src/dispatch/event.rs
@@ -1,7 +1,10 @@
 //! Inputs of the dispatcher.
 
 use super::{History, Outcome, Request};
-use crate::{catalog, gossip, id, routing, unit::Span};
+use crate::{
+    catalog, gossip, id, routing,
+    unit::{Rate, Span, Time},
+};
 use std::{collections::BTreeMap, sync::Arc};
 
 /// Input of the dispatcher.
@@ -58,6 +61,17 @@
         /// Duration that the target asked for.
         asked: Span,
     },
+    /// A target's response to a request arrived, which says how many requests it takes.
+    LimitRead {
+        /// Request.
+        number: u64,
+        /// Run of the target that the request was sent to.
+        run: catalog::Run,
+        /// Time at which the request was sent.
+        sent: Time,
+        /// Requests that the target takes of all routers together; `None` if it named no limit.
+        limit: Option<Rate>,
+    },
     /// A request was closed and needs no further decision; an attempt in flight counts as
     /// cancelled.
     Closed {
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -28,6 +28,9 @@
 mod health;
 mod history;
 mod ledger;
+mod limit;
+mod limited;
+mod limits;
 mod meter;
 mod notices;
 mod origins;
@@ -38,6 +41,7 @@
 mod policy;
 mod prompt;
 mod queue;
+mod reading;
 mod refusal;
 mod request;
 mod settings;
@@ -60,6 +64,7 @@
     event::Event,
     history::History,
     ledger::{Amount, Entry, Loss},
+    limited::Limited,
     outcome::Outcome,
     policy::Policy,
     prompt::{Part, Prompt},
--- a/src/dispatch/target.rs
+++ b/src/dispatch/target.rs
@@ -293,5 +293,10 @@
 
 /// Returns the hash by which routers refer to a target. A target that restarts gets another one.
 pub(super) fn key_of(entry: &catalog::Target) -> u64 {
-    hash(entry.name.as_str()) ^ entry.started_at_ms.rotate_left(32)
+    key_of_run(&entry.into())
+}
+
+/// Returns the same for a run of a target.
+pub(super) fn key_of_run(run: &catalog::Run) -> u64 {
+    hash(run.target.as_str()) ^ run.started_at_ms.rotate_left(32)
 }
--- a/src/gateway/controller.rs
+++ b/src/gateway/controller.rs
@@ -165,7 +165,10 @@
                     summary_timer.reset_after(Duration::from(summary_interval(self.datagrams, self.roster.is_large())));
                 }
                 _ = sweep_timer.tick() => self.sweep(),
-                _ = ledger_timer.tick() => self.log_ledger(),
+                _ = ledger_timer.tick() => {
+                    self.log_ledger();
+                    self.log_limited();
+                }
                 _ = stop.recv() => break,
             }
         }
@@ -471,6 +474,13 @@
         }
     }
 
+    /// Logs what was sent to each target with a limit.
+    fn log_limited(&self) {
+        for limited in &self.driver.take_limited() {
+            Record::LimitedTarget(limited).write(&self.log);
+        }
+    }
+
     /// Logs changes of what the dispatcher decides by itself.
     fn log_changes(&mut self) {
         let estimated = self.driver.estimated_capacity();
--- a/src/gateway/driver.rs
+++ b/src/gateway/driver.rs
@@ -9,8 +9,8 @@
 use crate::{
     catalog, clock,
     dispatch::{
-        Action, Allocation, Batch, Demand, Dispatcher, Entry, Event, History, Request, Standing,
-        View,
+        Action, Allocation, Batch, Demand, Dispatcher, Entry, Event, History, Limited, Request,
+        Standing, View,
     },
     id, metric,
     unit::{Time, Version},
@@ -24,6 +24,9 @@
 /// Refusals that are logged one by one between two takes of the ledger, which has the sums: a router that
 /// refuses a flood of a thousand requests a second needs its processor for others.
 const MAX_REFUSAL_LINES: u64 = 100;
+/// Limits that can't be read which are logged between two takes of the ledger: a target names one in each
+/// response.
+const MAX_UNREADABLE_LINES: u64 = 5;
 
 /// Feeds events to the dispatcher and delivers its actions to the requests that wait for them.
 ///
@@ -38,6 +41,8 @@
     requests: HashMap<u64, Pending>,
     /// Refusals since the ledger was last taken.
     refusals: u64,
+    /// Limits that can't be read since those of targets were last taken.
+    unreadable: u64,
 }
 
 struct Pending {
@@ -62,6 +67,7 @@
                 dispatcher,
                 requests: HashMap::new(),
                 refusals: 0,
+                unreadable: 0,
             }),
             log,
         }
@@ -179,6 +185,19 @@
                 };
                 return record.write(&self.log);
             }
+            Action::TargetLimited {
+                number,
+                target,
+                limit,
+            } => {
+                metrics::counter!(metric::LIMITS).increment(1);
+                let record = Record::TargetLimited {
+                    request: inner.request_id(number),
+                    target: &target,
+                    limit,
+                };
+                return record.write(&self.log);
+            }
         };
         if let Some(pending) = inner.requests.get(&number) {
             // The receiver is closed if the request has just ended; its `Closed` event follows.
@@ -229,6 +248,20 @@
         (entries, standing)
     }
 
+    /// Returns what was sent to each target with a limit since the last call.
+    pub fn take_limited(&self) -> Vec<Limited> {
+        let mut inner = self.lock();
+        inner.unreadable = 0;
+        inner.dispatcher.take_limited()
+    }
+
+    /// Counts a limit that can't be read; returns whether it is to be logged.
+    pub(super) fn count_unreadable(&self) -> bool {
+        let mut inner = self.lock();
+        inner.unreadable += 1;
+        inner.unreadable <= MAX_UNREADABLE_LINES
+    }
+
     /// Counts a refusal; returns whether it is to be logged by itself.
     pub(super) fn count_refusal(&self) -> bool {
         let mut inner = self.lock();
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -331,7 +331,7 @@
             .context
             .protocol
             .parse_response(head.status, &head.headers);
-        self.report_notices(run, &reply);
+        self.report_notices(&run, &reply);
         let own_id = &self.call.head.request_id;
         let crossed = match &reply.request_id {
             Some(id) if id != own_id => Some("the response belongs to another request"),
@@ -345,6 +345,7 @@
             metrics::counter!(metric::CROSSED).increment(1);
             return Err(failure(Outcome::Malformed, &cause));
         }
+        self.report_limit(run, sent, &reply);
         if reply.not_run {
             self.runs.fetch_sub(1, Ordering::Relaxed);
             let cause = format!("the target refused the request with status {}", head.status);
@@ -379,7 +380,7 @@
     }
 
     /// Reports what a target announced about itself in a response.
-    fn report_notices(&self, run: catalog::Run, reply: &Reply) {
+    fn report_notices(&self, run: &catalog::Run, reply: &Reply) {
         let number = self.call.number;
         match &reply.pause {
             Some(Ok(asked)) => self.submission.report(Event::Paused {
@@ -398,10 +399,41 @@
             None => {}
         }
         if reply.leaving {
+            let run = run.clone();
             self.submission.report(Event::Leaving { number, run });
         }
     }
 
+    /// Reports what a response to this request says of its target's limit.
+    fn report_limit(&self, run: catalog::Run, sent: Time, reply: &Reply) {
+        let is_of_target = reply.expected && (reply.signed || reply.not_run);
+        if !is_of_target {
+            return;
+        }
+        let limit = match &reply.limit {
+            Some(Ok(limit)) => Some(*limit),
+            Some(Err(value)) => {
+                let driver = self.submission.driver();
+                if driver.count_unreadable() {
+                    let record = Record::InvalidLimit {
+                        request: &self.call.head.request_id,
+                        target: &run.target,
+                        value,
+                    };
+                    record.write(driver.log());
+                }
+                None
+            }
+            None => None,
+        };
+        self.submission.report(Event::LimitRead {
+            number: self.call.number,
+            run,
+            sent,
+            limit,
+        });
+    }
+
     /// Reads the body of a server error (5xx) and returns the failed attempt.
     async fn read_error_response(&self, transfer: Transfer) -> Failure {
         let (target, sent) = (transfer.target.clone(), transfer.sent);
--- a/src/gateway/record.rs
+++ b/src/gateway/record.rs
@@ -2,9 +2,11 @@
 
 use super::restoration::Restoration;
 use crate::{
-    dispatch::{Allocation, Amount, Entry, Estimate, Loss, Outcome, Part, Refusal, Standing},
+    dispatch::{
+        Allocation, Amount, Entry, Estimate, Limited, Loss, Outcome, Part, Refusal, Standing,
+    },
     id,
-    unit::{Span, Version},
+    unit::{Rate, Span, Version},
 };
 
 /// Maximum number of parts of a prompt in a log line; usual prompts have three.
@@ -116,6 +118,21 @@
         target: &'a id::Target,
         value: &'a str,
     },
+    /// The limit of a target changed.
+    TargetLimited {
+        request: &'a str,
+        target: &'a id::Target,
+        /// Requests per second; `None` if the target names no limit any more.
+        limit: Option<Rate>,
+    },
+    /// A response names a limit that can't be read.
+    InvalidLimit {
+        request: &'a str,
+        target: &'a id::Target,
+        value: &'a str,
+    },
+    /// Requests that were sent to a target with a limit since the last such record.
+    LimitedTarget(&'a Limited),
     /// A configuration came into force.
     Configuration {
         version: Version,
@@ -298,6 +315,21 @@
                 value,
             } => slog::warn!(log, "target pause unreadable"; "request" => request,
                 "target" => target.as_str(), "value" => value),
+            Record::TargetLimited {
+                request,
+                target,
+                limit,
+            } => slog::warn!(log, "target limited"; "request" => request,
+                "target" => target.as_str(), "limit_per_s" => limit.map(Rate::per_s)),
+            Record::InvalidLimit {
+                request,
+                target,
+                value,
+            } => slog::warn!(log, "target limit unreadable"; "request" => request,
+                "target" => target.as_str(), "value" => value),
+            Record::LimitedTarget(limited) => slog::info!(log, "limited target";
+                "target" => limited.target.as_str(), "limit_per_s" => limited.limit.per_s(),
+                "sent" => limited.sent),
             Record::Configuration {
                 version,
                 routes,
--- a/src/metric.rs
+++ b/src/metric.rs
@@ -41,6 +41,8 @@
 pub const LEAVING: &str = "marlrun_targets_leaving_total";
 /// Pauses that targets asked for.
 pub const PAUSES: &str = "marlrun_target_pauses_total";
+/// Changes of the limits that targets name.
+pub const LIMITS: &str = "marlrun_target_limits_total";
 /// Crashes of targets that this router saw.
 pub const CRASHES: &str = "marlrun_target_crashes_total";
 /// Parts of prompts that are held back because targets crashed under them.
--- a/src/platform/header.rs
+++ b/src/platform/header.rs
@@ -3,7 +3,7 @@
 use crate::{
     dispatch::{Part, Prompt},
     gateway::{Head, Outgoing, Protocol, Reply},
-    unit::Span,
+    unit::{Rate, Span},
 };
 use http::{HeaderMap, HeaderName, HeaderValue, StatusCode, header};
 
@@ -29,6 +29,8 @@
 const NOT_RUN: HeaderName = HeaderName::from_static("x-marlrun-not-run");
 /// `1` in all responses of a target that leaves.
 const LEAVING: HeaderName = HeaderName::from_static("server-leaving");
+/// Requests per second that a target takes of all routers together, as long as its responses say so.
+const LIMIT: HeaderName = HeaderName::from_static("server-limit");
 /// Workspace of the client, which the platform calls a tenant.
 const TENANT: HeaderName = HeaderName::from_static("x-marlrun-tenant");
 /// Name of the target that is to run the request.
@@ -98,6 +100,7 @@
         let is_expected = status != StatusCode::MISDIRECTED_REQUEST;
         Reply {
             request_id: text(headers, &REQUEST_ID).map(Into::into),
+            expected: is_expected,
             signed: headers.contains_key(RESPONSE_SIGNATURE),
             not_run: headers.contains_key(NOT_RUN) || !is_expected,
             keep_alive: keep_alive.map(Span::from_secs),
@@ -105,6 +108,7 @@
             leaving: is_expected
                 && text(headers, &LEAVING).is_some_and(|value| value.trim() == "1"),
             pause: parse_pause(status, headers),
+            limit: parse_limit(headers),
             encoded: headers.contains_key(header::CONTENT_ENCODING),
         }
     }
@@ -125,12 +129,28 @@
         .ok()
         .and_then(|text| text.trim().parse().ok());
     let seconds = seconds.filter(|seconds: &f64| seconds.is_finite() && *seconds >= 0.0);
+    let pause = seconds.map(|seconds| Span((seconds * 1e6) as u64));
+    Some(pause.ok_or_else(|| logged(value)))
+}
+
+/// Parses the requests per second that a target takes; several values are none.
+fn parse_limit(headers: &HeaderMap) -> Option<Result<Rate, Box<str>>> {
+    let mut values = headers.get_all(LIMIT).iter();
+    let first = values.next()?;
+    let others: String = values.map(|value| format!(", {}", logged(value))).collect();
+    let limit = first.to_str().ok().and_then(|text| text.parse().ok());
+    let limit = limit.filter(|_| others.is_empty());
     let invalid = || {
-        let text = String::from_utf8_lossy(value.as_bytes());
+        let text = format!("{}{others}", logged(first));
         text.chars().take(MAX_LOGGED_CHARS).collect()
     };
-    let pause = seconds.map(|seconds| Span((seconds * 1e6) as u64));
-    Some(pause.ok_or_else(invalid))
+    Some(limit.ok_or_else(invalid))
+}
+
+/// Returns the beginning of a header value that can't be read, for the log.
+fn logged(value: &HeaderValue) -> Box<str> {
+    let text = String::from_utf8_lossy(value.as_bytes());
+    text.chars().take(MAX_LOGGED_CHARS).collect()
 }
 
 fn set(headers: &mut HeaderMap, name: HeaderName, value: &str) {
--- a/src/unit/mod.rs
+++ b/src/unit/mod.rs
@@ -2,12 +2,15 @@
 
 mod cost;
 mod era;
+mod rate;
 mod span;
 mod time;
 mod version;
 mod weight;
 
-pub use self::{cost::Cost, era::Era, span::Span, time::Time, version::Version, weight::Weight};
+pub use self::{
+    cost::Cost, era::Era, rate::Rate, span::Span, time::Time, version::Version, weight::Weight,
+};
 
 /// Error of a text that is not a quantity.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
--- a/tests/engines/mod.rs
+++ b/tests/engines/mod.rs
@@ -417,6 +417,7 @@
             Action::HealthChanged { .. }
             | Action::TargetLeaving { .. }
             | Action::TargetPaused { .. }
+            | Action::TargetLimited { .. }
             | Action::TargetCrashed { .. }
             | Action::PartHeld { .. }
             | Action::PartReleased { .. }
--- a/tests/header.rs
+++ b/tests/header.rs
@@ -4,7 +4,7 @@
 use marlrun::{
     gateway::{Protocol, Reply},
     platform::Header,
-    unit::Span,
+    unit::{Rate, Span},
 };
 
 fn parse(status: u16, headers: &[(&'static str, &'static str)]) -> Reply {
@@ -12,8 +12,11 @@
         let value = HeaderValue::from_static(value);
         (HeaderName::from_static(name), value)
     });
-    let headers: HeaderMap = headers.collect();
-    Header.parse_response(StatusCode::from_u16(status).unwrap(), &headers)
+    let mut map = HeaderMap::new();
+    for (name, value) in headers {
+        map.append(name, value);
+    }
+    Header.parse_response(StatusCode::from_u16(status).unwrap(), &map)
 }
 
 #[test]
@@ -50,3 +53,48 @@
     assert_eq!(pause(200, "2"), None);
     assert_eq!(parse(503, &[]).pause, None);
 }
+
+fn limits(values: &[&'static str]) -> Option<Result<Rate, Box<str>>> {
+    let headers: Vec<_> = values
+        .iter()
+        .map(|value| ("server-limit", *value))
+        .collect();
+    parse(200, &headers).limit
+}
+
+#[test]
+fn parse_response_limit() {
+    let millis = [
+        ("10.2", 10_200),
+        ("0", 0),
+        ("-0", 0),
+        (" 5.3 ", 5_300),
+        (".25", 250),
+        ("0.3", 300),
+        ("0.0004", 0),
+        ("12", 12_000),
+        ("1e9", 1_000_000_000),
+    ];
+    for (value, millis) in millis {
+        let rate = Rate::from_millis(millis);
+        assert_eq!(limits(&[value]), Some(Ok(rate)), "{value:?}");
+    }
+    assert_eq!(limits(&[]), None);
+}
+
+#[test]
+fn parse_response_unreadable_limit() {
+    for value in ["NaN", "-3", "1e400", "", "inf", "4,5", "ten", "4 5"] {
+        assert_eq!(limits(&[value]), Some(Err(value.into())));
+    }
+    assert_eq!(limits(&["4", "4"]), Some(Err("4, 4".into())));
+    let long = "x".repeat(10_000).leak();
+    let logged = limits(&[long, long]).unwrap().unwrap_err();
+    assert!(logged.len() < 100, "{} bytes are logged", logged.len());
+}
+
+#[test]
+fn parse_response_of_another_instance() {
+    assert!(!parse(421, &[("server-limit", "3")]).expected);
+    assert!(parse(503, &[("server-limit", "3")]).expected);
+}
