Keep the limits that targets name, by dividing them among all routers

Cause: the header took no part in any decision (hypothesis 1). A router that kept it alone would make it a multiple (hypothesis 2): what one router sends to one target differs by thirty times. And routers learned of it up to 6 s late, of its end up to 7 s late, since each learns only by its own requests (hypothesis 3).

Now every response is a reading, ordered by the times between which it was written; summaries carry readings to all routers; leading routers divide a limit by the demands that all report, and pass on the parts of their followers. Fewer routers than requests a second share a limit, by rendezvous hashing. Parts of silent routers are kept for 10 s, and a starting router uses none for a second. Credit goes to requests that save engines without a limit most work; engines with one count in the pressure by what they take. Requests without a turn in time are refused at once.

--- a/schema/marlrun.capnp
+++ b/schema/marlrun.capnp
@@ -268,4 +268,17 @@
   origins @11 :List(StreamOrigins);
   findings @12 :List(PartFinding);
   crowdedPermille @13 :UInt16 = 65535; # thousandths of the engines that are crowded; above 1000: unknown
+  limits @14 :List(TargetLimit);
+  demand @15 :UInt32; # requests per second of these routers that targets are sought for
+}
+
+# What the response of a target said of its limit.
+struct TargetLimit {
+  target @0 :UInt64; # hash of its name and start time
+  ended @1 :Bool; # it named no limit, after it had named one
+  milliPerS @2 :UInt32; # requests that it takes of all routers together, in thousandths per second
+  sentAgeMillis @3 :UInt32; # time since the request was sent
+  ageMillis @4 :UInt32; # time since the head of the response was received
+  partMilliPerS @5 :UInt32; # part of the limit that the recipient may use
+  slots @6 :UInt16; # number of routers that the recipient may divide it among
 }
--- a/src/dispatch/action.rs
+++ b/src/dispatch/action.rs
@@ -80,11 +80,13 @@
     },
     /// The limit of a target changed.
     TargetLimited {
-        /// Request whose response said so.
-        number: u64,
         /// Target.
         target: crate::id::Target,
         /// Requests that the target takes of all routers together; `None` if it names no limit any more.
         limit: Option<crate::unit::Rate>,
+        /// Request whose response said so, if this router read it.
+        request: Option<u64>,
+        /// Router that reported it, otherwise.
+        router: Option<crate::id::Router>,
     },
 }
--- a/src/dispatch/baseline.rs
+++ b/src/dispatch/baseline.rs
@@ -12,6 +12,8 @@
 const TOKENS_PER_REQUEST: u64 = 500;
 /// Tokens of memory that weigh as much as one prompt token in the difference of two loads.
 const MEMORY_PER_TOKEN: u64 = 4;
+/// Time after which a limit that did not change is sent again, for the same reason.
+const LIMIT_REFRESH_INTERVAL: Span = Span::from_millis(500);
 
 /// Load as it was last sent.
 #[derive(Clone, Copy, Debug)]
@@ -24,6 +26,7 @@
 #[derive(Clone, Debug, Default)]
 pub(super) struct Baseline {
     loads: HashMap<u64, Sent>,
+    limits: HashMap<u64, (Time, gossip::Limit)>,
     /// Time of the last summary.
     pub(super) last_sent: Time,
     /// Time at which usages were last sent.
@@ -67,9 +70,36 @@
         loads.collect()
     }
 
-    /// Removes the loads of unknown targets.
+    /// Returns the limits to send now: those that differ from what was last sent, and those that were not sent
+    /// for [`LIMIT_REFRESH_INTERVAL`].
+    pub(super) fn select_limits(
+        &mut self,
+        now: Time,
+        mut limits: Vec<gossip::Limit>,
+    ) -> Vec<gossip::Limit> {
+        limits.retain(|limit| {
+            let sent = self.limits.get(&limit.target);
+            let is_due = sent.is_none_or(|(at, sent)| {
+                let said = |limit: &gossip::Limit| (limit.limit, limit.quota, limit.slots);
+                said(sent) != said(limit) || now.since(*at) >= LIMIT_REFRESH_INTERVAL
+            });
+            if is_due {
+                self.limits.insert(limit.target, (now, *limit));
+            }
+            is_due
+        });
+        limits
+    }
+
+    /// Sends all limits again, since a recipient has just started.
+    pub(super) fn forget_limits(&mut self) {
+        self.limits.clear();
+    }
+
+    /// Removes the loads and limits of unknown targets.
     pub(super) fn retain(&mut self, is_known: impl Fn(u64) -> bool) {
         self.loads.retain(|target, _| is_known(*target));
+        self.limits.retain(|target, _| is_known(*target));
     }
 }
 
--- a/src/dispatch/dispatcher/fleet.rs
+++ b/src/dispatch/dispatcher/fleet.rs
@@ -1,6 +1,6 @@
 //! Changes of the targets, the configuration and the other routers.
 
-use super::{Baseline, Dispatcher, Peer, Target, Topology};
+use super::{Baseline, Dispatcher, Peer, Target, Topology, limit::apply_limit};
 use crate::{
     catalog,
     dispatch::{Action, View},
@@ -42,6 +42,8 @@
                 None => self.new_target(entry),
             };
             target.announced_leaving = self.notices.is_leaving(&target.entry);
+            let known = self.limits.known(target.key);
+            apply_limit(now, &mut target, known, self.key);
             self.targets.insert(name, target);
         }
         for target in old.into_values() {
@@ -130,17 +132,19 @@
         leaders: Vec<id::Router>,
         neighbors: Vec<id::Router>,
     ) {
-        self.change_topology(|topology| topology.set(now, candidates, leaders, neighbors));
+        self.change_topology(now, |topology| {
+            topology.set(now, candidates, leaders, neighbors);
+        });
     }
 
     /// Follows another router if the followed one is silent.
     pub(super) fn tick_topology(&mut self, now: Time) {
-        self.change_topology(|topology| topology.tick(now));
+        self.change_topology(now, |topology| topology.tick(now));
     }
 
     /// Changes the topology. If that changes which router this one follows, the former recipients
     /// are informed, and everything is sent to the new ones.
-    fn change_topology(&mut self, change: impl FnOnce(&mut Topology)) {
+    fn change_topology(&mut self, now: Time, change: impl FnOnce(&mut Topology)) {
         let before = self.topology.followed().cloned();
         let recipients = self.recipients();
         change(&mut self.topology);
@@ -150,8 +154,13 @@
         }
         if after.is_none() {
             // From now on, this router adds up the loads of all groups itself.
+            if self.topology.is_isolated() {
+                self.record_all_departed(now, |peer| peer.scope == Scope::Rest);
+            }
             self.drop_peers(|peer| peer.scope == Scope::Rest);
         }
+        // Those that the router before gave are no longer this one's.
+        self.limits.clear_quotas();
         self.former_recipients.push(recipients);
         if before.is_none() {
             let followers = self.followers();
@@ -187,6 +196,8 @@
         // Where streams began holds whatever the sender's role, and also if it leaves.
         self.record_origins(now, summary, out);
         self.record_findings(now, summary, out);
+        // What targets said holds, too; which part of it this router may use depends on the sender's role.
+        self.receive_limits(now, summary, out);
         if !self.is_relevant(summary) {
             return;
         }
@@ -200,7 +211,7 @@
         if summary.leaving {
             self.drop_peers_named(std::slice::from_ref(&summary.router));
             if summary.scope == Scope::Rest {
-                self.change_topology(|topology| topology.switch(now));
+                self.change_topology(now, |topology| topology.switch(now));
             }
             return;
         }
@@ -216,12 +227,14 @@
             peer.untold = self.untold_for(&summary.router, summary.scope);
             self.peers.insert(summary.router.clone(), peer);
             self.hazards.announce_all();
+            self.baseline.forget_limits();
+            self.departed.retain(|d| d.router != summary.router);
             self.divide_limits();
         }
         if summary.scope == Scope::Rest {
             self.topology.record_followed(now);
         } else if summary.scope == Scope::Group {
-            self.change_topology(|topology| topology.rejoin(now, &summary.router));
+            self.change_topology(now, |topology| topology.rejoin(now, &summary.router));
         }
         self.apply(now, summary);
         if summary.loads.is_empty() {
@@ -243,6 +256,7 @@
         peer.reported_age = summary.age;
         peer.version = peer.version.max(summary.version);
         peer.crowded_permille = summary.crowded_permille;
+        peer.demand = summary.demand;
         let changed = peer.router_count != summary.router_count;
         peer.router_count = summary.router_count;
         for load in &summary.loads {
@@ -280,6 +294,9 @@
         if changed {
             self.divide_limits();
         }
+        if summary.scope == Scope::Rest {
+            self.receive_quotas(now, summary);
+        }
     }
 
     /// Drops routers with the loads that they reported.
@@ -308,7 +325,20 @@
     }
 
     pub(super) fn drop_silent_peers(&mut self, now: Time) {
-        self.drop_peers(|peer| now.since(peer.last_heard) >= PEER_TIMEOUT);
+        let is_silent = |peer: &Peer| now.since(peer.last_heard) >= PEER_TIMEOUT;
+        self.record_all_departed(now, is_silent);
+        self.drop_peers(is_silent);
+    }
+
+    /// Keeps the parts of limits of some routers for them, since they may be cut off.
+    fn record_all_departed(&mut self, now: Time, is_departed: impl Fn(&Peer) -> bool) {
+        let departed = self.peers.iter().filter(|(_, peer)| is_departed(peer));
+        let departed: Vec<(id::Router, Peer)> = departed
+            .map(|(name, peer)| (name.clone(), peer.clone()))
+            .collect();
+        for (name, peer) in departed {
+            self.record_departed(now, &name, &peer);
+        }
     }
 
     /// Returns the age of the oldest report that is taken into account.
--- a/src/dispatch/dispatcher/hazard.rs
+++ b/src/dispatch/dispatcher/hazard.rs
@@ -407,7 +407,8 @@
             return self.refuse(now, &pending, Reason::Hazard, retry_after, out);
         }
         pending.is_trial = true;
-        if let Some((reason, retry_after)) = self.unservable(now, &pending) {
+        if let Some((reason, retry_after)) = self.unservable(now, &pending, self.ahead_of(&pending))
+        {
             return self.refuse(now, &pending, reason, retry_after, out);
         }
         let Some(estimate) = self.choose(now, &pending, grade) else {
--- a/src/dispatch/dispatcher/mod.rs
+++ b/src/dispatch/dispatcher/mod.rs
@@ -15,10 +15,12 @@
     baseline::Baseline,
     beginning::Beginning,
     builds::Builds,
+    departed::Departed,
     grade::Grade,
     hazards::Hazards,
     ledger::{Entry, Ledger, Loss},
     limits::Limits,
+    meter::Meter,
     notices::Notices,
     origins::Origins,
     peer::Peer,
@@ -73,12 +75,22 @@
 #[derive(Clone, Debug)]
 pub struct Dispatcher {
     settings: Settings,
+    /// Hash of the name of this router.
+    key: u64,
+    /// Time of the first event.
+    opened: Time,
     routing: Arc<routing::Table>,
     targets: BTreeMap<id::Target, Target>,
     /// Names of the targets by the hash of their name and start time.
     names: HashMap<u64, id::Target>,
     notices: Notices,
     limits: Limits,
+    /// Requests that targets were sought for a moment ago.
+    demand: Meter,
+    /// The same per second as other routers are told.
+    reported_demand: u32,
+    /// Routers that fell silent, whose parts of limits are kept for them.
+    departed: Vec<Departed>,
     queues: BTreeMap<id::Service, Queue>,
     builds: Builds,
     origins: Origins,
@@ -101,6 +113,8 @@
     accounts: HashMap<u64, Account>,
     /// Moving average of the cost of the generations that arrived.
     mean_cost: f64,
+    /// Moving average of the work that they would be for engines without a limit, while others have one.
+    mean_work: f64,
     topology: Topology,
     peers: BTreeMap<id::Router, Peer>,
     /// Loads last sent to the leading routers, or to the followed one.
@@ -131,6 +145,8 @@
         Self {
             share: Share::new(&settings.router, settings.share_window),
             is_history_known: !settings.awaits_history,
+            key: hash(settings.router.as_str()),
+            opened: Time(u64::MAX),
             settings,
             ledger: Ledger::default(),
             typical: Typical::default(),
@@ -139,6 +155,9 @@
             names: HashMap::new(),
             notices: Notices::default(),
             limits: Limits::default(),
+            demand: Meter::default(),
+            reported_demand: 0,
+            departed: Vec::new(),
             queues: BTreeMap::new(),
             builds: Builds::default(),
             origins: Origins::default(),
@@ -151,6 +170,7 @@
             retries_expire: Time::default(),
             accounts: HashMap::new(),
             mean_cost: 0.0,
+            mean_work: 0.0,
             topology: Topology::open(),
             peers: BTreeMap::new(),
             baseline: Baseline::default(),
@@ -244,6 +264,7 @@
 
     /// Handles an event and appends the resulting actions.
     pub fn step(&mut self, now: Time, event: Event, out: &mut Vec<Action>) {
+        self.opened = self.opened.min(now);
         self.share.advance(now);
         self.expire_retries(now);
         match event {
@@ -296,6 +317,9 @@
             self.take_back(grade, &request);
             grade = Grade::Within;
         }
+        if grade != Grade::Beyond {
+            self.record_sought(now, &request);
+        }
         let expires = self.queue_deadline(now, &request);
         let pending = Pending {
             request,
@@ -318,7 +342,8 @@
         {
             return self.hold(now, pending, grade, until, out);
         }
-        if let Some((reason, retry_after)) = self.unservable(now, &pending) {
+        if let Some((reason, retry_after)) = self.unservable(now, &pending, self.ahead_of(&pending))
+        {
             return self.refuse(now, &pending, reason, retry_after, out);
         }
         // Queued requests go first: they are tried again at each event that frees capacity, so a
@@ -337,6 +362,13 @@
         self.queues.entry(service).or_default().push(pending);
     }
 
+    /// Returns the number of queued requests that go before another one.
+    pub(super) fn ahead_of(&self, pending: &Pending) -> usize {
+        let request = &pending.request;
+        let queue = self.queues.get(&request.service);
+        queue.map_or(0, |queue| queue.ahead_of(request))
+    }
+
     /// Adds a request to the demand of its workspace; returns its standing in the workspace's share.
     fn record_demand(&mut self, now: Time, request: &Request) -> Grade {
         let (Some(workspace), Some(prompt)) = (&request.workspace, &request.prompt) else {
@@ -566,7 +598,8 @@
             let retry_after = self.retry_after(now, &pending.request);
             return self.refuse(now, &pending, Reason::Attempts, retry_after, out);
         }
-        if let Some((reason, retry_after)) = self.unservable(now, &pending) {
+        if let Some((reason, retry_after)) = self.unservable(now, &pending, self.ahead_of(&pending))
+        {
             return self.refuse(now, &pending, reason, retry_after, out);
         }
         if outcome == Outcome::Broken && self.is_suspected(&pending.request) {
@@ -639,16 +672,34 @@
     }
 
     /// Returns the fraction of the engines in use where a typical generation could not be on time, as
-    /// this router estimates it.
+    /// this router estimates it. Those with a limit count by what they take beside the others, and are crowded
+    /// while this router may send nothing there.
     fn pressure(&self, now: Time) -> f64 {
         let engines = self.targets.values();
         let engines = engines.filter(|t| t.engine.is_some() && t.accepts(now));
-        let (mut all, mut crowded) = (0_u32, 0_u32);
-        for target in engines.filter(|target| target.health.is_usable(now)) {
-            all += 1;
-            crowded += u32::from(target.is_crowded(&self.typical));
+        let engines = engines.filter(|target| target.health.is_usable(now));
+        let (mut all, mut crowded, mut limited, mut at_limit) = (0.0, 0.0, 0.0, 0.0);
+        for target in engines {
+            match self.limits.get(target.key) {
+                Some(limit) if target.is_within_limit(now) => limited += limit.per_s(),
+                Some(limit) => {
+                    limited += limit.per_s();
+                    at_limit += limit.per_s();
+                }
+                None => {
+                    all += 1.0;
+                    crowded += f64::from(u8::from(target.is_crowded(&self.typical)));
+                }
+            }
+        }
+        if limited > 0.0 {
+            // Requests per second that an engine without a limit takes.
+            let rest = (f64::from(self.fleet_demand()) - limited).max(limited);
+            let usual = if all > 0.0 { rest / all } else { 1.0 };
+            all += limited / usual;
+            crowded += at_limit / usual;
         }
-        f64::from(crowded) / f64::from(all.max(1))
+        crowded / f64::max(all, 1.0)
     }
 
     /// Returns the same as the leading routers estimate it on average: shares must not differ between
--- a/src/dispatch/dispatcher/notice.rs
+++ b/src/dispatch/dispatcher/notice.rs
@@ -76,24 +76,44 @@
     /// Returns why no target can serve a request in time, if that is certain already, and the time
     /// after which a retry may be served.
     ///
-    /// A request waits for the end of a pause only while it could still be on time then.
-    pub(super) fn unservable(&self, now: Time, pending: &Pending) -> Option<(Reason, Span)> {
+    /// A request waits for the end of a pause only while it could still be on time then, and for its turn among
+    /// the `ahead` requests that are queued before it only while limits allow as many until then.
+    pub(super) fn unservable(
+        &self,
+        now: Time,
+        pending: &Pending,
+        ahead: usize,
+    ) -> Option<(Reason, Span)> {
         let request = &pending.request;
         if let Some(until) = self.held_until(pending) {
             return Some((Reason::Hazard, Self::held_retry_after(now, until)));
         }
         let limit = pending.expires.min(request.due);
         let mut reason = None;
+        let (mut is_limited, mut turns, mut per_s) = (false, 0, 0.0);
         for target in self.staying(request) {
             if pending.tried.contains(&target.entry.name) {
                 reason = reason.or(Some(Reason::Attempts));
                 continue;
             }
             let remaining = target.pause.remaining(now);
-            if remaining.0 == 0 || now + remaining <= limit {
-                return None;
+            if remaining.0 > 0 && now + remaining > limit {
+                reason = Some(Reason::Pause);
+                continue;
             }
-            reason = Some(Reason::Pause);
+            let allowance = target.allowance.as_ref()?;
+            is_limited = true;
+            if self.may_try(target, request) {
+                turns += allowance.within(now, limit.since(now));
+                per_s += allowance.per_s();
+            }
+        }
+        if is_limited {
+            let turn = (ahead + 1) as f64;
+            // A cast of infinity saturates.
+            let retry_after = Span((turn / per_s * 1e6) as u64);
+            let is_served = turns > ahead;
+            return (!is_served).then(|| (Reason::Limit, clamped_retry_after(retry_after)));
         }
         let reason = reason.unwrap_or(match request.build {
             Some(_) => Reason::NoBuild,
@@ -113,9 +133,8 @@
                 OVERLOAD_RETRY_AFTER
             }
         });
-        ends.min().map_or(NO_TARGET_RETRY_AFTER, |after| {
-            after.clamp(RETRY_AFTER_RANGE.0, RETRY_AFTER_RANGE.1)
-        })
+        ends.min()
+            .map_or(NO_TARGET_RETRY_AFTER, clamped_retry_after)
     }
 
     /// Refuses the queued requests of a service that no target can serve in time.
@@ -128,8 +147,8 @@
         let Some(queue) = self.queues.get(service) else {
             return;
         };
-        let unservable = queue.iter().filter_map(|pending| {
-            let cause = self.unservable(now, pending)?;
+        let unservable = queue.iter().enumerate().filter_map(|(ahead, pending)| {
+            let cause = self.unservable(now, pending, ahead)?;
             Some((pending.request.number, cause))
         });
         for (number, (reason, retry_after)) in unservable.collect::<Vec<_>>() {
@@ -140,3 +159,8 @@
         }
     }
 }
+
+/// Returns the time after which a caller is to try again, for an expected time until it can be served.
+fn clamped_retry_after(after: Span) -> Span {
+    after.clamp(RETRY_AFTER_RANGE.0, RETRY_AFTER_RANGE.1)
+}
--- a/src/dispatch/dispatcher/selection.rs
+++ b/src/dispatch/dispatcher/selection.rs
@@ -53,10 +53,12 @@
         let mut fastest = Span(u64::MAX);
         let mut estimates = Vec::new();
         let is_free = self.is_free(pending);
+        let work_elsewhere = self.work_elsewhere(now, request);
         for trusted in [true, false] {
             for target in self.targets.values() {
                 if !target.matches(request)
                     || !target.allows_send(now)
+                    || !self.may_use_credit(now, target, request, work_elsewhere)
                     || pending.tried.contains(&target.entry.name)
                     || !(is_free || self.is_admitted(pending, target.software()))
                     || trusted != self.is_trusted(target, now)
@@ -93,7 +95,7 @@
             // A request beyond the share of the configured capacity must not cost others anything: only
             // the cheapest target may take it, and only if no other target has more of the prompt
             // cached.
-            let uncached = self.least_uncached(request);
+            let uncached = self.least_uncached(now, request);
             estimates.retain(|(_, estimate)| estimate.uncached_tokens <= uncached);
             estimates.sort_by_key(|(_, estimate)| estimate.score);
             estimates.truncate(1);
@@ -104,10 +106,11 @@
     }
 
     /// Returns the prompt tokens that are not cached at the target that has most of the prompt
-    /// cached.
-    fn least_uncached(&self, request: &Request) -> u64 {
+    /// cached, of those that may take it now or have no limit.
+    fn least_uncached(&self, now: Time, request: &Request) -> u64 {
         let targets = self.targets.values();
-        let targets = targets.filter(|t| t.matches(request) && !t.is_leaving());
+        let targets =
+            targets.filter(|t| t.matches(request) && !t.is_leaving() && t.is_within_limit(now));
         let uncached = targets.map(|target| target.uncached_tokens(request));
         uncached.min().unwrap_or_default()
     }
@@ -145,6 +148,9 @@
             return;
         };
         let (memory, ahead) = target.start(&request, estimate.uncached_tokens, now);
+        if let Some(allowance) = &mut target.allowance {
+            allowance.record_send(now);
+        }
         let target_key = target.key;
         self.limits.count_send(target_key);
         if let Some(prompt) = &request.prompt {
--- a/src/dispatch/dispatcher/summaries.rs
+++ b/src/dispatch/dispatcher/summaries.rs
@@ -42,6 +42,8 @@
 const MAX_NEW_FINDINGS: usize = 112;
 /// Items of other kinds that take as much room in a summary as one finding.
 const ITEMS_PER_FINDING: usize = 2;
+/// The same for one limit.
+const ITEMS_PER_LIMIT: usize = 2;
 /// Weight of one request in the moving average of the fraction of tokens that are not shared.
 const UNSHARED_ALPHA: f64 = 0.02;
 
@@ -52,6 +54,8 @@
     router_count: u32,
     age: Span,
     crowded_permille: Option<u16>,
+    demand: u32,
+    limits: Vec<gossip::Limit>,
     loads: Vec<gossip::Load>,
     usages: Vec<gossip::Usage>,
     prefills: Vec<gossip::Prefill>,
@@ -102,6 +106,7 @@
                 peer.baseline.retain(|target| names.contains_key(&target));
             }
         }
+        self.refresh_limits(now);
         let followers = self.followers();
         let recipient_count = followers.len() + self.recipients().1.len();
         let datagrams = ROUND_DATAGRAMS / recipient_count.max(1);
@@ -253,6 +258,8 @@
                 router_count: 1,
                 age: Span(0),
                 crowded_permille: None,
+                demand: 0,
+                limits: Vec::new(),
                 loads: Vec::new(),
                 usages: Vec::new(),
                 prefills: Vec::new(),
@@ -295,8 +302,10 @@
         let findings = select(&round.findings, |from| {
             from.is_none_or(|router| self.is_follower(router))
         });
-        let max_loads = round.max_loads(usages.len() + prefills.len());
+        let limits = baseline.select_limits(now, self.group_limits(now, scope));
+        let max_loads = round.max_loads(usages.len() + prefills.len() + limits.len());
         let content = Content {
+            limits,
             loads: baseline.select(now, loads, max_loads),
             usages,
             prefills,
@@ -323,6 +332,8 @@
             router_count: 1 + followers.map(|peer| peer.router_count).sum::<u32>(),
             age: ages.max().unwrap_or_default(),
             crowded_permille: (scope == Scope::Group).then(|| permille(self.pressure(now))),
+            demand: self.group_demand(),
+            limits: Vec::new(),
             loads: Vec::new(),
             usages: Vec::new(),
             prefills: Vec::new(),
@@ -378,7 +389,8 @@
         let mut origins = select(&round.origins, |from| from != Some(follower));
         origins.extend(peer.take_untold(MAX_NEW_ORIGINS));
         let findings = select(&round.findings, |from| from != Some(follower));
-        let max_loads = round.max_loads(usages.len() + prefills.len());
+        let limits = baseline.select_limits(now, self.limits_for(now, &peer));
+        let max_loads = round.max_loads(usages.len() + prefills.len() + limits.len());
         let loads = round.totals.iter().map(|(target, total)| {
             let part = peer.loads.get(target).copied().unwrap_or_default();
             let view = View {
@@ -398,6 +410,8 @@
             router_count: 1 + others.map(|other| other.router_count).sum::<u32>(),
             age: age.unwrap_or_default(),
             crowded_permille: Some(permille(self.fleet_pressure(now))),
+            demand: self.fleet_demand(),
+            limits,
             loads,
             usages,
             prefills,
@@ -468,13 +482,15 @@
     /// unless `always` is set.
     fn split(&mut self, leaving: bool, always: bool, mut content: Content) -> Vec<gossip::Summary> {
         content.origins.sort_unstable();
+        let mut limits = &content.limits[..];
         let mut loads = &content.loads[..];
         let mut usages = &content.usages[..];
         let mut prefills = &content.prefills[..];
         let mut origins = &content.origins[..];
         let mut findings = &content.findings[..];
         let mut summaries = Vec::new();
-        while !loads.is_empty()
+        while !limits.is_empty()
+            || !loads.is_empty()
             || !usages.is_empty()
             || !prefills.is_empty()
             || !origins.is_empty()
@@ -486,6 +502,9 @@
             let mut findings_room = room / ITEMS_PER_FINDING;
             let found = take_front(&mut findings, &mut findings_room);
             room -= found.len() * ITEMS_PER_FINDING;
+            let mut limits_room = room / ITEMS_PER_LIMIT;
+            let taken_limits = take_front(&mut limits, &mut limits_room);
+            room -= taken_limits.len() * ITEMS_PER_LIMIT;
             summaries.push(gossip::Summary {
                 router: self.settings.router.clone(),
                 incarnation: self.settings.incarnation,
@@ -496,6 +515,8 @@
                 router_count: content.router_count,
                 age: content.age,
                 crowded_permille: content.crowded_permille,
+                demand: content.demand,
+                limits: taken_limits,
                 loads: take_front(&mut loads, &mut room),
                 usages: take_front(&mut usages, &mut room),
                 prefills: take_front(&mut prefills, &mut room),
--- a/src/dispatch/limited.rs
+++ b/src/dispatch/limited.rs
@@ -9,6 +9,8 @@
     pub target: id::Target,
     /// Requests that it takes of all routers together.
     pub limit: Rate,
+    /// Part of that which this router may send.
+    pub quota: Rate,
     /// Requests that this router sent there since the last report.
     pub sent: u64,
 }
--- a/src/dispatch/pause.rs
+++ b/src/dispatch/pause.rs
@@ -57,6 +57,13 @@
         is_new.then_some(applied)
     }
 
+    /// Has the load return in steps, since the target took fewer requests until now.
+    pub(super) fn return_in_steps(&mut self, now: Time) {
+        if !self.is_active(now) {
+            self.state = State::Until(now);
+        }
+    }
+
     /// Reports whether the target wants no requests.
     pub(super) fn is_active(&self, now: Time) -> bool {
         self.remaining(now).0 > 0
--- a/src/dispatch/peer.rs
+++ b/src/dispatch/peer.rs
@@ -1,6 +1,6 @@
 //! Latest state that another router reported.
 
-use super::{View, baseline::Baseline, tokens::Tokens};
+use super::{View, baseline::Baseline, quota::Quota, tokens::Tokens};
 use crate::{
     gossip::{self, Scope},
     id,
@@ -29,6 +29,10 @@
     pub(super) reported_age: Span,
     /// Thousandths of the engines that are crowded, as it reported.
     pub(super) crowded_permille: Option<u16>,
+    /// Requests per second that targets are sought for at the routers whose load it reports.
+    pub(super) demand: u32,
+    /// Parts of the targets' limits that it may use, if it follows this router.
+    pub(super) quotas: HashMap<u64, Quota>,
     pub(super) loads: HashMap<u64, gossip::Load>,
     usages: HashMap<u64, gossip::Usage>,
     /// Loads last sent to it, if it follows this router.
@@ -49,6 +53,8 @@
             router_count: summary.router_count,
             reported_age: summary.age,
             crowded_permille: None,
+            demand: summary.demand,
+            quotas: HashMap::new(),
             loads: HashMap::new(),
             usages: HashMap::new(),
             baseline: Baseline::default(),
--- a/src/dispatch/queue.rs
+++ b/src/dispatch/queue.rs
@@ -42,6 +42,13 @@
         self.pending.insert(index, pending);
     }
 
+    /// Returns the number of requests that go before another one.
+    pub(super) fn ahead_of(&self, request: &Request) -> usize {
+        let key = |request: &Request| (request.priority, request.due);
+        self.pending
+            .partition_point(|other| key(&other.request) <= key(request))
+    }
+
     pub(super) fn iter(&self) -> impl Iterator<Item = &Pending> {
         self.pending.iter()
     }
--- a/src/dispatch/refusal.rs
+++ b/src/dispatch/refusal.rs
@@ -19,6 +19,8 @@
     Origin,
     /// All targets that could take the request asked for a pause that ends too late for it.
     Pause,
+    /// All targets that could take the request are at their limits, and so will be until it is late.
+    Limit,
     /// A part of the prompt has crashed several targets.
     Hazard,
     /// The deadline passed before the request was sent.
@@ -53,6 +55,7 @@
             Reason::NoBuild => "no target of the build that began the stream accepts requests",
             Reason::Origin => "the build that began the stream is unknown",
             Reason::Pause => "the targets asked for a pause that ends too late for the request",
+            Reason::Limit => "the targets are at the limits that they named",
             Reason::Hazard => "a part of the prompt has crashed several targets",
             Reason::Deadline => "the deadline passed before a target was available",
             Reason::Attempts => "the request has no attempts left",
--- a/src/dispatch/target.rs
+++ b/src/dispatch/target.rs
@@ -1,8 +1,8 @@
 //! A target with its load and the estimates about it.
 
 use super::{
-    Estimate, Request, View, attempt::Attempt, breakage::Breakage, cache::Cache, health::Health,
-    pause::Pause, speed::Speed, typical::Typical,
+    Estimate, Request, View, allowance::Allowance, attempt::Attempt, breakage::Breakage,
+    cache::Cache, health::Health, pause::Pause, speed::Speed, typical::Typical,
 };
 use crate::{
     catalog,
@@ -53,6 +53,8 @@
     /// It announced in a response that it leaves; the list may still have it as ready.
     pub(super) announced_leaving: bool,
     pub(super) pause: Pause,
+    /// Requests that this router may send there, if the target named a limit.
+    pub(super) allowance: Option<Allowance>,
     /// Connections that ended a moment ago; it may have crashed.
     pub(super) breakage: Option<Breakage>,
 }
@@ -90,6 +92,7 @@
             quiet: false,
             announced_leaving: false,
             pause: Pause::default(),
+            allowance: None,
             breakage: None,
         }
     }
@@ -117,7 +120,13 @@
 
     /// Reports whether a further request may be sent, also if the target's pause ended just now.
     pub(super) fn allows_send(&self, now: Time) -> bool {
-        !self.is_leaving() && self.pause.allows_send(now)
+        !self.is_leaving() && self.pause.allows_send(now) && self.is_within_limit(now)
+    }
+
+    /// Reports whether its limit allows a further request of this router.
+    pub(super) fn is_within_limit(&self, now: Time) -> bool {
+        let allowance = self.allowance.as_ref();
+        allowance.is_none_or(|allowance| allowance.allows_send(now))
     }
 
     fn memory(&self) -> u64 {
@@ -170,9 +179,10 @@
         estimate.wait = self.speed.prefill_time(view.backlog);
         let prefill = self.speed.prefill_time(estimate.uncached_tokens);
         estimate.first_event = Span(self.speed.base_time().0 + estimate.wait.0 + prefill.0);
-        estimate.score += estimate.wait.0
-            + PREFILL_WEIGHT * prefill.0
-            + u64::from(view.running) * RUNNING_PENALTY.0;
+        // What a target with a limit processes delays hardly any other request.
+        let weight = self.allowance.map_or(PREFILL_WEIGHT, |_| 1);
+        estimate.score +=
+            estimate.wait.0 + weight * prefill.0 + u64::from(view.running) * RUNNING_PENALTY.0;
         Some(estimate)
     }
 
--- a/src/dispatch/topology.rs
+++ b/src/dispatch/topology.rs
@@ -97,6 +97,11 @@
         recipients
     }
 
+    /// Reports whether this router may follow others, none of which answers.
+    pub(super) fn is_isolated(&self) -> bool {
+        matches!(self.state, State::Isolated(_))
+    }
+
     /// Records that the followed router was heard from.
     pub(super) fn record_followed(&mut self, now: Time) {
         if let State::Following(_, last_heard) = &mut self.state {
--- a/src/gateway/driver.rs
+++ b/src/gateway/driver.rs
@@ -186,15 +186,17 @@
                 return record.write(&self.log);
             }
             Action::TargetLimited {
-                number,
                 target,
                 limit,
+                request,
+                router,
             } => {
                 metrics::counter!(metric::LIMITS).increment(1);
                 let record = Record::TargetLimited {
-                    request: inner.request_id(number),
                     target: &target,
                     limit,
+                    request: request.map(|number| inner.request_id(number)),
+                    router: router.as_ref(),
                 };
                 return record.write(&self.log);
             }
--- a/src/gateway/record.rs
+++ b/src/gateway/record.rs
@@ -120,10 +120,13 @@
     },
     /// The limit of a target changed.
     TargetLimited {
-        request: &'a str,
         target: &'a id::Target,
         /// Requests per second; `None` if the target names no limit any more.
         limit: Option<Rate>,
+        /// Request whose response said so, if this router read it.
+        request: Option<&'a str>,
+        /// Router that reported it, otherwise.
+        router: Option<&'a id::Router>,
     },
     /// A response names a limit that can't be read.
     InvalidLimit {
@@ -316,11 +319,13 @@
             } => slog::warn!(log, "target pause unreadable"; "request" => request,
                 "target" => target.as_str(), "value" => value),
             Record::TargetLimited {
-                request,
                 target,
                 limit,
-            } => slog::warn!(log, "target limited"; "request" => request,
-                "target" => target.as_str(), "limit_per_s" => limit.map(Rate::per_s)),
+                request,
+                router,
+            } => slog::warn!(log, "target limited"; "target" => target.as_str(),
+                "limit_per_s" => limit.map(Rate::per_s), "request" => request,
+                "peer" => router.map(id::Router::as_str)),
             Record::InvalidLimit {
                 request,
                 target,
@@ -329,7 +334,7 @@
                 "target" => target.as_str(), "value" => value),
             Record::LimitedTarget(limited) => slog::info!(log, "limited target";
                 "target" => limited.target.as_str(), "limit_per_s" => limited.limit.per_s(),
-                "sent" => limited.sent),
+                "part_per_s" => limited.quota.per_s(), "sent" => limited.sent),
             Record::Configuration {
                 version,
                 routes,
--- a/src/gossip/codec.rs
+++ b/src/gossip/codec.rs
@@ -1,10 +1,12 @@
 //! Encoding of summaries: packed Cap'n Proto, decoded with limits on every size.
 
-use super::{Evidence, Finding, Load, Origin, Prefill, Scope, Summary, Usage};
+use super::{Evidence, Finding, Limit, Load, Origin, Prefill, Scope, Summary, Usage};
 use crate::{
     id,
-    unit::{Span, Version},
-    wire::marlrun_capnp::{self, FindingKind, part_finding, summary, target_load, workspace_usage},
+    unit::{Rate, Span, Version},
+    wire::marlrun_capnp::{
+        self, FindingKind, part_finding, summary, target_limit, target_load, workspace_usage,
+    },
 };
 use capnp::{message, serialize_packed};
 
@@ -20,6 +22,7 @@
 const MAX_ROUTERS: u64 = 1 << 16;
 const MAX_AGE_MICROS: u64 = 3_600_000_000;
 const MAX_PERMILLE: u16 = 1_000;
+const MAX_DEMAND: u32 = 1 << 20;
 const MAX_RUNNING: u64 = 1 << 20;
 const MAX_TARGET_TOKENS: u64 = 1 << 40;
 const MAX_USAGE_TOKENS: u64 = 1 << 48;
@@ -108,6 +111,11 @@
     for (index, finding) in from.findings.iter().enumerate() {
         write_finding(findings.reborrow().get(index as u32), finding);
     }
+    to.set_demand(from.demand.min(MAX_DEMAND));
+    let mut limits = to.reborrow().init_limits(from.limits.len() as u32);
+    for (index, limit) in from.limits.iter().enumerate() {
+        write_limit(limits.reborrow().get(index as u32), limit);
+    }
     let mut prefills = to.init_reads(from.prefills.len() as u32);
     for (index, prefill) in from.prefills.iter().enumerate() {
         let mut to = prefills.reborrow().get(index as u32);
@@ -143,6 +151,28 @@
     }
 }
 
+fn write_limit(mut to: target_limit::Builder<'_>, limit: &Limit) {
+    to.set_target(limit.target);
+    to.set_ended(limit.limit.is_none());
+    to.set_milli_per_s(limit.limit.map_or(0, Rate::as_millis));
+    to.set_sent_age_millis(whole_millis(limit.sent_age));
+    to.set_age_millis(whole_millis(limit.age));
+    to.set_part_milli_per_s(limit.quota.as_millis());
+    to.set_slots(limit.slots);
+}
+
+fn read_limit(from: target_limit::Reader<'_>) -> Limit {
+    let millis = |millis: u32| Span::from_millis(millis.into());
+    Limit {
+        target: from.get_target(),
+        limit: (!from.get_ended()).then(|| Rate::from_millis(from.get_milli_per_s())),
+        sent_age: millis(from.get_sent_age_millis()),
+        age: millis(from.get_age_millis()),
+        quota: Rate::from_millis(from.get_part_milli_per_s()),
+        slots: from.get_slots(),
+    }
+}
+
 fn whole_millis(span: Span) -> u32 {
     u32::try_from(span.as_millis()).unwrap_or(u32::MAX)
 }
@@ -214,6 +244,8 @@
         age: Span(limit("age", from.get_age_micros(), MAX_AGE_MICROS)?),
         crowded_permille: Some(from.get_crowded_permille())
             .filter(|permille| *permille <= MAX_PERMILLE),
+        demand: limit("demand", from.get_demand().into(), MAX_DEMAND.into())? as u32,
+        limits: from.get_limits()?.iter().map(read_limit).collect(),
         loads: from
             .get_loads()?
             .iter()
--- a/src/gossip/mod.rs
+++ b/src/gossip/mod.rs
@@ -4,6 +4,7 @@
 mod codec;
 mod evidence;
 mod finding;
+mod limit;
 mod load;
 mod origin;
 mod prefill;
@@ -16,6 +17,7 @@
     codec::{Error, MAX_DATAGRAM_BYTES, decode, encode, is_same_group},
     evidence::Evidence,
     finding::Finding,
+    limit::Limit,
     load::Load,
     origin::Origin,
     prefill::Prefill,
--- a/src/gossip/summary.rs
+++ b/src/gossip/summary.rs
@@ -1,6 +1,6 @@
 //! Summary of load that a router sends to others.
 
-use super::{Finding, Load, Origin, Prefill, Scope, Usage};
+use super::{Finding, Limit, Load, Origin, Prefill, Scope, Usage};
 use crate::{
     id,
     unit::{Span, Version},
@@ -29,6 +29,8 @@
     pub age: Span,
     /// Thousandths of the engines that are crowded, as far as the sender knows.
     pub crowded_permille: Option<u16>,
+    /// Requests per second that the routers whose load it contains seek targets for.
+    pub demand: u32,
     /// Loads of targets.
     pub loads: Vec<Load>,
     /// Usage of workspaces.
@@ -39,4 +41,6 @@
     pub origins: Vec<Origin>,
     /// Findings about parts of prompts under which targets crash.
     pub findings: Vec<Finding>,
+    /// Limits that targets named.
+    pub limits: Vec<Limit>,
 }
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -63,7 +63,7 @@
 
 /// Finalizer of splitmix64: a flip of any input bit flips each output bit with probability one
 /// half.
-fn mix(mut x: u64) -> u64 {
+pub(crate) fn mix(mut x: u64) -> u64 {
     x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
     x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
     x ^ (x >> 31)
--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -13,7 +13,7 @@
     },
     gossip, id,
     routing::{Engine, Kind, Limits, Service, Table},
-    unit::{Span, Time, Version},
+    unit::{Rate, Span, Time, Version},
 };
 use proptest::prelude::*;
 use std::{
@@ -284,6 +284,8 @@
         router_count: 1,
         age: Span(0),
         crowded_permille: None,
+        demand: 0,
+        limits: Vec::new(),
         loads: Vec::new(),
         usages: vec![usage],
         prefills: Vec::new(),
@@ -1506,6 +1508,8 @@
         router_count: count,
         age: Span(0),
         crowded_permille: None,
+        demand: 0,
+        limits: Vec::new(),
         loads: Vec::new(),
         usages: Vec::new(),
         prefills: Vec::new(),
@@ -2108,3 +2112,137 @@
         "of the same build"
     );
 }
+
+/// A response to a request sent at a time, which names a limit in thousandths of a request per second.
+fn limit_read(target: &str, sent_ms: u64, limit: Option<u32>) -> Event {
+    Event::LimitRead {
+        number: 1,
+        run: run(target),
+        sent: at(sent_ms),
+        limit: limit.map(Rate::from_millis),
+    }
+}
+
+/// Returns the limits that changed, in thousandths of a request per second.
+fn limits_changed(actions: &[Action]) -> Vec<Option<u32>> {
+    let changes = actions.iter().filter_map(|action| match action {
+        Action::TargetLimited { limit, .. } => Some(limit.map(Rate::as_millis)),
+        _ => None,
+    });
+    changes.collect()
+}
+
+#[test]
+fn limit_ended_by_a_response_from_before() {
+    let mut router = ready("r1", &[target("a", "app")]);
+    let mut read = |millis, sent, limit| {
+        limits_changed(&step(&mut router, millis, limit_read("a", sent, limit)))
+    };
+    assert_eq!(read(100, 50, None), [], "it never had one");
+    assert_eq!(read(200, 150, Some(4_000)), [Some(4_000)]);
+    assert_eq!(read(210, 20, None), [], "may be older");
+    assert_eq!(read(220, 190, Some(9_000)), [], "may be older");
+    assert_eq!(
+        read(230, 195, Some(3_000)),
+        [Some(3_000)],
+        "may be newer, and is stricter"
+    );
+    assert_eq!(read(300, 231, Some(9_000)), [Some(9_000)], "is newer");
+    assert_eq!(read(400, 301, None), [None], "is newer");
+    assert_eq!(
+        read(420, 399, Some(2_000)),
+        [Some(2_000)],
+        "may be newer, and is stricter"
+    );
+}
+
+#[test]
+fn limit_unknown_to_a_router_that_never_asked() {
+    let apps = [target("a", "app"), target("b", "app")];
+    let (mut one, mut two) = (ready("r1", &apps), ready("r2", &apps));
+    step(&mut one, 3_000, limit_read("a", 2_900, Some(4_000)));
+    let told = exchange(&mut one, &mut two, 3_010);
+    assert_eq!(limits_changed(&told), [Some(4_000)]);
+    // It repeats what it was told to those that follow it only.
+    assert_eq!(limits_changed(&exchange(&mut two, &mut one, 3_020)), []);
+    step(&mut two, 3_500, limit_read("a", 3_400, None));
+    assert_eq!(limits_changed(&exchange(&mut two, &mut one, 3_510)), [None]);
+}
+
+#[test]
+fn limit_of_a_run_outlives_its_restart() {
+    let mut router = ready("r1", &[target("a", "app")]);
+    step(&mut router, 3_000, limit_read("a", 2_900, Some(0)));
+    let refused = step(&mut router, 3_010, Event::Arrived(request(2, 3_010, "app")));
+    assert!(
+        matches!(refusals(&refused)[..], [(2, Reason::Limit, _)]),
+        "{refused:?}"
+    );
+    let restarted = catalog::Target {
+        started_at_ms: 2,
+        ..target("a", "app")
+    };
+    step(&mut router, 3_020, targets(&[restarted]));
+    let sent = step(&mut router, 3_030, Event::Arrived(request(3, 3_030, "app")));
+    assert_eq!(sent_to(&sent), Some((3, "a".into())));
+    // The list may have the run before for a moment.
+    step(&mut router, 3_040, targets(&[target("a", "app")]));
+    let refused = step(&mut router, 3_050, Event::Arrived(request(4, 3_050, "app")));
+    assert!(
+        matches!(refusals(&refused)[..], [(4, Reason::Limit, _)]),
+        "{refused:?}"
+    );
+}
+
+#[test]
+fn limits_of_all_refused_at_once_with_the_time_of_their_turn() {
+    let apps = [target("a", "app"), target("b", "app")];
+    let mut router = ready("r1", &apps);
+    for app in ["a", "b"] {
+        step(&mut router, 3_000, limit_read(app, 2_900, Some(500)));
+    }
+    let mut sent = 0;
+    for number in 10..200 {
+        let millis = 3_000 + 20 * (number - 10);
+        let actions = step(
+            &mut router,
+            millis,
+            Event::Arrived(request(number, millis, "app")),
+        );
+        sent += u64::from(sent_to(&actions).is_some());
+        let ticked = step(&mut router, millis + 10, Event::Tick);
+        sent += u64::from(sent_to(&ticked).is_some());
+        for (_, reason, after) in refusals(&actions) {
+            assert_eq!(reason, Reason::Limit);
+            // One request a second of both together.
+            assert!((300..=2_000).contains(&after.as_millis()), "{after}");
+        }
+    }
+    assert!(
+        (2..=6).contains(&sent),
+        "{sent} requests in 3.8 s at one a second"
+    );
+    assert!(router.waiting() <= 1, "{} requests wait", router.waiting());
+}
+
+#[test]
+fn limit_near_zero_tried_with_what_may_run_once() {
+    let mut router = ready("r1", &[target("a", "app")]);
+    step(&mut router, 3_000, limit_read("a", 2_900, Some(0)));
+    let mut sent = Vec::new();
+    for number in 10..2_010_u64 {
+        let millis = 3_000 + 10 * (number - 10);
+        let arrived = Request {
+            kind: if number % 2 == 0 {
+                Kind::Once
+            } else {
+                Kind::Idempotent
+            },
+            ..request(number, millis, "app")
+        };
+        sent.extend(sent_to(&step(&mut router, millis, Event::Arrived(arrived))));
+    }
+    let numbers: Vec<u64> = sent.iter().map(|(number, _)| *number).collect();
+    assert!((2..=6).contains(&numbers.len()), "{numbers:?} in 20 s");
+    assert!(numbers.iter().all(|number| number % 2 == 1), "{numbers:?}");
+}
--- a/tests/engines/mod.rs
+++ b/tests/engines/mod.rs
@@ -117,6 +117,8 @@
     /// Limits that engines name in their responses.
     pub(crate) caps: Vec<Cap>,
     pub(crate) faults: Vec<Fault>,
+    /// Times at which each router first passed on a response that named an engine's limit, since it started.
+    told: Vec<(u64, usize, usize)>,
     /// Events of routers that stand still.
     held: BTreeMap<usize, Vec<Event>>,
     /// Number of runs of each router so far.
@@ -151,6 +153,7 @@
             routers: (0..routers).map(open).collect(),
             caps: Vec::new(),
             faults: Vec::new(),
+            told: Vec::new(),
             held: BTreeMap::new(),
             runs: vec![1; routers],
             engines: (0..engines).map(|_| Engine::default()).collect(),
@@ -230,6 +233,7 @@
         for fault in self.faults.clone() {
             match fault {
                 Fault::Down { router, during } if during.start == now_ms => {
+                    self.told.retain(|(_, told, _)| *told != router);
                     self.jobs.retain(|_, job| job.router != router);
                 }
                 Fault::Down { router, during } if during.end == now_ms => {
@@ -263,12 +267,20 @@
     pub(crate) fn most_in_four_s(&self, engine: usize, during: std::ops::Range<u64>) -> usize {
         let sends = self.sends.iter().filter(|(_, _, e)| *e == engine);
         let sends = sends.map(|(ms, ..)| *ms).filter(|ms| during.contains(ms));
-        let sends: Vec<u64> = sends.collect();
-        let counts = sends
-            .iter()
-            .enumerate()
-            .map(|(first, start)| sends[first..].partition_point(|ms| *ms < start + 4_000));
-        counts.max().unwrap_or_default()
+        most_in_four_s(&sends.collect::<Vec<u64>>())
+    }
+
+    /// Returns the most requests that reached an engine in any four seconds of some time, from routers that had
+    /// passed on a response with its limit half a second before or earlier, since their last start.
+    pub(crate) fn most_told_in_four_s(&self, engine: usize, during: std::ops::Range<u64>) -> usize {
+        let is_told = |router: usize, ms: u64| {
+            let mut told = self.told.iter();
+            told.any(|(at, r, e)| (*r, *e) == (router, engine) && at + 500 <= ms)
+        };
+        let sends = self.sends.iter().filter(|(_, _, e)| *e == engine);
+        let sends = sends.filter(|(ms, r, _)| during.contains(ms) && is_told(*r, *ms));
+        let sends: Vec<u64> = sends.map(|(ms, ..)| *ms).collect();
+        most_in_four_s(&sends)
     }
 
     /// Returns the requests that reached an engine in some time.
@@ -611,6 +623,10 @@
         let mut caps = self.caps.iter();
         let cap = caps.find(|cap| cap.engine == engine && cap.during.contains(&now_ms));
         let limit = cap.map(|cap| cap.limit);
+        let is_told = |(_, r, e): &(u64, usize, usize)| (*r, *e) == (router, engine);
+        if limit.is_some() && !self.told.iter().any(is_told) {
+            self.told.push((now_ms, router, engine));
+        }
         let run = catalog::Run {
             target: format!("e{engine}").parse().unwrap(),
             started_at_ms: 1,
@@ -625,6 +641,15 @@
     }
 }
 
+/// Returns the most of some times, in milliseconds, that lie within four seconds.
+fn most_in_four_s(times: &[u64]) -> usize {
+    let counts = times
+        .iter()
+        .enumerate()
+        .map(|(first, start)| times[first..].partition_point(|ms| *ms < start + 4_000));
+    counts.max().unwrap_or_default()
+}
+
 /// Starts a router.
 fn start(
     index: usize,
--- a/tests/exchange.rs
+++ b/tests/exchange.rs
@@ -7,7 +7,7 @@
     dispatch::{Action, Batch, Dispatcher, Event, Outcome, Part, Prompt, Request, Settings},
     gateway, gossip, id,
     routing::{Engine, Kind, Limits, Service, Table},
-    unit::{Span, Time, Version},
+    unit::{Rate, Span, Time, Version},
 };
 use proptest::prelude::*;
 use std::{
@@ -510,3 +510,102 @@
     let known = net.known_streams(&routers, 2_000);
     assert!(known.iter().all(|known| *known == 2_000), "{known:?}");
 }
+
+/// Limit of the target in the tests below.
+const LIMIT: Rate = Rate::from_millis(8_000);
+
+impl Net {
+    /// Has each of some routers send a request each ten milliseconds for some time. `check` gets the sum of the
+    /// parts of the limit that routers may use, each hundred milliseconds.
+    fn ask(&mut self, routers: &[usize], millis: u64, mut check: impl FnMut(u64, f64)) {
+        for step in 0..millis / 10 {
+            for index in routers {
+                self.send_request(*index);
+            }
+            self.advance(10);
+            if step % 10 == 0 {
+                check(self.now_ms, self.quotas());
+            }
+        }
+    }
+
+    /// Has a router read a response that names the limit.
+    fn read_limit(&mut self, index: usize) {
+        let now = Time(self.now_ms * 1_000);
+        let read = Event::LimitRead {
+            number: 0,
+            run: (&target(1)).into(),
+            sent: now,
+            limit: Some(LIMIT),
+        };
+        self.step(index, read);
+    }
+
+    /// Returns the sum of the parts of the limit that routers may use, in requests per second.
+    fn quotas(&mut self) -> f64 {
+        let routers = self.routers.iter_mut().flatten();
+        let parts = routers.flat_map(Dispatcher::take_limited);
+        parts.map(|limited| limited.quota.per_s()).sum()
+    }
+}
+
+#[test]
+fn quotas_add_up_to_the_limit() {
+    let mut net = Net::open();
+    net.ask(&all(), 2_000, |_, _| {});
+    net.read_limit(5);
+    net.ask(&all(), 500, |_, _| {});
+    net.ask(&all(), 3_000, |now_ms, sum| {
+        assert!(
+            (7.9..=8.1).contains(&sum),
+            "{sum} of 8 a second at {now_ms} ms"
+        );
+    });
+}
+
+#[test]
+fn quotas_go_to_routers_with_callers() {
+    let mut net = Net::open();
+    let few = [1, 9, 22];
+    net.ask(&few, 2_000, |_, _| {});
+    net.read_limit(9);
+    net.ask(&few, 500, |_, _| {});
+    for index in few {
+        let router = net.routers[index].as_mut().unwrap();
+        let parts = router.take_limited();
+        let part: f64 = parts.iter().map(|limited| limited.quota.per_s()).sum();
+        assert!(part >= 1.0, "router {index} may send {part} of 8 a second");
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(12))]
+
+    /// After any sequence of kills, starts and cuts, routers may send no more than the limit together; while
+    /// the faults last, hardly more.
+    #[test]
+    fn quotas_exceed_the_limit_after_any_faults(
+        faults in prop::collection::vec((0..4_u8, 0..ROUTERS, 0..ROUTERS, 0..600_u64), 1..15)
+    ) {
+        let mut net = Net::open();
+        net.ask(&all(), 1_500, |_, _| {});
+        net.read_limit(3);
+        net.ask(&all(), 500, |_, _| {});
+        for (what, one, other, pause) in faults {
+            match what {
+                0 => net.kill(one),
+                1 => net.start(one),
+                2 => drop(net.cuts.insert((one, other))),
+                _ => net.cuts.clear(),
+            }
+            net.ask(&all(), pause, |now_ms, sum| {
+                assert!(sum <= 12.0, "{sum} of 8 a second at {now_ms} ms");
+            });
+        }
+        net.cuts.clear();
+        net.ask(&all(), 14_500, |_, _| {});
+        let running = net.routers.iter().filter(|router| router.is_some()).count();
+        let sum = net.quotas();
+        prop_assert!(running == 0 || (6.0..=8.4).contains(&sum), "{sum} of 8 a second");
+    }
+}
--- a/tests/summary.rs
+++ b/tests/summary.rs
@@ -70,6 +70,8 @@
             router_count: router_count as u32,
             age: Span(age),
             crowded_permille: None,
+            demand: 0,
+            limits: Vec::new(),
             loads,
             usages,
             prefills,
--- a/tests/world/replica.rs
+++ b/tests/world/replica.rs
@@ -93,6 +93,8 @@
     mode: Mode,
     /// All responses say that the target leaves.
     leaving: bool,
+    /// Values of `Server-Limit` in all responses.
+    limits: Vec<String>,
     /// Times at which requests arrived, refused ones too.
     arrivals: Vec<Instant>,
     runs: Vec<Run>,
@@ -145,6 +147,7 @@
             state: Mutex::new(State {
                 mode: Mode::Good,
                 leaving: false,
+                limits: Vec::new(),
                 arrivals: Vec::new(),
                 runs: Vec::new(),
                 fatal: (Vec::new(), None),
@@ -254,6 +257,12 @@
         self.shared.state().leaving = leaving;
     }
 
+    /// Sets the values of `Server-Limit` in all responses.
+    pub(crate) fn name_limits(&self, values: &[&str]) {
+        let values = values.iter().map(|value| (*value).to_owned());
+        self.shared.state().limits = values.collect();
+    }
+
     /// Returns the times at which requests arrived, refused ones too.
     pub(crate) fn arrivals(&self) -> Vec<Instant> {
         self.shared.state().arrivals.clone()
@@ -355,11 +364,15 @@
         async move {
             self.state().arrivals.push(Instant::now());
             let mut answered = self.clone().respond(request).await;
-            if let Ok(response) = &mut answered
-                && self.state().leaving
-            {
+            if let Ok(response) = &mut answered {
+                let state = self.state();
                 let headers = response.headers_mut();
-                headers.insert("server-leaving", "1".parse().unwrap());
+                if state.leaving {
+                    headers.insert("server-leaving", "1".parse().unwrap());
+                }
+                for limit in &state.limits {
+                    headers.append("server-limit", limit.parse().unwrap());
+                }
             }
             answered
         }
