Tell all routers of the pauses that targets ask for, and return one after the other

A target that asked for a pause got a further request from each router, since only the one that was refused knew: 38 requests in the pause in a simulated fleet of 68.

Summaries carry pauses, and each router passes on what is new to it. All of them would then return at once, so each waits for a part of 10 ms for each other router, by a hash of its name and the target's.

dispatch::simulate_pause_unknown_to_routers_that_never_asked (7, 68 and 295 routers) failed before.

--- a/schema/marlrun.capnp
+++ b/schema/marlrun.capnp
@@ -270,6 +270,13 @@
   crowdedPermille @13 :UInt16 = 65535; # thousandths of the engines that are crowded; above 1000: unknown
   limits @14 :List(TargetLimit);
   demand @15 :UInt32; # requests per second of these routers that targets are sought for
+  pauses @16 :List(TargetPause);
+}
+
+# Pause that a target asked for.
+struct TargetPause {
+  target @0 :UInt64; # hash of its name and start time
+  remainingMillis @1 :UInt32;
 }
 
 # What the response of a target said of its limit.
--- a/src/dispatch/action.rs
+++ b/src/dispatch/action.rs
@@ -69,14 +69,16 @@
     },
     /// A target asked for a pause.
     TargetPaused {
-        /// Request that the target refused.
-        number: u64,
         /// Target.
         target: crate::id::Target,
         /// Duration that the target asked for.
         asked: crate::unit::Span,
         /// Duration for which it gets no request.
         applied: crate::unit::Span,
+        /// Request that the target refused, if this router sent it.
+        request: Option<u64>,
+        /// Router that reported it, otherwise.
+        router: Option<crate::id::Router>,
     },
     /// The limit of a target changed.
     TargetLimited {
--- a/src/dispatch/dispatcher/fleet.rs
+++ b/src/dispatch/dispatcher/fleet.rs
@@ -198,6 +198,7 @@
         self.record_findings(now, summary, out);
         // What targets said holds, too; which part of it this router may use depends on the sender's role.
         self.receive_limits(now, summary, out);
+        self.receive_pauses(now, summary, out);
         if !self.is_relevant(summary) {
             return;
         }
--- a/src/dispatch/dispatcher/mod.rs
+++ b/src/dispatch/dispatcher/mod.rs
@@ -11,6 +11,7 @@
 use super::{
     Action, Allocation, Demand, Event, Outcome, Reason, Refusal, Request, Settings,
     account::Account,
+    announcements::Announcements,
     attempt::Attempt,
     baseline::Baseline,
     beginning::Beginning,
@@ -84,6 +85,8 @@
     /// Names of the targets by the hash of their name and start time.
     names: HashMap<u64, id::Target>,
     notices: Notices,
+    /// Pauses of targets that other routers are to be told of, with their ends.
+    pauses: Announcements<(u64, Time)>,
     limits: Limits,
     /// Requests that targets were sought for a moment ago.
     demand: Meter,
@@ -154,6 +157,7 @@
             targets: BTreeMap::new(),
             names: HashMap::new(),
             notices: Notices::default(),
+            pauses: Announcements::default(),
             limits: Limits::default(),
             demand: Meter::default(),
             reported_demand: 0,
--- a/src/dispatch/dispatcher/notice.rs
+++ b/src/dispatch/dispatcher/notice.rs
@@ -3,11 +3,18 @@
 use super::{Dispatcher, NO_TARGET_RETRY_AFTER, OVERLOAD_RETRY_AFTER, Pending, RETRY_AFTER_RANGE};
 use crate::{
     catalog,
-    dispatch::{Action, Reason, Request, target::Target},
-    id,
+    dispatch::{
+        Action, Reason, Request,
+        target::{Target, key_of_run},
+    },
+    gossip, id,
+    placement::mix,
     unit::{Span, Time},
 };
 
+/// Time between the returns of two routers after a pause of a target.
+const RETURN_INTERVAL: Span = Span::from_millis(10);
+
 impl Dispatcher {
     /// Records that a target announced in the response to a request that it leaves. Nothing more is
     /// sent to this run of it.
@@ -41,17 +48,21 @@
         asked: Span,
         out: &mut Vec<Action>,
     ) {
+        let key = key_of_run(run);
+        let delay = self.return_delay(key);
         let applied = match self.targets.get_mut(&run.target) {
             Some(target) if target.entry.started_at_ms != run.started_at_ms => return,
-            Some(target) => target.pause.begin(now, asked),
-            None => self.notices.begin_pause(now, run, asked),
+            Some(target) => target.pause.begin(now, asked, delay),
+            None => self.notices.begin_pause(now, run, asked, delay),
         };
         if let Some(applied) = applied {
+            self.pauses.push(None, (key, now + applied));
             out.push(Action::TargetPaused {
-                number,
                 target: run.target.clone(),
                 asked,
                 applied,
+                request: Some(number),
+                router: None,
             });
         }
         let target = self.targets.get(&run.target);
@@ -60,6 +71,49 @@
         }
     }
 
+    /// Records the pauses that another router reported, and passes them on.
+    pub(super) fn receive_pauses(
+        &mut self,
+        now: Time,
+        summary: &gossip::Summary,
+        out: &mut Vec<Action>,
+    ) {
+        for pause in &summary.pauses {
+            let delay = self.return_delay(pause.target);
+            let Some(target) = self.names.get(&pause.target) else {
+                continue;
+            };
+            let Some(target) = self.targets.get_mut(target) else {
+                continue;
+            };
+            if target.pause.remaining(now) >= pause.remaining {
+                continue;
+            }
+            let Some(applied) = target.pause.begin(now, pause.remaining, delay) else {
+                continue;
+            };
+            let (name, service) = (target.entry.name.clone(), target.entry.service.clone());
+            let from = Some(summary.router.clone());
+            self.pauses
+                .push(from.clone(), (pause.target, now + applied));
+            out.push(Action::TargetPaused {
+                target: name,
+                asked: pause.remaining,
+                applied,
+                request: None,
+                router: from,
+            });
+            self.refuse_unservable(now, &service, out);
+        }
+    }
+
+    /// Returns the time from the end of a target's pause until this router sends it requests: all return one after the
+    /// other, so that a target which is still full can say so.
+    fn return_delay(&self, target: u64) -> Span {
+        let all = Span(RETURN_INTERVAL.0 * u64::from(self.router_count() - 1));
+        Span(mix(target ^ self.key) % (all.0 + 1))
+    }
+
     /// Reports whether a run of a target still takes new requests.
     pub fn accepts(&self, now: Time, run: &catalog::Run) -> bool {
         let target = self.targets.get(&run.target);
--- a/src/dispatch/dispatcher/summaries.rs
+++ b/src/dispatch/dispatcher/summaries.rs
@@ -56,6 +56,7 @@
     crowded_permille: Option<u16>,
     demand: u32,
     limits: Vec<gossip::Limit>,
+    pauses: Vec<gossip::Pause>,
     loads: Vec<gossip::Load>,
     usages: Vec<gossip::Usage>,
     prefills: Vec<gossip::Prefill>,
@@ -87,6 +88,8 @@
     prefills: Vec<(Option<id::Router>, gossip::Prefill)>,
     origins: Vec<Announcement>,
     findings: Vec<hazards::Announcement>,
+    /// Pauses of targets with their ends, with the router that reported them, `None` for this one.
+    pauses: Vec<(Option<id::Router>, (u64, Time))>,
     /// Loads of all targets, added up over this router and all others.
     totals: HashMap<u64, Total>,
 }
@@ -120,6 +123,7 @@
                 .origins
                 .take_announcements(&self.builds, MAX_NEW_ORIGINS),
             findings: self.hazards.take_announcements(now, MAX_NEW_FINDINGS),
+            pauses: self.pauses.take(),
             totals: if followers.is_empty() {
                 HashMap::new()
             } else {
@@ -260,6 +264,7 @@
                 crowded_permille: None,
                 demand: 0,
                 limits: Vec::new(),
+                pauses: Vec::new(),
                 loads: Vec::new(),
                 usages: Vec::new(),
                 prefills: Vec::new(),
@@ -306,6 +311,7 @@
         let max_loads = round.max_loads(usages.len() + prefills.len() + limits.len());
         let content = Content {
             limits,
+            pauses: round.pauses(|from| from.is_none_or(|router| self.is_follower(router))),
             loads: baseline.select(now, loads, max_loads),
             usages,
             prefills,
@@ -334,6 +340,7 @@
             crowded_permille: (scope == Scope::Group).then(|| permille(self.pressure(now))),
             demand: self.group_demand(),
             limits: Vec::new(),
+            pauses: Vec::new(),
             loads: Vec::new(),
             usages: Vec::new(),
             prefills: Vec::new(),
@@ -412,6 +419,7 @@
             crowded_permille: Some(permille(self.fleet_pressure(now))),
             demand: self.fleet_demand(),
             limits,
+            pauses: round.pauses(|from| from != Some(follower)),
             loads,
             usages,
             prefills,
@@ -483,6 +491,7 @@
     fn split(&mut self, leaving: bool, always: bool, mut content: Content) -> Vec<gossip::Summary> {
         content.origins.sort_unstable();
         let mut limits = &content.limits[..];
+        let mut pauses = &content.pauses[..];
         let mut loads = &content.loads[..];
         let mut usages = &content.usages[..];
         let mut prefills = &content.prefills[..];
@@ -490,6 +499,7 @@
         let mut findings = &content.findings[..];
         let mut summaries = Vec::new();
         while !limits.is_empty()
+            || !pauses.is_empty()
             || !loads.is_empty()
             || !usages.is_empty()
             || !prefills.is_empty()
@@ -517,6 +527,7 @@
                 crowded_permille: content.crowded_permille,
                 demand: content.demand,
                 limits: taken_limits,
+                pauses: take_front(&mut pauses, &mut room),
                 loads: take_front(&mut loads, &mut room),
                 usages: take_front(&mut usages, &mut room),
                 prefills: take_front(&mut prefills, &mut room),
@@ -534,6 +545,16 @@
         let rest = self.max_items.saturating_sub(other_items);
         rest.max(self.max_items / 2)
     }
+
+    /// Returns the pauses that last, of those whose sender is selected.
+    fn pauses(&self, is_selected: impl Fn(Option<&id::Router>) -> bool) -> Vec<gossip::Pause> {
+        let pauses = select(&self.pauses, is_selected).into_iter();
+        let pauses = pauses.map(|(target, end)| gossip::Pause {
+            target,
+            remaining: end.since(self.now),
+        });
+        pauses.filter(|pause| pause.remaining.0 > 0).collect()
+    }
 }
 
 fn new_load(target: u64, view: View, suspect: bool) -> gossip::Load {
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -11,6 +11,7 @@
 mod action;
 mod allocation;
 mod allowance;
+mod announcements;
 mod attempt;
 mod baseline;
 mod batch;
--- a/src/dispatch/notices.rs
+++ b/src/dispatch/notices.rs
@@ -65,9 +65,10 @@
         now: Time,
         run: &catalog::Run,
         asked: Span,
+        delay: Span,
     ) -> Option<Span> {
         let mut pause = self.pauses.remove(run).unwrap_or_default();
-        let applied = pause.begin(now, asked);
+        let applied = pause.begin(now, asked, delay);
         self.keep_pause(now, run.clone(), pause);
         applied
     }
--- a/src/dispatch/pause.rs
+++ b/src/dispatch/pause.rs
@@ -41,18 +41,19 @@
 }
 
 impl Pause {
-    /// Begins a pause, or extends it. Returns the applied duration if that says something new: the
-    /// target was not paused, or asked for another duration.
-    pub(super) fn begin(&mut self, now: Time, asked: Span) -> Option<Span> {
+    /// Begins a pause, or extends it; this router returns `delay` after its end. Returns the applied duration if
+    /// that says something new: the target was not paused, or asked for another duration.
+    pub(super) fn begin(&mut self, now: Time, asked: Span, delay: Span) -> Option<Span> {
         let applied = asked.min(MAX_PAUSE);
         if applied.0 == 0 {
             return None;
         }
         let is_new = !self.is_active(now) || self.asked != asked;
         self.asked = asked;
+        let end = now + applied + delay;
         self.state = State::Until(match self.state {
-            State::Until(until) => until.max(now + applied),
-            _ => now + applied,
+            State::Until(until) => until.max(end),
+            _ => end,
         });
         is_new.then_some(applied)
     }
--- a/src/gateway/driver.rs
+++ b/src/gateway/driver.rs
@@ -171,17 +171,19 @@
                 return Record::PartTried { request }.write(&self.log);
             }
             Action::TargetPaused {
-                number,
                 target,
                 asked,
                 applied,
+                request,
+                router,
             } => {
                 metrics::counter!(metric::PAUSES).increment(1);
                 let record = Record::TargetPaused {
-                    request: inner.request_id(number),
                     target: &target,
                     asked,
                     applied,
+                    request: request.map(|number| inner.request_id(number)),
+                    router: router.as_ref(),
                 };
                 return record.write(&self.log);
             }
--- a/src/gateway/record.rs
+++ b/src/gateway/record.rs
@@ -107,10 +107,13 @@
     PartTried { request: &'a str },
     /// A target refused a request and asked for a pause.
     TargetPaused {
-        request: &'a str,
         target: &'a id::Target,
         asked: Span,
         applied: Span,
+        /// Request that it refused, if this router sent it.
+        request: Option<&'a str>,
+        /// Router that reported it, otherwise.
+        router: Option<&'a id::Router>,
     },
     /// A target refused a request and asked for a pause whose duration can't be read.
     InvalidPause {
@@ -305,13 +308,14 @@
             Record::PartTried { request } => slog::warn!(log, "prompt part tried";
                 "request" => request),
             Record::TargetPaused {
-                request,
                 target,
                 asked,
                 applied,
-            } => slog::warn!(log, "target paused"; "request" => request,
-                "target" => target.as_str(), "asked_ms" => millis(*asked),
-                "applied_ms" => millis(*applied)),
+                request,
+                router,
+            } => slog::warn!(log, "target paused"; "target" => target.as_str(),
+                "asked_ms" => millis(*asked), "applied_ms" => millis(*applied),
+                "request" => request, "peer" => router.map(id::Router::as_str)),
             Record::InvalidPause {
                 request,
                 target,
--- a/src/gossip/codec.rs
+++ b/src/gossip/codec.rs
@@ -1,11 +1,12 @@
 //! Encoding of summaries: packed Cap'n Proto, decoded with limits on every size.
 
-use super::{Evidence, Finding, Limit, Load, Origin, Prefill, Scope, Summary, Usage};
+use super::{Evidence, Finding, Limit, Load, Origin, Pause, Prefill, Scope, Summary, Usage};
 use crate::{
     id,
     unit::{Rate, Span, Version},
     wire::marlrun_capnp::{
-        self, FindingKind, part_finding, summary, target_limit, target_load, workspace_usage,
+        self, FindingKind, part_finding, summary, target_limit, target_load, target_pause,
+        workspace_usage,
     },
 };
 use capnp::{message, serialize_packed};
@@ -116,6 +117,12 @@
     for (index, limit) in from.limits.iter().enumerate() {
         write_limit(limits.reborrow().get(index as u32), limit);
     }
+    let mut pauses = to.reborrow().init_pauses(from.pauses.len() as u32);
+    for (index, pause) in from.pauses.iter().enumerate() {
+        let mut to = pauses.reborrow().get(index as u32);
+        to.set_target(pause.target);
+        to.set_remaining_millis(whole_millis(pause.remaining));
+    }
     let mut prefills = to.init_reads(from.prefills.len() as u32);
     for (index, prefill) in from.prefills.iter().enumerate() {
         let mut to = prefills.reborrow().get(index as u32);
@@ -161,6 +168,13 @@
     to.set_slots(limit.slots);
 }
 
+fn read_pause(from: target_pause::Reader<'_>) -> Pause {
+    Pause {
+        target: from.get_target(),
+        remaining: Span::from_millis(from.get_remaining_millis().into()),
+    }
+}
+
 fn read_limit(from: target_limit::Reader<'_>) -> Limit {
     let millis = |millis: u32| Span::from_millis(millis.into());
     Limit {
@@ -246,6 +260,7 @@
             .filter(|permille| *permille <= MAX_PERMILLE),
         demand: limit("demand", from.get_demand().into(), MAX_DEMAND.into())? as u32,
         limits: from.get_limits()?.iter().map(read_limit).collect(),
+        pauses: from.get_pauses()?.iter().map(read_pause).collect(),
         loads: from
             .get_loads()?
             .iter()
--- a/src/gossip/mod.rs
+++ b/src/gossip/mod.rs
@@ -7,6 +7,7 @@
 mod limit;
 mod load;
 mod origin;
+mod pause;
 mod prefill;
 mod scope;
 mod socket;
@@ -20,6 +21,7 @@
     limit::Limit,
     load::Load,
     origin::Origin,
+    pause::Pause,
     prefill::Prefill,
     scope::Scope,
     socket::Socket,
--- a/src/gossip/summary.rs
+++ b/src/gossip/summary.rs
@@ -1,6 +1,6 @@
 //! Summary of load that a router sends to others.
 
-use super::{Finding, Limit, Load, Origin, Prefill, Scope, Usage};
+use super::{Finding, Limit, Load, Origin, Pause, Prefill, Scope, Usage};
 use crate::{
     id,
     unit::{Span, Version},
@@ -43,4 +43,6 @@
     pub findings: Vec<Finding>,
     /// Limits that targets named.
     pub limits: Vec<Limit>,
+    /// Pauses that targets asked for.
+    pub pauses: Vec<Pause>,
 }
--- a/src/wire/marlrun_capnp.rs
+++ b/src/wire/marlrun_capnp.rs
@@ -11297,11 +11297,19 @@
         pub fn get_demand(self) -> u32 {
             self.reader.get_data_field::<u32>(11)
         }
+        #[inline]
+        pub fn get_pauses(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::wire::marlrun_capnp::target_pause::Owned>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(7), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_pauses(&self) -> bool {
+            !self.reader.get_pointer_field(7).is_null()
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 6, pointers: 7 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 6, pointers: 8 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -11535,6 +11543,22 @@
         pub fn set_demand(&mut self, value: u32)  {
             self.builder.set_data_field::<u32>(11, value);
         }
+        #[inline]
+        pub fn get_pauses(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::wire::marlrun_capnp::target_pause::Owned>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(7), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_pauses(&mut self, value: ::capnp::struct_list::Reader<'_,crate::wire::marlrun_capnp::target_pause::Owned>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(7), value, false)
+        }
+        #[inline]
+        pub fn init_pauses(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::wire::marlrun_capnp::target_pause::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(7), size)
+        }
+        #[inline]
+        pub fn has_pauses(&self) -> bool {
+            !self.builder.is_pointer_field_null(7)
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -11546,136 +11570,143 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 286] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 305] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(184, 219, 41, 190, 56, 25, 149, 148),
             ::capnp::word(14, 0, 0, 0, 1, 0, 6, 0),
             ::capnp::word(38, 126, 1, 23, 67, 249, 194, 213),
-            ::capnp::word(7, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 178, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 135, 3, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 191, 3, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(109, 97, 114, 108, 114, 117, 110, 46),
             ::capnp::word(99, 97, 112, 110, 112, 58, 83, 117),
             ::capnp::word(109, 109, 97, 114, 121, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(64, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(68, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(177, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(205, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(172, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(184, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(200, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(212, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(181, 1, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(209, 1, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(180, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(192, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(208, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(220, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(189, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(217, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(188, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(200, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(216, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(228, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(197, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(225, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(192, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(204, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(220, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(232, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 192, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(201, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(229, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(196, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(208, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(224, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(236, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(205, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(233, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(200, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(228, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(228, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(0, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(225, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(253, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(220, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(248, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(248, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(20, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(245, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(17, 2, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(240, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(12, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(12, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(40, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 13, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 2, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(37, 2, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(4, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(16, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(32, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(44, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(13, 2, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(41, 2, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(8, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(20, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(36, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(48, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(10, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(17, 2, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(45, 2, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(16, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(28, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(44, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(56, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(11, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 2, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(53, 2, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(20, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(48, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(48, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(76, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(12, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 12, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(45, 2, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(73, 2, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(44, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(72, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(72, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(100, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(13, 0, 0, 0, 20, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 13, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(69, 2, 0, 0, 130, 0, 0, 0),
+            ::capnp::word(97, 2, 0, 0, 130, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(68, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(80, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(96, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(108, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(14, 0, 0, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 14, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(77, 2, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(105, 2, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(72, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(100, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(100, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(128, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(15, 0, 0, 0, 11, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 15, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(97, 2, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(125, 2, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(92, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(104, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(120, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(132, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 16, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(129, 2, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(124, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(152, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(114, 111, 117, 116, 101, 114, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -11833,6 +11864,18 @@
             ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 97, 117, 115, 101, 115, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(119, 1, 153, 70, 63, 132, 245, 223),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -11852,6 +11895,7 @@
                 13 => <u16 as ::capnp::introspect::Introspect>::introspect(),
                 14 => <::capnp::struct_list::Owned<crate::wire::marlrun_capnp::target_limit::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 15 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                16 => <::capnp::struct_list::Owned<crate::wire::marlrun_capnp::target_pause::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -11865,13 +11909,238 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12,13,14,15];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12,13,14,15,16];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[10,13,15,12,1,4,14,5,11,7,0,9,8,2,6,3];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[10,13,15,12,1,4,14,5,11,16,7,0,9,8,2,6,3];
         pub(crate) const TYPE_ID: u64 = 0x9495_1938_be29_dbb8;
     }
 }
 
+pub mod target_pause {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <> Reader<'_,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_target(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn get_remaining_millis(self) -> u32 {
+            self.reader.get_data_field::<u32>(2)
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 0 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_target(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn set_target(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(0, value);
+        }
+        #[inline]
+        pub fn get_remaining_millis(self) -> u32 {
+            self.builder.get_data_field::<u32>(2)
+        }
+        #[inline]
+        pub fn set_remaining_millis(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(2, value);
+        }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 49] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(119, 1, 153, 70, 63, 132, 245, 223),
+            ::capnp::word(14, 0, 0, 0, 1, 0, 2, 0),
+            ::capnp::word(38, 126, 1, 23, 67, 249, 194, 213),
+            ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 210, 0, 0, 0),
+            ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 119, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(109, 97, 114, 108, 114, 117, 110, 46),
+            ::capnp::word(99, 97, 112, 110, 112, 58, 84, 97),
+            ::capnp::word(114, 103, 101, 116, 80, 97, 117, 115),
+            ::capnp::word(101, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(41, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(45, 0, 0, 0, 130, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(44, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(56, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(116, 97, 114, 103, 101, 116, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 101, 109, 97, 105, 110, 105, 110),
+            ::capnp::word(103, 77, 105, 108, 108, 105, 115, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0];
+        pub(crate) const TYPE_ID: u64 = 0xdff5_843f_4699_0177;
+    }
+}
+
 pub mod target_limit {
     #[derive(Copy, Clone)]
     pub struct Owned(());
--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -286,6 +286,7 @@
         crowded_permille: None,
         demand: 0,
         limits: Vec::new(),
+        pauses: Vec::new(),
         loads: Vec::new(),
         usages: vec![usage],
         prefills: Vec::new(),
@@ -947,10 +948,11 @@
         {
             actions = step(&mut dispatcher, millis + 1, paused(number, "a", 1_000));
             let expected = Action::TargetPaused {
-                number,
                 target: "a".parse().unwrap(),
                 asked: Span::from_secs(1),
                 applied: Span::from_secs(1),
+                request: Some(number),
+                router: None,
             };
             assert_eq!(actions, [expected]);
             actions = step(&mut dispatcher, millis + 1, not_run(number));
@@ -1087,10 +1089,11 @@
         asked,
     };
     let expected = Action::TargetPaused {
-        number: 1,
         target: "a".parse().unwrap(),
         asked,
         applied: Span::from_secs(300),
+        request: Some(1),
+        router: None,
     };
     assert_eq!(step(&mut dispatcher, 10, pause), [expected]);
     // A shorter one does not end it.
@@ -1135,6 +1138,38 @@
     }
 }
 
+#[test]
+fn simulate_pause_unknown_to_routers_that_never_asked() {
+    for (routers, interval) in [(7, 20), (68, 50), (295, 100)] {
+        let load = Load {
+            flood: 1,
+            requests_per_s: 240,
+        };
+        let mut simulation = Simulation::open(routers, 6, table(Some(300_000)), load);
+        simulation.pause = 4_000..8_000;
+        simulation.summary_interval_ms = interval;
+        simulation.run(Span::from_secs(9));
+        let (pause, end) = (simulation.pause.clone(), simulation.pause.end);
+        for engine in 0..3 {
+            let sends = simulation.sends.iter().filter(|(_, _, e)| *e == engine);
+            let times: Vec<u64> = sends.map(|(ms, ..)| *ms).collect();
+            let first = times.iter().find(|ms| pause.contains(ms)).unwrap();
+            let told = first + 400..end;
+            let late = times.iter().filter(|ms| told.contains(ms)).count();
+            assert!(
+                late <= 1,
+                "{routers} routers, e{engine}: {late} requests in the pause"
+            );
+            let returned = end..end + 50;
+            let returned = times.iter().filter(|ms| returned.contains(ms)).count();
+            assert!(
+                returned <= 12,
+                "{routers} routers, e{engine}: {returned} requests return in 50 ms"
+            );
+        }
+    }
+}
+
 #[test]
 fn simulate_pause_ends_in_steps() {
     let simulation = simulate_pause(1, 240);
@@ -1510,6 +1545,7 @@
         crowded_permille: None,
         demand: 0,
         limits: Vec::new(),
+        pauses: Vec::new(),
         loads: Vec::new(),
         usages: Vec::new(),
         prefills: Vec::new(),
--- a/tests/summary.rs
+++ b/tests/summary.rs
@@ -72,6 +72,7 @@
             crowded_permille: None,
             demand: 0,
             limits: Vec::new(),
+            pauses: Vec::new(),
             loads,
             usages,
             prefills,
