Divide the connections of a target without rounding up at each router

A fleet of 68 routers opened up to 136 connections to a target that takes 100: each rounded its part up. The remainder now goes to as many routers as it has connections, which differ between targets. Each keeps a minimum of one, which matters in fleets of more routers than connections only.

dispatch::connections_of_all_routers_exceed_those_of_a_target failed before (68 routers).

--- a/src/dispatch/dispatcher/fleet.rs
+++ b/src/dispatch/dispatcher/fleet.rs
@@ -3,9 +3,11 @@
 use super::{Baseline, Dispatcher, Peer, Target, Topology, limit::apply_limit};
 use crate::{
     catalog,
-    dispatch::{Action, View},
+    dispatch::{Action, View, target::key_of},
     gossip::{self, Scope},
-    id, routing,
+    id,
+    placement::mix,
+    routing,
     unit::{Span, Time},
 };
 use std::{
@@ -72,11 +74,8 @@
         let pause = self.notices.take_pause(&(&entry).into());
         let service = self.routing.services.get(&entry.service);
         let engine = service.and_then(|service| service.engine);
-        let mut target = Target::new(
-            entry,
-            engine,
-            self.max_own_running(service.map(Arc::as_ref)),
-        );
+        let max_own_running = self.max_own_running(service.map(Arc::as_ref), key_of(&entry));
+        let mut target = Target::new(entry, engine, max_own_running);
         target.pause = pause;
         let loads = self.peers.values();
         let loads = loads.filter_map(|peer| peer.loads.get(&target.key));
@@ -84,13 +83,16 @@
         target
     }
 
-    /// Returns this router's part of the connections of one target.
-    fn max_own_running(&self, service: Option<&routing::Service>) -> u32 {
+    /// Returns this router's part of the connections of one target. What can't be divided evenly goes to some of
+    /// the routers, which differ between targets.
+    fn max_own_running(&self, service: Option<&routing::Service>, target: u64) -> u32 {
         let router_count = self.router_count();
         let all = service.map_or(u32::MAX, |service| service.max_connections);
-        (all / 100 * USED_CONNECTIONS_PERCENT + all % 100 * USED_CONNECTIONS_PERCENT / 100)
-            .div_ceil(router_count)
-            .max(1)
+        let used =
+            all / 100 * USED_CONNECTIONS_PERCENT + all % 100 * USED_CONNECTIONS_PERCENT / 100;
+        let draw = mix(target ^ self.key) % u64::from(router_count);
+        let is_drawn = draw < u64::from(used % router_count);
+        (used / router_count + u32::from(is_drawn)).max(1)
     }
 
     pub(super) fn set_routing(
@@ -114,7 +116,7 @@
         for target in targets.values_mut() {
             let service = self.routing.services.get(&target.entry.service);
             target.engine = service.and_then(|service| service.engine);
-            target.max_own_running = self.max_own_running(service.map(Arc::as_ref));
+            target.max_own_running = self.max_own_running(service.map(Arc::as_ref), target.key);
         }
         self.targets = targets;
         let router_count = self.router_count();
--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -2282,3 +2282,42 @@
     assert!((2..=6).contains(&numbers.len()), "{numbers:?} in 20 s");
     assert!(numbers.iter().all(|number| number % 2 == 1), "{numbers:?}");
 }
+
+#[test]
+fn connections_of_all_routers_exceed_those_of_a_target() {
+    for (routers, connections) in [(7, 100), (68, 100), (295, 400)] {
+        let limits = Limits::default();
+        let mut table = Table::new(Version(1), limits, true);
+        table.add_service(Service {
+            name: "app".parse().unwrap(),
+            max_connections: connections,
+            engine: None,
+        });
+        let table = Arc::new(table);
+        let app = catalog::Target {
+            slots: 1_000,
+            ..target("a", "app")
+        };
+        let mut all = 0;
+        for index in 0..routers {
+            let mut router = dispatcher(&format!("r{index}x"));
+            step(&mut router, 0, Event::Routing(table.clone()));
+            announce_routers(&mut router, 0, routers - 1);
+            step(&mut router, 0, targets(std::slice::from_ref(&app)));
+            let requests = 1..=u64::from(connections);
+            let sent = requests.filter(|number| {
+                let arrived = Event::Arrived(request(*number, 10, "app"));
+                sent_to(&step(&mut router, 10, arrived)).is_some()
+            });
+            all += sent.count();
+        }
+        assert!(
+            all <= connections as usize,
+            "{routers} routers use {all} of {connections} connections"
+        );
+        assert!(
+            all >= connections as usize / 2,
+            "{routers} routers use {all} of {connections}"
+        );
+    }
+}
