Failing tests: streams joined from two builds at a router that is cut off during a release

Four routers with a proxy on each link between them and to the store; one hears nothing while engines of a new build join. Of 12 streams that began elsewhere, those of the new build go on at the old one there. Five tests beside them pass: a router that stood still, one cut off from the others only, one that is back, and fleets whose store is away without a release, which must go on to resume streams.

--- /dev/null
+++ b/tests/out_of_step.rs
@@ -0,0 +1,243 @@
+//! End-to-end tests of streams that are taken up at a router which the others don't reach, while targets of a new
+//! software version (build) join.
+// Tests wait by the system's clock.
+#![allow(clippy::disallowed_methods)]
+
+mod world;
+
+use nix::sys::signal::Signal;
+use std::{
+    io::Read,
+    net::{SocketAddr, TcpStream},
+    thread,
+    time::Duration,
+};
+use world::{Answer, Caller, Fault, Harm, Mesh, Proxy, Router, World, event_of, wait_for};
+
+const NEXT_BUILD: &str = "v2";
+/// Events of each stream, and the time between two.
+const EVENTS: u64 = 40;
+const GAP: Duration = Duration::from_millis(20);
+/// Engines of the next build, which come first, and of the first one.
+const NEXT: usize = 4;
+const FIRST: usize = 2;
+/// Streams of each test.
+const STREAMS: usize = 12;
+/// Router at which streams are taken up.
+const OUT_OF_STEP: usize = 0;
+
+/// Routers with a proxy on each link: to the store, and between each other.
+struct Setting {
+    routers: Vec<Router>,
+    stores: Vec<Proxy>,
+    mesh: Mesh,
+    world: World,
+}
+
+impl Setting {
+    /// Starts routers before engines of the first build; those of the next one aren't listed yet.
+    fn open(routers: usize) -> Self {
+        let world = World::open(NEXT + FIRST, 0);
+        for (index, engine) in world.engines.iter().enumerate() {
+            engine.pace(EVENTS, GAP);
+            if index < NEXT {
+                engine.upgrade(NEXT_BUILD);
+                engine.unregister();
+            }
+        }
+        let addresses: Vec<SocketAddr> = (0..routers).map(|_| world::free_address()).collect();
+        let mesh = Mesh::open(&world.store, &addresses);
+        let stores = addresses.iter().map(|_| Proxy::bind(world.store.address()));
+        let stores: Vec<Proxy> = stores.collect();
+        let spawned = addresses.iter().zip(&stores).enumerate();
+        let spawned = spawned.map(|(index, (peer, store))| {
+            Router::spawn_between(store.address, *peer, &format!("r{index}"), &[])
+        });
+        let setting = Self {
+            routers: spawned.collect(),
+            stores,
+            mesh,
+            world,
+        };
+        let know_all = |router: &Router| {
+            let log = router.log();
+            router.is_ready() && log.matches("\"router listed\"").count() >= routers - 1
+        };
+        wait_for("all routers know each other", || {
+            setting.routers.iter().all(know_all)
+        });
+        // Summaries of all have arrived.
+        thread::sleep(Duration::from_millis(300));
+        setting
+    }
+
+    /// Has the engines of the next build join, and waits until the routers that are reached know.
+    fn join_next(&self) {
+        for engine in &self.world.engines[..NEXT] {
+            engine.register("ready");
+        }
+        let live = format!("\"live\":{},", FIRST + NEXT);
+        for router in &self.routers[OUT_OF_STEP + 1..] {
+            wait_for("the engines are listed", || router.log().contains(&live));
+        }
+    }
+
+    /// Begins streams at all routers but one, and leaves them; returns the first events of each with the request that
+    /// began it.
+    fn begin(&self) -> Vec<(String, String)> {
+        let others = &self.routers[OUT_OF_STEP + 1..];
+        let begun = (0..STREAMS).map(|number| {
+            let name = format!("q{number}-{}", self.world.store.calls());
+            let (events, stream) = begin(&others[number % others.len()], &name);
+            (name, events, stream)
+        });
+        // All of them run before the first caller leaves.
+        let begun: Vec<(String, String, TcpStream)> = begun.collect();
+        let begun = begun.into_iter();
+        begun.map(|(name, events, _)| (name, events)).collect()
+    }
+
+    /// Takes up streams at a router, each once more if it is told to come back; returns how many went on, and how many
+    /// of these went on at another build.
+    fn take_up(&self, router: usize, streams: &[(String, String)]) -> (usize, usize) {
+        let (mut went_on, mut joined) = (0, 0);
+        for (name, received) in streams {
+            let last = received.matches("id: ").count().to_string();
+            for attempt in 0..2 {
+                let request = format!("again{attempt}-{name}");
+                let caller = Caller::stream(self.routers[router].listen, "plan", &request);
+                let caller = caller.with("resumes", name).with("last-event-id", &last);
+                let answer = caller.call();
+                if answer.status == 503 && attempt == 0 {
+                    thread::sleep(Duration::from_millis(20));
+                    continue;
+                }
+                if answer.status != 200 {
+                    assert_eq!(answer.status, 503, "{answer:?}");
+                    break;
+                }
+                went_on += 1;
+                let whole = received.clone() + &answer.body;
+                let builds = ["v1", NEXT_BUILD];
+                let is_of_one = builds.iter().any(|build| {
+                    let events = (1..=EVENTS).map(|number| event_of(build, number));
+                    events.collect::<String>() == whole
+                });
+                joined += usize::from(!is_of_one);
+                break;
+            }
+        }
+        (went_on, joined)
+    }
+}
+
+/// Begins a stream and returns its first events.
+fn begin(router: &Router, name: &str) -> (String, TcpStream) {
+    let mut stream: TcpStream = Caller::stream(router.listen, "plan", name).open();
+    let mut bytes = Vec::new();
+    loop {
+        let mut block = [0; 512];
+        let length = stream.read(&mut block).unwrap();
+        assert!(length > 0, "{}", String::from_utf8_lossy(&bytes));
+        bytes.extend_from_slice(&block[..length]);
+        let body = Answer::parse(&bytes, Duration::ZERO).body;
+        let end = body.rfind("\n\n").map_or(0, |end| end + 2);
+        if body[..end].matches("id: ").count() >= 2 {
+            return (body[..end].into(), stream);
+        }
+    }
+}
+
+/// Cuts a router off from the others and from the store, has engines of the next build join, and takes up streams
+/// there.
+fn joined_at_a_router_cut_off(store: impl Fn(&Proxy)) {
+    let setting = Setting::open(4);
+    setting.mesh.cut(OUT_OF_STEP, 1..4);
+    store(&setting.stores[OUT_OF_STEP]);
+    setting.join_next();
+    let streams = setting.begin();
+    let next = streams
+        .iter()
+        .filter(|(_, events)| events.contains(NEXT_BUILD));
+    assert!(next.count() >= STREAMS / 4, "streams begin at both builds");
+    let (_, joined) = setting.take_up(OUT_OF_STEP, &streams);
+    assert_eq!(joined, 0, "of {STREAMS} streams");
+}
+
+#[test]
+fn streams_joined_at_a_router_that_hears_nothing() {
+    joined_at_a_router_cut_off(|store| store.harm(Harm::Silence));
+}
+
+#[test]
+fn streams_joined_at_a_router_whose_store_resets_connections() {
+    joined_at_a_router_cut_off(|store| {
+        store.harm(Harm::Refuse);
+        store.reset();
+    });
+}
+
+#[test]
+fn streams_joined_at_a_router_that_stood_still() {
+    let setting = Setting::open(4);
+    setting.routers[OUT_OF_STEP].signal(Signal::SIGSTOP);
+    setting.join_next();
+    let streams = setting.begin();
+    setting.routers[OUT_OF_STEP].signal(Signal::SIGCONT);
+    let (went_on, joined) = setting.take_up(OUT_OF_STEP, &streams);
+    assert_eq!(joined, 0, "of {STREAMS} streams");
+    assert!(went_on * 2 >= STREAMS, "{went_on} of {STREAMS} went on");
+}
+
+#[test]
+fn streams_joined_at_a_router_cut_off_from_the_others_only() {
+    let setting = Setting::open(4);
+    setting.mesh.cut(OUT_OF_STEP, 1..4);
+    setting.join_next();
+    let streams = setting.begin();
+    let (_, joined) = setting.take_up(OUT_OF_STEP, &streams);
+    assert_eq!(joined, 0, "of {STREAMS} streams");
+}
+
+#[test]
+fn streams_refused_at_a_router_that_is_back() {
+    let setting = Setting::open(4);
+    setting.mesh.cut(OUT_OF_STEP, 1..4);
+    setting.stores[OUT_OF_STEP].harm(Harm::Silence);
+    setting.join_next();
+    setting.stores[OUT_OF_STEP].harm(Harm::None);
+    setting.stores[OUT_OF_STEP].reset();
+    setting.mesh.heal();
+    thread::sleep(Duration::from_millis(2_500));
+    let streams = setting.begin();
+    assert_eq!(setting.take_up(OUT_OF_STEP, &streams), (STREAMS, 0));
+}
+
+#[test]
+fn streams_refused_without_the_store() {
+    let setting = Setting::open(4);
+    let streams = setting.begin();
+    setting.world.store.fail(Fault::Silent);
+    thread::sleep(Duration::from_secs(6));
+    let later = setting.begin();
+    assert_eq!(setting.take_up(OUT_OF_STEP, &streams), (STREAMS, 0));
+    assert_eq!(setting.take_up(OUT_OF_STEP, &later), (STREAMS, 0));
+    // Also those of a router that is gone.
+    let last = setting.begin();
+    setting.routers[1].signal(Signal::SIGKILL);
+    thread::sleep(Duration::from_millis(100));
+    assert_eq!(setting.take_up(OUT_OF_STEP, &last), (STREAMS, 0));
+}
+
+#[test]
+fn streams_refused_at_a_single_router_without_the_store() {
+    let setting = Setting::open(1);
+    setting.world.store.fail(Fault::Silent);
+    thread::sleep(Duration::from_secs(5));
+    // It doesn't know the request that began it.
+    let unknown = vec![(
+        "q-unknown".to_owned(),
+        (1..=2).map(|n| event_of("v1", n)).collect(),
+    )];
+    assert_eq!(setting.take_up(OUT_OF_STEP, &unknown), (1, 0));
+}
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -8,6 +8,7 @@
 mod fleet;
 mod flood;
 mod listener;
+mod mesh;
 #[allow(unreachable_pub)]
 #[path = "../common/process.rs"]
 mod process;
@@ -23,6 +24,8 @@
     connection::{Connection, Reply},
     fleet::Fleet,
     flood::{Endless, Flood},
+    mesh::Mesh,
+    process::free_address,
     proxy::{Harm, Proxy},
     repeater::{Copy, Repeater},
     replica::{FIRST_BUILD, FIRST_START_MS, Mode, Replica, Run, Stage, event, event_of},
--- a/tests/world/router.rs
+++ b/tests/world/router.rs
@@ -41,8 +41,18 @@
 
     /// Starts a router that reaches the store at an address and returns at once.
     pub(crate) fn spawn_at(store: SocketAddr, name: &str, arguments: &[&str]) -> Self {
+        Self::spawn_between(store, free_address(), name, arguments)
+    }
+
+    /// The same with this address for other routers.
+    pub(crate) fn spawn_between(
+        store: SocketAddr,
+        peer: SocketAddr,
+        name: &str,
+        arguments: &[&str],
+    ) -> Self {
         let folder = tempfile::tempdir().unwrap();
-        let (listen, health, peer) = (free_address(), free_address(), free_address());
+        let (listen, health) = (free_address(), free_address());
         let settings = json!({
             "node": name, "zone": "east", "ip": peer.ip().to_string(), "a-new-field": [1],
             "listen": { "front": listen.to_string(), "ready": health.to_string() },
--- a/tests/world/store.rs
+++ b/tests/world/store.rs
@@ -57,6 +57,8 @@
 
 struct State {
     rows: BTreeMap<(String, String), Row>,
+    /// Addresses that stand in the rows of routers in place of those that they wrote.
+    aliases: HashMap<SocketAddr, SocketAddr>,
     version: u64,
     /// Changes up to this version are not kept.
     forgotten: u64,
@@ -85,6 +87,7 @@
         let shared = Arc::new(Shared {
             state: Mutex::new(State {
                 rows: BTreeMap::new(),
+                aliases: HashMap::new(),
                 version: 1,
                 forgotten: 0,
                 fault: Fault::None,
@@ -124,6 +127,11 @@
         serde_json::from_slice(row.value.as_ref()?).ok()
     }
 
+    /// Lists the router with an address under another one from its next write on.
+    pub(crate) fn alias(&self, address: SocketAddr, listed: SocketAddr) {
+        self.shared.state().aliases.insert(address, listed);
+    }
+
     pub(crate) fn fail(&self, fault: Fault) {
         self.shared.state().fault = fault;
         // Calls that wait for changes meet the fault, too.
@@ -292,6 +300,20 @@
         }
     }
 
+    /// Replaces the address of a router that is listed under another one.
+    fn with_alias(&self, table: &str, value: Vec<u8>) -> Vec<u8> {
+        if table != "routers" {
+            return value;
+        }
+        let mut entry: Value = serde_json::from_slice(&value).unwrap();
+        let address = entry["peer"].as_str().unwrap().parse();
+        let listed = self.state().aliases.get(&address.unwrap()).copied();
+        if let Some(listed) = listed {
+            entry["peer"] = listed.to_string().into();
+        }
+        entry.to_string().into_bytes()
+    }
+
     fn transact(&self, body: &[u8]) -> (u16, Value) {
         let body: Value = serde_json::from_slice(body).unwrap();
         let text = |row: &Value, name: &str| row[name].as_str().unwrap().to_owned();
@@ -303,6 +325,7 @@
         }
         for row in rows("put") {
             let value = BASE64_STANDARD.decode(text(&row, "value")).unwrap();
+            let value = self.with_alias(&text(&row, "table"), value);
             self.write(&text(&row, "table"), &text(&row, "key"), Some(value));
         }
         for row in rows("remove") {
