--- a/schema/marlrun.capnp
+++ b/schema/marlrun.capnp
@@ -271,6 +271,13 @@
   limits @14 :List(TargetLimit);
   demand @15 :UInt32; # requests per second of these routers that targets are sought for
   pauses @16 :List(TargetPause);
+  builds @17 :List(ServiceBuild);
+}
+
+# Build of which a target is listed.
+struct ServiceBuild {
+  service @0 :UInt64; # hash of its name
+  build @1 :UInt64;
 }
 
 # Pause that a target asked for.
--- a/src/dispatch/baseline.rs
+++ b/src/dispatch/baseline.rs
@@ -27,6 +27,7 @@
 pub(super) struct Baseline {
     loads: HashMap<u64, Sent>,
     limits: HashMap<u64, (Time, gossip::Limit)>,
+    builds: (Time, Vec<gossip::Build>),
     /// Time of the last summary.
     pub(super) last_sent: Time,
     /// Time at which usages were last sent.
@@ -91,6 +92,20 @@
         limits
     }
 
+    /// Returns the builds to send now, by the same rule as limits.
+    pub(super) fn select_builds(
+        &mut self,
+        now: Time,
+        builds: Vec<gossip::Build>,
+    ) -> Vec<gossip::Build> {
+        let (at, sent) = &self.builds;
+        if *sent == builds && now.since(*at) < REFRESH_INTERVAL {
+            return Vec::new();
+        }
+        self.builds = (now, builds.clone());
+        builds
+    }
+
     /// Sends all limits again, since a recipient has just started.
     pub(super) fn forget_limits(&mut self) {
         self.limits.clear();
--- a/src/dispatch/builds.rs
+++ b/src/dispatch/builds.rs
@@ -14,7 +14,8 @@
 #[derive(Clone, Debug, Default)]
 pub(super) struct Builds {
     /// Whether streams of services with a single build are announced, too: in a small fleet that costs
-    /// little, and the next build may appear just after their router was killed.
+    /// little, and the next build may appear just after their router was killed. While the list of targets isn't
+    /// current, nobody knows whether it is the only one.
     pub(super) announce_all: bool,
     /// Time at which each build was last seen.
     seen: BTreeMap<u64, HashMap<id::Build, Time>>,
--- a/src/dispatch/dispatcher/fleet.rs
+++ b/src/dispatch/dispatcher/fleet.rs
@@ -195,6 +195,7 @@
         if summary.router == self.settings.router {
             return;
         }
+        self.record_builds(now, summary);
         // Where streams began holds whatever the sender's role, and also if it leaves.
         self.record_origins(now, summary, out);
         self.record_findings(now, summary, out);
--- a/src/dispatch/dispatcher/mod.rs
+++ b/src/dispatch/dispatcher/mod.rs
@@ -99,6 +99,10 @@
     origins: Origins,
     /// What routers remembered before this one started has been read, or doesn't matter any more.
     is_history_known: bool,
+    /// Time as of which the list of targets is known; `None` before it was read.
+    confirmed: Option<Time>,
+    /// Number of other routers that are listed.
+    listed_routers: usize,
     /// Requests that resume streams of which other routers may still report where they began.
     awaiting: Vec<resumption::Awaiting>,
     hazards: Hazards,
@@ -165,6 +169,8 @@
             queues: BTreeMap::new(),
             builds: Builds::default(),
             origins: Origins::default(),
+            confirmed: None,
+            listed_routers: 0,
             awaiting: Vec::new(),
             hazards: Hazards::default(),
             beginnings: VecDeque::new(),
@@ -294,13 +300,21 @@
             } => self.record_limit(now, number, &run, (sent, limit), out),
             Event::Closed { number } => self.close(now, number, out),
             Event::Targets(targets) => self.set_targets(now, targets, out),
+            Event::TargetsConfirmed { age } => {
+                let confirmed = Time(now.0.saturating_sub(age.0));
+                self.confirmed = self.confirmed.max(Some(confirmed));
+            }
             Event::Routing(table) => self.set_routing(now, table, out),
             Event::Summary(summary) => self.receive(now, &summary, out),
             Event::Roster {
                 candidates,
                 leaders,
                 neighbors,
-            } => self.set_roster(now, candidates, leaders, neighbors),
+                others,
+            } => {
+                self.listed_routers = others;
+                self.set_roster(now, candidates, leaders, neighbors);
+            }
             Event::Shed { count } => self.record_shed(now, count),
             Event::Busy { workspace, tokens } => {
                 self.ledger.record_busy(&workspace, tokens);
--- a/src/dispatch/dispatcher/resumption.rs
+++ b/src/dispatch/dispatcher/resumption.rs
@@ -1,6 +1,6 @@
 //! Streams that callers resume: at which build they began, as this router and others recorded it.
 
-use super::{Dispatcher, Grade, Pending, Reason, Request};
+use super::{Dispatcher, Grade, LATE_TICK, Pending, Reason, Request};
 use crate::{
     dispatch::{Action, History, builds::RETENTION, origins::Entry},
     gossip, id,
@@ -11,6 +11,9 @@
 /// Time for which a resumed stream waits for other routers to report where it began: they may have
 /// begun it just before. Reports pass up to three routers, every 30 to 100 ms.
 const REPORT_TIME: Span = Span::from_millis(200);
+/// Time since its last summary up to which another router is heard: three keepalives, since datagrams may be
+/// lost.
+const HEARD_SPAN: Span = Span::from_millis(300);
 /// Time after which a caller may try again if that is still unknown; another router may know.
 const UNKNOWN_RETRY_AFTER: Span = Span::from_millis(300);
 
@@ -56,7 +59,7 @@
         matches!(known, Some(Entry::Build { .. }))
     }
 
-    fn need(&self, request: &Request) -> Need {
+    fn need(&self, now: Time, request: &Request) -> Need {
         let Some(resumption) = request.resumption else {
             return Need::Any;
         };
@@ -71,16 +74,71 @@
             // The builds of before this router started are unknown, too.
             Some(None) if !self.is_history_known => Need::NotReported,
             _ if !self.is_history_known => Need::Unknown,
-            // Bound all the same, since another build may appear before the stream ends.
-            _ if !self.builds.are_mixed(own_service) => self
-                .builds
-                .single(own_service)
-                .map_or(Need::Any, |build| Need::Build(build.clone())),
+            _ if !self.builds.are_mixed(own_service) => {
+                if self.is_list_current(now) {
+                    self.single_build(own_service)
+                } else {
+                    Need::NotReported
+                }
+            }
             Some(None) => Need::NotReported,
             Some(Some(Entry::Conflicting)) | None => Need::Unknown,
         }
     }
 
+    /// Returns what a request needs that resumes a stream of a service with a single build. It is bound all the
+    /// same, since another build may appear before the stream ends.
+    fn single_build(&self, service: u64) -> Need {
+        let build = self.builds.single(service);
+        build.map_or(Need::Any, |build| Need::Build(build.clone()))
+    }
+
+    /// Reports whether this router knows of each build whose targets are listed: its list is current, and another
+    /// router that would know better is heard.
+    fn is_list_current(&self, now: Time) -> bool {
+        if self.listed_routers == 0 {
+            return true;
+        }
+        let stood_still = now.since(self.last_tick) >= LATE_TICK || now < self.silence_counts_from;
+        let bound = self.settings.list_bound;
+        let is_confirmed = self.confirmed.is_some_and(|at| now.since(at) <= bound);
+        !stood_still && is_confirmed && self.heard_routers(now) > 0
+    }
+
+    /// Reports whether all other routers are heard, so that they would have told of a build that this router doesn't
+    /// know, also while the platform's list can't be read.
+    fn are_all_heard(&self, now: Time) -> bool {
+        self.heard_routers(now) >= self.listed_routers
+    }
+
+    /// Returns the number of other routers whose loads are reported now.
+    fn heard_routers(&self, now: Time) -> usize {
+        let heard = self.peers.values();
+        let heard = heard.filter(|peer| now.since(peer.last_heard) <= HEARD_SPAN);
+        heard.map(|peer| peer.router_count as usize).sum()
+    }
+
+    /// Returns the builds of which targets are listed.
+    pub(super) fn listed_builds(&self) -> Vec<gossip::Build> {
+        let targets = self.targets.values();
+        let builds = targets.map(|target| gossip::Build {
+            service: hash(target.entry.service.as_str()),
+            build: target.entry.build.key(),
+        });
+        let mut builds: Vec<gossip::Build> = builds.collect();
+        builds.sort_unstable();
+        builds.dedup();
+        builds
+    }
+
+    /// Records the builds that another router reported.
+    pub(super) fn record_builds(&mut self, now: Time, summary: &gossip::Summary) {
+        for reported in &summary.builds {
+            let build = id::Build::from_key(reported.build);
+            self.builds.record(now, reported.service, &build);
+        }
+    }
+
     /// Binds a request that resumes a stream to the build that began it, and places it.
     pub(super) fn bind(
         &mut self,
@@ -89,7 +147,7 @@
         grade: Grade,
         out: &mut Vec<Action>,
     ) {
-        match self.need(&pending.request) {
+        match self.need(now, &pending.request) {
             Need::Any => self.place(now, pending, grade, out),
             Need::Build(build) => {
                 pending.request.build = Some(build);
@@ -136,14 +194,27 @@
         self.bind_reported(now, out);
     }
 
-    /// Refuses the requests whose streams no router has reported in time.
+    /// Refuses the requests whose streams no router has reported in time, unless it is certain that their service has a
+    /// single build.
     pub(super) fn expire_awaiting(&mut self, now: Time, out: &mut Vec<Action>) {
         let expired = self
             .awaiting
             .extract_if(.., |awaiting| awaiting.until <= now);
         for awaiting in expired.collect::<Vec<_>>() {
-            let pending = awaiting.pending;
-            self.refuse(now, &pending, Reason::Origin, UNKNOWN_RETRY_AFTER, out);
+            let mut pending = awaiting.pending;
+            let service = hash(pending.request.service.as_str());
+            let is_single = self.is_history_known && !self.builds.are_mixed(service);
+            let need = if is_single && self.are_all_heard(now) {
+                self.single_build(service)
+            } else {
+                Need::Unknown
+            };
+            if let Need::Build(build) = need {
+                pending.request.build = Some(build);
+                self.place(now, pending, awaiting.grade, out);
+            } else {
+                self.refuse(now, &pending, Reason::Origin, UNKNOWN_RETRY_AFTER, out);
+            }
         }
     }
 
@@ -200,7 +271,7 @@
         let awaiting = std::mem::take(&mut self.awaiting);
         let (waiting, reported) = awaiting
             .into_iter()
-            .partition(|awaiting| self.need(&awaiting.pending.request) == Need::NotReported);
+            .partition(|awaiting| self.need(now, &awaiting.pending.request) == Need::NotReported);
         self.awaiting = waiting;
         for awaiting in reported {
             self.bind(now, awaiting.pending, awaiting.grade, out);
@@ -232,7 +303,7 @@
         }
         // Streams of before can't be resumed any more.
         self.is_history_known |= now.since(Time::default()) >= RETENTION;
-        self.builds.announce_all = !self.is_large_fleet();
+        self.builds.announce_all = !self.is_large_fleet() || !self.is_list_current(now);
         self.builds.expire(now);
         self.origins.expire(now);
     }
--- a/src/dispatch/dispatcher/summaries.rs
+++ b/src/dispatch/dispatcher/summaries.rs
@@ -57,6 +57,7 @@
     demand: u32,
     limits: Vec<gossip::Limit>,
     pauses: Vec<gossip::Pause>,
+    builds: Vec<gossip::Build>,
     loads: Vec<gossip::Load>,
     usages: Vec<gossip::Usage>,
     prefills: Vec<gossip::Prefill>,
@@ -265,6 +266,7 @@
                 demand: 0,
                 limits: Vec::new(),
                 pauses: Vec::new(),
+                builds: Vec::new(),
                 loads: Vec::new(),
                 usages: Vec::new(),
                 prefills: Vec::new(),
@@ -312,6 +314,7 @@
         let content = Content {
             limits,
             pauses: round.pauses(|from| from.is_none_or(|router| self.is_follower(router))),
+            builds: baseline.select_builds(now, self.listed_builds()),
             loads: baseline.select(now, loads, max_loads),
             usages,
             prefills,
@@ -341,6 +344,7 @@
             demand: self.group_demand(),
             limits: Vec::new(),
             pauses: Vec::new(),
+            builds: Vec::new(),
             loads: Vec::new(),
             usages: Vec::new(),
             prefills: Vec::new(),
@@ -420,6 +424,7 @@
             demand: self.fleet_demand(),
             limits,
             pauses: round.pauses(|from| from != Some(follower)),
+            builds: baseline.select_builds(now, self.listed_builds()),
             loads,
             usages,
             prefills,
@@ -492,6 +497,7 @@
         content.origins.sort_unstable();
         let mut limits = &content.limits[..];
         let mut pauses = &content.pauses[..];
+        let mut builds = &content.builds[..];
         let mut loads = &content.loads[..];
         let mut usages = &content.usages[..];
         let mut prefills = &content.prefills[..];
@@ -500,6 +506,7 @@
         let mut summaries = Vec::new();
         while !limits.is_empty()
             || !pauses.is_empty()
+            || !builds.is_empty()
             || !loads.is_empty()
             || !usages.is_empty()
             || !prefills.is_empty()
@@ -528,6 +535,7 @@
                 demand: content.demand,
                 limits: taken_limits,
                 pauses: take_front(&mut pauses, &mut room),
+                builds: take_front(&mut builds, &mut room),
                 loads: take_front(&mut loads, &mut room),
                 usages: take_front(&mut usages, &mut room),
                 prefills: take_front(&mut prefills, &mut room),
--- a/src/dispatch/event.rs
+++ b/src/dispatch/event.rs
@@ -80,6 +80,11 @@
     },
     /// The live targets changed.
     Targets(BTreeMap<id::Target, catalog::Target>),
+    /// The list of targets was read or confirmed.
+    TargetsConfirmed {
+        /// Time since the platform sent it.
+        age: Span,
+    },
     /// A new configuration is in force.
     Routing(Arc<routing::Table>),
     /// Another router sent a summary of its load.
@@ -104,6 +109,8 @@
         leaders: Vec<id::Router>,
         /// Other routers of the same failure domain.
         neighbors: Vec<id::Router>,
+        /// Number of all other routers.
+        others: usize,
     },
     /// What routers remembered before this one started was read.
     Recalled(Vec<History>),
--- a/src/dispatch/settings.rs
+++ b/src/dispatch/settings.rs
@@ -24,6 +24,8 @@
     pub retry_window: Span,
     /// Maximum time that a request waits in the queue.
     pub max_queue_time: Span,
+    /// Age up to which the list of targets is current.
+    pub list_bound: Span,
     /// What routers remembered is read after the start ([`super::Event::Recalled`]). Until then the builds
     /// of before are unknown.
     pub awaits_history: bool,
@@ -47,6 +49,8 @@
             // Requests that wait longer mostly end late; a caller that is refused earlier can retry
             // in time.
             max_queue_time: Span::from_millis(1_500),
+            // The platform tells of changes within two seconds.
+            list_bound: Span::from_secs(2),
             awaits_history: false,
         }
     }
--- a/src/gateway/controller.rs
+++ b/src/gateway/controller.rs
@@ -233,11 +233,14 @@
     fn apply_targets(&mut self, event: watch::Event<watch::Row>) {
         let restoration = self.observe_position(TARGETS, &event);
         self.caches.targets.apply(&event);
+        let age = event.age();
         if restoration.is_some() {
             self.catalog.step(clock::now(), catalog::Event::Restored);
         }
         let event = match watch::decode(event, self.decoder.target) {
-            watch::Event::Unchanged { .. } => return,
+            watch::Event::Unchanged { age, .. } => {
+                return self.driver.step(Event::TargetsConfirmed { age });
+            }
             watch::Event::Full { entries, .. } => {
                 self.note_rejected_targets(&entries);
                 catalog::Event::Snapshot(entries)
@@ -259,6 +262,9 @@
         if self.catalog.step(clock::now(), event) || whole {
             self.publish_targets();
         }
+        if let Some(age) = age {
+            self.driver.step(Event::TargetsConfirmed { age });
+        }
         if let Some(mut restoration) = restoration {
             restoration.missing = self.catalog.missing();
             restoration.set_aside = self.catalog.set_aside();
@@ -335,6 +341,7 @@
             candidates: self.roster.candidates(),
             leaders: self.roster.other_leaders(),
             neighbors: self.roster.neighbors(),
+            others: self.roster.len(),
         });
     }
 
--- a/src/gossip/codec.rs
+++ b/src/gossip/codec.rs
@@ -1,12 +1,12 @@
 //! Encoding of summaries: packed Cap'n Proto, decoded with limits on every size.
 
-use super::{Evidence, Finding, Limit, Load, Origin, Pause, Prefill, Scope, Summary, Usage};
+use super::{Build, Evidence, Finding, Limit, Load, Origin, Pause, Prefill, Scope, Summary, Usage};
 use crate::{
     id,
     unit::{Rate, Span, Version},
     wire::marlrun_capnp::{
-        self, FindingKind, part_finding, summary, target_limit, target_load, target_pause,
-        workspace_usage,
+        self, FindingKind, part_finding, service_build, summary, target_limit, target_load,
+        target_pause, workspace_usage,
     },
 };
 use capnp::{message, serialize_packed};
@@ -117,6 +117,12 @@
     for (index, limit) in from.limits.iter().enumerate() {
         write_limit(limits.reborrow().get(index as u32), limit);
     }
+    let mut builds = to.reborrow().init_builds(from.builds.len() as u32);
+    for (index, build) in from.builds.iter().enumerate() {
+        let mut to = builds.reborrow().get(index as u32);
+        to.set_service(build.service);
+        to.set_build(build.build);
+    }
     let mut pauses = to.reborrow().init_pauses(from.pauses.len() as u32);
     for (index, pause) in from.pauses.iter().enumerate() {
         let mut to = pauses.reborrow().get(index as u32);
@@ -168,6 +174,13 @@
     to.set_slots(limit.slots);
 }
 
+fn read_build(from: service_build::Reader<'_>) -> Build {
+    Build {
+        service: from.get_service(),
+        build: from.get_build(),
+    }
+}
+
 fn read_pause(from: target_pause::Reader<'_>) -> Pause {
     Pause {
         target: from.get_target(),
@@ -260,6 +273,7 @@
             .filter(|permille| *permille <= MAX_PERMILLE),
         demand: limit("demand", from.get_demand().into(), MAX_DEMAND.into())? as u32,
         limits: from.get_limits()?.iter().map(read_limit).collect(),
+        builds: from.get_builds()?.iter().map(read_build).collect(),
         pauses: from.get_pauses()?.iter().map(read_pause).collect(),
         loads: from
             .get_loads()?
--- a/src/gossip/mod.rs
+++ b/src/gossip/mod.rs
@@ -1,6 +1,7 @@
 //! Gossip of load: routers exchange summaries of their load by UDP, so that each can decide based
 //! on the load of the whole fleet.
 
+mod build;
 mod codec;
 mod evidence;
 mod finding;
@@ -15,6 +16,7 @@
 mod usage;
 
 pub use self::{
+    build::Build,
     codec::{Error, MAX_DATAGRAM_BYTES, decode, encode, is_same_group},
     evidence::Evidence,
     finding::Finding,
--- a/src/gossip/summary.rs
+++ b/src/gossip/summary.rs
@@ -1,6 +1,6 @@
 //! Summary of load that a router sends to others.
 
-use super::{Finding, Limit, Load, Origin, Pause, Prefill, Scope, Usage};
+use super::{Build, Finding, Limit, Load, Origin, Pause, Prefill, Scope, Usage};
 use crate::{
     id,
     unit::{Span, Version},
@@ -45,4 +45,6 @@
     pub limits: Vec<Limit>,
     /// Pauses that targets asked for.
     pub pauses: Vec<Pause>,
+    /// Builds of which targets are listed; empty if none was listed since the previous summary that had them.
+    pub builds: Vec<Build>,
 }
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -220,6 +220,8 @@
         dispatch.share_window = self.share_window;
         dispatch.retry_permille = self.repeat_permille;
         dispatch.retry_extra = self.repeat_extra;
+        let change_bound = self.configuration_bound.min(self.drain_bound);
+        dispatch.list_bound = change_bound;
         dispatch.awaits_history = true;
         gateway::Settings {
             listen: self.listen,
@@ -227,7 +229,7 @@
             health: self.health,
             descriptors: self.descriptors,
             stop_bound: self.stop_bound,
-            change_bound: self.configuration_bound.min(self.drain_bound),
+            change_bound,
             dispatch,
         }
     }
--- a/src/watch/event.rs
+++ b/src/watch/event.rs
@@ -44,6 +44,16 @@
 }
 
 impl<T> Event<T> {
+    /// Returns the time since the platform sent the list; `None` if the event tells none.
+    pub fn age(&self) -> Option<Span> {
+        match self {
+            Event::Full { age, .. } | Event::Changed { age, .. } | Event::Unchanged { age, .. } => {
+                Some(*age)
+            }
+            Event::Unavailable { .. } | Event::Recovered { .. } => None,
+        }
+    }
+
     /// Returns the position of the list; `None` if the event tells none.
     pub fn position(&self) -> Option<Position> {
         match self {
--- a/src/wire/marlrun_capnp.rs
+++ b/src/wire/marlrun_capnp.rs
@@ -11305,11 +11305,19 @@
         pub fn has_pauses(&self) -> bool {
             !self.reader.get_pointer_field(7).is_null()
         }
+        #[inline]
+        pub fn get_builds(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::wire::marlrun_capnp::service_build::Owned>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(8), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_builds(&self) -> bool {
+            !self.reader.get_pointer_field(8).is_null()
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 6, pointers: 8 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 6, pointers: 9 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -11559,6 +11567,22 @@
         pub fn has_pauses(&self) -> bool {
             !self.builder.is_pointer_field_null(7)
         }
+        #[inline]
+        pub fn get_builds(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::wire::marlrun_capnp::service_build::Owned>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(8), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_builds(&mut self, value: ::capnp::struct_list::Reader<'_,crate::wire::marlrun_capnp::service_build::Owned>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(8), value, false)
+        }
+        #[inline]
+        pub fn init_builds(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::wire::marlrun_capnp::service_build::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(8), size)
+        }
+        #[inline]
+        pub fn has_builds(&self) -> bool {
+            !self.builder.is_pointer_field_null(8)
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -11570,143 +11594,150 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 305] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 324] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(184, 219, 41, 190, 56, 25, 149, 148),
             ::capnp::word(14, 0, 0, 0, 1, 0, 6, 0),
             ::capnp::word(38, 126, 1, 23, 67, 249, 194, 213),
-            ::capnp::word(8, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 178, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 191, 3, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 247, 3, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(109, 97, 114, 108, 114, 117, 110, 46),
             ::capnp::word(99, 97, 112, 110, 112, 58, 83, 117),
             ::capnp::word(109, 109, 97, 114, 121, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(68, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(72, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(205, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(233, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(200, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(212, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(228, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(240, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(209, 1, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(237, 1, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(208, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(220, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(236, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(248, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(217, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(245, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(216, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(228, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(244, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(0, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(225, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(253, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(220, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(232, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(248, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(4, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 192, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(229, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(1, 2, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(224, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(236, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(252, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(8, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(233, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(5, 2, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(228, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(0, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(0, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(28, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(253, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(25, 2, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(248, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(20, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(20, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(48, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(17, 2, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(45, 2, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(12, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(40, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(40, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(68, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 13, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(37, 2, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(65, 2, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(32, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(44, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(60, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(72, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(41, 2, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(69, 2, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(36, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(48, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(64, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(76, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(10, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(45, 2, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(73, 2, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(44, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(56, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(72, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(84, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(11, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(53, 2, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(81, 2, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(48, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(76, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(76, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(104, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(12, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 12, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(73, 2, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(101, 2, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(72, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(100, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(100, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(128, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(13, 0, 0, 0, 20, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 13, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(97, 2, 0, 0, 130, 0, 0, 0),
+            ::capnp::word(125, 2, 0, 0, 130, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(96, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(108, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(124, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(136, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(14, 0, 0, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 14, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(105, 2, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(133, 2, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(100, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(128, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(128, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(156, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(15, 0, 0, 0, 11, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 15, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(125, 2, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(153, 2, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(120, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(132, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(148, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(160, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(16, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 16, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(129, 2, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(157, 2, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(124, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(152, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(152, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(180, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(17, 0, 0, 0, 8, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 17, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(177, 2, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(172, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(200, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(114, 111, 117, 116, 101, 114, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -11876,6 +11907,18 @@
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(98, 117, 105, 108, 100, 115, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(64, 78, 34, 245, 195, 245, 149, 234),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -11896,6 +11939,7 @@
                 14 => <::capnp::struct_list::Owned<crate::wire::marlrun_capnp::target_limit::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 15 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 16 => <::capnp::struct_list::Owned<crate::wire::marlrun_capnp::target_pause::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                17 => <::capnp::struct_list::Owned<crate::wire::marlrun_capnp::service_build::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -11909,13 +11953,237 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12,13,14,15,16];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12,13,14,15,16,17];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[10,13,15,12,1,4,14,5,11,16,7,0,9,8,2,6,3];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[10,17,13,15,12,1,4,14,5,11,16,7,0,9,8,2,6,3];
         pub(crate) const TYPE_ID: u64 = 0x9495_1938_be29_dbb8;
     }
 }
 
+pub mod service_build {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <> Reader<'_,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_service(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn get_build(self) -> u64 {
+            self.reader.get_data_field::<u64>(1)
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 0 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_service(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn set_service(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(0, value);
+        }
+        #[inline]
+        pub fn get_build(self) -> u64 {
+            self.builder.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn set_build(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(1, value);
+        }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 48] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(64, 78, 34, 245, 195, 245, 149, 234),
+            ::capnp::word(14, 0, 0, 0, 1, 0, 2, 0),
+            ::capnp::word(38, 126, 1, 23, 67, 249, 194, 213),
+            ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 218, 0, 0, 0),
+            ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 119, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(109, 97, 114, 108, 114, 117, 110, 46),
+            ::capnp::word(99, 97, 112, 110, 112, 58, 83, 101),
+            ::capnp::word(114, 118, 105, 99, 101, 66, 117, 105),
+            ::capnp::word(108, 100, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(41, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(45, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(115, 101, 114, 118, 105, 99, 101, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(98, 117, 105, 108, 100, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0];
+        pub(crate) const TYPE_ID: u64 = 0xea95_f5c3_f522_4e40;
+    }
+}
+
 pub mod target_pause {
     #[derive(Copy, Clone)]
     pub struct Owned(());
--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -287,6 +287,7 @@
         demand: 0,
         limits: Vec::new(),
         pauses: Vec::new(),
+        builds: Vec::new(),
         loads: Vec::new(),
         usages: vec![usage],
         prefills: Vec::new(),
@@ -1546,6 +1547,7 @@
         demand: 0,
         limits: Vec::new(),
         pauses: Vec::new(),
+        builds: Vec::new(),
         loads: Vec::new(),
         usages: Vec::new(),
         prefills: Vec::new(),
@@ -1844,6 +1846,90 @@
     }
 }
 
+/// One of two routers, whose list of targets was confirmed at a time.
+fn one_of_two(confirmed_ms: u64) -> Dispatcher {
+    let mut router = ready("r1", &[target_of("a", "v1")]);
+    let roster = Event::Roster {
+        candidates: Vec::new(),
+        leaders: vec!["r9".parse().unwrap()],
+        neighbors: Vec::new(),
+        others: 1,
+    };
+    step(&mut router, 0, roster);
+    let age = Span(0);
+    step(&mut router, confirmed_ms, Event::TargetsConfirmed { age });
+    for millis in [9_600, 9_850] {
+        step(&mut router, millis, Event::Tick);
+    }
+    router
+}
+
+/// Resumes a stream of unknown origin at 10 s; returns whether it is sent at once, and how it ends within 300 ms.
+fn resume_unknown(router: &mut Dispatcher) -> (bool, Vec<Action>) {
+    step(router, 9_990, Event::Tick);
+    let actions = step(
+        router,
+        10_000,
+        Event::Arrived(resumption(2, 10_000, Some("q1"))),
+    );
+    let later = (1..=30).flat_map(|tick| step(router, 10_000 + 10 * tick, Event::Tick));
+    let later = later.collect();
+    (sent_to(&actions).is_some(), later)
+}
+
+#[test]
+fn resumed_stream_unknown_goes_on_with_a_current_list() {
+    let mut router = one_of_two(9_000);
+    announce_routers(&mut router, 9_900, 1);
+    assert!(resume_unknown(&mut router).0);
+}
+
+#[test]
+fn resumed_stream_unknown_refused_where_nothing_is_heard() {
+    for (confirmed, heard) in [(9_000, None), (5_000, None), (5_000, Some(9_500))] {
+        let mut router = one_of_two(confirmed);
+        if let Some(millis) = heard {
+            announce_routers(&mut router, millis, 1);
+        }
+        let (is_sent, later) = resume_unknown(&mut router);
+        assert!(!is_sent, "{confirmed}, {heard:?}");
+        assert!(
+            matches!(refusals(&later)[..], [(2, Reason::Origin, _)]),
+            "{later:?}"
+        );
+    }
+}
+
+#[test]
+fn resumed_stream_unknown_goes_on_with_an_old_list_where_all_are_heard() {
+    let mut router = one_of_two(2_000);
+    announce_routers(&mut router, 9_950, 1);
+    let (is_sent, later) = resume_unknown(&mut router);
+    assert!(!is_sent, "others may report it");
+    assert_eq!(sent_to(&later), Some((2, "a".into())));
+}
+
+#[test]
+fn resumed_stream_unknown_refused_once_another_router_lists_another_build() {
+    let mut router = one_of_two(9_900);
+    let mut other = ready("r9", &[target_of("b", "v2")]);
+    exchange(&mut other, &mut router, 9_950);
+    let (is_sent, later) = resume_unknown(&mut router);
+    assert!(!is_sent);
+    assert!(
+        matches!(refusals(&later)[..], [(2, Reason::Origin, _)]),
+        "{later:?}"
+    );
+}
+
+#[test]
+fn resumed_stream_unknown_waits_at_a_router_that_stood_still() {
+    let mut router = one_of_two(9_000);
+    announce_routers(&mut router, 10_300, 1);
+    let resumed = Event::Arrived(resumption(2, 10_400, Some("q1")));
+    assert_eq!(sent_to(&step(&mut router, 10_400, resumed)), None);
+}
+
 #[test]
 fn resumed_stream_refused_for_its_share() {
     let list: Vec<_> = (0..20).map(|i| target(&format!("e{i}"), "llm")).collect();
--- a/tests/exchange.rs
+++ b/tests/exchange.rs
@@ -36,6 +36,8 @@
     /// Time of each router's next summary, in milliseconds.
     next_summary: Vec<u64>,
     targets: usize,
+    /// The platform's store doesn't answer.
+    is_store_away: bool,
     now_ms: u64,
     next: u64,
 }
@@ -55,6 +57,7 @@
             datagrams: 0,
             next_summary: (0..routers as u64).map(|index| 1 + index % 20).collect(),
             targets,
+            is_store_away: false,
             now_ms: 0,
             next: 0,
         };
@@ -205,6 +208,10 @@
                 if self.now_ms.is_multiple_of(10) {
                     self.step(index, Event::Tick);
                 }
+                if self.now_ms.is_multiple_of(500) && !self.is_store_away {
+                    let age = Span(0);
+                    self.step(index, Event::TargetsConfirmed { age });
+                }
             }
         }
     }
@@ -451,6 +458,19 @@
     assert_eq!(net.known_streams(&all(), 1).iter().sum::<usize>(), 1);
 }
 
+#[test]
+fn origins_of_a_single_build_are_lost_while_the_store_is_away() {
+    let mut net = Net::open_sized(ROUTERS, 1);
+    net.advance(1_000);
+    net.begin_stream(0, "q0");
+    net.is_store_away = true;
+    net.advance(4_000);
+    net.begin_stream(9, "q1");
+    net.advance(400);
+    net.kill(9);
+    assert_eq!(net.known_streams(&domain(2), 2), [2; ROUTERS / 4]);
+}
+
 #[test]
 fn origins_reach_routers_that_start_later() {
     let mut net = Net::open_sized(ROUTERS, 2);
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -38,6 +38,7 @@
         candidates: roster.candidates(),
         leaders: roster.other_leaders(),
         neighbors: roster.neighbors(),
+        others: roster.len(),
     }
 }
 
--- a/tests/out_of_step.rs
+++ b/tests/out_of_step.rs
@@ -97,38 +97,44 @@
         begun.map(|(name, events, _)| (name, events)).collect()
     }
 
-    /// Takes up streams at a router, each once more if it is told to come back; returns how many went on, and how many
-    /// of these went on at another build.
+    /// Takes up streams at a router; returns how many went on, and how many of these went on at another build.
     fn take_up(&self, router: usize, streams: &[(String, String)]) -> (usize, usize) {
-        let (mut went_on, mut joined) = (0, 0);
-        for (name, received) in streams {
-            let last = received.matches("id: ").count().to_string();
-            for attempt in 0..2 {
-                let request = format!("again{attempt}-{name}");
-                let caller = Caller::stream(self.routers[router].listen, "plan", &request);
-                let caller = caller.with("resumes", name).with("last-event-id", &last);
-                let answer = caller.call();
-                if answer.status == 503 && attempt == 0 {
-                    thread::sleep(Duration::from_millis(20));
-                    continue;
-                }
-                if answer.status != 200 {
-                    assert_eq!(answer.status, 503, "{answer:?}");
-                    break;
-                }
-                went_on += 1;
-                let whole = received.clone() + &answer.body;
-                let builds = ["v1", NEXT_BUILD];
-                let is_of_one = builds.iter().any(|build| {
-                    let events = (1..=EVENTS).map(|number| event_of(build, number));
-                    events.collect::<String>() == whole
-                });
-                joined += usize::from(!is_of_one);
-                break;
-            }
+        let address = self.routers[router].listen;
+        let results: Vec<Option<bool>> = thread::scope(|scope| {
+            let calls = streams
+                .iter()
+                .map(|(name, received)| scope.spawn(move || take_up(address, name, received)));
+            let calls: Vec<_> = calls.collect();
+            calls.into_iter().map(|call| call.join().unwrap()).collect()
+        });
+        let joined = results.iter().filter(|result| **result == Some(true));
+        (results.iter().flatten().count(), joined.count())
+    }
+}
+
+/// Takes up a stream, once more if the caller is told to come back; returns whether it went on at another build, `None`
+/// if it didn't go on.
+fn take_up(address: SocketAddr, name: &str, received: &str) -> Option<bool> {
+    let last = received.matches("id: ").count().to_string();
+    for attempt in 0..2 {
+        let request = format!("again{attempt}-{name}");
+        let caller = Caller::stream(address, "plan", &request);
+        let answer = caller
+            .with("resumes", name)
+            .with("last-event-id", &last)
+            .call();
+        if answer.status == 200 {
+            let whole = received.to_owned() + &answer.body;
+            let is_of_one = ["v1", NEXT_BUILD].iter().any(|build| {
+                let events = (1..=EVENTS).map(|number| event_of(build, number));
+                events.collect::<String>() == whole
+            });
+            return Some(!is_of_one);
         }
-        (went_on, joined)
+        assert_eq!(answer.status, 503, "{answer:?}");
+        thread::sleep(Duration::from_millis(20));
     }
+    None
 }
 
 /// Begins a stream and returns its first events.
--- a/tests/summary.rs
+++ b/tests/summary.rs
@@ -73,6 +73,7 @@
             demand: 0,
             limits: Vec::new(),
             pauses: Vec::new(),
+            builds: Vec::new(),
             loads,
             usages,
             prefills,
