Don't take a response without events for the rest of a stream

A stream broke off after 3 of 8 events, the next target answered with a signed 200, content-length: 0 and no event, and the caller got 3 events and a proper end. A response whose end is marked counted as whole without an event, also where it was to go on with a stream. Now such a one has to say at least that it is a stream of events; otherwise another target is asked, or the stream ends as broken off. A stream of which only the end was missing stays whole.

continued::stream_ends_as_whole_after_an_answer_without_events and stream_goes_on_elsewhere_after_an_answer_without_events failed before.

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -47,6 +47,9 @@
 /// `Retry-After` of a request that was not run before its deadline.
 const DEADLINE_RETRY_AFTER: Span = Span::from_millis(1_000);
 
+/// Media type of streams of events.
+const EVENT_STREAM: &str = "text/event-stream";
+
 /// Time for which a silent target is kept while the next one has not responded yet. Two targets must
 /// not work on one request for longer.
 pub(super) const HANDOVER: Span = Span::from_millis(300);
@@ -85,6 +88,14 @@
 }
 
 impl Transfer {
+    /// Reports whether the response says that it is a stream of events.
+    pub(super) fn is_event_stream(&self) -> bool {
+        let media_type = self.head.headers.get(http::header::CONTENT_TYPE);
+        let media_type = media_type.and_then(|value| value.to_str().ok());
+        let media_type = media_type.and_then(|value| value.split(';').next());
+        media_type.is_some_and(|value| value.trim().eq_ignore_ascii_case(EVENT_STREAM))
+    }
+
     /// Reports whether the end of the response is marked, by a length or by chunks. It ends with its
     /// connection otherwise.
     pub(super) fn is_framed(&self) -> bool {
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -198,8 +198,14 @@
                     return None;
                 }
                 Received::End if self.is_at_boundary() => {
-                    let cause = "the connection ended before the first event";
-                    (Outcome::Broken, cause.into())
+                    let cause = "the response ended before the first event";
+                    let is_framed = self.transfer.as_ref().is_some_and(Transfer::is_framed);
+                    let outcome = if is_framed {
+                        Outcome::Malformed
+                    } else {
+                        Outcome::Broken
+                    };
+                    (outcome, cause.into())
                 }
                 Received::End => (Outcome::Broken, "the stream ended within an event".into()),
                 Received::Failed(outcome, cause) => (outcome, cause),
@@ -282,12 +288,19 @@
     }
 
     /// Reports whether the end of the target's response is that of the stream. A response that ends with its
-    /// connection, without an event, is as good as none.
+    /// connection, without an event, is as good as none. So is one that is to go on with a stream, if it doesn't even
+    /// say that it is one.
     fn is_complete(&self) -> bool {
+        let Mode::Events(framer) = &self.mode else {
+            return true;
+        };
         let transfer = self.transfer.as_ref();
-        let is_framed = transfer.is_some_and(Transfer::is_framed);
-        let is_stream = matches!(self.mode, Mode::Events(_));
-        self.is_at_boundary() && (self.started || is_framed || !is_stream)
+        let is_whole = self.started
+            || transfer.is_some_and(|transfer| {
+                let is_begun = framer.last_id().is_some();
+                transfer.is_framed() && (!is_begun || transfer.is_event_stream())
+            });
+        framer.is_at_boundary() && is_whole
     }
 
     fn is_at_boundary(&self) -> bool {
