Forget what is estimated of targets that are no longer asked

A target whose answers were slow once, for example while its router stood still, was never asked again at a light load: 0 of 400 requests in 40 s beside an equal one. The estimate of its speed is corrected by its own answers only, and it got none. In a trial of the users, one of six equal targets got nothing for 7 s.

An estimate without a sample for a second now approaches the best one of its service within some seconds, until it is slightly better and a request tells.

--- a/src/dispatch/dispatcher/mod.rs
+++ b/src/dispatch/dispatcher/mod.rs
@@ -27,6 +27,7 @@
     peer::Peer,
     queue::{Pending, Queue},
     share::Share,
+    speed::Speed,
     standing::Standing,
     target::Target,
     tokens::Tokens,
@@ -482,7 +483,7 @@
             if attempt.request.prompt.is_some() {
                 target
                     .speed
-                    .observe_first_event(now.since(attempt.sent), attempt.ahead);
+                    .observe_first_event(now, now.since(attempt.sent), attempt.ahead);
             }
             target.quiet = false;
             if target.health.record_success(now) {
@@ -562,7 +563,8 @@
         let changed = match outcome {
             Outcome::Answered => {
                 if attempt.request.prompt.is_none() {
-                    target.speed.observe_service_time(now.since(attempt.sent));
+                    let elapsed = now.since(attempt.sent);
+                    target.speed.observe_service_time(now, elapsed);
                 }
                 target.health.record_success(now)
             }
@@ -665,6 +667,7 @@
             self.share.observe(now, pressure);
         }
         self.share.tick(now);
+        self.forget_speeds(now);
         self.displace_unshared();
         self.drop_silent_peers(now);
         self.tick_topology(now);
@@ -689,6 +692,25 @@
         self.queues.retain(|_, queue| queue.len() > 0);
     }
 
+    /// Brings the estimated speeds of targets that were not asked for a while nearer to the best of their service.
+    fn forget_speeds(&mut self, now: Time) {
+        let mut best: BTreeMap<id::Service, Speed> = BTreeMap::new();
+        for target in self.targets.values() {
+            if !target.speed.is_doubted(now) {
+                let service = target.entry.service.clone();
+                let best = best.entry(service).or_insert(target.speed);
+                *best = best.best(target.speed);
+            }
+        }
+        for target in self.targets.values_mut() {
+            if let Some(best) = best.get(&target.entry.service)
+                && target.speed.is_doubted(now)
+            {
+                target.speed.forget(now, best);
+            }
+        }
+    }
+
     /// Returns the fraction of the engines in use where a typical generation could not be on time, as
     /// this router estimates it. Those with a limit count by what they take beside the others, and are crowded
     /// while this router may send nothing there.
--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -2407,3 +2407,50 @@
         );
     }
 }
+
+/// Returns the number of requests that reach a target within some time, at ten requests a second that all targets answer
+/// alike, after one of its answers was slow.
+fn requests_after_a_slow_answer(service: &str, seconds: u64) -> u64 {
+    let list = [target("a", service), target("b", service)];
+    let mut router = ready("r1", &list);
+    let mut send = |number: u64, millis: u64, took: u64| {
+        let request = Request {
+            prompt: (service == "llm").then(|| prompt(&[(number, 500)])),
+            ..request(number, millis, service)
+        };
+        let actions = step(&mut router, millis, Event::Arrived(request));
+        let (_, name) = sent_to(&actions).unwrap();
+        let took = if name == "a" { took } else { 20 };
+        step(
+            &mut router,
+            millis + took,
+            Event::ResponseStarted { number },
+        );
+        let outcome = Outcome::Answered;
+        let can_retry = false;
+        let ended = Event::Ended {
+            number,
+            outcome,
+            can_retry,
+        };
+        step(&mut router, millis + took, ended);
+        step(&mut router, millis + took, Event::Tick);
+        name == "a"
+    };
+    let mut number = 0;
+    // The router stood still while it answered.
+    while !send(number, 10_000 * number, 900) {
+        number += 1;
+    }
+    let begun = 10_000 * number + 1_000;
+    let later = (0..10 * seconds).map(|step| send(number + 1 + step, begun + 100 * step, 20));
+    later.map(u64::from).sum()
+}
+
+#[test]
+fn target_that_was_slow_once_is_never_asked_again() {
+    for service in ["app", "llm"] {
+        let asked = requests_after_a_slow_answer(service, 40);
+        assert!(asked >= 40, "{service}: {asked} of 400 requests");
+    }
+}
