review: a sound part of prompts stays held back at a version that never gets to answer it

Once a replica of another software version has answered a part that is held back, requests with it go to that version only, and no trial clears the version under which replicas crashed.

--- a/review/standin/caller.rs
+++ b/review/standin/caller.rs
@@ -7,6 +7,9 @@
     time::Duration,
 };
 
+/// Tokens of the last part of each prompt.
+const LAST_TOKENS: u32 = 40;
+
 /// A request for a stream.
 #[derive(Clone)]
 pub struct Ask {
@@ -15,6 +18,8 @@
     pub host: String,
     pub key: String,
     pub deadline_ms: u64,
+    /// Shared parts of the prompt, with their tokens.
+    pub parts: Vec<(u64, u32)>,
     /// The request that began the stream, and the last event of it, if the stream is taken up.
     pub resumes: Option<(String, u64)>,
 }
@@ -37,18 +42,25 @@
         return answer;
     };
     let _ = stream.set_read_timeout(Some(Duration::from_millis(ask.deadline_ms)));
+    // The last part belongs to the request.
+    let last = ask.name.bytes();
+    let last = last.fold(7_u64, |sum, byte| sum.wrapping_mul(31) + u64::from(byte));
+    let shared = ask.parts.iter().copied();
+    let parts: Vec<(u64, u32)> = shared.chain([(last, LAST_TOKENS)]).collect();
+    let tokens: u32 = parts.iter().map(|(_, tokens)| tokens).sum();
+    let parts: Vec<String> = parts
+        .iter()
+        .map(|(id, tokens)| format!("{id:x}:{tokens}"))
+        .collect();
     let mut head = format!(
         "POST {}x HTTP/1.1\r\nhost: {}\r\nx-marlrun-request-id: {}\r\nx-marlrun-deadline-ms: {}\r\n\
-         x-marlrun-model: m\r\nx-marlrun-token-count: 100,80\r\n\
-         x-marlrun-prompt-prefix: aa:60,{:x}:40\r\nauthorization: Bearer {}\r\ncontent-length: 2\r\n",
+         x-marlrun-model: m\r\nx-marlrun-token-count: {tokens},80\r\nx-marlrun-prompt-prefix: {}\r\n\
+         authorization: Bearer {}\r\ncontent-length: 2\r\n",
         ask.path,
         ask.host,
         ask.name,
         ask.deadline_ms,
-        // The last part belongs to the request.
-        ask.name
-            .bytes()
-            .fold(7_u64, |sum, byte| sum.wrapping_mul(31) + u64::from(byte)),
+        parts.join(","),
         ask.key,
     );
     if let Some((began, last)) = &ask.resumes {
--- a/review/standin/http.rs
+++ b/review/standin/http.rs
@@ -2,8 +2,11 @@
 
 use std::{
     io::{self, BufRead, BufReader, Read, Write},
-    net::{SocketAddr, TcpListener, TcpStream},
-    sync::Arc,
+    net::{Shutdown, SocketAddr, TcpListener, TcpStream},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, Ordering},
+    },
     thread,
     time::Duration,
 };
@@ -80,6 +83,93 @@
     }))
 }
 
+/// Whether a server runs, and its connections.
+#[derive(Default)]
+pub struct Power {
+    is_off: AtomicBool,
+    open: Mutex<Vec<TcpStream>>,
+}
+
+impl Power {
+    /// Ends the server as a crash does: all connections close, and new ones are refused.
+    pub fn turn_off(&self) {
+        self.is_off.store(true, Ordering::Relaxed);
+        for stream in self.open.lock().unwrap().drain(..) {
+            // It may be closed already.
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+    }
+
+    /// Starts the server again at its address.
+    pub fn turn_on(&self) {
+        self.is_off.store(false, Ordering::Relaxed);
+    }
+}
+
+/// Interval at which a server that can crash looks for connections.
+const POLL: Duration = Duration::from_millis(2);
+
+/// Serves connections like [`serve`], while the power is on.
+pub fn serve_with(
+    power: Arc<Power>,
+    handler: impl Fn(&Request, &mut TcpStream) -> io::Result<bool> + Send + Sync + 'static,
+) -> io::Result<SocketAddr> {
+    let listener = TcpListener::bind("127.0.0.1:0")?;
+    let address = listener.local_addr()?;
+    let handler = Arc::new(handler);
+    thread::spawn(move || {
+        let mut listener = Some(listener);
+        loop {
+            if power.is_off.load(Ordering::Relaxed) {
+                listener = None;
+                thread::sleep(POLL);
+                continue;
+            }
+            let listening = match listener.take() {
+                Some(listening) => listening,
+                None => match TcpListener::bind(address) {
+                    Ok(listening) => listening,
+                    Err(_) => continue,
+                },
+            };
+            // Fails only for an invalid socket.
+            let _ = listening.set_nonblocking(true);
+            let accepted = listening.accept();
+            listener = Some(listening);
+            let Ok((stream, _)) = accepted else {
+                thread::sleep(POLL);
+                continue;
+            };
+            let _ = stream.set_nonblocking(false);
+            if let Ok(stream) = stream.try_clone() {
+                power.open.lock().unwrap().push(stream);
+            }
+            let handler = handler.clone();
+            thread::spawn(move || answer_all(stream, &*handler));
+        }
+    });
+    Ok(address)
+}
+
+/// Answers the requests of a connection.
+fn answer_all(
+    mut stream: TcpStream,
+    handler: &dyn Fn(&Request, &mut TcpStream) -> io::Result<bool>,
+) {
+    let _ = stream.set_nodelay(true);
+    let Ok(reading) = stream.try_clone() else {
+        return;
+    };
+    let mut reader = BufReader::new(reading);
+    while let Ok(Some(request)) = read_request(&mut reader) {
+        if !matches!(handler(&request, &mut stream), Ok(true)) {
+            break;
+        }
+    }
+    // Another handle of it may be open.
+    let _ = stream.shutdown(Shutdown::Both);
+}
+
 /// Serves connections until the process ends; the handler writes each answer, and returns whether the
 /// connection goes on.
 pub fn serve(
@@ -92,18 +182,7 @@
     thread::spawn(move || {
         for stream in listener.incoming().map_while(Result::ok) {
             let handler = handler.clone();
-            thread::spawn(move || {
-                let _ = stream.set_nodelay(true);
-                let Ok(reading) = stream.try_clone() else {
-                    return;
-                };
-                let (mut reader, mut stream) = (BufReader::new(reading), stream);
-                while let Ok(Some(request)) = read_request(&mut reader) {
-                    if !matches!(handler(&request, &mut stream), Ok(true)) {
-                        break;
-                    }
-                }
-            });
+            thread::spawn(move || answer_all(stream, &*handler));
         }
     });
     Ok(address)
--- a/review/standin/lost_machines.rs
+++ b/review/standin/lost_machines.rs
@@ -20,7 +20,7 @@
 pub fn run(setting: &Setting) -> io::Result<bool> {
     let record = &setting.record;
     let store = Store::open(record)?;
-    streams::configure(&store);
+    streams::configure(&store, streams::SLOTS);
     let _replicas = streams::start_replicas(setting, &store, ZONES)?;
     let start = |zone: &str, number: usize| {
         let name = format!("front-{zone}-{number}");
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -5,6 +5,7 @@
 //! it held, and 2 if the case couldn't run. `TROUBLE=0` leaves out the disruption.
 
 mod caller;
+mod fatal_part;
 mod http;
 mod json;
 mod lost_machines;
@@ -42,6 +43,7 @@
         .line(&format!("case {case}, trouble: {trouble}"));
     let held = match case {
         "zone-cut" => zone_cut::run(&setting),
+        "fatal-part" => fatal_part::run(&setting),
         "lost-machines" => lost_machines::run(&setting),
         _ => Err(io::Error::other(format!("unknown case {case}"))),
     };
--- a/review/standin/replica.rs
+++ b/review/standin/replica.rs
@@ -1,7 +1,7 @@
 //! Stand-in of a model replica: streams of numbered events.
 
 use crate::{
-    http::{self, Request},
+    http::{self, Power, Request},
     record::Record,
     store::Store,
 };
@@ -9,22 +9,43 @@
     io::{self, Write},
     net::{SocketAddr, TcpStream},
     sync::{
-        Arc,
+        Arc, Mutex, MutexGuard, OnceLock,
         atomic::{AtomicU64, Ordering},
     },
     thread,
-    time::Duration,
+    time::{Duration, Instant, SystemTime},
 };
 
-/// Interval at which a replica writes its entry.
+/// Time from the beginning of an answer to the crash that it causes.
+const CRASH_AFTER: Duration = Duration::from_millis(100);
+/// Time for which a replica that crashed is gone.
+const DOWN: Duration = Duration::from_millis(4_000);
+/// Interval at which a replica writes its entry. The platform removes it after three of silence.
 const HEARTBEAT: Duration = Duration::from_millis(1_200);
 
+/// Time from the start until the entry is written.
+const RESTART: Duration = Duration::from_millis(20);
+
+fn unix_millis() -> u128 {
+    let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    since.map_or(0, |since| since.as_millis())
+}
+
 #[derive(Clone, Copy)]
 pub struct Pace {
     pub events: u64,
     pub gap: Duration,
 }
 
+/// What changes when a replica crashes.
+struct State {
+    /// Unix milliseconds of its start.
+    born: u128,
+    /// Times of its crashes.
+    crashes: Vec<Instant>,
+    is_down: bool,
+}
+
 #[derive(Clone)]
 pub struct Replica {
     pub id: String,
@@ -33,6 +54,10 @@
     zone: String,
     address: SocketAddr,
     pace: Pace,
+    /// Part of prompts that crashes it.
+    fatal: Option<u64>,
+    power: Arc<Power>,
+    state: Arc<Mutex<State>>,
     seq: Arc<AtomicU64>,
     store: Store,
     record: Record,
@@ -44,6 +69,7 @@
         record: &Record,
         (id, service, version, zone): (&str, &str, &str, &str),
         pace: Pace,
+        fatal: Option<u64>,
     ) -> io::Result<Self> {
         let mut replica = Self {
             id: id.into(),
@@ -52,25 +78,78 @@
             zone: zone.into(),
             address: http::free_address()?,
             pace,
+            fatal,
+            power: Arc::default(),
+            state: Arc::new(Mutex::new(State {
+                born: unix_millis(),
+                crashes: Vec::new(),
+                is_down: false,
+            })),
             seq: Arc::default(),
             store: store.clone(),
             record: record.clone(),
         };
         let serving = replica.clone();
-        replica.address = http::serve(replica.address, move |request, stream| {
+        let address = Arc::new(OnceLock::new());
+        let known = address.clone();
+        replica.address = http::serve_with(replica.power.clone(), move |request, stream| {
+            let mut serving = serving.clone();
+            serving.address = *known.get().unwrap_or(&serving.address);
             serving.serve(request, stream)
         })?;
+        address.get_or_init(|| replica.address);
         let beating = replica.clone();
         thread::spawn(move || {
             loop {
-                beating.register();
+                if !beating.state().is_down {
+                    beating.register();
+                }
                 thread::sleep(HEARTBEAT);
             }
         });
         Ok(replica)
     }
 
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap()
+    }
+
+    /// Returns the times of its crashes.
+    pub fn crashes(&self) -> Vec<Instant> {
+        self.state().crashes.clone()
+    }
+
+    /// Crashes, and starts again under the same id after a while.
+    fn crash(&self) {
+        let mut state = self.state();
+        if state.is_down {
+            return;
+        }
+        state.is_down = true;
+        state.crashes.push(Instant::now());
+        drop(state);
+        self.record.line(&format!("replica {}: crashes", self.id));
+        self.power.turn_off();
+        let replica = self.clone();
+        thread::spawn(move || {
+            thread::sleep(3 * HEARTBEAT);
+            replica.store.write("servers", &replica.id, None);
+            thread::sleep(DOWN - 3 * HEARTBEAT);
+            let mut state = replica.state();
+            state.born = unix_millis();
+            state.is_down = false;
+            drop(state);
+            replica.power.turn_on();
+            thread::sleep(RESTART);
+            replica
+                .record
+                .line(&format!("replica {}: is back", replica.id));
+            replica.register();
+        });
+    }
+
     fn register(&self) {
+        let born = self.state().born;
         let Self {
             service,
             version,
@@ -80,7 +159,7 @@
         } = self;
         let seq = self.seq.fetch_add(1, Ordering::Relaxed) + 1;
         let entry = format!(
-            r#"{{"service":"{service}","address":"{address}","zone":"{zone}","version":"{version}","slots":64,"state":"ready","cold-left-ms":0,"born":1700000000000,"seq":{seq}}}"#
+            r#"{{"service":"{service}","address":"{address}","zone":"{zone}","version":"{version}","slots":64,"state":"ready","cold-left-ms":0,"born":{born},"seq":{seq}}}"#
         );
         self.store.put("servers", &self.id, &entry);
     }
@@ -106,6 +185,14 @@
             self.id
         );
         stream.write_all(head.as_bytes())?;
+        let parts = request.header("x-marlrun-prompt-prefix").unwrap_or("");
+        let mut parts = parts.split(',').filter_map(|part| part.split(':').next());
+        let fatal = self.fatal.map(|part| format!("{part:x}"));
+        if fatal.is_some_and(|fatal| parts.any(|part| part == fatal)) {
+            thread::sleep(CRASH_AFTER);
+            self.crash();
+            return Ok(false);
+        }
         for number in after + 1..=self.pace.events {
             thread::sleep(self.pace.gap);
             let event = format!("id: {number}\ndata: piece {number} of {}\n\n", self.version);
--- a/review/standin/streams.rs
+++ b/review/standin/streams.rs
@@ -24,16 +24,18 @@
 const VERSIONS: [&str; 2] = ["v1", "v2"];
 /// Replicas; two of each version and zone serve, so that the loss of one leaves two of its version.
 const REPLICAS: usize = 8;
+/// Requests that a replica runs at once.
+pub const SLOTS: u32 = 64;
 /// Streams that are begun and broken off; the rule counts from 12 on.
 pub const STREAMS: usize = 24;
 
 /// Writes the first configuration.
-pub fn configure(store: &Store) {
+pub fn configure(store: &Store, slots: u32) {
     let configuration = format!(
         r#"{{"version":7,"routes":[{{"name":"r-plan","host":"{HOST}","prefix":"/plan/","kind":"stream","timeout-ms":10000,
         "slo-ms":600,"priority":1,"service":"llm","attempts":2,"no-auth":false,"sticky":true,"resumable":true,
         "gap-aim-ms":250}}],"services":[{{"name":"llm","health-path":"/healthz","max-conns":360,"protocol":"h1",
-        "tls":false,"engine":{{"slots":64,"kv-tokens":444000}}}}],"limits":{{"max-header-bytes":16384,
+        "tls":false,"engine":{{"slots":{slots},"kv-tokens":444000}}}}],"limits":{{"max-header-bytes":16384,
         "max-body-bytes":4194304,"header-timeout-ms":3000,"idle-timeout-ms":15000,"tokens-per-s":470000}},
         "tenants":[{{"name":"hule930","api-keys":["{KEY}"],"priority":1}}]}}"#
     );
@@ -49,18 +51,26 @@
     let start = |number: usize| {
         let id = format!("i-7f3a91c{number}");
         let (version, zone) = (VERSIONS[number % 2], zones[number / 2 % 2]);
-        Replica::start(store, &setting.record, (&id, "llm", version, zone), PACE)
+        Replica::start(
+            store,
+            &setting.record,
+            (&id, "llm", version, zone),
+            PACE,
+            None,
+        )
     };
     (0..REPLICAS).map(start).collect()
 }
 
-fn ask(name: &str) -> Ask {
+/// Returns a request with the prompt of all streams.
+pub fn ask(name: &str) -> Ask {
     Ask {
         name: name.into(),
         path: "/plan/".into(),
         host: HOST.into(),
         key: KEY.into(),
         deadline_ms: DEADLINE_MS,
+        parts: vec![(0xaa, 60)],
         resumes: None,
     }
 }
@@ -177,7 +187,7 @@
     (0..STREAMS).map(start).collect()
 }
 
-fn show(answer: &Answer) -> String {
+pub fn show(answer: &Answer) -> String {
     let (status, count) = (answer.status, answer.events.len());
     let end = if answer.whole { "whole" } else { "broken off" };
     match status {
--- a/review/standin/zone_cut.rs
+++ b/review/standin/zone_cut.rs
@@ -22,9 +22,9 @@
 pub fn run(setting: &Setting) -> io::Result<bool> {
     let record = &setting.record;
     let store = Store::open(record)?;
-    streams::configure(&store);
+    streams::configure(&store, streams::SLOTS);
     let replica = |id: &str, version: &str, zone: &str| {
-        Replica::start(&store, record, (id, "llm", version, zone), PACE)
+        Replica::start(&store, record, (id, "llm", version, zone), PACE, None)
     };
     let _old = (
         replica("i-old1", "v1", CUT_ZONE)?,
