review: a trial that reaches no replica holds sound prompts back for 14 seconds

The first trial of a part that is held back is due before any replica is back; it counts all the same, and the next one comes six times later.

Run five times after the build of the deploy file and review/build.sh: failed five times, 1 of 30 sound requests began each time, against 37 of 37 before. TROUBLE=0: held, 30 of 30. With the same stand-ins, case 1 and case 2 failed five times again and held with TROUBLE=0.

--- a/review/standin/fatal_part.rs
+++ b/review/standin/fatal_part.rs
@@ -6,7 +6,7 @@
     replica::{Pace, Replica},
     router::Router,
     store::Store,
-    streams,
+    streams::{self, KEY},
 };
 use std::{
     io,
@@ -18,17 +18,17 @@
 
 const ZONES: [&str; 2] = ["vake", "didube"];
 /// Slots of a replica, and its streams: two seconds each.
-const SLOTS: u32 = 8;
-const PACE: Pace = Pace {
+pub const SLOTS: u32 = 8;
+pub const PACE: Pace = Pace {
     events: 40,
     gap: Duration::from_millis(50),
 };
 /// Time between two sound requests: 12 a second, with 24 streams at a time in 32 slots.
 const SOUND_GAP: Duration = Duration::from_millis(83);
 /// First parts of the prompts before and after the change, the part that crashes replicas, and their tokens.
-const EARLIER: (u64, u32) = (0x5a0, 5_382);
-const LATER: (u64, u32) = (0x5a1, 5_382);
-const FATAL: (u64, u32) = (0xbad, 200);
+pub const EARLIER: (u64, u32) = (0x5a0, 5_382);
+pub const LATER: (u64, u32) = (0x5a1, 5_382);
+pub const FATAL: (u64, u32) = (0xbad, 200);
 /// Time of sound requests with the earlier first part, and of those with the later one.
 const BEFORE: Duration = Duration::from_secs(12);
 const AFTER: Duration = Duration::from_secs(45);
@@ -40,27 +40,28 @@
 /// Time from the first of these until the replica of the new version joins.
 const JOIN: Duration = Duration::from_millis(1_200);
 /// Twice `stability-window-ms`.
-const SETTLED: Duration = Duration::from_millis(6_000);
+pub const SETTLED: Duration = Duration::from_millis(6_000);
 /// Requests of each time from which the rule counts.
-const MIN_REQUESTS: usize = 20;
+pub const MIN_REQUESTS: usize = 20;
 
 /// Sound requests of a time: when each was sent, and whether it began at the first attempt.
-type Requests = Arc<Mutex<Vec<(Instant, bool)>>>;
+pub type Requests = Arc<Mutex<Vec<(Instant, bool)>>>;
 
-/// Returns the number of requests that were sent from a time on, and of those that began.
-fn count(requests: &Requests, from: Instant) -> (usize, usize) {
+/// Returns the number of requests that were sent in a time, and of those that began.
+pub fn count(requests: &Requests, from: Instant, to: Instant) -> (usize, usize) {
     let requests = requests.lock().unwrap();
-    let counted = requests.iter().filter(|(at, _)| *at >= from);
+    let counted = requests.iter().filter(|(at, _)| *at >= from && *at < to);
     let begun = counted.clone().filter(|(_, has_begun)| *has_begun);
     (counted.count(), begun.count())
 }
 
-/// Sends sound requests with a first part until `length` has passed, and waits for their answers.
-fn send_sound(
+/// Sends sound requests of a tenant with a first part until `length` has passed, and waits for their answers.
+pub fn send_sound(
     setting: &Setting,
     routers: &[SocketAddr],
+    key: &str,
     first_part: (u64, u32),
-    length: Duration,
+    (gap, length): (Duration, Duration),
 ) -> Requests {
     let requests = Requests::default();
     let end = Instant::now() + length;
@@ -68,6 +69,7 @@
     let mut number = 0_usize;
     while Instant::now() < end {
         let mut ask = streams::ask(&format!("{:x}{number:012x}", first_part.0));
+        ask.key = key.into();
         // The second part is shared by some of the requests.
         ask.parts = vec![first_part, (0xc00 + number as u64 % 8, 300)];
         let (router, record) = (routers[number % routers.len()], setting.record.clone());
@@ -80,15 +82,15 @@
             requests.lock().unwrap().push((sent, has_begun));
         }));
         number += 1;
-        thread::sleep(SOUND_GAP);
+        thread::sleep(gap);
     }
     streams::join(threads);
     requests
 }
 
-/// Sends requests with the fatal part for as long as the later sound requests are sent.
-fn send_fatal(setting: &Setting, routers: &[SocketAddr]) {
-    let end = Instant::now() + AFTER;
+/// Sends requests with the fatal part for a time, `first` of them at its beginning.
+pub fn send_fatal(setting: &Setting, routers: &[SocketAddr], first: usize, length: Duration) {
+    let end = Instant::now() + length;
     let (record, routers) = (setting.record.clone(), routers.to_vec());
     thread::spawn(move || {
         let mut number = 0_usize;
@@ -102,8 +104,8 @@
             });
             number += 1;
             thread::sleep(match number {
-                ..FIRST_FATAL => FATAL_GAP,
-                FIRST_FATAL => FATAL_PAUSE,
+                _ if number < first => FATAL_GAP,
+                _ if number == first => FATAL_PAUSE,
                 _ => LATER_FATAL_GAP,
             });
         }
@@ -135,10 +137,10 @@
     }
     thread::sleep(Duration::from_secs(4));
     let fronts = routers.each_ref().map(|router| router.front);
-    let before = send_sound(setting, &fronts, EARLIER, BEFORE);
+    let before = send_sound(setting, &fronts, KEY, EARLIER, (SOUND_GAP, BEFORE));
     record.line("the first part of the prompts changes");
     if setting.trouble {
-        send_fatal(setting, &fronts);
+        send_fatal(setting, &fronts, FIRST_FATAL, AFTER);
     }
     let joined = Arc::new(Mutex::new(Vec::new()));
     let joining = joined.clone();
@@ -151,16 +153,17 @@
         joining.lock().unwrap().extend(replica);
     });
     let begin = Instant::now();
-    let after = send_sound(setting, &fronts, LATER, AFTER);
+    let after = send_sound(setting, &fronts, KEY, LATER, (SOUND_GAP, AFTER));
     replicas.append(&mut joined.lock().unwrap());
     let mut crashes: Vec<Instant> = replicas.iter().flat_map(Replica::crashes).collect();
     crashes.sort_unstable();
     // Without a crash the same time is counted.
     let decisive = crashes.get(4).or(crashes.last()).copied();
     let decisive = decisive.unwrap_or(begin + FATAL_PAUSE);
+    let end = Instant::now();
     let ((sent, begun), (later_sent, later_begun)) = (
-        count(&before, start_time),
-        count(&after, decisive + SETTLED),
+        count(&before, start_time, end),
+        count(&after, decisive + SETTLED, end),
     );
     record.line(&format!(
         "{} crashes; sound requests that began at the first attempt: {begun} of {sent} before, {later_begun} of \
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -15,6 +15,7 @@
 mod router;
 mod store;
 mod streams;
+mod wasted_trial;
 mod zone_cut;
 
 use record::Record;
@@ -44,6 +45,7 @@
     let held = match case {
         "zone-cut" => zone_cut::run(&setting),
         "fatal-part" => fatal_part::run(&setting),
+        "wasted-trial" => wasted_trial::run(&setting),
         "lost-machines" => lost_machines::run(&setting),
         _ => Err(io::Error::other(format!("unknown case {case}"))),
     };
--- a/review/standin/streams.rs
+++ b/review/standin/streams.rs
@@ -15,7 +15,9 @@
 };
 
 pub const HOST: &str = "ficu95.example";
-const KEY: &str = "asnmgkcuyj8pjbvk9m68";
+/// Keys of two tenants.
+pub const KEY: &str = "asnmgkcuyj8pjbvk9m68";
+pub const OTHER_KEY: &str = "k7b2ex5wa5xwyhks8nbk";
 const DEADLINE_MS: u64 = 10_000;
 pub const PACE: Pace = Pace {
     events: 60,
@@ -37,7 +39,7 @@
         "gap-aim-ms":250}}],"services":[{{"name":"llm","health-path":"/healthz","max-conns":360,"protocol":"h1",
         "tls":false,"engine":{{"slots":{slots},"kv-tokens":444000}}}}],"limits":{{"max-header-bytes":16384,
         "max-body-bytes":4194304,"header-timeout-ms":3000,"idle-timeout-ms":15000,"tokens-per-s":470000}},
-        "tenants":[{{"name":"hule930","api-keys":["{KEY}"],"priority":1}}]}}"#
+        "tenants":[{{"name":"hule930","api-keys":["{KEY}"],"priority":1}},{{"name":"puxa403","api-keys":["{OTHER_KEY}"],"priority":1}}]}}"#
     );
     store.put("op", "config", &configuration);
 }
