review: after a restart of all routers, sound prompts are held back for 16 seconds

Routers forget which parts of prompts replicas have answered, hold the shared ones back with the one that crashes replicas, and waste the first trial.

--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -11,6 +11,7 @@
 mod lost_machines;
 mod mesh;
 mod record;
+mod recovery;
 mod replica;
 mod router;
 mod store;
@@ -46,6 +47,7 @@
         "zone-cut" => zone_cut::run(&setting),
         "fatal-part" => fatal_part::run(&setting),
         "wasted-trial" => wasted_trial::run(&setting),
+        "recovery" => recovery::run(&setting),
         "lost-machines" => lost_machines::run(&setting),
         _ => Err(io::Error::other(format!("unknown case {case}"))),
     };
--- a/review/standin/router.rs
+++ b/review/standin/router.rs
@@ -5,7 +5,7 @@
     fs::{self, File},
     io,
     net::SocketAddr,
-    path::Path,
+    path::{Path, PathBuf},
     process::{Child, Command},
     thread,
     time::{Duration, Instant},
@@ -27,6 +27,8 @@
     pub front: SocketAddr,
     ready: SocketAddr,
     child: Child,
+    settings: PathBuf,
+    log: PathBuf,
     record: Record,
 }
 
@@ -69,6 +71,8 @@
             front,
             ready,
             child,
+            settings,
+            log,
             record: record.clone(),
         })
     }
@@ -110,6 +114,13 @@
         self.child.kill()?;
         self.child.wait().map(drop)
     }
+
+    /// Starts the process again after it has ended.
+    pub fn restart(&mut self) -> io::Result<()> {
+        self.record.line(&format!("{} starts again", self.name));
+        self.child = spawn(&self.settings, &self.log)?;
+        Ok(())
+    }
 }
 
 impl Drop for Router {
--- a/review/standin/streams.rs
+++ b/review/standin/streams.rs
@@ -14,6 +14,8 @@
     time::Duration,
 };
 
+/// Version of the first configuration.
+pub const FIRST_VERSION: u64 = 7;
 pub const HOST: &str = "ficu95.example";
 /// Keys of two tenants.
 pub const KEY: &str = "asnmgkcuyj8pjbvk9m68";
@@ -33,8 +35,13 @@
 
 /// Writes the first configuration.
 pub fn configure(store: &Store, slots: u32) {
+    write_configuration(store, FIRST_VERSION, slots);
+}
+
+/// Writes a version of the configuration; all have the same routes.
+pub fn write_configuration(store: &Store, version: u64, slots: u32) {
     let configuration = format!(
-        r#"{{"version":7,"routes":[{{"name":"r-plan","host":"{HOST}","prefix":"/plan/","kind":"stream","timeout-ms":10000,
+        r#"{{"version":{version},"routes":[{{"name":"r-plan","host":"{HOST}","prefix":"/plan/","kind":"stream","timeout-ms":10000,
         "slo-ms":600,"priority":1,"service":"llm","attempts":2,"no-auth":false,"sticky":true,"resumable":true,
         "gap-aim-ms":250}}],"services":[{{"name":"llm","health-path":"/healthz","max-conns":360,"protocol":"h1",
         "tls":false,"engine":{{"slots":{slots},"kv-tokens":444000}}}}],"limits":{{"max-header-bytes":16384,
