--- a/src/dispatch/action.rs
+++ b/src/dispatch/action.rs
@@ -24,6 +24,8 @@
         /// Why.
         refusal: Refusal,
     },
+    /// Ask the platform whether the list of targets is current, see [`super::Event::TargetsChecked`].
+    CheckTargets,
     /// A target was ejected because of failures, or is in use again.
     HealthChanged {
         /// Target.
--- a/src/dispatch/dispatcher/mod.rs
+++ b/src/dispatch/dispatcher/mod.rs
@@ -102,8 +102,10 @@
     is_history_known: bool,
     /// Time as of which the list of targets is known; `None` before it was read.
     confirmed: Option<Time>,
-    /// Number of other routers that are listed.
-    listed_routers: usize,
+    /// Time before which all changes of the list of targets are known for certain.
+    checked: Time,
+    /// Number of other routers that are listed; `None` before they are known.
+    listed_routers: Option<usize>,
     /// Requests that resume streams of which other routers may still report where they began.
     awaiting: Vec<resumption::Awaiting>,
     hazards: Hazards,
@@ -171,7 +173,8 @@
             builds: Builds::default(),
             origins: Origins::default(),
             confirmed: None,
-            listed_routers: 0,
+            checked: Time::default(),
+            listed_routers: None,
             awaiting: Vec::new(),
             hazards: Hazards::default(),
             beginnings: VecDeque::new(),
@@ -305,6 +308,10 @@
                 let confirmed = Time(now.0.saturating_sub(age.0));
                 self.confirmed = self.confirmed.max(Some(confirmed));
             }
+            Event::TargetsChecked { asked } => {
+                self.checked = self.checked.max(asked);
+                self.bind_reported(now, out);
+            }
             Event::Routing(table) => self.set_routing(now, table, out),
             Event::Summary(summary) => self.receive(now, &summary, out),
             Event::Roster {
@@ -313,7 +320,7 @@
                 neighbors,
                 others,
             } => {
-                self.listed_routers = others;
+                self.listed_routers = Some(others);
                 self.set_roster(now, candidates, leaders, neighbors);
             }
             Event::Shed { count } => self.record_shed(now, count),
--- a/src/dispatch/dispatcher/resumption.rs
+++ b/src/dispatch/dispatcher/resumption.rs
@@ -1,6 +1,6 @@
 //! Streams that callers resume: at which build they began, as this router and others recorded it.
 
-use super::{Dispatcher, Grade, LATE_TICK, Pending, Reason, Request};
+use super::{Dispatcher, Grade, LATE_TICK, Peer, Pending, Reason, Request};
 use crate::{
     dispatch::{Action, History, builds::RETENTION, origins::Entry},
     gossip, id,
@@ -59,7 +59,7 @@
         matches!(known, Some(Entry::Build { .. }))
     }
 
-    fn need(&self, now: Time, request: &Request) -> Need {
+    fn need(&self, request: &Request) -> Need {
         let Some(resumption) = request.resumption else {
             return Need::Any;
         };
@@ -75,7 +75,8 @@
             Some(None) if !self.is_history_known => Need::NotReported,
             _ if !self.is_history_known => Need::Unknown,
             _ if !self.builds.are_mixed(own_service) => {
-                if self.is_list_current(now) {
+                // The stream began before the request arrived.
+                if self.listed_routers == Some(0) || self.checked >= request.arrived {
                     self.single_build(own_service)
                 } else {
                     Need::NotReported
@@ -93,29 +94,27 @@
         build.map_or(Need::Any, |build| Need::Build(build.clone()))
     }
 
-    /// Reports whether this router knows of each build whose targets are listed: its list is current, and another
-    /// router that would know better is heard.
+    /// Reports whether the list of targets is current, as far as this router can tell without asking: others may be
+    /// cut off together with it.
     fn is_list_current(&self, now: Time) -> bool {
-        if self.listed_routers == 0 {
+        if self.listed_routers == Some(0) {
             return true;
         }
         let stood_still = now.since(self.last_tick) >= LATE_TICK || now < self.silence_counts_from;
         let bound = self.settings.list_bound;
         let is_confirmed = self.confirmed.is_some_and(|at| now.since(at) <= bound);
-        !stood_still && is_confirmed && self.heard_routers(now) > 0
+        let mut peers = self.peers.values();
+        let is_heard = |peer: &Peer| now.since(peer.last_heard) <= HEARD_SPAN;
+        !stood_still && is_confirmed && peers.any(is_heard)
     }
 
-    /// Reports whether all other routers are heard, so that they would have told of a build that this router doesn't
-    /// know, also while the platform's list can't be read.
-    fn are_all_heard(&self, now: Time) -> bool {
-        self.heard_routers(now) >= self.listed_routers
-    }
-
-    /// Returns the number of other routers whose loads are reported now.
-    fn heard_routers(&self, now: Time) -> usize {
+    /// Reports whether all other routers have reported since a time, so that they would have told of a build that
+    /// this router doesn't know, also while the platform's list can't be read.
+    fn are_all_heard(&self, now: Time, since: Time) -> bool {
         let heard = self.peers.values();
-        let heard = heard.filter(|peer| now.since(peer.last_heard) <= HEARD_SPAN);
-        heard.map(|peer| peer.router_count as usize).sum()
+        let heard = heard.filter(|peer| peer.reported(now) >= since);
+        let heard: usize = heard.map(|peer| peer.router_count as usize).sum();
+        self.listed_routers.is_some_and(|listed| heard >= listed)
     }
 
     /// Returns the builds of which targets are listed.
@@ -147,7 +146,7 @@
         grade: Grade,
         out: &mut Vec<Action>,
     ) {
-        match self.need(now, &pending.request) {
+        match self.need(&pending.request) {
             Need::Any => self.place(now, pending, grade, out),
             Need::Build(build) => {
                 pending.request.build = Some(build);
@@ -157,11 +156,14 @@
                 let retry_after = self.retry_after(now, &pending.request);
                 self.refuse(now, &pending, Reason::NoBuild, retry_after, out);
             }
-            Need::NotReported => self.awaiting.push(Awaiting {
-                until: pending.request.deadline.min(now + REPORT_TIME),
-                pending,
-                grade,
-            }),
+            Need::NotReported => {
+                out.push(Action::CheckTargets);
+                self.awaiting.push(Awaiting {
+                    until: pending.request.deadline.min(now + REPORT_TIME),
+                    pending,
+                    grade,
+                });
+            }
             Need::Unknown => {
                 self.refuse(now, &pending, Reason::Origin, UNKNOWN_RETRY_AFTER, out);
             }
@@ -204,7 +206,7 @@
             let mut pending = awaiting.pending;
             let service = hash(pending.request.service.as_str());
             let is_single = self.is_history_known && !self.builds.are_mixed(service);
-            let need = if is_single && self.are_all_heard(now) {
+            let need = if is_single && self.are_all_heard(now, pending.request.arrived) {
                 self.single_build(service)
             } else {
                 Need::Unknown
@@ -267,11 +269,11 @@
     }
 
     /// Binds the requests that waited for a report, as far as it has come.
-    fn bind_reported(&mut self, now: Time, out: &mut Vec<Action>) {
+    pub(super) fn bind_reported(&mut self, now: Time, out: &mut Vec<Action>) {
         let awaiting = std::mem::take(&mut self.awaiting);
         let (waiting, reported) = awaiting
             .into_iter()
-            .partition(|awaiting| self.need(now, &awaiting.pending.request) == Need::NotReported);
+            .partition(|awaiting| self.need(&awaiting.pending.request) == Need::NotReported);
         self.awaiting = waiting;
         for awaiting in reported {
             self.bind(now, awaiting.pending, awaiting.grade, out);
--- a/src/dispatch/event.rs
+++ b/src/dispatch/event.rs
@@ -85,6 +85,11 @@
         /// Time since the platform sent it.
         age: Span,
     },
+    /// The platform was asked for the list of targets at a time; all changes made before that have been applied.
+    TargetsChecked {
+        /// Time at which it was asked.
+        asked: Time,
+    },
     /// A new configuration is in force.
     Routing(Arc<routing::Table>),
     /// Another router sent a summary of its load.
--- a/src/dispatch/peer.rs
+++ b/src/dispatch/peer.rs
@@ -67,6 +67,11 @@
         Span(now.since(self.last_heard).0 + self.reported_age.0)
     }
 
+    /// Returns the time of the oldest report that it passed on.
+    pub(super) fn reported(&self, now: Time) -> Time {
+        Time(now.0.saturating_sub(self.age(now).0))
+    }
+
     /// Reports whether it follows this router.
     pub(super) fn is_follower(&self) -> bool {
         self.scope == Scope::Follower
--- a/src/gateway/controller.rs
+++ b/src/gateway/controller.rs
@@ -122,22 +122,37 @@
             max_backoff: LIST_BACKOFF.1,
         };
         let wait = self.settings.long_poll_wait();
+        let checks = |cache: &mirror::Cache| cache.checks();
         let max_list_age = self.settings.max_list_age();
         let open = |name, platform, max_age| -> Arc<dyn watch::Source> {
             let (pool, peers) = (upstream::Pool::default(), self.peers.clone());
             Arc::new(mirror::Source::new(name, platform, pool, peers, max_age))
         };
         let source = open(CONFIGURATION, sources.configuration, max_list_age);
-        let configuration =
-            watch::Watcher::spawn(source, watch_settings(wait), configuration_sender);
+        let configuration = watch::Watcher::spawn(
+            source,
+            watch_settings(wait),
+            checks(&self.caches.configuration),
+            configuration_sender,
+        );
         let source = open(TARGETS, sources.targets, max_list_age);
-        let targets = watch::Watcher::spawn(source, watch_settings(wait), targets_sender);
+        let targets = watch::Watcher::spawn(
+            source,
+            watch_settings(wait),
+            checks(&self.caches.targets),
+            targets_sender,
+        );
         let source = open(ROUTERS, sources.routers, ROUTERS_MAX_AGE);
         let router_settings = watch::Settings {
             batch_delay: ROUTERS_BATCH_DELAY,
             ..watch_settings(ROUTERS_LONG_POLL_WAIT)
         };
-        let routers = watch::Watcher::spawn(source, router_settings, routers_sender);
+        let routers = watch::Watcher::spawn(
+            source,
+            router_settings,
+            checks(&self.caches.routers),
+            routers_sender,
+        );
         let watchers = Watchers {
             configuration,
             targets,
@@ -198,7 +213,10 @@
         }
         let entries = match watch::decode(event, self.decoder.configuration) {
             watch::Event::Full { entries, .. } | watch::Event::Changed { entries, .. } => entries,
-            watch::Event::Unchanged { .. } => return,
+            watch::Event::Unchanged { .. } | watch::Event::Checked { .. } => return,
+            watch::Event::Unchecked { fault } => {
+                return self.log_unchecked("configuration", &fault);
+            }
             watch::Event::Unavailable { fault } => return self.log_lost("configuration", &fault),
             watch::Event::Recovered { outage } => {
                 return self.log_recovered("configuration", outage);
@@ -249,6 +267,10 @@
                 self.note_rejected_targets(&entries);
                 catalog::Event::Update(entries)
             }
+            watch::Event::Checked { asked } => {
+                return self.driver.step(Event::TargetsChecked { asked });
+            }
+            watch::Event::Unchecked { fault } => return self.log_unchecked("targets", &fault),
             watch::Event::Unavailable { fault } => {
                 self.log_lost("targets", &fault);
                 catalog::Event::Unavailable
@@ -315,7 +337,8 @@
         let is_full = matches!(event, watch::Event::Full { .. });
         let entries = match watch::decode(event, self.decoder.router) {
             watch::Event::Full { entries, .. } | watch::Event::Changed { entries, .. } => entries,
-            watch::Event::Unchanged { .. } => return,
+            watch::Event::Unchanged { .. } | watch::Event::Checked { .. } => return,
+            watch::Event::Unchecked { fault } => return self.log_unchecked("routers", &fault),
             watch::Event::Unavailable { fault } => return self.log_lost("routers", &fault),
             watch::Event::Recovered { outage } => return self.log_recovered("routers", outage),
         };
@@ -565,6 +588,11 @@
         Record::ListLost { list, cause }.write(&self.log);
     }
 
+    fn log_unchecked(&self, list: &str, fault: &watch::Fault) {
+        let cause = &fault.to_string();
+        Record::ListUnchecked { list, cause }.write(&self.log);
+    }
+
     fn log_recovered(&self, list: &str, elapsed: Span) {
         Record::ListRecovered { list, elapsed }.write(&self.log);
     }
--- a/src/gateway/driver.rs
+++ b/src/gateway/driver.rs
@@ -19,7 +19,7 @@
     collections::HashMap,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
 };
-use tokio::sync::mpsc;
+use tokio::sync::{Notify, mpsc};
 
 /// Refusals that are logged one by one between two takes of the ledger, which has the sums: a router that
 /// refuses a flood of a thousand requests a second needs its processor for others.
@@ -33,6 +33,8 @@
 /// All tasks run on one thread, so the lock is never contended; it only makes the type `Sync`.
 pub struct Driver {
     inner: Mutex<Inner>,
+    /// Notified when the platform is to be asked whether the list of targets is current.
+    checks: Arc<Notify>,
     log: slog::Logger,
 }
 
@@ -60,8 +62,9 @@
 }
 
 impl Driver {
-    /// Wraps a dispatcher.
-    pub fn open(dispatcher: Dispatcher, log: slog::Logger) -> Self {
+    /// Wraps a dispatcher; `checks` is notified when the platform is to be asked whether the list of targets is
+    /// current.
+    pub fn open(dispatcher: Dispatcher, checks: Arc<Notify>, log: slog::Logger) -> Self {
         Self {
             inner: Mutex::new(Inner {
                 dispatcher,
@@ -69,6 +72,7 @@
                 refusals: 0,
                 unreadable: 0,
             }),
+            checks,
             log,
         }
     }
@@ -128,6 +132,7 @@
                 (number, Decision::Send(estimate))
             }
             Action::Refuse { number, refusal } => (number, Decision::Refuse(refusal)),
+            Action::CheckTargets => return self.checks.notify_one(),
             Action::HealthChanged {
                 target,
                 suspect,
--- a/src/gateway/record.rs
+++ b/src/gateway/record.rs
@@ -155,6 +155,8 @@
     },
     /// A list of the platform cannot be read.
     ListLost { list: &'a str, cause: &'a str },
+    /// The platform was asked whether a list is current, and did not answer.
+    ListUnchecked { list: &'a str, cause: &'a str },
     /// A list of the platform can be read again.
     ListRecovered { list: &'a str, elapsed: Span },
     /// A list of the platform came back from a copy.
@@ -357,6 +359,9 @@
             Record::ListLost { list, cause } => {
                 slog::warn!(log, "dependency lost"; "list" => list, "cause" => cause);
             }
+            Record::ListUnchecked { list, cause } => {
+                slog::warn!(log, "list not checked"; "list" => list, "cause" => cause);
+            }
             Record::ListRecovered { list, elapsed } => {
                 slog::info!(log, "dependency regained"; "list" => list, "after_ms" => millis(*elapsed));
             }
--- a/src/gateway/router.rs
+++ b/src/gateway/router.rs
@@ -106,15 +106,16 @@
         "incarnation" => dispatch.incarnation.to_string(),
     ));
     let state = Arc::<State>::default();
-    let driver = Arc::new(Driver::open(
-        Dispatcher::open(dispatch.clone()),
-        log.clone(),
-    ));
     let pool = upstream::Pool::default();
     let peer = settings.entry.peer;
     let socket = gossip::Socket::bind(peer, partition::Filter::default()).await;
     let socket = Arc::new(socket.map_err(bind_error(peer))?);
     let caches = Caches::open(settings.max_list_age(), ROUTERS_MAX_AGE);
+    let driver = Arc::new(Driver::open(
+        Dispatcher::open(dispatch.clone()),
+        caches.targets.checks(),
+        log.clone(),
+    ));
     let lists = front::Settings {
         address: peer,
         handler: Arc::new(mirror::Handler {
--- a/src/mirror/cache.rs
+++ b/src/mirror/cache.rs
@@ -7,7 +7,7 @@
 };
 use std::{
     collections::BTreeMap,
-    sync::{Mutex, MutexGuard, PoisonError},
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
 };
 use tokio::sync::Notify;
 
@@ -23,6 +23,8 @@
     max_age: Span,
     state: Mutex<State>,
     changed: Notify,
+    /// Notified when the platform is to be asked whether the copy is current.
+    checks: Arc<Notify>,
 }
 
 #[derive(Debug, Default)]
@@ -35,6 +37,8 @@
     compacted: u64,
     /// Time at which the platform last sent or confirmed the list.
     confirmed_at: Option<Time>,
+    /// Time at which the platform was last asked for changes that the copy contains.
+    checked_at: Option<Time>,
 }
 
 impl Cache {
@@ -44,9 +48,15 @@
             max_age,
             state: Mutex::default(),
             changed: Notify::new(),
+            checks: Arc::default(),
         }
     }
 
+    /// Returns what is notified when the platform is to be asked whether the copy is current.
+    pub fn checks(&self) -> Arc<Notify> {
+        self.checks.clone()
+    }
+
     /// Applies an event of the watched list.
     pub fn apply(&self, event: &Event<Row>) {
         let mut state = self.state();
@@ -79,7 +89,12 @@
                 state.advance(*position);
                 *age
             }
-            Event::Unavailable { .. } | Event::Recovered { .. } => return,
+            Event::Checked { asked } => {
+                state.checked_at = state.checked_at.max(Some(*asked));
+                drop(state);
+                return self.changed.notify_waiters();
+            }
+            Event::Unchecked { .. } | Event::Unavailable { .. } | Event::Recovered { .. } => return,
         };
         let confirmed_at = Time(clock::now().0.saturating_sub(age.0));
         state.confirmed_at = state.confirmed_at.max(Some(confirmed_at));
@@ -128,6 +143,25 @@
         }
     }
 
+    /// Has the platform asked for the list, and returns its changes after a position as [`Cache::changes`] does;
+    /// `None` also if the platform has not answered within `limit`.
+    pub async fn check(&self, after: Position, limit: Span) -> Option<Option<Page<Row>>> {
+        let asked = clock::now();
+        self.checks.notify_one();
+        loop {
+            let changed = self.changed.notified();
+            if self.state().checked_at >= Some(asked) {
+                return self.changes(after, Span(0)).await;
+            }
+            let remaining = (asked + limit).since(clock::now());
+            if remaining == Span(0) {
+                return None;
+            }
+            // A timeout is handled by the next iteration.
+            drop(tokio::time::timeout(remaining.into(), changed).await);
+        }
+    }
+
     fn state(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/src/mirror/handler.rs
+++ b/src/mirror/handler.rs
@@ -13,13 +13,16 @@
 
 /// Maximum wait for changes that a request may ask for.
 const MAX_WAIT: Span = Span::from_secs(30);
+/// Time within which the platform has to answer when a router asks for a check.
+const MAX_CHECK_TIME: Span = Span::from_millis(250);
 /// Maximum number of concurrent connections from other routers.
 const MAX_CONNECTIONS: usize = 200;
 /// Idle time after which a connection is closed; longer than any wait for changes.
 const IDLE_TIMEOUT: Span = Span::from_secs(40);
 
 /// Serves cached lists to other routers: `GET /lists/NAME` returns a whole list, with
-/// `?after=VERSION&era=ERA&wait-ms=TIME` its changes since a version.
+/// `?after=VERSION&era=ERA&wait-ms=TIME` its changes since a version, `GET /lists/NAME/check?after=VERSION&era=ERA`
+/// those once the platform has been asked for them after the call.
 ///
 /// Answers 503 while the cached list is too old, and 410 if the changes since that version are no
 /// longer known or it is of another era than the list.
@@ -30,7 +33,9 @@
 
 impl Handler {
     async fn answer(&self, uri: &Uri) -> Response<Body> {
-        let name = uri.path().strip_prefix("/lists/").unwrap_or_default();
+        let path = uri.path().strip_prefix("/lists/").unwrap_or_default();
+        let checked = path.strip_suffix("/check");
+        let name = checked.unwrap_or(path);
         let Some(cache) = self.caches.get(name) else {
             let detail = format!("unknown list {name:?}");
             return Problem::invalid(StatusCode::NOT_FOUND, detail).response();
@@ -43,7 +48,11 @@
                 let era = parameter(query, "era").map_or_else(|| cache.era(), Era);
                 let after = Position { era, version };
                 let wait = parameter(query, "wait-ms").map_or(Span(0), Span::from_millis);
-                cache.changes(after, wait.min(MAX_WAIT)).await
+                if checked.is_some() {
+                    cache.check(after, MAX_CHECK_TIME).await
+                } else {
+                    cache.changes(after, wait.min(MAX_WAIT)).await
+                }
             }
         };
         match page {
@@ -56,7 +65,11 @@
                 "the changes since this version are no longer known",
             )
             .response(),
-            None => Problem::not_run("the cached list is too old", Span::from_secs(1)).response(),
+            None => Problem::not_run(
+                "the cached list is too old or could not be checked",
+                Span::from_secs(1),
+            )
+            .response(),
         }
     }
 }
--- a/src/mirror/source.rs
+++ b/src/mirror/source.rs
@@ -24,6 +24,8 @@
 const MAX_PAGE_BYTES: usize = 32 << 20;
 /// Time within which another router has to answer, in addition to the requested wait.
 const PEER_TIMEOUT: Span = Span::from_millis(300);
+/// Time within which another router usually has checked its copy; after it, the platform is asked as well.
+const PEER_CHECK_TIME: Span = Span::from_millis(60);
 /// Maximum wait requested of another router: calls between routers are cheap, and a router that has
 /// gone silent must be noticed well within the time allowed for a change to take effect.
 const PEER_WAIT: Span = Span::from_millis(800);
@@ -129,6 +131,7 @@
         page
     }
 
+    /// Reads the list, or its changes as `query` says, from another router that answers after `wait` at the latest.
     async fn fetch(&self, peer: SocketAddr, query: &str, wait: Span) -> Result<Page<Row>, Fault> {
         let endpoint = || Box::from(format!("list {} of router {peer}", self.name));
         let malformed = |cause: &dyn std::fmt::Display| Fault::Malformed {
@@ -218,15 +221,36 @@
         .boxed()
     }
 
+    /// Asks the router that lists are read from to check its copy, and the platform if that takes long: the router may
+    /// be gone.
+    fn check(&self, after: Position) -> BoxFuture<'_, Result<Page<Row>, Fault>> {
+        let endpoint = self.endpoints().first().copied().flatten();
+        async move {
+            let checked = match endpoint {
+                Some(peer) => {
+                    let query = format!("/check{}", changes_query(after, Span(0)));
+                    let checked = self.fetch(peer, &query, Span(0));
+                    let limit = Duration::from(PEER_CHECK_TIME);
+                    tokio::time::timeout(limit, checked).await.ok()
+                }
+                None => None,
+            };
+            let page = match checked {
+                Some(Ok(page)) => Ok(page),
+                Some(Err(_)) | None => self.platform.check(after).await,
+            };
+            page.map(|page| self.observe(page))
+        }
+        .boxed()
+    }
+
     fn changes(&self, after: Position, wait: Span) -> BoxFuture<'_, Result<Page<Row>, Fault>> {
         let endpoint = self.endpoints().first().copied().flatten();
         async move {
             let page = match endpoint {
                 Some(peer) => {
                     let wait = wait.min(PEER_WAIT);
-                    let Position { era, version } = after;
-                    let wait_ms = wait.as_millis();
-                    let query = format!("?after={version}&era={era}&wait-ms={wait_ms}");
+                    let query = changes_query(after, wait);
                     self.fetch(peer, &query, wait).await
                 }
                 None => self.platform.changes(after, wait).await,
@@ -242,3 +266,10 @@
         cursor.last_failure = clock::now();
     }
 }
+
+/// Returns the query of a call for the changes after a position.
+fn changes_query(after: Position, wait: Span) -> String {
+    let Position { era, version } = after;
+    let wait_ms = wait.as_millis();
+    format!("?after={version}&era={era}&wait-ms={wait_ms}")
+}
--- a/src/watch/decode.rs
+++ b/src/watch/decode.rs
@@ -25,6 +25,8 @@
             age,
         },
         Event::Unchanged { position, age } => Event::Unchanged { position, age },
+        Event::Checked { asked } => Event::Checked { asked },
+        Event::Unchecked { fault } => Event::Unchecked { fault },
         Event::Unavailable { fault } => Event::Unavailable { fault },
         Event::Recovered { outage } => Event::Recovered { outage },
     }
--- a/src/watch/event.rs
+++ b/src/watch/event.rs
@@ -1,7 +1,7 @@
 //! Events of a watched list.
 
 use super::{Fault, Position};
-use crate::unit::Span;
+use crate::unit::{Span, Time};
 
 /// Event of a watched list.
 #[derive(Clone, Debug)]
@@ -31,6 +31,16 @@
         /// Time since the platform sent it.
         age: Span,
     },
+    /// The platform was asked for the list at a time; all changes made before that have been reported.
+    Checked {
+        /// Time at which it was asked.
+        asked: Time,
+    },
+    /// The platform was asked for the list, and did not answer.
+    Unchecked {
+        /// Reason.
+        fault: Fault,
+    },
     /// The list cannot be read from any source.
     Unavailable {
         /// Reason.
@@ -50,7 +60,10 @@
             Event::Full { age, .. } | Event::Changed { age, .. } | Event::Unchanged { age, .. } => {
                 Some(*age)
             }
-            Event::Unavailable { .. } | Event::Recovered { .. } => None,
+            Event::Checked { .. }
+            | Event::Unchecked { .. }
+            | Event::Unavailable { .. }
+            | Event::Recovered { .. } => None,
         }
     }
 
@@ -60,7 +73,10 @@
             Event::Full { position, .. }
             | Event::Changed { position, .. }
             | Event::Unchanged { position, .. } => Some(*position),
-            Event::Unavailable { .. } | Event::Recovered { .. } => None,
+            Event::Checked { .. }
+            | Event::Unchecked { .. }
+            | Event::Unavailable { .. }
+            | Event::Recovered { .. } => None,
         }
     }
 }
--- a/src/watch/watcher.rs
+++ b/src/watch/watcher.rs
@@ -5,12 +5,19 @@
     clock,
     unit::{Span, Time},
 };
+use futures::future::BoxFuture;
 use std::{sync::Arc, time::Duration};
 use tokio::{
     sync::{Notify, mpsc},
     task::JoinHandle,
 };
 
+/// Minimum time between two checks of a list: many streams may be resumed in the same moment, and a router checks
+/// for those that read its copy, too.
+const CHECK_INTERVAL: Span = Span::from_millis(20);
+/// Time within which a check must be answered.
+const CHECK_TIMEOUT: Span = Span::from_millis(700);
+
 /// Timing of the calls for one list.
 #[derive(Clone, Copy, Debug)]
 pub struct Settings {
@@ -35,10 +42,12 @@
 }
 
 impl Watcher {
-    /// Starts to watch a list and sends its events to `sink`; needs a running Tokio runtime.
+    /// Starts to watch a list and sends its events to `sink`; needs a running Tokio runtime. Whenever `checks` is
+    /// notified, the platform is asked once more, which [`Event::Checked`] reports.
     pub fn spawn(
         source: Arc<dyn Source>,
         settings: Settings,
+        checks: Arc<Notify>,
         sink: mpsc::UnboundedSender<Event<Row>>,
     ) -> Self {
         let (resync, refresh) = (Arc::<Notify>::default(), Arc::<Notify>::default());
@@ -48,6 +57,9 @@
             sink,
             resync: resync.clone(),
             refresh: refresh.clone(),
+            checks,
+            check: None,
+            last_check: Time::default(),
             position: None,
             latest: Position::default(),
             unavailable_since: None,
@@ -79,6 +91,9 @@
     }
 }
 
+/// Time at which the platform was asked, and its answer.
+type Check = (Time, Result<Page<Row>, Fault>);
+
 /// State of the running task.
 struct Task {
     source: Arc<dyn Source>,
@@ -86,6 +101,11 @@
     sink: mpsc::UnboundedSender<Event<Row>>,
     resync: Arc<Notify>,
     refresh: Arc<Notify>,
+    checks: Arc<Notify>,
+    /// Check in progress.
+    check: Option<BoxFuture<'static, Check>>,
+    /// Time at which the last check began.
+    last_check: Time,
     /// Position since which changes are requested; `None` if the whole list has to be read: at the
     /// start, after a failure or a gap, and in a new era.
     position: Option<Position>,
@@ -134,18 +154,31 @@
     /// meantime may no longer be kept.
     async fn await_changes(&mut self, position: Position) {
         let limit = Duration::from(Span(self.settings.wait.0 + self.settings.margin.0));
-        let call = self.source.changes(position, self.settings.wait);
-        let found = tokio::select! {
-            found = tokio::time::timeout(limit, call) => found,
-            () = self.resync.notified() => {
-                self.source.report_failure();
-                self.latest.version = 0;
-                self.position = None;
-                return;
-            }
-            () = self.refresh.notified() => {
-                self.position = None;
-                return;
+        let source = self.source.clone();
+        let call = source.changes(position, self.settings.wait);
+        let call = tokio::time::timeout(limit, call);
+        tokio::pin!(call);
+        let found = loop {
+            tokio::select! {
+                found = &mut call => break found,
+                check = finished(&mut self.check) => {
+                    self.check = None;
+                    self.apply_check(position, check);
+                    if self.position != Some(position) {
+                        return;
+                    }
+                }
+                () = self.checks.notified(), if self.check.is_none() => self.begin_check(position),
+                () = self.resync.notified() => {
+                    self.source.report_failure();
+                    self.latest.version = 0;
+                    self.position = None;
+                    return;
+                }
+                () = self.refresh.notified() => {
+                    self.position = None;
+                    return;
+                }
             }
         };
         match found {
@@ -155,8 +188,7 @@
                 let changed = !page.entries.is_empty();
                 self.publish(page, false);
                 if changed {
-                    // Changes mostly come in bursts: after this delay, one call returns the rest.
-                    tokio::time::sleep(Duration::from(self.settings.batch_delay)).await;
+                    self.delay_batch().await;
                 }
             }
             Ok(Err(Fault::Compacted { .. })) => self.position = None,
@@ -167,6 +199,62 @@
         }
     }
 
+    /// Waits for a moment after changes: they mostly come in bursts, of which one call then returns the rest.
+    async fn delay_batch(&mut self) {
+        tokio::select! {
+            () = tokio::time::sleep(Duration::from(self.settings.batch_delay)) => {}
+            // The check begins with the next call.
+            () = self.checks.notified(), if self.check.is_none() => self.checks.notify_one(),
+        }
+    }
+
+    fn begin_check(&mut self, position: Position) {
+        let source = self.source.clone();
+        let earliest = self.last_check + CHECK_INTERVAL;
+        let delay = earliest.since(clock::now());
+        self.last_check = clock::now() + delay;
+        let check = async move {
+            tokio::time::sleep(Duration::from(delay)).await;
+            let asked = clock::now();
+            let call = source.check(position);
+            let answer = tokio::time::timeout(Duration::from(CHECK_TIMEOUT), call).await;
+            let answer = answer.unwrap_or_else(|_| {
+                Err(Fault::Timeout {
+                    endpoint: "the list that was checked".into(),
+                    limit: CHECK_TIMEOUT,
+                })
+            });
+            (asked, answer)
+        };
+        self.check = Some(Box::pin(check));
+    }
+
+    /// Applies the answer to a check of the list, while changes since a position are awaited.
+    fn apply_check(&mut self, position: Position, (asked, answer): Check) {
+        match answer {
+            Ok(page) if page.position.era != position.era => self.read_and_check(),
+            // What was published meanwhile is as of later.
+            Ok(page) if page.position < self.latest => self.send(Event::Checked { asked }),
+            Ok(page) => {
+                if page.entries.is_empty() {
+                    let age = page.age;
+                    self.send(Event::Unchanged { position, age });
+                } else {
+                    self.publish(page, false);
+                }
+                self.send(Event::Checked { asked });
+            }
+            Err(Fault::Compacted { .. }) => self.read_and_check(),
+            Err(fault) => self.send(Event::Unchecked { fault }),
+        }
+    }
+
+    /// Has the whole list read, and checked afterwards.
+    fn read_and_check(&mut self) {
+        self.position = None;
+        self.checks.notify_one();
+    }
+
     fn publish(&mut self, page: Page<Row>, full: bool) {
         let Page {
             entries,
@@ -201,3 +289,11 @@
         drop(self.sink.send(event));
     }
 }
+
+/// Waits for the end of a check; never returns without one.
+async fn finished(check: &mut Option<BoxFuture<'static, Check>>) -> Check {
+    match check {
+        Some(check) => check.await,
+        None => std::future::pending().await,
+    }
+}
--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -1836,6 +1836,7 @@
 fn resumed_stream_unknown_goes_on_with_a_single_build() {
     let list = [target_of("a", "v1"), target_of("b", "v1")];
     let mut dispatcher = ready("r1", &list);
+    list_routers(&mut dispatcher, 0);
     for (number, origin) in [(1, Some("q0")), (2, None)] {
         let actions = step(
             &mut dispatcher,
@@ -1846,16 +1847,21 @@
     }
 }
 
-/// One of two routers, whose list of targets was confirmed at a time.
-fn one_of_two(confirmed_ms: u64) -> Dispatcher {
-    let mut router = ready("r1", &[target_of("a", "v1")]);
+/// Informs a dispatcher that a number of other routers are listed.
+fn list_routers(dispatcher: &mut Dispatcher, others: usize) {
     let roster = Event::Roster {
         candidates: Vec::new(),
         leaders: vec!["r9".parse().unwrap()],
         neighbors: Vec::new(),
-        others: 1,
+        others,
     };
-    step(&mut router, 0, roster);
+    step(dispatcher, 0, roster);
+}
+
+/// One of several routers, whose list of targets was confirmed at a time.
+fn one_of_several(others: usize, confirmed_ms: u64) -> Dispatcher {
+    let mut router = ready("r1", &[target_of("a", "v1")]);
+    list_routers(&mut router, others);
     let age = Span(0);
     step(&mut router, confirmed_ms, Event::TargetsConfirmed { age });
     for millis in [9_600, 9_850] {
@@ -1864,24 +1870,60 @@
     router
 }
 
-/// Resumes a stream of unknown origin at 10 s; returns whether it is sent at once, and how it ends within 300 ms.
-fn resume_unknown(router: &mut Dispatcher) -> (bool, Vec<Action>) {
+/// One of two routers, whose list of targets was confirmed at a time.
+fn one_of_two(confirmed_ms: u64) -> Dispatcher {
+    one_of_several(1, confirmed_ms)
+}
+
+/// Resumes a stream of unknown origin at 10 s; returns whether it is sent at once, and how it ends within 300 ms, while
+/// a number of other routers report every 50 ms.
+fn resume_unknown(router: &mut Dispatcher, heard: u32) -> (bool, Vec<Action>) {
     step(router, 9_990, Event::Tick);
     let actions = step(
         router,
         10_000,
         Event::Arrived(resumption(2, 10_000, Some("q1"))),
     );
-    let later = (1..=30).flat_map(|tick| step(router, 10_000 + 10 * tick, Event::Tick));
+    let later = (1..=30).flat_map(|tick| {
+        let millis = 10_000 + 10 * tick;
+        if heard > 0 && tick % 5 == 0 {
+            announce_routers(router, millis, heard);
+        }
+        step(router, millis, Event::Tick)
+    });
     let later = later.collect();
     (sent_to(&actions).is_some(), later)
 }
 
 #[test]
-fn resumed_stream_unknown_goes_on_with_a_current_list() {
-    let mut router = one_of_two(9_000);
+fn resumed_stream_unknown_goes_on_once_the_list_was_checked() {
+    let mut router = one_of_two(9_990);
     announce_routers(&mut router, 9_900, 1);
-    assert!(resume_unknown(&mut router).0);
+    step(&mut router, 9_990, Event::Tick);
+    let resumed = Event::Arrived(resumption(2, 10_000, Some("q1")));
+    let actions = step(&mut router, 10_000, resumed);
+    assert_eq!(actions, [Action::CheckTargets]);
+    let checked = |millis| Event::TargetsChecked { asked: at(millis) };
+    assert_eq!(
+        step(&mut router, 10_010, checked(9_999)),
+        [],
+        "before it arrived"
+    );
+    let actions = step(&mut router, 10_020, checked(10_000));
+    assert_eq!(sent_to(&actions), Some((2, "a".into())));
+}
+
+#[test]
+fn resumed_stream_unknown_refused_once_the_check_lists_another_build() {
+    let mut router = one_of_two(9_990);
+    step(&mut router, 9_990, Event::Tick);
+    let resumed = Event::Arrived(resumption(2, 10_000, Some("q1")));
+    step(&mut router, 10_000, resumed);
+    step(&mut router, 10_010, targets(&mixed()));
+    let checked = Event::TargetsChecked { asked: at(10_005) };
+    assert_eq!(step(&mut router, 10_010, checked), []);
+    let actions = step(&mut router, 10_200, Event::Tick);
+    assert_eq!(refused(&actions), Some((Reason::Origin, false)));
 }
 
 #[test]
@@ -1891,7 +1933,7 @@
         if let Some(millis) = heard {
             announce_routers(&mut router, millis, 1);
         }
-        let (is_sent, later) = resume_unknown(&mut router);
+        let (is_sent, later) = resume_unknown(&mut router, 0);
         assert!(!is_sent, "{confirmed}, {heard:?}");
         assert!(
             matches!(refusals(&later)[..], [(2, Reason::Origin, _)]),
@@ -1900,11 +1942,32 @@
     }
 }
 
+/// Guards against streams that go on at another build at routers that are cut off together: they hear each other, and
+/// have heard the rest of the fleet and the platform a moment ago.
+#[test]
+fn resumed_stream_unknown_refused_where_some_are_heard() {
+    for (others, heard) in [(2, 1), (3, 2), (6, 1), (7, 6), (40, 39)] {
+        for cut_for in (0..2_000).step_by(10) {
+            let cut = 10_000 - cut_for;
+            let mut router = one_of_several(others, cut.min(9_600));
+            announce_routers(&mut router, cut.min(9_980), others as u32);
+            announce_routers(&mut router, 9_985, heard);
+            let (is_sent, later) = resume_unknown(&mut router, heard);
+            let named = format!("{heard} of {others} heard, cut off for {cut_for} ms");
+            assert!(!is_sent, "{named}");
+            assert!(
+                matches!(refusals(&later)[..], [(2, Reason::Origin, _)]),
+                "{named}: {later:?}"
+            );
+        }
+    }
+}
+
 #[test]
 fn resumed_stream_unknown_goes_on_with_an_old_list_where_all_are_heard() {
     let mut router = one_of_two(2_000);
     announce_routers(&mut router, 9_950, 1);
-    let (is_sent, later) = resume_unknown(&mut router);
+    let (is_sent, later) = resume_unknown(&mut router, 1);
     assert!(!is_sent, "others may report it");
     assert_eq!(sent_to(&later), Some((2, "a".into())));
 }
@@ -1914,7 +1977,7 @@
     let mut router = one_of_two(9_900);
     let mut other = ready("r9", &[target_of("b", "v2")]);
     exchange(&mut other, &mut router, 9_950);
-    let (is_sent, later) = resume_unknown(&mut router);
+    let (is_sent, later) = resume_unknown(&mut router, 1);
     assert!(!is_sent);
     assert!(
         matches!(refusals(&later)[..], [(2, Reason::Origin, _)]),
@@ -1977,6 +2040,7 @@
 #[test]
 fn resumed_stream_unknown_refused_after_the_other_build_left() {
     let mut dispatcher = ready("r1", &mixed());
+    list_routers(&mut dispatcher, 0);
     step(&mut dispatcher, 100, targets(&[target_of("a", "v2")]));
     let actions = step(
         &mut dispatcher,
@@ -2213,6 +2277,7 @@
 #[test]
 fn resumed_stream_unknown_keeps_the_single_build_when_another_appears() {
     let mut dispatcher = ready("r1", &[target_of("a", "v1")]);
+    list_routers(&mut dispatcher, 0);
     let arrived = Event::Arrived(resumption(1, 0, Some("q0")));
     let actions = step(&mut dispatcher, 0, arrived);
     assert_eq!(sent_to(&actions), Some((1, "a".into())));
--- a/tests/engines/mod.rs
+++ b/tests/engines/mod.rs
@@ -524,7 +524,8 @@
             | Action::TargetCrashed { .. }
             | Action::PartHeld { .. }
             | Action::PartReleased { .. }
-            | Action::Tried { .. } => {}
+            | Action::Tried { .. }
+            | Action::CheckTargets => {}
         }
     }
 
--- a/tests/mirror.rs
+++ b/tests/mirror.rs
@@ -2,9 +2,9 @@
 
 use futures::{FutureExt, future::BoxFuture};
 use marlrun::{
-    front,
+    clock, front,
     mirror::{self, Cache, Handler, Peers},
-    unit::{Era, Span},
+    unit::{Era, Span, Time},
     upstream,
     watch::{self, Event, Fault, Page, Position, Row, Source as _},
 };
@@ -146,6 +146,60 @@
     mirror::Source::new("targets", Arc::new(Unreachable), pool, peers, max_age)
 }
 
+/// Guards against a copy that is taken for current because the platform confirmed it a moment before.
+#[tokio::test]
+async fn check_answered_from_a_copy_of_before() {
+    let cache = Arc::new(Cache::new(Span::from_secs(10)));
+    cache.apply(&full(3, Span(0)));
+    let asked = clock::now();
+    cache.apply(&Event::Checked { asked });
+    tokio::time::sleep(Duration::from_millis(5)).await;
+    let checks = cache.checks();
+    let platform = async {
+        checks.notified().await;
+        let asked = Time(asked.0 + 1);
+        // Asked before the call.
+        cache.apply(&Event::Checked { asked });
+        cache.apply(&rows(&[("e1", "two")], at(5)));
+        let asked = clock::now();
+        cache.apply(&Event::Checked { asked });
+    };
+    let (page, ()) = tokio::join!(cache.check(at(3), Span::from_secs(5)), platform);
+    let page = page.unwrap().unwrap();
+    assert_eq!((page.position, page.entries.len()), (at(5), 1));
+}
+
+#[tokio::test]
+async fn check_of_a_copy_that_the_platform_does_not_confirm() {
+    let cache = Arc::new(Cache::new(Span::from_secs(10)));
+    cache.apply(&full(3, Span(0)));
+    let checked = cache.check(at(3), Span::from_millis(20)).await;
+    assert!(checked.is_none(), "{checked:?}");
+    let server = serve(&cache);
+    let source = follow(vec![server.address()]);
+    let checked = source.check(at(3)).await;
+    assert!(
+        matches!(checked, Err(Fault::Unreachable { .. })),
+        "{checked:?}"
+    );
+}
+
+#[tokio::test]
+async fn check_by_another_router() {
+    let cache = Arc::new(Cache::new(Span::from_secs(10)));
+    cache.apply(&full(3, Span(0)));
+    let server = serve(&cache);
+    let source = follow(vec![server.address()]);
+    let platform = async {
+        cache.checks().notified().await;
+        let asked = clock::now();
+        cache.apply(&Event::Checked { asked });
+    };
+    let (page, ()) = tokio::join!(source.check(at(3)), platform);
+    let page = page.unwrap();
+    assert_eq!((page.position, page.entries.len()), (at(3), 0));
+}
+
 #[tokio::test]
 async fn pages_carry_era() {
     let cache = Arc::new(Cache::new(Span::from_secs(10)));
--- a/tests/out_of_step.rs
+++ b/tests/out_of_step.rs
@@ -10,7 +10,7 @@
     io::Read,
     net::{SocketAddr, TcpStream},
     thread,
-    time::Duration,
+    time::{Duration, Instant},
 };
 use world::{Answer, Caller, Fault, Harm, Mesh, Proxy, Router, World, event_of, wait_for};
 
@@ -35,8 +35,15 @@
 }
 
 impl Setting {
-    /// Starts routers before engines of the first build; those of the next one aren't listed yet.
+    /// Starts routers of one failure domain.
     fn open(routers: usize) -> Self {
+        Self::open_in(&vec!["east"; routers])
+    }
+
+    /// Starts a router in each failure domain, before engines of the first build; those of the next one aren't listed
+    /// yet.
+    fn open_in(domains: &[&str]) -> Self {
+        let routers = domains.len();
         let world = World::open(NEXT + FIRST, 0);
         for (index, engine) in world.engines.iter().enumerate() {
             engine.pace(EVENTS, GAP);
@@ -51,7 +58,8 @@
         let stores: Vec<Proxy> = stores.collect();
         let spawned = addresses.iter().zip(&stores).enumerate();
         let spawned = spawned.map(|(index, (peer, store))| {
-            Router::spawn_between(store.address, *peer, &format!("r{index}"), &[])
+            let name = format!("r{index}");
+            Router::spawn_in(domains[index], store.address, *peer, &name, &[])
         });
         let setting = Self {
             routers: spawned.collect(),
@@ -71,32 +79,46 @@
         setting
     }
 
-    /// Has the engines of the next build join, and waits until the routers that are reached know.
-    fn join_next(&self) {
+    /// Has the engines of the next build join, and waits until the routers from an index on know.
+    fn join_next(&self, first: usize) {
         for engine in &self.world.engines[..NEXT] {
             engine.register("ready");
         }
         let live = format!("\"live\":{},", FIRST + NEXT);
-        for router in &self.routers[OUT_OF_STEP + 1..] {
+        for router in &self.routers[first..] {
             wait_for("the engines are listed", || router.log().contains(&live));
         }
     }
 
-    /// Begins streams at all routers but one, and leaves them; returns the first events of each with the request that
-    /// began it.
-    fn begin(&self) -> Vec<(String, String)> {
-        let others = &self.routers[OUT_OF_STEP + 1..];
-        let begun = (0..STREAMS).map(|number| {
-            let name = format!("q{number}-{}", self.world.store.calls());
-            let (events, stream) = begin(&others[number % others.len()], &name);
-            (name, events, stream)
-        });
+    /// Begins streams at the routers from an index on, and leaves them; returns the first events of each with the
+    /// request that began it.
+    fn begin(&self, first: usize) -> Vec<(String, String)> {
+        let others = &self.routers[first..];
         // All of them run before the first caller leaves.
-        let begun: Vec<(String, String, TcpStream)> = begun.collect();
+        let begun: Vec<(String, String, TcpStream)> = thread::scope(|scope| {
+            let calls = (0..STREAMS).map(|number| {
+                let name = format!("q{number}-{}", self.world.store.calls());
+                let router = &others[number % others.len()];
+                scope.spawn(move || {
+                    let (events, stream) = begin(router, &name);
+                    (name, events, stream)
+                })
+            });
+            let calls: Vec<_> = calls.collect();
+            calls.into_iter().map(|call| call.join().unwrap()).collect()
+        });
         let begun = begun.into_iter();
         begun.map(|(name, events, _)| (name, events)).collect()
     }
 
+    /// Cuts the routers up to an index off from the others and from the store; they still reach each other.
+    fn cut_off(&self, count: usize) {
+        for router in 0..count {
+            self.mesh.cut(router, count..self.routers.len());
+            self.stores[router].harm(Harm::Silence);
+        }
+    }
+
     /// Takes up streams at a router; returns how many went on, and how many of these went on at another build.
     fn take_up(&self, router: usize, streams: &[(String, String)]) -> (usize, usize) {
         let address = self.routers[router].listen;
@@ -160,8 +182,8 @@
     let setting = Setting::open(4);
     setting.mesh.cut(OUT_OF_STEP, 1..4);
     store(&setting.stores[OUT_OF_STEP]);
-    setting.join_next();
-    let streams = setting.begin();
+    setting.join_next(OUT_OF_STEP + 1);
+    let streams = setting.begin(OUT_OF_STEP + 1);
     let next = streams
         .iter()
         .filter(|(_, events)| events.contains(NEXT_BUILD));
@@ -183,12 +205,59 @@
     });
 }
 
+/// Cuts the routers of one failure domain off together, has engines of the next build join and streams begin at the
+/// others, kills these, and takes the streams up at those that are cut off, some time after the cut at the earliest.
+fn joined_at_routers_cut_off_together(domains: &[&str], after: Duration) {
+    let setting = Setting::open_in(domains);
+    let count = domains.iter().filter(|domain| **domain == "west").count();
+    setting.cut_off(count);
+    let cut = Instant::now();
+    setting.join_next(count);
+    let streams = setting.begin(count);
+    for router in &setting.routers[count..] {
+        router.signal(Signal::SIGKILL);
+    }
+    thread::sleep(after.saturating_sub(cut.elapsed()));
+    for router in 0..count {
+        let (_, joined) = setting.take_up(router, &streams);
+        assert_eq!(joined, 0, "of {STREAMS} streams at router {router}");
+    }
+}
+
+/// Guards against streams that go on at another build where routers that are cut off hear each other.
+#[test]
+fn streams_joined_at_two_routers_cut_off_together() {
+    joined_at_routers_cut_off_together(&["west", "west", "east"], Duration::ZERO);
+}
+
+/// The same where most routers are cut off, and some time after they last heard the others.
+#[test]
+fn streams_joined_at_three_routers_cut_off_together() {
+    let domains = ["west", "west", "west", "east", "south"];
+    joined_at_routers_cut_off_together(&domains, Duration::from_millis(350));
+}
+
+/// Guards against a fleet that refuses streams of a router that was killed while there is a single build.
+#[test]
+fn streams_refused_once_their_router_was_killed_with_a_single_build() {
+    let setting = Setting::open(3);
+    // Nobody is told where they began.
+    for router in 1..3 {
+        setting.mesh.cut(OUT_OF_STEP, router..router + 1);
+    }
+    let streams = setting.begin(1);
+    setting.routers[1].signal(Signal::SIGKILL);
+    setting.mesh.heal();
+    setting.routers[2].signal(Signal::SIGKILL);
+    assert_eq!(setting.take_up(OUT_OF_STEP, &streams), (STREAMS, 0));
+}
+
 #[test]
 fn streams_joined_at_a_router_that_stood_still() {
     let setting = Setting::open(4);
     setting.routers[OUT_OF_STEP].signal(Signal::SIGSTOP);
-    setting.join_next();
-    let streams = setting.begin();
+    setting.join_next(OUT_OF_STEP + 1);
+    let streams = setting.begin(OUT_OF_STEP + 1);
     setting.routers[OUT_OF_STEP].signal(Signal::SIGCONT);
     let (went_on, joined) = setting.take_up(OUT_OF_STEP, &streams);
     assert_eq!(joined, 0, "of {STREAMS} streams");
@@ -199,8 +268,8 @@
 fn streams_joined_at_a_router_cut_off_from_the_others_only() {
     let setting = Setting::open(4);
     setting.mesh.cut(OUT_OF_STEP, 1..4);
-    setting.join_next();
-    let streams = setting.begin();
+    setting.join_next(OUT_OF_STEP + 1);
+    let streams = setting.begin(OUT_OF_STEP + 1);
     let (_, joined) = setting.take_up(OUT_OF_STEP, &streams);
     assert_eq!(joined, 0, "of {STREAMS} streams");
 }
@@ -210,26 +279,26 @@
     let setting = Setting::open(4);
     setting.mesh.cut(OUT_OF_STEP, 1..4);
     setting.stores[OUT_OF_STEP].harm(Harm::Silence);
-    setting.join_next();
+    setting.join_next(OUT_OF_STEP + 1);
     setting.stores[OUT_OF_STEP].harm(Harm::None);
     setting.stores[OUT_OF_STEP].reset();
     setting.mesh.heal();
     thread::sleep(Duration::from_millis(2_500));
-    let streams = setting.begin();
+    let streams = setting.begin(OUT_OF_STEP + 1);
     assert_eq!(setting.take_up(OUT_OF_STEP, &streams), (STREAMS, 0));
 }
 
 #[test]
 fn streams_refused_without_the_store() {
     let setting = Setting::open(4);
-    let streams = setting.begin();
+    let streams = setting.begin(OUT_OF_STEP + 1);
     setting.world.store.fail(Fault::Silent);
     thread::sleep(Duration::from_secs(6));
-    let later = setting.begin();
+    let later = setting.begin(OUT_OF_STEP + 1);
     assert_eq!(setting.take_up(OUT_OF_STEP, &streams), (STREAMS, 0));
     assert_eq!(setting.take_up(OUT_OF_STEP, &later), (STREAMS, 0));
     // Also those of a router that is gone.
-    let last = setting.begin();
+    let last = setting.begin(OUT_OF_STEP + 1);
     setting.routers[1].signal(Signal::SIGKILL);
     thread::sleep(Duration::from_millis(100));
     assert_eq!(setting.take_up(OUT_OF_STEP, &last), (STREAMS, 0));
--- a/tests/watch.rs
+++ b/tests/watch.rs
@@ -3,8 +3,9 @@
 
 use futures::{FutureExt, future::BoxFuture};
 use marlrun::{
+    clock,
     mirror::Cache,
-    unit::{Era, Span},
+    unit::{Era, Span, Time},
     watch::{Event, Fault, Page, Position, Row, Settings, Source, Watcher},
 };
 use proptest::prelude::*;
@@ -35,6 +36,8 @@
     changes: Vec<(u64, Box<str>)>,
     /// Rows at each position.
     history: BTreeMap<Position, Rows>,
+    /// Each position, with the time from which it held.
+    reached: Vec<(Time, Position)>,
 }
 
 impl Platform {
@@ -53,6 +56,7 @@
         };
         let rows = state.rows.clone();
         state.history.insert(position, rows);
+        state.reached.push((clock::now(), position));
         drop(state);
         self.changed.notify_waiters();
     }
@@ -69,6 +73,7 @@
         state.changes = copy.changes.clone();
         let (position, rows) = (state.position, state.rows.clone());
         state.history.insert(position, rows);
+        state.reached.push((clock::now(), position));
         drop(state);
         self.changed.notify_waiters();
     }
@@ -150,6 +155,16 @@
 }
 
 impl Source for Follower {
+    fn check(&self, after: Position) -> BoxFuture<'_, Result<Page<Row>, Fault>> {
+        async move {
+            match self.cache.check(after, Span::from_millis(50)).await {
+                Some(page) => page.ok_or_else(Platform::gone),
+                None => self.platform.check(after).await,
+            }
+        }
+        .boxed()
+    }
+
     fn read(&self) -> BoxFuture<'_, Result<Page<Row>, Fault>> {
         let failed = self.failed.swap(false, Ordering::Relaxed);
         match self.cache.snapshot() {
@@ -192,6 +207,8 @@
     position: Position,
     rows: Rows,
     events: usize,
+    /// Number of checks that the platform answered.
+    checks: usize,
 }
 
 /// Maximum number of events of a day; far more than it has changes.
@@ -202,6 +219,14 @@
     fn apply(&mut self, event: Event<Row>, platform: &Platform) {
         self.events += 1;
         assert!(self.events < MAX_EVENTS, "{event:?}");
+        if let Event::Checked { asked } = event {
+            self.checks += 1;
+            let state = platform.state();
+            let reached = state.reached.iter().rfind(|(at, _)| *at < asked);
+            let (_, reached) = reached.expect("the platform has rows");
+            let known = self.position;
+            assert!(known >= *reached, "checked at {known}, after {reached}");
+        }
         let Some(position) = event.position() else {
             return;
         };
@@ -233,13 +258,14 @@
     let cache = Arc::new(Cache::new(Span::from_secs(10)));
     let (leader_sender, mut leader_events) = mpsc::unbounded_channel();
     let (follower_sender, mut follower_events) = mpsc::unbounded_channel();
-    let _leader = Watcher::spawn(platform.clone(), SETTINGS, leader_sender);
+    let _leader = Watcher::spawn(platform.clone(), SETTINGS, cache.checks(), leader_sender);
     let source = Arc::new(Follower {
         cache: cache.clone(),
         platform: platform.clone(),
         failed: AtomicBool::new(false),
     });
-    let _follower = Watcher::spawn(source, SETTINGS, follower_sender);
+    let checks = Arc::<Notify>::default();
+    let _follower = Watcher::spawn(source, SETTINGS, checks.clone(), follower_sender);
     let (mut leader, mut follower) = (Reader::default(), Reader::default());
     let day = async {
         let mut copies = Vec::new();
@@ -252,19 +278,26 @@
                     tokio::time::sleep(Duration::from_millis(2)).await;
                 }
             }
+            if key % 3 == 0 {
+                checks.notify_one();
+            }
             let value = present.then(|| format!("{moment} of era {restore}").into_bytes());
             platform.write(&format!("key-{}", key % 3), value);
             if key % 4 == 0 {
                 tokio::time::sleep(Duration::from_millis(1)).await;
             }
         }
+        checks.notify_one();
         platform.state().position
     };
     tokio::pin!(day);
     let mut last = None;
     let limit = tokio::time::sleep(Duration::from_secs(20));
     tokio::pin!(limit);
-    while last.is_none_or(|last| leader.position != last || follower.position != last) {
+    let is_over = |leader: &Reader, follower: &Reader, last| {
+        leader.position == last && follower.position == last && follower.checks > 0
+    };
+    while last.is_none_or(|last| !is_over(&leader, &follower, last)) {
         tokio::select! {
             end = &mut day, if last.is_none() => last = Some(end),
             Some(event) = leader_events.recv() => {
--- a/tests/world/router.rs
+++ b/tests/world/router.rs
@@ -50,11 +50,22 @@
         peer: SocketAddr,
         name: &str,
         arguments: &[&str],
+    ) -> Self {
+        Self::spawn_in("east", store, peer, name, arguments)
+    }
+
+    /// The same in a failure domain.
+    pub(crate) fn spawn_in(
+        domain: &str,
+        store: SocketAddr,
+        peer: SocketAddr,
+        name: &str,
+        arguments: &[&str],
     ) -> Self {
         let folder = tempfile::tempdir().unwrap();
         let (listen, health) = (free_address(), free_address());
         let settings = json!({
-            "node": name, "zone": "east", "ip": peer.ip().to_string(), "a-new-field": [1],
+            "node": name, "zone": domain, "ip": peer.ip().to_string(), "a-new-field": [1],
             "listen": { "front": listen.to_string(), "ready": health.to_string() },
             "port-range": [peer.port(), peer.port() + 1],
             "limits": { "max-fds": 1_000, "cpu-share": 0.5 },
