Find out which routers are gone, and remove their entries

Cause: nothing removed the entry of such a router from the table `routers`, and that list alone decided the size of the fleet and who leads each failure domain. Four live routers among 18 listed ones took lost ones for their leaders, so that the failure domains no longer heard each other.

Change: routers probe those of which nothing was heard, count and rank those that answer, and read lists from these only. The first router of a failure domain marks the entry of one that was silent for ten seconds and removes it five seconds later; a live router that is doubted or removed writes its entry again.

--- a/schema/marlrun.capnp
+++ b/schema/marlrun.capnp
@@ -244,11 +244,14 @@
   number @6 :UInt32; # number of the trial
 }
 
-# Routers whose load a summary contains.
+# Routers whose load a summary contains. A router sends `probe` and `alive` only to routers whose list entry says that they
+# answer probes.
 enum Scope {
   group @0; # the sender and its followers
   follower @1; # the sender, which follows the receiver
   rest @2; # all routers but the receiver
+  probe @3; # none; the receiver answers with `alive`
+  alive @4; # none
 }
 
 # Lists contain absolute values, of the items that changed since the previous summary; all items are repeated from
--- a/src/dispatch/dispatcher/fleet.rs
+++ b/src/dispatch/dispatcher/fleet.rs
@@ -188,6 +188,7 @@
         match (summary.scope, self.topology.followed()) {
             (Scope::Rest, followed) => followed == Some(&summary.router),
             (Scope::Group | Scope::Follower, followed) => followed.is_none(),
+            (Scope::Probe | Scope::Alive, _) => false,
         }
     }
 
--- a/src/dispatch/dispatcher/limit.rs
+++ b/src/dispatch/dispatcher/limit.rs
@@ -78,7 +78,7 @@
     ) {
         let source = match summary.scope {
             Scope::Follower => Source::Follower,
-            Scope::Group | Scope::Rest => Source::Other,
+            Scope::Group | Scope::Rest | Scope::Probe | Scope::Alive => Source::Other,
         };
         let mut is_changed = false;
         for reported in &summary.limits {
@@ -286,7 +286,7 @@
     pub(super) fn group_limits(&self, now: Time, scope: Scope) -> Vec<gossip::Limit> {
         self.reported_limits(now, None, |source| match scope {
             Scope::Follower => source == Source::Own,
-            Scope::Group | Scope::Rest => source != Source::Other,
+            Scope::Group | Scope::Rest | Scope::Probe | Scope::Alive => source != Source::Other,
         })
     }
 
--- a/src/dispatch/dispatcher/summaries.rs
+++ b/src/dispatch/dispatcher/summaries.rs
@@ -449,7 +449,7 @@
         tokens: impl Fn(&Account) -> Tokens,
     ) -> Vec<gossip::Usage> {
         let interval = match scope {
-            Scope::Follower => Span(0),
+            Scope::Follower | Scope::Probe | Scope::Alive => Span(0),
             Scope::Group => GROUP_USAGE_INTERVAL,
             Scope::Rest => REST_USAGE_INTERVAL,
         };
--- a/src/gateway/controller.rs
+++ b/src/gateway/controller.rs
@@ -4,6 +4,7 @@
 use super::{
     Decoder, Driver, Incumbent, Load, Settings, Sources, State,
     caches::{CONFIGURATION, Caches, ROUTERS, TARGETS},
+    cleanup::Cleanup,
     overload::Overload,
     presence::Presence,
     record::Record,
@@ -19,7 +20,12 @@
     unit::{Era, Span, Time},
     upstream, watch,
 };
-use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration,
+};
 use tokio::{sync::mpsc, time::MissedTickBehavior};
 
 /// Interval of the dispatcher's checks of queued requests, silent targets and shares.
@@ -40,6 +46,8 @@
 /// Time after which the configuration is read again if another router reports a newer version: the
 /// long-polling connection may be dead.
 const REREAD_DELAY: Span = Span::from_millis(150);
+/// Interval of looking which routers are to be probed.
+const PROBE_INTERVAL: Span = Span::from_millis(100);
 /// Interval of closing expired idle connections to targets and of updating readiness.
 const SWEEP_INTERVAL: Span = Span::from_millis(500);
 /// Interval of log lines on what workspaces asked for, were granted and lost.
@@ -88,7 +96,10 @@
     pub(super) rejected: BTreeMap<(&'static str, Box<str>), Box<str>>,
     pub(super) incumbent: Incumbent,
     pub(super) presence: Arc<Presence>,
+    pub(super) cleanup: Cleanup,
     pub(super) roster: Roster,
+    /// Routers that this one exchanges loads with while it leads.
+    pub(super) leaders: BTreeSet<id::Router>,
     pub(super) peers: Arc<mirror::Peers>,
     pub(super) caches: Caches,
     pub(super) decoder: Decoder,
@@ -160,6 +171,7 @@
         };
         let mut tick_timer = interval(TICK_INTERVAL);
         let mut summary_timer = interval(SUMMARY_INTERVAL);
+        let mut probe_timer = interval(PROBE_INTERVAL);
         let mut sweep_timer = interval(SWEEP_INTERVAL);
         let mut ledger_timer = interval(LEDGER_INTERVAL);
         let (received, mut summaries) = mpsc::unbounded_channel();
@@ -173,12 +185,13 @@
                 Some(event) = configuration_events.recv() => self.apply_configuration(event),
                 Some(event) = target_events.recv() => self.apply_targets(event),
                 Some(event) = router_events.recv() => self.apply_routers(event),
-                Some((summary, from)) = summaries.recv() => self.receive(summary, from),
+                Some((summary, from)) = summaries.recv() => self.receive(summary, from).await,
                 _ = tick_timer.tick() => self.tick(&watchers),
                 _ = summary_timer.tick() => {
                     self.send_summaries().await;
                     summary_timer.reset_after(Duration::from(summary_interval(self.datagrams, self.roster.is_large())));
                 }
+                _ = probe_timer.tick() => self.probe().await,
                 _ = sweep_timer.tick() => self.sweep(),
                 _ = ledger_timer.tick() => {
                     self.log_ledger();
@@ -344,6 +357,11 @@
         };
         if is_full {
             self.check_presence(&entries, restoration);
+            let is_listed =
+                |router: &id::Router| entries.iter().any(|(listed, _)| listed == router);
+            self.roster.retain_live(is_listed);
+        } else {
+            self.defend_presence(&entries);
         }
         for (router, entry) in entries {
             let rejected = entry.as_ref().err().cloned();
@@ -359,18 +377,39 @@
                 Record::Peer { router, present }.write(&self.log);
             }
         }
+        self.publish_roster();
+    }
+
+    /// Passes the routers in the roster to the sources of lists and the dispatcher.
+    fn publish_roster(&mut self) {
         self.update_list_sources();
+        let leaders = self.roster.other_leaders();
+        self.leaders = leaders.iter().cloned().collect();
         self.driver.step(Event::Roster {
             candidates: self.roster.candidates(),
-            leaders: self.roster.other_leaders(),
+            leaders,
             neighbors: self.roster.neighbors(),
             others: self.roster.len(),
         });
     }
 
+    /// Writes this router's own entry again if a change has removed it, or has marked it as that of a router that is
+    /// gone.
+    fn defend_presence(&self, entries: &[Peer]) {
+        let own = &self.roster.own().router;
+        let is_doubted = match entries.iter().rfind(|(router, _)| router == own) {
+            Some((_, Ok(Some(entry)))) => entry.doubted,
+            Some((_, Ok(None) | Err(_))) => true,
+            None => false,
+        };
+        if is_doubted && !self.state.is_draining() && self.presence.was_written() {
+            self.presence.announce();
+        }
+    }
+
     /// Writes this router's own entry again if the whole list lacks it, or removes it again if the
     /// router shuts down: the platform's list may have come back from a copy. Other routers that are
-    /// missing stay in the roster; they do the same.
+    /// missing stay in the roster while they are alive; they do the same.
     fn check_presence(&self, entries: &[Peer], restoration: Option<Restoration>) {
         let own = self.roster.own();
         let is_listed = |router| entries.iter().any(|(listed, _)| listed == router);
@@ -400,7 +439,7 @@
         let before = self.roster.list_sources().into_iter();
         let before: Vec<SocketAddr> = before.map(|entry| entry.peer).collect();
         let near = self.roster.leaders().into_iter().map(|entry| entry.peer);
-        let far = self.roster.others().map(|entry| entry.peer);
+        let far = self.roster.live_others().map(|entry| entry.peer);
         let mut after: Vec<SocketAddr> = Vec::new();
         for peer in near.chain(far) {
             let known = before.contains(&peer) || after.contains(&peer);
@@ -411,9 +450,51 @@
         self.peers.set(before, after);
     }
 
-    fn receive(&mut self, summary: gossip::Summary, from: SocketAddr) {
+    async fn receive(&mut self, summary: gossip::Summary, from: SocketAddr) {
         self.roster.record_sender(&summary.router, from);
-        self.driver.step(Event::Summary(summary));
+        if self.roster.record_heard(clock::now(), &summary.router) {
+            let router = &summary.router;
+            Record::RouterHeard { router }.write(&self.log);
+            self.publish_roster();
+        }
+        match summary.scope {
+            gossip::Scope::Probe => {
+                let answer = self.bare_summary(gossip::Scope::Alive);
+                self.socket.send(&[from], &answer).await;
+            }
+            gossip::Scope::Alive => {}
+            gossip::Scope::Group | gossip::Scope::Follower | gossip::Scope::Rest => {
+                self.driver.step(Event::Summary(summary));
+            }
+        }
+    }
+
+    fn bare_summary(&self, scope: gossip::Scope) -> gossip::Summary {
+        let own = &self.settings.dispatch;
+        gossip::Summary::bare(own.router.clone(), own.incarnation, scope)
+    }
+
+    /// Probes routers of which nothing was heard for a while, and takes note of those that don't answer.
+    async fn probe(&mut self) {
+        let now = clock::now();
+        let (silent, lost) = self.roster.take_silent(now);
+        if !silent.is_empty() || !lost.is_empty() {
+            let (silent, lost) = (&silent[..], &lost[..]);
+            Record::RoutersSilent { silent, lost }.write(&self.log);
+            self.publish_roster();
+        }
+        let due = match self.driver.followed() {
+            Some(followed) => self
+                .roster
+                .take_due_probes(now, &BTreeSet::from([followed])),
+            None => self.roster.take_due_probes(now, &self.leaders),
+        };
+        let due = due.iter().filter_map(|router| self.roster.address(router));
+        let due: Vec<SocketAddr> = due.collect();
+        if !due.is_empty() {
+            let probe = self.bare_summary(gossip::Scope::Probe);
+            self.socket.send(&due, &probe).await;
+        }
     }
 
     /// Reads the list of routers again if another list shows a later era, and the list of targets
@@ -462,6 +543,9 @@
 
     fn sweep(&mut self) {
         self.pool.sweep();
+        if !self.state.is_draining() {
+            self.cleanup.step(clock::now(), &self.roster.removable());
+        }
         let connections = std::mem::take(&mut self.refused_connections);
         let requests = self.state.take_refused_requests();
         let in_progress = self.state.in_progress();
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -3,6 +3,7 @@
 
 mod caches;
 mod call;
+mod cleanup;
 mod controller;
 mod decisions;
 mod demands;
--- a/src/gateway/presence.rs
+++ b/src/gateway/presence.rs
@@ -1,7 +1,7 @@
 //! This router's own entry in the list of routers.
 
 use super::{Registry, State};
-use crate::unit::Span;
+use crate::{roster, unit::Span};
 use std::{
     sync::{
         Arc,
@@ -19,6 +19,7 @@
 /// Writes this router's entry while it runs, and removes it while it shuts down.
 pub(super) struct Presence {
     registry: Arc<dyn Registry>,
+    entry: roster::Entry,
     state: Arc<State>,
     /// Held during calls, so that no write that has started overtakes the removal.
     calls: Mutex<()>,
@@ -30,11 +31,13 @@
     /// Creates the handle without a call.
     pub(super) fn open(
         registry: Arc<dyn Registry>,
+        entry: roster::Entry,
         state: Arc<State>,
         log: slog::Logger,
     ) -> Arc<Self> {
         Arc::new(Self {
             registry,
+            entry,
             state,
             calls: Mutex::new(()),
             written: AtomicBool::new(false),
@@ -58,7 +61,7 @@
             if self.state.is_draining() {
                 return;
             }
-            match self.registry.register().await {
+            match self.registry.write(&self.entry).await {
                 Ok(()) => {
                     self.written.store(true, Ordering::Relaxed);
                     return slog::info!(self.log, "router entry written");
@@ -76,7 +79,7 @@
     pub(super) async fn withdraw(&self) {
         let removal = async {
             let _turn = self.calls.lock().await;
-            self.registry.remove().await
+            self.registry.remove(&self.entry.router).await
         };
         match tokio::time::timeout(Duration::from(REMOVE_TIMEOUT), removal).await {
             Ok(Ok(())) => {}
--- a/src/gateway/record.rs
+++ b/src/gateway/record.rs
@@ -196,6 +196,13 @@
         entry: &'a str,
         cause: &'a str,
     },
+    /// Listed routers have fallen silent, or have been so for so long that they are probably gone.
+    RoutersSilent {
+        silent: &'a [id::Router],
+        lost: &'a [id::Router],
+    },
+    /// A router that was silent is heard again.
+    RouterHeard { router: &'a id::Router },
     /// Another router was listed, or removed from the list.
     Peer {
         router: &'a id::Router,
@@ -420,6 +427,14 @@
             Record::EntryRejected { list, entry, cause } => {
                 slog::warn!(log, "list entry rejected"; "list" => list, "entry" => entry, "cause" => cause);
             }
+            Record::RoutersSilent { silent, lost } => {
+                let first = silent.first().or(lost.first());
+                slog::warn!(log, "routers silent"; "silent" => silent.len(), "lost" => lost.len(),
+                    "peer" => first.map(id::Router::as_str));
+            }
+            Record::RouterHeard { router } => {
+                slog::info!(log, "router heard again"; "peer" => router.as_str());
+            }
             Record::Peer { router, present } => {
                 slog::info!(log, "router listed"; "peer" => router.as_str(), "present" => present);
             }
--- a/src/gateway/router.rs
+++ b/src/gateway/router.rs
@@ -3,6 +3,7 @@
 use super::{
     Driver, Error, Handler, Incumbent, Settings, Sources, State,
     caches::Caches,
+    cleanup::Cleanup,
     controller::{Controller, ROUTERS_MAX_AGE, TICK_INTERVAL},
     overload::Overload,
     presence::{Presence, REMOVE_TIMEOUT},
@@ -18,7 +19,12 @@
     unit::{Era, Span, Time},
     upstream,
 };
-use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration,
+};
 use tokio::{
     runtime::{Builder, Handle},
     sync::mpsc,
@@ -146,7 +152,9 @@
     slog::info!(log, "router started"; "listen" => %server.address(), "peer" => %peer,
         "domain" => %dispatch.domain, "placement" => %dispatch.policy,
         "release" => env!("CARGO_PKG_VERSION"));
-    let presence = Presence::open(sources.registry.clone(), state.clone(), log.clone());
+    let registry = &sources.registry;
+    let entry = settings.entry.clone();
+    let presence = Presence::open(registry.clone(), entry, state.clone(), log.clone());
     presence.announce();
     let recorder = Recorder::spawn(
         sources.archive.clone(),
@@ -168,6 +176,8 @@
         next_target_refresh: Time::default(),
         incumbent: Incumbent::default(),
         presence: presence.clone(),
+        cleanup: Cleanup::open(registry.clone(), log.clone()),
+        leaders: BTreeSet::new(),
         roster: Roster::new(settings.entry.clone()),
         peers: Arc::default(),
         caches,
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -36,13 +36,13 @@
 /// A decoded configuration, or why it is invalid.
 pub type Configuration = Result<Arc<routing::Table>, Box<str>>;
 
-/// Writes and removes this router's own entry in the list of routers.
+/// Writes and removes entries of the list of routers.
 pub trait Registry: Send + Sync {
-    /// Writes the entry; may be called repeatedly.
-    fn register(&self) -> BoxFuture<'_, Result<(), Fault>>;
+    /// Writes an entry; may be called repeatedly.
+    fn write<'a>(&'a self, entry: &'a roster::Entry) -> BoxFuture<'a, Result<(), Fault>>;
 
-    /// Removes the entry.
-    fn remove(&self) -> BoxFuture<'_, Result<(), Fault>>;
+    /// Removes the entry of a router.
+    fn remove<'a>(&'a self, router: &'a id::Router) -> BoxFuture<'a, Result<(), Fault>>;
 }
 
 /// What routers remember for those that start after all of them were killed.
--- a/src/gossip/codec.rs
+++ b/src/gossip/codec.rs
@@ -76,6 +76,8 @@
         Scope::Group => marlrun_capnp::Scope::Group,
         Scope::Follower => marlrun_capnp::Scope::Follower,
         Scope::Rest => marlrun_capnp::Scope::Rest,
+        Scope::Probe => marlrun_capnp::Scope::Probe,
+        Scope::Alive => marlrun_capnp::Scope::Alive,
     });
     to.set_routers(from.router_count);
     to.set_age_micros(from.age.0);
@@ -266,6 +268,8 @@
             marlrun_capnp::Scope::Group => Scope::Group,
             marlrun_capnp::Scope::Follower => Scope::Follower,
             marlrun_capnp::Scope::Rest => Scope::Rest,
+            marlrun_capnp::Scope::Probe => Scope::Probe,
+            marlrun_capnp::Scope::Alive => Scope::Alive,
         },
         router_count: limit("routers", from.get_routers().into(), MAX_ROUTERS)? as u32,
         age: Span(limit("age", from.get_age_micros(), MAX_AGE_MICROS)?),
--- a/src/gossip/scope.rs
+++ b/src/gossip/scope.rs
@@ -11,4 +11,8 @@
     Follower,
     /// Load of all routers but the recipient, for a follower of the sender.
     Rest,
+    /// No load: the recipient is asked whether it is alive.
+    Probe,
+    /// No load: the answer to a probe.
+    Alive,
 }
--- a/src/gossip/summary.rs
+++ b/src/gossip/summary.rs
@@ -48,3 +48,29 @@
     /// Builds of which targets are listed; empty if none was listed since the previous summary that had them.
     pub builds: Vec<Build>,
 }
+
+impl Summary {
+    /// Returns a summary without any load, which tells no more than that its sender is alive.
+    pub fn bare(router: id::Router, incarnation: id::Incarnation, scope: Scope) -> Self {
+        Self {
+            router,
+            incarnation,
+            sequence: 0,
+            version: Version::default(),
+            leaving: false,
+            scope,
+            router_count: 1,
+            age: Span(0),
+            crowded_permille: None,
+            demand: 0,
+            loads: Vec::new(),
+            usages: Vec::new(),
+            prefills: Vec::new(),
+            origins: Vec::new(),
+            findings: Vec::new(),
+            limits: Vec::new(),
+            pauses: Vec::new(),
+            builds: Vec::new(),
+        }
+    }
+}
--- a/src/platform/registration.rs
+++ b/src/platform/registration.rs
@@ -25,6 +25,10 @@
     domain: id::Domain,
     peer: Box<str>,
     millicores: u32,
+    #[serde(default)]
+    answers_probes: bool,
+    #[serde(default)]
+    doubted: bool,
 }
 
 impl Registration {
@@ -41,6 +45,8 @@
             domain: entry.domain.clone(),
             peer: entry.peer.to_string().into(),
             millicores: entry.millicores,
+            answers_probes: entry.answers_probes,
+            doubted: entry.doubted,
         };
         let value = serde_json::to_vec(&value).map_err(|cause| Fault::Malformed {
             endpoint: "the registration of this router".into(),
@@ -83,5 +89,7 @@
         domain: value.domain,
         peer: decode_address(&value.peer)?,
         millicores: value.millicores,
+        answers_probes: value.answers_probes,
+        doubted: value.doubted,
     })
 }
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -210,6 +210,8 @@
             domain: self.domain.clone(),
             peer: self.peer,
             millicores: self.millicores,
+            answers_probes: true,
+            doubted: false,
         }
     }
 
--- a/src/platform/sources.rs
+++ b/src/platform/sources.rs
@@ -6,7 +6,7 @@
 };
 use crate::{
     gateway::{Configuration, Decoder, Registry, Sources},
-    roster,
+    id, roster,
     unit::Span,
     watch::{Fault, Row},
 };
@@ -23,19 +23,18 @@
 /// milliseconds, but takes a hundred times as long when it is slow.
 const STORE_TIMEOUT: Span = Span::from_millis(700);
 
-/// Registers and deregisters this router in the store.
+/// Registers and deregisters routers in the store.
 struct Registrar {
     store: Store,
-    entry: roster::Entry,
 }
 
 impl Registry for Registrar {
-    fn register(&self) -> BoxFuture<'_, Result<(), Fault>> {
-        Registration::write(&self.store, &self.entry).boxed()
+    fn write<'a>(&'a self, entry: &'a roster::Entry) -> BoxFuture<'a, Result<(), Fault>> {
+        Registration::write(&self.store, entry).boxed()
     }
 
-    fn remove(&self) -> BoxFuture<'_, Result<(), Fault>> {
-        Registration::remove(&self.store, &self.entry.router).boxed()
+    fn remove<'a>(&'a self, router: &'a id::Router) -> BoxFuture<'a, Result<(), Fault>> {
+        Registration::remove(&self.store, router).boxed()
     }
 }
 
@@ -57,10 +56,7 @@
                 },
             },
             archive: Arc::new(Archive::open(store.clone(), settings.entry().router)),
-            registry: Arc::new(Registrar {
-                store,
-                entry: settings.entry(),
-            }),
+            registry: Arc::new(Registrar { store }),
             protocol: Arc::new(Header),
         }
     }
--- a/src/roster/entry.rs
+++ b/src/roster/entry.rs
@@ -14,4 +14,8 @@
     pub peer: SocketAddr,
     /// CPU of the router in millicores; routers with more rank higher as leaders.
     pub millicores: u32,
+    /// It answers probes; routers of earlier releases don't.
+    pub answers_probes: bool,
+    /// Another router found that it is gone. A router that is not gone writes its entry again.
+    pub doubted: bool,
 }
--- a/src/roster/mod.rs
+++ b/src/roster/mod.rs
@@ -4,6 +4,7 @@
 //! follows one router of its failure domain, if possible a leader: it sends its summary to that
 //! router and gets a summary of all others from it.
 
+mod census;
 mod entry;
 mod routers;
 
--- a/src/roster/routers.rs
+++ b/src/roster/routers.rs
@@ -1,7 +1,7 @@
 //! The known routers and the leaders of each failure domain.
 
-use super::Entry;
-use crate::{id, placement::hash};
+use super::{Entry, census::Census};
+use crate::{id, placement::hash, unit::Time};
 use std::{
     cmp::Reverse,
     collections::{BTreeMap, BTreeSet},
@@ -29,6 +29,9 @@
 pub struct Roster {
     own: Entry,
     others: BTreeMap<id::Router, Entry>,
+    census: Census,
+    /// Routers that are lost.
+    lost: BTreeSet<id::Router>,
     /// Addresses of routers that sent something before they were listed.
     senders: BTreeMap<id::Router, SocketAddr>,
 }
@@ -39,6 +42,8 @@
         Self {
             own,
             others: BTreeMap::new(),
+            census: Census::default(),
+            lost: BTreeSet::new(),
             senders: BTreeMap::new(),
         }
     }
@@ -53,6 +58,12 @@
         self.others.values()
     }
 
+    /// Returns the other routers that aren't silent.
+    pub fn live_others(&self) -> impl Iterator<Item = &Entry> {
+        let others = self.others.values();
+        others.filter(|entry| !self.census.is_silent(&entry.router))
+    }
+
     /// Returns the number of other routers.
     pub fn len(&self) -> usize {
         self.others.len()
@@ -75,15 +86,93 @@
         }
         let router = entry.router.clone();
         self.senders.remove(&router);
-        self.others.insert(router, entry.clone()) != Some(entry)
+        let known = self.others.insert(router.clone(), entry.clone());
+        let is_another = known.as_ref().is_none_or(|known| known.peer != entry.peer);
+        if is_another && entry.answers_probes {
+            self.census.add(&router);
+            self.lost.remove(&router);
+        }
+        known != Some(entry)
     }
 
     /// Removes a router; returns whether it was known.
     pub fn remove(&mut self, router: &id::Router) -> bool {
         self.senders.remove(router);
+        self.census.remove(router);
+        self.lost.remove(router);
         self.others.remove(router).is_some()
     }
 
+    /// Removes the silent routers that are not listed any more.
+    pub fn retain_live(&mut self, is_listed: impl Fn(&id::Router) -> bool) {
+        let others = self.others.keys();
+        let gone = others.filter(|router| !is_listed(router) && self.census.is_silent(router));
+        for router in gone.cloned().collect::<Vec<_>>() {
+            self.remove(&router);
+        }
+    }
+
+    /// Records a datagram of another router; returns whether it was silent.
+    pub fn record_heard(&mut self, now: Time, router: &id::Router) -> bool {
+        self.lost.remove(router);
+        self.census.record_heard(now, router)
+    }
+
+    /// Returns the routers that are to be probed now. `partners` are those that this one exchanges loads with.
+    pub fn take_due_probes(
+        &mut self,
+        now: Time,
+        partners: &BTreeSet<id::Router>,
+    ) -> Vec<id::Router> {
+        self.census
+            .take_due(now, |router| partners.contains(router))
+    }
+
+    /// Returns the routers that have fallen silent, and those that are lost, since the last call.
+    pub fn take_silent(&mut self, now: Time) -> (Vec<id::Router>, Vec<id::Router>) {
+        let silent = self.census.take_silent(now);
+        for router in &silent {
+            let domain = self.domain_of(router).cloned();
+            // What ended it may have ended its neighbours.
+            let others = self.others.values();
+            let others = others.filter(|entry| Some(&entry.domain) == domain.as_ref());
+            others.for_each(|entry| self.census.doubt(&entry.router));
+        }
+        let others = self.others.keys();
+        let lost = others.filter(|router| self.census.is_lost(now, router));
+        let lost: Vec<id::Router> = lost.filter(|r| !self.lost.contains(*r)).cloned().collect();
+        self.lost.extend(lost.iter().cloned());
+        (silent, lost)
+    }
+
+    /// Returns the entries of routers that are lost and that this router is to remove: it ranks first in their failure
+    /// domain, or in the first one that has live routers if theirs has none.
+    pub fn removable(&self) -> Vec<&Entry> {
+        let lost = self.lost.iter();
+        let mut lost: Vec<&Entry> = lost.filter_map(|router| self.others.get(router)).collect();
+        let domains: BTreeSet<&id::Domain> = lost.iter().map(|entry| &entry.domain).collect();
+        let is_own = |domain: &&id::Domain| self.is_responsible_for(domain);
+        let own: BTreeSet<&id::Domain> = domains.into_iter().filter(is_own).collect();
+        lost.retain(|entry| own.contains(&entry.domain));
+        lost
+    }
+
+    fn is_responsible_for(&self, domain: &id::Domain) -> bool {
+        let leads = |domain: &id::Domain| {
+            let ranked = self.ranked(domain);
+            ranked.first().map(|first| first.router == self.own.router)
+        };
+        leads(domain).unwrap_or_else(|| {
+            let first = self.domains().into_iter().find_map(leads);
+            first.unwrap_or_default()
+        })
+    }
+
+    fn domains(&self) -> BTreeSet<&id::Domain> {
+        let all = self.others.values().chain([&self.own]);
+        all.map(|entry| &entry.domain).collect()
+    }
+
     /// Records the address that a router sent from, which has started so recently that it may not be
     /// listed yet.
     pub fn record_sender(&mut self, router: &id::Router, address: SocketAddr) {
@@ -108,9 +197,16 @@
         ranked
     }
 
-    /// Returns the routers of a failure domain in order of rank: most CPU first, then by hash of
-    /// the name.
+    /// Returns the routers of a failure domain that aren't silent in order of rank: most CPU first, then by
+    /// hash of the name.
     fn ranked(&self, domain: &id::Domain) -> Vec<&Entry> {
+        let mut ranked = self.listed(domain);
+        ranked.retain(|entry| !self.census.is_silent(&entry.router));
+        ranked
+    }
+
+    /// Returns the listed routers of a failure domain in the same order.
+    fn listed(&self, domain: &id::Domain) -> Vec<&Entry> {
         let all = self.others.values().chain([&self.own]);
         let mut routers: Vec<&Entry> = all.filter(|entry| entry.domain == *domain).collect();
         routers.sort_by_key(|entry| (Reverse(entry.millicores), hash(entry.router.as_str())));
@@ -126,7 +222,9 @@
 
     /// Reports whether the fleet is so large that its routers exchange their loads through leaders.
     pub fn is_large(&self) -> bool {
-        self.others.len() >= FULL_MESH_SIZE
+        let others = self.others.keys();
+        let live = others.filter(|router| !self.census.is_silent(router));
+        live.count() >= FULL_MESH_SIZE
     }
 
     /// Returns the routers that this one may follow, in order of preference; none if it is a leader
@@ -146,7 +244,7 @@
         let mut candidates: Vec<id::Router> = preceding.take(MAX_CANDIDATES).collect();
         let leaders = candidates.len().min(LEADERS_PER_DOMAIN);
         candidates[..leaders].rotate_left(hash(own.as_str()) as usize % leaders.max(1));
-        let mut distant = self.other_leaders();
+        let mut distant = self.first_of_each(|domain| self.ranked(domain));
         distant.retain(|router| self.domain_of(router) != Some(&self.own.domain));
         let first = hash(own.as_str()) as usize % distant.len().max(1);
         distant.rotate_left(first);
@@ -163,24 +261,39 @@
         let near = self
             .others
             .values()
-            .filter(|entry| entry.domain == self.own.domain);
+            .filter(|entry| entry.domain == self.own.domain && !self.lost.contains(&entry.router));
         near.map(|entry| entry.router.clone()).collect()
     }
 
-    /// Returns the other routers that lead a failure domain; in a small fleet, all other routers.
+    /// Returns the other routers that loads are exchanged with while this one leads: those that lead a failure domain; in
+    /// a small fleet, all that aren't lost. Leaders that have fallen silent get what the others get until they
+    /// are lost, so that it doesn't matter which side of a partition finds first that it is over.
     pub fn other_leaders(&self) -> Vec<id::Router> {
-        let others = self.others.values();
-        if !self.is_large() {
-            return others.map(|entry| entry.router.clone()).collect();
-        }
-        let all = others.chain([&self.own]);
-        let domains: BTreeSet<&id::Domain> = all.map(|entry| &entry.domain).collect();
-        let leaders = domains.into_iter().flat_map(|domain| {
-            let ranked = self.ranked(domain).into_iter().take(LEADERS_PER_DOMAIN);
-            ranked.map(|entry| entry.router.clone())
-        });
+        let mut leaders = self.first_of_each(|domain| self.ranked(domain));
+        let listed = self.first_of_each(|domain| self.listed(domain));
+        let silent = listed
+            .into_iter()
+            .filter(|router| self.census.is_silent(router));
+        leaders.extend(silent.filter(|router| !self.lost.contains(router)));
+        leaders
+    }
+
+    /// Returns the other routers that rank first in each failure domain, as many as lead one; in a small fleet, all.
+    fn first_of_each<'a>(
+        &'a self,
+        rank: impl Fn(&'a id::Domain) -> Vec<&'a Entry>,
+    ) -> Vec<id::Router> {
+        let count = if self.is_large() {
+            LEADERS_PER_DOMAIN
+        } else {
+            usize::MAX
+        };
+        let domains = self.domains().into_iter();
+        let leaders = domains.flat_map(|domain| rank(domain).into_iter().take(count));
+        let leaders = leaders.map(|entry| &entry.router);
         leaders
-            .filter(|router| *router != self.own.router)
+            .filter(|router| **router != self.own.router)
+            .cloned()
             .collect()
     }
 
--- a/src/wire/marlrun_capnp.rs
+++ b/src/wire/marlrun_capnp.rs
@@ -11079,6 +11079,8 @@
     Group = 0,
     Follower = 1,
     Rest = 2,
+    Probe = 3,
+    Alive = 4,
 }
 
 impl ::capnp::introspect::Introspect for Scope {
@@ -11094,6 +11096,8 @@
             0 => ::core::result::Result::Ok(Self::Group),
             1 => ::core::result::Result::Ok(Self::Follower),
             2 => ::core::result::Result::Ok(Self::Rest),
+            3 => ::core::result::Result::Ok(Self::Probe),
+            4 => ::core::result::Result::Ok(Self::Alive),
             n => ::core::result::Result::Err(::capnp::NotInSchema(n)),
         }
     }
@@ -11106,7 +11110,7 @@
     const TYPE_ID: u64 = 0xe5e8_0d02_dc87_05ddu64;
 }
 mod scope {
-pub(crate) static ENCODED_NODE: [::capnp::Word; 30] = [
+pub(crate) static ENCODED_NODE: [::capnp::Word; 38] = [
     ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
     ::capnp::word(221, 5, 135, 220, 2, 13, 232, 229),
     ::capnp::word(14, 0, 0, 0, 2, 0, 0, 0),
@@ -11116,27 +11120,35 @@
     ::capnp::word(21, 0, 0, 0, 162, 0, 0, 0),
     ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(25, 0, 0, 0, 79, 0, 0, 0),
+    ::capnp::word(25, 0, 0, 0, 127, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(109, 97, 114, 108, 114, 117, 110, 46),
     ::capnp::word(99, 97, 112, 110, 112, 58, 83, 99),
     ::capnp::word(111, 112, 101, 0, 0, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-    ::capnp::word(12, 0, 0, 0, 1, 0, 2, 0),
+    ::capnp::word(20, 0, 0, 0, 1, 0, 2, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(29, 0, 0, 0, 50, 0, 0, 0),
+    ::capnp::word(53, 0, 0, 0, 50, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(21, 0, 0, 0, 74, 0, 0, 0),
+    ::capnp::word(45, 0, 0, 0, 74, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(17, 0, 0, 0, 42, 0, 0, 0),
+    ::capnp::word(41, 0, 0, 0, 42, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(3, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(33, 0, 0, 0, 50, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(4, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(25, 0, 0, 0, 50, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(103, 114, 111, 117, 112, 0, 0, 0),
     ::capnp::word(102, 111, 108, 108, 111, 119, 101, 114),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(114, 101, 115, 116, 0, 0, 0, 0),
+    ::capnp::word(112, 114, 111, 98, 101, 0, 0, 0),
+    ::capnp::word(97, 108, 105, 118, 101, 0, 0, 0),
 ];
 pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
     ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
--- a/tests/exchange.rs
+++ b/tests/exchange.rs
@@ -6,6 +6,7 @@
     catalog,
     dispatch::{Action, Batch, Dispatcher, Event, Outcome, Part, Prompt, Request, Settings},
     gateway, gossip, id,
+    roster::Roster,
     routing::{Engine, Kind, Limits, Service, Table},
     unit::{Rate, Span, Time, Version},
 };
@@ -25,6 +26,9 @@
 /// Routers and the network between them.
 struct Net {
     routers: Vec<Option<Dispatcher>>,
+    rosters: Vec<Roster>,
+    /// Routers that are listed and gone.
+    lost: Vec<usize>,
     /// Number of runs of each router so far.
     runs: Vec<u64>,
     /// Pairs of sender and receiver whose datagrams are dropped.
@@ -48,8 +52,15 @@
     }
 
     fn open_sized(routers: usize, targets: usize) -> Self {
+        Self::open_beside(routers, targets, Vec::new())
+    }
+
+    /// Starts routers while others are listed that are gone.
+    fn open_beside(routers: usize, targets: usize, lost: Vec<usize>) -> Self {
         let mut net = Self {
             routers: (0..routers).map(|_| None).collect(),
+            rosters: (0..routers).map(|index| fleet::roster(index, 0)).collect(),
+            lost,
             runs: vec![0; routers],
             cuts: BTreeSet::new(),
             sent: vec![0; routers],
@@ -81,7 +92,51 @@
         let targets = targets.map(|target| (target.name.clone(), target));
         let targets = Event::Targets(targets.collect());
         self.step(index, targets);
-        self.step(index, fleet::event(&fleet::roster(index, self.size())));
+        self.rosters[index] = fleet::roster_beside(index, self.size(), &self.lost);
+        self.publish(index);
+    }
+
+    /// Informs a router of its roster.
+    fn publish(&mut self, index: usize) {
+        let event = fleet::event(&self.rosters[index]);
+        self.step(index, event);
+    }
+
+    /// Records that a router heard another one.
+    fn hear(&mut self, from: usize, to: usize) {
+        let now = Time(self.now_ms * 1_000);
+        if self.rosters[to].record_heard(now, &fleet::name(from)) {
+            self.publish(to);
+        }
+    }
+
+    /// Has a router probe others of which it has heard nothing.
+    fn probe(&mut self, index: usize) {
+        let Some(router) = &self.routers[index] else {
+            return;
+        };
+        let now = Time(self.now_ms * 1_000);
+        let roster = &mut self.rosters[index];
+        let (silent, lost) = roster.take_silent(now);
+        let partners: BTreeSet<id::Router> = match router.followed() {
+            Some(followed) => BTreeSet::from([followed.clone()]),
+            None => roster.other_leaders().into_iter().collect(),
+        };
+        let due = roster.take_due_probes(now, &partners);
+        if !silent.is_empty() || !lost.is_empty() {
+            self.publish(index);
+        }
+        for to in fleet::recipients(index, self.size(), &due) {
+            self.datagrams += 1;
+            if self.routers[to].is_none() || self.cuts.contains(&(index, to)) {
+                continue;
+            }
+            self.hear(index, to);
+            self.datagrams += 1;
+            if !self.cuts.contains(&(to, index)) {
+                self.hear(to, index);
+            }
+        }
     }
 
     fn kill(&mut self, index: usize) {
@@ -192,6 +247,9 @@
                     if self.cuts.contains(&(from, to)) {
                         continue;
                     }
+                    if self.routers[to].is_some() {
+                        self.hear(from, to);
+                    }
                     for summary in &batch.summaries {
                         let bytes = gossip::encode(summary);
                         assert!(bytes.len() <= gossip::MAX_DATAGRAM_BYTES);
@@ -208,6 +266,9 @@
                 if self.now_ms.is_multiple_of(10) {
                     self.step(index, Event::Tick);
                 }
+                if (self.now_ms + index as u64).is_multiple_of(100) {
+                    self.probe(index);
+                }
                 if self.now_ms.is_multiple_of(500) && !self.is_store_away {
                     let age = Span(0);
                     self.step(index, Event::TargetsConfirmed { age });
@@ -225,7 +286,7 @@
         let sent = batches
             .iter()
             .map(|batch| batch.recipients.len() * batch.summaries.len());
-        let is_large = fleet::roster(index, self.size()).is_large();
+        let is_large = self.rosters[index].is_large();
         let interval = gateway::summary_interval(sent.sum::<usize>() as u64, is_large);
         self.next_summary[index] = self.now_ms + interval.as_millis();
         self.batches
@@ -364,6 +425,53 @@
     net.assert_known(&all());
 }
 
+/// Guards against routers that take others for their leaders which are gone.
+#[test]
+fn summarize_beside_lost_routers() {
+    for lost in [4, 14, 40, 200] {
+        for first in [100, 1_000, 5_000, 7_000] {
+            let mut net = Net::open_beside(ROUTERS, 1, (first..first + lost).collect());
+            net.advance(3_000);
+            for index in 0..ROUTERS {
+                net.send_request(index);
+            }
+            net.advance(200);
+            net.assert_known(&all());
+        }
+    }
+}
+
+/// The same for a few routers, which exchange their loads directly.
+#[test]
+fn summarize_few_beside_lost_routers() {
+    for lost in [8, 14, 60] {
+        for first in [100, 1_000, 5_000, 7_000] {
+            let mut net = Net::open_beside(4, 1, (first..first + lost).collect());
+            net.advance(3_000);
+            (0..4).for_each(|index| drop(net.send_request(index)));
+            net.advance(200);
+            net.assert_known(&[0, 1, 2, 3]);
+        }
+    }
+}
+
+/// Guards against followers that find none of those that rank before them.
+#[test]
+fn summarize_most_of_a_domain_killed() {
+    let mut net = Net::open();
+    net.advance(300);
+    for index in 0..ROUTERS {
+        net.send_request(index);
+    }
+    net.advance(100);
+    let near = domain(1);
+    for index in &near[..near.len() - 1] {
+        net.kill(*index);
+    }
+    net.advance(3_000);
+    net.assert_known(&all());
+}
+
 #[test]
 fn summarize_domain_cut() {
     let mut net = Net::open();
@@ -409,9 +517,10 @@
     /// over.
     #[test]
     fn summarize_after_any_faults(
-        faults in prop::collection::vec((0..5_u8, 0..ROUTERS, 0..ROUTERS, 0..600_u64), 1..30)
+        faults in prop::collection::vec((0..5_u8, 0..ROUTERS, 0..ROUTERS, 0..600_u64), 1..30),
+        (lost, first) in (0..60_usize, 100..9_000_usize),
     ) {
-        let mut net = Net::open();
+        let mut net = Net::open_beside(ROUTERS, 1, (first..first + lost).collect());
         net.advance(300);
         for (what, one, other, pause) in faults {
             match what {
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -20,6 +20,8 @@
         domain: domain(index),
         peer: "127.0.0.1:9".parse().unwrap(),
         millicores: 250,
+        answers_probes: true,
+        doubted: false,
     }
 }
 
@@ -32,6 +34,15 @@
     roster
 }
 
+/// Returns the roster as one router has it while others are listed, too.
+pub(crate) fn roster_beside(index: usize, routers: usize, others: &[usize]) -> roster::Roster {
+    let mut roster = roster(index, routers);
+    for other in others {
+        roster.add(entry(*other));
+    }
+    roster
+}
+
 /// Returns the event that informs a dispatcher of the roster.
 pub(crate) fn event(roster: &roster::Roster) -> Event {
     Event::Roster {
--- a/tests/out_of_step.rs
+++ b/tests/out_of_step.rs
@@ -7,12 +7,11 @@
 
 use nix::sys::signal::Signal;
 use std::{
-    io::Read,
-    net::{SocketAddr, TcpStream},
+    net::SocketAddr,
     thread,
     time::{Duration, Instant},
 };
-use world::{Answer, Caller, Fault, Harm, Mesh, Proxy, Router, World, event_of, wait_for};
+use world::{Begun, Fault, Harm, Mesh, Proxy, Router, World, wait_for};
 
 const NEXT_BUILD: &str = "v2";
 /// Events of each stream, and the time between two.
@@ -90,25 +89,14 @@
         }
     }
 
-    /// Begins streams at the routers from an index on, and leaves them; returns the first events of each with the
-    /// request that began it.
-    fn begin(&self, first: usize) -> Vec<(String, String)> {
-        let others = &self.routers[first..];
-        // All of them run before the first caller leaves.
-        let begun: Vec<(String, String, TcpStream)> = thread::scope(|scope| {
-            let calls = (0..STREAMS).map(|number| {
-                let name = format!("q{number}-{}", self.world.store.calls());
-                let router = &others[number % others.len()];
-                scope.spawn(move || {
-                    let (events, stream) = begin(router, &name);
-                    (name, events, stream)
-                })
-            });
-            let calls: Vec<_> = calls.collect();
-            calls.into_iter().map(|call| call.join().unwrap()).collect()
-        });
-        let begun = begun.into_iter();
-        begun.map(|(name, events, _)| (name, events)).collect()
+    /// Begins streams at the routers from an index on.
+    fn begin(&self, first: usize) -> Vec<Begun> {
+        let addresses: Vec<SocketAddr> = self.routers[first..].iter().map(|r| r.listen).collect();
+        let calls = self.world.store.calls();
+        let names: Vec<String> = (0..STREAMS)
+            .map(|number| format!("q{number}-{calls}"))
+            .collect();
+        Begun::open_all(&addresses, &names)
     }
 
     /// Cuts the routers up to an index off from the others and from the store; they still reach each other.
@@ -120,59 +108,9 @@
     }
 
     /// Takes up streams at a router; returns how many went on, and how many of these went on at another build.
-    fn take_up(&self, router: usize, streams: &[(String, String)]) -> (usize, usize) {
-        let address = self.routers[router].listen;
-        let results: Vec<Option<bool>> = thread::scope(|scope| {
-            let calls = streams
-                .iter()
-                .map(|(name, received)| scope.spawn(move || take_up(address, name, received)));
-            let calls: Vec<_> = calls.collect();
-            calls.into_iter().map(|call| call.join().unwrap()).collect()
-        });
-        let joined = results.iter().filter(|result| **result == Some(true));
-        (results.iter().flatten().count(), joined.count())
-    }
-}
-
-/// Takes up a stream, once more if the caller is told to come back; returns whether it went on at another build, `None`
-/// if it didn't go on.
-fn take_up(address: SocketAddr, name: &str, received: &str) -> Option<bool> {
-    let last = received.matches("id: ").count().to_string();
-    for attempt in 0..2 {
-        let request = format!("again{attempt}-{name}");
-        let caller = Caller::stream(address, "plan", &request);
-        let answer = caller
-            .with("resumes", name)
-            .with("last-event-id", &last)
-            .call();
-        if answer.status == 200 {
-            let whole = received.to_owned() + &answer.body;
-            let is_of_one = ["v1", NEXT_BUILD].iter().any(|build| {
-                let events = (1..=EVENTS).map(|number| event_of(build, number));
-                events.collect::<String>() == whole
-            });
-            return Some(!is_of_one);
-        }
-        assert_eq!(answer.status, 503, "{answer:?}");
-        thread::sleep(Duration::from_millis(20));
-    }
-    None
-}
-
-/// Begins a stream and returns its first events.
-fn begin(router: &Router, name: &str) -> (String, TcpStream) {
-    let mut stream: TcpStream = Caller::stream(router.listen, "plan", name).open();
-    let mut bytes = Vec::new();
-    loop {
-        let mut block = [0; 512];
-        let length = stream.read(&mut block).unwrap();
-        assert!(length > 0, "{}", String::from_utf8_lossy(&bytes));
-        bytes.extend_from_slice(&block[..length]);
-        let body = Answer::parse(&bytes, Duration::ZERO).body;
-        let end = body.rfind("\n\n").map_or(0, |end| end + 2);
-        if body[..end].matches("id: ").count() >= 2 {
-            return (body[..end].into(), stream);
-        }
+    fn take_up(&self, router: usize, streams: &[Begun]) -> (usize, usize) {
+        let addresses = [self.routers[router].listen];
+        Begun::take_up_all(streams, &addresses, &[NEXT_BUILD], EVENTS)
     }
 }
 
@@ -186,7 +124,7 @@
     let streams = setting.begin(OUT_OF_STEP + 1);
     let next = streams
         .iter()
-        .filter(|(_, events)| events.contains(NEXT_BUILD));
+        .filter(|stream| stream.events.contains(NEXT_BUILD));
     assert!(next.count() >= STREAMS / 4, "streams begin at both builds");
     let (_, joined) = setting.take_up(OUT_OF_STEP, &streams);
     assert_eq!(joined, 0, "of {STREAMS} streams");
@@ -310,9 +248,8 @@
     setting.world.store.fail(Fault::Silent);
     thread::sleep(Duration::from_secs(5));
     // It doesn't know the request that began it.
-    let unknown = vec![(
-        "q-unknown".to_owned(),
-        (1..=2).map(|n| event_of("v1", n)).collect(),
-    )];
+    let mut unknown = setting.begin(OUT_OF_STEP);
+    unknown.truncate(1);
+    unknown[0].name = "q-unknown".into();
     assert_eq!(setting.take_up(OUT_OF_STEP, &unknown), (1, 0));
 }
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -3,6 +3,7 @@
 // Each test file uses a part of it, and tests wait by the system's clock.
 #![allow(dead_code, unused_imports, clippy::disallowed_methods)]
 
+mod begun;
 mod caller;
 mod connection;
 mod fleet;
@@ -20,6 +21,7 @@
 mod unframed;
 
 pub(crate) use self::{
+    begun::Begun,
     caller::{Answer, Caller},
     connection::{Connection, Reply},
     fleet::Fleet,
@@ -120,10 +122,15 @@
 /// # Panics
 ///
 /// Panics after ten seconds, with what was awaited.
-pub(crate) fn wait_for(what: &str, mut holds: impl FnMut() -> bool) {
-    let limit = Instant::now() + Duration::from_secs(10);
+pub(crate) fn wait_for(what: &str, holds: impl FnMut() -> bool) {
+    wait_within(Duration::from_secs(10), what, holds);
+}
+
+/// Waits until a condition holds, at most for a time.
+pub(crate) fn wait_within(limit: Duration, what: &str, mut holds: impl FnMut() -> bool) {
+    let end = Instant::now() + limit;
     while !holds() {
-        assert!(Instant::now() < limit, "not within 10 s: {what}");
+        assert!(Instant::now() < end, "not within {limit:?}: {what}");
         thread::sleep(Duration::from_millis(10));
     }
 }
--- a/tests/world/store.rs
+++ b/tests/world/store.rs
@@ -121,6 +121,14 @@
         self.shared.write(table, key, None)
     }
 
+    /// Returns the keys of a table.
+    pub(crate) fn keys(&self, table: &str) -> Vec<String> {
+        let state = self.shared.state();
+        let rows = state.rows.iter();
+        let rows = rows.filter(|((of, _), row)| of == table && row.value.is_some());
+        rows.map(|((_, key), _)| key.clone()).collect()
+    }
+
     pub(crate) fn get(&self, table: &str, key: &str) -> Option<Value> {
         let state = self.shared.state();
         let row = state.rows.get(&(table.into(), key.into()))?;
