Divide retries and connections among all listed routers

Callers and targets would see: while routers are cut off from each other, each side used the whole retry budget of a service and all connections of a target, since both were divided among the routers that are heard.

Change: they are divided among those that are listed, heard or not.

Tests: dispatch::retries_of_both_sides_of_a_cut_within_budget (failed before: 216 retries of 600 requests, 170 allowed); connections_of_all_routers_exceed_those_of_a_target has a cut, too (failed before: 7 routers use 125 of 100).

--- a/src/dispatch/dispatcher/fleet.rs
+++ b/src/dispatch/dispatcher/fleet.rs
@@ -86,7 +86,7 @@
     /// Returns this router's part of the connections of one target. What can't be divided evenly goes to some of
     /// the routers, which differ between targets.
     fn max_own_running(&self, service: Option<&routing::Service>, target: u64) -> u32 {
-        let router_count = self.router_count();
+        let router_count = self.fleet_size();
         let all = service.map_or(u32::MAX, |service| service.max_connections);
         let used =
             all / 100 * USED_CONNECTIONS_PERCENT + all % 100 * USED_CONNECTIONS_PERCENT / 100;
@@ -111,7 +111,7 @@
     }
 
     /// Divides the connections and the retry budget among the known routers.
-    fn divide_limits(&mut self) {
+    pub(super) fn divide_limits(&mut self) {
         let mut targets = std::mem::take(&mut self.targets);
         for target in targets.values_mut() {
             let service = self.routing.services.get(&target.entry.service);
@@ -119,7 +119,7 @@
             target.max_own_running = self.max_own_running(service.map(Arc::as_ref), target.key);
         }
         self.targets = targets;
-        let router_count = self.router_count();
+        let router_count = self.fleet_size();
         let extra = self.settings.retry_extra;
         let budgets = self.budgets.values_mut();
         budgets.for_each(|budget| budget.divide(extra, router_count));
@@ -181,6 +181,13 @@
             .sum::<u32>()
     }
 
+    /// Returns the number of routers that divide what a target or a service allows: those that are listed count even if
+    /// they aren't heard, since they may be on the other side of a cut.
+    pub(super) fn fleet_size(&self) -> u32 {
+        let listed = self.listed_routers.unwrap_or_default() as u32;
+        self.router_count().max(listed + 1)
+    }
+
     /// Reports whether a summary applies to this router's role: a follower takes all loads from the
     /// router that it follows; any other router takes them from leading routers and its own
     /// followers. Each load is then counted once.
--- a/src/dispatch/dispatcher/mod.rs
+++ b/src/dispatch/dispatcher/mod.rs
@@ -320,7 +320,10 @@
                 neighbors,
                 others,
             } => {
-                self.listed_routers = Some(others);
+                if self.listed_routers != Some(others) {
+                    self.listed_routers = Some(others);
+                    self.divide_limits();
+                }
                 self.set_roster(now, candidates, leaders, neighbors);
             }
             Event::Shed { count } => self.record_shed(now, count),
@@ -458,7 +461,7 @@
     }
 
     pub(super) fn budget(&mut self, service: &id::Service) -> &mut Budget {
-        let router_count = self.router_count();
+        let router_count = self.fleet_size();
         let settings = &self.settings;
         self.budgets.entry(service.clone()).or_insert_with(|| {
             Budget::part(settings.retry_permille, settings.retry_extra, router_count)
--- a/src/dispatch/dispatcher/notice.rs
+++ b/src/dispatch/dispatcher/notice.rs
@@ -110,7 +110,7 @@
     /// Returns the time from the end of a target's pause until this router sends it requests: all return one after the
     /// other, so that a target which is still full can say so.
     fn return_delay(&self, target: u64) -> Span {
-        let all = Span(RETURN_INTERVAL.0 * u64::from(self.router_count() - 1));
+        let all = Span(RETURN_INTERVAL.0 * u64::from(self.fleet_size() - 1));
         Span(mix(target ^ self.key) % (all.0 + 1))
     }
 
--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -1648,6 +1648,42 @@
     }
 }
 
+/// Guards against a budget that each side of a cut uses in full.
+#[test]
+fn retries_of_both_sides_of_a_cut_within_budget() {
+    for sides in [[3, 3], [1, 5], [2, 5]] {
+        let fleet = sides[0] + sides[1];
+        let mut retries = 0;
+        let mut requests = 0;
+        for side in sides {
+            let engines: Vec<_> = (0..20).map(|n| target(&format!("e{n}"), "llm")).collect();
+            let mut router = ready("r1", &engines);
+            list_routers(&mut router, fleet as usize - 1);
+            announce_routers(&mut router, 0, fleet - 1);
+            // The cut lasts for ten seconds, in which each request breaks off.
+            let mut retried = 0;
+            for (number, millis) in (2_000..12_000).step_by(100).enumerate() {
+                if side > 1 {
+                    announce_routers(&mut router, millis, side - 1);
+                }
+                step(&mut router, millis, Event::Tick);
+                requests += u64::from(side);
+                retried += u64::from(run_once(
+                    &mut router,
+                    millis,
+                    number as u64,
+                    Outcome::Broken,
+                ));
+            }
+            retries += retried * u64::from(side);
+        }
+        assert!(
+            retries * 1_000 <= requests * 200 + 50_000,
+            "{retries} retries of {requests} requests, {sides:?} routers"
+        );
+    }
+}
+
 fn target_of(name: &str, build: &str) -> catalog::Target {
     catalog::Target {
         build: build.into(),
@@ -2436,7 +2472,11 @@
 
 #[test]
 fn connections_of_all_routers_exceed_those_of_a_target() {
-    for (routers, connections) in [(7, 100), (68, 100), (295, 400)] {
+    let fleets = [(7, 100), (68, 100), (295, 400)];
+    let fleets = fleets
+        .into_iter()
+        .flat_map(|fleet| [(fleet, false), (fleet, true)]);
+    for ((routers, connections), is_cut) in fleets {
         let limits = Limits::default();
         let mut table = Table::new(Version(1), limits, true);
         table.add_service(Service {
@@ -2453,7 +2493,14 @@
         for index in 0..routers {
             let mut router = dispatcher(&format!("r{index}x"));
             step(&mut router, 0, Event::Routing(table.clone()));
-            announce_routers(&mut router, 0, routers - 1);
+            list_routers(&mut router, routers as usize - 1);
+            // Some hear only those on their side of a cut.
+            let heard = if is_cut && index % 2 == 1 {
+                routers / 2
+            } else {
+                routers
+            };
+            announce_routers(&mut router, 0, heard - 1);
             step(&mut router, 0, targets(std::slice::from_ref(&app)));
             let requests = 1..=u64::from(connections);
             let sent = requests.filter(|number| {
