--- a/src/front/responder.rs
+++ b/src/front/responder.rs
@@ -22,4 +22,7 @@
         let detail = "the router has reached its connection limit";
         full.then(|| Problem::not_run(detail, Span::from_secs(1)))
     }
+
+    /// Records the time that it took to refuse connections without reading their requests.
+    fn record_refusing(&self, _spent: Span) {}
 }
--- a/src/front/server.rs
+++ b/src/front/server.rs
@@ -158,6 +158,7 @@
             }
             () = &mut close_timer => break,
         };
+        let began = clock::now();
         let served = accepted.and_then(|(stream, _)| serve(stream.into_std()?, &mut refused));
         match served {
             Ok(false) => {}
@@ -171,6 +172,7 @@
                         break;
                     }
                 }
+                handler.record_refusing(clock::now().since(began));
                 tokio::task::yield_now().await;
             }
             Err(_) => tokio::time::sleep(ACCEPT_RETRY).await,
--- a/src/gateway/handler.rs
+++ b/src/gateway/handler.rs
@@ -210,6 +210,10 @@
             overloaded()
         })
     }
+
+    fn record_refusing(&self, spent: Span) {
+        self.context.state.record_refusing(spent);
+    }
 }
 
 fn overloaded() -> Problem {
--- a/src/gateway/record.rs
+++ b/src/gateway/record.rs
@@ -183,6 +183,7 @@
     ConnectionsRefused {
         connections: u64,
         requests: u64,
+        spent: Span,
         in_progress: u32,
         limit: u32,
     },
@@ -384,10 +385,11 @@
             Record::ConnectionsRefused {
                 connections,
                 requests,
+                spent,
                 in_progress,
                 limit,
             } => slog::warn!(log, "connections refused unread"; "connections" => connections,
-                "requests" => requests, "carried" => in_progress, "limit" => limit),
+                "requests" => requests, "spent_ms" => millis(*spent), "carried" => in_progress, "limit" => limit),
             Record::Shares(standing) => slog::info!(log, "shares";
                 "capacity_tokens_per_s" => standing.capacity, "share_tokens" => standing.share,
                 "least_granted_tokens" => standing.least_granted, "pressure" => standing.pressure,
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -33,6 +33,8 @@
     refused_connections: AtomicU64,
     /// Requests refused at the limit after they were read, since they were last logged.
     refused_requests: AtomicU64,
+    /// Time that refusing connections took since it was last logged, in microseconds.
+    refusing_us: AtomicU64,
 }
 
 /// Permit of a request in progress, released when dropped.
@@ -129,6 +131,16 @@
         self.refused_requests.swap(0, Ordering::Relaxed)
     }
 
+    /// Records the time that refusing connections took.
+    pub(super) fn record_refusing(&self, spent: Span) {
+        self.refusing_us.fetch_add(spent.0, Ordering::Relaxed);
+    }
+
+    /// Returns the time that refusing connections took since the last call.
+    pub(super) fn take_refusing(&self) -> Span {
+        Span(self.refusing_us.swap(0, Ordering::Relaxed))
+    }
+
     /// Returns the number of requests in progress.
     pub(super) fn in_progress(&self) -> u32 {
         self.in_progress.load(Ordering::Relaxed)
