--- a/tests/floods.rs
+++ b/tests/floods.rs
@@ -266,3 +266,19 @@
     let simulation = flood_beside_a_limited_one(25);
     assert_abreast_over_six_seconds(&simulation, &[0, 1], 3..16);
 }
+
+/// A flood that begins at all routers of the largest fleet beside one whose callers reach a single router.
+#[test]
+fn flood_ahead_while_it_begins_beside_one_at_a_single_router() {
+    let single = Flow {
+        routers: vec![3],
+        ..large_flood(1)
+    };
+    let late = Flow {
+        during: 5_000..u64::MAX,
+        requests_per_s: 1_200,
+        ..large_flood(0)
+    };
+    let simulation = simulate_large(14, vec![late, single]);
+    assert_abreast_over_six_seconds(&simulation, &[0, 1], 5..14);
+}
