Count what a flood is to get no later when it falls

Cause: delayed what a workspace is to get in both directions. While the share falls, the delayed figure is above it, and the workspace is let catch up on what it isn't to get any more.

Change: only a rise is delayed.

--- a/src/dispatch/share.rs
+++ b/src/dispatch/share.rs
@@ -266,7 +266,7 @@
             let (requested, granted) = known.rates(now);
             let due = target.min(requested * MAX_UNUSED);
             known.owed.add_rate(now, REPORT_SPAN, due, elapsed);
-            let owed = known.owed.rate(now, REPORT_SPAN);
+            let owed = known.owed.rate(now, REPORT_SPAN).min(due);
             known.due.add_rate(now, DEMAND_SPAN, owed, elapsed);
             known.is_refused = requested > limit.max(granted * MIN_UNMET_RATIO);
             if known.is_refused {
