--- a/src/dispatch/share.rs
+++ b/src/dispatch/share.rs
@@ -25,9 +25,6 @@
 const PART_SPAN: Span = Span::from_millis(150);
 /// Time over which the demand and the grants of all workspaces are averaged for the capacity.
 const CAPACITY_SPAN: Span = Span::from_millis(1_000);
-/// Mean time until a grant at another router is reported, in a large fleet: a flood whose grants aren't known
-/// yet isn't behind.
-const REPORT_SPAN: Span = Span::from_millis(250);
 /// Interval of estimating the capacity.
 const OBSERVE_INTERVAL: Span = Span::from_millis(250);
 /// Most that a workspace beyond its share may be granted, as a multiple of what the least-served refused
@@ -64,8 +61,6 @@
     requested: Meter,
     /// Tokens that it was granted at all routers.
     granted: Meter,
-    /// Tokens that are its share, as far as grants within it can have been reported.
-    owed: Meter,
     /// Tokens that were its share meanwhile.
     due: Meter,
     /// It was refused requests at the last tick.
@@ -265,9 +260,7 @@
         for known in self.workspaces.values_mut() {
             let (requested, granted) = known.rates(now);
             let due = target.min(requested * MAX_UNUSED);
-            known.owed.add_rate(now, REPORT_SPAN, due, elapsed);
-            let owed = known.owed.rate(now, REPORT_SPAN).min(due);
-            known.due.add_rate(now, DEMAND_SPAN, owed, elapsed);
+            known.due.add_rate(now, DEMAND_SPAN, due, elapsed);
             known.is_refused = requested > limit.max(granted * MIN_UNMET_RATIO);
             if known.is_refused {
                 self.refused += 1;
