Report a listener that can't be opened again

What operators saw: nothing. A router whose listener was closed because refusing took too much time, and whose address is taken meanwhile, tried to bind it each 20 ms without a line, ready and out of reach.

Change: the first failure of each closure is logged with its cause, in both modes. The new test has the address taken while the listener is closed: one report, and requests are served once it is free.

--- a/src/front/handler.rs
+++ b/src/front/handler.rs
@@ -13,6 +13,7 @@
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use std::{
+    io,
     sync::{
         Arc, RwLock,
         atomic::{AtomicU64, Ordering},
@@ -85,6 +86,10 @@
     fn limits(&self) -> Limits {
         self.limits.clone()
     }
+
+    fn record_unopened(&self, cause: &io::Error) {
+        slog::error!(self.log, "listener not opened again"; "cause" => %cause);
+    }
 }
 
 impl Handler {
--- a/src/front/responder.rs
+++ b/src/front/responder.rs
@@ -5,6 +5,7 @@
 use futures::future::BoxFuture;
 use http::{Request, Response};
 use hyper::body::Incoming;
+use std::io;
 
 /// Request handler of a listener.
 pub trait Responder: Send + Sync {
@@ -31,6 +32,10 @@
     /// Records that new connections are reset for a while, because refusing takes too much time.
     fn record_closed(&self) {}
 
+    /// Records that the listener can't be opened again; it is tried until it can. Called once for each time that it
+    /// was closed.
+    fn record_unopened(&self, _cause: &io::Error) {}
+
     /// Records the time that it took to refuse connections without reading their requests.
     fn record_refusing(&self, _spent: Span) {}
 }
--- a/src/front/server.rs
+++ b/src/front/server.rs
@@ -103,6 +103,7 @@
         throttle: Arc::new(Mutex::new(Throttle::open(clock::now()))),
     };
     let mut refused = Refused::default();
+    let mut is_unopened = false;
     let serve = |stream: net::TcpStream, refused: &mut Refused| -> io::Result<bool> {
         let permit = connections.clone().try_acquire_owned();
         if let Some(problem) = handler.refusal(permit.is_err()) {
@@ -137,9 +138,12 @@
             () = tokio::time::sleep(ROOM_INTERVAL), if socket.is_closed() => {
                 refused.close_expired();
                 let is_full = connections.available_permits() == 0 || handler.is_full();
-                // A socket that can't be opened is tried again after the interval.
                 if !is_full || headroom.throttle().is_recovered(clock::now()) {
-                    let _ = socket.reopen();
+                    let reopened = socket.reopen();
+                    if let Err(cause) = &reopened && !is_unopened {
+                        handler.record_unopened(cause);
+                    }
+                    is_unopened = reopened.is_err();
                 }
                 continue;
             }
--- a/src/gateway/handler.rs
+++ b/src/gateway/handler.rs
@@ -23,6 +23,7 @@
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use std::{
+    io,
     sync::{
         Arc,
         atomic::{AtomicU64, Ordering},
@@ -219,6 +220,11 @@
         self.context.state.record_closed();
     }
 
+    fn record_unopened(&self, cause: &io::Error) {
+        let cause = &cause.to_string();
+        Record::ListenerNotOpened { cause }.write(self.driver.log());
+    }
+
     fn record_refusing(&self, spent: Span) {
         self.context.state.record_refusing(spent);
     }
--- a/src/gateway/record.rs
+++ b/src/gateway/record.rs
@@ -188,6 +188,8 @@
         in_progress: u32,
         limit: u32,
     },
+    /// The listener was closed because refusing took too much time, and can't be opened again.
+    ListenerNotOpened { cause: &'a str },
     /// The router became not ready because of overload, or recovered from it.
     Readiness { overloaded: bool, refused: u64 },
     /// Refusals that have no line of their own; the ledger has them by workspace and reason.
@@ -393,6 +395,9 @@
             } => slog::warn!(log, "connections refused unread"; "connections" => connections,
                 "requests" => requests, "closures" => closures, "spent_ms" => millis(*spent),
                 "carried" => in_progress, "limit" => limit),
+            Record::ListenerNotOpened { cause } => {
+                slog::error!(log, "listener not opened again"; "cause" => cause);
+            }
             Record::Shares(standing) => slog::info!(log, "shares";
                 "capacity_tokens_per_s" => standing.capacity, "share_tokens" => standing.share,
                 "least_granted_tokens" => standing.least_granted, "pressure" => standing.pressure,
--- a/tests/refusing.rs
+++ b/tests/refusing.rs
@@ -11,6 +11,7 @@
     unit::{Span, Time},
 };
 use nix::time::{ClockId, clock_gettime};
+use socket2::{Domain, Socket, Type};
 use std::{
     collections::VecDeque,
     io,
@@ -39,6 +40,8 @@
 /// Responder that takes processor time for each request.
 #[derive(Default)]
 struct Busy {
+    /// Times that the listener could not be opened again.
+    unopened: AtomicU64,
     /// New connections are refused.
     at_limit: AtomicBool,
     /// Processor time that requests took, in nanoseconds.
@@ -73,6 +76,10 @@
         at_limit.then(|| Problem::not_run("at its limit", Span::from_secs(1)))
     }
 
+    fn record_unopened(&self, _: &io::Error) {
+        self.unopened.fetch_add(1, Ordering::Relaxed);
+    }
+
     fn is_full(&self) -> bool {
         self.at_limit.load(Ordering::Relaxed)
     }
@@ -167,11 +174,10 @@
     );
 }
 
-#[test]
-fn listener_stays_closed_when_there_is_room() {
-    let responder = Arc::<Busy>::default();
+/// Connects to a server at its limit until it closes its listener; returns its address.
+fn close_listener(responder: &Arc<Busy>) -> SocketAddr {
     responder.at_limit.store(true, Ordering::Relaxed);
-    let address = serve(&responder);
+    let address = serve(responder);
     let stop = Arc::<AtomicBool>::default();
     let flooders = (0..FLOODERS).map(|_| {
         let stop = stop.clone();
@@ -179,19 +185,61 @@
     });
     let flooders: Vec<_> = flooders.collect();
     thread::sleep(MEASURED);
-    responder.at_limit.store(false, Ordering::Relaxed);
     stop.store(true, Ordering::Relaxed);
     for flooder in flooders {
         flooder.join().unwrap();
     }
-    thread::sleep(Duration::from_millis(200));
+    address
+}
+
+/// Sends a request on a new connection and returns the response.
+fn request(address: SocketAddr) -> String {
     let mut stream = TcpStream::connect(address).unwrap();
     stream
         .write_all(b"GET / HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n")
         .unwrap();
     let mut text = String::new();
     stream.read_to_string(&mut text).unwrap();
-    assert!(text.ends_with("served"), "{text}");
+    text
+}
+
+#[test]
+fn listener_stays_closed_when_there_is_room() {
+    let responder = Arc::<Busy>::default();
+    let address = close_listener(&responder);
+    responder.at_limit.store(false, Ordering::Relaxed);
+    thread::sleep(Duration::from_millis(200));
+    let response = request(address);
+    assert!(response.ends_with("served"), "{response}");
+}
+
+#[test]
+fn listener_not_opened_again_goes_unreported() {
+    let responder = Arc::<Busy>::default();
+    let address = close_listener(&responder);
+    // The address is taken once the listener is closed.
+    let taken = (0..10_000).find_map(|_| {
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+        socket.set_reuse_address(true).unwrap();
+        let listening = socket.bind(&address.into()).and_then(|()| socket.listen(1));
+        if listening.is_err() && responder.unopened.load(Ordering::Relaxed) == 0 {
+            // The listener is open; the next connections close it.
+            drop(TcpStream::connect_timeout(
+                &address,
+                Duration::from_millis(5),
+            ));
+        }
+        listening.ok().map(|()| socket)
+    });
+    assert!(taken.is_some(), "{address} is never free");
+    thread::sleep(Duration::from_millis(300));
+    let reported = responder.unopened.load(Ordering::Relaxed);
+    assert_eq!(reported, 1, "reported {reported} times");
+    drop(taken);
+    responder.at_limit.store(false, Ordering::Relaxed);
+    thread::sleep(Duration::from_millis(200));
+    let response = request(address);
+    assert!(response.ends_with("served"), "{response}");
 }
 
 #[test]
