Count a request that is refused after reading like a connection

Cause: the budget of refusals counted one as five connections, an estimate from the processor of a play.

--- a/src/front/throttle.rs
+++ b/src/front/throttle.rs
@@ -8,10 +8,8 @@
 const MAX_SAVED: f64 = 512.0;
 /// Refusals that are saved up before the listener opens again, so that callers are told when to come back.
 const MIN_SAVED: f64 = 64.0;
-/// Cost of refusing a request after reading it, as a multiple of refusing its connection unread.
-const READ_COST: f64 = 5.0;
 /// Time that refusing a connection unread takes, until it is measured, in seconds.
-const INITIAL_COST: f64 = 10e-6;
+const INITIAL_COST: f64 = 20e-6;
 /// Minimum of that time: clocks may not tell such times apart.
 const MIN_COST: f64 = 1e-6;
 /// Weight of one measurement in the moving average of that time.
@@ -47,9 +45,10 @@
         self.spend(now, connections as f64);
     }
 
-    /// Records a request that was refused after it was read.
+    /// Records a request that was refused after it was read, which takes about as long as refusing its
+    /// connection.
     pub fn record_read(&mut self, now: Time) {
-        self.spend(now, READ_COST);
+        self.spend(now, 1.0);
     }
 
     /// Records the time that closing the listener took, which resets the connections that are waiting.
