--- a/review/standin-2/early.rs
+++ b/review/standin-2/early.rs
@@ -7,6 +7,7 @@
     record::{Record, Tally},
     replica::{Replica, Request},
     store::Store,
+    window::Window,
 };
 use std::{
     collections::HashMap,
@@ -20,8 +21,10 @@
     time::{Duration, Instant},
 };
 
-const CLIENTS: u64 = 6;
-const LENGTH: Duration = Duration::from_secs(25);
+const CLIENTS: u64 = 30;
+const LENGTH: Duration = Duration::from_secs(8);
+/// Length of the disruption: `garble` of the site file has 5.0 s with a share of 0.6.
+const REJECTION: Duration = Duration::from_secs(5);
 const EVENTS: u64 = 10;
 const EVENT_GAP: Duration = Duration::from_millis(8);
 /// Size of a long request, far below `max-body-bytes` (4 MiB).
@@ -56,16 +59,17 @@
     let routes = [route("plan", 2, true), route("sum", 1, false)];
     store.put("op", "config", &fleet::configuration(7, &routes));
     let ledger = Ledger::default();
+    let window = Arc::new(Window::default());
     let servers: Vec<Arc<Replica>> = (0..SERVERS)
         .map(|index| {
-            let (ledger, count) = (ledger.clone(), AtomicU64::new(0));
-            let is_rejecting = is_troubled && index < REJECTING;
+            let (ledger, window) = (ledger.clone(), window.clone());
+            let count = AtomicU64::new(0);
             let handle = move |request: &mut Request<'_>| {
                 let drawn = count.fetch_add(1, Ordering::Relaxed) % REJECTED_EVERY;
                 serve(
                     request,
                     &ledger,
-                    is_rejecting && drawn == REJECTED_EVERY - 1,
+                    index < REJECTING && drawn == REJECTED_EVERY - 1 && window.is_open(),
                 )
             };
             Replica::open(&store, &format!("i-llm{index}"), "llm", handle)
@@ -76,6 +80,10 @@
         return Err(format!("the router isn't ready: {}", router.log()));
     }
     thread::sleep(fleet::STABILITY + Duration::from_millis(500));
+    if is_troubled {
+        record.line("two servers begin to reject requests early");
+        window.begin(REJECTION);
+    }
     let end = Instant::now() + LENGTH;
     let tally = Tally::default();
     thread::scope(|scope| {
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -14,6 +14,7 @@
 mod spoiled;
 mod store;
 mod upgraded;
+mod window;
 
 use record::Record;
 use std::{env, path::Path, process::exit};
--- a/review/standin-2/spoiled.rs
+++ b/review/standin-2/spoiled.rs
@@ -7,6 +7,7 @@
     record::{Record, Tally},
     replica::{self, Replica, Request},
     store::Store,
+    window::Window,
 };
 use std::{
     collections::HashMap,
@@ -25,8 +26,10 @@
 const SPOILING: u64 = 2;
 /// One answer in this many is spoiled by them: 0.029. `garble` of the site file has 0.03.
 const SPOILED_EVERY: u64 = 34;
-const CLIENTS: u64 = 8;
-const LENGTH: Duration = Duration::from_secs(20);
+/// Length of the disruption: `garble` of the site file has 5.0 s with a share of 0.6.
+const SPOILT: Duration = Duration::from_secs(5);
+const CLIENTS: u64 = 24;
+const LENGTH: Duration = Duration::from_secs(8);
 const EVENTS: u64 = 24;
 /// Events that a server writes at a time.
 const BURST: u64 = 4;
@@ -65,14 +68,16 @@
     }];
     store.put("op", "config", &fleet::configuration(7, &routes));
     let ledger = Ledger::default();
+    let window = Arc::new(Window::default());
     let servers: Vec<Arc<Replica>> = (0..SERVERS)
         .map(|index| {
-            let (ledger, count) = (ledger.clone(), AtomicU64::new(0));
+            let (ledger, window) = (ledger.clone(), window.clone());
+            let count = AtomicU64::new(0);
             let name = format!("i-llm{index}");
             let own = name.clone();
             Replica::open(&store, &name, "llm", move |request| {
                 let drawn = count.fetch_add(1, Ordering::Relaxed) % SPOILED_EVERY;
-                let is_spoiled = is_troubled && index < SPOILING && drawn == SPOILED_EVERY - 1;
+                let is_spoiled = index < SPOILING && drawn == SPOILED_EVERY - 1 && window.is_open();
                 stream(request, &own, is_spoiled.then_some(spoiled), &ledger)
             })
         })
@@ -82,6 +87,10 @@
         return Err(format!("the router isn't ready: {}", router.log()));
     }
     thread::sleep(fleet::STABILITY + Duration::from_millis(500));
+    if is_troubled {
+        record.line("two servers begin to spoil answers");
+        window.begin(SPOILT);
+    }
     let end = Instant::now() + LENGTH;
     let tally = Tally::default();
     thread::scope(|scope| {
