--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -5,8 +5,10 @@
 [ -x target/release/marlrund ] && [ -x target/review-2/standin ] || exit 2
 folder=$(mktemp -d) || exit 2
 clean() {
-    # Routers that are still there if the stand-in was ended.
-    [ -f "$folder/pids" ] && while read -r pid; do kill -KILL "$pid"; done <"$folder/pids" 2>/dev/null
+    # Routers that are still there if the stand-in was ended; their environment names the folder.
+    [ -f "$folder/pids" ] && while read -r pid; do
+        grep -qsF "$folder" "/proc/$pid/environ" && kill -KILL "$pid"
+    done <"$folder/pids"
     rm -rf "$folder"
 }
 trap clean EXIT
--- a/review/standin-2/fleet.rs
+++ b/review/standin-2/fleet.rs
@@ -206,14 +206,10 @@
 
 /// Sends a signal to a process that this one started.
 pub fn signal(pid: u32, name: &str) {
-    let status = Command::new("kill")
-        .arg(format!("-{name}"))
-        .arg(pid.to_string())
-        .status();
-    assert!(
-        status.is_ok_and(|status| status.success()),
-        "kill -{name} {pid}"
-    );
+    let command = format!("kill -{name} {pid}");
+    // The shell has it built in; there may be no such program.
+    let status = Command::new("sh").args(["-c", &command]).status();
+    assert!(status.is_ok_and(|status| status.success()), "{command}");
 }
 
 fn spawn(settings: &Path, log: &Path) -> io::Result<Child> {
