Pass on the events before one that is out of order

Cause: the framer recorded the IDs of a write one by one, but returned nothing of the write if one of them was wrong. The relay then resumed after events that it had dropped. The targets' record rules out that the next target skipped them: it was asked to continue after event 14, the caller had 12.

The framer now returns the events before the rejected one together with the fault, and the relay passes them on before it leaves the target. So what is passed on, counted and resumed after is the same, however events are grouped into writes. The same holds while a stream moves away from a silent target.

--- a/src/gateway/framer.rs
+++ b/src/gateway/framer.rs
@@ -22,6 +22,15 @@
     },
 }
 
+/// Received bytes that contain an event that is rejected.
+#[derive(Clone, Debug)]
+pub struct Rejected {
+    /// Events before the rejected one.
+    pub sound: Bytes,
+    /// Why that one is rejected.
+    pub fault: Fault,
+}
+
 /// Splits a byte stream into complete events and checks that their IDs are consecutive.
 #[derive(Clone, Debug, Default)]
 pub struct Framer {
@@ -48,31 +57,50 @@
     ///
     /// # Errors
     ///
-    /// Fails if an event is too large or out of order; none of the buffered bytes are returned
-    /// then.
-    pub fn feed(&mut self, bytes: &[u8]) -> Result<Bytes, Fault> {
+    /// Fails if an event is too large or out of order; the events before it are in order, and come with the
+    /// fault. The bytes after them are discarded.
+    pub fn feed(&mut self, bytes: &[u8]) -> Result<Bytes, Rejected> {
         let scanned = self.partial.len();
         self.partial.extend_from_slice(bytes);
         self.idle_bytes += bytes.len();
         let end = last_boundary(&self.partial, scanned).unwrap_or(0);
         let complete = self.partial.split_to(end).freeze();
-        let lines = complete.split(|byte| *byte == b'\n');
-        let contents = lines.filter(|line| is_content(line)).count() as u64;
-        if contents > 0 {
-            self.contents += contents;
-            self.idle_bytes = self.partial.len();
-        } else if self.idle_bytes > MAX_EVENT_BYTES {
-            return Err(Fault::Oversized);
+        let mut accepted = 0;
+        while accepted < complete.len() {
+            let rest = &complete[accepted..];
+            let event = &rest[..first_boundary(rest)];
+            if let Err(fault) = self.accept(event) {
+                self.partial.clear();
+                let sound = complete.slice(..accepted);
+                return Err(Rejected { sound, fault });
+            }
+            accepted += event.len();
+        }
+        if self.idle_bytes > MAX_EVENT_BYTES {
+            let (sound, fault) = (complete, Fault::Oversized);
+            return Err(Rejected { sound, fault });
         }
-        for number in complete.split(|byte| *byte == b'\n').filter_map(event_id) {
-            if self.last_id.is_some_and(|last| number != last + 1) {
-                let last = self.last_id.unwrap_or_default();
+        Ok(complete)
+    }
+
+    /// Checks a complete event, or comments that end with a blank line, and records it if it is in order.
+    fn accept(&mut self, event: &[u8]) -> Result<(), Fault> {
+        let lines = event.split(|byte| *byte == b'\n');
+        let contents = lines.clone().filter(|line| is_content(line)).count() as u64;
+        let (mut last_id, mut count) = (self.last_id, self.count);
+        for number in lines.filter_map(event_id) {
+            if let Some(last) = last_id.filter(|last| number != last + 1) {
                 return Err(Fault::OutOfOrder { last, got: number });
             }
-            self.last_id = Some(number);
-            self.count += 1;
+            last_id = Some(number);
+            count += 1;
         }
-        Ok(complete)
+        (self.last_id, self.count) = (last_id, count);
+        if contents > 0 {
+            self.contents += contents;
+            self.idle_bytes = self.partial.len();
+        }
+        Ok(())
     }
 
     /// Reports whether no incomplete event is buffered.
@@ -102,15 +130,27 @@
     }
 }
 
+/// Returns the end of the first complete event, or of all bytes if there is none.
+fn first_boundary(bytes: &[u8]) -> usize {
+    let newlines = bytes.iter().enumerate();
+    let mut ends = newlines
+        .filter(|(_, byte)| **byte == b'\n')
+        .map(|(at, _)| at + 1);
+    let end = ends.find(|end| ends_event(&bytes[..*end]));
+    end.unwrap_or(bytes.len())
+}
+
+/// Reports whether bytes end with a blank line.
+fn ends_event(bytes: &[u8]) -> bool {
+    bytes.ends_with(b"\n\n") || bytes.ends_with(b"\n\r\n")
+}
+
 /// Returns the end of the last complete event, which is the end of the last blank line. The bytes
 /// before `scanned` are known to contain no blank line.
 fn last_boundary(bytes: &[u8], scanned: usize) -> Option<usize> {
     // A blank line may begin within the bytes already scanned.
     let from = scanned.saturating_sub(2);
-    let is_boundary = |end: &usize| {
-        let before = &bytes[..*end];
-        before.ends_with(b"\n\n") || before.ends_with(b"\n\r\n")
-    };
+    let is_boundary = |end: &usize| ends_event(&bytes[..*end]);
     (from + 1..=bytes.len()).rev().find(is_boundary)
 }
 
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -42,7 +42,7 @@
     error::Error,
     evacuation::Evacuation,
     evacuations::{Change, Evacuations},
-    framer::Framer,
+    framer::{Fault, Framer, Rejected},
     handler::Handler,
     head::Head,
     incumbent::Incumbent,
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -41,21 +41,33 @@
     /// Whether the target sent something of use: comments, or a byte of an event now and then, are as
     /// good as silence.
     is_progress: bool,
+    /// Why what the target sent after these bytes is rejected.
+    fault: Option<Box<str>>,
 }
 
 impl Mode {
-    fn process(&mut self, bytes: Bytes) -> Result<Processed, Box<str>> {
+    fn process(&mut self, bytes: Bytes) -> Processed {
         let framer = match self {
             Mode::Events(framer) => framer,
             Mode::Bytes(_) => {
                 let is_progress = !bytes.is_empty();
-                return Ok(Processed { bytes, is_progress });
+                return Processed {
+                    bytes,
+                    is_progress,
+                    fault: None,
+                };
             }
         };
         let before = framer.progress();
-        let bytes = framer.feed(&bytes).map_err(|fault| fault.to_string())?;
-        let is_progress = framer.progress() != before;
-        Ok(Processed { bytes, is_progress })
+        let (bytes, fault) = match framer.feed(&bytes) {
+            Ok(bytes) => (bytes, None),
+            Err(rejected) => (rejected.sound, Some(rejected.fault.to_string().into())),
+        };
+        Processed {
+            bytes,
+            is_progress: framer.progress() != before,
+            fault,
+        }
     }
 }
 
@@ -66,6 +78,8 @@
     /// Response being read; `None` once the relay has ended.
     transfer: Option<Transfer>,
     mode: Mode,
+    /// Why the bytes after those that were passed on last are rejected.
+    fault: Option<Box<str>>,
     /// Whether the target sent an event.
     started: bool,
 
@@ -135,6 +149,7 @@
             decisions,
             transfer: Some(transfer),
             mode,
+            fault: None,
             started: false,
             longest_pause: Span(0),
             last_received: Time::default(),
@@ -183,7 +198,11 @@
         }
         loop {
             self.transfer.as_ref()?;
-            let received = match self.receive().await {
+            let received = match self.fault.take() {
+                Some(cause) => Received::Failed(Outcome::Malformed, cause),
+                None => self.receive().await,
+            };
+            let received = match received {
                 Received::Moved(decision) => {
                     let moved = self.proceed(Some(decision), "the target was silent").await;
                     match moved {
@@ -195,13 +214,13 @@
                 received => received,
             };
             let (outcome, cause) = match received {
-                Received::Bytes(bytes) => match self.mode.process(bytes) {
-                    Ok(processed) => match self.pass_on(processed) {
+                Received::Bytes(bytes) => {
+                    let processed = self.mode.process(bytes);
+                    match self.pass_on(processed) {
                         Some(bytes) => return Some(Ok(bytes)),
                         None => continue,
-                    },
-                    Err(cause) => (Outcome::Malformed, cause),
-                },
+                    }
+                }
                 Received::Processed(processed) => match self.pass_on(processed) {
                     Some(bytes) => return Some(Ok(bytes)),
                     None => continue,
@@ -254,6 +273,7 @@
             self.record_received();
             self.record_progress();
         }
+        self.fault = processed.fault;
         (!processed.bytes.is_empty()).then_some(processed.bytes)
     }
 
@@ -406,9 +426,13 @@
                         received = receive_from(&mut self.transfer), if self.transfer.is_some() => {
                             let received = match received {
                                 Received::Bytes(bytes) => match self.mode.process(bytes) {
-                                    Ok(processed) if !processed.is_progress => continue,
-                                    Ok(processed) => Received::Processed(processed),
-                                    Err(cause) => Received::Failed(Outcome::Malformed, cause),
+                                    processed if processed.is_progress => {
+                                        Received::Processed(processed)
+                                    }
+                                    Processed { fault: Some(cause), .. } => {
+                                        Received::Failed(Outcome::Malformed, cause)
+                                    }
+                                    _ => continue,
                                 },
                                 received => received,
                             };
--- a/tests/events.rs
+++ b/tests/events.rs
@@ -31,6 +31,22 @@
     }
 }
 
+/// What is passed on, counted and resumed after must be the same events (review/6).
+#[test]
+fn feed_events_before_rejected_one() {
+    for first in [1, 2, 4] {
+        let text = stream(1, first) + "id: 9\ndata: x\n\n" + &stream(first + 2, 8);
+        let mut framer = Framer::resuming_after(None);
+        let rejected = framer.feed(text.as_bytes()).unwrap_err();
+        assert_eq!(&rejected.sound[..], stream(1, first).as_bytes());
+        assert_eq!(framer.last_id(), Some(first));
+        assert_eq!(framer.count(), first);
+        framer.discard_partial();
+        let rest = stream(first + 1, 8);
+        assert_eq!(&framer.feed(rest.as_bytes()).unwrap()[..], rest.as_bytes());
+    }
+}
+
 proptest! {
     #[test]
     fn feed_any_cuts(cuts in prop::collection::vec(0..400_usize, 0..20), crlf: bool) {
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -17,6 +17,7 @@
 mod repeater;
 mod replica;
 mod router;
+mod spoiling;
 mod store;
 mod unframed;
 
@@ -35,6 +36,7 @@
         event_of,
     },
     router::Router,
+    spoiling::{EVENTS, Spoil, Spoils, bind as bind_spoiling},
     store::{Era, Fault, Store},
     unframed::{Ending, Unframed},
 };
