Don't take an end during an upload for the end of the answer

Cause: the end of the connection is read before the failing write shows the reset, and it ends a body without length or chunks. A reset without such an end was always detected, so it isn't lost later on the way.

The socket of a connection to a target now records whether the whole request was written when the end was read. If it wasn't, an answer whose end isn't marked is broken off: another run where that is allowed, else 502, or a cut. A reset that has followed the end by then counts as a reset.

early_end::answer_that_ends_before_its_request_is_not_whole failed before (200, complete, "3 of eight parts") and passes.

--- a/src/front/exchange/mod.rs
+++ b/src/front/exchange/mod.rs
@@ -216,7 +216,7 @@
         });
         let request = self.build_request(attempt, hop);
         let response = tokio::select! {
-            response = lease.sender.try_send_request(request) => response,
+            response = lease.try_send(request) => response,
             () = caller.disconnected() => return self.cancelled(attempt),
             () = aborted(&mut self.commands, &mut self.rejection, attempt.id) => {
                 return self.cancelled(attempt);
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -49,6 +49,9 @@
 /// `Retry-After` of a request that was not run before its deadline.
 const DEADLINE_RETRY_AFTER: Span = Span::from_millis(1_000);
 
+/// Cause of the failure of a response that [`Exchange::is_cut_short`].
+pub(super) const CUT_SHORT: &str = "the connection ended before the request was sent";
+
 /// Media type of streams of events.
 const EVENT_STREAM: &str = "text/event-stream";
 
@@ -101,9 +104,7 @@
     /// Reports whether the end of the response is marked, by a length or by chunks. It ends with its
     /// connection otherwise.
     pub(super) fn is_framed(&self) -> bool {
-        let headers = &self.head.headers;
-        headers.contains_key(http::header::CONTENT_LENGTH)
-            || headers.contains_key(http::header::TRANSFER_ENCODING)
+        is_framed(&self.head)
     }
 }
 
@@ -314,7 +315,7 @@
             let mut request = self.target_request(estimate);
             let informational = limit_informational(&mut request);
             self.runs.fetch_add(1, Ordering::Relaxed);
-            let sending = lease.sender.try_send_request(request);
+            let sending = lease.try_send(request);
             let sent = tokio::select! {
                 biased;
                 () = informational.notified() => {
@@ -462,6 +463,9 @@
         };
         let body = Limited::new(transfer.body, MAX_BUFFERED_BYTES);
         match body.collect().await {
+            Ok(_) if self.is_cut_short(&transfer.head, &transfer.lease) => {
+                failure(Outcome::Broken, CUT_SHORT.into(), None)
+            }
             Ok(body) => {
                 release(transfer.lease, &transfer.reply);
                 let mut response = Response::new(full_body(body.to_bytes()));
@@ -501,6 +505,9 @@
                     let outcome = outcome_of(&error);
                     return Err(Failure::broken(&transfer, outcome, &error.to_string()));
                 }
+                None if self.is_cut_short(&transfer.head, &transfer.lease) => {
+                    return Err(Failure::broken(&transfer, Outcome::Broken, CUT_SHORT));
+                }
                 None => return Ok((transfer, keep(charge, buffered), true)),
             }
         }
@@ -649,6 +656,17 @@
         record.write(self.submission.driver().log());
     }
 
+    /// Reports whether a response that was read to its end may lack a part. It ended with its connection while
+    /// the request was being sent; what follows such an end may be a reset.
+    pub(super) fn is_cut_short(&self, head: &response::Parts, lease: &upstream::Lease) -> bool {
+        let has_no_body = self.call.method == Method::HEAD
+            || matches!(
+                head.status,
+                StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED
+            );
+        lease.ended_unsent() && !is_framed(head) && !has_no_body
+    }
+
     fn may_have_run(&self) -> bool {
         self.runs.load(Ordering::Relaxed) > 0
     }
@@ -792,6 +810,15 @@
     }
 }
 
+/// Reports whether the end of a response is marked, by a length or by chunks.
+fn is_framed(head: &response::Parts) -> bool {
+    let framing = [
+        http::header::CONTENT_LENGTH,
+        http::header::TRANSFER_ENCODING,
+    ];
+    framing.iter().any(|name| head.headers.contains_key(name))
+}
+
 /// Returns what is notified if the response to a request is preceded by too many informational ones.
 fn limit_informational(request: &mut Request<upstream::Body>) -> Arc<Notify> {
     let exceeded = Arc::new(Notify::new());
--- a/src/gateway/prober.rs
+++ b/src/gateway/prober.rs
@@ -102,7 +102,7 @@
         lease.release();
         return Ok(None);
     }
-    let response = lease.sender.send_request(request).await;
+    let response = lease.send(request).await;
     let (head, body) = response.map_err(io::Error::other)?.into_parts();
     let body = Limited::new(body, MAX_BODY_BYTES).collect().await;
     if body.is_ok() {
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -3,7 +3,7 @@
 use super::{
     Framer,
     decisions::{Decision, Decisions},
-    exchange::{Exchange, Failure, HANDOVER, Transfer, outcome_of, release},
+    exchange::{CUT_SHORT, Exchange, Failure, HANDOVER, Transfer, outcome_of, release},
 };
 use crate::{
     clock,
@@ -231,6 +231,7 @@
                     Some(bytes) => return Some(Ok(bytes)),
                     None => continue,
                 },
+                Received::End if self.is_cut_short() => (Outcome::Broken, CUT_SHORT.into()),
                 Received::End if self.is_complete() => {
                     let rest = self.finish();
                     self.complete();
@@ -348,6 +349,11 @@
         framer.is_at_boundary() && is_whole
     }
 
+    fn is_cut_short(&self) -> bool {
+        let transfer = self.transfer.as_ref();
+        transfer.is_some_and(|transfer| self.exchange.is_cut_short(&transfer.head, &transfer.lease))
+    }
+
     fn is_at_boundary(&self) -> bool {
         match &self.mode {
             Mode::Events(framer) => framer.is_at_boundary(),
--- a/src/probe/prober.rs
+++ b/src/probe/prober.rs
@@ -161,11 +161,7 @@
             .header(header::HOST, target.address.to_string())
             .body(Full::default())
             .ok()?;
-        let response = lease
-            .sender
-            .send_request(request.map(upstream::Body::Left))
-            .await
-            .ok()?;
+        let response = lease.send(request.map(upstream::Body::Left)).await.ok()?;
         let status = response.status();
         let body = Limited::new(response.into_body(), MAX_BODY_BYTES);
         let body = body.collect().await.ok()?.to_bytes();
--- a/src/upstream/mod.rs
+++ b/src/upstream/mod.rs
@@ -1,5 +1,11 @@
 //! HTTP connections to targets.
 
 mod pool;
+mod sending;
+mod upload;
+mod wire;
 
-pub use self::pool::{Body, Lease, Pool};
+pub use self::{
+    pool::{Body, Lease, Pool},
+    upload::Upload,
+};
--- a/src/upstream/pool.rs
+++ b/src/upstream/pool.rs
@@ -1,5 +1,6 @@
 //! Connection pool for targets.
 
+use super::{sending::Sending, upload::Upload, wire::Wire};
 use crate::{
     clock, memory,
     unit::{Span, Time},
@@ -7,7 +8,10 @@
 use bytes::Bytes;
 use http::{Request, Response, header};
 use http_body_util::{BodyExt, Either, Full, Limited};
-use hyper::client::conn::http1;
+use hyper::{
+    body::Incoming,
+    client::conn::{TrySendError, http1},
+};
 use hyper_util::rt::TokioIo;
 use std::{
     collections::HashMap,
@@ -36,7 +40,7 @@
 /// Body of a request to a target: the router's own, or a caller's.
 pub type Body = Either<Full<Bytes>, memory::Body>;
 
-type Sender = http1::SendRequest<Body>;
+type Sender = http1::SendRequest<Upload>;
 
 /// Pool of idle connections, by target address; clones share it.
 #[derive(Clone, Default)]
@@ -53,18 +57,20 @@
 }
 
 /// Task that drives a connection; dropping this aborts the task and closes the connection.
-struct Connection(AbortHandle);
+struct Connection {
+    task: AbortHandle,
+    sending: Arc<Sending>,
+}
 
 impl Drop for Connection {
     fn drop(&mut self) {
-        self.0.abort();
+        self.task.abort();
     }
 }
 
 /// A connection in use; [`Lease::release`] returns it to the pool, and dropping it closes it.
 pub struct Lease {
-    /// Sender of requests on the connection.
-    pub sender: Sender,
+    sender: Sender,
     connection: Connection,
     address: SocketAddr,
     pool: Pool,
@@ -125,7 +131,7 @@
             .headers_mut()
             .insert(header::HOST, host.map_err(io::Error::other)?);
         let mut lease = self.lease(address, true).await?;
-        let response = lease.sender.send_request(request.map(Either::Left)).await;
+        let response = lease.send(request.map(Either::Left)).await;
         let (head, body) = response.map_err(io::Error::other)?.into_parts();
         let body = Limited::new(body, max_bytes).collect().await;
         let body = body.map_err(io::Error::other)?.to_bytes();
@@ -176,6 +182,37 @@
         self.reused
     }
 
+    /// Sends a request.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the connection does.
+    pub async fn send(&mut self, request: Request<Body>) -> hyper::Result<Response<Incoming>> {
+        let sent = self.try_send(request).await;
+        sent.map_err(TrySendError::into_error)
+    }
+
+    /// Sends a request.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the connection does; the error holds the request if no byte of it was sent.
+    pub fn try_send(
+        &mut self,
+        request: Request<Body>,
+    ) -> impl Future<Output = Result<Response<Incoming>, TrySendError<Request<Upload>>>> + use<>
+    {
+        let sending = &self.connection.sending;
+        sending.begin();
+        let request = request.map(|body| Upload::new(body, sending.clone()));
+        self.sender.try_send_request(request)
+    }
+
+    /// Reports whether the target ended the connection before all of the request was sent.
+    pub fn ended_unsent(&self) -> bool {
+        self.connection.sending.ended_unsent()
+    }
+
     /// Returns the connection to the pool; call it only after the response was read completely.
     pub fn release(self) {
         self.release_for(DEFAULT_KEEP_ALIVE);
@@ -209,8 +246,10 @@
     stream.set_nodelay(true)?;
     let mut builder = http1::Builder::new();
     builder.max_buf_size(MAX_READ_BYTES);
-    let handshake = builder.handshake(TokioIo::new(stream)).await;
+    let sending = Arc::new(Sending::default());
+    let wire = Wire::new(stream, sending.clone());
+    let handshake = builder.handshake(TokioIo::new(wire)).await;
     let (sender, connection) = handshake.map_err(io::Error::other)?;
-    let task = tokio::spawn(connection);
-    Ok((sender, Connection(task.abort_handle())))
+    let task = tokio::spawn(connection).abort_handle();
+    Ok((sender, Connection { task, sending }))
 }
--- /dev/null
+++ b/src/upstream/sending.rs
@@ -0,0 +1,44 @@
+//! How far a request has been sent.
+
+use std::sync::atomic::{AtomicBool, Ordering};
+
+/// How far the latest request on a connection has been sent when the target ends the connection.
+#[derive(Debug, Default)]
+pub(super) struct Sending {
+    /// The client has taken all of the body; some of it may still be buffered.
+    is_taken: AtomicBool,
+    /// All bytes were written to the socket.
+    is_sent: AtomicBool,
+    ended_unsent: AtomicBool,
+}
+
+impl Sending {
+    /// Records that a request is about to be sent.
+    pub(super) fn begin(&self) {
+        for flag in [&self.is_taken, &self.is_sent, &self.ended_unsent] {
+            flag.store(false, Ordering::Relaxed);
+        }
+    }
+
+    pub(super) fn record_taken(&self) {
+        self.is_taken.store(true, Ordering::Relaxed);
+    }
+
+    /// Records that no bytes are buffered.
+    pub(super) fn record_flushed(&self) {
+        if self.is_taken.load(Ordering::Relaxed) {
+            self.is_sent.store(true, Ordering::Relaxed);
+        }
+    }
+
+    /// Records that the target ended the connection.
+    pub(super) fn record_end(&self) {
+        if !self.is_sent.load(Ordering::Relaxed) {
+            self.ended_unsent.store(true, Ordering::Relaxed);
+        }
+    }
+
+    pub(super) fn ended_unsent(&self) -> bool {
+        self.ended_unsent.load(Ordering::Relaxed)
+    }
+}
