Reject responses whose status no final response has

Cause: the HTTP library takes any number from 100 to 999 for a status, and nothing checked that a response has one of 200 to 599. 000, 099, signs, letters and other numbers of digits are rejected by the library.

Such a response now counts as bytes that are no answer, in the gateway and in the product's own interface: another run where that is allowed, else 502.

The raw target of continued moves to the world, unchanged.

--- a/src/answer/fault.rs
+++ b/src/answer/fault.rs
@@ -26,6 +26,12 @@
         /// ID of the received event.
         got: u64,
     },
+    /// The status is none of a final response.
+    #[error("the response has status {status}, which is not between 200 and 599")]
+    Status {
+        /// Status code.
+        status: u16,
+    },
     /// The head does not delimit the body.
     #[error(
         "the body has neither Content-Length nor Transfer-Encoding, so truncation could not be detected"
--- a/src/answer/mod.rs
+++ b/src/answer/mod.rs
@@ -2,7 +2,10 @@
 
 mod fault;
 mod framing;
+mod status;
 mod stream;
 mod usage;
 
-pub use self::{fault::Fault, framing::check_framing, stream::Stream, usage::tokens_used};
+pub use self::{
+    fault::Fault, framing::check_framing, status::check_status, stream::Stream, usage::tokens_used,
+};
--- a/src/front/exchange/mod.rs
+++ b/src/front/exchange/mod.rs
@@ -234,6 +234,9 @@
                 };
             }
         };
+        if answer::check_status(response.status()).is_err() {
+            return self.broken(attempt, resume_position(attempt));
+        }
         if !self.belongs_to(attempt, response.headers()) {
             metrics::counter!(metric::CROSSED).increment(1);
             return self.broken(attempt, resume_position(attempt));
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -10,7 +10,7 @@
     submission::Submission,
 };
 use crate::{
-    catalog, clock,
+    answer, catalog, clock,
     dispatch::{Estimate, Event, Outcome, Prompt, Refusal},
     front::{Body, Problem, full_body, header},
     id,
@@ -359,6 +359,9 @@
             metrics::counter!(metric::CROSSED).increment(1);
             return Err(failure(Outcome::Malformed, &cause));
         }
+        if let Err(fault) = answer::check_status(head.status) {
+            return Err(failure(Outcome::Malformed, &fault));
+        }
         self.report_limit(run, sent, &reply);
         if reply.not_run {
             self.runs.fetch_sub(1, Ordering::Relaxed);
--- a/tests/answer.rs
+++ b/tests/answer.rs
@@ -129,3 +129,20 @@
         prop_assert_eq!(String::from_utf8(out).unwrap(), whole);
     }
 }
+
+#[test]
+fn check_status_final() {
+    for (status, is_final) in [
+        (100, false),
+        (101, false),
+        (199, false),
+        (200, true),
+        (599, true),
+        (600, false),
+        (999, false),
+    ] {
+        let status = http::StatusCode::from_u16(status).unwrap();
+        let checked = answer::check_status(status);
+        assert_eq!(checked.is_ok(), is_final, "{status}");
+    }
+}
--- a/tests/continued.rs
+++ b/tests/continued.rs
@@ -2,83 +2,13 @@
 
 mod world;
 
-use serde_json::json;
-use std::{
-    io::{BufRead, BufReader, Read, Write},
-    net::{TcpListener, TcpStream},
-    sync::{
-        Arc,
-        atomic::{AtomicU64, Ordering},
-    },
-    thread,
-    time::Duration,
-};
-use world::{Answer, Caller, Mode, Replica, Router, Store, World, event, wait_for};
+use std::{thread, time::Duration};
+use world::{Answer, Caller, Mode, Raw, Replica, Router, World, event, wait_for};
 
 /// Events of each stream, and those before it breaks off.
 const EVENTS: u64 = 8;
 const BEFORE: u64 = 3;
 
-/// A target that answers each request with the same bytes, in which `{signed}` stands for what signs a response, and closes the
-/// connection.
-struct Raw {
-    requests: Arc<AtomicU64>,
-}
-
-impl Raw {
-    /// Starts a target and registers it.
-    fn bind(store: &Store, service: &str, name: &str, answer: &str) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        let address = listener.local_addr().unwrap();
-        let requests: Arc<AtomicU64> = Arc::default();
-        let (counted, answer) = (requests.clone(), answer.to_owned());
-        thread::spawn(move || {
-            for stream in listener.incoming().map_while(Result::ok) {
-                counted.fetch_add(1, Ordering::Relaxed);
-                if let Some(request) = read(&stream) {
-                    let signed = format!(
-                        "x-marlrun-request-id: {request}\r\nx-marlrun-response-stamp: 1.2.3\r\n"
-                    );
-                    let bytes = answer.replace("{signed}", &signed);
-                    // The router may have closed the connection.
-                    drop((&stream).write_all(bytes.as_bytes()));
-                }
-            }
-        });
-        let entry = json!({
-            "service": service, "address": address.to_string(), "zone": "east", "slots": 64,
-            "state": "ready", "born": 1_700_000_000_000_u64, "seq": 1, "version": "v1",
-        });
-        store.put("servers", name, &entry);
-        Self { requests }
-    }
-
-    fn requests(&self) -> u64 {
-        self.requests.load(Ordering::Relaxed)
-    }
-}
-
-/// Reads a request; returns its identifier.
-fn read(stream: &TcpStream) -> Option<String> {
-    let mut reader = BufReader::new(stream);
-    let (mut name, mut length) = (String::new(), 0);
-    loop {
-        let mut line = String::new();
-        if reader.read_line(&mut line).ok()? == 0 {
-            return None;
-        }
-        match line.to_lowercase().trim().split_once(": ") {
-            Some(("x-marlrun-request-id", value)) => name = value.into(),
-            Some(("content-length", value)) => length = value.parse().unwrap(),
-            _ => {}
-        }
-        if line == "\r\n" {
-            reader.read_exact(&mut vec![0; length]).ok()?;
-            return Some(name);
-        }
-    }
-}
-
 fn events(last: u64) -> String {
     (1..=last).map(event).collect()
 }
--- /dev/null
+++ b/tests/statuses.rs
@@ -0,0 +1,87 @@
+//! End-to-end tests of targets whose answers have a status that no answer has.
+
+mod world;
+
+use std::time::Duration;
+use world::{Caller, Raw, Replica, Router, World, event, wait_for};
+
+/// Statuses that aren't those of an answer; a 199 or 100 that nothing follows is none either.
+const NO_STATUSES: [&str; 16] = [
+    "000", "099", "99", "2000", "", "+20", "2x0", "OK", "100", "101", "199", "600", "700", "999",
+    "1000", "-200",
+];
+const ROUTES: [&str; 4] = ["book", "look", "plan", "sum"];
+const EVENTS: u64 = 5;
+
+/// Returns a signed answer with a status, as a stream if `is_stream` is set.
+fn answer_with(status: &str, is_stream: bool) -> String {
+    let (kind, body) = match is_stream {
+        true => ("text/event-stream", (1..=EVENTS).map(event).collect()),
+        false => ("text/plain", "it is out of order".to_owned()),
+    };
+    let length = body.len();
+    format!(
+        "HTTP/1.1 {status} Oops\r\n{{signed}}content-type: {kind}\r\ncontent-length: {length}\r\n\r\n{body}"
+    )
+}
+
+fn call(router: &Router, route: &str, request: &str) -> world::Answer {
+    let caller = match route {
+        "plan" | "sum" => Caller::stream(router.listen, route, request),
+        _ => Caller::new(router.listen, "POST", &format!("/{route}/x"), request),
+    };
+    caller.with("x-marlrun-deadline-ms", "1500").call()
+}
+
+/// A router that takes bytes of a target in trouble for an answer passes them on with its signature.
+#[test]
+fn status_that_no_answer_has_is_not_passed_on() {
+    for status in NO_STATUSES {
+        let world = World::open(0, 0);
+        let router = Router::ready(&world.store, "r1");
+        let targets = [("llm", true), ("app", false)].map(|(service, is_stream)| {
+            Raw::bind(
+                &world.store,
+                service,
+                &format!("i-{service}"),
+                &answer_with(status, is_stream),
+            )
+        });
+        wait_for("the targets are listed", || {
+            router.log().contains("\"live\":2")
+        });
+        for route in ROUTES {
+            let answer = call(&router, route, &format!("q-{route}"));
+            let case = format!("{status:?} on {route}: {answer:?}");
+            assert!([502, 504].contains(&answer.status), "{case}");
+            assert_eq!(answer.header("x-marlrun-response-stamp"), None, "{case}");
+        }
+        for target in targets {
+            assert!(target.requests() > 0, "{status:?}");
+        }
+    }
+}
+
+/// The head of one target must not come with the events of another.
+#[test]
+fn stream_begins_elsewhere_after_status_that_no_answer_has() {
+    for status in ["101", "600", "999"] {
+        let world = World::open(0, 0);
+        let router = Router::ready(&world.store, "r1");
+        let first = Raw::bind(&world.store, "llm", "i-a", &answer_with(status, true));
+        wait_for("the target is listed", || {
+            router.log().contains("\"live\":1")
+        });
+        let other = Replica::bind(&world.store, "llm", "i-b");
+        other.pace(EVENTS, Duration::from_millis(5));
+        wait_for("both targets are listed", || {
+            router.log().contains("\"live\":2")
+        });
+        for number in 0..8 {
+            let answer = call(&router, "plan", &format!("q{number}"));
+            assert_eq!((answer.status, answer.whole), (200, true), "{answer:?}");
+            assert_eq!(answer.body, (1..=EVENTS).map(event).collect::<String>());
+        }
+        assert!(first.requests() > 0, "{status}");
+    }
+}
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -14,6 +14,7 @@
 #[path = "../common/process.rs"]
 mod process;
 mod proxy;
+mod raw;
 mod repeater;
 mod replica;
 mod router;
@@ -30,6 +31,7 @@
     mesh::Mesh,
     process::free_address,
     proxy::{Harm, Proxy},
+    raw::Raw,
     repeater::{Copy, Repeater},
     replica::{
         FIRST_BUILD, FIRST_START_MS, HEALTH_PATH, Mode, Replica, Run, Stage, WarmUp, event,
