Don't resume streams of the own mode after an ID out of order

A break in a series of consecutive IDs now ends the possibility to resume, and a resumed stream has to go on with a number.

answer::resume_at_disordered_ids and resume_event_without_number failed on the stream check before (After("5"); passed on) and pass.

--- a/src/answer/fault.rs
+++ b/src/answer/fault.rs
@@ -26,6 +26,12 @@
         /// ID of the received event.
         got: u64,
     },
+    /// A resumed stream continues with an event without a number.
+    #[error("the resumed stream continues with an event without a number instead of {expected}")]
+    Unnumbered {
+        /// ID of the next event.
+        expected: u64,
+    },
     /// The status is none of a final response.
     #[error("the response has status {status}, which is not between 200 and 599")]
     Status {
--- a/src/answer/stream.rs
+++ b/src/answer/stream.rs
@@ -27,6 +27,9 @@
     has_event_without_id: bool,
     /// The IDs so far are consecutive numbers.
     consecutive: bool,
+    /// An ID did not follow the consecutive ones before it, so that no target can be told where to
+    /// resume.
+    disordered: bool,
     /// The stream was resumed and has not delivered a new event since.
     resumed: bool,
     /// The `[DONE]` event was received.
@@ -54,8 +57,8 @@
     ///
     /// # Errors
     ///
-    /// Fails if an event is too large, a resumed stream has a gap, or bytes follow the `[DONE]`
-    /// event.
+    /// Fails if an event is too large, a resumed stream has a gap or begins with an event without a
+    /// number, or bytes follow the `[DONE]` event.
     pub fn feed(&mut self, bytes: &[u8], out: &mut Vec<u8>) -> Result<(), Fault> {
         self.incomplete.extend_from_slice(bytes);
         let incomplete = std::mem::take(&mut self.incomplete);
@@ -91,6 +94,7 @@
             }
             self.record_id(id);
         } else if fields.has_data && !fields.done {
+            self.check_resumed()?;
             self.has_event_without_id = true;
         }
         self.done = fields.done;
@@ -119,7 +123,20 @@
                 expected: last + 1,
                 got,
             }),
-            _ => Ok(false),
+            Ok(_) => Ok(false),
+            Err(_) => self.check_resumed().map(|()| false),
+        }
+    }
+
+    /// Rejects an event without a number where a resumed stream has to go on with one: it may have been
+    /// forwarded before.
+    fn check_resumed(&self) -> Result<(), Fault> {
+        match self.last_number() {
+            Some(last) if self.resumed && self.consecutive => {
+                let expected = last + 1;
+                Err(Fault::Unnumbered { expected })
+            }
+            _ => Ok(()),
         }
     }
 
@@ -127,7 +144,9 @@
         let number = id.parse::<u64>().ok();
         let expected = self.last_number().map(|last| last + 1);
         let first = self.last_id.is_none();
-        self.consecutive &= number.is_some() && (first || number == expected);
+        let follows = number.is_some() && (first || number == expected);
+        self.disordered |= self.consecutive && !first && !follows;
+        self.consecutive &= follows;
         self.last_id = Some(id.into());
         self.resumed = false;
     }
@@ -164,7 +183,9 @@
     /// Returns the position from which another target can resume the stream.
     pub fn resume_at(&self) -> ingress::Resume {
         match &self.last_id {
-            _ if self.done || self.has_event_without_id => ingress::Resume::Never,
+            _ if self.done || self.has_event_without_id || self.disordered => {
+                ingress::Resume::Never
+            }
             Some(last) => ingress::Resume::After(last.clone()),
             None => ingress::Resume::Start,
         }
--- a/tests/answer.rs
+++ b/tests/answer.rs
@@ -73,6 +73,29 @@
     assert_eq!(stream.resume_at(), ingress::Resume::Never);
 }
 
+/// An ID that doesn't follow the ones before it tells no target where to resume (review/6, review/7).
+#[test]
+fn resume_at_disordered_ids() {
+    for id in ["5", "1", "3x", "-3", "99999999999999999999999"] {
+        let mut stream = Stream::open();
+        let text = format!("id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: {id}\ndata: c\n\n");
+        assert_eq!(feed(&mut stream, &text).as_deref(), Ok(&*text));
+        assert_eq!(stream.resume_at(), ingress::Resume::Never, "{id}");
+    }
+}
+
+#[test]
+fn resume_event_without_number() {
+    for event in ["id: 3x\ndata: c\n\n", "data: c\n\n"] {
+        let mut stream = Stream::open();
+        feed(&mut stream, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n").expect("valid events");
+        stream.resume();
+        let expected = answer::Fault::Unnumbered { expected: 3 };
+        assert_eq!(feed(&mut stream, event), Err(expected));
+        assert_eq!(stream.resume_at(), ingress::Resume::After("2".into()));
+    }
+}
+
 /// Returns the events after the one with ID `after`, including `[DONE]`.
 fn events_after(after: u64, count: u64) -> String {
     let events = (after + 1..=count).map(|id| format!("id: {id}\ndata: token {id}\n\n"));
