Pass on a target's 3xx or 4xx on a stream's route as its answer

Cause: each answer below 500 on a stream's route was taken for a stream of events. Its end counted as a break within an event, and its target as faulty.

Only a 2xx begins a stream now. Other answers go the way of those on other routes: unchanged, whole or not at all, and they count as answers.

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -265,7 +265,8 @@
     /// Sends the request to a target, and buffers a response that is not a stream.
     async fn fetch(&self, estimate: &Estimate) -> Result<Fetched, Failure> {
         let transfer = self.attempt(estimate).await?;
-        if self.call.route.kind.is_stream() {
+        // Another status is the target's answer to the request, which no other target continues.
+        if self.call.route.kind.is_stream() && transfer.head.status.is_success() {
             return Ok(Fetched::Stream(transfer));
         }
         self.buffer(transfer).await.map(Fetched::Buffered)
--- a/tests/statuses.rs
+++ b/tests/statuses.rs
@@ -85,3 +85,45 @@
         assert!(first.requests() > 0, "{status}");
     }
 }
+
+/// A router that takes each answer on a stream's route for events closes the caller's connection without one, or adds
+/// the events of another target (review/8).
+#[test]
+fn rejection_by_target_is_passed_on_unchanged() {
+    let statuses = [300, 302, 307, 400, 403, 404, 409, 410, 413, 422, 431, 499];
+    let body = "{\"error\":\"not for you\"}";
+    let length = body.len();
+    let framings = [
+        format!("content-length: {length}\r\n\r\n{body}"),
+        format!("transfer-encoding: chunked\r\n\r\n{length:x}\r\n{body}\r\n0\r\n\r\n"),
+        format!("\r\n{body}"),
+    ];
+    for framing in framings {
+        let world = World::open(0, 0);
+        let router = Router::ready(&world.store, "r1");
+        let targets = ["llm", "app"]
+            .map(|service| Raw::bind(&world.store, service, &format!("i-{service}"), ""));
+        wait_for("the targets are listed", || {
+            router.log().contains("\"live\":2")
+        });
+        let mut calls = 0;
+        for status in statuses {
+            let answer = format!(
+                "HTTP/1.1 {status} No\r\n{{signed}}content-type: application/json\r\n{framing}"
+            );
+            targets
+                .iter()
+                .for_each(|target| target.answer_with(&answer));
+            for route in ROUTES {
+                calls += 1;
+                let answer = call(&router, route, &format!("q{calls}"));
+                let case = format!("{status} on {route}, {framing:?}: {answer:?}");
+                assert_eq!((answer.status, answer.whole), (status, true), "{case}");
+                let stamp = answer.header("x-marlrun-response-stamp");
+                assert_eq!((&*answer.body, stamp), (body, Some("1.2.3")), "{case}");
+            }
+        }
+        let requests: u64 = targets.iter().map(Raw::requests).sum();
+        assert_eq!(requests, calls, "{framing:?}: each runs once");
+    }
+}
--- a/tests/world/raw.rs
+++ b/tests/world/raw.rs
@@ -6,7 +6,7 @@
     io::{BufRead, BufReader, Read, Write},
     net::{TcpListener, TcpStream},
     sync::{
-        Arc,
+        Arc, Mutex,
         atomic::{AtomicU64, Ordering},
     },
     thread,
@@ -16,6 +16,7 @@
 /// connection.
 pub(crate) struct Raw {
     requests: Arc<AtomicU64>,
+    answer: Arc<Mutex<String>>,
 }
 
 impl Raw {
@@ -24,7 +25,8 @@
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let address = listener.local_addr().unwrap();
         let requests: Arc<AtomicU64> = Arc::default();
-        let (counted, answer) = (requests.clone(), answer.to_owned());
+        let answer = Arc::new(Mutex::new(answer.to_owned()));
+        let (counted, current) = (requests.clone(), answer.clone());
         thread::spawn(move || {
             for stream in listener.incoming().map_while(Result::ok) {
                 counted.fetch_add(1, Ordering::Relaxed);
@@ -32,7 +34,7 @@
                     let signed = format!(
                         "x-marlrun-request-id: {request}\r\nx-marlrun-response-stamp: 1.2.3\r\n"
                     );
-                    let bytes = answer.replace("{signed}", &signed);
+                    let bytes = current.lock().unwrap().replace("{signed}", &signed);
                     // The router may have closed the connection.
                     drop((&stream).write_all(bytes.as_bytes()));
                 }
@@ -43,7 +45,12 @@
             "state": "ready", "born": 1_700_000_000_000_u64, "seq": 1, "version": "v1",
         });
         store.put("servers", name, &entry);
-        Self { requests }
+        Self { requests, answer }
+    }
+
+    /// Sets the answer from now on.
+    pub(crate) fn answer_with(&self, answer: &str) {
+        answer.clone_into(&mut self.answer.lock().unwrap());
     }
 
     pub(crate) fn requests(&self) -> u64 {
