--- a/src/gateway/framer.rs
+++ b/src/gateway/framer.rs
@@ -1,6 +1,6 @@
 //! Framing of streams of server-sent events, whose IDs tell whether they are in order.
 
-use super::sequence::{Disorder, Sequence, Verdict, parse};
+use super::sequence::{Disorder, Sequence, Verdict, parse_number};
 use bytes::{Bytes, BytesMut};
 
 /// Maximum number of bytes from one event to the end of the next one, comments included; typical events
@@ -30,6 +30,7 @@
 /// Splits a byte stream into complete events and checks that they are in order.
 #[derive(Clone, Debug)]
 pub struct Framer {
+    /// Bytes of the incomplete event.
     partial: BytesMut,
     /// Complete events on whose order the next one decides, and comments between them.
     undecided: BytesMut,
@@ -71,29 +72,29 @@
         self.partial.extend_from_slice(bytes);
         self.idle_bytes += bytes.len();
         let end = last_boundary(&self.partial, scanned).unwrap_or(0);
-        let mut complete = self.partial.split_to(end);
-        let mut checked = self.undecided.len();
-        if checked > 0 {
-            self.undecided.extend_from_slice(&complete);
-            complete = self.undecided.split();
+        let complete = self.partial.split_to(end);
+        let mut buffered = std::mem::take(&mut self.undecided);
+        let (mut decided, mut checked) = (0, buffered.len());
+        if buffered.is_empty() {
+            buffered = complete;
+        } else {
+            buffered.extend_from_slice(&complete);
         }
-        let complete = complete.freeze();
-        let mut decided = 0;
-        while checked < complete.len() {
-            let rest = &complete[checked..];
+        while checked < buffered.len() {
+            let rest = &buffered[checked..];
             let event = &rest[..first_boundary(rest)];
+            checked += event.len();
             if let Err(fault) = self.record(event) {
                 self.restart();
-                let sound = complete.slice(..decided);
+                let sound = buffered.split_to(decided).freeze();
                 return Err(Rejected { sound, fault });
             }
-            checked += event.len();
             if self.undecided_count == 0 {
                 decided = checked;
             }
         }
-        self.undecided.extend_from_slice(&complete[decided..]);
-        let sound = complete.slice(..decided);
+        let sound = buffered.split_to(decided).freeze();
+        self.undecided = buffered;
         if self.idle_bytes > MAX_EVENT_BYTES {
             let fault = Fault::Oversized;
             return Err(Rejected { sound, fault });
@@ -188,7 +189,7 @@
 fn number_of(event: &[u8]) -> Option<u64> {
     let mut ids = event.split(|byte| *byte == b'\n').filter_map(id_of);
     match (ids.next(), ids.next()) {
-        (Some(id), None) => parse(id),
+        (Some(id), None) => parse_number(id),
         _ => None,
     }
 }
--- a/src/gateway/sequence.rs
+++ b/src/gateway/sequence.rs
@@ -38,7 +38,9 @@
 
 #[derive(Clone, Copy, Debug)]
 enum Position {
+    /// Before the first event of a stream.
     Start,
+    /// After the event `last`.
     After {
         last: u64,
         /// Difference between two IDs; `None` before the second one.
@@ -47,9 +49,7 @@
     /// After an event without a number, which is undecided.
     UnnumberedStart,
     /// After events without a number, or after the ID that the caller named if that is not a number.
-    Unnumbered {
-        count: u64,
-    },
+    Unnumbered { count: u64 },
 }
 
 /// Position in a stream whose events have IDs that increase by a constant step, or none that are numbers.
@@ -71,7 +71,7 @@
     pub fn open(last: Option<&str>, is_resumable: bool) -> Self {
         let position = match last.map(str::trim) {
             None | Some("") => Position::Start,
-            Some(last) => match parse(last.as_bytes()) {
+            Some(last) => match parse_number(last.as_bytes()) {
                 Some(last) => Position::After { last, step: None },
                 None => Position::Unnumbered { count: 0 },
             },
@@ -183,7 +183,7 @@
 }
 
 /// Returns the number that an ID consists of, if it is one.
-pub(super) fn parse(id: &[u8]) -> Option<u64> {
+pub(super) fn parse_number(id: &[u8]) -> Option<u64> {
     let is_number = id.iter().all(u8::is_ascii_digit);
     let digits = std::str::from_utf8(id).ok().filter(|_| is_number)?;
     digits.parse().ok()
--- a/tests/events.rs
+++ b/tests/events.rs
@@ -196,6 +196,15 @@
     events.collect()
 }
 
+/// Comments without end after an event that waits for the next one must not fill the memory.
+#[test]
+fn feed_endless_comments_after_undecided_event() {
+    let mut framer = Framer::resuming_after(None);
+    framer.feed(b"data: x\n\n").unwrap();
+    let rejected = (0..100_000).find_map(|_| framer.feed(b":\n\n").err());
+    assert_eq!(rejected.unwrap().sound.len(), 0);
+}
+
 proptest! {
     /// Whatever one ID of a target is replaced with, and however events are grouped, the caller gets each piece once
     /// if another target continues.
