Reject events with neither a number nor data

Such an event is rejected on all streams now: events::feed_data_within_id_line and spoiled_ids::stream_does_not_lose_data_that_is_part_of_an_id.

--- a/src/gateway/framer.rs
+++ b/src/gateway/framer.rs
@@ -13,6 +13,9 @@
     /// There is no event within [`MAX_EVENT_BYTES`].
     #[error("no event ends within {MAX_EVENT_BYTES} bytes")]
     Oversized,
+    /// An event has neither a number nor data; its data may have become a part of its ID.
+    #[error("received an event with neither a number nor data")]
+    Empty,
     /// An event is out of order.
     #[error(transparent)]
     Disorder(#[from] Disorder),
@@ -104,10 +107,16 @@
 
     /// Records a complete event, or comments that end with a blank line, unless it is out of order.
     fn record(&mut self, event: &[u8]) -> Result<(), Fault> {
-        if !event.split(|byte| *byte == b'\n').any(is_content) {
+        let lines = event.split(|byte| *byte == b'\n');
+        let has_data = lines.clone().any(is_data);
+        if !has_data && lines.filter_map(id_of).next().is_none() {
             return Ok(());
         }
-        match self.sequence.record(number_of(event))? {
+        let number = number_of(event);
+        if !has_data && number.is_none() {
+            return Err(Fault::Empty);
+        }
+        match self.sequence.record(number)? {
             Verdict::InOrder => self.count += 1 + std::mem::take(&mut self.undecided_count),
             Verdict::Undecided => self.undecided_count += 1,
         }
@@ -180,9 +189,9 @@
     (from + 1..=bytes.len()).rev().find(is_boundary)
 }
 
-/// Reports whether a line belongs to an event that brings something.
-fn is_content(line: &[u8]) -> bool {
-    line.starts_with(b"data") || id_of(line).is_some()
+/// Reports whether a line has data of an event.
+fn is_data(line: &[u8]) -> bool {
+    line.starts_with(b"data")
 }
 
 /// Returns the number in the ID of an event; `None` if it has no ID, another one or several.
--- a/tests/events.rs
+++ b/tests/events.rs
@@ -160,6 +160,16 @@
     assert_eq!(framer.count(), 2);
 }
 
+#[test]
+fn feed_data_within_id_line() {
+    for (is_resumable, before) in [(true, 0), (true, 1), (false, 0), (false, 1)] {
+        let mut framer = Framer::open(None, is_resumable);
+        let text = stream(1, before) + "id: 2 data: y\n\nid: 3\ndata: z\n\n";
+        let rejected = framer.feed(text.as_bytes()).unwrap_err();
+        assert_eq!(&rejected.sound[..], stream(1, before).as_bytes());
+    }
+}
+
 /// The second event tells whether the others have numbers.
 #[test]
 fn feed_first_event_without_number() {
--- a/tests/spoiled_ids.rs
+++ b/tests/spoiled_ids.rs
@@ -40,6 +40,9 @@
     }),
 ];
 
+/// An ID that swallows the data of its event.
+const DATA_IN_ID: [Form; 1] = [("with data", |number| format!("id: {number}x"))];
+
 /// A router before targets that spoil IDs.
 struct Setup {
     _store: Arc<Store>,
@@ -119,6 +122,12 @@
     assert!(resumed > 40, "{resumed} of 80 streams went on elsewhere");
 }
 
+#[test]
+fn stream_does_not_lose_data_that_is_part_of_an_id() {
+    play("plan", &DATA_IN_ID, &[1, 2, 4, 5, 8]);
+    play("sum", &DATA_IN_ID, &[1, 2, 4, 5, 8]);
+}
+
 #[test]
 fn other_number_cuts_stream_that_is_not_resumable() {
     play("sum", &OTHER_NUMBERS, &[2, 4, 5, 7, 8]);
