Refuse requests that may outlast the shutdown

Cause: nothing compared the time that a run may take with the time that the router has left.

Why it works: the dispatcher knows when the router cuts, and sends only what ends by then, going by the target's estimate, the longest of the recent durations of such requests, and the deadline. The others are refused at once as not run, and their connections close, so that the retry comes to another router. Requests that are queued or whose body still arrives are decided on later by the same function.

--- a/src/dispatch/dispatcher/mod.rs
+++ b/src/dispatch/dispatcher/mod.rs
@@ -8,6 +8,7 @@
 mod notice;
 mod resumption;
 mod selection;
+mod shutdown;
 mod source;
 mod summaries;
 mod warm_up;
@@ -22,6 +23,7 @@
     beginning::Beginning,
     builds::Builds,
     departed::Departed,
+    durations::Durations,
     grade::Grade,
     hazards::Hazards,
     ledger::{Entry, Ledger, Loss},
@@ -145,6 +147,9 @@
     share: Share,
     ledger: Ledger,
     typical: Typical,
+    durations: Durations,
+    /// Time at which requests in progress are cut because the router shuts down.
+    shutdown: Option<Time>,
     accounts: HashMap<u64, Account>,
     /// Moving average of the cost of the generations that arrived.
     mean_cost: f64,
@@ -190,6 +195,8 @@
             settings,
             ledger: Ledger::default(),
             typical: Typical::default(),
+            durations: Durations::default(),
+            shutdown: None,
             routing: Arc::default(),
             max_pauses: BTreeMap::new(),
             targets: BTreeMap::new(),
@@ -380,6 +387,7 @@
                 self.ledger.record_busy(&workspace, tokens);
                 self.add_demand(now, hash(workspace.as_str()), 1.0, tokens);
             }
+            Event::ShuttingDown { at } => self.begin_shutdown(now, at, out),
             Event::Recalled(remembered) => self.recall(now, &remembered, out),
             Event::Tick => self.tick(now, out),
         }
@@ -635,8 +643,11 @@
         let changed = match outcome {
             Outcome::Answered => {
                 target.record_reached(now);
+                let elapsed = now.since(attempt.sent);
+                let lead = attempt.estimate.lead(&attempt.request);
+                self.durations
+                    .record(&attempt.request, elapsed.saturating_sub(lead));
                 if attempt.request.prompt.is_none() {
-                    let elapsed = now.since(attempt.sent);
                     target.speed.observe_service_time(now, elapsed);
                 }
                 target.health.record_success(now)
@@ -750,6 +761,7 @@
         }
         self.expire_awaiting(now, out);
         self.tick_hazards(now, out);
+        self.refuse_too_long(now, out);
         let services: Vec<id::Service> = self.queues.keys().cloned().collect();
         for service in services {
             self.send_queued(now, &service, out);
--- a/src/dispatch/dispatcher/notice.rs
+++ b/src/dispatch/dispatcher/notice.rs
@@ -1,6 +1,9 @@
 //! Announcements of targets, and the requests that no target can serve because of them.
 
-use super::{Dispatcher, NO_TARGET_RETRY_AFTER, OVERLOAD_RETRY_AFTER, Pending, RETRY_AFTER_RANGE};
+use super::{
+    Dispatcher, NO_TARGET_RETRY_AFTER, OVERLOAD_RETRY_AFTER, Pending, RETRY_AFTER_RANGE,
+    shutdown::SHUTDOWN_RETRY_AFTER,
+};
 use crate::{
     catalog,
     dispatch::{
@@ -139,6 +142,9 @@
         ahead: usize,
     ) -> Option<(Reason, Span)> {
         let request = &pending.request;
+        if self.is_too_long(now, pending) {
+            return Some((Reason::Shutdown, SHUTDOWN_RETRY_AFTER));
+        }
         if let Some(until) = self.held_until(pending) {
             return Some((Reason::Hazard, Self::held_retry_after(now, until)));
         }
--- a/src/dispatch/dispatcher/selection.rs
+++ b/src/dispatch/dispatcher/selection.rs
@@ -75,6 +75,9 @@
                 let Some(mut estimate) = estimate else {
                     continue;
                 };
+                if self.is_too_long_at(now, pending, &estimate) {
+                    continue;
+                }
                 if policy == Policy::Alone {
                     estimate.score = u64::from(target.own.running);
                 }
--- a/src/dispatch/estimate.rs
+++ b/src/dispatch/estimate.rs
@@ -1,6 +1,6 @@
 //! Estimate of how a target would serve a request.
 
-use super::{Source, View};
+use super::{Request, Source, View};
 use crate::{id, unit::Span};
 
 /// Estimate of how a target would serve a request, as far as this router knows.
@@ -28,3 +28,14 @@
     /// Score in microseconds of engine time; the target with the lowest score is chosen.
     pub(super) score: u64,
 }
+
+impl Estimate {
+    /// Returns the time until the part of the run whose duration doesn't depend on the target's load: until the
+    /// first event of a generation, or until a plain service begins the request.
+    pub(super) fn lead(&self, request: &Request) -> Span {
+        match request.prompt {
+            Some(_) => self.first_event,
+            None => self.wait,
+        }
+    }
+}
--- a/src/dispatch/event.rs
+++ b/src/dispatch/event.rs
@@ -137,6 +137,11 @@
     },
     /// What routers remembered before this one started was read.
     Recalled(Vec<History>),
+    /// The router shuts down.
+    ShuttingDown {
+        /// Time at which requests that are still in progress are cut.
+        at: Time,
+    },
     /// Time has passed.
     Tick,
 }
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -26,6 +26,7 @@
 mod demand;
 mod departed;
 mod dispatcher;
+mod durations;
 mod estimate;
 mod event;
 mod grade;
--- a/src/dispatch/refusal.rs
+++ b/src/dispatch/refusal.rs
@@ -27,6 +27,8 @@
     Limit,
     /// A part of the prompt has crashed several targets.
     Hazard,
+    /// The router shuts down, and the request may take longer than it has left.
+    Shutdown,
     /// The deadline passed before the request was sent.
     Deadline,
     /// The request has reached its limit of attempts, or must not run twice.
@@ -63,6 +65,7 @@
             Reason::Pause => "the targets asked for a pause that ends too late for the request",
             Reason::Limit => "the targets are at the limits that they named",
             Reason::Hazard => "a part of the prompt has crashed several targets",
+            Reason::Shutdown => "the router shuts down before the request may have ended",
             Reason::Deadline => "the deadline passed before a target was available",
             Reason::Attempts => "the request has no attempts left",
             Reason::Budget => "the retry budget is exhausted",
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -11,7 +11,7 @@
 };
 use crate::{
     answer, catalog, clock,
-    dispatch::{Estimate, Event, Outcome, Prompt, Refusal},
+    dispatch::{Estimate, Event, Outcome, Prompt, Reason, Refusal},
     front::{Body, Problem, full_body, header},
     id,
     memory::Charge,
@@ -741,9 +741,11 @@
         } else {
             Problem::not_run(reason, retry_after)
         };
-        let response = problem
-            .after((!may_have_run).then_some(retry_after))
-            .response();
+        let problem = problem.after((!may_have_run).then_some(retry_after));
+        // The caller's next request on this connection would come to this router, too.
+        let closes = refusal.is_some_and(|refusal| refusal.reason == Reason::Shutdown);
+        let problem = if closes { problem.closing() } else { problem };
+        let response = problem.response();
         self.record_refusal(
             response.status(),
             reason,
--- a/src/gateway/router.rs
+++ b/src/gateway/router.rs
@@ -16,7 +16,7 @@
     cache_events::Readers,
     catalog::Catalog,
     clock,
-    dispatch::Dispatcher,
+    dispatch::{Dispatcher, Event},
     front, gossip, health, memory, metric, mirror, partition,
     roster::Roster,
     unit::{Era, Span, Time},
@@ -26,7 +26,6 @@
     collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
     sync::Arc,
-    time::Duration,
 };
 use tokio::{
     runtime::{Builder, Handle},
@@ -248,11 +247,13 @@
             .map(|(own, _)| own.running)
             .sum::<u32>();
         slog::info!(log, "shutting down"; "running" => running);
+        let used = Span(REMOVE_TIMEOUT.0 + STOP_MARGIN.0);
+        let limit = self.settings.stop_bound.saturating_sub(used);
         self.state.drain();
+        let at = clock::now() + limit;
+        self.driver.step(Event::ShuttingDown { at });
         self.presence.withdraw().await;
-        let used = Span(REMOVE_TIMEOUT.0 + STOP_MARGIN.0);
-        let limit = Duration::from(self.settings.stop_bound.saturating_sub(used));
-        let drained = tokio::time::timeout(limit, self.server.drain()).await;
+        let drained = tokio::time::timeout(limit.into(), self.server.drain()).await;
         let interrupted = if drained.is_ok() {
             "nothing"
         } else {
--- a/src/routing/kind.rs
+++ b/src/routing/kind.rs
@@ -3,7 +3,7 @@
 use std::fmt;
 
 /// Kind of the requests of a route: whether they may be retried, and the form of the response.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Kind {
     /// May run at most once.
     Once,
