Announce the close of connections in a stand-in

The stand-in Raw closes its connection after each answer and didn't say so.

Connection: close says it.

--- a/tests/world/raw.rs
+++ b/tests/world/raw.rs
@@ -32,7 +32,8 @@
                 counted.fetch_add(1, Ordering::Relaxed);
                 if let Some(request) = read(&stream) {
                     let signed = format!(
-                        "x-marlrun-request-id: {request}\r\nx-marlrun-response-stamp: 1.2.3\r\n"
+                        "x-marlrun-request-id: {request}\r\nx-marlrun-response-stamp: 1.2.3\r\n\
+                         connection: close\r\n"
                     );
                     let bytes = current.lock().unwrap().replace("{signed}", &signed);
                     // The router may have closed the connection.
