Decide in one place what the status of a target's response means

Three places asked for ranges of statuses by themselves. answer::Meaning tells a success, a rejection of the request (3xx, 4xx) and a failure of the target (5xx) apart, and refuses what is no status of a final response.

No change of behaviour. The tests of statuses now cover each status from 200 to 599 but 421, in three framings, on four kinds of route: 4,788 calls in place of 144.

--- a/src/answer/mod.rs
+++ b/src/answer/mod.rs
@@ -7,5 +7,5 @@
 mod usage;
 
 pub use self::{
-    fault::Fault, framing::check_framing, status::check_status, stream::Stream, usage::tokens_used,
+    fault::Fault, framing::check_framing, status::Meaning, stream::Stream, usage::tokens_used,
 };
--- a/src/front/exchange/mod.rs
+++ b/src/front/exchange/mod.rs
@@ -234,7 +234,7 @@
                 };
             }
         };
-        if answer::check_status(response.status()).is_err() {
+        if answer::Meaning::of(response.status()).is_err() {
             return self.broken(attempt, resume_position(attempt));
         }
         if !self.belongs_to(attempt, response.headers()) {
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -10,7 +10,8 @@
     submission::Submission,
 };
 use crate::{
-    answer, catalog, clock,
+    answer::Meaning,
+    catalog, clock,
     dispatch::{Estimate, Event, Outcome, Prompt, Reason, Refusal},
     front::{Body, Problem, full_body, header},
     id,
@@ -86,6 +87,7 @@
     pub(super) sent: Time,
     /// Time at which the head was received.
     pub(super) head_received: Time,
+    pub(super) meaning: Meaning,
     pub(super) head: response::Parts,
     pub(super) reply: Reply,
     pub(super) body: Incoming,
@@ -265,8 +267,8 @@
     /// Sends the request to a target, and buffers a response that is not a stream.
     async fn fetch(&self, estimate: &Estimate) -> Result<Fetched, Failure> {
         let transfer = self.attempt(estimate).await?;
-        // Another status is the target's answer to the request, which no other target continues.
-        if self.call.route.kind.is_stream() && transfer.head.status.is_success() {
+        // No other target continues the body of a rejection.
+        if self.call.route.kind.is_stream() && transfer.meaning == Meaning::Success {
             return Ok(Fetched::Stream(transfer));
         }
         self.buffer(transfer).await.map(Fetched::Buffered)
@@ -360,9 +362,8 @@
             metrics::counter!(metric::CROSSED).increment(1);
             return Err(failure(Outcome::Malformed, &cause));
         }
-        if let Err(fault) = answer::check_status(head.status) {
-            return Err(failure(Outcome::Malformed, &fault));
-        }
+        let meaning =
+            Meaning::of(head.status).map_err(|fault| failure(Outcome::Malformed, &fault))?;
         self.report_limit(run, sent, &reply);
         if reply.not_run {
             self.runs.fetch_sub(1, Ordering::Relaxed);
@@ -386,12 +387,13 @@
             build: target.build,
             sent,
             head_received: clock::now(),
+            meaning,
             head,
             reply,
             body,
             lease,
         };
-        if transfer.head.status.is_server_error() {
+        if transfer.meaning == Meaning::Failure {
             return Err(self.read_error_response(transfer).await);
         }
         Ok(transfer)
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -6,6 +6,7 @@
     exchange::{CUT_SHORT, Exchange, Failure, HANDOVER, Transfer, outcome_of, release},
 };
 use crate::{
+    answer::Meaning,
     clock,
     dispatch::{Event, Outcome, silence_timeout},
     front::Body,
@@ -485,7 +486,7 @@
                 }
             };
             let failure = match attempt {
-                Ok(Ok(Ok(transfer))) if transfer.head.status.is_success() => {
+                Ok(Ok(Ok(transfer))) if transfer.meaning == Meaning::Success => {
                     leave(&self.exchange, self.transfer.take());
                     self.transfer = Some(transfer);
                     if let Mode::Events(framer) = &mut self.mode {
--- a/tests/answer.rs
+++ b/tests/answer.rs
@@ -1,7 +1,7 @@
 //! Checks of event streams: completeness, truncation and resumption.
 
 use marlrun::{
-    answer::{self, Stream},
+    answer::{self, Fault, Meaning, Stream},
     ingress,
 };
 use proptest::prelude::*;
@@ -153,19 +153,17 @@
     }
 }
 
+/// Each status that HTTP libraries accept.
 #[test]
-fn check_status_final() {
-    for (status, is_final) in [
-        (100, false),
-        (101, false),
-        (199, false),
-        (200, true),
-        (599, true),
-        (600, false),
-        (999, false),
-    ] {
-        let status = http::StatusCode::from_u16(status).unwrap();
-        let checked = answer::check_status(status);
-        assert_eq!(checked.is_ok(), is_final, "{status}");
+fn meaning_of_status() {
+    for code in 100..=999 {
+        let status = http::StatusCode::from_u16(code).unwrap();
+        let expected = match code {
+            200..=299 => Ok(Meaning::Success),
+            300..=499 => Ok(Meaning::Rejection),
+            500..=599 => Ok(Meaning::Failure),
+            _ => Err(Fault::Status { status: code }),
+        };
+        assert_eq!(Meaning::of(status), expected, "{code}");
     }
 }
--- a/tests/statuses.rs
+++ b/tests/statuses.rs
@@ -2,7 +2,7 @@
 
 mod world;
 
-use std::time::Duration;
+use std::{ops::RangeInclusive, thread, time::Duration};
 use world::{Caller, Raw, Replica, Router, World, event, wait_for};
 
 /// Statuses that aren't those of an answer; a 199 or 100 that nothing follows is none either.
@@ -86,19 +86,16 @@
     }
 }
 
-/// A router that takes each answer on a stream's route for events closes the caller's connection without one, or adds
-/// the events of another target (review/8).
-#[test]
-fn rejection_by_target_is_passed_on_unchanged() {
-    let statuses = [300, 302, 307, 400, 403, 404, 409, 410, 413, 422, 431, 499];
-    let body = "{\"error\":\"not for you\"}";
-    let length = body.len();
-    let framings = [
-        format!("content-length: {length}\r\n\r\n{body}"),
-        format!("transfer-encoding: chunked\r\n\r\n{length:x}\r\n{body}\r\n0\r\n\r\n"),
-        format!("\r\n{body}"),
-    ];
-    for framing in framings {
+/// Statuses of whole responses that aren't passed on with a body: two have none, and the third says that another instance
+/// is at the target's address.
+const NO_CONTENT: u16 = 204;
+const NOT_MODIFIED: u16 = 304;
+const MISDIRECTED: u16 = 421;
+
+/// Calls each kind of route while its target answers with each status, framed in three ways.
+fn check_passed_on(statuses: RangeInclusive<u16>) {
+    let events: String = (1..=EVENTS).map(event).collect();
+    let check = |frame: &dyn Fn(&str) -> String| {
         let world = World::open(0, 0);
         let router = Router::ready(&world.store, "r1");
         let targets = ["llm", "app"]
@@ -107,23 +104,66 @@
             router.log().contains("\"live\":2")
         });
         let mut calls = 0;
-        for status in statuses {
-            let answer = format!(
-                "HTTP/1.1 {status} No\r\n{{signed}}content-type: application/json\r\n{framing}"
-            );
-            targets
-                .iter()
-                .for_each(|target| target.answer_with(&answer));
+        for status in statuses.clone().filter(|status| *status != MISDIRECTED) {
+            let answers = [&*events, "{\"error\":\"not for you\"}"].map(|body| {
+                let kind = match body == events && status < 300 {
+                    true => "text/event-stream",
+                    false => "application/json",
+                };
+                let framed = frame(body);
+                format!("HTTP/1.1 {status} No\r\n{{signed}}content-type: {kind}\r\n{framed}")
+            });
+            for (target, answer) in targets.iter().zip(&answers) {
+                target.answer_with(answer);
+            }
             for route in ROUTES {
                 calls += 1;
                 let answer = call(&router, route, &format!("q{calls}"));
-                let case = format!("{status} on {route}, {framing:?}: {answer:?}");
-                assert_eq!((answer.status, answer.whole), (status, true), "{case}");
+                let case = format!("{status} on {route}, {:?}: {answer:?}", frame("..."));
+                assert_eq!(answer.status, status, "{case}");
                 let stamp = answer.header("x-marlrun-response-stamp");
-                assert_eq!((&*answer.body, stamp), (body, Some("1.2.3")), "{case}");
+                assert_eq!(stamp, Some("1.2.3"), "{case}");
+                if [NO_CONTENT, NOT_MODIFIED].contains(&status) {
+                    continue;
+                }
+                let body = match route {
+                    "plan" | "sum" => &*events,
+                    _ => "{\"error\":\"not for you\"}",
+                };
+                assert_eq!((answer.whole, &*answer.body), (true, body), "{case}");
             }
         }
         let requests: u64 = targets.iter().map(Raw::requests).sum();
-        assert_eq!(requests, calls, "{framing:?}: each runs once");
-    }
+        assert_eq!(requests, calls, "{:?}: each runs once", frame("..."));
+    };
+    thread::scope(|scope| {
+        let check = &check;
+        scope.spawn(move || {
+            check(&|body| format!("content-length: {}\r\n\r\n{body}", body.len()));
+        });
+        scope.spawn(move || {
+            check(&|body| {
+                let length = body.len();
+                format!("transfer-encoding: chunked\r\n\r\n{length:x}\r\n{body}\r\n0\r\n\r\n")
+            });
+        });
+        scope.spawn(move || check(&|body| format!("\r\n{body}")));
+    });
+}
+
+#[test]
+fn success_is_passed_on_unchanged() {
+    check_passed_on(200..=299);
+}
+
+/// A router that takes each answer on a stream's route for events closes the caller's connection without one, or adds
+/// the events of another target (review/8).
+#[test]
+fn rejection_by_target_is_passed_on_unchanged() {
+    check_passed_on(300..=499);
+}
+
+#[test]
+fn failure_of_target_is_passed_on_unchanged() {
+    check_passed_on(500..=599);
 }
