Don't count a rejected resumption against its target

What callers saw: a target that answered the resumptions of one workspace's streams with 403 was ejected after three of them, for all workspaces.

Cause: a response other than a 2xx to a resumption had the outcome of a failed target.

Evidence: statuses::rejection_is_no_fault_of_its_target failed before: the log had "target believed", 3 failures, suspect.

Why it works: the outcome "rejected" keeps the target in use, and the stream still goes to another one. The log line names the status.

--- a/src/dispatch/dispatcher/mod.rs
+++ b/src/dispatch/dispatcher/mod.rs
@@ -652,6 +652,10 @@
                 }
                 target.health.record_success(now)
             }
+            Outcome::Rejected => {
+                target.record_reached(now);
+                target.health.record_success(now)
+            }
             Outcome::Cancelled | Outcome::NotRun => {
                 target.health.record_inconclusive();
                 false
--- a/src/dispatch/outcome.rs
+++ b/src/dispatch/outcome.rs
@@ -7,6 +7,8 @@
 pub enum Outcome {
     /// Complete response.
     Answered,
+    /// Complete response that rejects the request; it says nothing against the target.
+    Rejected,
     /// Complete response that reports a failure of the target.
     Failed,
     /// The target says that it did not run the request.
@@ -27,6 +29,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
             Outcome::Answered => "answered",
+            Outcome::Rejected => "rejected",
             Outcome::Failed => "failed",
             Outcome::NotRun => "not-run",
             Outcome::Unsent => "unsent",
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -498,8 +498,11 @@
                 }
                 Ok(Ok(Ok(transfer))) => Failure::broken(
                     &transfer,
-                    Outcome::Failed,
-                    "the target did not resume the stream",
+                    Outcome::Rejected,
+                    &format!(
+                        "the target rejected the resumption with status {}",
+                        transfer.head.status
+                    ),
                 ),
                 Ok(Ok(Err(failure))) => failure,
                 Ok(Err(_)) => return Err(cut("the deadline passed")),
--- a/tests/statuses.rs
+++ b/tests/statuses.rs
@@ -3,7 +3,7 @@
 mod world;
 
 use std::{ops::RangeInclusive, thread, time::Duration};
-use world::{Caller, Raw, Replica, Router, World, event, wait_for};
+use world::{Caller, Mode, Raw, Replica, Router, World, event, wait_for};
 
 /// Statuses that aren't those of an answer; a 199 or 100 that nothing follows is none either.
 const NO_STATUSES: [&str; 16] = [
@@ -167,3 +167,39 @@
 fn failure_of_target_is_passed_on_unchanged() {
     check_passed_on(500..=599);
 }
+
+/// A target that rejects the requests of one workspace must not be ejected for all others.
+#[test]
+fn rejection_is_no_fault_of_its_target() {
+    const REJECTION: &str =
+        "HTTP/1.1 403 No\r\n{signed}content-type: text/plain\r\ncontent-length: 2\r\n\r\nno";
+    let world = World::open(1, 0);
+    let router = Router::ready(&world.store, "r1");
+    // Its cache keeps the streams here.
+    assert_eq!(call(&router, "plan", "q").status, 200);
+    let rejecting = Raw::bind(&world.store, "llm", "i-rejecting", REJECTION);
+    wait_for("both targets are listed", || {
+        router.log().contains("\"live\":2")
+    });
+    let mut cut = 0;
+    for number in 0..30 {
+        // So few streams break off that the target isn't ejected for it.
+        let mode = match number % 3 {
+            0 => Mode::CutAfter(2),
+            _ => Mode::Good,
+        };
+        world.engines[0].behave(mode);
+        let answer = call(&router, "plan", &format!("q{number}"));
+        cut += u64::from(!answer.whole);
+    }
+    assert!(cut >= 8, "{cut}");
+    assert_eq!(rejecting.requests(), cut, "each of them is resumed there");
+    wait_for("the failures are logged", || {
+        router
+            .log()
+            .contains("rejected the resumption with status 403")
+    });
+    let log = router.log();
+    let doubted = |line: &&str| line.contains("target believed") && line.contains("i-rejecting");
+    assert_eq!(log.lines().find(doubted), None);
+}
