Ask another target where only one ID tells the step of a stream

What callers saw: who resumed a stream before its last event got it with a wrong ID (99 in place of 5), as a complete answer.

Cause: events whose step is not known yet were passed on at the end of the stream, since no further event contradicted them.

Why it works: such events need a second run that ends with the same IDs. events::feed_constant_step takes the IDs 1 and 4 of a whole stream for right after the second run now, and demands that no other of its streams needs one.

--- a/src/gateway/framer.rs
+++ b/src/gateway/framer.rs
@@ -134,11 +134,18 @@
         self.undecided_count > 0
     }
 
-    /// Returns the complete events that were not passed on yet, at the end of the stream. No event
-    /// contradicts their order.
-    pub fn finish(&mut self) -> Bytes {
+    /// Returns the complete events that were not passed on yet, at the end of the stream.
+    ///
+    /// # Errors
+    ///
+    /// Fails if another run has to show whether they are in order; they are discarded.
+    pub fn finish(&mut self) -> Result<Bytes, Fault> {
+        if let Err(disorder) = self.sequence.finish() {
+            self.restart();
+            return Err(disorder.into());
+        }
         self.count += std::mem::take(&mut self.undecided_count);
-        self.undecided.split().freeze()
+        Ok(self.undecided.split().freeze())
     }
 
     /// Discards what was not passed on, so that another target can continue the stream.
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -233,11 +233,13 @@
                     None => continue,
                 },
                 Received::End if self.is_cut_short() => (Outcome::Broken, CUT_SHORT.into()),
-                Received::End if self.is_complete() => {
-                    let rest = self.finish();
-                    self.complete();
-                    return rest.map(Ok);
-                }
+                Received::End if self.is_complete() => match self.finish() {
+                    Ok(rest) => {
+                        self.complete();
+                        return rest.map(Ok);
+                    }
+                    Err(cause) => (Outcome::Malformed, cause),
+                },
                 Received::End if self.is_at_boundary() => {
                     let cause = "the response ended before the first event";
                     let is_framed = self.transfer.as_ref().is_some_and(Transfer::is_framed);
@@ -377,17 +379,18 @@
         }
     }
 
-    /// Returns the events at the end of a stream that were not passed on yet, if there are any.
-    fn finish(&mut self) -> Option<Bytes> {
+    /// Returns the events at the end of a stream that were not passed on yet, if there are any, or why they
+    /// are rejected.
+    fn finish(&mut self) -> Result<Option<Bytes>, Box<str>> {
         let Mode::Events(framer) = &mut self.mode else {
-            return None;
+            return Ok(None);
         };
-        let rest = framer.finish();
+        let rest = framer.finish().map_err(|fault| fault.to_string())?;
         if rest.is_empty() {
-            return None;
+            return Ok(None);
         }
         self.record_progress();
-        Some(rest)
+        Ok(Some(rest))
     }
 
     fn complete(&mut self) {
--- a/src/gateway/sequence.rs
+++ b/src/gateway/sequence.rs
@@ -60,6 +60,8 @@
     position: Position,
     /// IDs that a step other than 1 explains, which the next one confirms or contradicts.
     pending: Vec<u64>,
+    /// The same at the end of the last run, which another run confirms or contradicts.
+    contested: Vec<u64>,
     is_resumable: bool,
 }
 
@@ -79,6 +81,7 @@
         Self {
             position,
             pending: Vec::new(),
+            contested: Vec::new(),
             is_resumable,
         }
     }
@@ -160,6 +163,24 @@
         }
     }
 
+    /// Decides on the undecided events at the end of a run.
+    ///
+    /// # Errors
+    ///
+    /// Fails if they follow a known event of a resumable stream by another step than 1, and the run before did
+    /// not end with the same IDs: one ID is wrong more often than a short rest has such a step.
+    pub fn finish(&mut self) -> Result<(), Disorder> {
+        let (Position::After { last, .. }, Some(&got)) = (self.position, self.pending.first())
+        else {
+            return Ok(());
+        };
+        if !self.is_resumable || self.pending == self.contested {
+            return Ok(());
+        }
+        self.contested.clone_from(&self.pending);
+        Err(Disorder::Number { last, got })
+    }
+
     /// Forgets the undecided events.
     pub fn forget_undecided(&mut self) {
         self.pending.clear();
--- a/tests/events.rs
+++ b/tests/events.rs
@@ -95,7 +95,16 @@
                     assert!(is_resumable || !framer.has_undecided());
                 }
                 assert!(count < 3 || !framer.has_undecided(), "{first}, {step}");
-                out.extend_from_slice(&framer.finish());
+                // After the usual first ID, two events don't show the step. Another run does.
+                let is_contested = is_resumable && (first, count) == (1, 2);
+                let end = framer.finish();
+                assert_eq!(end.is_err(), is_contested, "{first}, {step}: {end:?}");
+                let end = end.unwrap_or_else(|_| {
+                    let rest = &text[text.find("\n\n").unwrap() + 2..];
+                    assert!(framer.feed(rest.as_bytes()).unwrap().is_empty());
+                    framer.finish().unwrap()
+                });
+                out.extend_from_slice(&end);
                 assert_eq!(out, text.as_bytes(), "{first}, {step}");
                 assert_eq!(framer.count(), count);
             }
@@ -107,6 +116,29 @@
     }
 }
 
+/// Guards against a wrong ID of the last event of a stream that a caller resumes, or of one of two events.
+#[test]
+fn finish_after_wrong_last_number() {
+    for (last, before) in [(Some("7"), ""), (None, "id: 1\ndata: x\n\n")] {
+        let mut framer = Framer::resuming_after(last);
+        framer.feed(before.as_bytes()).unwrap();
+        let known = framer.last_id().unwrap();
+        let right = format!("id: {}\ndata: x\n\n", known + 1);
+        for wrong in [known + 2, known + 90, known + 3] {
+            let spoiled = format!("id: {wrong}\ndata: x\n\n");
+            assert!(framer.feed(spoiled.as_bytes()).unwrap().is_empty());
+            assert!(framer.finish().is_err(), "{wrong} after {known}");
+            assert!(!framer.has_undecided());
+            assert_eq!(framer.last_id(), Some(known));
+        }
+        assert_eq!(
+            &framer.feed(right.as_bytes()).unwrap()[..],
+            right.as_bytes()
+        );
+        assert!(framer.finish().unwrap().is_empty());
+    }
+}
+
 #[test]
 fn feed_constant_step_after_callers_id() {
     let text = steps(15, 3, 4);
@@ -188,7 +220,7 @@
     let mut framer = Framer::resuming_after(None);
     assert_eq!(framer.feed(b"data: x\n\n: c\n\n").unwrap().len(), 0);
     assert!(framer.has_undecided());
-    assert_eq!(&framer.finish()[..], b"data: x\n\n: c\n\n");
+    assert_eq!(&framer.finish().unwrap()[..], b"data: x\n\n: c\n\n");
     assert_eq!(framer.count(), 1);
 }
 
@@ -261,8 +293,8 @@
                     }
                 }
             }
-            if !is_rejected && sent == events.len() {
-                out.extend_from_slice(&framer.finish());
+            if !is_rejected && sent == events.len() && let Ok(end) = framer.finish() {
+                out.extend_from_slice(&end);
                 is_complete = true;
                 break;
             }
--- a/tests/spoiled_ids.rs
+++ b/tests/spoiled_ids.rs
@@ -4,7 +4,8 @@
 
 use std::sync::Arc;
 use world::{
-    Answer, Caller, EVENTS, Router, Spoil, Spoils, Store, bind_spoiling, configuration, wait_for,
+    Answer, Caller, EVENTS, Router, Spoil, Spoils, Store, bind_spoiling, configuration, event,
+    wait_for,
 };
 
 /// Targets; those that sent a spoiled stream get fewer requests for a while.
@@ -238,6 +239,37 @@
     }
 }
 
+/// A router to which nothing tells the step of a stream takes the wrong number of its last event for a right one.
+#[test]
+fn stream_taken_up_before_last_event_keeps_its_number() {
+    let setup = Setup::open();
+    let mut resumed = 0;
+    for (name, lines) in OTHER_NUMBERS.into_iter().chain(NO_NUMBERS) {
+        for group in [1, 2] {
+            let spoil = Spoil {
+                places: EVENTS..=EVENTS,
+                lines,
+                group,
+                is_chunked: group == 1,
+                cut_after: None,
+            };
+            let request = format!("q-{name}-{group}").replace([' ', ','], "-");
+            setup.spoils.plan(&request, spoil);
+            let caller = Caller::stream(setup.router.listen, "plan", &request);
+            let last = (EVENTS - 1).to_string();
+            let answer = caller.with("last-event-id", &last).call();
+            let case = format!("ID {name}, {group}: {answer:?}");
+            if answer.whole {
+                assert_eq!(answer.body, event(EVENTS), "{case}");
+                resumed += 1;
+            } else {
+                assert_eq!(answer.body, "", "{case}");
+            }
+        }
+    }
+    assert!(resumed > 13, "{resumed} of 26 streams went on elsewhere");
+}
+
 /// IDs have to increase; they needn't be consecutive.
 #[test]
 fn stream_with_other_steps_is_whole() {
