Let the soak play wrong event IDs, rejections and impossible statuses

Streams that aren't resumable are passed on as they come, and are cut where a number contradicts those before: for these the check allows the wrong line, and only in an answer that is cut if it has a number.

--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -27,7 +27,8 @@
     time::{Duration, Instant},
 };
 use world::{
-    Caller, Connection, Fault, Fleet, Harm, Mode, Proxy, Reply, Run, Stage, configuration, event_of,
+    Caller, Connection, Fault, Fleet, Harm, Mode, Proxy, REJECTION, Reply, Run, Stage,
+    configuration, event_of,
 };
 
 /// Seed of the run in CI.
@@ -59,6 +60,11 @@
 /// Part of prompts that crashes engines, and how many requests there are for each with it.
 const FATAL_PART: &str = "f1";
 const FATAL_EVERY: u64 = 60;
+/// Lines of events in place of their IDs, with another number and without one.
+const NUMBERED: [&str; 4] = ["id: 0", "id: 1", "id: 3", "id: 99"];
+const UNNUMBERED: [&str; 4] = ["id: x", "id: -3", "id:", ": no id"];
+/// Statuses with which targets reject requests.
+const REJECTIONS: [u16; 4] = [302, 403, 404, 413];
 /// Software versions of targets.
 const BUILDS: [&str; 3] = ["v1", "v2", "v3"];
 /// Requests with which a caller resumes one stream at most.
@@ -89,6 +95,9 @@
     Pauses,
     /// Engines of other builds take the place of engines that break streams off, while routers are cut off.
     Releases,
+    /// Targets send wrong IDs of events, reject requests and answer with statuses that no response has, while routers are
+    /// stopped and started and configurations change.
+    Answers,
     /// The failure domain of all targets is evacuated while routers are stopped and started and configurations change.
     Evacuations,
 }
@@ -116,6 +125,11 @@
     soak(Kind::Releases);
 }
 
+#[test]
+fn wrong_answers_reach_no_caller() {
+    soak(Kind::Answers);
+}
+
 #[test]
 fn evacuated_domain_runs_nothing() {
     soak(Kind::Evacuations);
@@ -305,6 +319,10 @@
             Trouble::look,
             vec![Trouble::builds, Trouble::breaks, Trouble::isolate],
         ),
+        Kind::Answers => (
+            Trouble::stop,
+            vec![Trouble::answers, Trouble::configuration],
+        ),
         Kind::Evacuations => (
             Trouble::stop,
             vec![Trouble::evacuation, Trouble::configuration],
@@ -466,7 +484,7 @@
     }
     for seen in seen {
         let ran = runs.remove(&seen.request).unwrap_or_default();
-        let common = find_wrong(seen, &ran);
+        let common = find_wrong(kind, seen, &ran);
         let is_strict = matches!(kind, Kind::Planned | Kind::Pauses | Kind::Evacuations);
         let strict = || is_strict.then(|| find_lost(seen, &ran)).flatten();
         if let Some(cause) = common.or_else(strict) {
@@ -504,7 +522,7 @@
 }
 
 /// Returns what is wrong with a request whatever the faults were.
-fn find_wrong(seen: &Seen, runs: &[Run]) -> Option<String> {
+fn find_wrong(kind: Kind, seen: &Seen, runs: &[Run]) -> Option<String> {
     let Seen {
         request,
         route,
@@ -547,17 +565,31 @@
             return (!runs.is_empty()).then(|| "was refused and ran".into());
         }
         500 | 502 | 504 => return None,
+        status if kind == Kind::Answers && REJECTIONS.contains(&status) => {
+            let is_unchanged = signed && answer.whole && answer.body == REJECTION;
+            return (runs.is_empty() || !is_unchanged).then(|| "a changed rejection".into());
+        }
         status => return Some(format!("answered {status}")),
     }
     let received = seen.received.as_deref().unwrap_or_default();
     let body = format!("{received}{}", answer.body);
-    let expected: Vec<String> = match *route {
+    let mut expected: Vec<String> = match *route {
         "book" | "look" => vec![format!("answer to {request}")],
         _ => BUILDS
             .iter()
             .map(|build| (1..=EVENTS).map(|number| event_of(build, number)).collect())
             .collect(),
     };
+    if kind == Kind::Answers && *route == "sum" {
+        // No other target can go on with the stream, which is passed on as it comes and cut where a number is wrong.
+        let numbered = NUMBERED.iter().filter(|_| !answer.whole);
+        let lines: Vec<_> = numbered.chain(&UNNUMBERED).collect();
+        let sound = expected[0].clone();
+        for number in 1..=EVENTS {
+            let id = format!("id: {number}");
+            expected.extend(lines.iter().map(|line| sound.replacen(&id, line, 1)));
+        }
+    }
     let right = expected.iter().any(|expected| {
         if answer.whole {
             body == *expected
@@ -809,6 +841,27 @@
         self.sleep(50..400);
     }
 
+    /// Lets targets send wrong IDs of events, reject requests, and answer with statuses that no response has.
+    fn answers(&mut self) {
+        let world = &self.fleet.world;
+        for replica in world.engines.iter().chain(&world.apps) {
+            let wrong = 1 + self.draw(EVENTS);
+            let numbered = self.pick(&NUMBERED);
+            let unnumbered = self.pick(&UNNUMBERED);
+            let rejection = self.pick(&REJECTIONS);
+            let mode = self.pick(&[
+                Mode::Good,
+                Mode::Misnumbered(wrong, numbered),
+                Mode::Misnumbered(wrong, unnumbered),
+                Mode::Rejecting(rejection),
+                Mode::Rejecting(600),
+                Mode::Rejecting(999),
+            ]);
+            replica.behave(mode);
+        }
+        self.sleep(50..600);
+    }
+
     /// Lets targets name limits for a time.
     fn limits(&mut self) {
         let world = &self.fleet.world;
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -34,8 +34,8 @@
     raw::Raw,
     repeater::{Copy, Repeater},
     replica::{
-        FIRST_BUILD, FIRST_START_MS, HEALTH_PATH, Mode, Replica, Run, Stage, WarmUp, event,
-        event_of,
+        FIRST_BUILD, FIRST_START_MS, HEALTH_PATH, Mode, REJECTION, Replica, Run, Stage, WarmUp,
+        event, event_of,
     },
     router::Router,
     spoiling::{EVENTS, Spoil, Spoils, bind as bind_spoiling},
--- a/tests/world/replica.rs
+++ b/tests/world/replica.rs
@@ -64,6 +64,10 @@
     Crossed,
     /// Answers without signature.
     Unsigned,
+    /// Sends this event of a stream with another line in place of its ID.
+    Misnumbered(u64, &'static str),
+    /// Runs the request and answers with this status and [`REJECTION`].
+    Rejecting(u16),
 }
 
 /// How far an answer has come when its target crashes.
@@ -74,6 +78,8 @@
     WithinEvent,
 }
 
+/// Body of the answer of a target that rejects a request.
+pub(crate) const REJECTION: &str = "rejected";
 /// Path of health checks.
 pub(crate) const HEALTH_PATH: &str = "/healthz";
 /// Time from the beginning of an answer to the crash that it causes.
@@ -597,6 +603,12 @@
                     sign(&mut failure, &name);
                     Ok(failure)
                 }
+                Mode::Rejecting(status) => {
+                    running.finish();
+                    let mut rejection = answer(status, REJECTION);
+                    sign(&mut rejection, &name);
+                    Ok(rejection)
+                }
                 Mode::Lost => Err(std::io::ErrorKind::ConnectionReset.into()),
                 Mode::Mute => std::future::pending().await,
                 _ if head.headers.contains_key("x-marlrun-token-count") => {
@@ -712,6 +724,10 @@
                         tokio::time::sleep(Duration::from_millis(500)).await;
                         return Some((Ok(Bytes::from("i")), (number, running)));
                     }
+                    Mode::Misnumbered(wrong, line) if number == wrong => {
+                        let id = format!("id: {number}");
+                        Ok(event_of(&build, number).replacen(&id, line, 1).into())
+                    }
                     _ => Ok(Bytes::from(event_of(&build, number))),
                 };
                 Some((item, (number + 1, running)))
