Test early ends without chunks and the time at which events are passed on

An HTTP/1.0 caller learns of a part by a reset only. Events of sound streams are passed on before the next one is sent, also after a caller's ID. Both held before; nothing in the suite showed it.

--- a/tests/early_end.rs
+++ b/tests/early_end.rs
@@ -4,7 +4,7 @@
 
 use serde_json::json;
 use std::{
-    io::{BufRead, BufReader, Read, Write},
+    io::{BufRead, BufReader, ErrorKind, Read, Write},
     net::{Shutdown, TcpListener, TcpStream},
     sync::{
         Arc, Mutex,
@@ -211,3 +211,37 @@
         }
     }
 }
+
+/// Nothing but a reset tells a caller without chunks that the answer lacks a part.
+#[test]
+fn answer_that_ends_early_is_reset_without_chunks() {
+    let delays = [0, 60].map(Duration::from_millis);
+    for mode in delays.map(Mode::EndEarly) {
+        let setup = Setup::open(mode);
+        for route in ["book", "look", "plan", "sum"] {
+            let caller = match route {
+                "plan" | "sum" => Caller::stream(setup.router.listen, route, route),
+                _ => Caller::new(setup.router.listen, "POST", &format!("/{route}/x"), route),
+            };
+            let message = caller.body(&vec![b'x'; UPLOAD_BYTES]).message();
+            let (line, rest) =
+                message.split_at(message.windows(2).position(|w| w == b"\r\n").unwrap());
+            let line = str::from_utf8(line)
+                .unwrap()
+                .replace("HTTP/1.1", "HTTP/1.0");
+            let mut stream = TcpStream::connect(setup.router.listen).unwrap();
+            stream
+                .set_read_timeout(Some(Duration::from_secs(10)))
+                .unwrap();
+            stream.write_all(line.as_bytes()).unwrap();
+            // The router may have answered already.
+            let _ = stream.write_all(rest);
+            let mut bytes = Vec::new();
+            let end = stream.read_to_end(&mut bytes);
+            let answer = Answer::parse(&bytes, Duration::ZERO);
+            let is_refused = [502, 503, 504].contains(&answer.status);
+            let is_reset = end.is_err_and(|error| error.kind() == ErrorKind::ConnectionReset);
+            assert!(is_refused || is_reset, "{route}, {mode:?}: {answer:?}");
+        }
+    }
+}
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -3,11 +3,12 @@
 
 mod world;
 
+use marlrun::clock;
 use nix::sys::signal::Signal;
 use std::{io::Read, thread, time::Duration};
 use world::{
     Answer, Caller, Connection, Copy, FIRST_START_MS, Fault, KEY, Mode, OTHER_KEY, Repeater,
-    Router, World, wait_for,
+    Router, World, event, wait_for,
 };
 
 fn events(count: u64) -> String {
@@ -830,6 +831,39 @@
     assert!(left <= 400);
 }
 
+/// A router that waits for later events before it passes on the first ones delays callers.
+#[test]
+fn stream_events_arrive_as_they_are_sent() {
+    const EVENTS: u64 = 6;
+    const GAP: Duration = Duration::from_millis(250);
+    let world = World::open(1, 0);
+    let router = Router::ready(&world.store, "r1");
+    world.engines[0].pace(EVENTS, GAP);
+    for (route, last) in [("plan", None), ("sum", None), ("plan", Some(2))] {
+        let mut caller = Caller::stream(router.listen, route, &format!("q-{route}-{last:?}"));
+        if let Some(last) = last {
+            caller = caller.with("last-event-id", &last.to_string());
+        }
+        let mut stream = caller.open();
+        let began = clock::now();
+        let (mut text, mut bytes) = (String::new(), [0; 4_096]);
+        let first = last.unwrap_or(0) + 1;
+        for (number, place) in (first..=EVENTS).zip(1..) {
+            while !text.contains(&event(number)) {
+                let count = stream.read(&mut bytes).unwrap();
+                assert!(count > 0, "{route} after {last:?}: {text}");
+                text += str::from_utf8(&bytes[..count]).unwrap();
+            }
+            let elapsed = Duration::from(clock::now().since(began));
+            let next = GAP * (place + 1);
+            assert!(
+                elapsed < next,
+                "event {number} of {route} after {last:?}: {elapsed:?}"
+            );
+        }
+    }
+}
+
 #[test]
 fn stop_graceful() {
     let world = World::open(1, 1);
