--- a/tests/events.rs
+++ b/tests/events.rs
@@ -330,3 +330,91 @@
         prop_assert_eq!(framer.count(), 12);
     }
 }
+
+/// Returns the events of a sound stream of `count` events after `last`.
+fn sound_after(last: u64, count: u64) -> Vec<String> {
+    let events = (last + 1..=count).map(|n| format!("id: {n}\ndata: piece {n}\n\n"));
+    events.collect()
+}
+
+/// Returns the ID lines that an event can have in place of its own.
+fn wrong_lines(place: u64) -> Vec<String> {
+    let numbers = (0..=12).chain([99, 1_000]).filter(|n| *n != place);
+    let mut lines: Vec<_> = numbers.map(|n| format!("id: {n}\n")).collect();
+    let unreadable = [
+        "id: x\n",
+        "",
+        "id:\n",
+        "id\n",
+        "id: -1\n",
+        ": id: 1\n",
+        "id: 5x",
+    ];
+    lines.extend(unreadable.map(Into::into));
+    lines.push(format!("id: {place}{}\n", u64::MAX));
+    lines.push(format!("id: {place}x\n"));
+    lines.push(format!("id: {place}\nid: 99\n"));
+    lines.push(format!("id: 99\nid: {place}\n"));
+    lines
+}
+
+/// Plays a resumable stream after `started` events whose first run has a wrong ID line at a place; returns what is passed on
+/// and whether it is complete.
+fn play(count: u64, started: u64, place: u64, line: &str, group: usize) -> (String, bool) {
+    let last = (started > 0).then(|| started.to_string());
+    let mut framer = Framer::resuming_after(last.as_deref());
+    let mut out = String::new();
+    for run in 0..3 {
+        let after = framer.last_id().unwrap_or(0);
+        let mut events = sound_after(after, count);
+        if run == 0 {
+            events[(place - after - 1) as usize] = format!("{line}data: piece {place}\n\n");
+        }
+        let mut is_rejected = false;
+        for write in events.chunks(group) {
+            let fed = framer.feed(write.concat().as_bytes());
+            is_rejected = fed.is_err();
+            let sound = fed.unwrap_or_else(|rejected| rejected.sound);
+            out += str::from_utf8(&sound).unwrap();
+            if is_rejected {
+                break;
+            }
+        }
+        if !is_rejected && let Ok(end) = framer.finish() {
+            out += str::from_utf8(&end).unwrap();
+            return (out, true);
+        }
+        framer.restart();
+    }
+    (out, false)
+}
+
+/// Checks each wrong ID line at each place of streams, after each number of events that a caller has, in writes of several
+/// sizes: nothing but sound events is passed on, each once, and all of them if the stream is complete.
+fn check_anywhere(counts: std::ops::RangeInclusive<u64>) {
+    for count in counts {
+        for (started, place) in (0..count).flat_map(|s| (s + 1..=count).map(move |p| (s, p))) {
+            for line in wrong_lines(place) {
+                for group in [1, 2, 3, 4, 8] {
+                    let (out, is_complete) = play(count, started, place, &line, group);
+                    let sound = sound_after(started, count).concat();
+                    let case =
+                        format!("{line:?} at {place} of {count} after {started}, {group} a write");
+                    assert!(sound.starts_with(&out), "{case}: {out}");
+                    assert!(!is_complete || out == sound, "{case}: {out}");
+                }
+            }
+        }
+    }
+}
+
+#[test]
+fn wrong_id_anywhere() {
+    check_anywhere(3..=8);
+}
+
+/// Nothing in so short a stream tells a wrong first ID from another beginning.
+#[test]
+fn wrong_id_anywhere_in_short_stream() {
+    check_anywhere(1..=2);
+}
--- a/tests/spoiled_ids.rs
+++ b/tests/spoiled_ids.rs
@@ -239,6 +239,50 @@
     }
 }
 
+/// Each form of a wrong ID at each place, after each event from which a caller can resume, in writes of several sizes. No
+/// answer may hold anything but the sound events after the caller's, each once, and a complete one holds all.
+#[test]
+fn stream_taken_up_anywhere_keeps_its_numbers() {
+    let check = |last: u64| {
+        let setup = Setup::open();
+        let (mut played, mut whole) = (0, 0);
+        let forms = OTHER_NUMBERS.into_iter().chain(NO_NUMBERS);
+        for (form, (name, lines)) in forms.chain(DATA_IN_ID).enumerate() {
+            for place in last + 1..=EVENTS {
+                for group in [1, 2, 4, 8] {
+                    let spoil = Spoil {
+                        places: place..=place,
+                        lines,
+                        group,
+                        is_chunked: (group + form).is_multiple_of(2),
+                        cut_after: None,
+                    };
+                    let request = format!("q-{form}-{place}-{group}");
+                    setup.spoils.plan(&request, spoil);
+                    let mut caller = Caller::stream(setup.router.listen, "plan", &request);
+                    if last > 0 {
+                        caller = caller.with("last-event-id", &last.to_string());
+                    }
+                    let answer = caller.call();
+                    let case = format!("after {last}, ID {name} at {place}, {group} a write");
+                    let sound: String = (last + 1..=EVENTS).map(event).collect();
+                    assert!(sound.starts_with(&answer.body), "{case}: {answer:?}");
+                    assert!(!answer.whole || answer.body == sound, "{case}: {answer:?}");
+                    played += 1;
+                    whole += u64::from(answer.whole);
+                }
+            }
+        }
+        // Targets whose streams are spoiled so often get none for a while, so that many are cut.
+        assert!(whole > 0, "after {last}: none of {played} is whole");
+    };
+    std::thread::scope(|scope| {
+        for last in 0..EVENTS {
+            scope.spawn(move || check(last));
+        }
+    });
+}
+
 /// A router to which nothing tells the step of a stream takes the wrong number of its last event for a right one.
 #[test]
 fn stream_taken_up_before_last_event_keeps_its_number() {
