--- a/review/standin-3/parts.rs
+++ b/review/standin-3/parts.rs
@@ -115,7 +115,7 @@
 
 /// Starts a replica that crashes, is gone for a while and starts again under its id.
 fn start_replica(seen: Arc<Seen>, name: String) {
-    let address: SocketAddr = format!("127.0.0.1:{}", free_port("127.0.0.1"))
+    let address: SocketAddr = format!("{}:{}", own_ip(), free_port(&own_ip()))
         .parse()
         .unwrap();
     let entry = move |born: u64| {
--- a/review/standin-3/world.rs
+++ b/review/standin-3/world.rs
@@ -324,6 +324,12 @@
     )
 }
 
+/// Returns a loopback address of this process alone, so that no other process takes a free port in between.
+pub fn own_ip() -> String {
+    let pid = std::process::id();
+    format!("127.{}.{}.1", 1 + pid / 256 % 250, pid % 256)
+}
+
 pub fn free_port(ip: &str) -> u16 {
     TcpListener::bind((ip, 0))
         .unwrap()
@@ -691,7 +697,7 @@
 
 impl Machine {
     pub fn new(folder: &str, name: &str, zone: &str, store: SocketAddr) -> Self {
-        let ip = "127.0.0.1";
+        let ip = &own_ip();
         let (front, ready, peer) = (free_port(ip), free_port(ip), free_port(ip));
         let settings = format!(
             r#"{{"node":"{name}","role":"router","class":"front","serves":["front"],"ip":"{ip}","zone":"{zone}",
