--- a/review/standin-3/world.rs
+++ b/review/standin-3/world.rs
@@ -10,7 +10,7 @@
     process::{Child, Command, Stdio},
     sync::{
         Arc, Condvar, Mutex,
-        atomic::{AtomicBool, AtomicU64, Ordering},
+        atomic::{AtomicBool, AtomicU16, AtomicU64, Ordering},
     },
     thread,
     time::{Duration, Instant, UNIX_EPOCH},
@@ -330,12 +330,15 @@
     format!("127.{}.{}.1", 1 + pid / 256 % 250, pid % 256)
 }
 
+/// Returns a free port below those that the system gives to connections.
 pub fn free_port(ip: &str) -> u16 {
-    TcpListener::bind((ip, 0))
-        .unwrap()
-        .local_addr()
-        .unwrap()
-        .port()
+    static NEXT_PORT: AtomicU16 = AtomicU16::new(20_000);
+    loop {
+        let port = NEXT_PORT.fetch_add(1, Ordering::Relaxed);
+        if TcpListener::bind((ip, port)).is_ok() {
+            return port;
+        }
+    }
 }
 
 pub fn unix_ms() -> u64 {
