--- a/src/catalog/event.rs
+++ b/src/catalog/event.rs
@@ -1,6 +1,7 @@
 //! Input of the catalog.
 
 use super::Entry;
+use crate::unit::Time;
 
 /// Input of the catalog.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -12,7 +13,12 @@
     /// The list cannot be read.
     Unavailable,
     /// The list can be read again.
-    Recovered,
+    Recovered {
+        /// Time at which it was last confirmed before.
+        confirmed_at: Time,
+        /// Time at which the last call that failed began.
+        failed_at: Time,
+    },
     /// The list came back from a copy; its first [`Event::Snapshot`] follows.
     Restored,
     /// Time has passed.
--- a/src/catalog/machine.rs
+++ b/src/catalog/machine.rs
@@ -7,16 +7,24 @@
 };
 use std::collections::BTreeMap;
 
-/// Time after the list's recovery in which targets whose entry is missing may register again; the
+/// Time after the platform's return in which targets whose entry is missing may register again; the
 /// platform promises about two seconds.
 const REGISTER_GRACE: Span = Span::from_millis(2_300);
+/// Part of it that is left at least when the list is read again. The platform may have returned just
+/// then, or as long before as a call takes to fail.
+const MIN_REGISTER_GRACE: Span = Span::from_millis(2_000);
+/// Shortest outage in which an entry can expire: the platform keeps it until several writes in a row,
+/// about a second apart, have failed.
+const MIN_EXPIRY_OUTAGE: Span = Span::from_secs(1);
 
 /// Targets to which requests may be sent.
 ///
-/// While the list cannot be read, and for a grace time after, no target is removed: entries also
-/// disappear when the platform fails, and the targets then register again. The same holds after the
-/// list came back from a copy. An entry that is older than what is known of its target, such as its
-/// departure, is then set aside until the target writes again.
+/// While the list cannot be read, and for a grace time after an outage in which entries may have
+/// expired, no target is removed: entries also disappear when the platform fails, and the targets then
+/// register again. A router that was cut off by itself can't tell their entries from those of targets
+/// that have left, which must not be used for longer than a few seconds after its return. The same
+/// holds after the list came back from a copy. An entry that is older than what is known of its target,
+/// such as its departure, is then set aside until the target writes again.
 #[derive(Clone, Debug, Default)]
 pub struct Catalog {
     targets: BTreeMap<id::Target, Target>,
@@ -27,7 +35,10 @@
     /// with the time at which they are removed.
     expiring: BTreeMap<id::Target, Time>,
     unavailable: bool,
-    recovered_at: Option<Time>,
+    /// Start of the last call for the list that failed in the last outage, until the grace time after it ends.
+    failed_at: Option<Time>,
+    /// End of the grace time.
+    grace_end: Option<Time>,
 }
 
 impl Catalog {
@@ -58,9 +69,13 @@
                 self.unavailable = true;
                 false
             }
-            Event::Recovered => {
-                if self.unavailable {
-                    self.unavailable = false;
+            Event::Recovered {
+                confirmed_at,
+                failed_at,
+            } => {
+                let is_long = now.since(confirmed_at) >= MIN_EXPIRY_OUTAGE;
+                if std::mem::take(&mut self.unavailable) && is_long {
+                    self.failed_at = Some(failed_at);
                     self.start_grace(now);
                 }
                 false
@@ -77,9 +92,11 @@
         }
     }
 
+    /// Starts the grace time when the list was read again; it counts from the last call that failed.
     fn start_grace(&mut self, now: Time) {
-        self.recovered_at = Some(now);
-        let until = now + REGISTER_GRACE;
+        let failed_at = self.failed_at.unwrap_or(now);
+        let until = (failed_at + REGISTER_GRACE).max(now + MIN_REGISTER_GRACE);
+        self.grace_end = Some(until);
         self.expiring.values_mut().for_each(|at| *at = until);
     }
 
@@ -136,8 +153,7 @@
     }
 
     fn remove(&mut self, now: Time, name: &id::Target) -> bool {
-        let grace_end = self.recovered_at.map(|at| at + REGISTER_GRACE);
-        let until = match grace_end {
+        let until = match self.grace_end {
             _ if self.unavailable => Some(now + REGISTER_GRACE),
             Some(until) if now < until => Some(until),
             _ => None,
@@ -175,6 +191,10 @@
         if self.unavailable {
             return false;
         }
+        if self.grace_end.is_some_and(|end| end <= now) {
+            self.grace_end = None;
+            self.failed_at = None;
+        }
         let due = self.expiring.iter().filter(|(_, until)| **until <= now);
         let due: Vec<id::Target> = due.map(|(name, _)| name.clone()).collect();
         for name in &due {
--- a/src/gateway/controller.rs
+++ b/src/gateway/controller.rs
@@ -55,15 +55,17 @@
 const SWEEP_INTERVAL: Span = Span::from_millis(500);
 /// Interval of log lines on what workspaces asked for, were granted and lost.
 const LEDGER_INTERVAL: Span = Span::from_secs(1);
-/// Time allowed for a long-polling call beyond its requested wait.
-const LONG_POLL_MARGIN: Span = Span::from_millis(600);
+/// Time allowed for a long-polling call beyond its requested wait. Calls to the platform time out before, so that
+/// it is known which connections have gone silent.
+const LONG_POLL_MARGIN: Span = Span::from_millis(800);
 /// Batching delay for the list of routers; longer because many routers start at the same time.
 const ROUTERS_BATCH_DELAY: Span = Span::from_millis(1_000);
 /// Maximum number of further routers, in any failure domain, that are asked for lists when the
 /// platform fails.
 const MAX_FALLBACK_ROUTERS: usize = 3;
-/// Initial and maximum backoff between failed reads of a list.
-const LIST_BACKOFF: (Span, Span) = (Span::from_millis(100), Span::from_millis(800));
+/// Initial and maximum time between the starts of failed reads of a list. A router must notice soon that the platform
+/// can be reached again: targets that have left meanwhile are used until then.
+const LIST_BACKOFF: (Span, Span) = (Span::from_millis(100), Span::from_millis(700));
 /// Interval of reading the list of targets again while entries are set aside: changes of nothing but
 /// the number of a write are not reported.
 const TARGET_REFRESH_INTERVAL: Span = Span::from_secs(2);
@@ -243,7 +245,7 @@
                 return self.log_unchecked("configuration", &fault);
             }
             watch::Event::Unavailable { fault } => return self.log_lost("configuration", &fault),
-            watch::Event::Recovered { outage } => {
+            watch::Event::Recovered { outage, .. } => {
                 return self.log_recovered("configuration", outage);
             }
         };
@@ -354,9 +356,16 @@
                 self.log_lost("targets", &fault);
                 catalog::Event::Unavailable
             }
-            watch::Event::Recovered { outage } => {
+            watch::Event::Recovered {
+                outage,
+                confirmed_at,
+                failed_at,
+            } => {
                 self.log_recovered("targets", outage);
-                catalog::Event::Recovered
+                catalog::Event::Recovered {
+                    confirmed_at,
+                    failed_at,
+                }
             }
         };
         let whole = matches!(event, catalog::Event::Snapshot(_));
@@ -429,7 +438,9 @@
             watch::Event::Unchanged { .. } | watch::Event::Checked { .. } => return,
             watch::Event::Unchecked { fault } => return self.log_unchecked("routers", &fault),
             watch::Event::Unavailable { fault } => return self.log_lost("routers", &fault),
-            watch::Event::Recovered { outage } => return self.log_recovered("routers", outage),
+            watch::Event::Recovered { outage, .. } => {
+                return self.log_recovered("routers", outage);
+            }
         };
         if is_full {
             self.check_presence(&entries, restoration);
--- a/src/mirror/source.rs
+++ b/src/mirror/source.rs
@@ -3,19 +3,19 @@
 use super::page::Wire;
 use crate::{
     clock, metric,
-    unit::{Era, Span, Time},
+    unit::{Span, Time},
     upstream,
     watch::{self, Fault, Page, Position, Row},
 };
 use bytes::Bytes;
-use futures::{FutureExt, future::BoxFuture};
+use futures::{FutureExt, StreamExt, future::BoxFuture, stream::FuturesUnordered};
 use http::{Request, StatusCode};
 use http_body_util::Full;
 use std::{
     net::SocketAddr,
     sync::{
-        Arc, Mutex, PoisonError, RwLock,
-        atomic::{AtomicU64, Ordering},
+        Arc, Mutex, MutexGuard, PoisonError, RwLock,
+        atomic::{AtomicBool, Ordering},
     },
     time::Duration,
 };
@@ -29,6 +29,8 @@
 /// Maximum wait requested of another router: calls between routers are cheap, and a router that has
 /// gone silent must be noticed well within the time allowed for a change to take effect.
 const PEER_WAIT: Span = Span::from_millis(800);
+/// Time in which an endpoint usually answers a read; after it, the next one is asked as well.
+const READ_STAGGER: Span = Span::from_millis(150);
 /// Time after the last failure before the preferred endpoint is asked first again.
 const FAILBACK_DELAY: Span = Span::from_secs(5);
 
@@ -54,8 +56,8 @@
             .unwrap_or_else(PoisonError::into_inner) = fallback;
     }
 
-    /// Returns the endpoints in order of preference; `None` stands for the platform.
-    fn endpoints(&self) -> Vec<Option<SocketAddr>> {
+    /// Returns the endpoints in order of preference.
+    fn endpoints(&self) -> Vec<Endpoint> {
         let preferred = self
             .preferred
             .read()
@@ -76,10 +78,15 @@
     /// Maximum age of another router's copy; an older one is rejected.
     max_age: Span,
     cursor: Mutex<Cursor>,
-    /// Newest era of any page.
-    newest_era: AtomicU64,
+    /// Newest position of any page.
+    newest: Mutex<Position>,
+    /// Whether no endpoint answered the last read.
+    is_lost: AtomicBool,
 }
 
+/// Router to ask; `None` stands for the platform.
+type Endpoint = Option<SocketAddr>;
+
 /// Endpoint that is asked first, as an index into the order of preference.
 #[derive(Clone, Copy, Debug, Default)]
 struct Cursor {
@@ -104,14 +111,15 @@
             peers,
             max_age,
             cursor: Mutex::default(),
-            newest_era: AtomicU64::new(0),
+            newest: Mutex::default(),
+            is_lost: AtomicBool::new(false),
         }
     }
 
     /// Returns the endpoints in the order in which they are to be asked now.
-    fn endpoints(&self) -> Vec<Option<SocketAddr>> {
+    fn endpoints(&self) -> Vec<Endpoint> {
         let mut endpoints = self.peers.endpoints();
-        let mut cursor = self.cursor.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut cursor = self.cursor();
         if clock::now().since(cursor.last_failure) >= FAILBACK_DELAY {
             cursor.index = 0;
         }
@@ -120,17 +128,78 @@
         endpoints
     }
 
-    fn newest_era(&self) -> Era {
-        Era(self.newest_era.load(Ordering::Relaxed))
+    fn cursor(&self) -> MutexGuard<'_, Cursor> {
+        self.cursor.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn newest(&self) -> MutexGuard<'_, Position> {
+        self.newest.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Notes the era of a page.
+    /// Notes the position of a page.
     fn observe(&self, page: Page<Row>) -> Page<Row> {
-        let era = page.position.era.0;
-        self.newest_era.fetch_max(era, Ordering::Relaxed);
+        let mut newest = self.newest();
+        *newest = newest.max(page.position);
         page
     }
 
+    /// Asks another endpoint first for a while: the one that is `count` places after the first one.
+    fn skip(&self, count: usize) {
+        let mut cursor = self.cursor();
+        cursor.index += count;
+        cursor.last_failure = clock::now();
+    }
+
+    /// Reads the list from the first endpoint that has it, with the index of that endpoint; asks the first `at_once`
+    /// endpoints at the same time. One that lags behind a page seen before counts only if no other one answers.
+    async fn ask_in_turn(
+        &self,
+        endpoints: &[Endpoint],
+        at_once: usize,
+    ) -> Result<(usize, Page<Row>), Fault> {
+        let ask = |(index, endpoint): (usize, &Endpoint)| {
+            let endpoint = *endpoint;
+            async move { (index, self.read_from(endpoint).await) }
+        };
+        let mut next = endpoints.iter().enumerate();
+        let mut calls: FuturesUnordered<_> = next.by_ref().take(at_once).map(ask).collect();
+        let (mut lagging, mut reported) = (None, None);
+        loop {
+            let late = tokio::time::sleep(Duration::from(READ_STAGGER));
+            tokio::select! {
+                Some((index, answer)) = calls.next() => match answer {
+                    Ok(page) if page.position >= *self.newest() => return Ok((index, page)),
+                    Ok(page) => lagging = Some((index, page)),
+                    Err(fault) => {
+                        // The platform's error says more than that of a router that cannot
+                        // reach the platform either.
+                        if reported.is_none() || endpoints[index].is_none() {
+                            reported = Some(fault);
+                        }
+                    }
+                },
+                () = late, if next.len() > 0 => calls.extend(next.next().map(ask)),
+                else => break,
+            }
+            if calls.is_empty() {
+                calls.extend(next.next().map(ask));
+            }
+        }
+        lagging.ok_or_else(|| {
+            reported.unwrap_or(Fault::Unreachable {
+                endpoint: self.name.into(),
+                cause: "no router or platform is configured".into(),
+            })
+        })
+    }
+
+    async fn read_from(&self, endpoint: Endpoint) -> Result<Page<Row>, Fault> {
+        match endpoint {
+            Some(peer) => self.fetch(peer, "", Span(0)).await,
+            None => self.platform.read().await,
+        }
+    }
+
     /// Reads the list, or its changes as `query` says, from another router that answers after `wait` at the latest.
     async fn fetch(&self, peer: SocketAddr, query: &str, wait: Span) -> Result<Page<Row>, Fault> {
         let endpoint = || Box::from(format!("list {} of router {peer}", self.name));
@@ -154,6 +223,8 @@
                 });
             }
             Err(_) => {
+                // Idle connections may have gone silent like this one.
+                self.pool.forget(peer);
                 return Err(Fault::Timeout {
                     endpoint: endpoint(),
                     limit,
@@ -171,7 +242,7 @@
                         page.age
                     )));
                 }
-                let (era, newest) = (page.position.era, self.newest_era());
+                let (era, newest) = (page.position.era, self.newest().era);
                 if era < newest {
                     return Err(Fault::Outdated {
                         endpoint: endpoint(),
@@ -193,30 +264,25 @@
 }
 
 impl watch::Source for Source {
+    /// Asks the endpoints in order of preference, each of them once the one before has failed or is late. After a read
+    /// that failed, the platform is asked at once, however many routers come before it: that it can be reached again must
+    /// be noticed soon.
     fn read(&self) -> BoxFuture<'_, Result<Page<Row>, Fault>> {
         async move {
-            let mut reported = None;
-            for endpoint in self.endpoints() {
-                let page = match endpoint {
-                    Some(peer) => self.fetch(peer, "", Span(0)).await,
-                    None => self.platform.read().await,
-                };
-                match page {
-                    Ok(page) => return Ok(self.observe(page)),
-                    Err(fault) => {
-                        self.report_failure();
-                        // The platform's error says more than that of a router that cannot
-                        // reach the platform either.
-                        if reported.is_none() || endpoint.is_none() {
-                            reported = Some(fault);
-                        }
-                    }
-                }
+            let endpoints = self.endpoints();
+            let at_once = if self.is_lost.load(Ordering::Relaxed) {
+                let platform = endpoints.iter().position(Option::is_none);
+                platform.map_or(1, |index| index + 1)
+            } else {
+                1
+            };
+            let answer = self.ask_in_turn(&endpoints, at_once).await;
+            self.is_lost.store(answer.is_err(), Ordering::Relaxed);
+            let (index, page) = answer?;
+            if index > 0 {
+                self.skip(index);
             }
-            Err(reported.unwrap_or(Fault::Unreachable {
-                endpoint: self.name.into(),
-                cause: "no router or platform is configured".into(),
-            }))
+            Ok(self.observe(page))
         }
         .boxed()
     }
@@ -261,9 +327,7 @@
     }
 
     fn report_failure(&self) {
-        let mut cursor = self.cursor.lock().unwrap_or_else(PoisonError::into_inner);
-        cursor.index += 1;
-        cursor.last_failure = clock::now();
+        self.skip(1);
     }
 }
 
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -168,6 +168,8 @@
         let result =
             tokio::time::timeout(Duration::from(limit), self.send_request(method, path, body));
         let result = result.await.unwrap_or_else(|_| {
+            // Idle connections may have gone silent like this one.
+            self.pool.forget(self.address);
             let endpoint = self.endpoint(path);
             Err(Fault::Timeout { endpoint, limit })
         });
--- a/src/watch/decode.rs
+++ b/src/watch/decode.rs
@@ -28,6 +28,14 @@
         Event::Checked { asked } => Event::Checked { asked },
         Event::Unchecked { fault } => Event::Unchecked { fault },
         Event::Unavailable { fault } => Event::Unavailable { fault },
-        Event::Recovered { outage } => Event::Recovered { outage },
+        Event::Recovered {
+            outage,
+            confirmed_at,
+            failed_at,
+        } => Event::Recovered {
+            outage,
+            confirmed_at,
+            failed_at,
+        },
     }
 }
--- a/src/watch/event.rs
+++ b/src/watch/event.rs
@@ -50,6 +50,10 @@
     Recovered {
         /// Time for which it was unavailable.
         outage: Span,
+        /// Time at which the platform last confirmed the list before.
+        confirmed_at: Time,
+        /// Time at which the last call that failed began. The platform may be reachable since then.
+        failed_at: Time,
     },
 }
 
--- a/src/watch/watcher.rs
+++ b/src/watch/watcher.rs
@@ -27,9 +27,10 @@
     pub margin: Span,
     /// Delay between changes and the next call, so that one call returns several changes.
     pub batch_delay: Span,
-    /// Backoff after the first failure; it doubles up to [`Settings::max_backoff`].
+    /// Time from the start of the first call that fails to that of the next; it doubles up to
+    /// [`Settings::max_backoff`].
     pub min_backoff: Span,
-    /// Maximum backoff between two failing calls.
+    /// Maximum time from the start of a call that fails to that of the next, unless the call takes longer.
     pub max_backoff: Span,
 }
 
@@ -62,7 +63,9 @@
             last_check: Time::default(),
             position: None,
             latest: Position::default(),
+            confirmed_at: Time::default(),
             unavailable_since: None,
+            failed_at: Time::default(),
             backoff: settings.min_backoff,
         };
         let task = tokio::spawn(state.run());
@@ -111,7 +114,11 @@
     position: Option<Position>,
     /// Latest position seen.
     latest: Position,
+    /// Time at which the platform last sent or confirmed the list.
+    confirmed_at: Time,
     unavailable_since: Option<Time>,
+    /// Time at which the last read that failed began.
+    failed_at: Time,
     backoff: Span,
 }
 
@@ -126,26 +133,31 @@
     }
 
     async fn read(&mut self) {
+        let begun = clock::now();
         match self.source.read().await {
             // The source lags behind a position that was already seen.
             Ok(page) if page.position < self.latest => {
                 self.source.report_failure();
-                self.back_off().await;
+                self.back_off(begun).await;
             }
             Ok(page) => {
                 self.backoff = self.settings.min_backoff;
                 if let Some(since) = self.unavailable_since.take() {
-                    let outage = clock::now().since(since);
-                    self.send(Event::Recovered { outage });
+                    self.send(Event::Recovered {
+                        outage: clock::now().since(since),
+                        confirmed_at: self.confirmed_at,
+                        failed_at: self.failed_at,
+                    });
                 }
                 self.publish(page, true);
             }
             Err(fault) => {
+                self.failed_at = begun;
                 if self.unavailable_since.is_none() {
                     self.unavailable_since = Some(clock::now());
                     self.send(Event::Unavailable { fault });
                 }
-                self.back_off().await;
+                self.back_off(begun).await;
             }
         }
     }
@@ -238,6 +250,7 @@
             Ok(page) => {
                 if page.entries.is_empty() {
                     let age = page.age;
+                    self.confirm(age);
                     self.send(Event::Unchanged { position, age });
                 } else {
                     self.publish(page, false);
@@ -263,6 +276,7 @@
         } = page;
         self.position = Some(position);
         self.latest = position;
+        self.confirm(age);
         self.send(match (full, entries.is_empty()) {
             (true, _) => Event::Full {
                 entries,
@@ -278,10 +292,17 @@
         });
     }
 
-    async fn back_off(&mut self) {
-        let backoff = self.backoff;
-        self.backoff = Span((2 * backoff.0).min(self.settings.max_backoff.0));
-        tokio::time::sleep(Duration::from(backoff)).await;
+    /// Notes that the list was current some time ago.
+    fn confirm(&mut self, age: Span) {
+        let confirmed_at = Time(clock::now().0.saturating_sub(age.0));
+        self.confirmed_at = self.confirmed_at.max(confirmed_at);
+    }
+
+    /// Waits until the next call is due after one that began at `begun`.
+    async fn back_off(&mut self, begun: Time) {
+        let next = begun + self.backoff;
+        self.backoff = Span((2 * self.backoff.0).min(self.settings.max_backoff.0));
+        tokio::time::sleep(Duration::from(next.since(clock::now()))).await;
     }
 
     fn send(&self, event: Event<Row>) {
--- a/tests/catalog.rs
+++ b/tests/catalog.rs
@@ -80,11 +80,49 @@
     assert_eq!(names(&catalog), ["a", "b"]);
 }
 
+fn recovered(confirmed_ms: u64, failed_ms: u64) -> Event {
+    Event::Recovered {
+        confirmed_at: at(confirmed_ms),
+        failed_at: at(failed_ms),
+    }
+}
+
+/// Targets that are missing after an outage have two seconds from its end. The list is read 0.7 s after it at the latest, as long
+/// as a call takes to fail, and targets must be gone three seconds after it.
+#[test]
+fn recovered_list_read_late() {
+    for late_ms in [0, 100, 350, 700] {
+        let mut catalog = open();
+        catalog.step(at(10), Event::Unavailable);
+        let (failed_ms, read_ms) = (9_000, 9_000 + late_ms);
+        catalog.step(at(read_ms), recovered(10, failed_ms));
+        catalog.step(at(read_ms), Event::Snapshot(vec![entry("b", 1)]));
+        catalog.step(at(read_ms + 1_990), Event::Tick);
+        assert_eq!(names(&catalog), ["a", "b"], "{late_ms} ms late");
+        catalog.step(at(read_ms + 2_000), Event::Update(vec![removed("b")]));
+        catalog.step(at(failed_ms + 2_750), Event::Tick);
+        assert_eq!(names(&catalog), [""; 0], "{late_ms} ms late");
+    }
+}
+
+/// An entry expires only after several writes have failed, so that one missing after a shorter outage is that of a target
+/// that has left.
+#[test]
+fn recovered_list_after_short_outage() {
+    let mut catalog = open();
+    catalog.step(at(8_100), Event::Unavailable);
+    catalog.step(at(8_900), recovered(8_000, 8_100));
+    catalog.step(at(8_900), Event::Snapshot(vec![entry("b", 1)]));
+    assert_eq!(names(&catalog), ["b"]);
+    catalog.step(at(9_000), Event::Update(vec![removed("b")]));
+    assert_eq!(names(&catalog), [""; 0]);
+}
+
 #[test]
 fn recovered_list_without_entries() {
     let mut catalog = open();
     catalog.step(at(10), Event::Unavailable);
-    catalog.step(at(9_000), Event::Recovered);
+    catalog.step(at(9_000), recovered(10, 9_000));
     catalog.step(at(9_000), Event::Snapshot(vec![entry("b", 1)]));
     assert_eq!(names(&catalog), ["a", "b"], "it may register again");
     catalog.step(at(10_000), Event::Tick);
@@ -97,7 +135,7 @@
 fn recovered_list_entry_registered_again() {
     let mut catalog = open();
     catalog.step(at(10), Event::Unavailable);
-    catalog.step(at(9_000), Event::Recovered);
+    catalog.step(at(9_000), recovered(10, 9_000));
     catalog.step(at(9_000), Event::Snapshot(vec![entry("b", 1)]));
     catalog.step(at(10_000), Event::Update(vec![entry("a", 1)]));
     catalog.step(at(20_000), Event::Tick);
--- a/tests/evacuation.rs
+++ b/tests/evacuation.rs
@@ -625,6 +625,8 @@
         watch::Event::Unchecked { fault: fault() },
         watch::Event::Recovered {
             outage: Span::from_secs(9),
+            confirmed_at: Time::default(),
+            failed_at: Time::default(),
         },
         watch::Event::Unchanged {
             position: position(1, 8),
--- a/tests/mirror.rs
+++ b/tests/mirror.rs
@@ -8,7 +8,12 @@
     upstream,
     watch::{self, Event, Fault, Page, Position, Row, Source as _},
 };
-use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpListener,
@@ -277,3 +282,82 @@
     let page = fetch("/lists/targets?after=20&era=1&wait-ms=0").await;
     assert_eq!(page.status(), 410);
 }
+
+/// A platform that answers only from the second read on, and remembers when it was asked.
+#[derive(Default)]
+struct Returning {
+    asked: Mutex<Vec<Time>>,
+}
+
+impl watch::Source for Returning {
+    fn read(&self) -> BoxFuture<'_, Result<Page<Row>, Fault>> {
+        let mut asked = self.asked.lock().unwrap();
+        asked.push(clock::now());
+        let answer = match asked.len() {
+            1 => Err(fault()),
+            _ => Ok(Page {
+                entries: Vec::new(),
+                position: at(5),
+                age: Span(0),
+            }),
+        };
+        async { answer }.boxed()
+    }
+
+    fn changes(&self, _: Position, _: Span) -> BoxFuture<'_, Result<Page<Row>, Fault>> {
+        async { Err(fault()) }.boxed()
+    }
+}
+
+/// Returns addresses of routers that accept connections and never answer, with their listeners.
+fn silent_routers(count: usize) -> (Vec<SocketAddr>, Vec<std::net::TcpListener>) {
+    let listeners = (0..count).map(|_| std::net::TcpListener::bind("127.0.0.1:0").unwrap());
+    let listeners: Vec<_> = listeners.collect();
+    let addresses = listeners
+        .iter()
+        .map(|listener| listener.local_addr().unwrap());
+    (addresses.collect(), listeners)
+}
+
+/// Guards against a router that notices the platform's return late, because it waits for other routers first that are cut off
+/// as well.
+#[tokio::test]
+async fn read_after_failure_asks_platform_at_once() {
+    let (before, _listeners) = silent_routers(2);
+    let (after, _more) = silent_routers(3);
+    let peers = Arc::<Peers>::default();
+    peers.set(before, after);
+    let platform = Arc::<Returning>::default();
+    let pool = upstream::Pool::default();
+    let max_age = Span::from_secs(10);
+    let source = mirror::Source::new("targets", platform.clone(), pool, peers, max_age);
+    assert!(source.read().await.is_err());
+    let begun = clock::now();
+    assert_eq!(source.read().await.unwrap().position, at(5));
+    let asked = platform.asked.lock().unwrap()[1];
+    let late = asked.since(begun);
+    assert!(late < Span::from_millis(100), "{late}");
+}
+
+/// Guards against reads that fail because another router answers first, with a copy from before.
+#[tokio::test]
+async fn read_prefers_what_is_not_outdated() {
+    let cache = Arc::new(Cache::new(Span::from_secs(10)));
+    cache.apply(&full(3, Span(0)));
+    let server = serve(&cache);
+    let peers = Arc::<Peers>::default();
+    peers.set(vec![server.address()], Vec::new());
+    let platform = Arc::<Returning>::default();
+    platform.asked.lock().unwrap().push(clock::now());
+    let pool = upstream::Pool::default();
+    let max_age = Span::from_secs(10);
+    let source = mirror::Source::new("targets", platform, pool, peers, max_age);
+    let pages = async {
+        let first = source.read().await?.position;
+        source.report_failure();
+        let second = source.read().await?.position;
+        source.report_failure();
+        Ok::<_, Fault>((first, second, source.read().await?.position))
+    };
+    assert_eq!(pages.await.unwrap(), (at(3), at(5), at(5)));
+}
--- a/tests/watch.rs
+++ b/tests/watch.rs
@@ -330,3 +330,50 @@
         });
     });
 }
+
+/// Time that a call takes to fail.
+const FAILURE_TIME: Span = Span::from_millis(60);
+
+/// A platform whose reads fail after some time, and the beginning and end of each.
+#[derive(Default)]
+struct Failing(Mutex<Vec<(Time, Time)>>);
+
+impl Source for Failing {
+    fn read(&self) -> BoxFuture<'_, Result<Page<Row>, Fault>> {
+        async move {
+            let begun = clock::now();
+            tokio::time::sleep(FAILURE_TIME.into()).await;
+            self.0.lock().unwrap().push((begun, clock::now()));
+            Err(Platform::gone())
+        }
+        .boxed()
+    }
+
+    fn changes(&self, _: Position, _: Span) -> BoxFuture<'_, Result<Page<Row>, Fault>> {
+        async { Err(Platform::gone()) }.boxed()
+    }
+}
+
+/// Guards against pauses between calls that have already taken long to fail: what happens meanwhile is noticed late.
+#[tokio::test]
+async fn slow_failures_follow_each_other() {
+    let source = Arc::<Failing>::default();
+    let settings = Settings {
+        min_backoff: Span::from_millis(25),
+        max_backoff: Span::from_millis(50),
+        ..SETTINGS
+    };
+    let (sender, _events) = mpsc::unbounded_channel();
+    let _watcher = Watcher::spawn(source.clone(), settings, Arc::default(), sender);
+    tokio::time::timeout(Duration::from_secs(20), async {
+        while source.0.lock().unwrap().len() < 5 {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    })
+    .await
+    .unwrap();
+    let reads = source.0.lock().unwrap().clone();
+    let pauses = reads.windows(2).map(|pair| pair[1].0.since(pair[0].1));
+    let shortest = pauses.min().unwrap();
+    assert!(shortest < Span::from_millis(10), "{shortest}");
+}
--- a/tests/world/proxy.rs
+++ b/tests/world/proxy.rs
@@ -26,6 +26,8 @@
     Silence,
     /// New connections are refused.
     Refuse,
+    /// New connections are silent for good.
+    Lose,
 }
 
 /// Direction of bytes.
@@ -46,6 +48,8 @@
     harm: watch::Sender<Harm>,
     /// Counts resets; a change ends all open connections.
     resets: watch::Sender<u64>,
+    /// Counts silences; at a change all open connections go silent for good.
+    silences: watch::Sender<u64>,
     stop: watch::Sender<bool>,
     thread: Option<thread::JoinHandle<()>>,
 }
@@ -57,6 +61,7 @@
     target: SocketAddr,
     harm: watch::Receiver<Harm>,
     resets: watch::Receiver<u64>,
+    silences: watch::Receiver<u64>,
 }
 
 impl Proxy {
@@ -64,13 +69,14 @@
     pub(crate) fn bind(target: SocketAddr) -> Self {
         let address = free_address();
         let harm = watch::Sender::new(Harm::None);
-        let resets = watch::Sender::new(0);
+        let (resets, silences) = (watch::Sender::new(0), watch::Sender::new(0));
         let (stop, mut stopped) = watch::channel(false);
         let link = Link {
             address,
             target,
             harm: harm.subscribe(),
             resets: resets.subscribe(),
+            silences: silences.subscribe(),
         };
         let listener = std::net::TcpListener::bind(address).unwrap();
         listener.set_nonblocking(true).unwrap();
@@ -88,6 +94,7 @@
             address,
             harm,
             resets,
+            silences,
             stop,
             thread: Some(thread),
         }
@@ -98,6 +105,17 @@
         self.harm.send_replace(harm);
     }
 
+    /// Makes all open connections silent for good, without an end; new ones work.
+    pub(crate) fn silence(&self) {
+        self.silences.send_modify(|count| *count += 1);
+    }
+
+    /// Cuts the link: open connections and those that are opened meanwhile are silent for good.
+    pub(crate) fn cut(&self) {
+        self.harm(Harm::Lose);
+        self.silence();
+    }
+
     /// Resets all open connections.
     pub(crate) fn reset(&self) {
         self.resets.send_modify(|count| *count += 1);
@@ -145,6 +163,8 @@
     /// Serves a connection; if one side breaks off, so does the other.
     async fn connect(mut self, mut near: TcpStream) {
         self.resets.mark_unchanged();
+        self.silences.mark_unchanged();
+        let is_lost = *self.harm.borrow() == Harm::Lose;
         let Ok(mut far) = TcpStream::connect(self.target).await else {
             // The side that connected may have gone.
             let _ = near.set_zero_linger();
@@ -155,14 +175,20 @@
         let (near_in, near_out) = near.split();
         let (far_in, far_out) = far.split();
         let harm = &self.harm;
+        let mut resets = self.resets.clone();
         let done = tokio::select! {
             done = async {
                 tokio::try_join!(
                     pass(harm.clone(), Way::Requests, near_in, far_out),
                     pass(harm.clone(), Way::Answers, far_in, near_out),
                 )
-            } => done.is_ok(),
-            _ = self.resets.changed() => false,
+            }, if !is_lost => done.is_ok(),
+            _ = self.silences.changed(), if !is_lost => {
+                // The proxy keeps the sender.
+                let _ = self.resets.changed().await;
+                false
+            }
+            _ = resets.changed() => false,
         };
         if !done {
             // Either side may have gone.
