--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -870,10 +870,10 @@
     cause.map_or(Outcome::Malformed, outcome_of)
 }
 
-/// Returns a connection to the pool after its response was read completely.
+/// Returns a connection to the pool after its response was read completely, unless the target closes it.
 pub(super) fn release(lease: upstream::Lease, reply: &Reply) {
     match reply.keep_alive {
-        _ if reply.closes => {}
+        _ if reply.closes => lease.close(),
         Some(keep_alive) => lease.release_for(keep_alive),
         None => lease.release(),
     }
--- a/src/upstream/pool.rs
+++ b/src/upstream/pool.rs
@@ -68,7 +68,8 @@
     }
 }
 
-/// A connection in use; [`Lease::release`] returns it to the pool, and dropping it closes it.
+/// A connection in use; [`Lease::release`] returns it to the pool, and dropping it resets it: what has not been delivered
+/// to the target by then is discarded.
 pub struct Lease {
     sender: Sender,
     connection: Connection,
@@ -213,6 +214,11 @@
         self.connection.sending.ended_unsent()
     }
 
+    /// Closes the connection; call it only after the response was read completely.
+    pub fn close(self) {
+        self.connection.sending.record_answered();
+    }
+
     /// Returns the connection to the pool; call it only after the response was read completely.
     pub fn release(self) {
         self.release_for(DEFAULT_KEEP_ALIVE);
@@ -220,6 +226,7 @@
 
     /// Returns the connection to the pool; `keep_alive` is the target's keep-alive timeout.
     pub fn release_for(self, keep_alive: Span) {
+        self.connection.sending.record_answered();
         if self.sender.is_closed() {
             return;
         }
--- a/src/upstream/sending.rs
+++ b/src/upstream/sending.rs
@@ -1,4 +1,4 @@
-//! How far a request has been sent.
+//! How far the request on a connection has got.
 
 use std::sync::atomic::{AtomicBool, Ordering};
 
@@ -10,6 +10,8 @@
     /// All bytes were written to the socket.
     is_sent: AtomicBool,
     ended_unsent: AtomicBool,
+    /// The response has not been read completely.
+    is_unanswered: AtomicBool,
 }
 
 impl Sending {
@@ -18,6 +20,16 @@
         for flag in [&self.is_taken, &self.is_sent, &self.ended_unsent] {
             flag.store(false, Ordering::Relaxed);
         }
+        self.is_unanswered.store(true, Ordering::Relaxed);
+    }
+
+    /// Records that the response was read completely.
+    pub(super) fn record_answered(&self) {
+        self.is_unanswered.store(false, Ordering::Relaxed);
+    }
+
+    pub(super) fn is_unanswered(&self) -> bool {
+        self.is_unanswered.load(Ordering::Relaxed)
     }
 
     pub(super) fn record_taken(&self) {
--- a/src/upstream/wire.rs
+++ b/src/upstream/wire.rs
@@ -12,7 +12,8 @@
     net::TcpStream,
 };
 
-/// Socket that records whether the request was sent when the target ended the connection.
+/// Socket that records whether the request was sent when the target ended the connection, and resets a connection whose
+/// request is given up.
 pub(super) struct Wire {
     stream: TcpStream,
     sending: Arc<Sending>,
@@ -24,6 +25,17 @@
     }
 }
 
+impl Drop for Wire {
+    /// After a mere close, the system would go on to send what a partition holds up, so that the target gets the request
+    /// long after it was given up.
+    fn drop(&mut self) {
+        if self.sending.is_unanswered() {
+            // Fails only if the connection has ended.
+            let _ = self.stream.set_zero_linger();
+        }
+    }
+}
+
 impl AsyncRead for Wire {
     fn poll_read(
         mut self: Pin<&mut Self>,
--- a/tests/cut_off.rs
+++ b/tests/cut_off.rs
@@ -240,3 +240,39 @@
         play_outage(Fault::Reset, true, length)
     });
 }
+
+/// Guards against requests that reach a target after a cut though they were given up long before: the system sends what the
+/// cut has held up.
+#[test]
+fn request_given_up_during_a_cut_never_arrives() {
+    let world = World::open(0, 1);
+    let (app, link) = (&world.apps[0], Proxy::bind(world.apps[0].address()));
+    app.list_at(link.address);
+    let router = Router::spawn_at(world.store.address(), "r1", &[]);
+    let call = |route: &str, deadline: &str| {
+        let path = format!("/{route}/it");
+        let caller = Caller::new(
+            router.listen,
+            "POST",
+            &path,
+            &format!("q-{route}-{deadline}"),
+        );
+        caller.with("x-marlrun-deadline-ms", deadline).call().status
+    };
+    wait_for("the router is ready", || router.is_ready());
+    wait_for("the target serves", || call("look", "900") == 200);
+    link.harm(Harm::Silence);
+    let before = app.arrivals().len();
+    let statuses = [("look", "300"), ("book", "400"), ("book", "500")];
+    let statuses = statuses.map(|(route, deadline)| call(route, deadline));
+    assert_eq!(statuses, [504; 3]);
+    link.harm(Harm::None);
+    wait_for("the target serves again", || call("look", "1000") == 200);
+    thread::sleep(millis(500));
+    let requests = app.runs().into_iter().skip(before).map(|run| run.request);
+    let requests: Vec<String> = requests.collect();
+    assert!(
+        requests.iter().all(|request| request == "q-look-1000"),
+        "{requests:?}"
+    );
+}
--- a/tests/world/proxy.rs
+++ b/tests/world/proxy.rs
@@ -207,14 +207,14 @@
 ) -> io::Result<()> {
     let mut block = vec![0; BLOCK_BYTES];
     loop {
-        free(&mut harm, way).await;
+        free(&mut harm, way, from.as_ref()).await?;
         let length = from.read(&mut block).await?;
         let delay = match *harm.borrow() {
             Harm::Delay(delay) => delay,
             _ => Duration::ZERO,
         };
         tokio::time::sleep(delay).await;
-        free(&mut harm, way).await;
+        free(&mut harm, way, from.as_ref()).await?;
         if length == 0 {
             return to.shutdown().await;
         }
@@ -222,12 +222,14 @@
     }
 }
 
-/// Waits until bytes of a direction are not held back.
-async fn free(harm: &mut watch::Receiver<Harm>, way: Way) {
+/// Waits until bytes of a direction are not held back; fails if their sender has reset the connection, by which they are
+/// lost.
+async fn free(harm: &mut watch::Receiver<Harm>, way: Way, from: &TcpStream) -> io::Result<()> {
     let held = |harm: &Harm| match way {
         Way::Requests => matches!(harm, Harm::HoldRequests | Harm::Silence),
         Way::Answers => matches!(harm, Harm::HoldAnswers | Harm::Silence),
     };
     // The proxy keeps the sender.
     let _ = harm.wait_for(|harm| !held(harm)).await;
+    from.take_error()?.map_or(Ok(()), Err)
 }
