--- a/src/catalog/machine.rs
+++ b/src/catalog/machine.rs
@@ -1,6 +1,6 @@
 //! State machine that maintains the known targets through failures of their list.
 
-use super::{Entry, Event, Target, memory::Memory, write::Write};
+use super::{Entry, Event, Target, memory::Memory, verification::Verification, write::Write};
 use crate::{
     id,
     unit::{Span, Time},
@@ -24,13 +24,22 @@
 /// register again. A router that was cut off by itself can't tell their entries from those of targets
 /// that have left, which must not be used for longer than a few seconds after its return. The same
 /// holds after the list came back from a copy. An entry that is older than what is known of its target,
-/// such as its departure, is then set aside until the target writes again.
+/// such as its departure, is then set aside until the target writes again. So is one whose target was
+/// not listed before, and after some seconds those of targets that don't write while most others do:
+/// they may have left after the copy was made.
 #[derive(Clone, Debug, Default)]
 pub struct Catalog {
     targets: BTreeMap<id::Target, Target>,
     memory: Memory,
-    /// Entries of a restored list that are older than what is known of their target.
+    /// Entries of a restored list that are older than what is known of their target, or whose target doesn't write.
     set_aside: BTreeMap<id::Target, Entry>,
+    /// Whether the list was read at least once.
+    is_read: bool,
+    /// Whether the next list is the first one after a restore.
+    is_restored: bool,
+    verification: Option<Verification>,
+    /// Targets that were set aside because they don't write, until they are taken.
+    doubted: Vec<id::Target>,
     /// Targets whose entry disappeared while the list was unavailable or within the grace time,
     /// with the time at which they are removed.
     expiring: BTreeMap<id::Target, Time>,
@@ -81,17 +90,30 @@
                 false
             }
             Event::Restored => {
+                self.is_restored = true;
                 self.memory.restore(now);
                 self.start_grace(now);
                 false
             }
             Event::Tick => {
                 let readmitted = self.readmit(now);
-                self.expire(now) | readmitted
+                self.expire(now) | self.doubt_silent(now) | readmitted
             }
         }
     }
 
+    /// Returns the targets that were set aside since the last call because they don't write.
+    pub fn take_doubted(&mut self) -> Vec<id::Target> {
+        std::mem::take(&mut self.doubted)
+    }
+
+    /// Reports once after each restore whether it is time to read the whole list again, since writes that change nothing
+    /// else are not reported.
+    pub fn take_refresh(&mut self, now: Time) -> bool {
+        let verification = self.verification.as_mut();
+        verification.is_some_and(|verification| verification.take_refresh(now))
+    }
+
     /// Starts the grace time when the list was read again; it counts from the last call that failed.
     fn start_grace(&mut self, now: Time) {
         let failed_at = self.failed_at.unwrap_or(now);
@@ -110,17 +132,87 @@
             changed |= self.remove(now, &name);
         }
         self.set_aside.clear();
+        let is_first = std::mem::take(&mut self.is_restored);
+        if is_first && self.is_read {
+            self.note_copied(now, &entries);
+        }
+        self.is_read = true;
         for entry in entries {
             changed |= self.apply(now, entry);
         }
+        if is_first {
+            self.verification = Some(Verification::begin(now, self.writes()));
+        }
         changed
     }
 
+    /// Notes the entries of a restored list whose targets were not listed before.
+    fn note_copied(&mut self, now: Time, entries: &[Entry]) {
+        for entry in entries {
+            if let Some(target) = &entry.target
+                && !self.targets.contains_key(&target.name)
+            {
+                let write = Write::of(target, entry.sequence);
+                self.memory.note_copied(now, &target.name, write);
+            }
+        }
+    }
+
+    /// Returns the last known write of each listed target that is in use.
+    fn writes(&self) -> BTreeMap<id::Target, Write> {
+        let listed = self.targets.values().filter(|target| {
+            let is_missing = self.expiring.contains_key(&target.name);
+            let is_old = self.set_aside.contains_key(&target.name);
+            !target.draining && !is_missing && !is_old
+        });
+        let writes = listed.filter_map(|target| {
+            let write = self.memory.write(&target.name)?;
+            Some((target.name.clone(), write))
+        });
+        writes.collect()
+    }
+
+    /// Sets the entries of targets aside that have not written since the list was restored; returns whether there are any.
+    fn doubt_silent(&mut self, now: Time) -> bool {
+        let Some(verification) = &self.verification else {
+            return false;
+        };
+        let silent = verification.silent(now).cloned();
+        if silent.is_some() || verification.is_over(now) {
+            self.verification = None;
+        }
+        silent
+            .into_iter()
+            .flatten()
+            .fold(false, |changed, (name, write)| {
+                self.doubt(now, name, write) | changed
+            })
+    }
+
+    fn doubt(&mut self, now: Time, name: id::Target, write: Write) -> bool {
+        let Some(target) = self.targets.remove(&name) else {
+            return false;
+        };
+        self.memory.doubt(now, &name, write);
+        let entry = Entry {
+            name: name.as_str().into(),
+            target: Some(target),
+            rejected: None,
+            sequence: write.sequence(),
+        };
+        self.doubted.push(name.clone());
+        self.set_aside.insert(name, entry);
+        true
+    }
+
     fn apply(&mut self, now: Time, entry: Entry) -> bool {
         let Some(target) = entry.target else {
             return match entry.name.parse::<id::Target>() {
                 Ok(name) => {
                     self.set_aside.remove(&name);
+                    if let Some(verification) = &mut self.verification {
+                        verification.forget(&name);
+                    }
                     self.remove(now, &name)
                 }
                 // Entries with an invalid name were never in the catalog.
@@ -145,6 +237,9 @@
         }
         let changed = old != Some(&target);
         self.expiring.remove(&target.name);
+        if let Some(verification) = &mut self.verification {
+            verification.observe(&target.name, write);
+        }
         self.memory.add(now, &target.name, write, target.draining);
         if changed {
             self.targets.insert(target.name.clone(), target);
--- a/src/catalog/memory.rs
+++ b/src/catalog/memory.rs
@@ -44,6 +44,11 @@
         self.known.insert(target.clone(), known);
     }
 
+    /// Returns the last known write of a target.
+    pub(super) fn write(&self, target: &id::Target) -> Option<Write> {
+        self.known.get(target).map(|known| known.write)
+    }
+
     /// Notes that a target is gone.
     pub(super) fn depart(&mut self, now: Time, target: &id::Target) {
         if let Some(known) = self.known.get_mut(target) {
@@ -67,6 +72,31 @@
         }
     }
 
+    /// Notes an entry in the first list of an era whose target is not in use. A list that is newer than the copy did not have
+    /// it, so that its write, which may follow the last one known before the departure, says nothing.
+    pub(super) fn note_copied(&mut self, now: Time, target: &id::Target, write: Write) {
+        let known = self.known.entry(target.clone()).or_insert(Known {
+            write,
+            departed: true,
+            since: now,
+            restored: true,
+        });
+        if known.departed && write.is_same_run(known.write) {
+            known.write = known.write.max(write);
+        }
+    }
+
+    /// Notes that the entry of a target in a restored list is to be set aside until it writes.
+    pub(super) fn doubt(&mut self, now: Time, target: &id::Target, write: Write) {
+        let known = Known {
+            write,
+            departed: true,
+            since: now,
+            restored: true,
+        };
+        self.known.insert(target.clone(), known);
+    }
+
     /// Reports whether an entry of a restored list is older than what is known of its target: it is
     /// an earlier write than the last one, or not a later one than that before a departure.
     pub(super) fn precedes(&self, target: &id::Target, write: Write) -> bool {
--- a/src/catalog/mod.rs
+++ b/src/catalog/mod.rs
@@ -6,6 +6,7 @@
 mod memory;
 mod run;
 mod target;
+mod verification;
 mod write;
 
 pub use self::{entry::Entry, event::Event, machine::Catalog, run::Run, target::Target};
--- a/src/catalog/write.rs
+++ b/src/catalog/write.rs
@@ -17,4 +17,14 @@
             sequence,
         }
     }
+
+    /// Reports whether another write is of the same run of the target.
+    pub(super) fn is_same_run(self, other: Self) -> bool {
+        self.started_at_ms == other.started_at_ms
+    }
+
+    /// Returns the number of the write within its run.
+    pub(super) fn sequence(self) -> u64 {
+        self.sequence
+    }
 }
--- a/src/gateway/controller.rs
+++ b/src/gateway/controller.rs
@@ -67,8 +67,14 @@
 /// can be reached again: targets that have left meanwhile are used until then.
 const LIST_BACKOFF: (Span, Span) = (Span::from_millis(100), Span::from_millis(700));
 /// Interval of reading the list of targets again while entries are set aside: changes of nothing but
-/// the number of a write are not reported.
+/// the number of a write are not reported. It grows with the failure domains, so that the fleet makes
+/// one such call per second at most.
 const TARGET_REFRESH_INTERVAL: Span = Span::from_secs(2);
+const TARGET_REFRESH_INTERVAL_PER_DOMAIN: Span = Span::from_secs(1);
+/// Time after which the first leader's copy of the list contains what it has read.
+const RELAY_DELAY: Span = Span::from_millis(200);
+/// Era of a store that never came back from a copy.
+const FIRST_ERA: Era = Era(1);
 /// Entries passed over that are logged and remembered, so that a faulty writer fills neither log nor
 /// memory.
 const MAX_REJECTED: usize = 1_000;
@@ -95,8 +101,8 @@
     pub(super) positions: BTreeMap<&'static str, watch::Position>,
     /// Era in which the list of routers was last refreshed because another list was ahead.
     pub(super) refreshed_era: Era,
-    /// Time at which the list of targets is read again if entries are set aside.
-    pub(super) next_target_refresh: Time,
+    /// Time at which the list of targets is read again, since entries are set aside or may have to be.
+    pub(super) next_target_refresh: Option<Time>,
     /// Entries that were passed over, by list and name, and why.
     pub(super) rejected: BTreeMap<(&'static str, Box<str>), Box<str>>,
     pub(super) incumbent: Incumbent,
@@ -330,10 +336,13 @@
     }
 
     fn apply_targets(&mut self, event: watch::Event<watch::Row>) {
+        let is_first = !self.positions.contains_key(TARGETS);
         let restoration = self.observe_position(TARGETS, &event);
         self.caches.targets.apply(&event);
         let age = event.age();
-        if restoration.is_some() {
+        // A router that starts can't tell how long ago the last restore was.
+        let may_be_copied = is_first && event.position().is_some_and(|at| at.era > FIRST_ERA);
+        if restoration.is_some() || may_be_copied {
             self.catalog.step(clock::now(), catalog::Event::Restored);
         }
         let event = match watch::decode(event, self.decoder.target) {
@@ -597,13 +606,19 @@
             self.refreshed_era = newest;
             watchers.routers.refresh();
         }
-        if self.catalog.set_aside() == 0 {
-            self.next_target_refresh = now + TARGET_REFRESH_INTERVAL;
-        } else if now >= self.next_target_refresh {
-            self.next_target_refresh = now + TARGET_REFRESH_INTERVAL;
-            if self.roster.list_sources().is_empty() {
-                watchers.targets.refresh();
-            }
+        if self.catalog.take_refresh(now) {
+            let reads_platform = self.roster.list_sources().is_empty();
+            let delay = if reads_platform { Span(0) } else { RELAY_DELAY };
+            self.next_target_refresh = Some(now + delay);
+        } else if self.catalog.set_aside() > 0 {
+            let domains = self.roster.domain_count() as u64;
+            let interval = Span(TARGET_REFRESH_INTERVAL_PER_DOMAIN.0 * domains);
+            let interval = interval.max(TARGET_REFRESH_INTERVAL);
+            self.next_target_refresh.get_or_insert(now + interval);
+        }
+        if self.next_target_refresh.is_some_and(|at| at <= now) {
+            self.next_target_refresh = None;
+            watchers.targets.refresh();
         }
     }
 
@@ -614,6 +629,9 @@
         if self.catalog.step(now, catalog::Event::Tick) {
             self.publish_targets();
         }
+        for target in &self.catalog.take_doubted() {
+            Record::TargetSetAside { target }.write(&self.log);
+        }
         let count = self.state.take_refused_connections();
         self.refused_connections += count;
         if count > 0 {
--- a/src/gateway/record.rs
+++ b/src/gateway/record.rs
@@ -178,6 +178,8 @@
     ListRecovered { list: &'a str, elapsed: Span },
     /// A list of the platform came back from a copy.
     ListRestored(&'a Restoration),
+    /// A target has not written its entry since, unlike most others, and is not used until it does.
+    TargetSetAside { target: &'a id::Target },
     /// The CPU is overloaded for the first time; from now on concurrent requests are limited.
     CpuOverload { lateness: Span, limit: u32 },
     /// What shares were computed from, when the ledger was taken.
@@ -448,6 +450,10 @@
                 "version" => restoration.after.version, "missing" => restoration.missing,
                 "set_aside" => restoration.set_aside,
                 "written_again" => restoration.written_again),
+            Record::TargetSetAside { target } => {
+                slog::warn!(log, "target set aside"; "target" => target.as_str(),
+                    "cause" => "its entry was not written since the store was restored");
+            }
             Record::CpuOverload { lateness, limit } => {
                 slog::warn!(log, "processor busy"; "late_ms" => millis(*lateness), "limit" => limit);
             }
--- a/src/gateway/router.rs
+++ b/src/gateway/router.rs
@@ -19,7 +19,7 @@
     dispatch::{Dispatcher, Event},
     front, gossip, health, memory, metric, mirror, partition,
     roster::Roster,
-    unit::{Era, Span, Time},
+    unit::{Era, Span},
     upstream,
 };
 use std::{
@@ -181,7 +181,7 @@
         positions: BTreeMap::new(),
         refreshed_era: Era::default(),
         rejected: BTreeMap::new(),
-        next_target_refresh: Time::default(),
+        next_target_refresh: None,
         incumbent: Incumbent::default(),
         evacuations: Evacuations::default(),
         presence: presence.clone(),
--- a/src/roster/routers.rs
+++ b/src/roster/routers.rs
@@ -168,6 +168,11 @@
         })
     }
 
+    /// Returns the number of failure domains of the known routers.
+    pub fn domain_count(&self) -> usize {
+        self.domains().len()
+    }
+
     fn domains(&self) -> BTreeSet<&id::Domain> {
         let all = self.others.values().chain([&self.own]);
         all.map(|entry| &entry.domain).collect()
--- a/tests/catalog.rs
+++ b/tests/catalog.rs
@@ -311,3 +311,63 @@
         }
     }
 }
+
+/// Guards against a copied entry that counts as a sign of life because its target wrote, unreported, after its last known write.
+#[test]
+fn restored_list_with_later_write_from_before() {
+    let mut catalog = open();
+    catalog.step(at(10), Event::Update(vec![removed("b")]));
+    catalog.step(at(1_000), Event::Restored);
+    let copy = vec![written("a", 5, false), written("b", 5, false)];
+    catalog.step(at(1_000), Event::Snapshot(copy));
+    assert_eq!(usable(&catalog), ["a"]);
+    let later = vec![written("a", 6, false), written("b", 5, false)];
+    catalog.step(at(2_600), Event::Snapshot(later));
+    catalog.step(at(5_000), Event::Tick);
+    assert_eq!(usable(&catalog), ["a"]);
+    let again = vec![written("a", 7, false), written("b", 6, false)];
+    catalog.step(at(5_600), Event::Snapshot(again));
+    assert_eq!(usable(&catalog), ["a", "b"], "it wrote again");
+}
+
+/// The same for a target that left before this router started.
+#[test]
+fn restored_list_with_unknown_entry() {
+    let mut catalog = open();
+    catalog.step(at(1_000), Event::Restored);
+    let copy = vec![entry("a", 1), entry("b", 1), written("c", 5, false)];
+    catalog.step(at(1_000), Event::Snapshot(copy));
+    assert_eq!(usable(&catalog), ["a", "b"]);
+    catalog.step(at(2_000), Event::Update(vec![entry("d", 1)]));
+    assert_eq!(usable(&catalog), ["a", "b", "d"], "it registered since");
+    catalog.step(at(2_600), Event::Update(vec![written("c", 6, false)]));
+    assert_eq!(usable(&catalog), ["a", "b", "c", "d"]);
+}
+
+/// Guards against a target whose departure this router never saw, because it started after the restore or the platform was away
+/// at once.
+#[test]
+fn restored_list_with_silent_target() {
+    for is_known in [true, false] {
+        let mut catalog = if is_known { open() } else { Catalog::default() };
+        catalog.step(at(1_000), Event::Restored);
+        let copy = vec![entry("a", 1), entry("b", 1), entry("c", 1)];
+        let known = if is_known { &copy[..2] } else { &copy };
+        catalog.step(at(1_000), Event::Snapshot(known.to_vec()));
+        assert!(!catalog.take_refresh(at(2_500)));
+        assert!(catalog.take_refresh(at(2_600)));
+        assert!(!catalog.take_refresh(at(2_700)));
+        let mut list = known.to_vec();
+        list[0] = written("a", 2, false);
+        catalog.step(at(2_700), Event::Snapshot(list));
+        catalog.step(at(2_990), Event::Tick);
+        assert_eq!(usable(&catalog).len(), known.len());
+        catalog.step(at(3_000), Event::Tick);
+        // Of three, one has written and two have not, so that writes may be late.
+        let expected: &[&str] = if is_known { &["a"] } else { &["a", "b", "c"] };
+        assert_eq!(usable(&catalog), expected);
+        catalog.step(at(4_000), Event::Update(vec![written("b", 2, false)]));
+        catalog.step(at(4_000), Event::Tick);
+        assert_eq!(usable(&catalog), ["a", "b"]);
+    }
+}
--- a/tests/restore.rs
+++ b/tests/restore.rs
@@ -375,3 +375,93 @@
     assert_eq!(incumbent.reconcile(&mut event, decode), 0);
     assert_eq!(entries(event), newest);
 }
+
+/// Interval of the writes of a target that change nothing but their number.
+const HEARTBEAT: Duration = Duration::from_millis(300);
+
+/// Waits while some targets write.
+fn beat(targets: &[&Replica], time: Duration) {
+    let end = Instant::now() + time;
+    while Instant::now() < end {
+        targets.iter().for_each(|target| target.beat());
+        thread::sleep(HEARTBEAT.min(end.saturating_duration_since(Instant::now())));
+    }
+}
+
+/// Returns the number of targets that a router uses.
+fn live_targets(router: &Router) -> u64 {
+    let log = router.log();
+    let lines = log.lines().rev();
+    let mut lines = lines.filter_map(|line| serde_json::from_str::<Value>(line).ok());
+    let changed = lines.find(|line| line["msg"] == "targets changed");
+    changed.and_then(|line| line["live"].as_u64()).unwrap_or(0)
+}
+
+/// Sends requests to each router at once, and returns how many of each reach a target.
+fn requests_at(target: &Replica, routers: &[Router]) -> Vec<usize> {
+    let requests = routers.iter().map(|router| {
+        let before = target.arrivals().len();
+        thread::scope(|scope| {
+            for _ in 0..6 {
+                scope.spawn(|| assert_eq!(status(router, "/look/a"), 200));
+            }
+        });
+        target.arrivals().len() - before
+    });
+    requests.collect()
+}
+
+/// Guards against a copied entry that counts as a sign of life because the target wrote after its last visible change: the
+/// target left, and some routers start before and after the store comes back.
+#[test]
+fn target_that_wrote_before_it_left() {
+    for (age, away) in [(500, 0), (2_000, 1_200)] {
+        let world = World::open(0, 3);
+        let [leaving, first, second] = &world.apps[..] else {
+            panic!("three targets");
+        };
+        let mut routers = vec![
+            Router::ready(&world.store, "r1"),
+            Router::ready(&world.store, "r2"),
+        ];
+        beat(&[leaving, first, second], 3 * HEARTBEAT);
+        world.store.copy();
+        beat(&[leaving, first, second], Duration::from_millis(age));
+        leaving.unregister();
+        beat(&[first, second], Duration::from_millis(300));
+        routers.push(Router::ready(&world.store, "r3"));
+        if away > 0 {
+            world.store.fail(Fault::Reset);
+            thread::sleep(Duration::from_millis(away));
+        }
+        world.store.restore();
+        world.store.fail(Fault::None);
+        let returned = Instant::now();
+        routers.push(Router::ready(&world.store, "r4"));
+        // A router that has just started is bound later.
+        let bound = returned.elapsed() + Duration::from_millis(3_000);
+        beat(&[first, second], bound - returned.elapsed());
+        assert_eq!(requests_at(leaving, &routers), [0; 4]);
+        // It wasn't gone: the entry counts again once it writes.
+        let begun = Instant::now();
+        while !routers.iter().all(|router| live_targets(router) == 3) {
+            beat(&[leaving, first, second], HEARTBEAT);
+            let waited = begun.elapsed();
+            assert!(waited < Duration::from_millis(3_500), "{waited:?}");
+        }
+    }
+}
+
+/// Targets that can't write for a while, as all others, aren't taken for gone.
+#[test]
+fn targets_that_do_not_write_after_restore() {
+    let world = World::open(0, 2);
+    let router = Router::ready(&world.store, "r1");
+    world.store.copy();
+    world.store.restore();
+    thread::sleep(Duration::from_millis(3_000));
+    let routers = [router];
+    for app in &world.apps {
+        assert_ne!(requests_at(app, &routers), [0]);
+    }
+}
--- a/tests/world/replica.rs
+++ b/tests/world/replica.rs
@@ -12,7 +12,7 @@
     HeaderMap, Request, Response,
     body::{Frame, Incoming},
 };
-use serde_json::json;
+use serde_json::{Value, json};
 use std::{
     collections::{BTreeSet, VecDeque},
     net::SocketAddr,
@@ -320,6 +320,14 @@
         self.shared.restart();
     }
 
+    /// Writes the entry of a ready target again, if it is listed; nothing but the number of the write changes.
+    pub(crate) fn beat(&self) {
+        let started_at_ms = self.shared.started_at_ms.load(Ordering::Relaxed);
+        let entry = self.shared.next_entry("ready", started_at_ms);
+        let name = self.shared.listed_name.lock().unwrap().clone();
+        self.shared.store.beat("servers", &name, &entry);
+    }
+
     /// Writes the target's entry with a state and the start time of its process.
     pub(crate) fn register_run(&self, state: &str, started_at_ms: u64) {
         self.shared.register_run(state, started_at_ms);
@@ -448,15 +456,20 @@
     }
 
     fn register_run(&self, state: &str, started_at_ms: u64) {
+        let name = self.listed_name.lock().unwrap().clone();
+        let entry = self.next_entry(state, started_at_ms);
+        self.store.put("servers", &name, &entry);
+    }
+
+    /// Returns the entry of the next write.
+    fn next_entry(&self, state: &str, started_at_ms: u64) -> Value {
         let seq = self.seq.fetch_add(1, Ordering::Relaxed) + 1;
         let cold_left = u64::try_from(self.state().cold_left().as_millis()).unwrap();
-        let entry = json!({
+        json!({
             "service": self.service, "address": self.listed.lock().unwrap().to_string(),
             "zone": "east", "version": *self.build.lock().unwrap(), "slots": 8, "state": state,
             "cold-left-ms": cold_left, "born": started_at_ms, "seq": seq,
-        });
-        let name = self.listed_name.lock().unwrap().clone();
-        self.store.put("servers", &name, &entry);
+        })
     }
 
     fn crash(&self) {
--- a/tests/world/store.rs
+++ b/tests/world/store.rs
@@ -117,6 +117,16 @@
         self.shared.write(table, key, Some(value))
     }
 
+    /// Writes a row again that differs in nothing that is reported as a change, as heartbeats of targets do.
+    pub(crate) fn beat(&self, table: &str, key: &str, value: &Value) {
+        let mut state = self.shared.state();
+        state.version += 1;
+        let row = state.rows.get_mut(&(table.into(), key.into()));
+        if let Some(row) = row.filter(|row| row.value.is_some()) {
+            row.value = Some(value.to_string().into_bytes());
+        }
+    }
+
     pub(crate) fn remove(&self, table: &str, key: &str) -> u64 {
         self.shared.write(table, key, None)
     }
