--- a/src/upstream/pool.rs
+++ b/src/upstream/pool.rs
@@ -33,6 +33,10 @@
 /// and below the initial retransmission timeout of a SYN (usually 1 s).
 const CONNECT_TIMEOUT: Span = Span::from_millis(900);
 
+/// Time without a byte of the response after which a connection may have gone silent, and with it those that have been idle
+/// for longer.
+const SILENCE: Span = Span::from_millis(500);
+
 /// Maximum number of bytes that are read ahead from a connection, and thus the size of the head of a
 /// response. A target may send a head without end on each of its connections.
 const MAX_READ_BYTES: usize = 64 << 10;
@@ -76,6 +80,26 @@
     address: SocketAddr,
     pool: Pool,
     reused: bool,
+    monitor: Monitor,
+}
+
+/// Watches for a connection that goes silent: when it is given up, those that have been idle since before its request are
+/// closed, so that no further request waits on them.
+struct Monitor {
+    sending: Arc<Sending>,
+    address: SocketAddr,
+    pool: Pool,
+    /// Start of the latest request.
+    begun: Option<Time>,
+}
+
+impl Drop for Monitor {
+    fn drop(&mut self) {
+        let begun = self.begun.filter(|_| self.sending.is_silent());
+        if let Some(begun) = begun.filter(|begun| clock::now().since(*begun) >= SILENCE) {
+            self.pool.close_idle_since(self.address, begun);
+        }
+    }
 }
 
 impl Pool {
@@ -106,12 +130,19 @@
             Some(idle) => (idle.sender, idle.connection),
             None => connect(address).await?,
         };
+        let monitor = Monitor {
+            sending: connection.sending.clone(),
+            address,
+            pool: self.clone(),
+            begun: None,
+        };
         Ok(Lease {
             sender,
             connection,
             address,
             pool: self.clone(),
             reused,
+            monitor,
         })
     }
 
@@ -147,6 +178,15 @@
         }
     }
 
+    /// Closes the connections to an address that have been idle since a time or longer.
+    fn close_idle_since(&self, address: SocketAddr, time: Time) {
+        if let Ok(mut idle) = self.idle.lock()
+            && let Some(connections) = idle.get_mut(&address)
+        {
+            connections.retain(|idle| idle.since > time);
+        }
+    }
+
     /// Closes idle connections that have expired or that the target closed.
     pub fn sweep(&self) {
         let now = clock::now();
@@ -205,6 +245,7 @@
     {
         let sending = &self.connection.sending;
         sending.begin();
+        self.monitor.begun = Some(clock::now());
         let request = request.map(|body| Upload::new(body, sending.clone()));
         self.sender.try_send_request(request)
     }
--- a/src/upstream/sending.rs
+++ b/src/upstream/sending.rs
@@ -12,12 +12,20 @@
     ended_unsent: AtomicBool,
     /// The response has not been read completely.
     is_unanswered: AtomicBool,
+    /// The target has sent bytes since the request began.
+    has_received: AtomicBool,
 }
 
 impl Sending {
     /// Records that a request is about to be sent.
     pub(super) fn begin(&self) {
-        for flag in [&self.is_taken, &self.is_sent, &self.ended_unsent] {
+        let flags = [
+            &self.is_taken,
+            &self.is_sent,
+            &self.ended_unsent,
+            &self.has_received,
+        ];
+        for flag in flags {
             flag.store(false, Ordering::Relaxed);
         }
         self.is_unanswered.store(true, Ordering::Relaxed);
@@ -32,6 +40,16 @@
         self.is_unanswered.load(Ordering::Relaxed)
     }
 
+    /// Records that the target sent bytes.
+    pub(super) fn record_received(&self) {
+        self.has_received.store(true, Ordering::Relaxed);
+    }
+
+    /// Reports whether the target has sent nothing since the request began.
+    pub(super) fn is_silent(&self) -> bool {
+        self.is_unanswered() && !self.has_received.load(Ordering::Relaxed)
+    }
+
     pub(super) fn record_taken(&self) {
         self.is_taken.store(true, Ordering::Relaxed);
     }
--- a/src/upstream/wire.rs
+++ b/src/upstream/wire.rs
@@ -51,6 +51,9 @@
             }
             self.sending.record_end();
         }
+        if buffer.filled().len() > before {
+            self.sending.record_received();
+        }
         Poll::Ready(Ok(()))
     }
 }
