--- a/tests/crashes.rs
+++ b/tests/crashes.rs
@@ -71,6 +71,8 @@
     next_build: (u64, usize),
     /// Requests that a target runs at a time.
     slots: u32,
+    /// Percentage of the requests with a fatal part that arrive at the first router; the others arrive at any.
+    first_router_percent: u64,
 }
 
 struct Job {
@@ -220,7 +222,10 @@
     fn send_request(&mut self, fatal: Option<u64>) {
         self.next += 1;
         let number = self.next;
-        let router = self.below(self.routers.len() as u64) as usize;
+        let percent = self.trouble.first_router_percent;
+        let is_at_first = fatal.is_some() && percent > 0 && self.below(100) < percent;
+        let routers = if is_at_first { 1 } else { self.routers.len() };
+        let router = self.below(routers as u64) as usize;
         let common = 1 + self.below(COMMON_PARTS);
         let rare = 1_000 + self.below(RARE_PARTS);
         let is_changed = self.below(100) < self.trouble.changed_percent;
@@ -598,6 +603,7 @@
     changed_percent: 0,
     next_build: (0, 0),
     slots: 1_000,
+    first_router_percent: 0,
 };
 
 fn play(trouble: Trouble) -> Simulation {
@@ -639,6 +645,36 @@
     assert!(simulation.held.contains(&FATAL));
 }
 
+/// Guards against trials without end where most requests of a router have the part.
+#[test]
+fn fatal_part_of_most_requests_is_held_back() {
+    const REQUESTS_PER_S: u64 = 40;
+    for percent in [5, 27, 50, 70, 95] {
+        for (routers, first_router_percent) in [(1, 0), (3, 0), (3, 60), (16, 0), (16, 50)] {
+            for parts in [1, 2] {
+                let simulation = play(Trouble {
+                    routers,
+                    requests_per_s: REQUESTS_PER_S * (100 - percent) / 100,
+                    gap_ms: 100_000 / (REQUESTS_PER_S * percent),
+                    parts,
+                    first_router_percent,
+                    ..NONE
+                });
+                eprintln!("{percent} % of the requests, {routers} routers, {parts} parts");
+                simulation.check();
+                for part in simulation.fatal_crashes.keys() {
+                    let crashes = simulation.fatal_crashes[part].len();
+                    let is_held = simulation.held.contains(part);
+                    assert!(
+                        is_held || crashes < MAX_CRASHES,
+                        "{part:x}: {crashes} crashes"
+                    );
+                }
+            }
+        }
+    }
+}
+
 /// A target that drops a request whose caller leaves does not crash, but has not answered it either.
 #[test]
 fn fatal_part_is_held_back_although_callers_leave() {
--- a/tests/cut_off.rs
+++ b/tests/cut_off.rs
@@ -196,6 +196,38 @@
     });
 }
 
+/// The router wakes up in the middle of a cut.
+#[test]
+fn target_that_leaves_while_router_stands_still() {
+    play(&[500, 1_500, 2_500, 5_500], |length| {
+        let scene = Scene::open();
+        scene.cut();
+        thread::sleep(length / 4);
+        scene.routers[0].signal(Signal::SIGSTOP);
+        thread::sleep(length / 4);
+        let removed = scene.leave();
+        thread::sleep(length / 4);
+        scene.routers[0].signal(Signal::SIGCONT);
+        thread::sleep(length / 4);
+        scene.late(scene.heal(), removed)
+    });
+}
+
+/// The store itself was away, and closed connections.
+#[test]
+fn target_that_leaves_after_an_outage_of_the_store() {
+    play(&CUTS, |length| {
+        let scene = Scene::open();
+        scene.world.store.fail(Fault::Reset);
+        thread::sleep(length);
+        scene.world.store.fail(Fault::None);
+        let returned = Instant::now();
+        thread::sleep(millis(300));
+        let removed = scene.leave();
+        scene.late(returned, removed)
+    });
+}
+
 /// Plays an outage of the store in which the entries of both targets expire. One registers again shortly before the two
 /// seconds are over that it has for it; the other one is gone.
 fn play_outage(fault: Fault, is_cut_off: bool, length: Duration) -> usize {
