--- a/src/upstream/mod.rs
+++ b/src/upstream/mod.rs
@@ -1,5 +1,6 @@
 //! HTTP connections to targets.
 
+mod monitor;
 mod pool;
 mod sending;
 mod upload;
--- a/src/upstream/pool.rs
+++ b/src/upstream/pool.rs
@@ -1,6 +1,6 @@
 //! Connection pool for targets.
 
-use super::{sending::Sending, upload::Upload, wire::Wire};
+use super::{monitor::Monitor, sending::Sending, upload::Upload, wire::Wire};
 use crate::{
     clock, memory,
     unit::{Span, Time},
@@ -33,10 +33,6 @@
 /// and below the initial retransmission timeout of a SYN (usually 1 s).
 const CONNECT_TIMEOUT: Span = Span::from_millis(900);
 
-/// Time without a byte of the response after which a connection may have gone silent, and with it those that have been idle
-/// for longer.
-const SILENCE: Span = Span::from_millis(500);
-
 /// Maximum number of bytes that are read ahead from a connection, and thus the size of the head of a
 /// response. A target may send a head without end on each of its connections.
 const MAX_READ_BYTES: usize = 64 << 10;
@@ -83,25 +79,6 @@
     monitor: Monitor,
 }
 
-/// Watches for a connection that goes silent: when it is given up, those that have been idle since before its request are
-/// closed, so that no further request waits on them.
-struct Monitor {
-    sending: Arc<Sending>,
-    address: SocketAddr,
-    pool: Pool,
-    /// Start of the latest request.
-    begun: Option<Time>,
-}
-
-impl Drop for Monitor {
-    fn drop(&mut self) {
-        let begun = self.begun.filter(|_| self.sending.is_silent());
-        if let Some(begun) = begun.filter(|begun| clock::now().since(*begun) >= SILENCE) {
-            self.pool.close_idle_since(self.address, begun);
-        }
-    }
-}
-
 impl Pool {
     /// Returns an idle connection if `reuse` is set and there is one, or opens a connection.
     ///
@@ -130,12 +107,7 @@
             Some(idle) => (idle.sender, idle.connection),
             None => connect(address).await?,
         };
-        let monitor = Monitor {
-            sending: connection.sending.clone(),
-            address,
-            pool: self.clone(),
-            begun: None,
-        };
+        let monitor = Monitor::new(connection.sending.clone(), address, self.clone());
         Ok(Lease {
             sender,
             connection,
@@ -179,7 +151,7 @@
     }
 
     /// Closes the connections to an address that have been idle since a time or longer.
-    fn close_idle_since(&self, address: SocketAddr, time: Time) {
+    pub(super) fn close_idle_since(&self, address: SocketAddr, time: Time) {
         if let Ok(mut idle) = self.idle.lock()
             && let Some(connections) = idle.get_mut(&address)
         {
@@ -245,7 +217,7 @@
     {
         let sending = &self.connection.sending;
         sending.begin();
-        self.monitor.begun = Some(clock::now());
+        self.monitor.begin();
         let request = request.map(|body| Upload::new(body, sending.clone()));
         self.sender.try_send_request(request)
     }
