--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -98,6 +98,8 @@
     /// Targets send wrong IDs of events, reject requests and answer with statuses that no response has, while routers are
     /// stopped and started and configurations change.
     Answers,
+    /// Open connections go silent for good, routers are cut off from the store, and it comes back from copies.
+    Silences,
     /// The failure domain of all targets is evacuated while routers are stopped and started and configurations change.
     Evacuations,
 }
@@ -130,6 +132,11 @@
     soak(Kind::Answers);
 }
 
+#[test]
+fn silent_connections_end_nothing_for_good() {
+    soak(Kind::Silences);
+}
+
 #[test]
 fn evacuated_domain_runs_nothing() {
     soak(Kind::Evacuations);
@@ -323,6 +330,15 @@
             Trouble::stop,
             vec![Trouble::answers, Trouble::configuration],
         ),
+        Kind::Silences => (
+            Trouble::look,
+            vec![
+                Trouble::silences,
+                Trouble::store_cuts,
+                Trouble::restore,
+                Trouble::configuration,
+            ],
+        ),
         Kind::Evacuations => (
             Trouble::stop,
             vec![Trouble::evacuation, Trouble::configuration],
@@ -812,6 +828,27 @@
         }
     }
 
+    /// Makes the open connections of some links to targets and to the store silent.
+    fn silences(&mut self) {
+        let links = [&self.fleet.stores, &self.fleet.targets];
+        for link in links.into_iter().flatten() {
+            if self.draw(2) == 0 {
+                link.silence();
+            }
+        }
+        self.sleep(300..3_000);
+    }
+
+    /// Cuts a router off from the store for a time.
+    fn store_cuts(&mut self) {
+        let fleet = self.fleet;
+        let link = &fleet.stores[self.draw(fleet.len() as u64) as usize];
+        link.cut();
+        self.sleep(100..4_000);
+        link.harm(Harm::None);
+        self.sleep(100..2_000);
+    }
+
     /// Lets a target announce in its responses that it leaves, and start again after a while.
     fn departures(&mut self) {
         let world = &self.fleet.world;
