--- a/tests/cut_off.rs
+++ b/tests/cut_off.rs
@@ -64,6 +64,14 @@
         Instant::now()
     }
 
+    /// Has the second target report that it is draining.
+    fn drain(&self) -> Instant {
+        let leaving = &self.world.apps[1];
+        leaving.announce_leaving(true);
+        leaving.register("draining");
+        Instant::now()
+    }
+
     /// Has the second target leave without a word, in the moment at which its entry is removed.
     fn leave(&self) -> Instant {
         let leaving = &self.world.apps[1];
@@ -132,6 +140,22 @@
     play(&CUTS, |length| Scene::open().late_after_cut(length));
 }
 
+/// The same for a target that reports that it is draining, and whose entry is removed in the end.
+#[test]
+fn target_that_drains_around_a_cut() {
+    play(&CUTS, |length| {
+        let scene = Scene::open();
+        scene.cut();
+        thread::sleep(length / 2);
+        let drained = scene.drain();
+        thread::sleep(length / 2);
+        let healed = scene.heal();
+        thread::sleep(millis(200));
+        scene.leave();
+        scene.late(healed, drained)
+    });
+}
+
 #[test]
 fn target_that_leaves_after_all_routers_were_cut_off() {
     play(&[1_500, 2_500, 3_700, 4_600, 5_500], |length| {
