--- a/tests/early_end.rs
+++ b/tests/early_end.rs
@@ -163,7 +163,7 @@
             let body = body(EVENTS);
             write!(
                 stream,
-                "{signed}content-length: {}\r\n\r\n{body}",
+                "{signed}connection: close\r\ncontent-length: {}\r\n\r\n{body}",
                 body.len()
             )?;
             stream.read_exact(&mut vec![0; length])
